--- /dev/null
+++ b/src/coltsfootrill/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line with ``python -m coltsfootrill``."""
+
+from __future__ import annotations
+
+from coltsfootrill.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/coltsfootrill/balancer/least_expected_wait.py
@@ -0,0 +1,58 @@
+"""The least expected wait among a few random upstreams: the default policy.
+
+Choosing the best of all would send every instance to the same upstream, since all of them read
+much the same reports; a random sample keeps their choices apart.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from coltsfootrill.balancer.choice import ChoiceContext
+from coltsfootrill.balancer.choice import ChoicePolicy
+from coltsfootrill.balancer.load import UpstreamLoad
+from coltsfootrill.balancer.load import estimate_errors
+from coltsfootrill.balancer.load import estimate_in_flight
+from coltsfootrill.balancer.load import estimate_slowness
+from coltsfootrill.balancer.load import get_ramp_share
+from coltsfootrill.hookspecs import hookimpl
+
+NEAR_SAMPLE_COUNT = 3
+FAR_SAMPLE_COUNT = 2
+ZONE_CROSSING_MS = 3.0
+ERROR_PENALTY = 2.0
+
+
+def expect_wait_ms(load: UpstreamLoad, context: ChoiceContext) -> float:
+    """Return the expected time to an answer in milliseconds, penalties included."""
+    now_ms = context.now_ms
+    work_ms = context.usual_ms * max(estimate_slowness(load, now_ms), 0.2)
+    queued = max(0.0, estimate_in_flight(load, now_ms) + 1 - load.slots)
+    # Below its slots an upstream is hardly slower when busy; the small share spreads the work.
+    busy_share = estimate_in_flight(load, now_ms) / load.slots
+    wait_ms = work_ms * (1 + queued / load.slots + 0.2 * busy_share)
+    wait_ms *= 1 + ERROR_PENALTY * estimate_errors(load, now_ms)
+    wait_ms /= get_ramp_share(load, now_ms)
+    if load.zone != context.zone:
+        wait_ms += ZONE_CROSSING_MS
+    return wait_ms
+
+
+def choose(candidates: Sequence[UpstreamLoad], context: ChoiceContext) -> UpstreamLoad:
+    """Return the candidate with the least expected wait in a sample of near and far ones."""
+    near = [load for load in candidates if load.zone == context.zone]
+    far = [load for load in candidates if load.zone != context.zone]
+    sample = _draw(near, NEAR_SAMPLE_COUNT, context) + _draw(far, FAR_SAMPLE_COUNT, context)
+    return min(sample, key=lambda load: expect_wait_ms(load, context))
+
+
+def _draw(loads: list[UpstreamLoad], count: int, context: ChoiceContext) -> list[UpstreamLoad]:
+    if len(loads) <= count:
+        return context.random.sample(loads, len(loads))
+    return context.random.sample(loads, count)
+
+
+@hookimpl
+def coltsfootrill_choice_policy() -> ChoicePolicy:
+    """Return the policy ``least-expected-wait``."""
+    return ChoicePolicy(name="least-expected-wait", choose=choose)
--- /dev/null
+++ b/src/coltsfootrill/balancer/load.py
@@ -0,0 +1,187 @@
+"""What one entry instance knows of the load of one upstream, and its estimate of it.
+
+Every report is stale when it is read: its weight halves with each ``REPORT_HALF_LIFE_MS`` of
+age, and the upstream's usual load takes its place.
+"""
+
+from __future__ import annotations
+
+import math
+
+REPORT_HALF_LIFE_MS = 40.0
+USUAL_WEIGHT = 0.05
+SLOWNESS_WEIGHT = 0.2
+SLOWNESS_MAX = 100.0
+ERROR_HALF_LIFE_MS = 2_000.0
+LIMIT_STEP = 0.2
+LEAVING_PAUSE_MS = 1_000.0
+LIMIT_SHED_FACTOR = 0.7
+RAMP_MS = 2_000.0
+RAMP_SHARE_MIN = 0.1
+SHED_PAUSE_MS = 10.0
+SHED_PAUSE_MAX_MS = 160.0
+
+
+class LoadReport:
+    """Load that an upstream states on an answer: requests in flight there, and its slots."""
+
+    __slots__ = ("in_flight", "slots", "state")
+
+    def __init__(self, *, in_flight: int, slots: int, state: str) -> None:
+        self.in_flight = in_flight
+        self.slots = slots
+        self.state = state
+
+
+class UpstreamLoad:
+    """State of one upstream incarnation as seen from this instance.
+
+    ``slowness`` is the smoothed ratio of its latency to the usual latency of each kind.
+    ``errors`` is a count that halves with time. ``limit`` bounds own requests in flight.
+    """
+
+    __slots__ = (
+        "address",
+        "confirmed_at_ms",
+        "consecutive_sheds",
+        "ejected_until_ms",
+        "ejection_count",
+        "errors",
+        "errors_at_ms",
+        "id",
+        "incarnation",
+        "limit",
+        "needs_probe",
+        "others_usual",
+        "paused_until_ms",
+        "ramp_from_ms",
+        "reported_at_ms",
+        "reported_others",
+        "slots",
+        "slowness",
+        "started_by_token",
+        "successes",
+        "zone",
+    )
+
+    def __init__(
+        self, *, id: str, incarnation: int, address: str, zone: str, slots: int, now_ms: float
+    ) -> None:
+        self.id = id
+        self.incarnation = incarnation
+        self.address = address
+        self.zone = zone
+        self.slots = slots
+        self.limit = float(slots)
+        self.started_by_token: dict[int, tuple[float, float]] = {}
+        self.reported_others = 0.0
+        self.reported_at_ms = now_ms
+        self.others_usual = 0.0
+        self.slowness = 1.0
+        self.errors = 0.0
+        self.errors_at_ms = now_ms
+        self.successes = 0
+        self.consecutive_sheds = 0
+        self.paused_until_ms = 0.0
+        self.ejected_until_ms = 0.0
+        self.ejection_count = 0
+        self.needs_probe = False
+        self.confirmed_at_ms = 0.0
+        self.ramp_from_ms = now_ms
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of own requests in flight."""
+        return len(self.started_by_token)
+
+
+def estimate_in_flight(load: UpstreamLoad, now_ms: float) -> float:
+    """Return the requests expected in flight at the upstream, own ones included."""
+    age_ms = max(0.0, now_ms - load.reported_at_ms)
+    weight = math.pow(0.5, age_ms / REPORT_HALF_LIFE_MS)
+    others = weight * load.reported_others + (1 - weight) * load.others_usual
+    return load.in_flight + others
+
+
+def estimate_slowness(load: UpstreamLoad, now_ms: float) -> float:
+    """Return the slowness, at least that of the longest wait still in progress.
+
+    An upstream that stops answering gives no new latencies: the age of its open requests is the
+    first sign of it.
+    """
+    slowness = load.slowness
+    for started_ms, usual_ms in load.started_by_token.values():
+        slowness = max(slowness, (now_ms - started_ms) / usual_ms)
+    return min(slowness, SLOWNESS_MAX)
+
+
+def estimate_errors(load: UpstreamLoad, now_ms: float) -> float:
+    """Return the decayed count of errors."""
+    return load.errors * math.pow(0.5, (now_ms - load.errors_at_ms) / ERROR_HALF_LIFE_MS)
+
+
+def get_ramp_share(load: UpstreamLoad, now_ms: float) -> float:
+    """Return the share of its usual work that a cold or returning upstream gets."""
+    share = (now_ms - load.ramp_from_ms) / RAMP_MS
+    return min(1.0, max(RAMP_SHARE_MIN, share))
+
+
+def is_available(load: UpstreamLoad, now_ms: float) -> bool:
+    """Return whether a request may start now: not ejected, not paused, below the limit."""
+    return (
+        now_ms >= load.ejected_until_ms
+        and now_ms >= load.paused_until_ms
+        and load.in_flight < max(1, int(load.limit))
+    )
+
+
+def note_start(load: UpstreamLoad, *, token: int, now_ms: float, usual_ms: float) -> None:
+    """Note that a request starts; ``usual_ms`` is the usual latency of its kind."""
+    load.started_by_token[token] = (now_ms, max(usual_ms, 0.1))
+
+
+def note_end(load: UpstreamLoad, *, token: int) -> float | None:
+    """Note that a request ended, however; return when it started."""
+    started = load.started_by_token.pop(token, None)
+    return None if started is None else started[0]
+
+
+def note_report(load: UpstreamLoad, report: LoadReport, *, now_ms: float) -> None:
+    """Take in the load stated on an answer, before the request is counted as ended."""
+    load.slots = report.slots
+    others = max(0.0, float(report.in_flight - load.in_flight))
+    load.reported_others = others
+    load.reported_at_ms = now_ms
+    load.others_usual += USUAL_WEIGHT * (others - load.others_usual)
+    if report.state == "leaving":
+        # The announcement follows; until it does, no new work goes there.
+        load.paused_until_ms = max(load.paused_until_ms, now_ms + LEAVING_PAUSE_MS)
+
+
+def note_success(load: UpstreamLoad, *, latency_ms: float, usual_ms: float) -> None:
+    """Note a good answer."""
+    ratio = min(latency_ms / max(usual_ms, 0.1), SLOWNESS_MAX)
+    load.slowness += SLOWNESS_WEIGHT * (ratio - load.slowness)
+    load.limit = min(float(load.slots), load.limit + LIMIT_STEP)
+    load.consecutive_sheds = 0
+    load.successes += 1
+
+
+def note_error(load: UpstreamLoad, *, now_ms: float) -> None:
+    """Note a failed attempt; its latency is not used, so failing fast never looks quick."""
+    load.errors = estimate_errors(load, now_ms) + 1
+    load.errors_at_ms = now_ms
+
+
+def note_shed(load: UpstreamLoad, *, now_ms: float) -> None:
+    """Note that the upstream refused a request for lack of capacity."""
+    load.limit = max(1.0, load.limit * LIMIT_SHED_FACTOR)
+    pause_ms = SHED_PAUSE_MS * 2 ** min(load.consecutive_sheds, 10)
+    load.consecutive_sheds += 1
+    load.paused_until_ms = now_ms + min(pause_ms, SHED_PAUSE_MAX_MS)
+
+
+def note_straggle(load: UpstreamLoad, *, waited_ms: float, usual_ms: float) -> None:
+    """Note that a request was given up after ``waited_ms`` without an answer."""
+    ratio = min(waited_ms / max(usual_ms, 0.1), SLOWNESS_MAX)
+    load.slowness += SLOWNESS_WEIGHT * max(0.0, ratio - load.slowness)
--- /dev/null
+++ b/src/coltsfootrill/balancer/pool.py
@@ -0,0 +1,214 @@
+"""The decisions for one service, made on one state: choice, limits, queue and retries.
+
+Nothing here blocks or reads a clock. The owner holds a lock around each call and passes the time.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from coltsfootrill.balancer.admission import AdmissionQueue
+from coltsfootrill.balancer.admission import Waiter
+from coltsfootrill.balancer.admission import can_meet_deadline
+from coltsfootrill.balancer.choice import ChoiceContext
+from coltsfootrill.balancer.choice import ChoicePolicy
+from coltsfootrill.balancer.ejection import eject_outliers
+from coltsfootrill.balancer.latency import KindLatency
+from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.balancer.load import UpstreamLoad
+from coltsfootrill.balancer.load import estimate_in_flight
+from coltsfootrill.balancer.load import is_available
+from coltsfootrill.balancer.load import note_end
+from coltsfootrill.balancer.load import note_error
+from coltsfootrill.balancer.load import note_report
+from coltsfootrill.balancer.load import note_shed
+from coltsfootrill.balancer.load import note_start
+from coltsfootrill.balancer.load import note_straggle
+from coltsfootrill.balancer.load import note_success
+from coltsfootrill.balancer.retry import RetryBudget
+from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Service
+from coltsfootrill.manifest.table import may_serve
+from coltsfootrill.registry.directory import UpstreamRecord
+
+EJECT_EVERY_MS = 20.0
+
+
+class Lease:
+    """One request in flight at one upstream; ended exactly once."""
+
+    __slots__ = ("kind_id", "load", "started_ms", "token", "usual_ms")
+
+    def __init__(
+        self, *, load: UpstreamLoad, token: int, kind_id: str, started_ms: float, usual_ms: float
+    ) -> None:
+        self.load = load
+        self.token = token
+        self.kind_id = kind_id
+        self.started_ms = started_ms
+        self.usual_ms = usual_ms
+
+
+class ServicePool:
+    """State of one service on this instance. ``by_id`` holds the usable upstreams."""
+
+    __slots__ = (
+        "_ejected_at_ms",
+        "_policy",
+        "_random",
+        "_retiring",
+        "_turn",
+        "_zone",
+        "by_id",
+        "latency_by_kind",
+        "queue",
+        "retry_budget",
+        "service_id",
+    )
+
+    def __init__(
+        self,
+        service: Service,
+        *,
+        policy: ChoicePolicy,
+        random: Random,
+        zone: str,
+        queue_limit: int,
+    ) -> None:
+        self.service_id = service.id
+        self.by_id: dict[str, UpstreamLoad] = {}
+        self.latency_by_kind: dict[str, KindLatency] = {}
+        self.queue = AdmissionQueue(queue_limit)
+        self.retry_budget = RetryBudget(service.retry_share)
+        self._policy = policy
+        self._random = random
+        self._zone = zone
+        self._turn = 0
+        self._ejected_at_ms = 0.0
+        self._retiring: list[UpstreamLoad] = []
+
+    def update(self, service: Service, records: list[UpstreamRecord], now_ms: float) -> None:
+        """Take in the upstreams that are usable now under the manifest in force."""
+        self.retry_budget.share = service.retry_share
+        wanted = {
+            record.announcement.id: record
+            for record in records
+            if service.id in record.announcement.services
+            and may_serve(service, record.announcement.id)
+        }
+        for upstream_id, record in wanted.items():
+            load = self.by_id.get(upstream_id)
+            if load is None or not _is_same(load, record):
+                self._retire(load)
+                self.by_id[upstream_id] = _make_load(record, now_ms)
+        for upstream_id in [known for known in self.by_id if known not in wanted]:
+            self._retire(self.by_id.pop(upstream_id))
+        self._retiring = [load for load in self._retiring if load.in_flight]
+
+    def count_in_flight(self) -> dict[str, int]:
+        """Return own requests in flight by upstream, those that left included."""
+        by_id = {load.id: 0 for load in self._retiring}
+        for load in [*self.by_id.values(), *self._retiring]:
+            by_id[load.id] = by_id.get(load.id, 0) + load.in_flight
+        return by_id
+
+    def get_latency(self, kind_id: str) -> KindLatency:
+        """Return the latency state of a kind."""
+        latency = self.latency_by_kind.get(kind_id)
+        if latency is None:
+            latency = self.latency_by_kind[kind_id] = KindLatency()
+        return latency
+
+    def acquire(
+        self, kind: Kind, now_ms: float, *, exclude: frozenset[str], is_patient: bool = False
+    ) -> Lease | None:
+        """Choose an upstream and count the request as in flight there.
+
+        Returns ``None`` when none is available. Upstreams in ``exclude`` are taken only if there
+        is no other. A patient request takes only upstreams that are expected to have a free slot.
+        """
+        if now_ms - self._ejected_at_ms >= EJECT_EVERY_MS:
+            self._ejected_at_ms = now_ms
+            eject_outliers(list(self.by_id.values()), now_ms=now_ms)
+        available = [load for load in self.by_id.values() if is_available(load, now_ms)]
+        if is_patient:
+            available = [
+                load for load in available if estimate_in_flight(load, now_ms) < load.slots
+            ]
+        preferred = [load for load in available if load.id not in exclude] or available
+        if not preferred:
+            return None
+        usual_ms = self.get_latency(kind.id).usual_ms
+        self._turn += 1
+        context = ChoiceContext(
+            now_ms=now_ms,
+            random=self._random,
+            zone=self._zone,
+            usual_ms=usual_ms,
+            turn=self._turn,
+        )
+        load = self._policy.choose(preferred, context)
+        note_start(load, token=self._turn, now_ms=now_ms, usual_ms=usual_ms)
+        return Lease(
+            load=load, token=self._turn, kind_id=kind.id, started_ms=now_ms, usual_ms=usual_ms
+        )
+
+    def can_still_answer(self, kind: Kind, waiter: Waiter, now_ms: float) -> bool:
+        """Return whether a waiter can be expected to meet its deadline."""
+        parallel = sum(max(1, int(load.limit)) for load in self.by_id.values())
+        return can_meet_deadline(
+            ahead=self.queue.count_ahead(waiter, now_ms),
+            parallel=parallel,
+            usual_ms=self.get_latency(kind.id).usual_ms,
+            remaining_ms=waiter.deadline_ms - now_ms,
+        )
+
+    def end_answered(self, lease: Lease, report: LoadReport | None, now_ms: float) -> None:
+        """Count a whole answer without a server error."""
+        if report is not None:
+            note_report(lease.load, report, now_ms=now_ms)
+        if note_end(lease.load, token=lease.token) is None:
+            return
+        latency_ms = now_ms - lease.started_ms
+        self.get_latency(lease.kind_id).add(latency_ms)
+        note_success(lease.load, latency_ms=latency_ms, usual_ms=lease.usual_ms)
+
+    def end_shed(self, lease: Lease, report: LoadReport | None, now_ms: float) -> None:
+        """Count an explicit refusal for lack of capacity."""
+        if report is not None:
+            note_report(lease.load, report, now_ms=now_ms)
+        note_end(lease.load, token=lease.token)
+        note_shed(lease.load, now_ms=now_ms)
+
+    def end_failed(self, lease: Lease, now_ms: float) -> None:
+        """Count a refused connection, a broken answer or a server error."""
+        note_end(lease.load, token=lease.token)
+        note_error(lease.load, now_ms=now_ms)
+
+    def end_abandoned(self, lease: Lease, now_ms: float, *, is_slow: bool) -> None:
+        """Count an attempt that was given up; ``is_slow`` when the upstream is to blame."""
+        note_end(lease.load, token=lease.token)
+        if is_slow:
+            waited_ms = now_ms - lease.started_ms
+            note_straggle(lease.load, waited_ms=waited_ms, usual_ms=lease.usual_ms)
+
+    def _retire(self, load: UpstreamLoad | None) -> None:
+        if load is not None and load.in_flight:
+            self._retiring.append(load)
+
+
+def _is_same(load: UpstreamLoad, record: UpstreamRecord) -> bool:
+    announcement = record.announcement
+    return load.incarnation == announcement.incarnation and load.address == announcement.address
+
+
+def _make_load(record: UpstreamRecord, now_ms: float) -> UpstreamLoad:
+    announcement = record.announcement
+    return UpstreamLoad(
+        id=announcement.id,
+        incarnation=announcement.incarnation,
+        address=announcement.address,
+        zone=announcement.zone,
+        slots=announcement.slots,
+        now_ms=now_ms,
+    )
--- /dev/null
+++ b/src/coltsfootrill/cli.py
@@ -0,0 +1,243 @@
+"""The command line. Exit codes are listed in ``ExitCode``."""
+
+from __future__ import annotations
+
+import getpass
+import sys
+from pathlib import Path
+from typing import Annotated
+from typing import Literal
+
+from cyclopts import App
+from cyclopts import Parameter
+
+from coltsfootrill import __version__
+from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.log import set_up_log
+from coltsfootrill.operators import commands
+from coltsfootrill.operators.client import OperatorClient
+from coltsfootrill.operators.exit_codes import ExitCode
+from coltsfootrill.operators.output import print_error
+from coltsfootrill.roles.control import ControlRole
+from coltsfootrill.roles.entry import EntryRole
+from coltsfootrill.settings import CONTROL_SETTINGS
+from coltsfootrill.settings import ENTRY_SETTINGS
+from coltsfootrill.settings import InvalidSettingsError
+from coltsfootrill.settings import Settings
+
+app = App(
+    name="coltsfootrill",
+    version=__version__,
+    help="A load balancer for servers whose load shifts within milliseconds.",
+    help_epilogue=(
+        "Exit codes: 0 done; 1 refused, nothing was changed; 2 wrong arguments or settings; "
+        "3 not known whether it was done, send it again; 4 no answer."
+    ),
+)
+settings_app = App(name="settings", help="Work with settings files.")
+manifest_app = App(name="manifest", help="Check, submit and follow manifests.")
+app.command(settings_app)
+app.command(manifest_app)
+
+At = Annotated[str, Parameter(help="An operators' address, ip:port.")]
+Ats = Annotated[list[str], Parameter(help="Operators' addresses, ip:port, one or more times.")]
+TokenFile = Annotated[Path, Parameter(help="File with the operators' token.")]
+Operator = Annotated[str | None, Parameter(help="Who asks, for the audit trail.")]
+AsJson = Annotated[bool, Parameter(name="--json", help="Print JSON.")]
+SettingsFile = Annotated[Path, Parameter(name="--settings", help="INI file of the instance.")]
+
+
+@app.command
+def entry(*, settings: SettingsFile) -> int:
+    """Run an entry instance until SIGTERM, then stop gracefully."""
+    set_up_log()
+    return EntryRole.from_settings(Settings.from_file(settings, ENTRY_SETTINGS)).run()
+
+
+@app.command
+def control(*, settings: SettingsFile) -> int:
+    """Run a control replica until SIGTERM."""
+    set_up_log()
+    return ControlRole.from_settings(Settings.from_file(settings, CONTROL_SETTINGS)).run()
+
+
+@settings_app.command
+def check(file: Path, *, role: Literal["entry", "control"]) -> int:
+    """Check a settings file and print every problem."""
+    Settings.from_file(file, ENTRY_SETTINGS if role == "entry" else CONTROL_SETTINGS)
+    print(f"{file}: good settings for the role {role}")
+    return ExitCode.DONE
+
+
+@settings_app.command(name="reference")
+def print_reference() -> int:
+    """Print every setting of both roles as a Markdown table."""
+    print(commands.make_settings_reference(), end="")
+    return ExitCode.DONE
+
+
+@manifest_app.command(name="check")
+def check_manifest(file: Path, *, json: AsJson = False) -> int:
+    """Check a manifest without submitting it and print every problem."""
+    return commands.check_manifest(file, as_json=json)
+
+
+@manifest_app.command
+def submit(
+    file: Path, *, at: Ats, token_file: TokenFile, operator: Operator = None, json: AsJson = False
+) -> int:
+    """Submit a manifest to a control replica; it is accepted or refused as a whole.
+
+    With several addresses the next one is tried when one does not answer; that is safe.
+    """
+    client = _make_clients(at, token_file, operator)
+    return commands.submit_manifest(file, client, as_json=json)
+
+
+@manifest_app.command
+def show(*, at: At, token_file: TokenFile) -> int:
+    """Print the accepted manifest, as a majority of the control replicas holds it."""
+    return commands.show_manifest(_make_clients([at], token_file, None)[0])
+
+
+@manifest_app.command(name="status")
+def show_manifest_status(
+    *,
+    at: Ats,
+    token_file: TokenFile,
+    wait: Annotated[int | None, Parameter(help="A version to wait for on every instance.")] = None,
+    timeout_s: float = 30.0,
+    json: AsJson = False,
+) -> int:
+    """Print the version in force on each entry instance, or wait until all have it."""
+    clients = _make_clients(at, token_file, None)
+    return commands.show_manifest_status(
+        clients, wait_version=wait, timeout_s=timeout_s, as_json=json
+    )
+
+
+@app.command
+def upstreams(*, at: Ats, token_file: TokenFile, json: AsJson = False) -> int:
+    """List upstreams and what the named entry instances have in flight there.
+
+    Name every entry instance to see whether an upstream that leaves can be stopped.
+    """
+    return commands.list_upstreams(_make_clients(at, token_file, None), as_json=json)
+
+
+@app.command
+def status(*, at: Ats, token_file: TokenFile, json: AsJson = False) -> int:
+    """Print the state of instances."""
+    return commands.show_status(_make_clients(at, token_file, None), as_json=json)
+
+
+@app.command
+def audit(*, at: At, token_file: TokenFile, after: int = 0, json: AsJson = False) -> int:
+    """Print the audit trail of an instance, oldest record first."""
+    client = _make_clients([at], token_file, None)[0]
+    return commands.show_audit(client, after_number=after, as_json=json)
+
+
+@app.command
+def replay(
+    trace: Path,
+    *,
+    callers: Annotated[list[str], Parameter(help="Callers' addresses of entry instances.")],
+    fakes: Annotated[list[str], Parameter(help="Addresses of fake-upstreams processes.")],
+    json: AsJson = False,
+) -> int:
+    """Replay a trace against running entry instances and check its stated outcomes."""
+    # The replay and its stand-ins are not needed by an instance, so they load on use.
+    from coltsfootrill.replay.command import replay_trace  # noqa: PLC0415
+
+    return replay_trace(trace, callers=callers, fakes=fakes, as_json=json)
+
+
+@app.command(name="measure-added")
+def measure_added(
+    *,
+    callers: Annotated[list[str], Parameter(help="Callers' addresses to compare.")],
+    fakes: Annotated[list[str], Parameter(help="Addresses of fake-upstreams processes.")],
+    requests: int = 1_000,
+    rate: float = 100.0,
+    json: AsJson = False,
+) -> int:
+    """Measure the latency each address adds to a direct call, interleaved in one run."""
+    from coltsfootrill.replay.added import print_added  # noqa: PLC0415
+
+    return print_added(callers=callers, fakes=fakes, requests=requests, rate=rate, as_json=json)
+
+
+@app.command(name="make-trace")
+def make_trace(
+    file: Path,
+    *,
+    workload: Literal["heraldic", "rota"],
+    seed: int = 1,
+    duration_s: float = 10.0,
+    rate: float = 100.0,
+    faults: bool = True,
+) -> int:
+    """Write a trace of a workload, made from a seed."""
+    from coltsfootrill.replay.command import write_trace  # noqa: PLC0415
+
+    return write_trace(
+        file, workload=workload, seed=seed, duration_s=duration_s, rate=rate, with_faults=faults
+    )
+
+
+@app.command(name="make-manifest")
+def make_manifest(file: Path, *, version: int = 1) -> int:
+    """Write the manifest of both workloads that traces refer to."""
+    from coltsfootrill.replay.command import write_manifest  # noqa: PLC0415
+
+    return write_manifest(file, version=version)
+
+
+@app.command(name="fake-upstreams")
+def fake_upstreams(
+    *,
+    zone: str,
+    control_port: int,
+    first_port: int,
+    announce_to: Annotated[list[str], Parameter(help="Announcement addresses, ip:port.")],
+    token_file: TokenFile,
+    share: Annotated[str, Parameter(help="Which part of all upstreams, as 0/3.")] = "0/1",
+    duration_s: float = 600.0,
+    seed: int = 1,
+) -> int:
+    """Run stand-ins for upstreams of both workloads, on loopback, for a limited time."""
+    from coltsfootrill.replay.command import run_fake_upstreams  # noqa: PLC0415
+
+    return run_fake_upstreams(
+        zone=zone,
+        control_port=control_port,
+        first_port=first_port,
+        announce_to=announce_to,
+        token_file=token_file,
+        share=share,
+        duration_s=duration_s,
+        seed=seed,
+    )
+
+
+def _make_clients(
+    addresses: list[str], token_file: Path, operator: str | None
+) -> list[OperatorClient]:
+    return commands.make_clients(
+        addresses, token_file=token_file, operator=operator or getpass.getuser()
+    )
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    try:
+        result = app(result_action="return_value")
+    except InvalidSettingsError as error:
+        for problem in error.exceptions:
+            print_error(str(problem))
+        sys.exit(ExitCode.USAGE)
+    except ColtsfootrillError as error:
+        print_error(str(error))
+        sys.exit(ExitCode.USAGE)
+    sys.exit(int(result or 0))
--- /dev/null
+++ b/src/coltsfootrill/control/acceptor.py
@@ -0,0 +1,126 @@
+"""One voting replica: promises and acceptances, durable before they are told."""
+
+from __future__ import annotations
+
+import secrets
+import threading
+from pathlib import Path
+
+import msgspec
+
+from coltsfootrill.control.files import DamagedFileError
+from coltsfootrill.control.files import FileLayer
+from coltsfootrill.control.files import StorageError
+from coltsfootrill.control.files import read_record
+from coltsfootrill.control.files import write_record
+from coltsfootrill.control.messages import ZERO_BALLOT
+from coltsfootrill.control.messages import Accept
+from coltsfootrill.control.messages import Accepted
+from coltsfootrill.control.messages import Ballot
+from coltsfootrill.control.messages import ControlState
+from coltsfootrill.control.messages import Inspect
+from coltsfootrill.control.messages import Inspection
+from coltsfootrill.control.messages import Prepare
+from coltsfootrill.control.messages import Promise
+from coltsfootrill.errors import ColtsfootrillError
+
+_KEY_BYTES = 8
+
+
+class CannotVoteError(ColtsfootrillError):
+    """The replica cannot vouch for its state and does not vote."""
+
+
+class _AcceptedRecord(msgspec.Struct, frozen=True, array_like=True):
+    ballot: Ballot
+    state: ControlState
+
+
+class Acceptor:
+    """The durable state of one replica in one data folder.
+
+    ``key`` is the identity of the folder. After damage or a failed write the replica stops
+    voting, and ``fault`` says why.
+    """
+
+    def __init__(self, folder: Path, *, files: FileLayer) -> None:
+        self._folder = folder
+        self._files = files
+        self._lock = threading.Lock()
+        self._promised = ZERO_BALLOT
+        self._accepted = ZERO_BALLOT
+        self._state: ControlState | None = None
+        self.key = ""
+        self.fault: str | None = None
+
+    @classmethod
+    def from_folder(cls, folder: Path, *, files: FileLayer) -> Acceptor:
+        """Return the replica kept in ``folder``, which is made when it is not there."""
+        acceptor = cls(folder, files=files)
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            acceptor._load()
+        except (DamagedFileError, StorageError, OSError, msgspec.MsgspecError) as error:
+            acceptor.fault = f"{error}; move the folder away and admit this replica again"
+        return acceptor
+
+    def prepare(self, request: Prepare) -> Promise:
+        """Promise a ballot unless a higher one was promised; raise ``CannotVoteError``."""
+        with self._lock:
+            self._check_able()
+            is_granted = request.ballot > self._promised
+            if is_granted:
+                self._write("promised.rec", msgspec.msgpack.encode(request.ballot))
+                self._promised = request.ballot
+            return Promise(self.key, is_granted, self._promised, self._accepted, self._state)
+
+    def accept(self, request: Accept) -> Accepted:
+        """Accept a state unless a higher ballot was promised; raise ``CannotVoteError``."""
+        with self._lock:
+            self._check_able()
+            is_granted = request.ballot >= self._promised
+            if is_granted:
+                record = _AcceptedRecord(request.ballot, request.state)
+                self._write("accepted.rec", msgspec.msgpack.encode(record))
+                self._promised = max(self._promised, request.ballot)
+                self._accepted = request.ballot
+                self._state = request.state
+            return Accepted(self.key, is_granted, self._promised)
+
+    def inspect(self, request: Inspect) -> Inspection:
+        """Return what was accepted last; raise ``CannotVoteError``."""
+        with self._lock:
+            self._check_able()
+            state = None if self._accepted == request.known else self._state
+            return Inspection(self.key, self._accepted, state)
+
+    def _check_able(self) -> None:
+        if self.fault is not None:
+            raise CannotVoteError(self.fault)
+
+    def _write(self, name: str, payload: bytes) -> None:
+        try:
+            write_record(self._files, self._folder / name, payload)
+        except StorageError as error:
+            # After a failed sync the content of the disk is not known, so nothing is vouched
+            # for until a restart has read it again.
+            self.fault = f"{error}; free the disk and restart this replica"
+            raise CannotVoteError(self.fault) from error
+
+    def _load(self) -> None:
+        key = read_record(self._files, self._folder / "key.rec")
+        promised = read_record(self._files, self._folder / "promised.rec")
+        accepted = read_record(self._files, self._folder / "accepted.rec")
+        if key is None:
+            if promised is not None or accepted is not None:
+                raise DamagedFileError("key.rec is missing")
+            key = secrets.token_hex(_KEY_BYTES).encode()
+            write_record(self._files, self._folder / "key.rec", key)
+        self.key = key.decode()
+        if promised is not None:
+            self._promised = msgspec.msgpack.decode(promised, type=Ballot)
+        if accepted is not None:
+            record = msgspec.msgpack.decode(accepted, type=_AcceptedRecord)
+            self._accepted = record.ballot
+            self._state = record.state
+            self._promised = max(self._promised, record.ballot)
--- /dev/null
+++ b/src/coltsfootrill/control/follower.py
@@ -0,0 +1,75 @@
+"""How an entry instance learns of accepted manifests from the control replicas."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from random import Random
+
+import grpc
+
+from coltsfootrill.control.messages import ReadReply
+from coltsfootrill.control.messages import ReadRequest
+from coltsfootrill.control.replica import READ
+from coltsfootrill.metrics import Metrics
+from coltsfootrill.rpc import RpcClient
+from coltsfootrill.rpc import RpcError
+
+POLL_MS = 1_000.0
+START_POLL_MS = 200.0
+READ_TIMEOUT_MS = 2_500.0
+
+
+class ControlFollower:
+    """Asks one control replica after another.
+
+    A starting instance takes its first manifest only from a majority read made for it, so a
+    replica that is cut off cannot give it an old one. A control outage changes nothing for an
+    instance that has a manifest.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        addresses: list[str],
+        *,
+        get_version: Callable[[], int],
+        adopt: Callable[[bytes], None],
+        random: Random,
+        metrics: Metrics,
+        credentials: grpc.ChannelCredentials | None = None,
+    ) -> None:
+        self._instance_id = instance_id
+        self._clients = [RpcClient(address, credentials=credentials) for address in addresses]
+        self._get_version = get_version
+        self._adopt = adopt
+        self._random = random
+        self._metrics = metrics
+        self._stopping = threading.Event()
+
+    def run(self) -> None:
+        """Poll until ``stop``."""
+        turn = self._random.randrange(len(self._clients))
+        while not self._stopping.is_set():
+            is_started = self._get_version() > 0
+            if not self._poll(self._clients[turn], must_be_fresh=not is_started):
+                turn = (turn + 1) % len(self._clients)
+            pause_ms = POLL_MS if self._get_version() > 0 else START_POLL_MS
+            # The random part keeps many instances from polling at the same moment.
+            self._stopping.wait(pause_ms * (0.75 + self._random.random() / 2) / 1000)
+
+    def stop(self) -> None:
+        """Stop polling."""
+        self._stopping.set()
+
+    def _poll(self, client: RpcClient, *, must_be_fresh: bool) -> bool:
+        request = ReadRequest(self._instance_id, self._get_version(), must_be_fresh)
+        try:
+            reply: ReadReply = client.call(READ, request, timeout_ms=READ_TIMEOUT_MS)
+        except RpcError:
+            self._metrics.control_reads.labels("failed").inc()
+            return False
+        self._metrics.control_reads.labels("current" if reply.is_current else "isolated").inc()
+        if reply.is_current and reply.manifest:
+            self._adopt(reply.manifest)
+        return reply.is_current
--- /dev/null
+++ b/src/coltsfootrill/control/proposer.py
@@ -0,0 +1,334 @@
+"""Rounds of the replicated register: prepare, change, accept, each with a majority.
+
+The register holds one value, the whole ``ControlState``. A change runs one Paxos round: a
+majority promises a ballot and tells what it accepted, the newest of that is changed, and a
+majority accepts the result. A change of the replica set needs majorities of the old set and of
+the new one, so every later round meets it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from concurrent.futures import FIRST_COMPLETED
+from concurrent.futures import Executor
+from concurrent.futures import Future
+from concurrent.futures import wait
+from random import Random
+from typing import Generic
+from typing import TypeVar
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.control.messages import ZERO_BALLOT
+from coltsfootrill.control.messages import Accept
+from coltsfootrill.control.messages import Accepted
+from coltsfootrill.control.messages import Ballot
+from coltsfootrill.control.messages import ControlState
+from coltsfootrill.control.messages import Inspect
+from coltsfootrill.control.messages import Inspection
+from coltsfootrill.control.messages import Prepare
+from coltsfootrill.control.messages import Promise
+from coltsfootrill.control.messages import Replica
+from coltsfootrill.errors import ColtsfootrillError
+
+CALL_TIMEOUT_MS = 1_000.0
+BACKOFF_MS = 20.0
+BACKOFF_MAX_MS = 400.0
+
+Reply = TypeVar("Reply", Promise, Accepted, Inspection)
+Result = TypeVar("Result")
+
+
+class NoQuorumError(ColtsfootrillError):
+    """No majority answered; nothing was changed by this call."""
+
+
+class UnknownResultError(ColtsfootrillError):
+    """A state was sent to acceptors, but no majority confirmed it: it may yet be accepted."""
+
+
+class PeerCalls:
+    """Calls to the acceptor at an address; each raises ``ColtsfootrillError`` on failure."""
+
+    __slots__ = ("accept", "inspect", "prepare")
+
+    def __init__(
+        self,
+        *,
+        prepare: Callable[[str, Prepare], Promise],
+        accept: Callable[[str, Accept], Accepted],
+        inspect: Callable[[str, Inspect], Inspection],
+    ) -> None:
+        self.prepare = prepare
+        self.accept = accept
+        self.inspect = inspect
+
+
+class _Votes(Generic[Reply]):
+    """Replies by replica address, and whether they make up a majority of each replica set."""
+
+    def __init__(self, replica_sets: list[dict[str, Replica]]) -> None:
+        self.replica_sets = replica_sets
+        self.by_address: dict[str, Reply] = {}
+
+    def has_majority(self, select: Callable[[Reply], bool]) -> bool:
+        """Return whether selected replies with a valid key are a majority of every set."""
+        return all(self._has_majority_of(replicas, select) for replicas in self.replica_sets)
+
+    def _has_majority_of(
+        self, replicas: dict[str, Replica], select: Callable[[Reply], bool]
+    ) -> bool:
+        count = 0
+        for replica in replicas.values():
+            reply = self.by_address.get(replica.address)
+            if reply is None or replica.key not in ("", reply.key):
+                continue
+            count += select(reply)
+        return 2 * count > len(replicas)
+
+
+class Register:
+    """The proposer of one replica. ``initial`` is the state before any change."""
+
+    def __init__(
+        self,
+        replica_id: str,
+        initial: ControlState,
+        *,
+        calls: PeerCalls,
+        executor: Executor,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._replica_id = replica_id
+        self._calls = calls
+        self._executor = executor
+        self._clock = clock
+        self._random = random
+        self._round = 0
+        # The newest state known to be chosen; it tells which replicas to ask.
+        self.known = initial
+        self._known_ballot = ZERO_BALLOT
+
+    def change(
+        self,
+        apply: Callable[[ControlState], tuple[ControlState, Result]],
+        *,
+        deadline_ms: float,
+    ) -> Result:
+        """Apply a change to the current state and return its result once it is durable.
+
+        Raises ``NoQuorumError`` when certainly nothing was changed, and ``UnknownResultError``
+        when that cannot be known.
+        """
+        was_sent = False
+        attempt = 0
+        while self._clock.now_ms() < deadline_ms:
+            prepared = self._prepare()
+            if prepared is not None:
+                ballot, state, replica_sets = prepared
+                new_state, result = apply(state)
+                if self._is_complete(new_state):
+                    if self._accept(ballot, new_state, replica_sets):
+                        self.known = new_state
+                        return result
+                    was_sent = True
+            self._back_off(attempt, deadline_ms)
+            attempt += 1
+        if was_sent:
+            raise UnknownResultError("no majority confirmed the change in time; send it again")
+        raise NoQuorumError("no majority of the control replicas answered; nothing was changed")
+
+    def read(self, *, deadline_ms: float) -> ControlState:
+        """Return the current state as a majority confirms it; raise ``NoQuorumError``."""
+        if self._confirm():
+            return self.known
+        try:
+            return self.change(lambda state: (state, state), deadline_ms=deadline_ms)
+        except UnknownResultError as error:
+            raise NoQuorumError(str(error)) from error
+
+    def _confirm(self) -> bool:
+        """Learn the chosen state without a write; return whether a majority agrees on one."""
+        votes: _Votes[Inspection] = _Votes([self.known.replicas])
+        request = Inspect(self._known_ballot)
+
+        def ask() -> None:
+            self._gather(
+                votes,
+                lambda address: self._calls.inspect(address, request),
+                lambda: self._get_agreed(votes) != ZERO_BALLOT,
+            )
+
+        ask()
+        ballot = self._get_agreed(votes)
+        if ballot == ZERO_BALLOT:
+            return False
+        state = self._find_state(votes, ballot)
+        if state.replicas != self.known.replicas:
+            # The state is chosen only if a majority of its own replica set holds it too.
+            votes.replica_sets.append(state.replicas)
+            ask()
+            if self._get_agreed(votes) != ballot:
+                return False
+        self.known = state
+        self._known_ballot = ballot
+        return True
+
+    def _get_agreed(self, votes: _Votes[Inspection]) -> Ballot:
+        """Return the newest ballot seen if majorities accepted just that, else the zero one."""
+        ballots = [reply.accepted for reply in votes.by_address.values()]
+        newest = max(ballots, default=ZERO_BALLOT)
+        return newest if votes.has_majority(lambda reply: reply.accepted == newest) else ZERO_BALLOT
+
+    def _find_state(self, votes: _Votes[Inspection], ballot: Ballot) -> ControlState:
+        for reply in votes.by_address.values():
+            if reply.accepted == ballot and reply.state is not None:
+                return reply.state
+        return self.known
+
+    def _prepare(self) -> tuple[Ballot, ControlState, list[dict[str, Replica]]] | None:
+        """Win a ballot; return it, the newest state, and the replica sets that must accept."""
+        self._round += 1
+        ballot = Ballot(self._round, self._replica_id)
+        request = Prepare(self.known.epoch, ballot)
+        votes: _Votes[Promise] = _Votes([self.known.replicas])
+        self._gather(
+            votes,
+            lambda address: self._calls.prepare(address, request),
+            lambda: votes.has_majority(lambda promise: promise.is_granted),
+        )
+        self._round = max([self._round, *(p.promised.round for p in votes.by_address.values())])
+        if not votes.has_majority(lambda promise: promise.is_granted):
+            return None
+        newest = self._find_newest(votes)
+        if newest.replicas != self.known.replicas and newest.epoch > self.known.epoch:
+            return self._prepare_joint(ballot, newest, votes)
+        return ballot, self._record_keys(newest, votes), [newest.replicas]
+
+    def _prepare_joint(
+        self, ballot: Ballot, newest: ControlState, votes: _Votes[Promise]
+    ) -> tuple[Ballot, ControlState, list[dict[str, Replica]]] | None:
+        """Win the ballot in the set of a newer epoch too, whose change may be half done."""
+        request = Prepare(newest.epoch, ballot)
+        votes.replica_sets.append(newest.replicas)
+        self._gather(
+            votes,
+            lambda address: self._calls.prepare(address, request),
+            lambda: votes.has_majority(lambda promise: promise.is_granted),
+        )
+        if not votes.has_majority(lambda promise: promise.is_granted):
+            return None
+        found = self._find_newest(votes)
+        if found.epoch > newest.epoch:
+            self.known = newest
+            return None
+        return ballot, found, [self.known.replicas, newest.replicas]
+
+    def _find_newest(self, votes: _Votes[Promise]) -> ControlState:
+        newest = self.known
+        newest_ballot = ZERO_BALLOT
+        for promise in votes.by_address.values():
+            if not promise.is_granted or promise.state is None:
+                continue
+            if promise.accepted > newest_ballot:
+                newest = promise.state
+                newest_ballot = promise.accepted
+        return newest
+
+    def _record_keys(self, state: ControlState, votes: _Votes[Promise]) -> ControlState:
+        """Fill in the keys of replicas that have none yet; see ``Replica``."""
+        if all(replica.key for replica in state.replicas.values()):
+            return state
+        replicas = {
+            replica_id: _with_key(replica, votes.by_address.get(replica.address))
+            for replica_id, replica in state.replicas.items()
+        }
+        return replace_state(state, replicas=replicas)
+
+    def _is_complete(self, state: ControlState) -> bool:
+        """Return whether every replica's key is known, as the first change needs."""
+        return all(replica.key for replica in state.replicas.values())
+
+    def _accept(
+        self, ballot: Ballot, state: ControlState, replica_sets: list[dict[str, Replica]]
+    ) -> bool:
+        """Return whether majorities of every set involved accepted ``state``."""
+        sets = list(replica_sets)
+        if state.replicas not in sets:
+            sets.append(state.replicas)
+        votes: _Votes[Accepted] = _Votes(sets)
+        request = Accept(ballot, state)
+        self._gather(
+            votes,
+            lambda address: self._calls.accept(address, request),
+            lambda: votes.has_majority(lambda reply: reply.is_granted),
+        )
+        self._round = max([self._round, *(a.promised.round for a in votes.by_address.values())])
+        if not votes.has_majority(lambda reply: reply.is_granted):
+            return False
+        self._known_ballot = ballot
+        return True
+
+    def _gather(
+        self, votes: _Votes[Reply], call: Callable[[str], Reply], is_enough: Callable[[], bool]
+    ) -> None:
+        """Call every replica of the sets not heard yet, until the replies are enough."""
+        addresses = {
+            replica.address for replicas in votes.replica_sets for replica in replicas.values()
+        }
+        addresses -= votes.by_address.keys()
+        pending: dict[Future[Reply], str] = {
+            self._executor.submit(call, address): address for address in sorted(addresses)
+        }
+        end_ms = self._clock.now_ms() + CALL_TIMEOUT_MS
+        wants_all = not all(
+            replica.key for replicas in votes.replica_sets for replica in replicas.values()
+        )
+        while pending and (wants_all or not is_enough()):
+            left_ms = end_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return
+            done, _ = wait(pending, timeout=left_ms / 1000, return_when=FIRST_COMPLETED)
+            _collect(done, pending, votes)
+
+    def _back_off(self, attempt: int, deadline_ms: float) -> None:
+        # Two proposers that outbid each other get apart by a random, growing pause.
+        pause_ms = min(BACKOFF_MAX_MS, BACKOFF_MS * 2 ** min(attempt, 10)) * self._random.random()
+        self._clock.sleep_ms(min(pause_ms, max(0.0, deadline_ms - self._clock.now_ms())))
+
+
+def _collect(
+    done: Iterable[Future[Reply]], pending: dict[Future[Reply], str], votes: _Votes[Reply]
+) -> None:
+    for future in done:
+        address = pending.pop(future)
+        try:
+            votes.by_address[address] = future.result()
+        except ColtsfootrillError:
+            continue
+
+
+def _with_key(replica: Replica, promise: Promise | None) -> Replica:
+    if replica.key or promise is None:
+        return replica
+    return Replica(replica.address, promise.key)
+
+
+def replace_state(
+    state: ControlState,
+    *,
+    epoch: int | None = None,
+    replicas: dict[str, Replica] | None = None,
+) -> ControlState:
+    """Return ``state`` with another replica set."""
+    return ControlState(
+        state.epoch if epoch is None else epoch,
+        state.replicas if replicas is None else replicas,
+        state.version,
+        state.digest,
+        state.manifest,
+        state.history,
+        state.audit,
+        state.audit_count,
+    )
--- /dev/null
+++ b/src/coltsfootrill/control/replica.py
@@ -0,0 +1,190 @@
+"""One control replica: its acceptor, its proposer, and the calls between replicas."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+
+import grpc
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.messages import Accept
+from coltsfootrill.control.messages import Accepted
+from coltsfootrill.control.messages import ControlState
+from coltsfootrill.control.messages import Inspect
+from coltsfootrill.control.messages import Inspection
+from coltsfootrill.control.messages import Prepare
+from coltsfootrill.control.messages import Promise
+from coltsfootrill.control.messages import ReadReply
+from coltsfootrill.control.messages import ReadRequest
+from coltsfootrill.control.messages import Replica
+from coltsfootrill.control.proposer import CALL_TIMEOUT_MS
+from coltsfootrill.control.proposer import NoQuorumError
+from coltsfootrill.control.proposer import PeerCalls
+from coltsfootrill.control.proposer import Register
+from coltsfootrill.control.submission import SubmitAnswer
+from coltsfootrill.control.submission import refuse_invalid
+from coltsfootrill.control.submission import submit_manifest
+from coltsfootrill.manifest.codec import InvalidManifestError
+from coltsfootrill.manifest.codec import digest_manifest
+from coltsfootrill.manifest.table import RoutingTable
+from coltsfootrill.naming.scheme import NamingScheme
+from coltsfootrill.rpc import Method
+from coltsfootrill.rpc import RpcClient
+from coltsfootrill.rpc import RpcServer
+
+PREPARE = Method(service="Control", name="Prepare", request=Prepare, reply=Promise)
+ACCEPT = Method(service="Control", name="Accept", request=Accept, reply=Accepted)
+INSPECT = Method(service="Control", name="Inspect", request=Inspect, reply=Inspection)
+READ = Method(service="Control", name="Read", request=ReadRequest, reply=ReadReply)
+
+SUBMIT_TIMEOUT_MS = 5_000.0
+READ_TIMEOUT_MS = 2_000.0
+CONFIRMED_FOR_MS = 250.0
+_SERVER_THREADS = 32
+_CALL_THREADS = 32
+
+
+class ControlReplica:
+    """Accepts manifests together with the other replicas and tells entry instances of them."""
+
+    def __init__(
+        self,
+        replica_id: str,
+        *,
+        address: str,
+        replicas: Mapping[str, str],
+        acceptor: Acceptor,
+        schemes: Mapping[str, NamingScheme],
+        clock: Clock,
+        random: Random,
+        credentials: grpc.ChannelCredentials | None = None,
+    ) -> None:
+        self.id = replica_id
+        self.acceptor = acceptor
+        self._address = address
+        self._schemes = schemes
+        self._clock = clock
+        self._credentials = credentials
+        self._clients: dict[str, RpcClient] = {}
+        self._clients_lock = threading.Lock()
+        self._executor = ThreadPoolExecutor(_CALL_THREADS, thread_name_prefix="control-call")
+        self._server = RpcServer(
+            ThreadPoolExecutor(_SERVER_THREADS, thread_name_prefix="control-server")
+        )
+        self._server.add(PREPARE, acceptor.prepare)
+        self._server.add(ACCEPT, acceptor.accept)
+        self._server.add(INSPECT, acceptor.inspect)
+        self._server.add(READ, self.read_for_entry)
+        self._confirmed_at_ms = float("-inf")
+        self._register_lock = threading.Lock()
+        self._register = Register(
+            replica_id,
+            _make_initial_state(replicas),
+            calls=PeerCalls(
+                prepare=self._call_prepare, accept=self._call_accept, inspect=self._call_inspect
+            ),
+            executor=self._executor,
+            clock=clock,
+            random=random,
+        )
+
+    def start(self, credentials: grpc.ServerCredentials | None = None) -> None:
+        """Serve the other replicas and the entry instances."""
+        self._server.start(self._address, credentials)
+
+    def stop(self) -> None:
+        """Finish calls in progress and stop."""
+        self._server.stop(grace_ms=CALL_TIMEOUT_MS)
+        self._executor.shutdown(wait=False)
+
+    def submit(self, raw: bytes, *, operator: str) -> SubmitAnswer:
+        """Submit a manifest for acceptance.
+
+        Raises ``InvalidManifestError`` with all problems, ``NoQuorumError`` when certainly nothing
+        was accepted, and ``UnknownResultError`` when that cannot be known.
+        """
+        digest = digest_manifest(raw)
+        wall_ms = self._clock.wall_ms()
+        deadline_ms = self._clock.now_ms() + SUBMIT_TIMEOUT_MS
+        try:
+            version = RoutingTable.from_bytes(raw, self._schemes).version
+        except InvalidManifestError:
+            self._record_invalid(digest, operator, wall_ms, deadline_ms)
+            raise
+        with self._register_lock:
+            return self._register.change(
+                lambda state: submit_manifest(
+                    state,
+                    version=version,
+                    digest=digest,
+                    manifest=raw,
+                    operator=operator,
+                    wall_ms=wall_ms,
+                ),
+                deadline_ms=deadline_ms,
+            )
+
+    def read(self) -> ControlState:
+        """Return the state a majority holds now; raise ``NoQuorumError`` when isolated."""
+        with self._register_lock:
+            state = self._register.read(deadline_ms=self._clock.now_ms() + READ_TIMEOUT_MS)
+            self._confirmed_at_ms = self._clock.now_ms()
+            return state
+
+    def read_for_entry(self, request: ReadRequest) -> ReadReply:
+        """Answer an entry instance, from the last majority read if that is recent enough."""
+        try:
+            state = self.read() if request.must_be_fresh else self._read_recent()
+        except NoQuorumError:
+            return ReadReply(False, 0, b"")
+        manifest = state.manifest if state.version > request.known_version else b""
+        return ReadReply(True, state.version, manifest)
+
+    def _read_recent(self) -> ControlState:
+        with self._register_lock:
+            if self._clock.now_ms() - self._confirmed_at_ms < CONFIRMED_FOR_MS:
+                return self._register.known
+        return self.read()
+
+    def _record_invalid(self, digest: str, operator: str, wall_ms: int, deadline_ms: float) -> None:
+        with self._register_lock:
+            self._register.change(
+                lambda state: refuse_invalid(
+                    state, digest=digest, operator=operator, wall_ms=wall_ms
+                ),
+                deadline_ms=deadline_ms,
+            )
+
+    def _call_prepare(self, address: str, request: Prepare) -> Promise:
+        if address == self._address:
+            return self.acceptor.prepare(request)
+        reply: Promise = self._client(address).call(PREPARE, request, timeout_ms=CALL_TIMEOUT_MS)
+        return reply
+
+    def _call_accept(self, address: str, request: Accept) -> Accepted:
+        if address == self._address:
+            return self.acceptor.accept(request)
+        reply: Accepted = self._client(address).call(ACCEPT, request, timeout_ms=CALL_TIMEOUT_MS)
+        return reply
+
+    def _call_inspect(self, address: str, request: Inspect) -> Inspection:
+        if address == self._address:
+            return self.acceptor.inspect(request)
+        reply: Inspection = self._client(address).call(INSPECT, request, timeout_ms=CALL_TIMEOUT_MS)
+        return reply
+
+    def _client(self, address: str) -> RpcClient:
+        with self._clients_lock:
+            client = self._clients.get(address)
+            if client is None:
+                client = self._clients[address] = RpcClient(address, credentials=self._credentials)
+            return client
+
+
+def _make_initial_state(replicas: Mapping[str, str]) -> ControlState:
+    members = {replica_id: Replica(address, "") for replica_id, address in replicas.items()}
+    return ControlState(1, members, 0, "", b"", [], [], 0)
--- /dev/null
+++ b/src/coltsfootrill/control/submission.py
@@ -0,0 +1,112 @@
+"""What a submitted manifest does to the control state."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from coltsfootrill.control.messages import AcceptedVersion
+from coltsfootrill.control.messages import AuditRecord
+from coltsfootrill.control.messages import ControlState
+
+HISTORY_MAX_COUNT = 2_000
+AUDIT_MAX_COUNT = 1_000
+
+SubmitResult = Literal["accepted", "conflict", "older", "invalid"]
+
+
+class SubmitAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to an operator: the result and the digest that holds for the version."""
+
+    result: SubmitResult
+    version: int
+    digest: str
+    message: str
+
+
+def submit_manifest(
+    state: ControlState,
+    *,
+    version: int,
+    digest: str,
+    manifest: bytes,
+    operator: str,
+    wall_ms: int,
+) -> tuple[ControlState, SubmitAnswer]:
+    """Return the state after a submission, and the answer to it.
+
+    The same version with the same content gets the same answer however often it comes, and
+    after later versions too.
+    """
+    known = _find_version(state, version)
+    if known is not None and known.digest == digest:
+        return state, _answer("accepted", version, digest, "in force, or replaced by a later one")
+    if known is not None:
+        message = f"version {version} was accepted with other content; submit a higher version"
+        answer = _answer("conflict", version, known.digest, message)
+        return _audit(state, operator, wall_ms, digest, f"conflict with {known.digest}"), answer
+    if version < state.version:
+        message = f"version {state.version} is in force; submit a higher version"
+        answer = _answer("older", state.version, state.digest, message)
+        return _audit(state, operator, wall_ms, digest, "older version"), answer
+    accepted = _audit(state, operator, wall_ms, digest, "accepted")
+    history = [*state.history, AcceptedVersion(version, digest, wall_ms)][-HISTORY_MAX_COUNT:]
+    new_state = ControlState(
+        state.epoch,
+        state.replicas,
+        version,
+        digest,
+        manifest,
+        history,
+        accepted.audit,
+        accepted.audit_count,
+    )
+    return new_state, _answer("accepted", version, digest, "accepted by a majority")
+
+
+def refuse_invalid(
+    state: ControlState, *, digest: str, operator: str, wall_ms: int
+) -> tuple[ControlState, None]:
+    """Return the state with a record of a manifest that was refused for its content."""
+    return _audit(state, operator, wall_ms, digest, "invalid"), None
+
+
+def append_audit(state: ControlState, record: AuditRecord) -> ControlState:
+    """Return the state with one more audit record; only the newest are kept."""
+    return ControlState(
+        state.epoch,
+        state.replicas,
+        state.version,
+        state.digest,
+        state.manifest,
+        state.history,
+        [*state.audit, record][-AUDIT_MAX_COUNT:],
+        state.audit_count + 1,
+    )
+
+
+def _audit(
+    state: ControlState, operator: str, wall_ms: int, digest: str, result: str
+) -> ControlState:
+    record = AuditRecord(
+        state.audit_count + 1,
+        wall_ms,
+        operator,
+        "submit-manifest",
+        state.digest,
+        digest,
+        result,
+    )
+    return append_audit(state, record)
+
+
+def _find_version(state: ControlState, version: int) -> AcceptedVersion | None:
+    for known in reversed(state.history):
+        if known.version == version:
+            return known
+    return None
+
+
+def _answer(result: SubmitResult, version: int, digest: str, message: str) -> SubmitAnswer:
+    return SubmitAnswer(result=result, version=version, digest=digest, message=message)
--- /dev/null
+++ b/src/coltsfootrill/manifest/table.py
@@ -0,0 +1,179 @@
+"""The routing table made from one accepted manifest; it never changes once made."""
+
+from __future__ import annotations
+
+import fnmatch
+from collections.abc import Mapping
+
+from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.manifest.codec import ManifestValueError
+from coltsfootrill.manifest.codec import decode_manifest
+from coltsfootrill.manifest.codec import digest_manifest
+from coltsfootrill.manifest.codec import refuse_manifest
+from coltsfootrill.manifest.model import SCHEMA_VERSION
+from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Manifest
+from coltsfootrill.manifest.model import Service
+from coltsfootrill.naming.scheme import InvalidNameError
+from coltsfootrill.naming.scheme import NamingScheme
+from coltsfootrill.naming.scheme import RequestName
+
+
+class RouteError(ColtsfootrillError):
+    """A request names no kind, or names two different ones."""
+
+
+class Route:
+    """A service and one of its request kinds."""
+
+    __slots__ = ("kind", "service")
+
+    def __init__(self, *, service: Service, kind: Kind) -> None:
+        self.service = service
+        self.kind = kind
+
+
+class RoutingTable:
+    """One manifest, ready for look-ups: ``by_name`` maps scheme prefix and name to a route."""
+
+    __slots__ = ("__weakref__", "_schemes", "by_name", "digest", "manifest", "services_by_id")
+
+    def __init__(
+        self,
+        *,
+        manifest: Manifest,
+        digest: str,
+        schemes: Mapping[str, NamingScheme],
+        by_name: dict[tuple[str, str], Route],
+    ) -> None:
+        self.manifest = manifest
+        self.digest = digest
+        self.by_name = by_name
+        self.services_by_id = {service.id: service for service in manifest.services}
+        self._schemes = schemes
+
+    @classmethod
+    def from_bytes(cls, raw: bytes, schemes: Mapping[str, NamingScheme]) -> RoutingTable:
+        """Return the table of the manifest in ``raw``.
+
+        Raises ``InvalidManifestError`` with every problem of form and of meaning.
+        """
+        manifest = decode_manifest(raw)
+        problems: list[ManifestValueError] = []
+        by_name = _index_names(manifest, schemes, problems)
+        _check_rules(manifest, problems)
+        if problems:
+            raise refuse_manifest(problems)
+        digest = digest_manifest(raw)
+        return cls(manifest=manifest, digest=digest, schemes=schemes, by_name=by_name)
+
+    @property
+    def version(self) -> int:
+        """Return the version of the manifest."""
+        return self.manifest.version
+
+    def resolve(self, request: RequestName) -> Route:
+        """Return the route of ``request``.
+
+        Raises ``RouteError`` when no scheme knows the name, or when two schemes name different
+        kinds: guessing could run a non-idempotent request under the wrong rules.
+        """
+        found: Route | None = None
+        for prefix, scheme in self._schemes.items():
+            route = self._find(prefix, scheme, request)
+            if route is None or route is found:
+                continue
+            if found is not None:
+                raise RouteError(
+                    f"the request names both {found.service.id}/{found.kind.id} and "
+                    f"{route.service.id}/{route.kind.id}; send one name only"
+                )
+            found = route
+        if found is None:
+            raise RouteError("no naming scheme knows this request; check Host, path or Urn header")
+        return found
+
+    def _find(self, prefix: str, scheme: NamingScheme, request: RequestName) -> Route | None:
+        for name in scheme.candidates(request):
+            route = self.by_name.get((prefix, name))
+            if route is not None:
+                return route
+        return None
+
+
+def may_serve(service: Service, upstream_id: str) -> bool:
+    """Return whether the manifest lets the upstream with this identifier serve the service."""
+    return any(fnmatch.fnmatchcase(upstream_id, pattern) for pattern in service.upstreams)
+
+
+def _index_names(
+    manifest: Manifest, schemes: Mapping[str, NamingScheme], problems: list[ManifestValueError]
+) -> dict[tuple[str, str], Route]:
+    by_name: dict[tuple[str, str], Route] = {}
+    for s, service in enumerate(manifest.services):
+        for k, kind in enumerate(service.kinds):
+            route = Route(service=service, kind=kind)
+            for n, text in enumerate(kind.names):
+                where = f"$.services[{s}].kinds[{k}].names[{n}]"
+                _index_name(text, route, where, schemes, by_name, problems)
+    return by_name
+
+
+def _index_name(
+    text: str,
+    route: Route,
+    where: str,
+    schemes: Mapping[str, NamingScheme],
+    by_name: dict[tuple[str, str], Route],
+    problems: list[ManifestValueError],
+) -> None:
+    prefix, _, rest = text.partition(":")
+    scheme = schemes.get(prefix)
+    if scheme is None:
+        accepted = ", ".join(f"{known}:" for known in schemes)
+        problems.append(ManifestValueError(where, f"unknown naming scheme; accepted: {accepted}"))
+        return
+    try:
+        key = (prefix, scheme.parse(rest))
+    except InvalidNameError as error:
+        problems.append(ManifestValueError(where, str(error)))
+        return
+    other = by_name.setdefault(key, route)
+    if other is not route:
+        problems.append(
+            ManifestValueError(
+                where, f"{text!r} already names {other.service.id}/{other.kind.id}; use another"
+            )
+        )
+
+
+def _check_rules(manifest: Manifest, problems: list[ManifestValueError]) -> None:
+    if manifest.schema != SCHEMA_VERSION:
+        problems.append(ManifestValueError("$.schema", f"must be {SCHEMA_VERSION}"))
+    seen_services: set[str] = set()
+    for s, service in enumerate(manifest.services):
+        where = f"$.services[{s}]"
+        if service.id in seen_services:
+            problems.append(ManifestValueError(f"{where}.id", f"{service.id!r} stands twice"))
+        seen_services.add(service.id)
+        seen_kinds: set[str] = set()
+        for k, kind in enumerate(service.kinds):
+            if kind.id in seen_kinds:
+                problems.append(
+                    ManifestValueError(f"{where}.kinds[{k}].id", f"{kind.id!r} stands twice")
+                )
+            seen_kinds.add(kind.id)
+            _check_kind(kind, f"{where}.kinds[{k}]", problems)
+
+
+def _check_kind(kind: Kind, where: str, problems: list[ManifestValueError]) -> None:
+    if kind.priority == "deferrable" and kind.latest_ms is None:
+        problems.append(ManifestValueError(f"{where}.latest_ms", "needed by a deferrable kind"))
+    if kind.priority != "deferrable" and kind.latest_ms is not None:
+        problems.append(ManifestValueError(f"{where}.latest_ms", "only for a deferrable kind"))
+    if kind.latest_ms is not None and kind.latest_ms >= kind.deadline_ms:
+        problems.append(ManifestValueError(f"{where}.latest_ms", "must be less than deadline_ms"))
+    if kind.hedge_quantile is not None and not kind.idempotent:
+        problems.append(
+            ManifestValueError(f"{where}.hedge_quantile", "only an idempotent kind may be hedged")
+        )
--- /dev/null
+++ b/src/coltsfootrill/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Exchange of announcements and liveness between entry instances."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/coltsfootrill/membership/messages.py
@@ -0,0 +1,72 @@
+"""Messages between entry instances, encoded as MessagePack arrays."""
+
+from __future__ import annotations
+
+import msgspec
+
+from coltsfootrill.registry.announcement import Announcement
+
+
+class InstanceRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One entry instance. ``boot`` grows with each start; ``is_leaving`` is its goodbye."""
+
+    id: str
+    boot: int
+    address: str
+    zone: str
+    is_leaving: bool
+    manifest_version: int
+
+
+class PullRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for updates after ``position`` of the boot ``boot`` of the instance that is asked.
+
+    The answer may be held back for ``hold_ms`` while there is no change. ``unheard`` names the
+    instances that the sender does not hear directly, so that their renewals are passed on.
+    """
+
+    sender: InstanceRecord
+    boot: int
+    position: int
+    hold_ms: int
+    unheard: list[str]
+
+
+class SharedUpstream(msgspec.Struct, frozen=True, array_like=True):
+    """A changed upstream, with the age of the evidence for its lease in milliseconds."""
+
+    announcement: Announcement
+    origin: str
+    age_ms: int
+
+
+class Renewal(msgspec.Struct, frozen=True, array_like=True):
+    """A renewed lease of an upstream that the receiver knows already."""
+
+    id: str
+    incarnation: int
+    age_ms: int
+
+
+class PullReply(msgspec.Struct, frozen=True, array_like=True):
+    """Updates up to ``position``; ``held_ms`` is how long the request was held back."""
+
+    sender: InstanceRecord
+    position: int
+    held_ms: int
+    upstreams: list[SharedUpstream]
+    renewals: list[Renewal]
+    instances: list[InstanceRecord]
+
+
+class ManifestRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a peer for a manifest newer than ``known_version``."""
+
+    known_version: int
+
+
+class ManifestReply(msgspec.Struct, frozen=True, array_like=True):
+    """A manifest as it was submitted; empty when there is none that is newer."""
+
+    version: int
+    raw: bytes
--- /dev/null
+++ b/src/coltsfootrill/metrics.py
@@ -0,0 +1,102 @@
+"""Counters, gauges and histograms of the program, by ``prometheus_client``."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+from prometheus_client import generate_latest
+
+_LATENCY_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
+
+
+class Metrics:
+    """The metrics of one process, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        registry = self.registry
+        self.requests = Counter(
+            "coltsfootrill_requests",
+            "Requests answered to callers.",
+            ("service", "outcome", "reason"),
+            registry=registry,
+        )
+        self.latency = Histogram(
+            "coltsfootrill_request_seconds",
+            "Time from the arrival of a request to its answer.",
+            ("service",),
+            buckets=_LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "coltsfootrill_attempts",
+            "Attempts at upstreams by how they ended.",
+            ("service", "result"),
+            registry=registry,
+        )
+        self.extra_attempts = Counter(
+            "coltsfootrill_extra_attempts",
+            "Attempts beyond the first one of a request, by cause.",
+            ("service", "cause"),
+            registry=registry,
+        )
+        self.doubted = Counter(
+            "coltsfootrill_doubted_connections",
+            "Idle connections closed because another one to the same upstream went silent.",
+            registry=registry,
+        )
+        self.announcements = Counter(
+            "coltsfootrill_announcements",
+            "Announcements received, by result.",
+            ("result",),
+            registry=registry,
+        )
+        self.probes = Counter(
+            "coltsfootrill_probes", "Probes sent, by result.", ("result",), registry=registry
+        )
+        self.probe_time = Counter(
+            "coltsfootrill_probe_seconds", "Upstream time taken by probes.", registry=registry
+        )
+        self.refused_operations = Counter(
+            "coltsfootrill_refused_operations",
+            "Operations refused, by cause.",
+            ("cause",),
+            registry=registry,
+        )
+        self.control_reads = Counter(
+            "coltsfootrill_control_reads",
+            "Reads of the manifest from control replicas, by result.",
+            ("result",),
+            registry=registry,
+        )
+        self.manifest_version = Gauge(
+            "coltsfootrill_manifest_version", "Version of the manifest in force.", registry=registry
+        )
+        self.manifest_tables = Gauge(
+            "coltsfootrill_manifest_tables",
+            "Routing tables in memory, old ones still in use included.",
+            registry=registry,
+        )
+        self.members = Gauge(
+            "coltsfootrill_members", "Other entry instances known.", registry=registry
+        )
+        self.isolated = Gauge(
+            "coltsfootrill_isolated",
+            "1 while less than half of the peers reply.",
+            registry=registry,
+        )
+        self.upstreams = Gauge(
+            "coltsfootrill_upstreams", "Upstreams that may get new work.", registry=registry
+        )
+        self.peer_bytes = Gauge(
+            "coltsfootrill_peer_bytes",
+            "Bytes of messages exchanged with peers since the start.",
+            ("direction",),
+            registry=registry,
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/src/coltsfootrill/naming/scheme.py
@@ -0,0 +1,45 @@
+"""What a naming scheme provides to the routing table."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from coltsfootrill.errors import ColtsfootrillError
+
+
+class InvalidNameError(ColtsfootrillError):
+    """A name is not well formed in its scheme."""
+
+
+class RequestName:
+    """The parts of a request that can carry a name: host, path and URN header value."""
+
+    __slots__ = ("host", "path", "urn")
+
+    def __init__(self, *, host: str, path: str, urn: str) -> None:
+        self.host = host
+        self.path = path
+        self.urn = urn
+
+
+class NamingScheme:
+    """One way of naming a request kind.
+
+    ``parse`` turns the text after ``prefix:`` into its canonical form or raises
+    ``InvalidNameError``. ``candidates`` yields the canonical names under which a request may be
+    found, the most specific first.
+    """
+
+    __slots__ = ("candidates", "parse", "prefix")
+
+    def __init__(
+        self,
+        *,
+        prefix: str,
+        parse: Callable[[str], str],
+        candidates: Callable[[RequestName], Iterator[str]],
+    ) -> None:
+        self.prefix = prefix
+        self.parse = parse
+        self.candidates = candidates
--- /dev/null
+++ b/src/coltsfootrill/operators/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' HTTP interface and its client."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/coltsfootrill/operators/client.py
@@ -0,0 +1,63 @@
+"""Calls of the command line to the operators' ports."""
+
+from __future__ import annotations
+
+import http.client
+import json
+from pathlib import Path
+from typing import Any
+
+from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.settings import Address
+
+TIMEOUT_S = 10.0
+
+
+class CallError(ColtsfootrillError):
+    """An operators' port did not answer, or its answer is not understood."""
+
+
+class CallReply:
+    """The HTTP status and the decoded JSON body of a reply."""
+
+    __slots__ = ("body", "status")
+
+    def __init__(self, status: int, body: Any) -> None:
+        self.status = status
+        self.body = body
+
+
+class OperatorClient:
+    """Calls one operators' port with a token."""
+
+    __slots__ = ("_address", "_headers")
+
+    def __init__(self, address: Address, *, token: str, operator: str) -> None:
+        self._address = address
+        self._headers = {"Authorization": f"Bearer {token}", "Operator": operator}
+
+    @classmethod
+    def from_token_file(
+        cls, address: Address, *, token_file: Path, operator: str
+    ) -> OperatorClient:
+        """Return a client with the token in a file; raise ``CallError`` if it is not readable."""
+        try:
+            token = token_file.read_text(encoding="utf-8").strip()
+        except OSError as error:
+            raise CallError(f"cannot read the token: {error}") from error
+        return cls(address, token=token, operator=operator)
+
+    def call(self, method: str, path: str, body: bytes = b"") -> CallReply:
+        """Return the reply; raise ``CallError`` when there is none."""
+        connection = http.client.HTTPConnection(
+            self._address.host, self._address.port, timeout=TIMEOUT_S
+        )
+        try:
+            connection.request(method, path, body=body or None, headers=self._headers)
+            response = connection.getresponse()
+            raw = response.read()
+            return CallReply(response.status, json.loads(raw) if raw else None)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise CallError(f"no answer from {self._address}: {error}") from error
+        finally:
+            connection.close()
--- /dev/null
+++ b/src/coltsfootrill/operators/commands.py
@@ -0,0 +1,238 @@
+"""What the operators' commands do; each returns an exit code."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.kernel import collect_schemes
+from coltsfootrill.kernel import load_plugins
+from coltsfootrill.manifest.codec import InvalidManifestError
+from coltsfootrill.manifest.table import RoutingTable
+from coltsfootrill.operators.client import CallError
+from coltsfootrill.operators.client import CallReply
+from coltsfootrill.operators.client import OperatorClient
+from coltsfootrill.operators.exit_codes import ExitCode
+from coltsfootrill.operators.output import print_error
+from coltsfootrill.operators.output import print_json
+from coltsfootrill.operators.output import print_table
+from coltsfootrill.settings import CONTROL_SETTINGS
+from coltsfootrill.settings import ENTRY_SETTINGS
+from coltsfootrill.settings import parse_address
+
+STATUS_POLL_S = 0.2
+
+
+class ArgumentError(ColtsfootrillError):
+    """An argument of a command is not accepted."""
+
+
+def make_clients(addresses: list[str], *, token_file: Path, operator: str) -> list[OperatorClient]:
+    """Return a client for each address; raise ``ArgumentError`` or ``CallError``."""
+    clients = []
+    for text in addresses:
+        try:
+            address = parse_address(text)
+        except ValueError as error:
+            raise ArgumentError(f"{text!r} is not ip:port") from error
+        clients.append(
+            OperatorClient.from_token_file(address, token_file=token_file, operator=operator)
+        )
+    return clients
+
+
+def check_manifest(file: Path, *, as_json: bool) -> int:
+    """Check a manifest file."""
+    try:
+        table = RoutingTable.from_bytes(_read(file), collect_schemes(load_plugins()))
+    except InvalidManifestError as error:
+        problems = [str(problem) for problem in error.exceptions]
+        _print_problems(problems, as_json=as_json)
+        return ExitCode.REFUSED
+    summary = {"version": table.version, "digest": table.digest, "names": len(table.by_name)}
+    if as_json:
+        print_json(summary)
+    else:
+        print(f"{file}: good manifest, version {table.version}, digest {table.digest}")
+    return ExitCode.DONE
+
+
+def submit_manifest(file: Path, clients: list[OperatorClient], *, as_json: bool) -> int:
+    """Submit a manifest to the first control replica that can decide on it."""
+    raw = _read(file)
+    code = ExitCode.NO_ANSWER
+    for client in clients:
+        try:
+            reply = client.call("POST", "/manifest", raw)
+        except CallError as error:
+            # The manifest may have arrived before the answer was lost.
+            print_error(f"{error}; not known whether it was accepted, a resend is safe")
+            code = ExitCode.UNKNOWN
+            continue
+        result = reply.body.get("result")
+        if result == "no-quorum":
+            print_error(reply.body["message"])
+            code = max(code, ExitCode.NO_ANSWER) if code != ExitCode.UNKNOWN else code
+            continue
+        if result == "unknown":
+            print_error(reply.body["message"])
+            code = ExitCode.UNKNOWN
+            continue
+        return _print_submitted(reply, as_json=as_json)
+    return code
+
+
+def _print_submitted(reply: CallReply, *, as_json: bool) -> int:
+    body = reply.body
+    is_accepted = reply.status == 200
+    if as_json:
+        print_json(body)
+    elif body.get("result") == "invalid":
+        _print_problems([f"{p['where']}: {p['message']}" for p in body["problems"]], as_json=False)
+    elif is_accepted:
+        print(f"accepted: version {body['version']}, digest {body['digest']}")
+    else:
+        print_error(_describe_refusal(body))
+    return ExitCode.DONE if is_accepted else ExitCode.REFUSED
+
+
+def _describe_refusal(body: dict[str, Any]) -> str:
+    text = f"{body.get('result', 'refused')}: {body.get('message', '')}"
+    return f"{text} (its digest is {body['digest']})" if body.get("digest") else text
+
+
+def show_manifest(client: OperatorClient) -> int:
+    """Print the accepted manifest."""
+    reply = client.call("GET", "/manifest")
+    if reply.status != 200:
+        print_error(reply.body["message"])
+        return ExitCode.NO_ANSWER if reply.status == 503 else ExitCode.REFUSED
+    print_json(reply.body)
+    return ExitCode.DONE
+
+
+def show_manifest_status(
+    clients: list[OperatorClient], *, wait_version: int | None, timeout_s: float, as_json: bool
+) -> int:
+    """Print versions in force; with ``wait_version`` return once every instance has it."""
+    end_s = time.monotonic() + timeout_s
+    while True:
+        versions = [_read_version(client) for client in clients]
+        is_reached = wait_version is None or all(
+            version is not None and version["version"] >= wait_version for version in versions
+        )
+        if is_reached or time.monotonic() >= end_s:
+            break
+        time.sleep(STATUS_POLL_S)
+    known = [version for version in versions if version is not None]
+    if as_json:
+        print_json({"instances": known, "in_force": is_reached})
+    else:
+        print_table(
+            ["instance", "role", "version", "digest"],
+            [[v["id"], v["role"], v["version"], v["digest"][:12]] for v in known],
+        )
+    if len(known) < len(versions):
+        print_error(f"{len(versions) - len(known)} of {len(versions)} instances gave no answer")
+    return ExitCode.DONE if is_reached and known else ExitCode.NO_ANSWER
+
+
+def _read_version(client: OperatorClient) -> dict[str, Any] | None:
+    try:
+        reply = client.call("GET", "/status")
+    except CallError:
+        return None
+    return reply.body if reply.status == 200 else None
+
+
+def list_upstreams(clients: list[OperatorClient], *, as_json: bool) -> int:
+    """Print upstreams, with requests in flight added up over the instances asked."""
+    by_id: dict[str, dict[str, Any]] = {}
+    for reply in _call_all(clients, "/upstreams"):
+        for upstream in reply.body["upstreams"]:
+            known = by_id.setdefault(upstream["id"], upstream)
+            if known is upstream:
+                continue
+            in_flight = known["in_flight"] + upstream["in_flight"]
+            if upstream["incarnation"] > known["incarnation"]:
+                known.update(upstream)
+            known["in_flight"] = in_flight
+            known["usable"] = known["usable"] or upstream["usable"]
+    ordered = [by_id[upstream_id] for upstream_id in sorted(by_id)]
+    if as_json:
+        print_json({"upstreams": ordered})
+        return ExitCode.DONE
+    print_table(
+        ["upstream", "zone", "address", "state", "usable", "in flight", "services"],
+        [
+            [u["id"], u["zone"], u["address"], u["state"], "yes" if u["usable"] else "no"]
+            + [u["in_flight"], " ".join(u["services"])]
+            for u in ordered
+        ],
+    )
+    return ExitCode.DONE
+
+
+def show_status(clients: list[OperatorClient], *, as_json: bool) -> int:
+    """Print the state of instances."""
+    bodies = [reply.body for reply in _call_all(clients, "/status")]
+    if as_json:
+        print_json({"instances": bodies})
+        return ExitCode.DONE
+    for body in bodies:
+        fields = {key: value for key, value in body.items() if not isinstance(value, list | dict)}
+        print("  ".join(f"{key}={value}" for key, value in fields.items()))
+    return ExitCode.DONE
+
+
+def show_audit(client: OperatorClient, *, after_number: int, as_json: bool) -> int:
+    """Print the audit trail of one instance."""
+    reply = next(_call_all([client], f"/audit?after={after_number}"))
+    records = [record for record in reply.body["records"] if record["number"] > after_number]
+    if as_json:
+        print_json(reply.body)
+        return ExitCode.DONE
+    for record in records:
+        print("  ".join(f"{key}={value}" for key, value in record.items() if value != ""))
+    return ExitCode.DONE
+
+
+def make_settings_reference() -> str:
+    """Return the settings of both roles as Markdown."""
+    lines: list[str] = []
+    for role, known in (("entry", ENTRY_SETTINGS), ("control", CONTROL_SETTINGS)):
+        lines.append(f"## Role `{role}`\n")
+        lines.append("| section | key | accepted | default | meaning |")
+        lines.append("| --- | --- | --- | --- | --- |")
+        for setting in known:
+            default = "required" if setting.default is None else setting.default or "empty"
+            cells = [setting.section, setting.key, setting.accepted, default, setting.meaning]
+            lines.append("| " + " | ".join(cells) + " |")
+        lines.append("")
+    return "\n".join(lines)
+
+
+def _call_all(clients: list[OperatorClient], path: str) -> Iterator[CallReply]:
+    for client in clients:
+        reply = client.call("GET", path)
+        if reply.status != 200:
+            raise CallError(f"refused with {reply.status}: {reply.body.get('message', '')}")
+        yield reply
+
+
+def _read(file: Path) -> bytes:
+    try:
+        return file.read_bytes()
+    except OSError as error:
+        raise ArgumentError(f"cannot read {file}: {error.strerror}") from error
+
+
+def _print_problems(problems: list[str], *, as_json: bool) -> None:
+    if as_json:
+        print_json({"result": "invalid", "problems": problems})
+        return
+    for problem in problems:
+        print_error(problem)
--- /dev/null
+++ b/src/coltsfootrill/operators/output.py
@@ -0,0 +1,27 @@
+"""Printing for people and for pipelines."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+
+def print_error(message: str) -> None:
+    """Print one line on standard error."""
+    print(f"coltsfootrill: {message}", file=sys.stderr)
+
+
+def print_json(value: Any) -> None:
+    """Print one JSON document."""
+    print(json.dumps(value, indent=2, sort_keys=True))
+
+
+def print_table(header: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
+    """Print rows in columns as wide as their widest cell."""
+    cells = [[str(cell) for cell in row] for row in [header, *rows]]
+    widths = [max(len(row[column]) for row in cells) for column in range(len(header))]
+    for row in cells:
+        padded = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+        print("  ".join(padded).rstrip())
--- /dev/null
+++ b/src/coltsfootrill/proxy/forward.py
@@ -0,0 +1,386 @@
+"""The path of one request: attempts at upstreams until one answer, or none, is certain."""
+
+from __future__ import annotations
+
+import select
+import threading
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.balancer.pool import Lease
+from coltsfootrill.balancer.retry import AttemptHistory
+from coltsfootrill.balancer.retry import FailureKind
+from coltsfootrill.clock import Clock
+from coltsfootrill.manifest.table import Route
+from coltsfootrill.metrics import Metrics
+from coltsfootrill.proxy.connection import ConnectError
+from coltsfootrill.proxy.connection import ConnectionPool
+from coltsfootrill.proxy.connection import ReadError
+from coltsfootrill.proxy.connection import SendError
+from coltsfootrill.proxy.connection import UpstreamAnswer
+from coltsfootrill.proxy.connection import UpstreamConnection
+from coltsfootrill.proxy.connection import encode_head
+from coltsfootrill.proxy.gate import ServiceGate
+from coltsfootrill.proxy.headers import DEADLINE_HEADER
+from coltsfootrill.proxy.headers import DEPTH_HEADER
+from coltsfootrill.proxy.headers import LOAD_HEADER
+from coltsfootrill.proxy.headers import RETRIED_HEADER
+from coltsfootrill.proxy.headers import SHED_HEADER
+from coltsfootrill.proxy.headers import list_answer_headers
+from coltsfootrill.proxy.headers import list_request_headers
+from coltsfootrill.proxy.headers import parse_load
+from coltsfootrill.proxy.outcome import Answer
+from coltsfootrill.proxy.outcome import NotRunError
+from coltsfootrill.proxy.outcome import ProxyError
+from coltsfootrill.proxy.outcome import UnknownOutcomeError
+
+GONE_CHECK_MS = 50.0
+SILENCE_MIN_MS = 60.0
+SILENCE_QUANTILE = 0.99
+SILENCE_FACTOR = 3.0
+SEND_MARGIN_MS = 1.0
+
+
+class ProxyRequest:
+    """One request of a caller, whole. ``headers`` have waitress's upper-case names."""
+
+    __slots__ = (
+        "arrived_ms",
+        "body",
+        "deadline_ms",
+        "depth",
+        "headers",
+        "is_gone",
+        "is_marked",
+        "method",
+        "target",
+    )
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        arrived_ms: float,
+        deadline_ms: float,
+        depth: int,
+        is_marked: bool,
+        is_gone: Callable[[], bool],
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.arrived_ms = arrived_ms
+        self.deadline_ms = deadline_ms
+        self.depth = depth
+        self.is_marked = is_marked
+        self.is_gone = is_gone
+
+
+class ConnectionPools:
+    """Connection pools by upstream address."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._by_address: dict[str, ConnectionPool] = {}
+
+    def get(self, address: str) -> ConnectionPool:
+        """Return the pool of an address, made on first use."""
+        pool = self._by_address.get(address)
+        if pool is None:
+            with self._lock:
+                pool = self._by_address.setdefault(
+                    address, ConnectionPool(address, clock=self._clock)
+                )
+        return pool
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the idle connections to all other addresses."""
+        with self._lock:
+            gone = [address for address in self._by_address if address not in addresses]
+            pools = [self._by_address.pop(address) for address in gone]
+        for pool in pools:
+            pool.doubt()
+
+
+class _Attempt:
+    """One attempt in progress."""
+
+    __slots__ = ("connection", "lease", "sent_ms", "was_idle")
+
+    def __init__(self, lease: Lease, connection: UpstreamConnection, sent_ms: float) -> None:
+        self.lease = lease
+        self.connection = connection
+        self.was_idle = not connection.is_fresh
+        self.sent_ms = sent_ms
+
+
+class _Failure:
+    """An attempt that gave no answer for the caller, or one that a retry may better."""
+
+    __slots__ = ("answer", "kind", "message")
+
+    def __init__(self, kind: FailureKind, message: str, answer: Answer | None = None) -> None:
+        self.kind = kind
+        self.message = message
+        self.answer = answer
+
+
+class RequestRun:
+    """The attempts of one request. Used by one thread."""
+
+    def __init__(
+        self,
+        request: ProxyRequest,
+        route: Route,
+        gate: ServiceGate,
+        *,
+        pools: ConnectionPools,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._request = request
+        self._route = route
+        self._kind = route.kind
+        self._gate = gate
+        self._pools = pools
+        self._clock = clock
+        self._metrics = metrics
+        self._history = AttemptHistory(is_marked=request.is_marked)
+        self._tried: set[str] = set()
+        self._open: list[_Attempt] = []
+
+    def run(self) -> Answer:
+        """Return the answer; raise ``ProxyError`` when there is none."""
+        self._gate.earn_retries()
+        failure: _Failure | None = None
+        try:
+            while True:
+                result = self._try_once()
+                if isinstance(result, Answer):
+                    return result
+                failure = result
+                if not self._gate.may_retry(self._history, failure.kind, self._kind):
+                    return self._give_up(failure)
+                self._count_extra("retry-" + failure.kind)
+        except NotRunError as error:
+            # Only the last attempt was not run; an earlier one may have been.
+            if failure is None or not self._history.may_have_run:
+                raise
+            if failure.answer is not None:
+                return failure.answer
+            raise UnknownOutcomeError("502 Bad Gateway", failure.kind, failure.message) from error
+        finally:
+            self._cancel_open()
+
+    def _try_once(self) -> Answer | _Failure:
+        """Make one attempt, with a second one beside it where that is allowed."""
+        lease = self._gate.acquire(
+            self._route.service,
+            self._kind,
+            arrived_ms=self._request.arrived_ms,
+            deadline_ms=self._request.deadline_ms,
+            exclude=frozenset(self._tried),
+            is_gone=self._request.is_gone,
+        )
+        failure = self._start(lease, must_be_fresh=not self._kind.idempotent)
+        if failure is not None:
+            return failure
+        return self._await_answer()
+
+    def _start(self, lease: Lease, *, must_be_fresh: bool) -> _Failure | None:
+        """Send the request to the upstream of ``lease``; return what went wrong, if anything.
+
+        A non-idempotent request goes over a fresh connection: one from the pool may be closed
+        or lost already, and then nobody could tell whether the request was run.
+        """
+        self._tried.add(lease.load.id)
+        left_ms = self._request.deadline_ms - self._clock.now_ms()
+        if left_ms <= SEND_MARGIN_MS:
+            self._gate.end_abandoned(lease, is_slow=False)
+            raise self._expire()
+        pool = self._pools.get(lease.load.address)
+        try:
+            connection = None if must_be_fresh else pool.take_idle()
+            connection = connection or pool.open(left_ms)
+        except ConnectError as error:
+            self._end_failed(lease, "refused")
+            return _Failure("refused", str(error))
+        self._history.unproven += 1
+        try:
+            connection.send(
+                self._make_head(lease), self._request.body, deadline_ms=self._request.deadline_ms
+            )
+        except SendError as error:
+            connection.close()
+            self._end_failed(lease, "lost")
+            return _Failure("lost", str(error))
+        self._open.append(_Attempt(lease, connection, self._clock.now_ms()))
+        return None
+
+    def _make_head(self, lease: Lease) -> bytes:
+        request = self._request
+        headers = list(list_request_headers(request.headers))
+        left_ms = request.deadline_ms - self._clock.now_ms()
+        headers.append((DEADLINE_HEADER, str(max(1, int(left_ms)))))
+        headers.append((DEPTH_HEADER, str(request.depth + 1)))
+        history = self._history
+        if history.is_marked or history.retries or self._open:
+            headers.append((RETRIED_HEADER, "1"))
+        return encode_head(request.method, request.target, headers, len(request.body))
+
+    def _await_answer(self) -> Answer | _Failure:
+        """Wait for the first good answer of the attempts in progress."""
+        failure = _Failure("lost", "no attempt was answered")
+        extra_at_ms = self._get_extra_time_ms()
+        while self._open:
+            now_ms = self._clock.now_ms()
+            if now_ms >= self._request.deadline_ms:
+                raise self._expire()
+            if self._request.is_gone():
+                raise UnknownOutcomeError("499 Client Closed Request", "caller-gone", "caller left")
+            if now_ms >= extra_at_ms:
+                extra_at_ms = self._request.deadline_ms
+                self._start_extra()
+            until_ms = min(self._request.deadline_ms, extra_at_ms, now_ms + GONE_CHECK_MS)
+            for attempt in self._poll(until_ms - now_ms):
+                result = self._finish(attempt)
+                if isinstance(result, Answer):
+                    return result
+                failure = result
+        return failure
+
+    def _get_extra_time_ms(self) -> float:
+        """Return when a second attempt starts beside the first one, if it is allowed then."""
+        if not self._kind.idempotent:
+            return self._request.deadline_ms
+        attempt = self._open[0]
+        after_ms = float("inf")
+        if self._kind.hedge_quantile is not None:
+            quantile_ms = self._gate.get_quantile_ms(self._kind, self._kind.hedge_quantile)
+            after_ms = float("inf") if quantile_ms is None else quantile_ms
+        if attempt.was_idle:
+            after_ms = min(after_ms, self._get_silence_ms())
+        return attempt.sent_ms + after_ms
+
+    def _get_silence_ms(self) -> float:
+        """Return how long a connection may make no progress before it is doubted."""
+        usual_ms = self._gate.get_quantile_ms(self._kind, SILENCE_QUANTILE)
+        return max(SILENCE_MIN_MS, SILENCE_FACTOR * (usual_ms or SILENCE_MIN_MS))
+
+    def _start_extra(self) -> None:
+        attempt = self._open[0]
+        is_silent = attempt.was_idle and (
+            self._clock.now_ms() - attempt.sent_ms >= self._get_silence_ms()
+        )
+        if is_silent:
+            self._doubt(attempt)
+            is_allowed = self._gate.may_retry(self._history, "lost", self._kind)
+        else:
+            is_allowed = self._gate.may_hedge(self._history, self._kind)
+        if not is_allowed:
+            return
+        exclude = frozenset() if is_silent else frozenset(self._tried)
+        lease = self._gate.try_acquire(self._route.service, self._kind, exclude=exclude)
+        if lease is None:
+            return
+        self._count_extra("silent" if is_silent else "hedge")
+        self._start(lease, must_be_fresh=is_silent)
+
+    def _poll(self, timeout_ms: float) -> list[_Attempt]:
+        """Return the attempts whose answer begins within ``timeout_ms``."""
+        poller = select.poll()
+        by_fileno: dict[int, _Attempt] = {}
+        for attempt in self._open:
+            by_fileno[attempt.connection.fileno()] = attempt
+            poller.register(attempt.connection.fileno(), select.POLLIN)
+        # poll takes whole milliseconds; rounding up avoids a busy loop just before the end.
+        events = poller.poll(int(max(0.0, timeout_ms)) + 1)
+        return [by_fileno[fileno] for fileno, _ in events]
+
+    def _finish(self, attempt: _Attempt) -> Answer | _Failure:
+        """Read the answer of one attempt and judge it."""
+        self._open.remove(attempt)
+        lease = attempt.lease
+        try:
+            answer = attempt.connection.read(
+                self._request.method, deadline_ms=self._request.deadline_ms
+            )
+        except ReadError as error:
+            attempt.connection.close()
+            self._end_failed(lease, "lost")
+            return _Failure("lost", str(error))
+        self._pools.get(lease.load.address).give_back(attempt.connection)
+        report = parse_load(answer.get_header(LOAD_HEADER))
+        return self._judge(lease, answer, report)
+
+    def _judge(
+        self, lease: Lease, answer: UpstreamAnswer, report: LoadReport | None
+    ) -> Answer | _Failure:
+        if answer.status == 503 and answer.get_header(SHED_HEADER):
+            self._count_attempt("shed")
+            self._gate.end_shed(lease, report)
+            self._history.unproven -= 1
+            return _Failure("shed", f"upstream {lease.load.id} had no capacity")
+        passed = Answer(
+            status=f"{answer.status} {answer.reason}",
+            headers=list_answer_headers(answer.headers),
+            body=answer.body,
+            outcome="answered",
+        )
+        if answer.status >= 500:
+            self._end_failed(lease, "server-error")
+            if self._kind.idempotent:
+                return _Failure("failed-answer", "the upstream failed", passed)
+            return passed
+        self._count_attempt("answered")
+        self._gate.end_answered(lease, report)
+        return passed
+
+    def _give_up(self, failure: _Failure) -> Answer:
+        if failure.answer is not None:
+            return failure.answer
+        if not self._history.may_have_run:
+            raise NotRunError(
+                "503 Service Unavailable", failure.kind, failure.message, retry_after_s=1
+            )
+        raise UnknownOutcomeError("502 Bad Gateway", failure.kind, failure.message)
+
+    def _expire(self) -> ProxyError:
+        for attempt in self._open:
+            if attempt.was_idle:
+                self._doubt(attempt)
+        message = "the deadline passed before there was an answer"
+        if self._history.may_have_run:
+            return UnknownOutcomeError("504 Gateway Timeout", "deadline", message)
+        return NotRunError("503 Service Unavailable", "deadline", message, retry_after_s=1)
+
+    def _doubt(self, attempt: _Attempt) -> None:
+        """Bar the contemporaries of a silent connection from further use."""
+        doubted = self._pools.get(attempt.lease.load.address).doubt()
+        self._metrics.doubted.inc(doubted + 1)
+
+    def _cancel_open(self) -> None:
+        """Close the connections of attempts that are not needed any more."""
+        now_ms = self._clock.now_ms()
+        for attempt in self._open:
+            attempt.connection.close()
+            is_slow = now_ms >= self._request.deadline_ms or len(self._tried) > 1
+            self._gate.end_abandoned(attempt.lease, is_slow=is_slow)
+            self._count_attempt("cancelled")
+        self._open.clear()
+
+    def _end_failed(self, lease: Lease, result: str) -> None:
+        self._count_attempt(result)
+        self._gate.end_failed(lease)
+
+    def _count_attempt(self, result: str) -> None:
+        self._metrics.attempts.labels(self._route.service.id, result).inc()
+
+    def _count_extra(self, cause: str) -> None:
+        self._metrics.extra_attempts.labels(self._route.service.id, cause).inc()
--- /dev/null
+++ b/src/coltsfootrill/proxy/gate.py
@@ -0,0 +1,221 @@
+"""Admission to one service: takes an upstream at once, or waits for one in order of urgency."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from collections.abc import Callable
+
+from coltsfootrill.balancer.admission import Waiter
+from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.balancer.pool import Lease
+from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.retry import AttemptHistory
+from coltsfootrill.balancer.retry import FailureKind
+from coltsfootrill.balancer.retry import may_hedge
+from coltsfootrill.balancer.retry import may_retry
+from coltsfootrill.clock import Clock
+from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Service
+from coltsfootrill.membership.fleet import Fleet
+from coltsfootrill.proxy.outcome import NotRunError
+
+REFRESH_MS = 50.0
+WAIT_SLICE_MS = 10.0
+CONFIRM_EVERY_MS = 300.0
+RETRY_AFTER_S = 1
+
+_orders = itertools.count()
+
+
+class _Ticket:
+    """A waiting thread; exactly one of ``lease`` and ``is_evicted`` is set when it is woken."""
+
+    __slots__ = ("exclude", "is_evicted", "kind", "lease", "waiter", "woken")
+
+    def __init__(self, waiter: Waiter, kind: Kind, exclude: frozenset[str]) -> None:
+        self.waiter = waiter
+        self.kind = kind
+        self.exclude = exclude
+        self.lease: Lease | None = None
+        self.is_evicted = False
+        self.woken = threading.Event()
+
+
+class ServiceGate:
+    """Thread-safe owner of the state of one service."""
+
+    def __init__(self, pool: ServicePool, *, fleet: Fleet, clock: Clock) -> None:
+        self._pool = pool
+        self._fleet = fleet
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._refreshed_at_ms = -REFRESH_MS
+        self._generation = -1
+        self._tickets: dict[int, _Ticket] = {}
+
+    def acquire(
+        self,
+        service: Service,
+        kind: Kind,
+        *,
+        arrived_ms: float,
+        deadline_ms: float,
+        exclude: frozenset[str],
+        is_gone: Callable[[], bool],
+    ) -> Lease:
+        """Return an upstream for one attempt; raise ``NotRunError`` when there is none in time."""
+        urgent_at_ms = arrived_ms + (kind.latest_ms or 0)
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            self._refresh(service, now_ms)
+            waiter = Waiter(
+                priority=kind.priority,
+                deadline_ms=deadline_ms,
+                urgent_at_ms=urgent_at_ms,
+                order=next(_orders),
+            )
+            ticket = _Ticket(waiter, kind, exclude)
+            if not self._tickets and self._try_grant(ticket, now_ms):
+                assert ticket.lease is not None
+                return ticket.lease
+            self._enqueue(ticket, now_ms)
+            self._grant_waiting(now_ms)
+            if ticket.lease is not None:
+                return ticket.lease
+        return self._wait(service, ticket, is_gone)
+
+    def try_acquire(self, service: Service, kind: Kind, *, exclude: frozenset[str]) -> Lease | None:
+        """Return an upstream outside ``exclude`` without waiting, ``None`` when there is none."""
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            self._refresh(service, now_ms)
+            lease = self._pool.acquire(kind, now_ms, exclude=exclude)
+            if lease is not None and lease.load.id in exclude and len(self._pool.by_id) > 1:
+                self._pool.end_abandoned(lease, now_ms, is_slow=False)
+                return None
+            return lease
+
+    def earn_retries(self) -> None:
+        """Count a first attempt towards the retry budget."""
+        with self._lock:
+            self._pool.retry_budget.earn()
+
+    def may_retry(self, history: AttemptHistory, failure: FailureKind, kind: Kind) -> bool:
+        """Return whether another attempt may follow ``failure``."""
+        with self._lock:
+            return may_retry(history, failure, kind=kind, budget=self._pool.retry_budget)
+
+    def may_hedge(self, history: AttemptHistory, kind: Kind) -> bool:
+        """Return whether a second attempt may run beside the first."""
+        with self._lock:
+            return may_hedge(history, kind=kind, budget=self._pool.retry_budget)
+
+    def get_quantile_ms(self, kind: Kind, quantile: float) -> float | None:
+        """Return a quantile of the kind's recent latencies."""
+        with self._lock:
+            return self._pool.get_latency(kind.id).get_quantile_ms(quantile)
+
+    def end_answered(self, lease: Lease, report: LoadReport | None) -> None:
+        """Count a whole answer and let the next waiter in."""
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            self._pool.end_answered(lease, report, now_ms)
+            is_due = now_ms - lease.load.confirmed_at_ms > CONFIRM_EVERY_MS
+            if is_due:
+                lease.load.confirmed_at_ms = now_ms
+            self._grant_waiting(now_ms)
+        if is_due and report is not None and report.state == "serving":
+            self._fleet.confirm(lease.load.id, lease.load.incarnation, lease.started_ms)
+
+    def end_shed(self, lease: Lease, report: LoadReport | None) -> None:
+        """Count an explicit refusal by the upstream."""
+        with self._lock:
+            self._pool.end_shed(lease, report, self._clock.now_ms())
+
+    def end_failed(self, lease: Lease) -> None:
+        """Count a failed attempt."""
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            self._pool.end_failed(lease, now_ms)
+            self._grant_waiting(now_ms)
+
+    def end_abandoned(self, lease: Lease, *, is_slow: bool) -> None:
+        """Count an attempt that was given up."""
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            self._pool.end_abandoned(lease, now_ms, is_slow=is_slow)
+            self._grant_waiting(now_ms)
+
+    def read_pool(self, read: Callable[[ServicePool, float], None]) -> None:
+        """Call ``read`` with the pool and the time, under the lock."""
+        with self._lock:
+            read(self._pool, self._clock.now_ms())
+
+    def _refresh(self, service: Service, now_ms: float) -> None:
+        generation = self._fleet.directory.generation
+        if generation == self._generation and now_ms - self._refreshed_at_ms < REFRESH_MS:
+            return
+        self._generation = generation
+        self._refreshed_at_ms = now_ms
+        self._pool.update(service, self._fleet.list_usable(), now_ms)
+
+    def _try_grant(self, ticket: _Ticket, now_ms: float) -> bool:
+        waiter = ticket.waiter
+        is_patient = waiter.priority == "deferrable" and now_ms < waiter.urgent_at_ms
+        ticket.lease = self._pool.acquire(
+            ticket.kind, now_ms, exclude=ticket.exclude, is_patient=is_patient
+        )
+        return ticket.lease is not None
+
+    def _enqueue(self, ticket: _Ticket, now_ms: float) -> None:
+        waiter = ticket.waiter
+        if not self._pool.by_id:
+            raise _refuse("no-upstream", "no upstream of this service is serving")
+        if not self._pool.can_still_answer(ticket.kind, waiter, now_ms):
+            raise _refuse("overloaded", "the queue is too long for the deadline of this request")
+        evicted = self._pool.queue.add(waiter, now_ms=now_ms)
+        if evicted is waiter:
+            raise _refuse("queue-full", "the queue of this service is full")
+        self._tickets[waiter.order] = ticket
+        if evicted is not None:
+            loser = self._tickets.pop(evicted.order)
+            loser.is_evicted = True
+            loser.woken.set()
+
+    def _wait(self, service: Service, ticket: _Ticket, is_gone: Callable[[], bool]) -> Lease:
+        waiter = ticket.waiter
+        while True:
+            left_ms = waiter.deadline_ms - self._clock.now_ms()
+            ticket.woken.wait(max(0.0, min(left_ms, WAIT_SLICE_MS)) / 1000)
+            with self._lock:
+                now_ms = self._clock.now_ms()
+                if ticket.lease is None and not ticket.is_evicted:
+                    # Pauses and ejections end by time alone, with no other thread to notice.
+                    self._refresh(service, now_ms)
+                    self._grant_waiting(now_ms)
+                if ticket.lease is not None:
+                    return ticket.lease
+                if ticket.is_evicted:
+                    raise _refuse("queue-full", "more urgent requests took the place of this one")
+                if now_ms >= waiter.deadline_ms or is_gone():
+                    self._pool.queue.remove(waiter)
+                    self._tickets.pop(waiter.order, None)
+                    raise _refuse("deadline", "no upstream was free before the deadline")
+
+    def _grant_waiting(self, now_ms: float) -> None:
+        """Let waiters in, the most urgent first, while there are upstreams for them."""
+        while True:
+            waiter = self._pool.queue.get_next(now_ms)
+            if waiter is None:
+                return
+            ticket = self._tickets[waiter.order]
+            if not self._try_grant(ticket, now_ms):
+                return
+            self._pool.queue.remove(waiter)
+            del self._tickets[waiter.order]
+            ticket.woken.set()
+
+
+def _refuse(reason: str, message: str) -> NotRunError:
+    return NotRunError("503 Service Unavailable", reason, message, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/src/coltsfootrill/proxy/headers.py
@@ -0,0 +1,105 @@
+"""Headers that pass through, headers that do not, and our own."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from typing import Any
+
+from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.proxy.outcome import Header
+
+DEADLINE_HEADER = "Coltsfootrill-Deadline-Ms"
+RETRIED_HEADER = "Coltsfootrill-Retried"
+DEPTH_HEADER = "Coltsfootrill-Depth"
+LOAD_HEADER = "Upstream-Load"
+SHED_HEADER = "Upstream-Shed"
+DEPTH_MAX = 32
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_INTERNAL_PREFIX = "coltsfootrill-"
+
+
+def list_request_headers(headers: Mapping[str, str]) -> Iterator[Header]:
+    """Yield the caller's headers that go to the upstream, from waitress's upper-case names.
+
+    Hop-by-hop headers, those that ``Connection`` names, and internal headers are left out.
+    """
+    named = _split_tokens(headers.get("CONNECTION", ""))
+    for key, value in headers.items():
+        name = key.replace("_", "-").lower()
+        if name in _HOP_BY_HOP or name in named or name.startswith(_INTERNAL_PREFIX):
+            continue
+        if name in ("content-length", "expect"):
+            continue
+        yield name, value
+
+
+def list_answer_headers(headers: Iterable[Header]) -> list[Header]:
+    """Return an upstream's headers that go to the caller."""
+    pairs = list(headers)
+    named: frozenset[str] = frozenset()
+    for name, value in pairs:
+        if name.lower() == "connection":
+            named |= _split_tokens(value)
+    return [(name, value) for name, value in pairs if _passes(name.lower(), named)]
+
+
+def _passes(name: str, named: frozenset[str]) -> bool:
+    return (
+        name not in _HOP_BY_HOP
+        and name not in named
+        and name != "content-length"
+        and name != LOAD_HEADER.lower()
+        and not name.startswith(_INTERNAL_PREFIX)
+    )
+
+
+def _split_tokens(value: str) -> frozenset[str]:
+    return frozenset(token.strip().lower() for token in value.split(",") if token.strip())
+
+
+def parse_deadline_ms(value: str) -> float | None:
+    """Return the caller's deadline in milliseconds; ``None`` when absent or not a number."""
+    try:
+        deadline_ms = float(value)
+    except ValueError:
+        return None
+    return deadline_ms if math.isfinite(deadline_ms) else None
+
+
+def parse_depth(value: str) -> int:
+    """Return the depth of the call, 0 when absent or not a number."""
+    return int(value) if value.isascii() and value.isdigit() and len(value) < 5 else 0
+
+
+def parse_load(value: str | None) -> LoadReport | None:
+    """Return the load in ``in_flight=N;slots=N;state=S``; ``None`` when it is not well formed."""
+    if not value:
+        return None
+    by_key: dict[str, Any] = {}
+    for part in value.split(";"):
+        key, _, text = part.strip().partition("=")
+        by_key[key] = text
+    try:
+        in_flight = int(by_key["in_flight"])
+        slots = int(by_key["slots"])
+    except (KeyError, ValueError):
+        return None
+    if not 0 <= in_flight <= 100_000 or not 1 <= slots <= 10_000:
+        return None
+    return LoadReport(in_flight=in_flight, slots=slots, state=by_key.get("state", ""))
--- /dev/null
+++ b/src/coltsfootrill/proxy/outcome.py
@@ -0,0 +1,82 @@
+"""Answers to callers and the outcome that each of them states."""
+
+from __future__ import annotations
+
+import json
+from typing import Literal
+
+from coltsfootrill.errors import ColtsfootrillError
+
+Outcome = Literal["answered", "not-run", "unknown"]
+Header = tuple[str, str]
+
+OUTCOME_HEADER = "Coltsfootrill-Outcome"
+REASON_HEADER = "Coltsfootrill-Reason"
+
+
+class Answer:
+    """A whole answer for a caller: status code and phrase, headers and body."""
+
+    __slots__ = ("body", "headers", "outcome", "reason", "status")
+
+    def __init__(
+        self,
+        *,
+        status: str,
+        headers: list[Header],
+        body: bytes,
+        outcome: Outcome,
+        reason: str = "",
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.outcome = outcome
+        self.reason = reason
+
+
+class ProxyError(ColtsfootrillError):
+    """A request ends without an upstream's answer.
+
+    ``status`` is the HTTP status, ``reason`` a short fixed word for scripts and metrics, and
+    ``retry_after_s`` a hint for callers that may send the request again.
+    """
+
+    outcome: Outcome = "unknown"
+
+    def __init__(
+        self, status: str, reason: str, message: str, *, retry_after_s: int | None = None
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class NotRunError(ProxyError):
+    """The request was certainly not run by any upstream."""
+
+    outcome: Outcome = "not-run"
+
+
+class UnknownOutcomeError(ProxyError):
+    """The request may or may not have been run."""
+
+    outcome: Outcome = "unknown"
+
+
+def make_error_answer(error: ProxyError) -> Answer:
+    """Return the answer that tells a caller of ``error``."""
+    body = json.dumps(
+        {"outcome": error.outcome, "reason": error.reason, "message": str(error)}
+    ).encode()
+    headers: list[Header] = [("Content-Type", "application/json")]
+    if error.retry_after_s is not None:
+        headers.append(("Retry-After", str(error.retry_after_s)))
+    return Answer(
+        status=error.status,
+        headers=headers,
+        body=body,
+        outcome=error.outcome,
+        reason=error.reason,
+    )
--- /dev/null
+++ b/src/coltsfootrill/proxy/prober.py
@@ -0,0 +1,128 @@
+"""Probes ejected upstreams before they return, within the measuring budget.
+
+A probe is needed only there: an upstream that gets requests shows its state by its answers, and
+what requests see always outweighs what a health endpoint says.
+"""
+
+from __future__ import annotations
+
+import threading
+from random import Random
+
+from coltsfootrill.balancer.ejection import extend_ejection
+from coltsfootrill.balancer.load import UpstreamLoad
+from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.probe_budget import ProbeBudget
+from coltsfootrill.balancer.probe_budget import get_divisor
+from coltsfootrill.balancer.probe_budget import get_rate_per_ms
+from coltsfootrill.clock import Clock
+from coltsfootrill.manifest.holder import ManifestHolder
+from coltsfootrill.manifest.model import Measuring
+from coltsfootrill.membership.fleet import Fleet
+from coltsfootrill.metrics import Metrics
+from coltsfootrill.proxy.app import ProxyApp
+from coltsfootrill.proxy.connection import ConnectionLayerError
+from coltsfootrill.proxy.connection import UpstreamConnection
+from coltsfootrill.proxy.connection import encode_head
+from coltsfootrill.proxy.gate import ServiceGate
+
+TICK_MS = 50.0
+PROBE_TIMEOUT_MS = 500.0
+
+
+class Prober:
+    """One thread that probes what needs it."""
+
+    def __init__(
+        self,
+        app: ProxyApp,
+        manifests: ManifestHolder,
+        fleet: Fleet,
+        *,
+        fleet_max_count: int,
+        random: Random,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._app = app
+        self._manifests = manifests
+        self._fleet = fleet
+        self._fleet_max_count = fleet_max_count
+        self._budget = ProbeBudget(random)
+        self._clock = clock
+        self._metrics = metrics
+        self._stopping = threading.Event()
+
+    def run(self) -> None:
+        """Probe until ``stop``."""
+        while not self._stopping.wait(TICK_MS / 1000):
+            table = self._manifests.current
+            if table is not None:
+                self._tick(table.manifest.measuring)
+
+    def stop(self) -> None:
+        """Stop probing."""
+        self._stopping.set()
+
+    def _tick(self, measuring: Measuring) -> None:
+        rate_per_ms = self._get_share_per_ms(measuring)
+        for gate, load, is_needed in self._list_ejected():
+            if not is_needed:
+                self._budget.drop(load.id)
+                continue
+            self._budget.earn(load.id, rate_per_ms=rate_per_ms, now_ms=self._clock.now_ms())
+            if rate_per_ms > 0 and self._budget.spend(load.id):
+                self._probe(gate, load, measuring)
+
+    def _get_share_per_ms(self, measuring: Measuring) -> float:
+        count, stable_since_ms, is_isolated = self._fleet.count_for_budget()
+        divisor = get_divisor(
+            count=count,
+            stable_for_ms=self._clock.now_ms() - stable_since_ms,
+            is_isolated=is_isolated,
+            fleet_max_count=self._fleet_max_count,
+        )
+        return 0.0 if divisor is None else get_rate_per_ms(measuring) / divisor
+
+    def _list_ejected(self) -> list[tuple[ServiceGate, UpstreamLoad, bool]]:
+        found: list[tuple[ServiceGate, UpstreamLoad, bool]] = []
+        for gate in list(self._app.gates_by_service.values()):
+
+            def collect(pool: ServicePool, now_ms: float, gate: ServiceGate = gate) -> None:
+                for load in pool.by_id.values():
+                    if load.needs_probe:
+                        found.append((gate, load, now_ms < load.ejected_until_ms))
+                        load.needs_probe = now_ms < load.ejected_until_ms
+
+            gate.read_pool(collect)
+        return found
+
+    def _probe(self, gate: ServiceGate, load: UpstreamLoad, measuring: Measuring) -> None:
+        start_ms = self._clock.now_ms()
+        is_good = self._call(load.address, measuring.path, start_ms + PROBE_TIMEOUT_MS)
+        elapsed_ms = self._clock.now_ms() - start_ms
+        self._metrics.probes.labels("good" if is_good else "bad").inc()
+        self._metrics.probe_time.inc(elapsed_ms / 1000)
+
+        def judge(pool: ServicePool, now_ms: float) -> None:
+            load.needs_probe = False
+            if not is_good and now_ms < load.ejected_until_ms:
+                extend_ejection(load, now_ms=now_ms)
+
+        gate.read_pool(judge)
+
+    def _call(self, address: str, path: str, deadline_ms: float) -> bool:
+        head = encode_head("GET", path, [("host", address)], 0)
+        try:
+            connection = UpstreamConnection.open(
+                address, clock=self._clock, timeout_ms=PROBE_TIMEOUT_MS, epoch=0
+            )
+        except ConnectionLayerError:
+            return False
+        try:
+            connection.send(head, b"", deadline_ms=deadline_ms)
+            return connection.read("GET", deadline_ms=deadline_ms).status < 400
+        except ConnectionLayerError:
+            return False
+        finally:
+            connection.close()
--- /dev/null
+++ b/src/coltsfootrill/registry/directory.py
@@ -0,0 +1,196 @@
+"""All upstreams known to one entry instance, with their leases.
+
+A lease rests on evidence: the local time at which the upstream is known to have been serving.
+It ends ``LEASE_MS`` after that time, so that an instance that hears from nobody stops using an
+upstream within the time in which every other instance learns that it is leaving.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Literal
+
+from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.announcement import UpstreamState
+
+LEASE_MS = 3_000.0
+RENEW_AFTER_MS = 800
+TOMBSTONE_MS = 3_600_000.0
+FORGET_AFTER_MS = 60_000.0
+
+MergeResult = Literal["changed", "renewed", "ignored"]
+
+
+class UpstreamRecord:
+    """The newest announcement of one upstream and the evidence for its lease.
+
+    ``origin`` is the entry instance that took the announcement. ``evidence_ms`` is local time;
+    ``changed_at`` and ``renewed_at`` are positions in the directory's own order of updates.
+    """
+
+    __slots__ = (
+        "announcement",
+        "changed_at",
+        "evidence_ms",
+        "fastest_offset_ms",
+        "origin",
+        "renewed_at",
+    )
+
+    def __init__(self, announcement: Announcement, *, origin: str, evidence_ms: float) -> None:
+        self.announcement = announcement
+        self.origin = origin
+        self.evidence_ms = evidence_ms
+        self.changed_at = 0
+        self.renewed_at = 0
+        self.fastest_offset_ms: float | None = None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether this incarnation has announced that it is leaving."""
+        return self.announcement.state == "leaving"
+
+    def is_usable(self, now_ms: float) -> bool:
+        """Return whether new work may be sent: serving, and the lease has not ended."""
+        return self.announcement.state == "serving" and now_ms < self.evidence_ms + LEASE_MS
+
+
+class StateChange:
+    """A change of one upstream's state, for the audit trail."""
+
+    __slots__ = ("after", "before", "incarnation", "upstream_id")
+
+    def __init__(
+        self, *, upstream_id: str, incarnation: int, before: UpstreamState | None, after: str
+    ) -> None:
+        self.upstream_id = upstream_id
+        self.incarnation = incarnation
+        self.before = before
+        self.after = after
+
+
+class Directory:
+    """Records by upstream identifier. Not thread-safe: the owner holds a lock."""
+
+    __slots__ = ("_on_change", "by_id", "generation", "position")
+
+    def __init__(self, on_change: Callable[[StateChange], None] = lambda change: None) -> None:
+        self.by_id: dict[str, UpstreamRecord] = {}
+        self.position = 0
+        # Grows when the set of upstreams or one of their states changes, not with renewals.
+        self.generation = 0
+        self._on_change = on_change
+
+    def merge(self, announcement: Announcement, *, origin: str, evidence_ms: float) -> MergeResult:
+        """Take in one announcement and return what it did.
+
+        An older incarnation, and anything after ``leaving`` in the same incarnation, is ignored.
+        """
+        record = self.by_id.get(announcement.id)
+        if record is None:
+            record = UpstreamRecord(announcement, origin=origin, evidence_ms=evidence_ms)
+            self.by_id[announcement.id] = record
+            self._mark_changed(record, before=None)
+            return "changed"
+        if not _supersedes(announcement, record.announcement):
+            return "ignored"
+        before = record.announcement
+        record.announcement = announcement
+        record.origin = origin
+        is_new_incarnation = announcement.incarnation > before.incarnation
+        if is_new_incarnation:
+            record.fastest_offset_ms = None
+            record.evidence_ms = evidence_ms
+        record.evidence_ms = max(record.evidence_ms, evidence_ms)
+        if is_new_incarnation or not _describes_same(announcement, before):
+            self._mark_changed(record, before=None if is_new_incarnation else before.state)
+            return "changed"
+        self.position += 1
+        record.renewed_at = self.position
+        return "renewed"
+
+    def discount_lateness(self, announcement: Announcement, now_ms: float) -> float:
+        """Return the evidence time of an announcement that arrived at ``now_ms``.
+
+        An announcement can be held up on its way. Its lateness is the excess of its transit,
+        by the upstream's own clock, over the fastest one of the same incarnation.
+        """
+        record = self.by_id.get(announcement.id)
+        if record is None or announcement.sent_at_ms == 0:
+            return now_ms
+        offset_ms = now_ms - announcement.sent_at_ms
+        is_same = announcement.incarnation == record.announcement.incarnation
+        fastest_ms = record.fastest_offset_ms if is_same else None
+        if fastest_ms is None or offset_ms < fastest_ms:
+            if is_same:
+                record.fastest_offset_ms = offset_ms
+            return now_ms
+        return now_ms - (offset_ms - fastest_ms)
+
+    def renew(self, upstream_id: str, incarnation: int, evidence_ms: float) -> bool:
+        """Extend a lease on evidence for the same incarnation.
+
+        Returns whether the incarnation, or a newer one, was known.
+        """
+        record = self.by_id.get(upstream_id)
+        if record is None or record.announcement.incarnation < incarnation:
+            return False
+        if record.announcement.incarnation > incarnation:
+            return True
+        if record.announcement.state != "leaving" and evidence_ms > record.evidence_ms:
+            record.evidence_ms = evidence_ms
+        return True
+
+    def list_usable(self, now_ms: float) -> list[UpstreamRecord]:
+        """Return the records of all upstreams that may get new work now."""
+        return [record for record in self.by_id.values() if record.is_usable(now_ms)]
+
+    def forget_expired(self, now_ms: float) -> int:
+        """Drop records that can no longer matter and return how many there were.
+
+        A record that left is kept for ``TOMBSTONE_MS`` so that a late announcement of the same
+        incarnation cannot bring it back.
+        """
+        expired = [
+            upstream_id
+            for upstream_id, record in self.by_id.items()
+            if now_ms
+            > record.evidence_ms + (TOMBSTONE_MS if record.is_leaving else FORGET_AFTER_MS)
+        ]
+        for upstream_id in expired:
+            del self.by_id[upstream_id]
+        self.generation += bool(expired)
+        return len(expired)
+
+    def _mark_changed(self, record: UpstreamRecord, before: UpstreamState | None) -> None:
+        self.position += 1
+        self.generation += 1
+        record.changed_at = self.position
+        record.renewed_at = self.position
+        change = StateChange(
+            upstream_id=record.announcement.id,
+            incarnation=record.announcement.incarnation,
+            before=before,
+            after=record.announcement.state,
+        )
+        self._on_change(change)
+
+
+def _supersedes(new: Announcement, old: Announcement) -> bool:
+    if new.incarnation != old.incarnation:
+        return new.incarnation > old.incarnation
+    if old.state == "leaving":
+        return False
+    if new.state == "leaving":
+        return True
+    return new.sequence > old.sequence
+
+
+def _describes_same(new: Announcement, old: Announcement) -> bool:
+    return (
+        new.state == old.state
+        and new.address == old.address
+        and new.zone == old.zone
+        and new.services == old.services
+        and new.slots == old.slots
+    )
--- /dev/null
+++ b/src/coltsfootrill/replay/workloads.py
@@ -0,0 +1,201 @@
+"""The two workloads at today's sizes, as data for manifests, traces and stand-ins."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from coltsfootrill.manifest.model import Priority
+
+
+class KindShape:
+    """One request kind: how it is named, its rules, and how often it is called."""
+
+    __slots__ = (
+        "deadline_ms",
+        "hedge_quantile",
+        "id",
+        "idempotent",
+        "latest_ms",
+        "name",
+        "priority",
+        "retries",
+        "weight",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        name: str,
+        *,
+        idempotent: bool,
+        deadline_ms: int,
+        priority: Priority = "normal",
+        latest_ms: int | None = None,
+        retries: int = 2,
+        hedge_quantile: float | None = None,
+        weight: float = 1.0,
+    ) -> None:
+        self.id = id
+        self.name = name
+        self.idempotent = idempotent
+        self.deadline_ms = deadline_ms
+        self.priority = priority
+        self.latest_ms = latest_ms
+        self.retries = retries
+        self.hedge_quantile = hedge_quantile
+        self.weight = weight
+
+
+class ServiceShape:
+    """One service: how many upstreams it has and how long they work on a request."""
+
+    __slots__ = ("id", "kinds", "upstream_count", "work_ms")
+
+    def __init__(
+        self, id: str, *, upstream_count: int, work_ms: float, kinds: list[KindShape]
+    ) -> None:
+        self.id = id
+        self.upstream_count = upstream_count
+        self.work_ms = work_ms
+        self.kinds = kinds
+
+
+HERALDIC = [
+    ServiceShape(
+        "blazon",
+        upstream_count=9,
+        work_ms=4.0,
+        kinds=[
+            KindShape(
+                "lookup",
+                "path:/blazon/lookup",
+                idempotent=True,
+                deadline_ms=1_000,
+                priority="interactive",
+                hedge_quantile=0.95,
+                weight=6,
+            )
+        ],
+    ),
+    ServiceShape(
+        "proofs",
+        upstream_count=8,
+        work_ms=8.0,
+        kinds=[
+            KindShape(
+                "view",
+                "dotted:proofs.crest.example",
+                idempotent=True,
+                deadline_ms=2_000,
+                hedge_quantile=0.95,
+                weight=3,
+            )
+        ],
+    ),
+    ServiceShape(
+        "commissions",
+        upstream_count=7,
+        work_ms=6.0,
+        kinds=[KindShape("order", "urn:urn-crest:commission", idempotent=False, deadline_ms=3_000)],
+    ),
+    ServiceShape(
+        "pigments",
+        upstream_count=6,
+        work_ms=5.0,
+        kinds=[KindShape("draw", "path:/pigments/draw", idempotent=False, deadline_ms=3_000)],
+    ),
+]
+
+ROTA = [
+    ServiceShape(
+        "rosters",
+        upstream_count=15,
+        work_ms=4.0,
+        kinds=[
+            KindShape(
+                "read",
+                "path:/rosters/read",
+                idempotent=True,
+                deadline_ms=1_000,
+                priority="interactive",
+                hedge_quantile=0.95,
+                weight=6,
+            )
+        ],
+    ),
+    ServiceShape(
+        "swaps",
+        upstream_count=10,
+        work_ms=6.0,
+        kinds=[
+            KindShape("confirm", "urn:rota:swap", idempotent=False, deadline_ms=3_000, weight=2)
+        ],
+    ),
+    ServiceShape(
+        "handovers",
+        upstream_count=8,
+        work_ms=6.0,
+        kinds=[
+            KindShape(
+                "log",
+                "dotted:handovers.rota.example",
+                idempotent=False,
+                deadline_ms=3_000,
+                weight=1,
+            )
+        ],
+    ),
+    ServiceShape(
+        "timetables",
+        upstream_count=7,
+        work_ms=20.0,
+        kinds=[
+            KindShape(
+                "pull",
+                "path:/timetables/pull",
+                idempotent=True,
+                deadline_ms=20_000,
+                priority="deferrable",
+                latest_ms=10_000,
+                weight=1,
+            )
+        ],
+    ),
+]
+
+WORKLOADS = {"heraldic": HERALDIC, "rota": ROTA}
+
+
+def make_manifest(version: int, workloads: list[list[ServiceShape]]) -> dict[str, Any]:
+    """Return the manifest of some workloads, ready for JSON."""
+    return {
+        "schema": 1,
+        "version": version,
+        "measuring": {"requests_per_second": 0.5, "time_share": 0.005, "probe_cost_ms": 5.0},
+        "services": [_describe_service(service) for workload in workloads for service in workload],
+    }
+
+
+def _describe_service(service: ServiceShape) -> dict[str, Any]:
+    return {
+        "id": service.id,
+        "upstreams": [f"{service.id}-*"],
+        "retry_share": 0.1,
+        "kinds": [_describe_kind(kind) for kind in service.kinds],
+    }
+
+
+def _describe_kind(kind: KindShape) -> dict[str, Any]:
+    described: dict[str, Any] = {
+        "id": kind.id,
+        "names": [kind.name],
+        "idempotent": kind.idempotent,
+        "deadline_ms": kind.deadline_ms,
+        "priority": kind.priority,
+        "retries": kind.retries,
+    }
+    if kind.latest_ms is not None:
+        described["latest_ms"] = kind.latest_ms
+    if kind.hedge_quantile is not None:
+        described["hedge_quantile"] = kind.hedge_quantile
+    return described
--- /dev/null
+++ b/src/coltsfootrill/roles/__init__.py
@@ -0,0 +1,3 @@
+"""The long-running roles of the program: entry and control."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/coltsfootrill/roles/control.py
@@ -0,0 +1,158 @@
+"""The control role: one replica of the manifest register and its operators' port."""
+
+from __future__ import annotations
+
+import threading
+from random import SystemRandom
+from typing import Any
+
+import msgspec
+from absl import logging
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.files import FileLayer
+from coltsfootrill.control.messages import ControlState
+from coltsfootrill.control.proposer import NoQuorumError
+from coltsfootrill.control.proposer import UnknownResultError
+from coltsfootrill.control.replica import ControlReplica
+from coltsfootrill.kernel import collect_schemes
+from coltsfootrill.kernel import load_plugins
+from coltsfootrill.manifest.codec import InvalidManifestError
+from coltsfootrill.metrics import Metrics
+from coltsfootrill.operators.http import HttpApp
+from coltsfootrill.operators.http import HttpReply
+from coltsfootrill.operators.http import HttpRequest
+from coltsfootrill.operators.http import HttpServer
+from coltsfootrill.roles.signals import install_stop_event
+from coltsfootrill.settings import InvalidSettingsError
+from coltsfootrill.settings import SettingError
+from coltsfootrill.settings import Settings
+from coltsfootrill.tls import Credentials
+
+_STATUS_BY_RESULT = {"accepted": "200 OK", "conflict": "409 Conflict", "older": "409 Conflict"}
+
+
+class ControlRole:
+    """One control process."""
+
+    def __init__(self, replica: ControlReplica, settings: Settings, metrics: Metrics) -> None:
+        self._replica = replica
+        self._metrics = metrics
+        app = HttpApp(settings.get("tokens", "operator_file"), on_refused=self._count_refused)
+        app.add("GET", "/ready", self._answer_ready, is_public=True)
+        app.add("GET", "/metrics", self._answer_metrics, is_public=True)
+        app.add("POST", "/manifest", self._answer_submit)
+        app.add("GET", "/manifest", self._answer_manifest)
+        app.add("GET", "/status", self._answer_status)
+        app.add("GET", "/audit", self._answer_audit)
+        self._http = HttpServer(app, settings.get("operators", "listen"))
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> ControlRole:
+        """Return the role, with its state read from the data folder."""
+        folder = settings.get("instance", "data")
+        if folder is None:
+            problem = SettingError("instance", "data", "", "a control replica needs a folder")
+            raise InvalidSettingsError("settings refused", [problem])
+        clock = Clock()
+        listen = settings.get("control", "listen")
+        credentials = Credentials.from_settings(settings, listen)
+        replica = ControlReplica(
+            settings.get("instance", "id"),
+            address=str(listen),
+            replicas=settings.get("control", "replicas"),
+            acceptor=Acceptor.from_folder(folder / "control", files=FileLayer()),
+            schemes=collect_schemes(load_plugins()),
+            clock=clock,
+            random=SystemRandom(),
+            credentials=credentials.channel,
+        )
+        replica.start(credentials.server)
+        if credentials.channel is None:
+            logging.warning("plain mode: peers are not authenticated; use [tls] off loopback")
+        return cls(replica, settings, Metrics())
+
+    def run(self, stop: threading.Event | None = None) -> int:
+        """Serve until a signal, then stop gracefully; return the exit code."""
+        stop = stop or install_stop_event()
+        self._http.start()
+        fault = self._replica.acceptor.fault
+        logging.info('control started id="%s" fault="%s"', self._replica.id, fault or "")
+        stop.wait()
+        self._replica.stop()
+        logging.info('control stopped id="%s"', self._replica.id)
+        return 0
+
+    def _count_refused(self) -> None:
+        self._metrics.refused_operations.labels("token").inc()
+
+    def _answer_ready(self, request: HttpRequest) -> HttpReply:
+        fault = self._replica.acceptor.fault
+        if fault is not None:
+            return HttpReply.from_json("503 Service Unavailable", {"message": fault})
+        return HttpReply.from_json("200 OK", {"message": "ready"})
+
+    def _answer_metrics(self, request: HttpRequest) -> HttpReply:
+        return HttpReply("200 OK", self._metrics.render(), content_type="text/plain")
+
+    def _answer_submit(self, request: HttpRequest) -> HttpReply:
+        try:
+            answer = self._replica.submit(request.body, operator=request.operator)
+        except InvalidManifestError as error:
+            problems = [
+                {"where": problem.where, "message": problem.message}
+                for problem in error.exceptions
+                if not isinstance(problem, ExceptionGroup)
+            ]
+            body: Any = {"result": "invalid", "problems": problems}
+            return HttpReply.from_json("422 Unprocessable Entity", body)
+        except NoQuorumError as error:
+            return _refuse("no-quorum", str(error))
+        except UnknownResultError as error:
+            body = {"result": "unknown", "message": str(error)}
+            return HttpReply.from_json("504 Gateway Timeout", body)
+        return HttpReply.from_json(_STATUS_BY_RESULT[answer.result], msgspec.to_builtins(answer))
+
+    def _answer_manifest(self, request: HttpRequest) -> HttpReply:
+        try:
+            state = self._replica.read()
+        except NoQuorumError as error:
+            return _refuse("no-quorum", str(error))
+        if not state.manifest:
+            return HttpReply.from_json("404 Not Found", {"message": "no manifest yet"})
+        return HttpReply("200 OK", state.manifest)
+
+    def _answer_status(self, request: HttpRequest) -> HttpReply:
+        try:
+            state = self._replica.read()
+        except NoQuorumError as error:
+            return _refuse("no-quorum", str(error))
+        return HttpReply.from_json("200 OK", _describe(state, self._replica))
+
+    def _answer_audit(self, request: HttpRequest) -> HttpReply:
+        try:
+            state = self._replica.read()
+        except NoQuorumError as error:
+            return _refuse("no-quorum", str(error))
+        records = [msgspec.structs.asdict(record) for record in state.audit]
+        return HttpReply.from_json("200 OK", {"records": records})
+
+
+def _describe(state: ControlState, replica: ControlReplica) -> dict[str, Any]:
+    return {
+        "role": "control",
+        "id": replica.id,
+        "fault": replica.acceptor.fault,
+        "epoch": state.epoch,
+        "replicas": {
+            replica_id: {"address": member.address, "key": member.key}
+            for replica_id, member in state.replicas.items()
+        },
+        "version": state.version,
+        "digest": state.digest,
+    }
+
+
+def _refuse(result: str, message: str) -> HttpReply:
+    return HttpReply.from_json("503 Service Unavailable", {"result": result, "message": message})
--- /dev/null
+++ b/src/coltsfootrill/roles/entry.py
@@ -0,0 +1,247 @@
+"""The entry role: serves callers, takes announcements, and keeps in touch with its peers."""
+
+from __future__ import annotations
+
+import sys
+import threading
+from random import Random
+from random import SystemRandom
+from typing import Any
+
+from absl import logging
+
+from coltsfootrill.audit import AuditTrail
+from coltsfootrill.clock import Clock
+from coltsfootrill.control.follower import ControlFollower
+from coltsfootrill.kernel import collect_schemes
+from coltsfootrill.kernel import find_policy
+from coltsfootrill.kernel import load_plugins
+from coltsfootrill.manifest.holder import ManifestHolder
+from coltsfootrill.manifest.table import RoutingTable
+from coltsfootrill.membership.exchange import PeerExchange
+from coltsfootrill.membership.fleet import Fleet
+from coltsfootrill.membership.fleet import MemberEvent
+from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.messages import ManifestReply
+from coltsfootrill.metrics import Metrics
+from coltsfootrill.operators.http import HttpApp
+from coltsfootrill.operators.http import HttpServer
+from coltsfootrill.proxy.app import ProxyApp
+from coltsfootrill.proxy.prober import Prober
+from coltsfootrill.proxy.server import CallerServer
+from coltsfootrill.registry.directory import StateChange
+from coltsfootrill.roles.entry_http import EntryResponders
+from coltsfootrill.roles.signals import install_stop_event
+from coltsfootrill.settings import Settings
+from coltsfootrill.tls import Credentials
+
+HOUSEKEEPING_MS = 200.0
+GOODBYE_MS = 600.0
+# The interpreter's own interval of 5 ms would let one busy thread hold up all requests that long.
+SWITCH_INTERVAL_S = 0.0005
+
+
+class EntryRole:
+    """One entry process, put together from its settings."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._clock = Clock()
+        self.metrics = Metrics()
+        self._id = settings.get("instance", "id")
+        plugins = load_plugins()
+        policy = find_policy(plugins, settings.get("balancer", "policy"))
+        random = _make_random(settings.get("balancer", "seed"))
+        self._credentials = Credentials.from_settings(settings, settings.get("peers", "listen"))
+        folder = settings.get("instance", "data")
+        self.audit = AuditTrail(
+            self._id, None if folder is None else folder / "audit", clock=self._clock
+        )
+        self.manifests = ManifestHolder(collect_schemes(plugins), on_adopt=self._note_manifest)
+        self.fleet = Fleet(
+            self._make_own_record(),
+            clock=self._clock,
+            on_upstream=self._note_upstream,
+            on_member=self._note_member,
+        )
+        self.app = ProxyApp(
+            manifests=self.manifests,
+            fleet=self.fleet,
+            policy=policy,
+            random=random,
+            zone=settings.get("instance", "zone"),
+            queue_limit=settings.get("callers", "queue"),
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+        self._exchange = self._make_exchange()
+        self._follower = self._make_follower(random)
+        self._prober = Prober(
+            self.app,
+            self.manifests,
+            self.fleet,
+            fleet_max_count=settings.get("peers", "fleet_max"),
+            random=random,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+        self._callers = CallerServer(
+            self.app.handle, clock=self._clock, threads=settings.get("callers", "threads")
+        )
+        self.is_stopping = False
+        self._was_isolated = False
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> EntryRole:
+        """Return the role; nothing listens before ``run``."""
+        return cls(settings)
+
+    def run(self, stop: threading.Event | None = None) -> int:
+        """Serve until a signal, then stop gracefully; return the exit code."""
+        stop = stop or install_stop_event()
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
+        self._start()
+        logging.info('entry started id="%s"', self._id)
+        while not stop.wait(HOUSEKEEPING_MS / 1000):
+            self._keep_house()
+        cut = self._stop()
+        logging.info('entry stopped id="%s" requests_cut=%d', self._id, cut)
+        return 0 if cut == 0 else 1
+
+    def is_ready(self) -> bool:
+        """Return whether the platform's balancer should send callers here."""
+        return (
+            not self.is_stopping
+            and self.manifests.current is not None
+            and not self.fleet.is_isolated()
+        )
+
+    def count_in_progress(self) -> int:
+        """Return the callers' requests in progress."""
+        return self._callers.count_in_progress()
+
+    def _start(self) -> None:
+        settings = self._settings
+        if self._credentials.channel is None:
+            logging.warning("plain mode: peers are not authenticated; use [tls] off loopback")
+        responders = EntryResponders(self)
+        self._serve_http("operators", "operator_file", responders.add_operator_routes)
+        self._serve_http("announcements", "announcement_file", responders.add_announcement_routes)
+        self._exchange.start(str(settings.get("peers", "listen")), self._credentials.server)
+        threading.Thread(target=self._follower.run, name="control", daemon=True).start()
+        threading.Thread(target=self._prober.run, name="prober", daemon=True).start()
+        listen = settings.get("callers", "listen")
+        self._callers.start(listen.host, listen.port)
+
+    def _serve_http(self, section: str, token_key: str, add_routes: Any) -> None:
+        app = HttpApp(self._settings.get("tokens", token_key), on_refused=self._count_refused)
+        add_routes(app)
+        HttpServer(app, self._settings.get(section, "listen")).start()
+
+    def _stop(self) -> int:
+        """Stop gracefully and return how many requests were cut."""
+        settings = self._settings
+        self.is_stopping = True
+        self.audit.record(self._id, "stopping")
+        self._callers.announce_close()
+        # The platform's balancer goes on sending callers here until it sees the failed check.
+        self._clock.sleep_ms(settings.get("callers", "notice_ms"))
+        cut = self._callers.stop(
+            idle_ms=settings.get("callers", "idle_ms"), limit_ms=settings.get("callers", "stop_ms")
+        )
+        self._prober.stop()
+        self._follower.stop()
+        self.fleet.say_goodbye()
+        self._clock.sleep_ms(GOODBYE_MS)
+        self._exchange.stop()
+        self.audit.record(self._id, "stopped", after=f"requests_cut={cut}")
+        self.audit.close()
+        return cut
+
+    def _keep_house(self) -> None:
+        self.fleet.clean()
+        self._exchange.update_tasks()
+        usable = self.fleet.list_usable()
+        self.app.pools.keep_only({record.announcement.address for record in usable})
+        is_isolated = self.fleet.is_isolated()
+        if is_isolated != self._was_isolated:
+            self._was_isolated = is_isolated
+            self.audit.record(self._id, "isolated" if is_isolated else "not isolated")
+        self.metrics.upstreams.set(len(usable))
+        self.metrics.isolated.set(is_isolated)
+        self.metrics.members.set(len(self.fleet.list_members()))
+        self.metrics.manifest_tables.set(self.manifests.count_alive())
+        self.metrics.peer_bytes.labels("sent").set(self._exchange.counter.sent)
+        self.metrics.peer_bytes.labels("received").set(self._exchange.counter.received)
+
+    def _make_own_record(self) -> InstanceRecord:
+        return InstanceRecord(
+            id=self._id,
+            boot=self._clock.wall_ms(),
+            address=str(self._settings.get("peers", "listen")),
+            zone=self._settings.get("instance", "zone"),
+            is_leaving=False,
+            manifest_version=0,
+        )
+
+    def _make_exchange(self) -> PeerExchange:
+        return PeerExchange(
+            self.fleet,
+            clock=self._clock,
+            seeds=self._settings.get("peers", "seeds"),
+            read_manifest=lambda known: ManifestReply(*self.manifests.read_newer(known)),
+            offer_manifest=self._offer_manifest,
+            get_manifest_version=lambda: self.manifests.version,
+            credentials=self._credentials.channel,
+        )
+
+    def _make_follower(self, random: Random) -> ControlFollower:
+        return ControlFollower(
+            self._id,
+            list(self._settings.get("control", "replicas").values()),
+            get_version=lambda: self.manifests.version,
+            adopt=self._adopt,
+            random=random,
+            metrics=self.metrics,
+            credentials=self._credentials.channel,
+        )
+
+    def _offer_manifest(self, reply: ManifestReply) -> None:
+        # A peer cannot prove that its manifest is the newest, so a starting instance waits for
+        # a majority read; afterwards any newer manifest of a peer was accepted and is welcome.
+        if reply.raw and self.manifests.current is not None:
+            self._adopt(reply.raw)
+
+    def _adopt(self, raw: bytes) -> None:
+        error = self.manifests.adopt_if_valid(raw)
+        if error is not None:
+            logging.error('accepted manifest not readable here error="%s"', error)
+            self.metrics.refused_operations.labels("unreadable-manifest").inc()
+
+    def _note_manifest(self, before: RoutingTable | None, after: RoutingTable) -> None:
+        self.fleet.set_manifest_version(after.version)
+        self.metrics.manifest_version.set(after.version)
+        self.audit.record(
+            "manifest",
+            f"version {after.version} in force",
+            before="" if before is None else before.digest,
+            after=after.digest,
+        )
+
+    def _note_upstream(self, change: StateChange) -> None:
+        self.audit.record(
+            change.upstream_id,
+            f"upstream incarnation {change.incarnation}",
+            before=change.before or "",
+            after=change.after,
+        )
+
+    def _note_member(self, instance_id: str, event: MemberEvent) -> None:
+        self.audit.record(instance_id, "instance", after=event)
+
+    def _count_refused(self) -> None:
+        self.metrics.refused_operations.labels("token").inc()
+
+
+def _make_random(seed: int) -> Random:
+    return Random(seed) if seed else Random(SystemRandom().getrandbits(64))
--- /dev/null
+++ b/src/coltsfootrill/rpc.py
@@ -0,0 +1,163 @@
+"""Calls between our own processes: gRPC with MessagePack messages typed by msgspec."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import Executor
+from typing import Any
+from typing import TypeVar
+
+import grpc
+import msgspec
+
+from coltsfootrill.errors import ColtsfootrillError
+
+Request = TypeVar("Request")
+Reply = TypeVar("Reply")
+
+MESSAGE_MAX_BYTES = 16 * 1024 * 1024
+_FAILURES_BEFORE_REMAKE = 2
+_OPTIONS = (
+    ("grpc.max_receive_message_length", MESSAGE_MAX_BYTES),
+    ("grpc.max_send_message_length", MESSAGE_MAX_BYTES),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.so_reuseport", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+)
+
+
+class RpcError(ColtsfootrillError):
+    """A call to another process gave no answer in time, or was refused."""
+
+
+class Method:
+    """One remote procedure: its name and the types of its messages."""
+
+    __slots__ = ("decode_reply", "decode_request", "path")
+
+    def __init__(self, *, service: str, name: str, request: type, reply: type) -> None:
+        self.path = f"/coltsfootrill.{service}/{name}"
+        self.decode_request: Callable[[bytes], Any] = msgspec.msgpack.Decoder(request).decode
+        self.decode_reply: Callable[[bytes], Any] = msgspec.msgpack.Decoder(reply).decode
+
+
+class ByteCounter:
+    """Counts the bytes of messages, without the framing of the transport."""
+
+    __slots__ = ("received", "sent")
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.received = 0
+
+
+class RpcClient:
+    """A channel to one address; a channel without progress is closed and made anew."""
+
+    __slots__ = ("_address", "_channel", "_counter", "_credentials", "_failures", "_lock")
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        credentials: grpc.ChannelCredentials | None = None,
+        counter: ByteCounter | None = None,
+    ) -> None:
+        self._address = address
+        self._credentials = credentials
+        self._counter = counter or ByteCounter()
+        self._lock = threading.Lock()
+        self._failures = 0
+        self._channel = self._open()
+
+    def call(self, method: Method, request: Any, *, timeout_ms: float) -> Any:
+        """Return the reply; raise ``RpcError`` when there is none within ``timeout_ms``."""
+        raw = msgspec.msgpack.encode(request)
+        self._counter.sent += len(raw)
+        stub = self._channel.unary_unary(method.path)
+        try:
+            answer = stub(raw, timeout=max(timeout_ms, 1) / 1000)
+            self._counter.received += len(answer)
+            reply = method.decode_reply(answer)
+        except grpc.RpcError as error:
+            self._note_failure()
+            raise RpcError(f"{self._address}: {error.code().name.lower()}") from error
+        except (ValueError, msgspec.MsgspecError) as error:
+            # A closed channel raises ValueError: another thread has made it anew.
+            raise RpcError(f"{self._address}: {error}") from error
+        self._failures = 0
+        return reply
+
+    def close(self) -> None:
+        """Close the channel."""
+        self._channel.close()
+
+    def _open(self) -> Any:
+        if self._credentials is None:
+            return grpc.insecure_channel(self._address, options=_OPTIONS)
+        return grpc.secure_channel(self._address, self._credentials, options=_OPTIONS)
+
+    def _note_failure(self) -> None:
+        # A connection that a middlebox has lost track of never fails by itself: only calls
+        # without an answer show it.
+        with self._lock:
+            self._failures += 1
+            if self._failures < _FAILURES_BEFORE_REMAKE:
+                return
+            self._failures = 0
+            silent = self._channel
+            self._channel = self._open()
+        silent.close()
+
+
+class RpcServer:
+    """Serves methods on one address."""
+
+    __slots__ = ("_counter", "_handlers", "_server", "port")
+
+    def __init__(self, executor: Executor, *, counter: ByteCounter | None = None) -> None:
+        self._handlers: dict[str, grpc.RpcMethodHandler] = {}
+        self._counter = counter or ByteCounter()
+        self._server = grpc.server(executor, options=_OPTIONS)
+        self.port = 0
+
+    def add(self, method: Method, handle: Callable[[Any], Any]) -> None:
+        """Serve ``method`` with ``handle``; a bad message is refused before it."""
+        counter = self._counter
+
+        def serve(raw: bytes, context: grpc.ServicerContext) -> bytes:
+            counter.received += len(raw)
+            try:
+                request = method.decode_request(raw)
+            except msgspec.MsgspecError as error:
+                context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+            answer = msgspec.msgpack.encode(handle(request))
+            counter.sent += len(answer)
+            return answer
+
+        self._handlers[method.path] = grpc.unary_unary_rpc_method_handler(serve)
+
+    def start(self, address: str, credentials: grpc.ServerCredentials | None = None) -> None:
+        """Listen on ``address`` (ip:port); raise ``RpcError`` when it is taken."""
+        handlers = self._handlers
+
+        class _Dispatch(grpc.GenericRpcHandler):  # type: ignore[misc]
+            def service(self, details: Any) -> Any:
+                return handlers.get(details.method)
+
+        self._server.add_generic_rpc_handlers((_Dispatch(),))
+        try:
+            if credentials is None:
+                self.port = self._server.add_insecure_port(address)
+            else:
+                self.port = self._server.add_secure_port(address, credentials)
+        except RuntimeError as error:
+            raise RpcError(f"cannot listen on {address}: {error}") from error
+        self._server.start()
+
+    def stop(self, grace_ms: float) -> None:
+        """Stop accepting calls and wait up to ``grace_ms`` for those in progress."""
+        self._server.stop(grace_ms / 1000).wait()
--- /dev/null
+++ b/testing/balancer/test_decisions.py
@@ -0,0 +1,289 @@
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from coltsfootrill.balancer import least_expected_wait
+from coltsfootrill.balancer.admission import AdmissionQueue
+from coltsfootrill.balancer.admission import Waiter
+from coltsfootrill.balancer.admission import can_meet_deadline
+from coltsfootrill.balancer.choice import ChoiceContext
+from coltsfootrill.balancer.ejection import eject_outliers
+from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.balancer.load import UpstreamLoad
+from coltsfootrill.balancer.load import estimate_in_flight
+from coltsfootrill.balancer.load import is_available
+from coltsfootrill.balancer.load import note_end
+from coltsfootrill.balancer.load import note_error
+from coltsfootrill.balancer.load import note_report
+from coltsfootrill.balancer.load import note_shed
+from coltsfootrill.balancer.load import note_start
+from coltsfootrill.balancer.load import note_success
+from coltsfootrill.balancer.probe_budget import ProbeBudget
+from coltsfootrill.balancer.probe_budget import get_divisor
+from coltsfootrill.balancer.retry import AttemptHistory
+from coltsfootrill.balancer.retry import RetryBudget
+from coltsfootrill.balancer.retry import may_hedge
+from coltsfootrill.balancer.retry import may_retry
+from coltsfootrill.manifest.model import Kind
+
+
+def _load(upstream_id: str = "u1", zone: str = "z1") -> UpstreamLoad:
+    load = UpstreamLoad(
+        id=upstream_id, incarnation=1, address="127.0.0.1:1", zone=zone, slots=3, now_ms=0
+    )
+    load.ramp_from_ms = -1e6
+    return load
+
+
+def _kind(**changes: Any) -> Kind:
+    fields: dict[str, Any] = {
+        "id": "k",
+        "names": ["path:/x"],
+        "idempotent": True,
+        "deadline_ms": 1000,
+        "retries": 2,
+    }
+    return Kind(**(fields | changes))
+
+
+def _choose_often(loads: list[UpstreamLoad], now_ms: float = 10_000) -> dict[str, int]:
+    random = Random(3)
+    counts: dict[str, int] = {}
+    for turn in range(1_000):
+        context = ChoiceContext(now_ms=now_ms, random=random, zone="z1", usual_ms=10, turn=turn)
+        chosen = least_expected_wait.choose(loads, context)
+        counts[chosen.id] = counts.get(chosen.id, 0) + 1
+    return counts
+
+
+class TestLeastExpectedWait:
+    def test_the_near_zone_is_preferred_until_it_is_busy(self) -> None:
+        near = _load("near")
+        far = _load("far", zone="z2")
+        assert _choose_often([near, far]) == {"near": 1_000}
+        for token in range(6):
+            note_start(near, token=token, now_ms=10_000, usual_ms=10)
+        assert _choose_often([near, far]) == {"far": 1_000}
+
+    def test_a_fast_failer_does_not_attract_requests(self) -> None:
+        failing = _load("failing")
+        sound = _load("sound")
+        for _ in range(5):
+            note_error(failing, now_ms=10_000)
+            note_success(sound, latency_ms=12, usual_ms=10)
+        assert _choose_often([failing, sound]) == {"sound": 1_000}
+
+    def test_an_open_request_that_waits_long_shows_a_straggler(self) -> None:
+        stuck = _load("stuck")
+        sound = _load("sound")
+        note_start(stuck, token=1, now_ms=9_000, usual_ms=10)
+        note_start(sound, token=2, now_ms=9_999, usual_ms=10)
+        assert _choose_often([stuck, sound]) == {"sound": 1_000}
+
+    def test_a_cold_upstream_gets_its_work_in_steps(self) -> None:
+        cold = _load("cold")
+        warm = _load("warm")
+        cold.ramp_from_ms = 10_000
+        note_start(warm, token=1, now_ms=10_000, usual_ms=10)
+        assert _choose_often([cold, warm]) == {"warm": 1_000}
+
+    def test_equal_upstreams_share_the_work(self) -> None:
+        counts = _choose_often([_load(f"u{n}") for n in range(8)])
+        assert set(counts) == {f"u{n}" for n in range(8)}
+        assert max(counts.values()) < 4 * min(counts.values())
+
+
+class TestLoadReports:
+    def test_the_weight_of_a_report_falls_with_its_age(self) -> None:
+        load = _load()
+        note_report(load, LoadReport(in_flight=6, slots=3, state="serving"), now_ms=0)
+        fresh = estimate_in_flight(load, 0)
+        stale = estimate_in_flight(load, 1_000)
+        assert fresh == 6
+        assert stale == pytest.approx(load.others_usual, abs=0.01)
+
+    def test_own_requests_are_not_counted_twice(self) -> None:
+        load = _load()
+        note_start(load, token=1, now_ms=0, usual_ms=10)
+        note_report(load, LoadReport(in_flight=1, slots=3, state="serving"), now_ms=0)
+        assert estimate_in_flight(load, 0) == 1
+
+    def test_a_shed_lowers_the_limit_and_pauses(self) -> None:
+        load = _load()
+        note_shed(load, now_ms=0)
+        assert not is_available(load, 5)
+        assert is_available(load, 20)
+        assert load.limit < 3
+
+    def test_an_answer_that_says_leaving_stops_new_work_at_once(self) -> None:
+        load = _load()
+        note_report(load, LoadReport(in_flight=0, slots=3, state="leaving"), now_ms=0)
+        assert not is_available(load, 1)
+
+    def test_a_request_ends_once(self) -> None:
+        load = _load()
+        note_start(load, token=1, now_ms=5, usual_ms=10)
+        assert note_end(load, token=1) == 5
+        assert note_end(load, token=1) is None
+
+
+class TestEjection:
+    def test_at_most_a_third_is_ejected(self) -> None:
+        loads = [_load(f"u{n}") for n in range(9)]
+        for load in loads[:5]:
+            for _ in range(10):
+                note_error(load, now_ms=0)
+        assert len(eject_outliers(loads, now_ms=0)) == 3
+        assert eject_outliers(loads, now_ms=1) == []
+
+    def test_a_service_that_is_slow_as_a_whole_ejects_none(self) -> None:
+        loads = [_load(f"u{n}") for n in range(6)]
+        for load in loads:
+            load.slowness = 20
+        assert eject_outliers(loads, now_ms=0) == []
+
+    def test_each_ejection_in_a_row_lasts_longer(self) -> None:
+        loads = [_load(f"u{n}") for n in range(3)]
+        durations = []
+        now_ms = 0.0
+        for _ in range(3):
+            loads[0].slowness = 50
+            eject_outliers(loads, now_ms=now_ms)
+            durations.append(loads[0].ejected_until_ms - now_ms)
+            now_ms = loads[0].ejected_until_ms
+        assert durations == sorted(set(durations))
+
+
+class TestRetries:
+    def test_a_non_idempotent_request_is_retried_only_when_proven_not_run(self) -> None:
+        kind = _kind(idempotent=False)
+        allowed = {
+            failure: may_retry(
+                AttemptHistory(is_marked=False), failure, kind=kind, budget=RetryBudget(0.1)
+            )
+            for failure in ("refused", "shed", "failed-answer", "lost")
+        }
+        assert allowed == {"refused": True, "shed": True, "failed-answer": False, "lost": False}
+
+    def test_retries_stay_within_a_share_of_first_attempts(self) -> None:
+        budget = RetryBudget(0.1)
+        retried = 0
+        for _ in range(1_000):
+            budget.earn()
+            history = AttemptHistory(is_marked=False)
+            retried += may_retry(history, "lost", kind=_kind(), budget=budget)
+        assert retried <= 1_000 * 0.1 + 3
+
+    def test_a_marked_request_is_neither_retried_nor_hedged(self) -> None:
+        history = AttemptHistory(is_marked=True)
+        budget = RetryBudget(1.0)
+        assert not may_retry(history, "lost", kind=_kind(), budget=budget)
+        assert not may_hedge(history, kind=_kind(hedge_quantile=0.9), budget=budget)
+
+    def test_retries_do_not_multiply_along_seventeen_calls(self) -> None:
+        attempts = 1
+        is_marked = False
+        for _ in range(17):
+            history = AttemptHistory(is_marked=is_marked)
+            budget = RetryBudget(1.0)
+            while may_retry(history, "lost", kind=_kind(), budget=budget):
+                attempts += 1
+            is_marked = True
+        assert attempts == 1 + 2
+
+    def test_refused_connections_are_bounded(self) -> None:
+        history = AttemptHistory(is_marked=True)
+        budget = RetryBudget(0.0)
+        allowed = [
+            may_retry(history, "refused", kind=_kind(idempotent=False), budget=budget)
+            for _ in range(5)
+        ]
+        assert allowed == [True, True, True, False, False]
+
+
+def _waiter(priority: Any, order: int, urgent_at_ms: float = 0.0) -> Waiter:
+    return Waiter(priority=priority, deadline_ms=1e9, urgent_at_ms=urgent_at_ms, order=order)
+
+
+class TestAdmission:
+    def test_interactive_goes_before_normal_before_deferrable(self) -> None:
+        queue = AdmissionQueue(10)
+        waiters = [
+            _waiter("deferrable", 0, urgent_at_ms=1e6),
+            _waiter("normal", 1),
+            _waiter("interactive", 2),
+        ]
+        for waiter in waiters:
+            queue.add(waiter, now_ms=0)
+        served = []
+        while (waiter := queue.get_next(0)) is not None:
+            queue.remove(waiter)
+            served.append(waiter.priority)
+        assert served == ["interactive", "normal", "deferrable"]
+
+    def test_a_deferrable_request_is_urgent_from_its_latest_time_on(self) -> None:
+        queue = AdmissionQueue(10)
+        deferred = _waiter("deferrable", 0, urgent_at_ms=500)
+        queue.add(deferred, now_ms=0)
+        queue.add(_waiter("interactive", 1), now_ms=0)
+        assert queue.get_next(499) is not deferred
+        assert queue.get_next(500) is deferred
+
+    def test_a_full_queue_refuses_the_least_urgent(self) -> None:
+        queue = AdmissionQueue(2)
+        normal = _waiter("normal", 0)
+        queue.add(normal, now_ms=0)
+        queue.add(_waiter("interactive", 1), now_ms=0)
+        assert queue.add(_waiter("interactive", 2), now_ms=0) is normal
+        late = _waiter("normal", 3)
+        assert queue.add(late, now_ms=0) is late
+
+    def test_deferrable_requests_get_half_of_the_places(self) -> None:
+        queue = AdmissionQueue(4)
+        evicted = [queue.add(_waiter("deferrable", n, 1e6), now_ms=0) for n in range(3)]
+        assert evicted[:2] == [None, None]
+        assert evicted[2] is not None
+
+    def test_a_wait_beyond_the_deadline_is_foreseen(self) -> None:
+        assert can_meet_deadline(ahead=10, parallel=10, usual_ms=10, remaining_ms=25)
+        assert not can_meet_deadline(ahead=20, parallel=10, usual_ms=10, remaining_ms=25)
+
+
+class TestProbeBudget:
+    @pytest.mark.parametrize("restart_every_ms", [None, 700])
+    def test_the_fleet_stays_within_the_budget(self, restart_every_ms: int | None) -> None:
+        instances = 20
+        rate_per_ms = 0.5 / 1000
+        divisor = get_divisor(
+            count=instances, stable_for_ms=0, is_isolated=False, fleet_max_count=22
+        )
+        assert divisor == 22
+        budgets = [ProbeBudget(Random(n)) for n in range(instances)]
+        probes = []
+        for now_ms in range(0, 200_000, 50):
+            for number in range(instances):
+                if restart_every_ms and (now_ms + 50 * number) % restart_every_ms == 0:
+                    budgets[number] = ProbeBudget(Random(now_ms + number))
+                budget = budgets[number]
+                budget.earn("u", rate_per_ms=rate_per_ms / divisor, now_ms=now_ms)
+                if budget.spend("u"):
+                    probes.append(now_ms)
+        window_ms = int(divisor / rate_per_ms)
+        for start_ms in range(0, 200_000, 1_000):
+            count = sum(start_ms <= at_ms < start_ms + window_ms for at_ms in probes)
+            assert count <= rate_per_ms * window_ms
+
+    def test_nothing_is_saved_while_no_probe_is_needed(self) -> None:
+        budget = ProbeBudget(Random(1))
+        budget.earn("u", rate_per_ms=1, now_ms=0)
+        budget.earn("u", rate_per_ms=1, now_ms=1_000)
+        budget.drop("u")
+        budget.earn("u", rate_per_ms=1, now_ms=2_000)
+        assert not budget.spend("u")
+
+    def test_an_isolated_instance_does_not_probe(self) -> None:
+        divisor = get_divisor(count=9, stable_for_ms=1e9, is_isolated=True, fleet_max_count=22)
+        assert divisor is None
--- /dev/null
+++ b/testing/manifest/test_codec.py
@@ -0,0 +1,73 @@
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coltsfootrill.manifest.codec import SIZE_MAX_BYTES
+from coltsfootrill.manifest.codec import InvalidManifestError
+from coltsfootrill.manifest.codec import decode_manifest
+
+
+def _list_problems(raw: bytes) -> list[str]:
+    with pytest.raises(InvalidManifestError) as caught:
+        decode_manifest(raw)
+    return [str(problem) for problem in caught.value.exceptions]
+
+
+class TestDecoding:
+    def test_a_good_manifest_is_decoded(self, encode_manifest: Any) -> None:
+        manifest = decode_manifest(encode_manifest(version=3))
+        assert manifest.version == 3
+        assert manifest.services[0].kinds[0].idempotent
+
+    def test_all_problems_come_in_one_answer(self, encode_manifest: Any) -> None:
+        raw = encode_manifest(deadline_ms=-1, priority="urgent", surprise=1, names=[])
+        problems = _list_problems(raw)
+        wheres = {problem.partition(":")[0] for problem in problems}
+        prefix = "$.services[0].kinds[0]."
+        assert wheres == {prefix + key for key in ("deadline_ms", "priority", "surprise", "names")}
+
+    def test_a_missing_field_is_named(self) -> None:
+        problems = _list_problems(b'{"schema": 1, "version": 1}')
+        assert problems == ["$.services: missing"]
+
+    def test_a_key_that_stands_twice_is_refused(self, encode_manifest: Any) -> None:
+        raw = encode_manifest().replace(b'"schema": 1', b'"schema": 1, "schema": 1')
+        assert "twice" in _list_problems(raw)[0]
+
+    @pytest.mark.parametrize("number", ["NaN", "Infinity", "1e999", "99999999999999999999", "0"])
+    def test_absurd_versions_are_refused(self, encode_manifest: Any, number: str) -> None:
+        raw = encode_manifest().replace(b'"version": 1', f'"version": {number}'.encode())
+        assert _list_problems(raw)
+
+    def test_an_oversized_manifest_is_refused_unread(self) -> None:
+        assert "larger" in _list_problems(b" " * (SIZE_MAX_BYTES + 1))[0]
+
+    @pytest.mark.parametrize("raw", [b"", b"[]", b"null", b"\xff", b"[" * 100_000, b'{"a":'])
+    def test_what_is_no_manifest_is_refused(self, raw: bytes) -> None:
+        assert _list_problems(raw)
+
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+            lambda inner: st.lists(inner)
+            | st.dictionaries(
+                st.sampled_from(["schema", "version", "services", "measuring", "kinds", "id"]),
+                inner,
+            ),
+        )
+    )
+    def test_any_json_is_decoded_or_refused(self, tree: Any) -> None:
+        try:
+            decode_manifest(json.dumps(tree).encode())
+        except InvalidManifestError as error:
+            assert error.exceptions
+
+    @given(st.binary())
+    def test_any_bytes_are_refused(self, raw: bytes) -> None:
+        with pytest.raises(InvalidManifestError):
+            decode_manifest(raw)
--- /dev/null
+++ b/testing/registry/test_directory.py
@@ -0,0 +1,137 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.announcement import InvalidAnnouncementError
+from coltsfootrill.registry.announcement import decode_announcement
+from coltsfootrill.registry.directory import LEASE_MS
+from coltsfootrill.registry.directory import Directory
+
+
+class TestMerging:
+    def test_leaving_is_final_for_an_incarnation(self, make_announcement: Any) -> None:
+        directory = Directory()
+        directory.merge(make_announcement(sequence=1), origin="e1", evidence_ms=0)
+        directory.merge(make_announcement(sequence=2, state="leaving"), origin="e1", evidence_ms=1)
+        late = make_announcement(sequence=9)
+        assert directory.merge(late, origin="e1", evidence_ms=2) == "ignored"
+        assert directory.list_usable(3) == []
+
+    def test_leaving_wins_over_a_higher_sequence(self, make_announcement: Any) -> None:
+        directory = Directory()
+        directory.merge(make_announcement(sequence=9), origin="e1", evidence_ms=0)
+        leaving = make_announcement(sequence=2, state="leaving")
+        assert directory.merge(leaving, origin="e1", evidence_ms=1) == "changed"
+
+    def test_a_new_incarnation_serves_again(self, make_announcement: Any) -> None:
+        directory = Directory()
+        directory.merge(make_announcement(state="leaving"), origin="e1", evidence_ms=0)
+        restarted = make_announcement(incarnation=2)
+        assert directory.merge(restarted, origin="e1", evidence_ms=1) == "changed"
+        assert len(directory.list_usable(2)) == 1
+
+    @given(st.permutations(range(6)))
+    def test_the_order_of_arrival_does_not_matter(self, order: list[int]) -> None:
+        announcements = [
+            _announce(incarnation=incarnation, sequence=sequence, state=state)
+            for incarnation, sequence, state in [
+                (1, 1, "starting"),
+                (1, 2, "serving"),
+                (1, 3, "leaving"),
+                (2, 1, "serving"),
+                (2, 2, "leaving"),
+                (2, 3, "serving"),
+            ]
+        ]
+        directory = Directory()
+        for index in order:
+            directory.merge(announcements[index], origin="e1", evidence_ms=0)
+        assert directory.by_id["u"].announcement == announcements[4]
+
+
+class TestLeases:
+    def test_a_lease_ends_without_renewal(self, make_announcement: Any) -> None:
+        directory = Directory()
+        directory.merge(make_announcement(), origin="e1", evidence_ms=100)
+        assert directory.list_usable(100 + LEASE_MS - 1)
+        assert not directory.list_usable(100 + LEASE_MS)
+
+    def test_a_renewal_held_up_on_its_way_counts_from_when_it_was_sent(
+        self, make_announcement: Any
+    ) -> None:
+        directory = Directory()
+        first = make_announcement(sequence=1, sent_at_ms=50_000)
+        evidence_ms = directory.discount_lateness(first, 100)
+        directory.merge(first, origin="e1", evidence_ms=evidence_ms)
+        prompt = make_announcement(sequence=2, sent_at_ms=51_000)
+        directory.discount_lateness(prompt, 1_100)
+        late = make_announcement(sequence=3, sent_at_ms=52_000)
+        assert directory.discount_lateness(late, 4_100) == 2_100
+
+    def test_the_renewal_of_an_older_incarnation_extends_nothing(
+        self, make_announcement: Any
+    ) -> None:
+        directory = Directory()
+        directory.merge(make_announcement(incarnation=2), origin="e1", evidence_ms=0)
+        assert directory.renew("blazon-1", 1, 5_000)
+        assert not directory.list_usable(LEASE_MS)
+
+    def test_the_renewal_of_an_unknown_upstream_is_reported(self) -> None:
+        assert not Directory().renew("blazon-1", 1, 0)
+
+    def test_a_tombstone_outlives_the_lease(self, make_announcement: Any) -> None:
+        directory = Directory()
+        directory.merge(make_announcement(state="leaving"), origin="e1", evidence_ms=0)
+        assert directory.forget_expired(600_000) == 0
+        late = make_announcement(sequence=5)
+        assert directory.merge(late, origin="e1", evidence_ms=600_000) == "ignored"
+
+
+class TestDecoding:
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"",
+            b"{}",
+            b"[1]",
+            b'{"id":"u","incarnation":1}',
+            b"\xff" * 10,
+            b"x" * 20_000,
+        ],
+    )
+    def test_a_bad_announcement_is_refused(self, raw: bytes) -> None:
+        with pytest.raises(InvalidAnnouncementError):
+            decode_announcement(raw)
+
+    @pytest.mark.parametrize("address", ["host:80", "1.2.3.4", "1.2.3.4:0", "1.2.3.4:99999", "::"])
+    def test_an_address_that_is_no_ip_and_port_is_refused(self, address: str) -> None:
+        raw = (
+            f'{{"id":"u","incarnation":1,"sequence":1,"address":"{address}","zone":"z",'
+            '"services":["s"],"slots":1,"state":"serving"}'
+        )
+        with pytest.raises(InvalidAnnouncementError):
+            decode_announcement(raw.encode())
+
+    @given(st.binary())
+    def test_any_bytes_are_refused(self, raw: bytes) -> None:
+        with pytest.raises(InvalidAnnouncementError):
+            decode_announcement(raw)
+
+
+def _announce(**changes: Any) -> Any:
+    fields: dict[str, Any] = {
+        "id": "u",
+        "incarnation": 1,
+        "sequence": 1,
+        "address": "127.0.0.1:1",
+        "zone": "z",
+        "services": ["s"],
+        "slots": 1,
+        "state": "serving",
+    }
+    return Announcement(**(fields | changes))
