Take work that can wait off the path of a request, and halve the exchange

Ruled out: prometheus_client as the main cost (0.01 ms of the path).

Change: follow-ups run once the answer is sent; gates refresh in a task of their own, and only when an upstream changed or a lease ends; pulls are held 1 s. A lease lasts 2.9 s, so that its end is noticed within 3 s.

--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -31,8 +31,6 @@
 from coltsfootrill.manifest.table import may_serve
 from coltsfootrill.registry.directory import UpstreamRecord
 
-EJECT_EVERY_MS = 20.0
-
 
 class Lease:
     """One request in flight at one upstream; ended exactly once."""
@@ -53,13 +51,13 @@
     """State of one service on this instance. ``by_id`` holds the usable upstreams."""
 
     __slots__ = (
-        "_ejected_at_ms",
         "_policy",
         "_random",
         "_retiring",
         "_turn",
         "_zone",
         "by_id",
+        "has_worked",
         "latency_by_kind",
         "queue",
         "retry_budget",
@@ -84,8 +82,9 @@
         self._random = random
         self._zone = zone
         self._turn = 0
-        self._ejected_at_ms = 0.0
         self._retiring: list[UpstreamLoad] = []
+        # Whether a request started or was in flight since the upstreams were last judged.
+        self.has_worked = False
 
     def update(self, service: Service, records: list[UpstreamRecord], now_ms: float) -> None:
         """Take in the upstreams that are usable now under the manifest in force."""
@@ -105,6 +104,11 @@
             self._retire(self.by_id.pop(upstream_id))
         self._retiring = [load for load in self._retiring if load.in_flight]
 
+    def eject_outliers(self, now_ms: float) -> None:
+        """Eject upstreams that straggle or fail."""
+        self.has_worked = any(load.in_flight for load in self.by_id.values())
+        eject_outliers(list(self.by_id.values()), now_ms=now_ms)
+
     def count_in_flight(self) -> dict[str, int]:
         """Return own requests in flight by upstream, those that left included."""
         by_id = {load.id: 0 for load in self._retiring}
@@ -127,9 +131,6 @@
         Returns ``None`` when none is available. Upstreams in ``exclude`` are taken only if there
         is no other. A patient request takes only upstreams that are expected to have a free slot.
         """
-        if now_ms - self._ejected_at_ms >= EJECT_EVERY_MS:
-            self._ejected_at_ms = now_ms
-            eject_outliers(list(self.by_id.values()), now_ms=now_ms)
         available = [load for load in self.by_id.values() if is_available(load, now_ms)]
         if is_patient:
             available = [
@@ -148,6 +149,7 @@
             turn=self._turn,
         )
         load = self._policy.choose(preferred, context)
+        self.has_worked = True
         note_start(load, token=self._turn, now_ms=now_ms, usual_ms=usual_ms)
         return Lease(
             load=load, token=self._turn, kind_id=kind.id, started_ms=now_ms, usual_ms=usual_ms
--- a/src/coltsfootrill/membership/exchange.py
+++ b/src/coltsfootrill/membership/exchange.py
@@ -25,7 +25,7 @@
     service="Peer", name="FetchManifest", request=ManifestRequest, reply=ManifestReply
 )
 
-HOLD_MS = 500
+HOLD_MS = 1_000
 CALL_SLACK_MS = 700.0
 RETRY_PAUSE_MS = 200.0
 # Calls of peers are held back, so each peer needs a thread of its own.
--- a/src/coltsfootrill/metrics.py
+++ b/src/coltsfootrill/metrics.py
@@ -97,6 +97,14 @@
             registry=registry,
         )
 
+    def count_request(self, service_id: str, outcome: str, reason: str) -> None:
+        """Count one answer to a caller."""
+        self.requests.labels(service_id, outcome, reason).inc()
+
+    def count_attempt(self, service_id: str, result: str) -> None:
+        """Count one attempt at an upstream."""
+        self.attempts.labels(service_id, result).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -69,7 +69,7 @@
             answer = self._run(request, route)
         except ProxyError as error:
             answer = make_error_answer(error)
-        self._count(service_id, answer, request.arrived_ms)
+        answer.add_follow_up(lambda: self._count(service_id, answer, request.arrived_ms))
         return answer
 
     def get_gate(self, service: Service) -> ServiceGate:
@@ -84,6 +84,14 @@
                 self.gates_by_service[service.id] = gate
             return gate
 
+    def refresh(self) -> None:
+        """Take in what changes by time alone, for every service of the manifest in force."""
+        table = self._manifests.current
+        if table is None:
+            return
+        for service in table.manifest.services:
+            self.get_gate(service).refresh(service)
+
     def count_in_flight(self) -> dict[str, int]:
         """Return own requests in flight by upstream, over all services."""
         total_by_id: dict[str, int] = {}
@@ -165,6 +173,6 @@
         return min(stated_ms, kind.deadline_ms)
 
     def _count(self, service_id: str, answer: Answer, arrived_ms: float) -> None:
-        self._metrics.requests.labels(service_id, answer.outcome, answer.reason).inc()
+        self._metrics.count_request(service_id, answer.outcome, answer.reason)
         elapsed_ms = self._clock.now_ms() - arrived_ms
         self._metrics.latency.labels(service_id).observe(elapsed_ms / 1000)
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -323,9 +323,16 @@
             attempt.connection.close()
             self._end_failed(lease, "lost")
             return _Failure("lost", str(error))
-        self._pools.get(lease.load.address).give_back(attempt.connection)
         report = parse_load(answer.get_header(LOAD_HEADER))
-        return self._judge(lease, answer, report)
+        result = self._judge(lease, answer, report)
+        if isinstance(result, Answer):
+            result.add_follow_up(lambda: self._give_back(attempt))
+        else:
+            self._give_back(attempt)
+        return result
+
+    def _give_back(self, attempt: _Attempt) -> None:
+        self._pools.get(attempt.lease.load.address).give_back(attempt.connection)
 
     def _judge(
         self, lease: Lease, answer: UpstreamAnswer, report: LoadReport | None
@@ -346,10 +353,14 @@
             if self._kind.idempotent:
                 return _Failure("failed-answer", "the upstream failed", passed)
             return passed
-        self._count_attempt("answered")
-        self._gate.end_answered(lease, report)
+        ended_ms = self._clock.now_ms()
+        passed.add_follow_up(lambda: self._end_answered(lease, report, ended_ms))
         return passed
 
+    def _end_answered(self, lease: Lease, report: LoadReport | None, ended_ms: float) -> None:
+        self._gate.end_answered(lease, report, ended_ms)
+        self._count_attempt("answered")
+
     def _give_up(self, failure: _Failure) -> Answer:
         if failure.answer is not None:
             return failure.answer
@@ -388,7 +399,7 @@
         self._gate.end_failed(lease)
 
     def _count_attempt(self, result: str) -> None:
-        self._metrics.attempts.labels(self._route.service.id, result).inc()
+        self._metrics.count_attempt(self._route.service.id, result)
 
     def _count_extra(self, cause: str) -> None:
         self._metrics.extra_attempts.labels(self._route.service.id, cause).inc()
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -19,8 +19,8 @@
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.membership.fleet import Fleet
 from coltsfootrill.proxy.outcome import NotRunError
+from coltsfootrill.registry.directory import LEASE_MS
 
-REFRESH_MS = 50.0
 WAIT_SLICE_MS = 10.0
 CONFIRM_EVERY_MS = 300.0
 RETRY_AFTER_S = 1
@@ -50,8 +50,10 @@
         self._fleet = fleet
         self._clock = clock
         self._lock = threading.Lock()
-        self._refreshed_at_ms = -REFRESH_MS
         self._generation = -1
+        self._service: Service | None = None
+        # No lease known at the last update ends before this time.
+        self._next_end_ms = 0.0
         self._tickets: dict[int, _Ticket] = {}
 
     def acquire(
@@ -116,15 +118,14 @@
         with self._lock:
             return self._pool.get_latency(kind.id).get_quantile_ms(quantile)
 
-    def end_answered(self, lease: Lease, report: LoadReport | None) -> None:
-        """Count a whole answer and let the next waiter in."""
+    def end_answered(self, lease: Lease, report: LoadReport | None, ended_ms: float) -> None:
+        """Count an answer that was whole at ``ended_ms`` and let the next waiter in."""
         with self._lock:
-            now_ms = self._clock.now_ms()
-            self._pool.end_answered(lease, report, now_ms)
-            is_due = now_ms - lease.load.confirmed_at_ms > CONFIRM_EVERY_MS
+            self._pool.end_answered(lease, report, ended_ms)
+            is_due = ended_ms - lease.load.confirmed_at_ms > CONFIRM_EVERY_MS
             if is_due:
-                lease.load.confirmed_at_ms = now_ms
-            self._grant_waiting(now_ms)
+                lease.load.confirmed_at_ms = ended_ms
+            self._grant_waiting(ended_ms)
         if is_due and report is not None and report.state == "serving":
             self._fleet.confirm(lease.load.id, lease.load.incarnation, lease.started_ms)
 
@@ -152,13 +153,30 @@
         with self._lock:
             read(self._pool, self._clock.now_ms())
 
+    def refresh(self, service: Service) -> None:
+        """Take in what changes by time alone: ends of leases, and judgement of upstreams.
+
+        Called every few milliseconds, off the path of requests.
+        """
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            self._refresh(service, now_ms)
+            if self._pool.has_worked:
+                self._pool.eject_outliers(now_ms)
+            self._grant_waiting(now_ms)
+
     def _refresh(self, service: Service, now_ms: float) -> None:
+        """Take in upstreams and leases that have changed."""
         generation = self._fleet.directory.generation
-        if generation == self._generation and now_ms - self._refreshed_at_ms < REFRESH_MS:
+        is_known = generation == self._generation and service is self._service
+        if is_known and now_ms < self._next_end_ms:
             return
         self._generation = generation
-        self._refreshed_at_ms = now_ms
-        self._pool.update(service, self._fleet.list_usable(), now_ms)
+        self._service = service
+        usable = self._fleet.list_usable()
+        self._pool.update(service, usable, now_ms)
+        ends = [record.evidence_ms + LEASE_MS for record in usable]
+        self._next_end_ms = min(ends, default=now_ms + LEASE_MS)
 
     def _try_grant(self, ticket: _Ticket, now_ms: float) -> bool:
         waiter = ticket.waiter
--- a/src/coltsfootrill/proxy/outcome.py
+++ b/src/coltsfootrill/proxy/outcome.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from typing import Literal
 
 from coltsfootrill.errors import ColtsfootrillError
@@ -15,9 +16,12 @@
 
 
 class Answer:
-    """A whole answer for a caller: status code and phrase, headers and body."""
+    """A whole answer for a caller: status code and phrase, headers and body.
 
-    __slots__ = ("body", "headers", "outcome", "reason", "status")
+    Follow-ups are what can wait until the answer has been sent.
+    """
+
+    __slots__ = ("_follow_ups", "body", "headers", "outcome", "reason", "status")
 
     def __init__(
         self,
@@ -33,6 +37,17 @@
         self.body = body
         self.outcome = outcome
         self.reason = reason
+        self._follow_ups: list[Callable[[], None]] = []
+
+    def add_follow_up(self, follow_up: Callable[[], None]) -> None:
+        """Have something done once the answer has been sent, or could not be sent."""
+        self._follow_ups.append(follow_up)
+
+    def follow_up(self) -> None:
+        """Do what had to wait; called exactly once."""
+        for follow_up in self._follow_ups:
+            follow_up()
+        self._follow_ups.clear()
 
 
 class ProxyError(ColtsfootrillError):
--- a/src/coltsfootrill/proxy/prober.py
+++ b/src/coltsfootrill/proxy/prober.py
@@ -26,7 +26,7 @@
 from coltsfootrill.proxy.connection import encode_head
 from coltsfootrill.proxy.gate import ServiceGate
 
-TICK_MS = 50.0
+TICK_MS = 200.0
 PROBE_TIMEOUT_MS = 500.0
 
 
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -298,7 +298,10 @@
         try:
             answer = self._answer(parsed, connection, arrived_ms, is_refused)
             is_closing = self._is_draining or _wants_close(parsed)
-            connection.send(encode_answer(answer, parsed.command, is_closing=is_closing))
+            try:
+                connection.send(encode_answer(answer, parsed.command, is_closing=is_closing))
+            finally:
+                answer.follow_up()
         finally:
             with self._lock:
                 self._in_progress -= 1
--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -13,7 +13,9 @@
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import UpstreamState
 
-LEASE_MS = 3_000.0
+# New work must end within 3 s of the last evidence; gates notice the end of a lease a little
+# later than it comes.
+LEASE_MS = 2_900.0
 RENEW_AFTER_MS = 800
 TOMBSTONE_MS = 3_600_000.0
 FORGET_AFTER_MS = 60_000.0
--- a/src/coltsfootrill/roles/entry.py
+++ b/src/coltsfootrill/roles/entry.py
@@ -36,7 +36,8 @@
 from coltsfootrill.tls import Credentials
 
 HOUSEKEEPING_MS = 200.0
-GOODBYE_MS = 600.0
+GOODBYE_MS = 300.0
+REFRESH_MS = 40.0
 # The interpreter's own interval of 5 ms would let one busy thread hold up all requests that long.
 SWITCH_INTERVAL_S = 0.0005
 
@@ -133,6 +134,7 @@
         self._exchange.start(str(settings.get("peers", "listen")), self._credentials.server)
         threading.Thread(target=self._follower.run, name="control", daemon=True).start()
         threading.Thread(target=self._prober.run, name="prober", daemon=True).start()
+        threading.Thread(target=self._keep_fresh, name="refresh", daemon=True).start()
         listen = settings.get("callers", "listen")
         self._callers.start(listen.host, listen.port)
 
@@ -177,6 +179,12 @@
         self.metrics.peer_bytes.labels("sent").set(self._exchange.counter.sent)
         self.metrics.peer_bytes.labels("received").set(self._exchange.counter.received)
 
+    def _keep_fresh(self) -> None:
+        """Refresh the gates for as long as the process runs, its graceful stop included."""
+        while True:
+            self._clock.sleep_ms(REFRESH_MS)
+            self.app.refresh()
+
     def _make_own_record(self) -> InstanceRecord:
         return InstanceRecord(
             id=self._id,
