Prove the outcomes of requests on real sockets

Cause: nothing showed that a broken, late, surplus or silent answer, a refused connection or a stop ends in the outcome the callers are told.

Found by the new tests and mended: - a request that the parser refuses has no method, so its refusal ended in an error of this program and the caller got nothing; - the refusal of an oversized head was lost: closing with unread bytes resets the connection; it now lingers until the caller has read the answer.

Ruled out: treating a caller's half-close as a wish to go on. A caller that has closed its end is taken to be gone, as its system does when it gives up.

--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -35,6 +35,8 @@
 IDLE_CLOSE_MS = 120_000.0
 RECEIVE_TIMEOUT_MS = 30_000.0
 WRITE_TIMEOUT_MS = 30_000.0
+LINGER_MS = 500.0
+LINGER_READS_MAX_COUNT = 256
 ACCEPT_POLL_MS = 200.0
 DRAIN_CHECK_MS = 20.0
 
@@ -150,6 +152,18 @@
         self.sock.settimeout(WRITE_TIMEOUT_MS / 1000)
         self.sock.sendall(data)
 
+    def linger(self) -> None:
+        """Let the caller read the last answer before the connection goes.
+
+        Closing with unread bytes of a refused request would reset the connection, and the
+        refusal would be lost.
+        """
+        self.sock.shutdown(socket.SHUT_WR)
+        self.sock.settimeout(LINGER_MS / 1000)
+        for _ in range(LINGER_READS_MAX_COUNT):
+            if not self.sock.recv(RECEIVE_BYTES):
+                return
+
     def has_left_over(self) -> bool:
         """Return whether part of the next request has been read already."""
         return bool(self._left_over)
@@ -276,6 +290,7 @@
         try:
             while self._serve_one(connection):
                 pass
+            connection.linger()
         except OSError:
             # The caller left or went silent; a request of its own was cancelled by then.
             pass
@@ -292,6 +307,8 @@
         if parsed is None:
             return False
         arrived_ms = self._clock.now_ms()
+        # A request refused by the parser may have no method.
+        method = "" if parsed.error is not None else parsed.command.upper()
         with self._lock:
             is_refused = self._in_progress >= self._requests_max
             self._in_progress += 1
@@ -299,7 +316,7 @@
             answer = self._answer(parsed, connection, arrived_ms, is_refused)
             is_closing = self._is_draining or _wants_close(parsed)
             try:
-                connection.send(encode_answer(answer, parsed.command, is_closing=is_closing))
+                connection.send(encode_answer(answer, method, is_closing=is_closing))
             finally:
                 answer.follow_up()
         finally:
@@ -329,7 +346,7 @@
         return self._handle(request)
 
 
-def encode_answer(answer: Answer, command: str, *, is_closing: bool) -> bytes:
+def encode_answer(answer: Answer, method: str, *, is_closing: bool) -> bytes:
     """Return an answer as it goes to the caller, head and body in one piece."""
     lines = [f"HTTP/1.1 {answer.status}"]
     lines.extend(f"{name}: {value}" for name, value in answer.headers)
@@ -341,10 +358,10 @@
     if is_closing:
         lines.append("Connection: close")
     has_length = not answer.status.startswith(("204", "304"))
-    if has_length and command.upper() != "HEAD":
+    if has_length and method != "HEAD":
         lines.append(f"Content-Length: {len(answer.body)}")
     head = "\r\n".join([*lines, "", ""]).encode("latin-1")
-    return head + answer.body if has_length and command.upper() != "HEAD" else head
+    return head + answer.body if has_length and method != "HEAD" else head
 
 
 def _wants_close(parsed: Any) -> bool:
--- /dev/null
+++ b/testing/proxy/fakes.py
@@ -0,0 +1,89 @@
+"""A scripted upstream on a real socket, for tests of one connection or one instance."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable
+
+Script = Callable[[socket.socket, bytes, int], bool]
+
+
+class ScriptedUpstream:
+    """Serves each request with ``script(socket, head, number)``; true keeps the connection."""
+
+    def __init__(self, script: Script) -> None:
+        self._script = script
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.heads: list[bytes] = []
+        self.connections = 0
+        self._sockets: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.close()
+        for sock in self._sockets:
+            sock.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            self._sockets.append(sock)
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        try:
+            while True:
+                head = _read_head(sock)
+                if not head:
+                    return
+                self.heads.append(head)
+                if not self._script(sock, head, len(self.heads)):
+                    return
+        except OSError:
+            return
+        finally:
+            sock.close()
+
+
+def _read_head(sock: socket.socket) -> bytes:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = sock.recv(65_536)
+        if not part:
+            return b""
+        data += part
+    return data
+
+
+def encode(body: bytes = b"hello", *, status: str = "200 OK", extra: str = "") -> bytes:
+    return f"HTTP/1.1 {status}\r\ncontent-length: {len(body)}\r\n{extra}\r\n".encode() + body
+
+
+def answer(body: bytes = b"hello", *, status: str = "200 OK", extra: str = "") -> Script:
+    def script(sock: socket.socket, head: bytes, number: int) -> bool:
+        sock.sendall(encode(body, status=status, extra=extra))
+        return True
+
+    return script
+
+
+def send_raw(data: bytes, *, keep: bool = False) -> Script:
+    def script(sock: socket.socket, head: bytes, number: int) -> bool:
+        sock.sendall(data)
+        return keep
+
+    return script
+
+
+def stay_silent(seconds: float = 30.0) -> Script:
+    def script(sock: socket.socket, head: bytes, number: int) -> bool:
+        threading.Event().wait(seconds)
+        return False
+
+    return script
--- /dev/null
+++ b/testing/proxy/instance.py
@@ -0,0 +1,123 @@
+"""One entry instance inside the test's process: callers' side, decisions and connections."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import socket
+import threading
+import time
+from random import Random
+from typing import Any
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.kernel import collect_schemes
+from coltsfootrill.kernel import find_policy
+from coltsfootrill.kernel import load_plugins
+from coltsfootrill.manifest.holder import ManifestHolder
+from coltsfootrill.membership.fleet import Fleet
+from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.metrics import Metrics
+from coltsfootrill.proxy.app import ProxyApp
+from coltsfootrill.proxy.server import CallerServer
+from coltsfootrill.registry.announcement import Announcement
+
+
+class Reply:
+    """What a caller got."""
+
+    def __init__(self, response: http.client.HTTPResponse) -> None:
+        self.body = response.read()
+        self.status = response.status
+        self.headers = response.headers
+        self.outcome = response.headers["Coltsfootrill-Outcome"]
+        self.reason = response.headers["Coltsfootrill-Reason"]
+
+
+class Instance:
+    """Serves ``/x`` (idempotent), ``/hedged`` and ``/once`` (non-idempotent)."""
+
+    def __init__(self, *, deadline_ms: int = 1_500, queue: int = 8, requests: int = 64) -> None:
+        clock = Clock()
+        plugins = load_plugins()
+        self.metrics = Metrics()
+        self.manifests = ManifestHolder(collect_schemes(plugins))
+        self.manifests.adopt(make_manifest(1, deadline_ms))
+        self.fleet = Fleet(InstanceRecord("e1", 1, "127.0.0.1:1", "z1", False, 1), clock=clock)
+        self.app = ProxyApp(
+            manifests=self.manifests,
+            fleet=self.fleet,
+            policy=find_policy(plugins, "least-expected-wait"),
+            random=Random(5),
+            zone="z1",
+            queue_limit=queue,
+            clock=clock,
+            metrics=self.metrics,
+        )
+        self.server = CallerServer(
+            self.app.handle, clock=clock, requests_max=requests, connections_max=200
+        )
+        self.server.start("127.0.0.1", 0)
+        self._is_stopped = threading.Event()
+        threading.Thread(target=self._refresh, daemon=True).start()
+
+    def close(self) -> int:
+        self._is_stopped.set()
+        return self.server.stop(idle_ms=0, limit_ms=5_000)
+
+    def announce(self, upstream_id: str, address: str, **changes: Any) -> None:
+        fields: dict[str, Any] = {
+            "id": upstream_id,
+            "incarnation": 1,
+            "sequence": time.monotonic_ns() // 1000,
+            "address": address,
+            "zone": "z1",
+            "services": ["work"],
+            "slots": 3,
+            "state": "serving",
+        }
+        self.fleet.announce(Announcement(**(fields | changes)))
+
+    def call(
+        self, path: str = "/x", *, method: str = "GET", body: bytes = b"", **headers: str
+    ) -> Reply:
+        connection = http.client.HTTPConnection("127.0.0.1", self.server.port, timeout=10)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        connection.request(method, path, body=body or None, headers=named)
+        reply = Reply(connection.getresponse())
+        connection.close()
+        return reply
+
+    def send_raw(self, data: bytes) -> bytes:
+        with socket.create_connection(("127.0.0.1", self.server.port), timeout=5) as sock:
+            sock.sendall(data)
+            parts = []
+            while part := sock.recv(65_536):
+                parts.append(part)
+        return b"".join(parts)
+
+    def _refresh(self) -> None:
+        while not self._is_stopped.wait(0.02):
+            self.fleet.clean()
+            self.app.refresh()
+
+
+def make_manifest(version: int, deadline_ms: int = 1_500) -> bytes:
+    kinds = [
+        _kind("x", True, deadline_ms, retries=2),
+        _kind("hedged", True, deadline_ms, hedge_quantile=0.9),
+        _kind("once", False, deadline_ms, retries=2),
+        _kind("later", True, deadline_ms, priority="deferrable", latest_ms=deadline_ms // 2),
+    ]
+    service = {"id": "work", "upstreams": ["u*"], "kinds": kinds, "retry_share": 0.2}
+    return json.dumps({"schema": 1, "version": version, "services": [service]}).encode()
+
+
+def _kind(name: str, idempotent: bool, deadline_ms: int, **rules: Any) -> dict[str, Any]:
+    kind = {
+        "id": name,
+        "names": [f"path:/{name}"],
+        "idempotent": idempotent,
+        "deadline_ms": deadline_ms,
+    }
+    return kind | rules
--- /dev/null
+++ b/testing/proxy/test_connection.py
@@ -0,0 +1,190 @@
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.proxy.connection import ANSWER_MAX_BYTES
+from coltsfootrill.proxy.connection import ConnectError
+from coltsfootrill.proxy.connection import ConnectionPool
+from coltsfootrill.proxy.connection import ReadError
+from coltsfootrill.proxy.connection import UpstreamAnswer
+from coltsfootrill.proxy.connection import UpstreamConnection
+from coltsfootrill.proxy.connection import encode_head
+from testing.proxy.fakes import Script
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.fakes import answer
+from testing.proxy.fakes import encode
+from testing.proxy.fakes import send_raw
+from testing.proxy.fakes import stay_silent
+
+Serve = Callable[[Script], ScriptedUpstream]
+HEAD = encode_head("GET", "/x", [("host", "h")], 0)
+
+
+@pytest.fixture
+def serve() -> Iterator[Serve]:
+    started: list[ScriptedUpstream] = []
+
+    def start(script: Script) -> ScriptedUpstream:
+        started.append(ScriptedUpstream(script))
+        return started[-1]
+
+    yield start
+    for upstream in started:
+        upstream.close()
+
+
+def _call(
+    pool: ConnectionPool, *, timeout_ms: float = 2_000, method: str = "GET"
+) -> UpstreamAnswer:
+    clock = Clock()
+    connection = pool.take_idle() or pool.open(1_000)
+    deadline_ms = clock.now_ms() + timeout_ms
+    head = encode_head(method, "/x", [("host", "h")], 0)
+    connection.send(head, b"", deadline_ms=deadline_ms)
+    try:
+        result = connection.read(method, deadline_ms=deadline_ms)
+    except ReadError:
+        connection.close()
+        raise
+    pool.give_back(connection)
+    return result
+
+
+class TestWholeAnswers:
+    def test_an_answer_with_a_length_is_read_and_the_connection_kept(self, serve: Serve) -> None:
+        upstream = serve(answer(b"one", extra="x-a: b\r\n"))
+        pool = ConnectionPool(upstream.address, clock=Clock())
+        for _ in range(3):
+            got = _call(pool)
+            assert (got.status, got.body, got.get_header("X-A")) == (200, b"one", "b")
+        assert upstream.connections == 1
+
+    def test_a_chunked_answer_is_read_to_its_last_chunk(self, serve: Serve) -> None:
+        raw = (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        upstream = serve(send_raw(raw, keep=True))
+        assert _call(ConnectionPool(upstream.address, clock=Clock())).body == b"abcde"
+
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            encode(b"hello")[:-1],
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\nno length",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nhello",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\nhello",
+            b"HTTP/1.1 200 OK\r\ncontent-length: -5\r\n\r\nhello",
+            b"HTTP/1.1 100 Continue\r\n\r\n" + encode(),
+            b"HTTP/1.1 101 Switching\r\nupgrade: x\r\n\r\n",
+            b"nonsense\r\n\r\n",
+            b"",
+            f"HTTP/1.1 200 OK\r\ncontent-length: {ANSWER_MAX_BYTES + 1}\r\n\r\n".encode()
+            + b"x" * (ANSWER_MAX_BYTES + 1),
+            b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 40_000 + b"content-length: 0\r\n\r\n",
+        ],
+        ids=lambda raw: repr(raw[:48]),
+    )
+    def test_an_answer_that_is_not_whole_or_not_clear_is_refused(
+        self, serve: Serve, raw: bytes
+    ) -> None:
+        pool = ConnectionPool(serve(send_raw(raw)).address, clock=Clock())
+        with pytest.raises(ReadError):
+            _call(pool)
+
+    def test_bytes_after_an_answer_never_meet_another_request(self, serve: Serve) -> None:
+        upstream = serve(send_raw(encode(b"mine") + encode(b"other"), keep=True))
+        pool = ConnectionPool(upstream.address, clock=Clock())
+        assert [_call(pool).body for _ in range(3)] == [b"mine"] * 3
+        assert upstream.connections == 3
+
+    def test_bytes_that_come_late_never_meet_another_request(self, serve: Serve) -> None:
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            sock.sendall(encode(b"mine"))
+            time.sleep(0.05)
+            sock.sendall(encode(b"other"))
+            return True
+
+        upstream = serve(script)
+        pool = ConnectionPool(upstream.address, clock=Clock())
+        assert _call(pool).body == b"mine"
+        time.sleep(0.15)
+        assert _call(pool).body == b"mine"
+        assert upstream.connections == 2
+
+    def test_a_trickle_does_not_outlast_the_deadline(self, serve: Serve) -> None:
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n")
+            for _ in range(100):
+                sock.sendall(b"x")
+                time.sleep(0.02)
+            return False
+
+        pool = ConnectionPool(serve(script).address, clock=Clock())
+        start_s = time.monotonic()
+        with pytest.raises(ReadError):
+            _call(pool, timeout_ms=200)
+        assert time.monotonic() - start_s < 1.5
+
+    def test_the_answer_to_head_has_no_body(self, serve: Serve) -> None:
+        upstream = serve(send_raw(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n", keep=True))
+        pool = ConnectionPool(upstream.address, clock=Clock())
+        assert _call(pool, method="HEAD").body == b""
+
+    @pytest.mark.parametrize("status", ["204 No Content", "304 Not Modified"])
+    def test_an_answer_without_a_body_needs_no_length(self, serve: Serve, status: str) -> None:
+        upstream = serve(send_raw(f"HTTP/1.1 {status}\r\n\r\n".encode(), keep=True))
+        assert _call(ConnectionPool(upstream.address, clock=Clock())).body == b""
+
+    @given(raw=st.binary(max_size=200))
+    def test_any_bytes_end_in_an_answer_or_an_error(self, raw: bytes) -> None:
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            theirs.sendall(b"HTTP/1.1 200 OK\r\n" + raw)
+            theirs.close()
+            connection = UpstreamConnection(ours, clock=Clock(), epoch=0)
+            try:
+                connection.read("GET", deadline_ms=Clock().now_ms() + 1_000)
+            except ReadError as error:
+                assert str(error)
+
+
+class TestPool:
+    def test_a_connection_that_the_upstream_closed_is_not_used(self, serve: Serve) -> None:
+        upstream = serve(send_raw(encode(b"x"), keep=False))
+        pool = ConnectionPool(upstream.address, clock=Clock())
+        _call(pool)
+        time.sleep(0.05)
+        assert pool.take_idle() is None
+
+    def test_doubt_bars_every_connection_opened_before(self, serve: Serve) -> None:
+        upstream = serve(answer())
+        pool = ConnectionPool(upstream.address, clock=Clock())
+        in_use = pool.open(1_000)
+        _call(pool)
+        assert pool.doubt() == 1
+        deadline_ms = Clock().now_ms() + 1_000
+        in_use.send(HEAD, b"", deadline_ms=deadline_ms)
+        in_use.read("GET", deadline_ms=deadline_ms)
+        pool.give_back(in_use)
+        assert pool.take_idle() is None
+
+    def test_a_refused_connection_is_told_apart(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        listener.close()
+        with pytest.raises(ConnectError):
+            ConnectionPool(address, clock=Clock()).open(1_000)
+
+    def test_silence_ends_with_the_deadline(self, serve: Serve) -> None:
+        pool = ConnectionPool(serve(stay_silent()).address, clock=Clock())
+        with pytest.raises(ReadError, match="TimeoutError|deadline"):
+            _call(pool, timeout_ms=100)
--- /dev/null
+++ b/testing/proxy/test_outcomes.py
@@ -0,0 +1,430 @@
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from testing.proxy.fakes import Script
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.fakes import answer
+from testing.proxy.fakes import encode
+from testing.proxy.fakes import send_raw
+from testing.proxy.fakes import stay_silent
+from testing.proxy.instance import Instance
+from testing.proxy.instance import make_manifest
+
+Serve = Callable[..., ScriptedUpstream]
+SHED = answer(b"", status="503 Service Unavailable", extra="upstream-shed: 1\r\n")
+
+
+@pytest.fixture
+def instance() -> Iterator[Instance]:
+    made = Instance()
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def serve(instance: Instance) -> Iterator[Serve]:
+    started: list[ScriptedUpstream] = []
+
+    def start(script: Script, upstream_id: str = "", **changes: object) -> ScriptedUpstream:
+        started.append(ScriptedUpstream(script))
+        name = upstream_id or f"u{len(started)}"
+        instance.announce(name, started[-1].address, **changes)
+        return started[-1]
+
+    yield start
+    for upstream in started:
+        upstream.close()
+
+
+def _get_refusing_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def _answer_after(delays: dict[int, float]) -> Script:
+    def script(sock: socket.socket, head: bytes, number: int) -> bool:
+        time.sleep(delays.get(number, 0))
+        sock.sendall(encode())
+        return True
+
+    return script
+
+
+class TestAtMostOnce:
+    def test_a_request_lost_after_its_first_byte_is_unknown_and_not_sent_again(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstreams = [serve(send_raw(b"")) for _ in range(3)]
+        reply = instance.call("/once", method="POST", body=b"order")
+        assert (reply.status, reply.outcome) == (502, "unknown")
+        assert sum(len(upstream.heads) for upstream in upstreams) == 1
+
+    def test_a_refused_connection_is_proof_and_another_upstream_is_tried(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        instance.announce("u9", _get_refusing_address())
+        sound = serve(answer())
+        replies = [instance.call("/once", method="POST") for _ in range(10)]
+        assert {reply.outcome for reply in replies} == {"answered"}
+        assert len(sound.heads) == 10
+
+    def test_an_explicit_shed_is_proof_and_another_upstream_is_tried(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        serve(SHED)
+        sound = serve(answer())
+        assert instance.call("/once", method="POST").outcome == "answered"
+        assert len(sound.heads) == 1
+
+    def test_a_request_that_every_upstream_shed_was_not_run(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        serve(SHED)
+        reply = instance.call("/once", method="POST")
+        assert (reply.status, reply.outcome) == (503, "not-run")
+        assert reply.headers["Retry-After"] == "1"
+
+    def test_a_plain_503_is_an_answer_and_no_proof(self, instance: Instance, serve: Serve) -> None:
+        upstreams = [serve(answer(b"busy", status="503 Service Unavailable")) for _ in range(2)]
+        reply = instance.call("/once", method="POST")
+        assert (reply.status, reply.outcome, reply.body) == (503, "answered", b"busy")
+        assert sum(len(upstream.heads) for upstream in upstreams) == 1
+
+    def test_each_non_idempotent_request_has_a_fresh_connection(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstream = serve(answer())
+        for _ in range(3):
+            instance.call("/once", method="POST")
+        assert upstream.connections == 3
+
+    def test_a_lost_attempt_makes_a_later_refusal_unknown(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        # The last attempt is refused, but the first one may have run.
+        serve(send_raw(b""), "u1")
+        instance.announce("u2", _get_refusing_address())
+        reply = instance.call("/x")
+        assert (reply.outcome, reply.status) == ("unknown", 502)
+
+
+class TestRetries:
+    def test_an_idempotent_request_moves_on_after_a_broken_answer(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        serve(send_raw(encode(b"hello")[:-2]))
+        serve(answer(b"whole"))
+        replies = [instance.call() for _ in range(4)]
+        assert {reply.body for reply in replies} == {b"whole"}
+
+    def test_a_server_error_is_retried_and_then_passed_on(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstream = serve(answer(b"broken", status="500 Internal Server Error"))
+        reply = instance.call()
+        assert (reply.status, reply.outcome, reply.body) == (500, "answered", b"broken")
+        assert len(upstream.heads) == 3
+
+    def test_retried_requests_carry_a_mark(self, instance: Instance, serve: Serve) -> None:
+        upstream = serve(answer(b"", status="500 Internal Server Error"))
+        instance.call()
+        marks = [b"Coltsfootrill-Retried: 1" in head for head in upstream.heads]
+        assert marks == [False, True, True]
+
+    def test_a_marked_request_is_not_retried(self, instance: Instance, serve: Serve) -> None:
+        upstream = serve(answer(b"", status="500 Internal Server Error"))
+        instance.call(Coltsfootrill_Retried="1")
+        assert len(upstream.heads) == 1
+
+    def test_a_hedge_wins_over_a_straggler_which_is_cancelled(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        closed = threading.Event()
+
+        def straggle(sock: socket.socket, head: bytes, number: int) -> bool:
+            if number <= 40:
+                sock.sendall(encode(b"quick"))
+                return True
+            sock.settimeout(5)
+            if sock.recv(1) == b"":
+                closed.set()
+            return False
+
+        serve(straggle)
+        for _ in range(40):
+            instance.call("/hedged")
+        serve(answer(b"hedge"), "u2")
+        replies = [instance.call("/hedged") for _ in range(4)]
+        assert {reply.status for reply in replies} == {200}
+        assert all(reply.body in (b"quick", b"hedge") for reply in replies)
+        assert closed.wait(3)
+
+
+class TestDeadlines:
+    def test_the_remaining_time_goes_with_the_request(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstream = serve(answer())
+        instance.call(Coltsfootrill_Deadline_Ms="300")
+        line = next(
+            line
+            for line in upstream.heads[0].split(b"\r\n")
+            if line.startswith(b"Coltsfootrill-Deadline-Ms:")
+        )
+        assert 0 < int(line.partition(b":")[2]) <= 300
+
+    def test_an_expired_request_is_not_sent(self, instance: Instance, serve: Serve) -> None:
+        upstream = serve(answer())
+        reply = instance.call(Coltsfootrill_Deadline_Ms="0")
+        assert (reply.status, reply.outcome, reply.reason) == (503, "not-run", "deadline")
+        assert upstream.heads == []
+
+    def test_silence_until_the_deadline_is_unknown(self, instance: Instance, serve: Serve) -> None:
+        serve(stay_silent())
+        start_s = time.monotonic()
+        reply = instance.call("/once", method="POST", Coltsfootrill_Deadline_Ms="200")
+        assert (reply.status, reply.outcome) == (504, "unknown")
+        assert time.monotonic() - start_s < 1.2
+
+    def test_a_deadline_that_is_no_number_is_refused(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        serve(answer())
+        reply = instance.call(Coltsfootrill_Deadline_Ms="soon")
+        assert (reply.status, reply.outcome) == (400, "not-run")
+
+
+class TestSilentConnections:
+    def test_work_moves_to_a_fresh_connection_and_contemporaries_are_dropped(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        is_cut = threading.Event()
+        silent: set[int] = set()
+
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            if is_cut.is_set() and sock.fileno() in silent:
+                threading.Event().wait(10)
+                return False
+            if not is_cut.is_set():
+                silent.add(sock.fileno())
+            time.sleep(0.02)
+            sock.sendall(encode())
+            return True
+
+        upstream = serve(script)
+        with ThreadPoolExecutor(3) as pool:
+            list(pool.map(lambda _: instance.call(), range(30)))
+        opened = upstream.connections
+        is_cut.set()
+        start_s = time.monotonic()
+        replies = [instance.call() for _ in range(3)]
+        assert {reply.outcome for reply in replies} == {"answered"}
+        assert time.monotonic() - start_s < 1.5
+        assert upstream.connections > opened
+        assert instance.metrics.doubted._value.get() >= 1
+
+
+class TestCallers:
+    def test_a_caller_that_leaves_is_cancelled_upstream(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        closed = threading.Event()
+
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            sock.settimeout(5)
+            if sock.recv(1) == b"":
+                closed.set()
+            return False
+
+        upstream = serve(script)
+        with socket.create_connection(("127.0.0.1", instance.server.port)) as sock:
+            sock.sendall(b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n")
+            while not upstream.heads:
+                time.sleep(0.01)
+        assert closed.wait(1)
+
+    def test_internal_and_hop_by_hop_headers_do_not_pass(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstream = serve(
+            answer(b"", extra="keep-alive: 5\r\nx-secret: 1\r\nconnection: x-secret\r\n")
+        )
+        reply = instance.call(
+            Connection="x-private", X_Private="1", Coltsfootrill_Outcome="answered", Te="trailers"
+        )
+        head = upstream.heads[0].lower()
+        assert b"x-private" not in head and b"coltsfootrill-outcome" not in head
+        assert b"\r\nte:" not in head
+        assert "Keep-Alive" not in reply.headers and "X-Secret" not in reply.headers
+
+    def test_an_idempotency_key_passes_unchanged(self, instance: Instance, serve: Serve) -> None:
+        upstream = serve(answer())
+        instance.call("/once", method="POST", Idempotency_Key="order-17")
+        assert b"idempotency-key: order-17" in upstream.heads[0]
+
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"POST /once HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n"
+            b"\r\n0\r\n\r\n",
+            b"POST /once HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd",
+            b"POST /once HTTP/1.0\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"POST /once HTTP/1.1\r\nhost: h\r\ntransfer-encoding: gzip\r\n\r\n",
+            b"GET /x HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n",
+            b"GET /x HTTP/1.1\r\nhost: h\r\nx: " + b"y" * 70_000 + b"\r\n\r\n",
+            b"POST /once HTTP/1.1\r\nhost: h\r\ncontent-length: 99999999\r\n\r\n",
+        ],
+        ids=["length-and-chunks", "two-lengths", "old-chunks", "coding", "hosts", "head", "body"],
+    )
+    def test_an_ambiguous_or_oversized_request_is_refused_as_not_run(
+        self, instance: Instance, serve: Serve, raw: bytes
+    ) -> None:
+        upstream = serve(answer())
+        reply = instance.send_raw(raw)
+        assert reply.startswith(b"HTTP/1.1 4") or reply.startswith(b"HTTP/1.1 501")
+        assert b"Coltsfootrill-Outcome: not-run" in reply
+        assert upstream.heads == []
+
+    def test_pipelined_requests_get_their_own_answers_in_order(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            sock.sendall(encode(head.split(b" ")[1]))
+            return True
+
+        serve(script)
+        requests = [b"GET /x/%d HTTP/1.1\r\nhost: h\r\n\r\n" % n for n in range(4)]
+        requests.append(b"GET /x/4 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n")
+        data = b"".join(requests)
+        raw = instance.send_raw(data)
+        assert [raw.find(b"/x/%d" % n) for n in range(5)] == sorted(
+            raw.find(b"/x/%d" % n) for n in range(5)
+        )
+        assert raw.count(b"HTTP/1.1 200") == 5
+
+    def test_calls_that_go_too_deep_are_refused(self, instance: Instance, serve: Serve) -> None:
+        upstream = serve(answer())
+        assert instance.call(Coltsfootrill_Depth="17").outcome == "answered"
+        assert b"Coltsfootrill-Depth: 18" in upstream.heads[0]
+        reply = instance.call(Coltsfootrill_Depth="32")
+        assert (reply.status, reply.outcome) == (508, "not-run")
+
+    def test_an_unknown_name_is_refused(self, instance: Instance) -> None:
+        reply = instance.call("/nobody")
+        assert (reply.status, reply.outcome, reply.reason) == (404, "not-run", "no-route")
+
+    def test_without_upstreams_a_request_is_refused_at_once(self, instance: Instance) -> None:
+        start_s = time.monotonic()
+        reply = instance.call()
+        assert (reply.outcome, reply.reason) == ("not-run", "no-upstream")
+        assert time.monotonic() - start_s < 1
+
+
+class TestAdmission:
+    def test_what_cannot_be_answered_in_time_is_refused_and_the_rest_answered(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            time.sleep(0.1)
+            sock.sendall(encode())
+            return True
+
+        serve(script)
+        with ThreadPoolExecutor(40) as pool:
+            replies = list(pool.map(lambda _: instance.call("/once", method="POST"), range(40)))
+        outcomes = {reply.outcome for reply in replies}
+        assert outcomes == {"answered", "not-run"}
+        refused = [reply for reply in replies if reply.outcome == "not-run"]
+        assert {reply.reason for reply in refused} <= {"queue-full", "overloaded", "deadline"}
+        assert all(reply.headers["Retry-After"] for reply in refused)
+
+    def test_own_requests_in_flight_stay_within_the_slots(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        running = 0
+        most = 0
+        lock = threading.Lock()
+
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            nonlocal running, most
+            with lock:
+                running += 1
+                most = max(most, running)
+            time.sleep(0.03)
+            with lock:
+                running -= 1
+            sock.sendall(encode())
+            return True
+
+        serve(script)
+        with ThreadPoolExecutor(12) as pool:
+            list(pool.map(lambda _: instance.call(), range(24)))
+        assert most <= 3
+
+    def test_a_deferrable_request_runs_by_its_latest_time_though_others_keep_coming(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        serve(_answer_after({n: 0.03 for n in range(1_000)}))
+        is_over = threading.Event()
+
+        def press() -> None:
+            while not is_over.is_set():
+                instance.call("/x")
+
+        with ThreadPoolExecutor(6) as pool:
+            for _ in range(6):
+                pool.submit(press)
+            time.sleep(0.2)
+            start_s = time.monotonic()
+            reply = instance.call("/later")
+            elapsed_s = time.monotonic() - start_s
+            is_over.set()
+        assert reply.outcome == "answered"
+        assert elapsed_s < 1.5
+
+
+class TestStops:
+    def test_a_graceful_stop_cuts_nothing(self, serve: Serve, instance: Instance) -> None:
+        serve(_answer_after({n: 0.4 for n in range(1, 10)}))
+        with ThreadPoolExecutor(3) as pool:
+            calls = [pool.submit(instance.call, "/once", method="POST") for _ in range(3)]
+            while instance.server.count_in_progress() < 3:
+                time.sleep(0.01)
+            assert instance.close() == 0
+            replies = [call.result() for call in calls]
+        assert {reply.outcome for reply in replies} == {"answered"}
+        assert {reply.headers["Connection"] for reply in replies} == {"close"}
+
+    def test_an_upstream_that_left_gets_no_new_work_and_finishes_the_old(
+        self, serve: Serve, instance: Instance
+    ) -> None:
+        upstream = serve(_answer_after({1: 0.4}))
+        with ThreadPoolExecutor(1) as pool:
+            old = pool.submit(instance.call, "/once", method="POST")
+            while not upstream.heads:
+                time.sleep(0.01)
+            instance.announce("u1", upstream.address, state="leaving")
+            assert instance.call().reason == "no-upstream"
+            assert instance.app.count_in_flight() == {"u1": 1}
+            assert old.result().outcome == "answered"
+        assert instance.app.count_in_flight().get("u1", 0) == 0
+        assert len(upstream.heads) == 1
+
+    def test_a_request_ends_under_the_manifest_it_began_with(
+        self, serve: Serve, instance: Instance
+    ) -> None:
+        upstream = serve(_answer_after({1: 0.3}))
+        with ThreadPoolExecutor(1) as pool:
+            old = pool.submit(instance.call)
+            while not upstream.heads:
+                time.sleep(0.01)
+            instance.manifests.adopt(make_manifest(2, deadline_ms=100))
+            assert old.result().outcome == "answered"
