--- a/src/coltsfootrill/control/messages.py
+++ b/src/coltsfootrill/control/messages.py
@@ -105,8 +105,12 @@
 
 
 class Inspect(msgspec.Struct, frozen=True, array_like=True):
-    """Asks an acceptor what it accepted last; ``known`` is a ballot whose state is known."""
+    """Asks an acceptor what it accepted last.
 
+    ``sender`` is the replica that asks, ``known`` the ballot whose state it knows already.
+    """
+
+    sender: str
     known: Ballot
 
 
--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -151,7 +151,7 @@
     def _confirm(self) -> bool:
         """Learn the chosen state without a write; return whether a majority agrees on one."""
         votes: _Votes[Inspection] = _Votes([self.known.replicas])
-        request = Inspect(self._known_ballot)
+        request = Inspect(self._replica_id, self._known_ballot)
 
         def ask() -> None:
             self._gather(
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -65,7 +65,9 @@
     ) -> None:
         self.id = replica_id
         self.acceptor = acceptor
-        self._address = address
+        self._listen = address
+        # Replicas may reach this one by another address than the one it listens on.
+        self._address = replicas.get(replica_id, address)
         self._schemes = schemes
         self._clock = clock
         self._credentials = credentials
@@ -94,7 +96,7 @@
 
     def start(self, credentials: grpc.ServerCredentials | None = None) -> None:
         """Serve the other replicas and the entry instances."""
-        self._server.start(self._address, credentials)
+        self._server.start(self._listen, credentials)
 
     def stop(self) -> None:
         """Finish calls in progress and stop."""
--- a/src/coltsfootrill/roles/entry.py
+++ b/src/coltsfootrill/roles/entry.py
@@ -189,7 +189,9 @@
         return InstanceRecord(
             id=self._id,
             boot=self._clock.wall_ms(),
-            address=str(self._settings.get("peers", "listen")),
+            address=str(
+                self._settings.get("peers", "advertise") or self._settings.get("peers", "listen")
+            ),
             zone=self._settings.get("instance", "zone"),
             is_leaving=False,
             manifest_version=0,
--- a/src/coltsfootrill/settings.py
+++ b/src/coltsfootrill/settings.py
@@ -95,6 +95,11 @@
     return Address(host, port)
 
 
+def parse_optional_address(text: str) -> Address | None:
+    """Return the address in ``ip:port``, ``None`` for an empty text; raise ``ValueError``."""
+    return parse_address(text) if text else None
+
+
 def parse_addresses(text: str) -> list[str]:
     """Return the addresses in a comma-separated list; raise ``ValueError``."""
     return [str(parse_address(part.strip())) for part in text.split(",") if part.strip()]
@@ -225,6 +230,14 @@
     _address("announcements", "listen", "Address for announcements of upstreams."),
     _token("announcement_file", "File with the token of upstreams."),
     _address("peers", "listen", "Address for other entry instances."),
+    Setting(
+        "peers",
+        "advertise",
+        parse_optional_address,
+        accepted="ip:port, or empty for the one listened on",
+        meaning="Address that other entry instances use for this one.",
+        default="",
+    ),
     Setting(
         "peers",
         "seeds",
--- /dev/null
+++ b/testing/processes.py
@@ -0,0 +1,347 @@
+"""Real processes for scenarios: instances of the program, and relays that can go silent."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+OPERATOR_TOKEN = "operator-token-for-tests"
+ANNOUNCE_TOKEN = "announce-token-for-tests"
+
+
+# Below the range from which the kernel takes ports of outgoing connections: one of those could
+# otherwise take a port between its choice here and its use by a process.
+_ports = itertools.cycle(range(12_000 + os.getpid() % 10_000, 32_000))
+
+
+def get_free_port() -> int:
+    for port in _ports:
+        try:
+            with socket.create_server(("127.0.0.1", port)):
+                return port
+        except OSError:
+            continue
+    raise AssertionError("no free port")
+
+
+def wait_until(holds: Callable[[], bool], *, within_s: float = 15.0) -> float:
+    """Wait until ``holds``, return the seconds it took; fail the test when it does not."""
+    start_s = time.monotonic()
+    while not holds():
+        assert time.monotonic() - start_s < within_s, f"not so within {within_s} s"
+        time.sleep(0.02)
+    return time.monotonic() - start_s
+
+
+class Relay:
+    """Passes TCP both ways until told to swallow, silently, what it should pass.
+
+    ``cut`` swallows everything, ``cut_sender`` only what comes from one sender and goes to it;
+    both until ``heal``. ``forget`` does it for the connections open now only, as a middlebox
+    that lost its table.
+    """
+
+    def __init__(self, target_port: int) -> None:
+        self._target_port = target_port
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = int(self._listener.getsockname()[1])
+        self._is_cut = False
+        self._sender: re.Pattern[bytes] | None = None
+        self._epoch = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self) -> None:
+        self._is_cut = True
+
+    def cut_sender(self, name: str) -> None:
+        self._sender = get_sender_pattern(name)
+
+    def heal(self) -> None:
+        # What was swallowed is gone, so the old connections stay dead.
+        self._epoch += 1
+        self._sender = None
+        self._is_cut = False
+
+    def forget(self) -> None:
+        self._epoch += 1
+
+    def _accept(self) -> None:
+        while True:
+            caller, _ = self._listener.accept()
+            threading.Thread(target=self._connect, args=(caller,), daemon=True).start()
+
+    def _connect(self, caller: socket.socket) -> None:
+        link = _Link(self._epoch)
+        try:
+            target = socket.create_connection(("127.0.0.1", self._target_port), timeout=2)
+        except OSError:
+            caller.close()
+            return
+        target.settimeout(None)
+        for source, sink, is_call in ((caller, target, True), (target, caller, False)):
+            arguments = (source, sink, link, is_call)
+            threading.Thread(target=self._pass, args=arguments, daemon=True).start()
+
+    def _pass(self, source: socket.socket, sink: socket.socket, link: _Link, is_call: bool) -> None:
+        try:
+            while data := source.recv(65_536):
+                if is_call:
+                    link.sent = (link.sent + data)[-200_000:]
+                if self._passes(link):
+                    sink.sendall(data)
+            if self._passes(link):
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            source.close()
+            sink.close()
+
+    def _passes(self, link: _Link) -> bool:
+        if self._is_cut or link.epoch != self._epoch:
+            return False
+        return self._sender is None or self._sender.search(link.sent) is None
+
+
+class _Link:
+    """One connection through a relay: when it began and what its caller sent of late."""
+
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.sent = b""
+
+
+def get_sender_pattern(name: str) -> re.Pattern[bytes]:
+    """Return what only messages from ``name`` contain, as MessagePack encodes them."""
+    text = re.escape(bytes([0xA0 + len(name)]) + name.encode())
+    round_ = rb"(?:[\x00-\x7f]|\xcc.|\xcd..)"
+    pull = rb"\x95\x96" + text
+    prepare = rb"\x92" + round_ + rb"\x92" + round_ + text
+    accept = rb"\x92\x92" + round_ + text + rb"\x98"
+    inspect = rb"\x92" + text + rb"\x92"
+    return re.compile(rb"|".join([pull, prepare, accept, inspect]), re.DOTALL)
+
+
+class Process:
+    """One process of the program."""
+
+    def __init__(self, name: str, role: str, settings: Path, log: Path) -> None:
+        self.name = name
+        self._role = role
+        self._settings = settings
+        self._log = log
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        arguments = [sys.executable, "-m", "coltsfootrill", self._role]
+        arguments += ["--settings", str(self._settings)]
+        with open(self._log, "ab") as log:
+            self._popen = subprocess.Popen(arguments, stdout=log, stderr=log)
+
+    def send(self, number: signal.Signals) -> None:
+        assert self._popen is not None
+        self._popen.send_signal(number)
+
+    def kill(self) -> None:
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.kill()
+            self._popen.wait()
+
+    def wait(self, timeout_s: float = 20.0) -> int:
+        assert self._popen is not None
+        return self._popen.wait(timeout_s)
+
+    def is_alive(self) -> bool:
+        return self._popen is not None and self._popen.poll() is None
+
+    def read_log(self) -> str:
+        return self._log.read_text()
+
+
+class System:
+    """Control replicas and entry instances in a folder of their own."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.by_name: dict[str, Process] = {}
+        self.ports: dict[str, int] = {}
+        self.relays: dict[str, Relay] = {}
+        self._replicas = ""
+        (folder / "operator.token").write_text(OPERATOR_TOKEN)
+        (folder / "announce.token").write_text(ANNOUNCE_TOKEN)
+
+    def close(self) -> None:
+        for process in self.by_name.values():
+            process.kill()
+
+    def add_control(self, names: list[str], *, extra: str = "") -> None:
+        """Write settings of control replicas that reach each other through relays."""
+        for name in names:
+            self.ports[name] = get_free_port()
+            self.ports[f"{name}.operators"] = get_free_port()
+            self.relays[name] = Relay(self.ports[name])
+        self._replicas = ", ".join(f"{n}=127.0.0.1:{self.relays[n].port}" for n in names)
+        for name in names:
+            self.write_control(name, extra=extra)
+
+    def write_control(self, name: str, *, extra: str = "") -> None:
+        """Write the settings of one control replica; its ports must be known."""
+        text = self._common(name) + (
+            f"[control]\nlisten = 127.0.0.1:{self.ports[name]}\n"
+            f"replicas = {self._replicas}\n{extra}"
+        )
+        self._add(name, "control", text)
+
+    def add_entry(self, name: str, *, seeds: list[str] | None = None, extra: str = "") -> None:
+        """Write settings of an entry instance that its peers reach through a relay."""
+        for part in ("callers", "announcements", "peers", "operators"):
+            self.ports[f"{name}.{part}"] = get_free_port()
+        self.relays[name] = Relay(self.ports[f"{name}.peers"])
+        addresses = ", ".join(f"127.0.0.1:{self.relays[seed].port}" for seed in seeds or [])
+        text = self._common(name) + (
+            f"announcement_file = {self.folder}/announce.token\n"
+            f"[callers]\nlisten = 127.0.0.1:{self.ports[name + '.callers']}\n"
+            f"notice_ms = 300\nidle_ms = 200\n{extra}"
+            f"[announcements]\nlisten = 127.0.0.1:{self.ports[name + '.announcements']}\n"
+            f"[peers]\nlisten = 127.0.0.1:{self.ports[name + '.peers']}\n"
+            f"advertise = 127.0.0.1:{self.relays[name].port}\nseeds = {addresses}\n"
+            f"[control]\nreplicas = {self._replicas}\n"
+        )
+        self._add(name, "entry", text)
+
+    def start(self, *names: str) -> None:
+        for name in names or tuple(self.by_name):
+            self.by_name[name].start()
+
+    def ask(
+        self, name: str, path: str, *, method: str = "GET", body: bytes = b"", timeout_s: float = 8
+    ) -> tuple[int, Any]:
+        """Call the operators' port of a process; status 0 when it does not answer."""
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}", "Operator": "tester"}
+        return _call(self.ports[f"{name}.operators"], path, method, body, headers, timeout_s)
+
+    def announce(self, name: str, announcement: dict[str, Any]) -> tuple[int, Any]:
+        headers = {"Authorization": f"Bearer {ANNOUNCE_TOKEN}"}
+        body = json.dumps(announcement).encode()
+        port = self.ports[f"{name}.announcements"]
+        return _call(port, "/announcements", "POST", body, headers, 3)
+
+    def get_version(self, name: str) -> int:
+        status, body = self.ask(name, "/status")
+        return int(body["version"]) if status == 200 else 0
+
+    def is_ready(self, name: str) -> bool:
+        return self.ask(name, "/ready", timeout_s=1)[0] == 200
+
+    def submit(self, name: str, manifest: bytes) -> tuple[int, Any]:
+        return self.ask(name, "/manifest", method="POST", body=manifest)
+
+    def _add(self, name: str, role: str, text: str) -> None:
+        path = self.folder / f"{name}.ini"
+        path.write_text(text)
+        self.by_name[name] = Process(name, role, path, self.folder / f"{name}.log")
+
+    def _common(self, name: str) -> str:
+        return (
+            f"[instance]\nid = {name}\nzone = z1\ndata = {self.folder}/data-{name}\n"
+            f"[operators]\nlisten = 127.0.0.1:{self.ports[name + '.operators']}\n"
+            f"[tokens]\noperator_file = {self.folder}/operator.token\n"
+        )
+
+
+class Announcer:
+    """Renews the lease of one upstream at the named entry instances in turn."""
+
+    def __init__(self, system: System, entries: list[str], address: str, name: str = "u1") -> None:
+        self._system = system
+        self._entries = entries
+        self.incarnation = time.time_ns() // 1_000_000
+        self._address = address
+        self._name = name
+        self._sequence = 0
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._stopped.set()
+        if self._thread.ident is not None:
+            self._thread.join()
+
+    def announce(self, entry: str, state: str = "serving") -> int:
+        self._sequence += 1
+        status, _ = self._system.announce(
+            entry,
+            {
+                "id": self._name,
+                "incarnation": self.incarnation,
+                "sequence": self._sequence,
+                "address": self._address,
+                "zone": "z1",
+                "services": ["work"],
+                "slots": 3,
+                "state": state,
+                "sent_at_ms": time.time_ns() // 1_000_000,
+            },
+        )
+        return status
+
+    def _run(self) -> None:
+        turn = 0
+        while not self._stopped.wait(0.3):
+            self.announce(self._entries[turn % len(self._entries)])
+            turn += 1
+
+
+def _call(
+    port: int, path: str, method: str, body: bytes, headers: dict[str, str], timeout_s: float
+) -> tuple[int, Any]:
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
+    try:
+        connection.request(method, path, body=body or None, headers=headers)
+        response = connection.getresponse()
+        raw = response.read()
+        return response.status, json.loads(raw) if raw else None
+    except (OSError, http.client.HTTPException, ValueError):
+        return 0, None
+    finally:
+        connection.close()
+
+
+def call_entry(system: System, name: str, path: str, *, method: str = "GET") -> tuple[int, str]:
+    """Call a service through an entry instance; return the status and the outcome."""
+    port = system.ports[f"{name}.callers"]
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    try:
+        connection.request(method, path)
+        response = connection.getresponse()
+        response.read()
+        return response.status, response.headers["Coltsfootrill-Outcome"] or ""
+    except (OSError, http.client.HTTPException):
+        return 0, "cut"
+    finally:
+        connection.close()
+
+
+def freeze(process: Process) -> None:
+    process.send(signal.SIGSTOP)
+
+
+def thaw(process: Process) -> None:
+    process.send(signal.SIGCONT)
+
+
+def stop_gracefully(process: Process) -> None:
+    process.send(signal.SIGTERM)
--- a/testing/proxy/test_outcomes.py
+++ b/testing/proxy/test_outcomes.py
@@ -115,6 +115,17 @@
         reply = instance.call("/x")
         assert (reply.outcome, reply.status) == ("unknown", 502)
 
+    def test_a_lost_attempt_makes_the_want_of_another_upstream_unknown(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        def leave(sock: socket.socket, head: bytes, number: int) -> bool:
+            instance.announce("u1", upstream.address, state="leaving")
+            return False
+
+        upstream = serve(leave)
+        reply = instance.call("/x")
+        assert (reply.outcome, reply.status) == ("unknown", 502)
+
 
 class TestRetries:
     def test_an_idempotent_request_moves_on_after_a_broken_answer(
