Ignore small differences of slowness in the choice

Cause: with reports every 300 ms from each upstream, the choice rested on the smoothed slowness, whose noise sent each instance's requests to the upstream that happened to look fastest.

Ruled out: the zone preference (instances and upstreams are spread alike) and the ejection (the figures without faults agree).

--- a/src/coltsfootrill/balancer/least_expected_wait.py
+++ b/src/coltsfootrill/balancer/least_expected_wait.py
@@ -21,12 +21,14 @@
 FAR_SAMPLE_COUNT = 2
 ZONE_CROSSING_MS = 3.0
 ERROR_PENALTY = 2.0
+SLOWNESS_NOISE = 1.5
 
 
 def expect_wait_ms(load: UpstreamLoad, context: ChoiceContext) -> float:
     """Return the expected time to an answer in milliseconds, penalties included."""
     now_ms = context.now_ms
-    work_ms = context.usual_ms * max(estimate_slowness(load, now_ms), 0.2)
+    # Small differences of slowness are noise, and following them would crowd one upstream.
+    work_ms = context.usual_ms * max(1.0, estimate_slowness(load, now_ms) / SLOWNESS_NOISE)
     queued = max(0.0, estimate_in_flight(load, now_ms) + 1 - load.slots)
     # Below its slots an upstream is hardly slower when busy; the small share spreads the work.
     busy_share = estimate_in_flight(load, now_ms) / load.slots
