Check the register's protocol exhaustively, and age reports by the usual latency

Cause: the protocol that accepts manifests and replaces replicas was argued, not checked. Reports of load were aged by a fixed 40 ms whatever the service.

Ruled out: z3, whose induction would need the whole protocol in its own terms.

--- a/src/coltsfootrill/balancer/least_expected_wait.py
+++ b/src/coltsfootrill/balancer/least_expected_wait.py
@@ -29,9 +29,10 @@
     now_ms = context.now_ms
     # Small differences of slowness are noise, and following them would crowd one upstream.
     work_ms = context.usual_ms * max(1.0, estimate_slowness(load, now_ms) / SLOWNESS_NOISE)
-    queued = max(0.0, estimate_in_flight(load, now_ms) + 1 - load.slots)
+    in_flight = estimate_in_flight(load, now_ms, usual_ms=context.usual_ms)
+    queued = max(0.0, in_flight + 1 - load.slots)
     # Below its slots an upstream is hardly slower when busy; the small share spreads the work.
-    busy_share = estimate_in_flight(load, now_ms) / load.slots
+    busy_share = in_flight / load.slots
     wait_ms = work_ms * (1 + queued / load.slots + 0.2 * busy_share)
     wait_ms *= 1 + ERROR_PENALTY * estimate_errors(load, now_ms)
     wait_ms /= get_ramp_share(load, now_ms)
--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -1,14 +1,15 @@
 """What one entry instance knows of the load of one upstream, and its estimate of it.
 
-Every report is stale when it is read: its weight halves with each ``REPORT_HALF_LIFE_MS`` of
-age, and the upstream's usual load takes its place.
+Every report is stale when it is read: requests in flight there end within about the usual
+latency, so the weight of a report halves with each such time, and the upstream's usual load
+takes its place.
 """
 
 from __future__ import annotations
 
 import math
 
-REPORT_HALF_LIFE_MS = 40.0
+REPORT_HALF_LIFE_MIN_MS = 10.0
 USUAL_WEIGHT = 0.05
 SLOWNESS_WEIGHT = 0.2
 SLOWNESS_MAX = 100.0
@@ -95,10 +96,10 @@
         return len(self.started_by_token)
 
 
-def estimate_in_flight(load: UpstreamLoad, now_ms: float) -> float:
+def estimate_in_flight(load: UpstreamLoad, now_ms: float, *, usual_ms: float) -> float:
     """Return the requests expected in flight at the upstream, own ones included."""
     age_ms = max(0.0, now_ms - load.reported_at_ms)
-    weight = math.pow(0.5, age_ms / REPORT_HALF_LIFE_MS)
+    weight = math.pow(0.5, age_ms / max(usual_ms, REPORT_HALF_LIFE_MIN_MS))
     others = weight * load.reported_others + (1 - weight) * load.others_usual
     return load.in_flight + others
 
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -132,14 +132,16 @@
         is no other. A patient request takes only upstreams that are expected to have a free slot.
         """
         available = [load for load in self.by_id.values() if is_available(load, now_ms)]
+        usual_ms = self.get_latency(kind.id).usual_ms
         if is_patient:
             available = [
-                load for load in available if estimate_in_flight(load, now_ms) < load.slots
+                load
+                for load in available
+                if estimate_in_flight(load, now_ms, usual_ms=usual_ms) < load.slots
             ]
         preferred = [load for load in available if load.id not in exclude] or available
         if not preferred:
             return None
-        usual_ms = self.get_latency(kind.id).usual_ms
         self._turn += 1
         context = ChoiceContext(
             now_ms=now_ms,
--- a/testing/balancer/test_decisions.py
+++ b/testing/balancer/test_decisions.py
@@ -100,8 +100,8 @@
     def test_the_weight_of_a_report_falls_with_its_age(self) -> None:
         load = _load()
         note_report(load, LoadReport(in_flight=6, slots=3, state="serving"), now_ms=0)
-        fresh = estimate_in_flight(load, 0)
-        stale = estimate_in_flight(load, 1_000)
+        fresh = estimate_in_flight(load, 0, usual_ms=10)
+        stale = estimate_in_flight(load, 1_000, usual_ms=10)
         assert fresh == 6
         assert stale == pytest.approx(load.others_usual, abs=0.01)
 
@@ -109,7 +109,7 @@
         load = _load()
         note_start(load, token=1, now_ms=0, usual_ms=10)
         note_report(load, LoadReport(in_flight=1, slots=3, state="serving"), now_ms=0)
-        assert estimate_in_flight(load, 0) == 1
+        assert estimate_in_flight(load, 0, usual_ms=10) == 1
 
     def test_a_shed_lowers_the_limit_and_pauses(self) -> None:
         load = _load()
--- /dev/null
+++ b/testing/control/register_model.py
@@ -0,0 +1,316 @@
+"""A small specification of the replicated register, checked exhaustively by ``minicheck``.
+
+Steps have the names of the functions that they stand for: ``prepare`` and ``accept`` of an
+acceptor, ``submit_manifest``, ``replace_replica`` and ``read`` of a proposer. Each round is a
+proposer of its own with its own ballot: a step may come at any time after the one before it, or
+never, so late, lost and repeated messages and proposers that stop are all covered. A round that
+knows only the first replica set stands for the most outdated proposer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+# What the first and the second replica set consist of; replica 2 is replaced by replica 3.
+REPLICA_SETS = ((0, 1, 2), (0, 1, 3))
+ACCEPTOR_COUNT = 4
+
+RULES = frozenset(
+    (
+        "promise-blocks-lower-ballots",
+        "promise-is-durable",
+        "adopt-newest-accepted",
+        "majority-promises",
+        "majority-accepts",
+        "majorities-of-both-sets",
+        "finish-newer-set",
+        "key-of-lost-disk-does-not-vote",
+        "resend-by-history",
+        "lower-version-refused",
+    )
+)
+
+
+class State(NamedTuple):
+    """The replicated value: which replica set, and the accepted versions with their content."""
+
+    epoch: int
+    history: tuple[tuple[int, str], ...]
+
+
+EMPTY = State(0, ())
+
+
+class Acceptor(NamedTuple):
+    """``key`` counts lost disks; ``accepted`` is a ballot, 0 for none."""
+
+    key: int
+    promised: int
+    accepted: int
+    state: State
+
+
+class Round(NamedTuple):
+    """One proposer. ``phase`` is idle, prepare, accept, done or given-up.
+
+    ``must_hold`` is what had been answered as accepted when the round began.
+    """
+
+    phase: str
+    promises: frozenset[tuple[int, Acceptor]]
+    sets: tuple[int, ...]
+    value: State
+    accepts: frozenset[int]
+    answer: str
+    must_hold: State
+
+
+class Operation(NamedTuple):
+    """What a round is for: submit a version with a content, replace a replica, or read."""
+
+    name: str
+    version: int = 0
+    content: str = ""
+
+
+IDLE = Round("idle", frozenset(), (0,), EMPTY, frozenset(), "", EMPTY)
+
+
+def make_model(
+    operations: tuple[Operation, ...],
+    *,
+    losses: int = 0,
+    restarts: int = 0,
+    lose_after: int | None = None,
+    without: str | None = None,
+) -> Protocol:
+    """Return the model of some rounds, ``losses`` lost disks and ``restarts`` of acceptors.
+
+    ``lose_after`` names a round that is done before a disk is lost. ``without`` names a rule that
+    is left out, to see that the check notices.
+    """
+    assert without is None or without in RULES, without
+    rules = RULES - {without}
+    steps = _Steps(operations, rules, lose_after)
+    initial = (
+        tuple(Acceptor(0, 0, 0, EMPTY) for _ in range(ACCEPTOR_COUNT)),
+        tuple(IDLE for _ in operations),
+        losses,
+        restarts,
+    )
+    return Protocol(
+        name="replicated register",
+        candidate=False,
+        fields=("acceptors", "rounds", "losses", "restarts"),
+        initial=initial,
+        transitions=steps.list_steps,
+        invariants={
+            "one content for each version": lambda d: _has_one_content(operations, d["rounds"]),
+            "what was accepted is kept": lambda d: _keeps_accepted(d["rounds"]),
+            "versions only grow": lambda d: _only_grows(d["rounds"]),
+            "a resend gets the same answer": lambda d: _answers_alike(operations, d["rounds"]),
+        },
+    )
+
+
+class _Steps:
+    """All steps that are possible in a state of the model."""
+
+    def __init__(
+        self, operations: tuple[Operation, ...], rules: frozenset[str], lose_after: int | None
+    ) -> None:
+        self._operations = operations
+        self._rules = rules
+        self._lose_after = lose_after
+
+    def list_steps(self, state: tuple) -> list[tuple[str, tuple]]:  # type: ignore[type-arg]
+        acceptors, rounds, losses, restarts = state
+        steps: list[tuple[str, tuple]] = []  # type: ignore[type-arg]
+        for number in range(len(rounds)):
+            for label, new_acceptors, new_round in self._advance(acceptors, rounds, number):
+                new_rounds = rounds[:number] + (new_round,) + rounds[number + 1 :]
+                steps.append((label, (new_acceptors, new_rounds, losses, restarts)))
+        can_lose = self._lose_after is None or rounds[self._lose_after].phase == "done"
+        if losses and can_lose:
+            steps.extend(self._lose_disk(state))
+        if restarts:
+            steps.extend(self._restart(state))
+        return steps
+
+    def _advance(
+        self, acceptors: tuple[Acceptor, ...], rounds: tuple[Round, ...], number: int
+    ) -> Iterator[tuple[str, tuple[Acceptor, ...], Round]]:
+        current = rounds[number]
+        if current.phase == "idle":
+            yield f"start {number}", acceptors, current._replace(
+                phase="prepare", must_hold=_get_answered(rounds)
+            )
+        elif current.phase == "prepare":
+            yield from self._prepare(acceptors, current, number)
+        elif current.phase == "accept":
+            yield from self._accept(acceptors, current, number)
+
+    def _prepare(
+        self, acceptors: tuple[Acceptor, ...], current: Round, number: int
+    ) -> Iterator[tuple[str, tuple[Acceptor, ...], Round]]:
+        ballot = number + 1
+        heard = {index for index, _ in current.promises}
+        for index in _members(current.sets) - heard:
+            acceptor = acceptors[index]
+            if ballot <= acceptor.promised:
+                continue
+            promised = acceptor._replace(promised=ballot)
+            new_round = current._replace(promises=current.promises | {(index, acceptor)})
+            yield (
+                f"prepare {number} at {index}",
+                _replace(acceptors, index, promised),
+                self._after_promise(new_round, number),
+            )
+
+    def _after_promise(self, current: Round, number: int) -> Round:
+        voters = {i: a.key for i, a in current.promises}
+        if not self._is_enough(voters, current.sets, "majority-promises"):
+            return current
+        newest = self._find_newest(current)
+        if newest.epoch > max(current.sets) and "finish-newer-set" in self._rules:
+            # A change of the replica set may be half done: win its majority as well.
+            return self._after_promise(current._replace(sets=(*current.sets, newest.epoch)), number)
+        sets = current.sets if len(current.sets) > 1 else (newest.epoch,)
+        return self._apply(current._replace(sets=sets), newest, number)
+
+    def _apply(self, current: Round, newest: State, number: int) -> Round:
+        operation = self._operations[number]
+        if operation.name == "submit_manifest":
+            value, answer = self._submit_manifest(newest, operation)
+        elif operation.name == "replace_replica":
+            value, answer = State(1, newest.history), "replaced"
+        else:
+            value, answer = newest, "read"
+        sets = current.sets
+        if value.epoch not in sets:
+            both = "majorities-of-both-sets" in self._rules
+            sets = (*sets, value.epoch) if both else (value.epoch,)
+        return current._replace(phase="accept", value=value, answer=answer, sets=sets)
+
+    def _submit_manifest(self, state: State, operation: Operation) -> tuple[State, str]:
+        is_recent = "resend-by-history" in self._rules
+        remembered = state.history if is_recent else state.history[-1:]
+        known = dict(remembered).get(operation.version)
+        if known is not None:
+            return state, "accepted" if known == operation.content else "conflict"
+        is_lower = bool(state.history) and operation.version < state.history[-1][0]
+        if is_lower and "lower-version-refused" in self._rules:
+            return state, "older"
+        entry = (operation.version, operation.content)
+        return State(state.epoch, (*state.history, entry)), "accepted"
+
+    def _accept(
+        self, acceptors: tuple[Acceptor, ...], current: Round, number: int
+    ) -> Iterator[tuple[str, tuple[Acceptor, ...], Round]]:
+        ballot = number + 1
+        for index in _members(current.sets) - current.accepts:
+            acceptor = acceptors[index]
+            if ballot < acceptor.promised and "promise-blocks-lower-ballots" in self._rules:
+                continue
+            accepted = Acceptor(acceptor.key, max(ballot, acceptor.promised), ballot, current.value)
+            new_round = current._replace(accepts=current.accepts | {index})
+            # A vote counts by the key that the acceptor has when it accepts.
+            voters = {i: acceptors[i].key for i in new_round.accepts}
+            if self._is_enough(voters, current.sets, "majority-accepts"):
+                new_round = new_round._replace(phase="done", promises=frozenset())
+            yield f"accept {number} at {index}", _replace(acceptors, index, accepted), new_round
+
+    def _is_enough(self, key_by_voter: dict[int, int], sets: tuple[int, ...], rule: str) -> bool:
+        checks_keys = "key-of-lost-disk-does-not-vote" in self._rules
+        valid = {i for i, key in key_by_voter.items() if key == 0 or not checks_keys}
+        needed = 2 if rule in self._rules else 1
+        return all(len(valid & set(REPLICA_SETS[epoch])) >= needed for epoch in sets)
+
+    def _find_newest(self, current: Round) -> State:
+        if "adopt-newest-accepted" not in self._rules:
+            return EMPTY
+        _, newest = max(current.promises, key=lambda promise: promise[1].accepted)
+        return newest.state
+
+    def _lose_disk(self, state: tuple) -> Iterator[tuple[str, tuple]]:  # type: ignore[type-arg]
+        acceptors, rounds, losses, restarts = state
+        for index, acceptor in enumerate(acceptors):
+            if acceptor.promised or acceptor.accepted:
+                blank = Acceptor(acceptor.key + 1, 0, 0, EMPTY)
+                yield (
+                    f"lose disk {index}",
+                    (_replace(acceptors, index, blank), rounds, losses - 1, restarts),
+                )
+
+    def _restart(self, state: tuple) -> Iterator[tuple[str, tuple]]:  # type: ignore[type-arg]
+        acceptors, rounds, losses, restarts = state
+        if "promise-is-durable" in self._rules:
+            # A restart reads back what was there: no change.
+            return
+        for index, acceptor in enumerate(acceptors):
+            if acceptor.promised > acceptor.accepted:
+                forgot = acceptor._replace(promised=acceptor.accepted)
+                yield (
+                    f"restart {index}",
+                    (_replace(acceptors, index, forgot), rounds, losses, restarts - 1),
+                )
+
+
+def _members(sets: tuple[int, ...]) -> set[int]:
+    return {index for epoch in sets for index in REPLICA_SETS[epoch]}
+
+
+def _replace(
+    acceptors: tuple[Acceptor, ...], index: int, acceptor: Acceptor
+) -> tuple[Acceptor, ...]:
+    return acceptors[:index] + (acceptor,) + acceptors[index + 1 :]
+
+
+def _get_answered(rounds: tuple[Round, ...]) -> State:
+    """Return the longest history, and the newest set, that some operator was told of."""
+    done = [current.value for current in rounds if current.phase == "done"]
+    epoch = max((value.epoch for value in done), default=0)
+    return State(epoch, max((value.history for value in done), key=len, default=()))
+
+
+def _has_one_content(operations: tuple[Operation, ...], rounds: tuple[Round, ...]) -> bool:
+    contents: dict[int, str] = {}
+    for operation, current in zip(operations, rounds, strict=True):
+        if current.phase == "done" and current.answer == "accepted":
+            if contents.setdefault(operation.version, operation.content) != operation.content:
+                return False
+    return True
+
+
+def _keeps_accepted(rounds: tuple[Round, ...]) -> bool:
+    """Every round that was answered holds all that was answered before it began."""
+    return all(
+        current.value.history[: len(current.must_hold.history)] == current.must_hold.history
+        and current.value.epoch >= current.must_hold.epoch
+        for current in rounds
+        if current.phase == "done"
+    )
+
+
+def _only_grows(rounds: tuple[Round, ...]) -> bool:
+    for current in rounds:
+        versions = [version for version, _ in current.value.history]
+        if current.phase == "done" and versions != sorted(set(versions)):
+            return False
+    return True
+
+
+def _answers_alike(operations: tuple[Operation, ...], rounds: tuple[Round, ...]) -> bool:
+    """A submission that was answered as accepted is answered so again."""
+    for first, earlier in zip(operations, rounds, strict=True):
+        for second, later in zip(operations, rounds, strict=True):
+            is_resend = first == second and first.name == "submit_manifest"
+            if not is_resend or earlier.answer != "accepted" or earlier.phase != "done":
+                continue
+            was_told = (first.version, first.content) in later.must_hold.history
+            if later.phase == "done" and was_told and later.answer != "accepted":
+                return False
+    return True
