Replace control replicas, by order and on their own

Cause: a lost replica could not be replaced, so a second loss would have ended acceptance for good.

Change: replace_replica changes the replica set with majorities of the old and of the new set; the new one's vote is that it has synced the whole state. A replica that came back with another data folder is admitted again, one that stays silent gives its place to a spare, both after a grace time, or by an order (coltsfootrill replicas replace). Entry instances follow the set.

Found by the new tests: (1) an order to replace c by b, which votes already, was answered as done; (2) after a repair and a second loss, a restarted replica knew the first set only, of which one was left, and could decide nothing although two of three voted. It must not trust just any set it holds: a set counts as chosen only if the state was proposed by someone who knew that, so the state now tells its settled epoch and an order ends with a round that settles it.

--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -37,7 +37,9 @@
 settings_app = App(name="settings", help="Work with settings files.")
 manifest_app = App(name="manifest", help="Check, submit and follow manifests.")
 app.command(settings_app)
+replicas_app = App(name="replicas", help="Replace control replicas.")
 app.command(manifest_app)
+app.command(replicas_app)
 
 At = Annotated[str, Parameter(help="An operators' address, ip:port.")]
 Ats = Annotated[list[str], Parameter(help="Operators' addresses, ip:port, one or more times.")]
@@ -116,6 +118,22 @@
     )
 
 
+@replicas_app.command(name="replace")
+def replace_replica(
+    *,
+    old: Annotated[str, Parameter(help="Identifier of the replica that goes.")],
+    new: Annotated[str, Parameter(help="Identifier of the one that comes; may be the same.")],
+    address: Annotated[str, Parameter(help="Address of the one that comes, ip:port.")],
+    at: Ats,
+    token_file: TokenFile,
+    operator: Operator = None,
+    json: AsJson = False,
+) -> int:
+    """Replace a control replica, or admit one again that lost its disk."""
+    clients = _make_clients(at, token_file, operator)
+    return commands.replace_replica(clients, old=old, new=new, address=address, as_json=json)
+
+
 @app.command
 def upstreams(*, at: Ats, token_file: TokenFile, json: AsJson = False) -> int:
     """List upstreams and what the named entry instances have in flight there.
--- a/src/coltsfootrill/control/acceptor.py
+++ b/src/coltsfootrill/control/acceptor.py
@@ -59,11 +59,19 @@
         acceptor = cls(folder, files=files)
         try:
             folder.mkdir(parents=True, exist_ok=True)
-            acceptor._load()
-        except (DamagedFileError, StorageError, OSError, msgspec.MsgspecError) as error:
-            acceptor.fault = f"{error}; move the folder away and admit this replica again"
+        except OSError as error:
+            acceptor.fault = f"cannot use {folder}: {error}"
+            return acceptor
+        acceptor.load()
         return acceptor
 
+    def load(self) -> None:
+        """Read the state back; what is damaged becomes the ``fault``."""
+        try:
+            self._load()
+        except (DamagedFileError, StorageError, msgspec.MsgspecError) as error:
+            self.fault = f"{error}; move the folder away and admit this replica again"
+
     def prepare(self, request: Prepare) -> Promise:
         """Promise a ballot unless a higher one was promised; raise ``CannotVoteError``."""
         with self._lock:
@@ -94,6 +102,11 @@
             state = None if self._accepted == request.known else self._state
             return Inspection(self.key, self._accepted, state)
 
+    def get_state(self) -> ControlState | None:
+        """Return the state accepted last, which a majority may or may not hold."""
+        with self._lock:
+            return self._state
+
     def _check_able(self) -> None:
         if self.fault is not None:
             raise CannotVoteError(self.fault)
--- a/src/coltsfootrill/control/follower.py
+++ b/src/coltsfootrill/control/follower.py
@@ -40,7 +40,10 @@
         credentials: grpc.ChannelCredentials | None = None,
     ) -> None:
         self._instance_id = instance_id
-        self._clients = [RpcClient(address, credentials=credentials) for address in addresses]
+        self._first_addresses = addresses
+        self._addresses = addresses
+        self._credentials = credentials
+        self._clients: dict[str, RpcClient] = {}
         self._get_version = get_version
         self._adopt = adopt
         self._random = random
@@ -49,11 +52,12 @@
 
     def run(self) -> None:
         """Poll until ``stop``."""
-        turn = self._random.randrange(len(self._clients))
+        turn = self._random.randrange(len(self._addresses))
         while not self._stopping.is_set():
             is_started = self._get_version() > 0
-            if not self._poll(self._clients[turn], must_be_fresh=not is_started):
-                turn = (turn + 1) % len(self._clients)
+            address = self._addresses[turn % len(self._addresses)]
+            if not self._poll(self._get_client(address), must_be_fresh=not is_started):
+                turn += 1
             pause_ms = POLL_MS if self._get_version() > 0 else START_POLL_MS
             # The random part keeps many instances from polling at the same moment.
             self._stopping.wait(pause_ms * (0.75 + self._random.random() / 2) / 1000)
@@ -70,6 +74,24 @@
             self._metrics.control_reads.labels("failed").inc()
             return False
         self._metrics.control_reads.labels("current" if reply.is_current else "isolated").inc()
+        if reply.is_current:
+            self._follow_replicas(reply.replicas)
         if reply.is_current and reply.manifest:
             self._adopt(reply.manifest)
         return reply.is_current
+
+    def _follow_replicas(self, addresses: list[str]) -> None:
+        """Ask the replicas that vote now, and after them those of the settings."""
+        wanted = list(dict.fromkeys([*addresses, *self._first_addresses]))
+        if set(wanted) == set(self._addresses):
+            return
+        self._addresses = wanted
+        for address in [known for known in self._clients if known not in wanted]:
+            self._clients.pop(address).close()
+
+    def _get_client(self, address: str) -> RpcClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = RpcClient(address, credentials=self._credentials)
+            self._clients[address] = client
+        return client
--- a/src/coltsfootrill/control/messages.py
+++ b/src/coltsfootrill/control/messages.py
@@ -50,11 +50,14 @@
 class ControlState(msgspec.Struct, frozen=True, array_like=True):
     """The one replicated value: all that the control replicas must agree on.
 
-    ``replicas`` maps identifiers to the voting replicas of ``epoch``. ``history`` and ``audit``
-    hold the newest entries only; ``audit_count`` counts all audit records ever made.
+    ``replicas`` maps identifiers to the voting replicas of ``epoch``. ``settled_epoch`` is the
+    epoch that was known to be chosen when this state was proposed: where it equals ``epoch``,
+    the replica set may be trusted without asking the one before. ``history`` and ``audit`` hold
+    the newest entries only; ``audit_count`` counts all audit records ever made.
     """
 
     epoch: int
+    settled_epoch: int
     replicas: dict[str, Replica]
     version: int
     digest: str
@@ -73,7 +76,10 @@
 
 
 class Prepare(msgspec.Struct, frozen=True, array_like=True):
-    """Asks an acceptor to promise ``ballot`` and to tell what it accepted."""
+    """Asks an acceptor to promise ``ballot`` and to tell what it accepted.
+
+    ``epoch`` is that of the replica set that the sender knows.
+    """
 
     epoch: int
     ballot: Ballot
@@ -134,8 +140,12 @@
 
 
 class ReadReply(msgspec.Struct, frozen=True, array_like=True):
-    """``is_current`` tells that a majority confirmed it; ``manifest`` is empty if not newer."""
+    """``is_current`` tells that a majority confirmed it; ``manifest`` is empty if not newer.
+
+    ``replicas`` are the addresses of the replicas that vote now.
+    """
 
     is_current: bool
     version: int
     manifest: bytes
+    replicas: list[str]
--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -18,6 +18,8 @@
 from typing import Generic
 from typing import TypeVar
 
+import msgspec
+
 from coltsfootrill.clock import Clock
 from coltsfootrill.control.messages import ZERO_BALLOT
 from coltsfootrill.control.messages import Accept
@@ -110,6 +112,11 @@
         self.known = initial
         self._known_ballot = ZERO_BALLOT
 
+    @property
+    def known_ballot(self) -> Ballot:
+        """Return the ballot under which ``known`` was accepted, zero before that is known."""
+        return self._known_ballot
+
     def change(
         self,
         apply: Callable[[ControlState], tuple[ControlState, Result]],
@@ -128,6 +135,7 @@
             if prepared is not None:
                 ballot, state, replica_sets = prepared
                 new_state, result = apply(state)
+                new_state = msgspec.structs.replace(new_state, settled_epoch=self.known.epoch)
                 if self._is_complete(new_state):
                     if self._accept(ballot, new_state, replica_sets):
                         self.known = new_state
@@ -139,6 +147,20 @@
             raise UnknownResultError("no majority confirmed the change in time; send it again")
         raise NoQuorumError("no majority of the control replicas answered; nothing was changed")
 
+    def settle(self, *, deadline_ms: float) -> None:
+        """Make a changed replica set known to be chosen, so that a restart needs only that set.
+
+        Raises as ``change`` does.
+        """
+        if self.known.settled_epoch < self.known.epoch:
+            self.change(lambda state: (state, None), deadline_ms=deadline_ms)
+
+    def trust(self, state: ControlState) -> None:
+        """Take in the replica set of a state that some acceptor holds, if it is settled."""
+        if state.settled_epoch == state.epoch and state.epoch > self.known.epoch:
+            self.known = state
+            self._known_ballot = ZERO_BALLOT
+
     def read(self, *, deadline_ms: float) -> ControlState:
         """Return the current state as a majority confirms it; raise ``NoQuorumError``."""
         if self._confirm():
@@ -244,7 +266,7 @@
             replica_id: _with_key(replica, votes.by_address.get(replica.address))
             for replica_id, replica in state.replicas.items()
         }
-        return replace_state(state, replicas=replicas)
+        return msgspec.structs.replace(state, replicas=replicas)
 
     def _is_complete(self, state: ControlState) -> bool:
         """Return whether every replica's key is known, as the first change needs."""
@@ -313,22 +335,3 @@
     if replica.key or promise is None:
         return replica
     return Replica(replica.address, promise.key)
-
-
-def replace_state(
-    state: ControlState,
-    *,
-    epoch: int | None = None,
-    replicas: dict[str, Replica] | None = None,
-) -> ControlState:
-    """Return ``state`` with another replica set."""
-    return ControlState(
-        state.epoch if epoch is None else epoch,
-        state.replicas if replicas is None else replicas,
-        state.version,
-        state.digest,
-        state.manifest,
-        state.history,
-        state.audit,
-        state.audit_count,
-    )
--- /dev/null
+++ b/src/coltsfootrill/control/repair.py
@@ -0,0 +1,94 @@
+"""Repair without an operator: a replica that stays lost is replaced after a grace time."""
+
+from __future__ import annotations
+
+import threading
+from random import Random
+
+from absl import logging
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.control.messages import ControlState
+from coltsfootrill.control.replacement import FaultKind
+from coltsfootrill.control.replica import ControlReplica
+from coltsfootrill.errors import ColtsfootrillError
+
+CHECK_MS = 1_000.0
+OPERATOR = "repair"
+
+
+class RepairTask:
+    """Watches the voting replicas from one of them.
+
+    A replica that lost its disk and came back is admitted again in its own place; one that stays
+    silent gives its place to a spare that answers. Every voting replica does this: the order is
+    safe to repeat, and the loser of a race finds the work done.
+    """
+
+    def __init__(
+        self,
+        replica: ControlReplica,
+        *,
+        spares: dict[str, str],
+        grace_ms: float,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._replica = replica
+        self._spares = spares
+        self._grace_ms = grace_ms
+        self._clock = clock
+        self._random = random
+        self._faulty_since_ms: dict[str, float] = {}
+        self._stopping = threading.Event()
+
+    def run(self) -> None:
+        """Check until ``stop``."""
+        while not self._stopping.wait(CHECK_MS * (0.5 + self._random.random()) / 1000):
+            try:
+                self._check()
+            except ColtsfootrillError as error:
+                # Without a majority nothing can be repaired; the next check tries again.
+                logging.log_every_n_seconds(
+                    logging.WARNING, 'replicas not checked error="%s"', 60, error
+                )
+
+    def stop(self) -> None:
+        """Stop checking."""
+        self._stopping.set()
+
+    def _check(self) -> None:
+        state = self._replica.read()
+        if state.audit_count == 0 or not self._replica.is_member(state):
+            return
+        faults = self._replica.find_faulty(state)
+        now_ms = self._clock.now_ms()
+        self._faulty_since_ms = {
+            replica_id: self._faulty_since_ms.get(replica_id, now_ms) for replica_id in faults
+        }
+        for replica_id, fault in faults.items():
+            if now_ms - self._faulty_since_ms[replica_id] >= self._grace_ms:
+                self._repair(state, replica_id, fault)
+
+    def _repair(self, state: ControlState, replica_id: str, fault: FaultKind) -> None:
+        new_id, address = replica_id, state.replicas[replica_id].address
+        if fault == "silent":
+            spare_id = self._find_spare(state)
+            if spare_id is None:
+                return
+            new_id, address = spare_id, self._spares[spare_id]
+        answer = self._replica.replace_replica(replica_id, new_id, address, operator=OPERATOR)
+        logging.warning(
+            'replica replaced old="%s" new="%s" fault="%s" result="%s"',
+            replica_id,
+            new_id,
+            fault,
+            answer.message,
+        )
+
+    def _find_spare(self, state: ControlState) -> str | None:
+        for spare_id, address in self._spares.items():
+            is_taken = any(replica.address == address for replica in state.replicas.values())
+            if not is_taken and self._replica.answers(address):
+                return spare_id
+        return None
--- /dev/null
+++ b/src/coltsfootrill/control/replacement.py
@@ -0,0 +1,110 @@
+"""What the replacement of a voting replica does to the control state."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from coltsfootrill.control.messages import AuditRecord
+from coltsfootrill.control.messages import ControlState
+from coltsfootrill.control.messages import Replica
+from coltsfootrill.control.submission import append_audit
+from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.manifest.model import Identifier
+from coltsfootrill.registry.announcement import InvalidAnnouncementError
+from coltsfootrill.registry.announcement import split_address
+
+FaultKind = Literal["silent", "lost-state"]
+ReplaceResult = Literal["replaced", "refused"]
+
+
+class RepairError(ColtsfootrillError):
+    """A replica cannot be replaced as asked."""
+
+
+class ReplaceOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An operator's order: the replica that goes, and the one that comes with its address."""
+
+    old: Identifier
+    new: Identifier
+    address: str
+
+
+class ReplicaChange:
+    """A replacement; ``key`` is the identity of the new replica's data folder."""
+
+    __slots__ = ("address", "key", "new_id", "old_id", "operator")
+
+    def __init__(self, *, old_id: str, new_id: str, address: str, key: str, operator: str) -> None:
+        self.old_id = old_id
+        self.new_id = new_id
+        self.address = address
+        self.key = key
+        self.operator = operator
+
+
+class ReplaceAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to an order."""
+
+    result: ReplaceResult
+    epoch: int
+    message: str
+
+
+def decode_replace_order(raw: bytes) -> ReplaceOrder:
+    """Return the order in ``raw`` or raise ``RepairError``."""
+    try:
+        order = msgspec.json.decode(raw, type=ReplaceOrder)
+        split_address(order.address)
+    except (msgspec.MsgspecError, UnicodeDecodeError, InvalidAnnouncementError) as error:
+        raise RepairError(str(error)) from error
+    return order
+
+
+def replace_replica(
+    state: ControlState, change: ReplicaChange, *, wall_ms: int
+) -> tuple[ControlState, ReplaceAnswer]:
+    """Return the state with one replica replaced, and the answer.
+
+    A repeated order finds its work done and gets the same answer.
+    """
+    wanted = Replica(change.address, change.key)
+    is_gone = change.old_id == change.new_id or change.old_id not in state.replicas
+    if is_gone and state.replicas.get(change.new_id) == wanted:
+        return state, _answer("replaced", state, f"{change.new_id} votes in epoch {state.epoch}")
+    if change.old_id not in state.replicas:
+        message = f"{change.old_id!r} does not vote; voting: {', '.join(state.replicas)}"
+        return state, _answer("refused", state, message)
+    if change.new_id != change.old_id and change.new_id in state.replicas:
+        return state, _answer("refused", state, f"{change.new_id!r} votes already")
+    others = {
+        replica_id: replica
+        for replica_id, replica in state.replicas.items()
+        if replica_id != change.old_id
+    }
+    if any(replica.address == change.address for replica in others.values()):
+        return state, _answer("refused", state, f"{change.address} is taken by another replica")
+    replicas = dict(sorted((others | {change.new_id: wanted}).items()))
+    new_state = msgspec.structs.replace(state, epoch=state.epoch + 1, replicas=replicas)
+    record = AuditRecord(
+        state.audit_count + 1,
+        wall_ms,
+        change.operator,
+        "replace-replica",
+        _describe(change.old_id, state.replicas[change.old_id]),
+        _describe(change.new_id, wanted),
+        f"epoch {new_state.epoch}",
+    )
+    new_state = append_audit(new_state, record)
+    return new_state, _answer(
+        "replaced", new_state, f"{change.new_id} votes in epoch {new_state.epoch}"
+    )
+
+
+def _describe(replica_id: str, replica: Replica) -> str:
+    return f"{replica_id}={replica.address} key {replica.key}"
+
+
+def _answer(result: ReplaceResult, state: ControlState, message: str) -> ReplaceAnswer:
+    return ReplaceAnswer(result=result, epoch=state.epoch, message=message)
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -11,6 +11,7 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.messages import ZERO_BALLOT
 from coltsfootrill.control.messages import Accept
 from coltsfootrill.control.messages import Accepted
 from coltsfootrill.control.messages import ControlState
@@ -25,9 +26,15 @@
 from coltsfootrill.control.proposer import NoQuorumError
 from coltsfootrill.control.proposer import PeerCalls
 from coltsfootrill.control.proposer import Register
+from coltsfootrill.control.replacement import FaultKind
+from coltsfootrill.control.replacement import RepairError
+from coltsfootrill.control.replacement import ReplaceAnswer
+from coltsfootrill.control.replacement import ReplicaChange
+from coltsfootrill.control.replacement import replace_replica
 from coltsfootrill.control.submission import SubmitAnswer
 from coltsfootrill.control.submission import refuse_invalid
 from coltsfootrill.control.submission import submit_manifest
+from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.manifest.codec import InvalidManifestError
 from coltsfootrill.manifest.codec import digest_manifest
 from coltsfootrill.manifest.table import RoutingTable
@@ -118,6 +125,7 @@
             self._record_invalid(digest, operator, wall_ms, deadline_ms)
             raise
         with self._register_lock:
+            self._trust_settled_sets()
             return self._register.change(
                 lambda state: submit_manifest(
                     state,
@@ -130,9 +138,63 @@
                 deadline_ms=deadline_ms,
             )
 
+    def replace_replica(
+        self, old_id: str, new_id: str, address: str, *, operator: str
+    ) -> ReplaceAnswer:
+        """Replace a voting replica, or admit it again after it lost its disk.
+
+        The new one counts only once it has synced the whole state: its vote is that it has.
+        Raises ``RepairError`` when it does not answer, ``NoQuorumError`` and
+        ``UnknownResultError`` as ``submit`` does.
+        """
+        try:
+            inspection = self._call_inspect(address, Inspect(self.id, ZERO_BALLOT))
+        except ColtsfootrillError as error:
+            raise RepairError(f"the new replica does not answer: {error}") from error
+        change = ReplicaChange(
+            old_id=old_id, new_id=new_id, address=address, key=inspection.key, operator=operator
+        )
+        wall_ms = self._clock.wall_ms()
+        deadline_ms = self._clock.now_ms() + SUBMIT_TIMEOUT_MS
+        with self._register_lock:
+            answer = self._register.change(
+                lambda state: replace_replica(state, change, wall_ms=wall_ms),
+                deadline_ms=deadline_ms,
+            )
+            self._register.settle(deadline_ms=deadline_ms)
+            return answer
+
+    def find_faulty(self, state: ControlState) -> dict[str, FaultKind]:
+        """Return the voting replicas that do not answer, or lost their state, with the fault."""
+        faults: dict[str, FaultKind] = {}
+        request = Inspect(self.id, self._register.known_ballot)
+        for replica_id, replica in state.replicas.items():
+            try:
+                inspection = self._call_inspect(replica.address, request)
+            except ColtsfootrillError:
+                faults[replica_id] = "silent"
+                continue
+            if replica.key not in ("", inspection.key):
+                faults[replica_id] = "lost-state"
+        return faults
+
+    def answers(self, address: str) -> bool:
+        """Return whether the replica at an address is able to vote."""
+        try:
+            self._call_inspect(address, Inspect(self.id, ZERO_BALLOT))
+        except ColtsfootrillError:
+            return False
+        return True
+
+    def is_member(self, state: ControlState) -> bool:
+        """Return whether this replica votes in the replica set of ``state``."""
+        replica = state.replicas.get(self.id)
+        return replica is not None and replica.key in ("", self.acceptor.key)
+
     def read(self) -> ControlState:
         """Return the state a majority holds now; raise ``NoQuorumError`` when isolated."""
         with self._register_lock:
+            self._trust_settled_sets()
             state = self._register.read(deadline_ms=self._clock.now_ms() + READ_TIMEOUT_MS)
             self._confirmed_at_ms = self._clock.now_ms()
             return state
@@ -142,9 +204,30 @@
         try:
             state = self.read() if request.must_be_fresh else self._read_recent()
         except NoQuorumError:
-            return ReadReply(False, 0, b"")
+            return ReadReply(False, 0, b"", [])
         manifest = state.manifest if state.version > request.known_version else b""
-        return ReadReply(True, state.version, manifest)
+        addresses = [replica.address for replica in state.replicas.values()]
+        return ReadReply(True, state.version, manifest, addresses)
+
+    def _trust_settled_sets(self) -> None:
+        """After a restart, learn the replica set from this replica's disk and those it names.
+
+        The settings name the first set only, of which too few may be left.
+        """
+        own = self.acceptor.get_state()
+        if own is None or own.epoch <= self._register.known.epoch:
+            return
+        self._register.trust(own)
+        request = Inspect(self.id, ZERO_BALLOT)
+        for replica in own.replicas.values():
+            if self._register.known.epoch >= own.epoch:
+                return
+            try:
+                inspection = self._call_inspect(replica.address, request)
+            except ColtsfootrillError:
+                continue
+            if inspection.state is not None:
+                self._register.trust(inspection.state)
 
     def _read_recent(self) -> ControlState:
         with self._register_lock:
@@ -189,4 +272,4 @@
 
 def _make_initial_state(replicas: Mapping[str, str]) -> ControlState:
     members = {replica_id: Replica(address, "") for replica_id, address in replicas.items()}
-    return ControlState(1, members, 0, "", b"", [], [], 0)
+    return ControlState(1, 1, members, 0, "", b"", [], [], 0)
--- a/src/coltsfootrill/control/submission.py
+++ b/src/coltsfootrill/control/submission.py
@@ -50,17 +50,10 @@
         message = f"version {state.version} is in force; submit a higher version"
         answer = _answer("older", state.version, state.digest, message)
         return _audit(state, operator, wall_ms, digest, "older version"), answer
-    accepted = _audit(state, operator, wall_ms, digest, "accepted")
+    audited = _audit(state, operator, wall_ms, digest, "accepted")
     history = [*state.history, AcceptedVersion(version, digest, wall_ms)][-HISTORY_MAX_COUNT:]
-    new_state = ControlState(
-        state.epoch,
-        state.replicas,
-        version,
-        digest,
-        manifest,
-        history,
-        accepted.audit,
-        accepted.audit_count,
+    new_state = msgspec.structs.replace(
+        audited, version=version, digest=digest, manifest=manifest, history=history
     )
     return new_state, _answer("accepted", version, digest, "accepted by a majority")
 
@@ -74,15 +67,10 @@
 
 def append_audit(state: ControlState, record: AuditRecord) -> ControlState:
     """Return the state with one more audit record; only the newest are kept."""
-    return ControlState(
-        state.epoch,
-        state.replicas,
-        state.version,
-        state.digest,
-        state.manifest,
-        state.history,
-        [*state.audit, record][-AUDIT_MAX_COUNT:],
-        state.audit_count + 1,
+    return msgspec.structs.replace(
+        state,
+        audit=[*state.audit, record][-AUDIT_MAX_COUNT:],
+        audit_count=state.audit_count + 1,
     )
 
 
--- a/src/coltsfootrill/operators/commands.py
+++ b/src/coltsfootrill/operators/commands.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import time
 from collections.abc import Iterator
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -65,32 +67,55 @@
 
 def submit_manifest(file: Path, clients: list[OperatorClient], *, as_json: bool) -> int:
     """Submit a manifest to the first control replica that can decide on it."""
-    raw = _read(file)
+    reply = _call_until_decided(clients, "/manifest", _read(file))
+    if isinstance(reply, ExitCode):
+        return reply
+    return _print_submitted(reply, as_json=as_json)
+
+
+def replace_replica(
+    clients: list[OperatorClient], *, old: str, new: str, address: str, as_json: bool
+) -> int:
+    """Replace a control replica."""
+    order = {"old": old, "new": new, "address": str(parse_at(address))}
+    reply = _call_until_decided(clients, "/replicas", json.dumps(order).encode())
+    if isinstance(reply, ExitCode):
+        return reply
+    is_done = reply.status == HTTPStatus.OK
+    if as_json:
+        print_json(reply.body)
+    elif is_done:
+        print(f"replaced: {reply.body['message']}")
+    else:
+        print_error(_describe_refusal(reply.body))
+    return ExitCode.DONE if is_done else ExitCode.REFUSED
+
+
+def _call_until_decided(
+    clients: list[OperatorClient], path: str, body: bytes
+) -> CallReply | ExitCode:
+    """Post to one replica after another until one decides; the call is safe to repeat."""
     code = ExitCode.NO_ANSWER
     for client in clients:
         try:
-            reply = client.call("POST", "/manifest", raw)
+            reply = client.call("POST", path, body)
         except CallError as error:
-            # The manifest may have arrived before the answer was lost.
-            print_error(f"{error}; not known whether it was accepted, a resend is safe")
+            # The order may have arrived before the answer was lost.
+            print_error(f"{error}; not known whether it was done, a resend is safe")
             code = ExitCode.UNKNOWN
             continue
         result = reply.body.get("result")
-        if result == "no-quorum":
-            print_error(reply.body["message"])
-            code = max(code, ExitCode.NO_ANSWER) if code != ExitCode.UNKNOWN else code
-            continue
+        if result not in ("no-quorum", "unknown"):
+            return reply
+        print_error(reply.body["message"])
         if result == "unknown":
-            print_error(reply.body["message"])
             code = ExitCode.UNKNOWN
-            continue
-        return _print_submitted(reply, as_json=as_json)
     return code
 
 
 def _print_submitted(reply: CallReply, *, as_json: bool) -> int:
     body = reply.body
-    is_accepted = reply.status == 200
+    is_accepted = reply.status == HTTPStatus.OK
     if as_json:
         print_json(body)
     elif body.get("result") == "invalid":
--- a/src/coltsfootrill/roles/control.py
+++ b/src/coltsfootrill/roles/control.py
@@ -15,6 +15,9 @@
 from coltsfootrill.control.messages import ControlState
 from coltsfootrill.control.proposer import NoQuorumError
 from coltsfootrill.control.proposer import UnknownResultError
+from coltsfootrill.control.repair import RepairTask
+from coltsfootrill.control.replacement import RepairError
+from coltsfootrill.control.replacement import decode_replace_order
 from coltsfootrill.control.replica import ControlReplica
 from coltsfootrill.kernel import collect_schemes
 from coltsfootrill.kernel import load_plugins
@@ -30,6 +33,7 @@
 from coltsfootrill.settings import Settings
 from coltsfootrill.tls import Credentials
 
+MS_PER_SECOND = 1_000.0
 _STATUS_BY_RESULT = {"accepted": "200 OK", "conflict": "409 Conflict", "older": "409 Conflict"}
 
 
@@ -39,6 +43,13 @@
     def __init__(self, replica: ControlReplica, settings: Settings, metrics: Metrics) -> None:
         self._replica = replica
         self._metrics = metrics
+        self._repair = RepairTask(
+            replica,
+            spares=settings.get("control", "spares"),
+            grace_ms=settings.get("control", "grace_s") * MS_PER_SECOND,
+            clock=Clock(),
+            random=SystemRandom(),
+        )
         app = HttpApp(settings.get("tokens", "operator_file"), on_refused=self._count_refused)
         app.add("GET", "/ready", self._answer_ready, is_public=True)
         app.add("GET", "/metrics", self._answer_metrics, is_public=True)
@@ -46,6 +57,7 @@
         app.add("GET", "/manifest", self._answer_manifest)
         app.add("GET", "/status", self._answer_status)
         app.add("GET", "/audit", self._answer_audit)
+        app.add("POST", "/replicas", self._answer_replace)
         self._http = HttpServer(app, settings.get("operators", "listen"))
 
     @classmethod
@@ -79,7 +91,9 @@
         self._http.start()
         fault = self._replica.acceptor.fault
         logging.info('control started id="%s" fault="%s"', self._replica.id, fault or "")
+        threading.Thread(target=self._repair.run, name="repair", daemon=True).start()
         stop.wait()
+        self._repair.stop()
         self._replica.stop()
         logging.info('control stopped id="%s"', self._replica.id)
         return 0
@@ -114,6 +128,22 @@
             return HttpReply.from_json("504 Gateway Timeout", body)
         return HttpReply.from_json(_STATUS_BY_RESULT[answer.result], msgspec.to_builtins(answer))
 
+    def _answer_replace(self, request: HttpRequest) -> HttpReply:
+        try:
+            order = decode_replace_order(request.body)
+            answer = self._replica.replace_replica(
+                order.old, order.new, order.address, operator=request.operator
+            )
+        except RepairError as error:
+            return HttpReply.from_json("409 Conflict", {"result": "refused", "message": str(error)})
+        except NoQuorumError as error:
+            return _refuse("no-quorum", str(error))
+        except UnknownResultError as error:
+            body = {"result": "unknown", "message": str(error)}
+            return HttpReply.from_json("504 Gateway Timeout", body)
+        status = "200 OK" if answer.result == "replaced" else "409 Conflict"
+        return HttpReply.from_json(status, msgspec.to_builtins(answer))
+
     def _answer_manifest(self, request: HttpRequest) -> HttpReply:
         try:
             state = self._replica.read()
@@ -144,6 +174,7 @@
         "role": "control",
         "id": replica.id,
         "fault": replica.acceptor.fault,
+        "member": replica.is_member(state),
         "epoch": state.epoch,
         "replicas": {
             replica_id: {"address": member.address, "key": member.key}
--- a/src/coltsfootrill/rpc.py
+++ b/src/coltsfootrill/rpc.py
@@ -83,8 +83,10 @@
             self._counter.received += len(answer)
             reply = method.decode_reply(answer)
         except grpc.RpcError as error:
-            self._note_failure()
-            raise RpcError(f"{self._address}: {error.code().name.lower()}") from error
+            if error.code() != grpc.StatusCode.FAILED_PRECONDITION:
+                self._note_failure()
+            reason = f"{error.code().name.lower()} {error.details() or ''}"
+            raise RpcError(f"{self._address}: {reason.strip()}") from error
         except (ValueError, msgspec.MsgspecError) as error:
             # A closed channel raises ValueError: another thread has made it anew.
             raise RpcError(f"{self._address}: {error}") from error
@@ -134,7 +136,10 @@
                 request = method.decode_request(raw)
             except msgspec.MsgspecError as error:
                 context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
-            answer = msgspec.msgpack.encode(handle(request))
+            try:
+                answer = msgspec.msgpack.encode(handle(request))
+            except ColtsfootrillError as error:
+                context.abort(grpc.StatusCode.FAILED_PRECONDITION, str(error))
             counter.sent += len(answer)
             return answer
 
--- a/src/coltsfootrill/settings.py
+++ b/src/coltsfootrill/settings.py
@@ -106,14 +106,22 @@
 
 
 def parse_replicas(text: str) -> dict[str, str]:
+    """Return the addresses of 1, 3 or 5 replicas by identifier; raise ``ValueError``."""
+    by_id = parse_spares(text)
+    if len(by_id) not in (1, 3, 5):
+        raise ValueError(text)
+    return by_id
+
+
+def parse_spares(text: str) -> dict[str, str]:
     """Return addresses by identifier from ``id=ip:port, ...``; raise ``ValueError``."""
     by_id: dict[str, str] = {}
-    for part in text.split(","):
+    for part in text.split(",") if text else []:
         replica_id, _, address = part.strip().partition("=")
         if replica_id in by_id:
             raise ValueError(text)
         by_id[parse_identifier(replica_id)] = str(parse_address(address))
-    if len(by_id) not in (1, 3, 5) or len(set(by_id.values())) != len(by_id):
+    if len(set(by_id.values())) != len(by_id):
         raise ValueError(text)
     return by_id
 
@@ -261,6 +269,15 @@
 CONTROL_SETTINGS: tuple[Setting[Any], ...] = (
     *_COMMON,
     _address("control", "listen", "Address for other control replicas and entry instances."),
+    Setting(
+        "control",
+        "spares",
+        parse_spares,
+        accepted="id=ip:port, separated by commas, or empty",
+        meaning="Replicas that may take the place of one that is lost.",
+        default="",
+    ),
+    _count("control", "grace_s", 1, 86_400, 60, "Seconds a replica may be lost before repair."),
 )
 
 
--- /dev/null
+++ b/testing/control/cluster.py
@@ -0,0 +1,129 @@
+"""Acceptors and proposers in one process, with calls that can be lost, late or repeated."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.messages import ZERO_BALLOT
+from coltsfootrill.control.messages import ControlState
+from coltsfootrill.control.messages import Inspect
+from coltsfootrill.control.messages import Replica
+from coltsfootrill.control.proposer import PeerCalls
+from coltsfootrill.control.proposer import Register
+from coltsfootrill.control.replacement import ReplaceAnswer
+from coltsfootrill.control.replacement import ReplicaChange
+from coltsfootrill.control.replacement import replace_replica
+from coltsfootrill.control.submission import SubmitAnswer
+from coltsfootrill.control.submission import submit_manifest
+from coltsfootrill.rpc import RpcError
+from testing.control.disk import Disk
+from testing.control.disk import SimulatedCrashError
+
+FOLDER = Path("/data")
+
+
+class Cluster:
+    """Replicas by address. ``cut`` holds pairs of proposer and address that cannot talk."""
+
+    def __init__(self, names: str = "abc", spares: str = "def", seed: int = 1) -> None:
+        self.random = Random(seed)
+        self.clock = Clock()
+        self.executor = ThreadPoolExecutor(32)
+        self.disks = {name: Disk(Random(f"{seed}{name}")) for name in names + spares}
+        self.acceptors = {name: self._load(name) for name in names + spares}
+        self.cut: set[tuple[str, str]] = set()
+        self.down: set[str] = set()
+        self.lost_replies: set[str] = set()
+        self.held: list[Callable[[], Any]] = []
+        self.hold_accepts_at: set[str] = set()
+        members = {name: Replica(name, "") for name in names}
+        self.initial = ControlState(1, 1, members, 0, "", b"", [], [], 0)
+        self.registers = {name: self._make_register(name) for name in names + spares}
+
+    def submit(
+        self, at: str, version: int, content: str, *, timeout_ms: float = 3_000
+    ) -> SubmitAnswer:
+        return self.registers[at].change(
+            lambda state: submit_manifest(
+                state,
+                version=version,
+                digest=content,
+                manifest=content.encode(),
+                operator=at,
+                wall_ms=0,
+            ),
+            deadline_ms=self.clock.now_ms() + timeout_ms,
+        )
+
+    def replace(self, at: str, old: str, new: str, *, timeout_ms: float = 3_000) -> ReplaceAnswer:
+        key = self.acceptors[new].inspect(Inspect(at, ZERO_BALLOT)).key
+        change = ReplicaChange(old_id=old, new_id=new, address=new, key=key, operator=at)
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        answer = self.registers[at].change(
+            lambda state: replace_replica(state, change, wall_ms=0), deadline_ms=deadline_ms
+        )
+        self.registers[at].settle(deadline_ms=deadline_ms)
+        return answer
+
+    def read(self, at: str, *, timeout_ms: float = 3_000) -> ControlState:
+        return self.registers[at].read(deadline_ms=self.clock.now_ms() + timeout_ms)
+
+    def forget(self, at: str) -> None:
+        """Restart the proposer of a replica: it knows the first replica set only."""
+        self.registers[at] = self._make_register(at)
+
+    def trust(self, at: str) -> None:
+        """Have a restarted proposer learn the replica set from the acceptors that answer."""
+        for name, acceptor in self.acceptors.items():
+            state = acceptor.get_state()
+            if name not in self.down and state is not None:
+                self.registers[at].trust(state)
+
+    def restart(self, name: str) -> None:
+        """Restart an acceptor from what its disk holds."""
+        self.acceptors[name] = self._load(name)
+
+    def lose_disk(self, name: str) -> None:
+        self.disks[name] = Disk(Random(f"new{name}"))
+        self.restart(name)
+
+    def _load(self, name: str) -> Acceptor:
+        # The folder exists on no real disk: the file layer alone is used.
+        acceptor = Acceptor(FOLDER / name, files=self.disks[name])
+        acceptor.load()
+        return acceptor
+
+    def _make_register(self, name: str) -> Register:
+        return Register(
+            name,
+            self.initial,
+            calls=PeerCalls(
+                prepare=lambda address, request: self._call(name, address, "prepare", request),
+                accept=lambda address, request: self._call(name, address, "accept", request),
+                inspect=lambda address, request: self._call(name, address, "inspect", request),
+            ),
+            executor=self.executor,
+            clock=self.clock,
+            random=self.random,
+        )
+
+    def _call(self, sender: str, address: str, method: str, request: Any) -> Any:
+        if (sender, address) in self.cut or address in self.down:
+            raise RpcError(f"{address}: unavailable")
+        if method == "accept" and address in self.hold_accepts_at:
+            self.held.append(lambda: self.acceptors[address].accept(request))
+            raise RpcError(f"{address}: deadline_exceeded")
+        try:
+            reply = getattr(self.acceptors[address], method)(request)
+        except SimulatedCrashError as error:
+            self.down.add(address)
+            raise RpcError(f"{address}: unavailable") from error
+        if address in self.lost_replies:
+            raise RpcError(f"{address}: deadline_exceeded")
+        return reply
--- /dev/null
+++ b/testing/control/disk.py
@@ -0,0 +1,73 @@
+"""A disk that can crash, tear, fill up and flip bytes, for acceptors in tests."""
+
+from __future__ import annotations
+
+import errno
+from pathlib import Path
+from random import Random
+
+from coltsfootrill.control.files import FileLayer
+
+
+class SimulatedCrashError(Exception):
+    """The process died at a write step."""
+
+
+class Disk(FileLayer):
+    """Files in memory. What is not synced may or may not outlive ``crash``.
+
+    ``fail_at`` counts steps down to a crash, in the middle of a write when it is one.
+    """
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self.durable: dict[Path, bytes] = {}
+        self.visible: dict[Path, bytes] = {}
+        self.fail_at: int | None = None
+        self.is_full = False
+        self.steps = 0
+
+    def write(self, path: Path, data: bytes) -> None:
+        if self.is_full:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        self.visible[path] = data[: self._random.randrange(len(data) + 1)]
+        self._step()
+        self.visible[path] = data
+        # The content is synced; the name is durable only with its folder.
+        self._step()
+
+    def rename(self, source: Path, target: Path) -> None:
+        self.visible[target] = self.visible.pop(source)
+        self._step()
+
+    def sync_folder(self, folder: Path) -> None:
+        self._step()
+        self.durable = dict(self.visible)
+
+    def read(self, path: Path) -> bytes | None:
+        return self.visible.get(path)
+
+    def crash(self) -> None:
+        """Lose some of what was not synced: each rename happened, or it did not."""
+        for path in set(self.visible) | set(self.durable):
+            if self._random.random() < 0.5:
+                continue
+            if path in self.durable:
+                self.visible[path] = self.durable[path]
+            else:
+                self.visible.pop(path, None)
+        self.durable = dict(self.visible)
+        self.fail_at = None
+
+    def flip(self, path: Path) -> None:
+        """Change one bit of a file."""
+        data = bytearray(self.visible[path])
+        data[self._random.randrange(len(data))] ^= 1 << self._random.randrange(8)
+        self.visible[path] = bytes(data)
+
+    def _step(self) -> None:
+        self.steps += 1
+        if self.fail_at is not None:
+            self.fail_at -= 1
+            if self.fail_at < 0:
+                raise SimulatedCrashError
--- a/testing/control/register_model.py
+++ b/testing/control/register_model.py
@@ -30,15 +30,20 @@
         "key-of-lost-disk-does-not-vote",
         "resend-by-history",
         "lower-version-refused",
+        "only-settled-sets-are-trusted",
     )
 )
 
 
 class State(NamedTuple):
-    """The replicated value: which replica set, and the accepted versions with their content."""
+    """The replicated value: which replica set, and the accepted versions with their content.
+
+    ``settled`` is the set that was known to be chosen when the value was proposed.
+    """
 
     epoch: int
     history: tuple[tuple[int, str], ...]
+    settled: int = 0
 
 
 EMPTY = State(0, ())
@@ -145,14 +150,25 @@
     ) -> Iterator[tuple[str, tuple[Acceptor, ...], Round]]:
         current = rounds[number]
         if current.phase == "idle":
-            yield f"start {number}", acceptors, current._replace(
-                phase="prepare", must_hold=_get_answered(rounds)
-            )
+            started = current._replace(phase="prepare", must_hold=_get_answered(rounds))
+            yield f"start {number}", acceptors, started
+            if self._knows_second_set(acceptors, rounds):
+                yield f"start {number} in set 1", acceptors, started._replace(sets=(1,))
         elif current.phase == "prepare":
             yield from self._prepare(acceptors, current, number)
         elif current.phase == "accept":
             yield from self._accept(acceptors, current, number)
 
+    def _knows_second_set(self, acceptors: tuple[Acceptor, ...], rounds: tuple[Round, ...]) -> bool:
+        """Return whether some proposer can know that the second set was chosen."""
+        if any(current.phase == "done" and current.value.epoch == 1 for current in rounds):
+            return True
+        trusts_all = "only-settled-sets-are-trusted" not in self._rules
+        return any(
+            acceptor.state.epoch == 1 and (acceptor.state.settled == 1 or trusts_all)
+            for acceptor in acceptors
+        )
+
     def _prepare(
         self, acceptors: tuple[Acceptor, ...], current: Round, number: int
     ) -> Iterator[tuple[str, tuple[Acceptor, ...], Round]]:
@@ -189,6 +205,7 @@
             value, answer = State(1, newest.history), "replaced"
         else:
             value, answer = newest, "read"
+        value = value._replace(settled=current.sets[0])
         sets = current.sets
         if value.epoch not in sets:
             both = "majorities-of-both-sets" in self._rules
--- /dev/null
+++ b/testing/control/test_register.py
@@ -0,0 +1,272 @@
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+
+import pytest
+
+from coltsfootrill.control.acceptor import CannotVoteError
+from coltsfootrill.control.messages import ZERO_BALLOT
+from coltsfootrill.control.messages import Accept
+from coltsfootrill.control.messages import Ballot
+from coltsfootrill.control.messages import Inspect
+from coltsfootrill.control.messages import Prepare
+from coltsfootrill.control.proposer import NoQuorumError
+from coltsfootrill.control.proposer import UnknownResultError
+from testing.control.cluster import FOLDER
+from testing.control.cluster import Cluster
+from testing.control.disk import SimulatedCrashError
+
+
+class TestSubmitting:
+    def test_a_manifest_is_accepted_and_read_at_every_replica(self) -> None:
+        cluster = Cluster()
+        assert cluster.submit("a", 1, "one").result == "accepted"
+        for at in "abc":
+            assert cluster.read(at).manifest == b"one"
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_many_threads_race_and_one_wins(self, seed: int) -> None:
+        cluster = Cluster(seed=seed)
+        cluster.submit("a", 1, "one")
+
+        def submit(at: str) -> tuple[str, str]:
+            answer = cluster.submit(at, 2, f"two-{at}", timeout_ms=8_000)
+            return answer.result, answer.digest
+
+        with ThreadPoolExecutor(3) as pool:
+            answers = list(pool.map(submit, "abc"))
+        assert sorted(result for result, _ in answers) == ["accepted", "conflict", "conflict"]
+        assert len({digest for _, digest in answers}) == 1
+
+    def test_a_lower_version_is_refused_with_the_one_in_force(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 5, "five")
+        answer = cluster.submit("b", 4, "four")
+        assert (answer.result, answer.version, answer.digest) == ("older", 5, "five")
+
+    def test_a_resend_is_answered_alike_after_later_versions_and_restarts(self) -> None:
+        cluster = Cluster()
+        for version in range(1, 6):
+            cluster.submit("abc"[version % 3], version, f"v{version}")
+        for name in "abc":
+            cluster.restart(name)
+            cluster.forget(name)
+        answer = cluster.submit("c", 2, "v2")
+        assert (answer.result, answer.version) == ("accepted", 2)
+        assert cluster.read("a").version == 5
+
+    def test_without_a_majority_certainly_nothing_is_accepted(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.down = {"b", "c"}
+        with pytest.raises(NoQuorumError):
+            cluster.submit("a", 2, "two", timeout_ms=200)
+        cluster.down = set()
+        assert cluster.read("b").version == 1
+
+    def test_a_lost_answer_is_unknown_and_the_resend_finds_it_accepted(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.hold_accepts_at = {"a", "b", "c"}
+        with pytest.raises(UnknownResultError):
+            cluster.submit("a", 2, "two", timeout_ms=200)
+        cluster.hold_accepts_at = set()
+        assert cluster.submit("b", 2, "two").result == "accepted"
+        # The messages that were held up arrive late, and once more; they change nothing.
+        cluster.submit("c", 3, "three")
+        for deliver in cluster.held + cluster.held:
+            deliver()
+        assert cluster.read("a").version == 3
+
+    def test_a_replica_cut_off_answers_no_read_and_catches_up(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.cut = {("a", "b"), ("a", "c"), ("b", "a"), ("c", "a")}
+        cluster.submit("b", 2, "two")
+        with pytest.raises(NoQuorumError):
+            cluster.read("a", timeout_ms=200)
+        cluster.cut = set()
+        assert cluster.read("a").version == 2
+
+    def test_a_read_without_a_change_writes_nothing(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        steps = {name: cluster.disks[name].steps for name in "abc"}
+        for at in "abc":
+            cluster.read(at)
+        assert {name: cluster.disks[name].steps for name in "abc"} == steps
+
+    def test_the_first_change_needs_every_replica(self) -> None:
+        # Until the keys of all folders are recorded, a lost disk could not be told apart.
+        cluster = Cluster()
+        cluster.down = {"c"}
+        with pytest.raises(NoQuorumError):
+            cluster.submit("a", 1, "one", timeout_ms=1_500)
+        cluster.down = set()
+        assert cluster.submit("a", 1, "one").result == "accepted"
+
+
+class TestCrashes:
+    @pytest.mark.parametrize("step", range(12))
+    @pytest.mark.parametrize("seed", range(3))
+    def test_a_crash_at_any_write_step_keeps_what_was_told(self, step: int, seed: int) -> None:
+        cluster = Cluster(seed=seed)
+        cluster.submit("a", 1, "one")
+        cluster.disks["b"].fail_at = step
+        assert cluster.submit("a", 2, "two").result == "accepted"
+        cluster.submit("c", 3, "three")
+        cluster.disks["b"].crash()
+        cluster.restart("b")
+        cluster.down = {"c"}
+        assert cluster.acceptors["b"].fault is None
+        assert cluster.read("a").version == 3
+
+    @pytest.mark.parametrize("step", range(4))
+    def test_a_promise_outlives_a_crash_once_it_was_told(self, step: int) -> None:
+        cluster = Cluster()
+        acceptor = cluster.acceptors["a"]
+        acceptor.prepare(Prepare(1, Ballot(5, "a")))
+        cluster.disks["a"].fail_at = step
+        with pytest.raises(SimulatedCrashError):
+            acceptor.prepare(Prepare(1, Ballot(7, "a")))
+        cluster.disks["a"].crash()
+        cluster.restart("a")
+        reply = cluster.acceptors["a"].accept(Accept(Ballot(4, "a"), cluster.initial))
+        assert not reply.is_granted
+
+    @pytest.mark.parametrize("name", ["key.rec", "promised.rec", "accepted.rec"])
+    @pytest.mark.parametrize("seed", range(4))
+    def test_a_flipped_bit_stops_the_replica_from_voting(self, name: str, seed: int) -> None:
+        cluster = Cluster(seed=seed)
+        cluster.submit("a", 1, "one")
+        cluster.disks["a"].flip(FOLDER / "a" / name)
+        cluster.restart("a")
+        with pytest.raises(CannotVoteError, match="move the folder away"):
+            cluster.acceptors["a"].inspect(Inspect("b", ZERO_BALLOT))
+        assert cluster.submit("b", 2, "two").result == "accepted"
+
+    def test_a_missing_key_beside_a_state_is_damage(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        del cluster.disks["a"].visible[FOLDER / "a" / "key.rec"]
+        cluster.restart("a")
+        assert "key.rec is missing" in (cluster.acceptors["a"].fault or "")
+
+    def test_a_full_disk_stops_the_replica_from_voting(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.disks["a"].is_full = True
+        assert cluster.submit("b", 2, "two").result == "accepted"
+        assert "no space left" in (cluster.acceptors["a"].fault or "")
+
+    def test_disk_space_does_not_grow_with_the_number_of_changes(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        for version in range(2, 40):
+            cluster.submit("a", version, f"v{version}")
+        assert set(cluster.disks["a"].visible) == {
+            FOLDER / "a" / name for name in ("key.rec", "promised.rec", "accepted.rec")
+        }
+
+
+class TestRepair:
+    def test_a_second_loss_right_after_a_repair_loses_nothing(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.down = {"c"}
+        assert cluster.replace("a", "c", "d").result == "replaced"
+        cluster.down = {"a", "c"}
+        cluster.forget("b")
+        cluster.trust("b")
+        assert cluster.read("b").version == 1
+        assert cluster.submit("b", 2, "two").result == "accepted"
+
+    def test_a_set_that_is_not_settled_is_not_trusted(self) -> None:
+        # The order reached one replica only, so the old set may still decide without it.
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.hold_accepts_at = {"a", "c", "d"}
+        with pytest.raises(UnknownResultError):
+            cluster.replace("a", "c", "d", timeout_ms=200)
+        cluster.hold_accepts_at = set()
+        cluster.forget("b")
+        cluster.trust("b")
+        assert cluster.registers["b"].known.epoch == 1
+
+    def test_a_replaced_replica_that_comes_back_does_not_count(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.down = {"c"}
+        cluster.replace("a", "c", "d")
+        cluster.submit("a", 2, "two")
+        cluster.down = {"a", "d"}
+        cluster.forget("c")
+        with pytest.raises((NoQuorumError, UnknownResultError)):
+            cluster.submit("c", 3, "three", timeout_ms=400)
+        with pytest.raises(NoQuorumError):
+            cluster.read("c", timeout_ms=400)
+        cluster.down = set()
+        assert cluster.read("d").version == 2
+
+    def test_a_lost_disk_does_not_vote_until_it_is_admitted_again(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.lose_disk("b")
+        cluster.down = {"c"}
+        with pytest.raises(NoQuorumError):
+            cluster.submit("a", 2, "two", timeout_ms=400)
+        cluster.down = set()
+        assert cluster.replace("a", "b", "b").result == "replaced"
+        cluster.down = {"c"}
+        assert cluster.submit("a", 2, "two").result == "accepted"
+
+    def test_an_outdated_proposer_finds_the_set_after_several_replacements(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.replace("a", "c", "d")
+        cluster.replace("a", "b", "e")
+        cluster.submit("a", 2, "two")
+        cluster.forget("b")
+        assert cluster.read("b").version == 2
+        assert sorted(cluster.read("b").replicas) == ["a", "d", "e"]
+
+    def test_a_repeated_order_is_answered_alike(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        first = cluster.replace("a", "c", "d")
+        again = cluster.replace("b", "c", "d")
+        assert (first.result, again.result) == ("replaced", "replaced")
+        assert cluster.read("a").epoch == 2
+
+    def test_an_order_for_a_replica_that_does_not_vote_is_refused(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        assert cluster.replace("a", "e", "d").result == "refused"
+        assert cluster.replace("a", "c", "b").result == "refused"
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_random_faults_never_lose_an_accepted_manifest(self, seed: int) -> None:
+        random = Random(seed)
+        cluster = Cluster(seed=seed)
+        cluster.submit("a", 1, "v1")
+        accepted = 1
+        for version in range(2, 25):
+            members = sorted(cluster.read("a", timeout_ms=5_000).replicas)
+            victim = random.choice(members)
+            fault = random.choice(["none", "down", "lost reply", "crash"])
+            cluster.down = {victim} if fault == "down" else set()
+            cluster.lost_replies = {victim} if fault == "lost reply" else set()
+            if fault == "crash":
+                cluster.disks[victim].fail_at = random.randrange(10)
+            at = random.choice("abc")
+            assert cluster.submit(at, version, f"v{version}", timeout_ms=8_000).digest
+            accepted = version
+            if fault == "crash":
+                cluster.disks[victim].crash()
+                cluster.restart(victim)
+            cluster.down = set()
+            cluster.lost_replies = set()
+            if random.random() < 0.3:
+                cluster.forget(random.choice("abc"))
+            assert cluster.read(random.choice("abc"), timeout_ms=8_000).version == accepted
--- a/testing/control/test_register_model.py
+++ b/testing/control/test_register_model.py
@@ -38,6 +38,7 @@
     "finish-newer-set": "repair before submit and read",
     "key-of-lost-disk-does-not-vote": "race and a lost disk",
     "lower-version-refused": "lower version",
+    "only-settled-sets-are-trusted": "repair between submit and read",
     "majorities-of-both-sets": "repair between submit and read",
     "majority-accepts": "race and resend",
     "majority-promises": "race and resend",
