--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format dist bench clean
+.PHONY: demo test lint format dist bench prove clean
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,5 +24,19 @@
 test: lint
 	$(BIN)/python -m pytest
 
+# shiv unpacks the file on first use, in the process itself: it starts no other process.
+dist: $(VENV)/.ready
+	rm -rf build dist && mkdir -p dist
+	$(BIN)/shiv --quiet --constraint constraints.txt --python '/usr/bin/env python3' \
+		--console-script coltsfootrill --output-file dist/coltsfootrill .
+
+bench: $(VENV)/.ready
+	scripts/bench_added.sh
+	scripts/bench_policies.sh
+	scripts/bench_control.sh
+
+prove: $(VENV)/.ready
+	$(BIN)/python scripts/prove.py
+
 clean:
 	rm -rf $(VENV) build dist src/*.egg-info
--- /dev/null
+++ b/scripts/bench_control.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Acceptance of manifests, time to in force, cost of a change, and start-up of a replica.
+#
+# Usage: bench_control.sh [ENTRIES] [CHANGES]
+set -euo pipefail
+
+entries=${1:-20}
+changes=${2:-50}
+base=${BASE_PORT:-26000}
+folder=$(mktemp -d)
+trap 'scripts/stop_fleet.sh "$folder" >/dev/null || true; rm -rf "$folder"' EXIT
+
+scripts/start_fleet.sh "$folder" "$entries" "$base" 180 >/dev/null
+sleep 4
+.venv/bin/python scripts/bench_control.py "$folder" "$entries" "$base" "$changes"
+.venv/bin/python scripts/bench_control.py start-up
--- /dev/null
+++ b/testing/features/test_repair.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import json
+import shutil
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from testing.processes import System
+from testing.processes import wait_until
+from testing.proxy.instance import make_manifest
+
+scenarios("repair.feature")
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> Iterator[System]:
+    made = System(tmp_path)
+    yield made
+    made.close()
+
+
+@given("three control replicas with a spare and a grace time of 1 second")
+def start(system: System) -> None:
+    system.add_control(["c1", "c2", "c3"], spares=["c4"], extra="grace_s = 1\n")
+    system.start()
+    wait_until(lambda: system.submit("c1", make_manifest(1))[0] == 200)
+
+
+@when("c3 loses its disk and starts again")
+def lose_disk(system: System) -> None:
+    system.by_name["c3"].kill()
+    shutil.rmtree(system.folder / "data-c3")
+    system.start("c3")
+
+
+@when(parsers.parse("{name} is killed"))
+def kill(system: System, name: str) -> None:
+    system.by_name[name].kill()
+
+
+@when("c2 is killed at once")
+def kill_second(system: System) -> None:
+    system.by_name["c2"].kill()
+
+
+@when("an operator replaces c2 by c4")
+def replace(system: System) -> None:
+    order = {"old": "c2", "new": "c4", "address": f"127.0.0.1:{system.relays['c4'].port}"}
+    status, body = system.ask("c1", "/replicas", method="POST", body=json.dumps(order).encode())
+    assert (status, body["result"]) == (200, "replaced")
+    again = system.ask("c3", "/replicas", method="POST", body=json.dumps(order).encode())
+    assert again[1]["result"] == "replaced"
+
+
+@then("c3 votes again within 15 seconds")
+def check_admitted(system: System) -> None:
+    wait_until(lambda: _get_status(system, "c3").get("member") is True)
+    assert _get_status(system, "c3")["epoch"] == 2
+
+
+@then("a manifest is accepted with c2 killed")
+def check_accepts(system: System) -> None:
+    system.by_name["c2"].kill()
+    assert system.submit("c1", make_manifest(2))[0] == 200
+
+
+@then("c4 votes in its place within 15 seconds")
+def check_spare(system: System) -> None:
+    wait_until(lambda: _get_status(system, "c4").get("member") is True)
+    assert sorted(_get_status(system, "c1")["replicas"])[-1] == "c4"
+
+
+@then("a manifest is accepted at c1")
+def check_accepted(system: System) -> None:
+    wait_until(lambda: system.submit("c1", make_manifest(2))[0] == 200)
+
+
+@then("c3 accepts nothing once it is back alone")
+def check_fenced(system: System) -> None:
+    for name in ("c1", "c4"):
+        system.by_name[name].kill()
+    system.start("c3")
+    wait_until(lambda: system.ask("c3", "/ready")[0] == 200)
+    status, body = system.submit("c3", make_manifest(3))
+    assert status in (503, 504) and body["result"] in ("no-quorum", "unknown")
+    assert system.ask("c3", "/status")[0] == 503
+
+
+@then("the audit trail is the same at c1 and c3 and tells who replaced c2")
+def check_audit(system: System) -> None:
+    trails = [system.ask(name, "/audit")[1]["records"] for name in ("c1", "c3")]
+    assert trails[0] == trails[1]
+    record = next(r for r in trails[0] if r["action"] == "replace-replica")
+    assert record["operator"] == "tester"
+    assert record["before"].startswith("c2=")
+    assert record["after"].startswith("c4=")
+
+
+def _get_status(system: System, name: str) -> dict[str, Any]:
+    status, body = system.ask(name, "/status")
+    return body if status == 200 else {}
--- a/testing/processes.py
+++ b/testing/processes.py
@@ -184,18 +184,21 @@
         for process in self.by_name.values():
             process.kill()
 
-    def add_control(self, names: list[str], *, extra: str = "") -> None:
+    def add_control(
+        self, names: list[str], *, spares: list[str] | None = None, extra: str = ""
+    ) -> None:
         """Write settings of control replicas that reach each other through relays."""
-        for name in names:
+        spares = spares or []
+        for name in names + spares:
             self.ports[name] = get_free_port()
             self.ports[f"{name}.operators"] = get_free_port()
             self.relays[name] = Relay(self.ports[name])
         self._replicas = ", ".join(f"{n}=127.0.0.1:{self.relays[n].port}" for n in names)
-        for name in names:
-            self.write_control(name, extra=extra)
+        listed = ", ".join(f"{n}=127.0.0.1:{self.relays[n].port}" for n in spares)
+        for name in names + spares:
+            self._write_control(name, extra=f"spares = {listed}\n{extra}")
 
-    def write_control(self, name: str, *, extra: str = "") -> None:
-        """Write the settings of one control replica; its ports must be known."""
+    def _write_control(self, name: str, *, extra: str) -> None:
         text = self._common(name) + (
             f"[control]\nlisten = 127.0.0.1:{self.ports[name]}\n"
             f"replicas = {self._replicas}\n{extra}"
