--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format dist bench prove clean
+.PHONY: demo test lint format dist bench prove soak clean
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -38,5 +38,8 @@
 prove: $(VENV)/.ready
 	$(BIN)/python scripts/prove.py
 
+soak: $(VENV)/.ready
+	$(BIN)/python scripts/soak.py 600 1
+
 clean:
 	rm -rf $(VENV) build dist src/*.egg-info
--- a/src/coltsfootrill/replay/added.py
+++ b/src/coltsfootrill/replay/added.py
@@ -19,11 +19,11 @@
 from coltsfootrill.replay.runner import ReplayError
 from coltsfootrill.replay.runner import ask_fake
 from coltsfootrill.replay.runner import describe_quantiles
+from coltsfootrill.replay.runner import get_kept_connection
 
 SERVICE_ID = "blazon"
 PATH = f"/blazon/lookup{INSTANT_SUFFIX}"
 CLIENT_THREADS = 8
-CALL_TIMEOUT_S = 5
 DIRECT = "direct"
 
 
@@ -76,14 +76,9 @@
 
 
 def _call(target: _Target, address: str, local: threading.local, lock: threading.Lock) -> None:
-    by_address: dict[str, http.client.HTTPConnection] = getattr(local, "by_address", {})
-    local.by_address = by_address
-    connection = by_address.get(address)
-    if connection is None:
-        host, _, port = address.rpartition(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=CALL_TIMEOUT_S)
+    connection = get_kept_connection(local, address)
+    if connection.sock is None:
         connection.connect()
-        by_address[address] = connection
     start_s = time.perf_counter()
     try:
         connection.request("GET", PATH, headers={"Request-Id": "measure"})
--- a/src/coltsfootrill/replay/baseline.py
+++ b/src/coltsfootrill/replay/baseline.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import http.client
 import random
 import threading
 from collections.abc import Iterable
@@ -14,10 +13,10 @@
 import waitress
 
 from coltsfootrill.operators.exit_codes import ExitCode
+from coltsfootrill.replay.runner import get_kept_connection
 from coltsfootrill.settings import Address
 
 THREADS = 16
-UPSTREAM_TIMEOUT_S = 5
 
 
 def run_baseline(listen: Address, upstreams: list[str], duration_s: float) -> int:
@@ -25,7 +24,7 @@
     local = threading.local()
 
     def forward(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-        connection = _get_connection(local, random.choice(upstreams))
+        connection = get_kept_connection(local, random.choice(upstreams))
         headers = {
             key[5:].replace("_", "-"): value
             for key, value in environ.items()
@@ -42,14 +41,3 @@
     threading.Thread(target=server.run, daemon=True).start()
     threading.Event().wait(duration_s)
     return ExitCode.DONE
-
-
-def _get_connection(local: threading.local, address: str) -> http.client.HTTPConnection:
-    by_address: dict[str, http.client.HTTPConnection] = getattr(local, "by_address", {})
-    local.by_address = by_address
-    connection = by_address.get(address)
-    if connection is None:
-        host, _, port = address.rpartition(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=UPSTREAM_TIMEOUT_S)
-        by_address[address] = connection
-    return connection
--- a/src/coltsfootrill/replay/runner.py
+++ b/src/coltsfootrill/replay/runner.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import select
 import threading
 import time
 import uuid
@@ -17,9 +18,11 @@
 from coltsfootrill.replay.trace import Trace
 
 CLIENT_THREADS = 96
+CALL_TIMEOUT_S = 5
 HISTOGRAM_MAX_US = 60_000_000
 HISTOGRAM_DIGITS = 3
 DEADLINE_SLACK_MS = 2_000.0
+UNREACHABLE = "unreachable"
 _QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
 
@@ -28,7 +31,11 @@
 
 
 class CallResult:
-    """What one caller saw. ``outcome`` is ``cut`` when no whole answer came."""
+    """What one caller saw.
+
+    ``outcome`` is ``cut`` when no whole answer came, and ``unreachable`` when no instance
+    accepted the connection.
+    """
 
     __slots__ = ("arrival", "is_wrong", "latency_ms", "outcome", "request_id")
 
@@ -77,7 +84,7 @@
         with ThreadPoolExecutor(CLIENT_THREADS) as pool:
             for number, arrival in enumerate(self._trace.arrivals):
                 _sleep_until(start_s + arrival.at_ms / 1000)
-                pool.submit(self._call, arrival, self._callers[number % len(self._callers)])
+                pool.submit(self._call, arrival, number)
         events.join()
         return self._report(self._read_fakes())
 
@@ -92,10 +99,10 @@
             for fake in self._fakes:
                 ask_fake(fake, "/behave", order)
 
-    def _call(self, arrival: Arrival, address: str) -> None:
+    def _call(self, arrival: Arrival, number: int) -> None:
         request_id = uuid.uuid4().hex
         start_s = time.perf_counter()
-        outcome, is_wrong = self._exchange(arrival, address, request_id)
+        outcome, is_wrong = self._exchange(arrival, number, request_id)
         result = CallResult(
             arrival=arrival,
             request_id=request_id,
@@ -106,11 +113,14 @@
         with self._lock:
             self._results.append(result)
 
-    def _exchange(self, arrival: Arrival, address: str, request_id: str) -> tuple[str, bool]:
-        connection = self._get_connection(address, arrival.deadline_ms)
+    def _exchange(self, arrival: Arrival, number: int, request_id: str) -> tuple[str, bool]:
         method = "GET" if arrival.idempotent else "POST"
         path, headers = make_call(arrival.name)
         headers["Request-Id"] = request_id
+        try:
+            connection = self._connect(number, arrival.deadline_ms)
+        except OSError:
+            return UNREACHABLE, False
         try:
             connection.request(method, path, headers=headers)
             response = connection.getresponse()
@@ -119,17 +129,31 @@
             connection.close()
             return "cut", False
         outcome = response.getheader("Coltsfootrill-Outcome") or "none"
-        is_wrong = response.status == 200 and not _is_own_answer(body, request_id)
+        is_wrong = response.status == http.client.OK and not _is_own_answer(body, request_id)
         return outcome, is_wrong
 
+    def _connect(self, number: int, deadline_ms: float) -> http.client.HTTPConnection:
+        """Return a connection to the instance whose turn it is, or the next one that accepts.
+
+        The platform's balancer sends nobody to an instance that refuses connections.
+        """
+        last_error = OSError("no instance")
+        for offset in range(len(self._callers)):
+            address = self._callers[(number + offset) % len(self._callers)]
+            connection = self._get_connection(address, deadline_ms)
+            if connection.sock is not None and select.select([connection.sock], [], [], 0)[0]:
+                # The instance has closed it since its last answer.
+                connection.close()
+            try:
+                if connection.sock is None:
+                    connection.connect()
+                return connection
+            except OSError as error:
+                last_error = error
+        raise last_error
+
     def _get_connection(self, address: str, deadline_ms: float) -> http.client.HTTPConnection:
-        by_address: dict[str, http.client.HTTPConnection] = getattr(self._local, "by_address", {})
-        self._local.by_address = by_address
-        connection = by_address.get(address)
-        if connection is None:
-            host, _, port = address.rpartition(":")
-            connection = http.client.HTTPConnection(host, int(port))
-            by_address[address] = connection
+        connection = get_kept_connection(self._local, address)
         connection.timeout = (deadline_ms + DEADLINE_SLACK_MS) / 1000
         if connection.sock is not None:
             connection.sock.settimeout(connection.timeout)
@@ -172,6 +196,18 @@
         return [f"{name} is {figures[name]}" for name, holds in checks if not holds]
 
 
+def get_kept_connection(local: threading.local, address: str) -> http.client.HTTPConnection:
+    """Return the calling thread's connection to an address, made on first use."""
+    by_address: dict[str, http.client.HTTPConnection] = getattr(local, "by_address", {})
+    local.by_address = by_address
+    connection = by_address.get(address)
+    if connection is None:
+        host, _, port = address.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=CALL_TIMEOUT_S)
+        by_address[address] = connection
+    return connection
+
+
 def make_call(name: str) -> tuple[str, dict[str, str]]:
     """Return the path and headers with which a caller uses a name of any scheme."""
     scheme, _, rest = name.partition(":")
--- /dev/null
+++ b/testing/operators/test_commands.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+from coltsfootrill.operators.commands import make_settings_reference
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+def _run(*arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "coltsfootrill", *arguments]
+    return subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+class TestReference:
+    def test_the_settings_page_is_current(self) -> None:
+        page = (ROOT / "docs/operators/settings.md").read_text()
+        assert page.endswith(make_settings_reference())
+
+
+class TestExitCodes:
+    def test_a_good_manifest_is_0_and_a_bad_one_1_with_all_problems(
+        self, tmp_path: Path, encode_manifest: object
+    ) -> None:
+        path = tmp_path / "m.json"
+        path.write_bytes(encode_manifest())  # type: ignore[operator]
+        assert _run("manifest", "check", str(path)).returncode == 0
+        path.write_bytes(encode_manifest(deadline_ms=0, names=[]))  # type: ignore[operator]
+        result = _run("manifest", "check", str(path))
+        assert result.returncode == 1
+        assert "deadline_ms" in result.stderr and "names" in result.stderr
+
+    def test_wrong_settings_are_2_with_all_problems(self, tmp_path: Path) -> None:
+        path = tmp_path / "e.ini"
+        path.write_text("[instance]\nid = Bad Name\nzone = z1\nsurprise = 1\n")
+        result = _run("settings", "check", str(path), "--role", "entry")
+        assert result.returncode == 2
+        for part in ("[instance] id = 'Bad Name'", "surprise", "[callers] listen = missing"):
+            assert part in result.stderr
+
+    def test_no_answer_is_told(self, tmp_path: Path) -> None:
+        token = tmp_path / "t"
+        token.write_text("x" * 16)
+        manifest = tmp_path / "m.json"
+        manifest.write_text("{}")
+        options = ["--at", "127.0.0.1:1", "--token-file", str(token)]
+        assert _run("manifest", "submit", str(manifest), *options).returncode in (3, 4)
+
+    def test_help_names_every_command(self) -> None:
+        text = _run("--help").stdout
+        for command in ("entry", "control", "manifest", "upstreams", "status", "audit", "replay"):
+            assert command in text
