Authenticate peers in tests, pass renewals on, and keep tasks alive

Cause: keys between our own processes were never tried; a task that failed once would have been missed for good; an instance that started while cut off took callers at once.

Found by the new tests: a renewal learned from a peer was never passed on to an instance that does not hear its origin, because only announcements taken here moved the position. Now such a renewal is an update as well.

Change: scenarios with an authority and replaced key files (trustme), refused strangers and wrong tokens; tasks run again after a fault, which is logged; an instance is ready only when it met a peer, or none came within 10 s, and some upstream is usable; a call that could not be sent exits with 4, one whose answer was lost with 3. Requests and pools have modules of their own.

Ruled out: ending the process on a failed task, which would cut requests.

--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -15,6 +15,7 @@
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.log import set_up_log
 from coltsfootrill.operators import commands
+from coltsfootrill.operators.client import CallError
 from coltsfootrill.operators.client import OperatorClient
 from coltsfootrill.operators.exit_codes import ExitCode
 from coltsfootrill.operators.output import print_error
@@ -270,6 +271,9 @@
         for problem in error.exceptions:
             print_error(str(problem))
         sys.exit(ExitCode.USAGE)
+    except CallError as error:
+        print_error(str(error))
+        sys.exit(ExitCode.NO_ANSWER)
     except ColtsfootrillError as error:
         print_error(str(error))
         sys.exit(ExitCode.USAGE)
--- a/src/coltsfootrill/membership/exchange.py
+++ b/src/coltsfootrill/membership/exchange.py
@@ -19,6 +19,7 @@
 from coltsfootrill.rpc import RpcClient
 from coltsfootrill.rpc import RpcError
 from coltsfootrill.rpc import RpcServer
+from coltsfootrill.tasks import start_task
 
 PULL = Method(service="Peer", name="Pull", request=PullRequest, reply=PullReply)
 FETCH_MANIFEST = Method(
@@ -84,11 +85,9 @@
         self._executor.shutdown(wait=False)
 
     def _start_task(self, address: str) -> None:
-        task = threading.Thread(
-            target=self._follow_peer, args=(address,), name=f"peer-{address}", daemon=True
+        self._tasks_by_address[address] = start_task(
+            f"peer-{address}", lambda: self._follow_peer(address)
         )
-        self._tasks_by_address[address] = task
-        task.start()
 
     def _is_wanted(self, address: str) -> bool:
         if self._stopping.is_set():
--- a/src/coltsfootrill/membership/fleet.py
+++ b/src/coltsfootrill/membership/fleet.py
@@ -156,9 +156,12 @@
                 )
             understood = True
             for renewal in reply.renewals:
-                evidence_ms = made_ms - renewal.age_ms
-                if not self.directory.renew(renewal.id, renewal.incarnation, evidence_ms):
-                    understood = False
+                understood &= self.directory.renew(
+                    renewal.id,
+                    renewal.incarnation,
+                    made_ms - renewal.age_ms,
+                    is_passed_on=True,
+                )
             return understood
 
     def clean(self) -> None:
@@ -168,7 +171,10 @@
             while self._confirmations:
                 confirmation = self._confirmations.popleft()
                 self.directory.renew(
-                    confirmation.upstream_id, confirmation.incarnation, confirmation.evidence_ms
+                    confirmation.upstream_id,
+                    confirmation.incarnation,
+                    confirmation.evidence_ms,
+                    is_passed_on=False,
                 )
             self.directory.forget_expired(now_ms)
             for instance_id in self.members.remove_lost(now_ms):
--- a/src/coltsfootrill/operators/client.py
+++ b/src/coltsfootrill/operators/client.py
@@ -17,6 +17,10 @@
     """An operators' port did not answer, or its answer is not understood."""
 
 
+class UnreachableError(CallError):
+    """No connection was made: the call was certainly not received."""
+
+
 class CallReply:
     """The HTTP status and the decoded JSON body of a reply."""
 
@@ -48,10 +52,17 @@
         return cls(address, token=token, operator=operator)
 
     def call(self, method: str, path: str, body: bytes = b"") -> CallReply:
-        """Return the reply; raise ``CallError`` when there is none."""
+        """Return the reply; raise ``CallError`` when there is none.
+
+        The error is an ``UnreachableError`` when the call was not even sent.
+        """
         connection = http.client.HTTPConnection(
             self._address.host, self._address.port, timeout=TIMEOUT_S
         )
+        try:
+            connection.connect()
+        except OSError as error:
+            raise UnreachableError(f"cannot connect to {self._address}: {error}") from error
         try:
             connection.request(method, path, body=body or None, headers=self._headers)
             response = connection.getresponse()
--- a/src/coltsfootrill/operators/commands.py
+++ b/src/coltsfootrill/operators/commands.py
@@ -17,6 +17,7 @@
 from coltsfootrill.operators.client import CallError
 from coltsfootrill.operators.client import CallReply
 from coltsfootrill.operators.client import OperatorClient
+from coltsfootrill.operators.client import UnreachableError
 from coltsfootrill.operators.exit_codes import ExitCode
 from coltsfootrill.operators.output import print_error
 from coltsfootrill.operators.output import print_json
@@ -99,6 +100,9 @@
     for client in clients:
         try:
             reply = client.call("POST", path, body)
+        except UnreachableError as error:
+            print_error(str(error))
+            continue
         except CallError as error:
             # The order may have arrived before the answer was lost.
             print_error(f"{error}; not known whether it was done, a resend is safe")
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -16,8 +16,6 @@
 from coltsfootrill.membership.fleet import Fleet
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.naming.scheme import RequestName
-from coltsfootrill.proxy.forward import ConnectionPools
-from coltsfootrill.proxy.forward import ProxyRequest
 from coltsfootrill.proxy.forward import RequestRun
 from coltsfootrill.proxy.gate import ServiceGate
 from coltsfootrill.proxy.headers import DEADLINE_HEADER
@@ -30,6 +28,8 @@
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.outcome import ProxyError
 from coltsfootrill.proxy.outcome import make_error_answer
+from coltsfootrill.proxy.pools import ConnectionPools
+from coltsfootrill.proxy.request import ProxyRequest
 from coltsfootrill.proxy.server import CallerRequest
 
 
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import select
-import socket
-import threading
-from collections.abc import Mapping
 
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.pool import Lease
@@ -15,7 +12,6 @@
 from coltsfootrill.manifest.table import Route
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.proxy.connection import ConnectError
-from coltsfootrill.proxy.connection import ConnectionPool
 from coltsfootrill.proxy.connection import ReadError
 from coltsfootrill.proxy.connection import SendError
 from coltsfootrill.proxy.connection import UpstreamAnswer
@@ -34,7 +30,8 @@
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.outcome import ProxyError
 from coltsfootrill.proxy.outcome import UnknownOutcomeError
-from coltsfootrill.proxy.server import is_closed
+from coltsfootrill.proxy.pools import ConnectionPools
+from coltsfootrill.proxy.request import ProxyRequest
 
 SILENCE_MIN_MS = 60.0
 SILENCE_QUANTILE = 0.99
@@ -42,76 +39,6 @@
 SEND_MARGIN_MS = 1.0
 
 
-class ProxyRequest:
-    """One request of a caller, whole. ``headers`` have waitress's upper-case names."""
-
-    __slots__ = (
-        "arrived_ms",
-        "body",
-        "caller",
-        "deadline_ms",
-        "depth",
-        "headers",
-        "is_marked",
-        "method",
-        "target",
-    )
-
-    def __init__(
-        self,
-        *,
-        method: str,
-        target: str,
-        headers: Mapping[str, str],
-        body: bytes,
-        arrived_ms: float,
-        deadline_ms: float,
-        depth: int,
-        is_marked: bool,
-        caller: socket.socket,
-    ) -> None:
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.arrived_ms = arrived_ms
-        self.deadline_ms = deadline_ms
-        self.depth = depth
-        self.is_marked = is_marked
-        self.caller = caller
-
-    def is_gone(self) -> bool:
-        """Return whether the caller has closed its end."""
-        return is_closed(self.caller)
-
-
-class ConnectionPools:
-    """Connection pools by upstream address."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._lock = threading.Lock()
-        self._by_address: dict[str, ConnectionPool] = {}
-
-    def get(self, address: str) -> ConnectionPool:
-        """Return the pool of an address, made on first use."""
-        pool = self._by_address.get(address)
-        if pool is None:
-            with self._lock:
-                pool = self._by_address.setdefault(
-                    address, ConnectionPool(address, clock=self._clock)
-                )
-        return pool
-
-    def keep_only(self, addresses: set[str]) -> None:
-        """Close the idle connections to all other addresses."""
-        with self._lock:
-            gone = [address for address in self._by_address if address not in addresses]
-            pools = [self._by_address.pop(address) for address in gone]
-        for pool in pools:
-            pool.doubt()
-
-
 class _Attempt:
     """One attempt in progress."""
 
--- /dev/null
+++ b/src/coltsfootrill/proxy/request.py
@@ -0,0 +1,51 @@
+"""A caller's request on its way to an upstream."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Mapping
+
+from coltsfootrill.proxy.server import is_closed
+
+
+class ProxyRequest:
+    """One request of a caller, whole. ``headers`` have waitress's upper-case names."""
+
+    __slots__ = (
+        "arrived_ms",
+        "body",
+        "caller",
+        "deadline_ms",
+        "depth",
+        "headers",
+        "is_marked",
+        "method",
+        "target",
+    )
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        arrived_ms: float,
+        deadline_ms: float,
+        depth: int,
+        is_marked: bool,
+        caller: socket.socket,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.arrived_ms = arrived_ms
+        self.deadline_ms = deadline_ms
+        self.depth = depth
+        self.is_marked = is_marked
+        self.caller = caller
+
+    def is_gone(self) -> bool:
+        """Return whether the caller has closed its end."""
+        return is_closed(self.caller)
--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -129,10 +129,13 @@
             return now_ms
         return now_ms - (offset_ms - fastest_ms)
 
-    def renew(self, upstream_id: str, incarnation: int, evidence_ms: float) -> bool:
+    def renew(
+        self, upstream_id: str, incarnation: int, evidence_ms: float, *, is_passed_on: bool
+    ) -> bool:
         """Extend a lease on evidence for the same incarnation.
 
-        Returns whether the incarnation, or a newer one, was known.
+        ``is_passed_on`` makes it an update for instances that do not hear the origin. Returns
+        whether the incarnation, or a newer one, was known.
         """
         record = self.by_id.get(upstream_id)
         if record is None or record.announcement.incarnation < incarnation:
@@ -141,6 +144,9 @@
             return True
         if record.announcement.state != "leaving" and evidence_ms > record.evidence_ms:
             record.evidence_ms = evidence_ms
+            if is_passed_on:
+                self.position += 1
+                record.renewed_at = self.position
         return True
 
     def list_usable(self, now_ms: float) -> list[UpstreamRecord]:
--- a/src/coltsfootrill/roles/control.py
+++ b/src/coltsfootrill/roles/control.py
@@ -31,6 +31,7 @@
 from coltsfootrill.settings import InvalidSettingsError
 from coltsfootrill.settings import SettingError
 from coltsfootrill.settings import Settings
+from coltsfootrill.tasks import start_task
 from coltsfootrill.tls import Credentials
 
 MS_PER_SECOND = 1_000.0
@@ -91,7 +92,7 @@
         self._http.start()
         fault = self._replica.acceptor.fault
         logging.info('control started id="%s" fault="%s"', self._replica.id, fault or "")
-        threading.Thread(target=self._repair.run, name="repair", daemon=True).start()
+        start_task("repair", self._repair.run)
         stop.wait()
         self._repair.stop()
         self._replica.stop()
--- a/src/coltsfootrill/roles/entry.py
+++ b/src/coltsfootrill/roles/entry.py
@@ -33,10 +33,12 @@
 from coltsfootrill.roles.entry_http import EntryResponders
 from coltsfootrill.roles.signals import install_stop_event
 from coltsfootrill.settings import Settings
+from coltsfootrill.tasks import start_task
 from coltsfootrill.tls import Credentials
 
 HOUSEKEEPING_MS = 200.0
 GOODBYE_MS = 300.0
+MEET_PEERS_MS = 10_000.0
 REFRESH_MS = 40.0
 # The interpreter's own interval of 5 ms would let one busy thread hold up all requests that long.
 SWITCH_INTERVAL_S = 0.0005
@@ -93,6 +95,7 @@
             connections_max=settings.get("callers", "connections"),
         )
         self.is_stopping = False
+        self._started_ms = self._clock.now_ms()
         self._was_isolated = False
 
     @classmethod
@@ -118,8 +121,20 @@
             not self.is_stopping
             and self.manifests.current is not None
             and not self.fleet.is_isolated()
+            and self._has_met_peers()
+            and bool(self.fleet.list_usable())
         )
 
+    def _has_met_peers(self) -> bool:
+        """Return whether a peer was heard, or none can be expected any more.
+
+        An instance that starts while it is cut off must not take callers at once.
+        """
+        seeds = set(self._settings.get("peers", "seeds")) - {self.fleet.own.address}
+        if not seeds or self.fleet.list_members():
+            return True
+        return self._clock.now_ms() - self._started_ms > MEET_PEERS_MS
+
     def count_in_progress(self) -> int:
         """Return the callers' requests in progress."""
         return self._callers.count_in_progress()
@@ -132,9 +147,9 @@
         self._serve_http("operators", "operator_file", responders.add_operator_routes)
         self._serve_http("announcements", "announcement_file", responders.add_announcement_routes)
         self._exchange.start(str(settings.get("peers", "listen")), self._credentials.server)
-        threading.Thread(target=self._follower.run, name="control", daemon=True).start()
-        threading.Thread(target=self._prober.run, name="prober", daemon=True).start()
-        threading.Thread(target=self._keep_fresh, name="refresh", daemon=True).start()
+        start_task("control", self._follower.run)
+        start_task("prober", self._prober.run)
+        start_task("refresh", self._keep_fresh)
         listen = settings.get("callers", "listen")
         self._callers.start(listen.host, listen.port)
 
--- /dev/null
+++ b/testing/features/test_tls.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+import http.client
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import trustme
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from coltsfootrill.control.messages import ReadRequest
+from coltsfootrill.control.replica import READ
+from coltsfootrill.membership.exchange import FETCH_MANIFEST
+from coltsfootrill.membership.messages import ManifestRequest
+from coltsfootrill.rpc import RpcClient
+from coltsfootrill.rpc import RpcError
+from testing.processes import System
+from testing.processes import wait_until
+from testing.proxy.instance import make_manifest
+
+scenarios("tls.feature")
+
+ENTRIES = ["e1", "e2"]
+
+
+class Keys:
+    """One authority and the key files of a folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self._authority = trustme.CA()
+        self._folder = folder
+        self._authority.cert_pem.write_to_path(str(folder / "ca.pem"))
+        self.issue()
+
+    def issue(self) -> None:
+        leaf = self._authority.issue_cert("127.0.0.1")
+        leaf.private_key_pem.write_to_path(str(self._folder / "key.pem"))
+        leaf.cert_chain_pems[0].write_to_path(str(self._folder / "cert.pem"))
+
+    def describe(self) -> str:
+        return (
+            f"[tls]\ncertificate = {self._folder}/cert.pem\nkey = {self._folder}/key.pem\n"
+            f"authority = {self._folder}/ca.pem\n"
+        )
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> Iterator[System]:
+    made = System(tmp_path)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def keys(tmp_path: Path) -> Keys:
+    return Keys(tmp_path)
+
+
+@given("one control replica and two entry instances with keys of one authority")
+def start(system: System, keys: Keys) -> None:
+    system.add_control(["c1"], extra=keys.describe())
+    for name in ENTRIES:
+        system.add_entry(name, seeds=["e1"], extra=keys.describe())
+    system.start()
+
+
+@then(parsers.parse("manifest {version:d} comes into force on both"))
+def check_in_force(system: System, version: int) -> None:
+    wait_until(lambda: system.submit("c1", make_manifest(version))[0] == 200)
+    for name in ENTRIES:
+        wait_until(lambda name=name: system.get_version(name) == version)  # type: ignore[misc]
+        _, body = system.ask(name, "/status")
+        assert len(body["members"]) == 1
+
+
+@then("a stranger without a key is refused by peers and by control")
+def check_stranger(system: System) -> None:
+    for port in (system.ports["e1.peers"], system.ports["c1"]):
+        stranger = RpcClient(f"127.0.0.1:{port}")
+        with pytest.raises(RpcError):
+            stranger.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=1_000)
+        with pytest.raises(RpcError):
+            stranger.call(READ, ReadRequest("x", 0, True), timeout_ms=1_000)
+        stranger.close()
+
+
+@when("the keys are replaced by new ones of the same authority")
+def replace_keys(keys: Keys) -> None:
+    keys.issue()
+
+
+@then("a manifest and an announcement without the token are refused and counted")
+def check_token(system: System) -> None:
+    wait_until(lambda: system.ask("c1", "/ready")[0] == 200)
+    wait_until(lambda: system.ask("e1", "/status")[0] == 200)
+    manifest_port = system.ports["c1.operators"]
+    assert _post(manifest_port, "/manifest", make_manifest(5)) == 401
+    assert _post(system.ports["e1.announcements"], "/announcements", b"{}") == 401
+    for name in ("c1", "e1"):
+        assert 'refused_operations_total{cause="token"} 1.0' in _read_metrics(system, name)
+
+
+def _post(port: int, path: str, body: bytes) -> int:
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+    connection.request("POST", path, body, {"Authorization": "Bearer wrong"})
+    status = connection.getresponse().status
+    connection.close()
+    return status
+
+
+def _read_metrics(system: System, name: str) -> str:
+    port = system.ports[f"{name}.operators"]
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    connection.close()
+    return text
--- a/testing/operators/test_commands.py
+++ b/testing/operators/test_commands.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
+import socket
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 from coltsfootrill.operators.commands import make_settings_reference
@@ -46,7 +48,20 @@
         manifest = tmp_path / "m.json"
         manifest.write_text("{}")
         options = ["--at", "127.0.0.1:1", "--token-file", str(token)]
-        assert _run("manifest", "submit", str(manifest), *options).returncode in (3, 4)
+        assert _run("manifest", "submit", str(manifest), *options).returncode == 4
+
+    def test_an_answer_that_is_lost_is_unknown(self, tmp_path: Path) -> None:
+        token = tmp_path / "t"
+        token.write_text("x" * 16)
+        manifest = tmp_path / "m.json"
+        manifest.write_text("{}")
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            threading.Thread(target=lambda: listener.accept()[0].close(), daemon=True).start()
+            at = f"127.0.0.1:{listener.getsockname()[1]}"
+            options = ["--at", at, "--token-file", str(token)]
+            result = _run("manifest", "submit", str(manifest), *options)
+        assert result.returncode == 3
+        assert "resend is safe" in result.stderr
 
     def test_help_names_every_command(self) -> None:
         text = _run("--help").stdout
--- /dev/null
+++ b/testing/test_settings.py
@@ -0,0 +1,47 @@
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from coltsfootrill.settings import CONTROL_SETTINGS
+from coltsfootrill.settings import ENTRY_SETTINGS
+from coltsfootrill.settings import InvalidSettingsError
+from coltsfootrill.settings import Settings
+
+
+class TestSettings:
+    def test_all_problems_come_at_once(self, tmp_path: Path) -> None:
+        path = tmp_path / "c.ini"
+        path.write_text(
+            "[instance]\nid = c1\nzone = z\n[operators]\nlisten = localhost:1\n"
+            "[control]\nlisten = 127.0.0.1:99999\nreplicas = c1=127.0.0.1:1, c2=127.0.0.1:2\n"
+        )
+        with pytest.raises(InvalidSettingsError) as caught:
+            Settings.from_file(path, CONTROL_SETTINGS)
+        keys = {(e.section, e.key) for e in caught.value.exceptions}  # type: ignore[union-attr]
+        assert keys == {
+            ("operators", "listen"),
+            ("tokens", "operator_file"),
+            ("control", "listen"),
+            ("control", "replicas"),
+        }
+
+    def test_a_key_that_stands_twice_is_refused(self, tmp_path: Path) -> None:
+        path = tmp_path / "c.ini"
+        path.write_text("[instance]\nid = c1\nid = c2\n")
+        with pytest.raises(InvalidSettingsError):
+            Settings.from_file(path, CONTROL_SETTINGS)
+
+    @hypothesis_settings(suppress_health_check=[HealthCheck.function_scoped_fixture])
+    @given(raw=st.binary(max_size=300))
+    def test_any_file_is_refused_with_reasons(self, tmp_path: Path, raw: bytes) -> None:
+        path = tmp_path / "e.ini"
+        path.write_bytes(raw)
+        with pytest.raises(InvalidSettingsError) as caught:
+            Settings.from_file(path, ENTRY_SETTINGS)
+        assert caught.value.exceptions
