--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format dist bench prove soak clean
+.PHONY: demo test lint format dist bench prove slopes soak clean
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +38,9 @@
 prove: $(VENV)/.ready
 	$(BIN)/python scripts/prove.py
 
+slopes: $(VENV)/.ready
+	$(BIN)/python scripts/slopes.py
+
 soak: $(VENV)/.ready
 	$(BIN)/python scripts/soak.py 600 1
 
--- /dev/null
+++ b/scripts/slopes.py
@@ -0,0 +1,106 @@
+"""Measures how the cost of an entry instance grows with instances, upstreams and requests.
+
+Usage: slopes.py [BASE_PORT]
+"""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from scripts.bench_control import read_cpu_s  # noqa: E402
+from scripts.bench_control import read_peer_bytes  # noqa: E402
+
+PROGRAM = str(ROOT / ".venv/bin/coltsfootrill")
+REST_S = 10.0
+SETTLE_S = 5.0
+REQUESTS = 2_000
+
+
+class Fleet:
+    """A fleet of ``start_fleet.sh`` in a folder of its own."""
+
+    def __init__(self, folder: str, base: int, entries: int, copies: int) -> None:
+        self.folder = Path(folder)
+        self.base = base
+        command = [str(ROOT / "scripts/start_fleet.sh"), folder, str(entries), str(base), "120"]
+        environment = os.environ | {"COPIES": str(copies)}
+        subprocess.run(command, check=True, cwd=ROOT, env=environment, stdout=subprocess.DEVNULL)
+        lines = (self.folder / "pids").read_text().splitlines()
+        self.pids = {name: int(pid) for pid, name in map(str.split, lines)}
+        time.sleep(SETTLE_S)
+
+    def stop(self) -> None:
+        """Stop all processes."""
+        stop = str(ROOT / "scripts/stop_fleet.sh")
+        subprocess.run([stop, str(self.folder)], check=False, stdout=subprocess.DEVNULL)
+
+    def describe_rest(self) -> str:
+        """Return what the second entry instance and a control replica use at rest."""
+        entry, control = self.pids["e2"], self.pids["c2"]
+        port = self.base + 102
+        before = (read_cpu_s(entry), read_cpu_s(control), read_peer_bytes(port))
+        time.sleep(REST_S)
+        after = (read_cpu_s(entry), read_cpu_s(control), read_peer_bytes(port))
+        use = [(late - early) / REST_S for early, late in zip(before, after, strict=True)]
+        return (
+            f"entry {use[0] * 100:.2f} % of a core, {read_memory_mb(entry):.1f} MB, "
+            f"{use[2] / 1000:.2f} KB/s with peers; control {use[1] * 100:.2f} %, "
+            f"{read_memory_mb(control):.1f} MB"
+        )
+
+    def measure_call_ms(self, rate: int) -> float:
+        """Return the processor time of the first entry instance for one call, beyond rest."""
+        entry = self.pids["e1"]
+        rest_before = read_cpu_s(entry)
+        time.sleep(REST_S)
+        rest_s = (read_cpu_s(entry) - rest_before) / REST_S
+        command = [PROGRAM, "measure-added", "--callers", f"127.0.0.1:{self.base + 201}"]
+        for number in (1, 2, 3):
+            command += ["--fakes", f"127.0.0.1:{self.base + 20 + number}"]
+        command += ["--requests", str(REQUESTS), "--rate", str(rate)]
+        before = read_cpu_s(entry)
+        start_s = time.monotonic()
+        subprocess.run(command, check=True, stdout=subprocess.DEVNULL)
+        elapsed_s = time.monotonic() - start_s
+        return (read_cpu_s(entry) - before - rest_s * elapsed_s) * 1000 / REQUESTS
+
+
+def read_memory_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def main() -> int:
+    """Print all slopes."""
+    base = int(sys.argv[1]) if len(sys.argv) > 1 else 29_000
+    for entries, copies in ((5, 1), (10, 1), (20, 1), (10, 2), (10, 4)):
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = Fleet(folder, base, entries, copies)
+            try:
+                print(f"{entries} instances, {70 * copies} upstreams: {fleet.describe_rest()}")
+                sys.stdout.flush()
+            finally:
+                fleet.stop()
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(folder, base, 5, 1)
+        try:
+            for rate in (100, 200, 400):
+                print(f"{rate} calls/s: {fleet.measure_call_ms(rate):.3f} ms of a core for a call")
+        finally:
+            fleet.stop()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/start_fleet.sh
+++ b/scripts/start_fleet.sh
@@ -62,7 +62,7 @@
     start "fakes$n" "$program" fake-upstreams --zone "zone-$n" --share "$((n - 1))/3" \
         --control-port $((base + 20 + n)) --first-port $((base + 500)) \
         --token-file "$folder/announce.token" --duration-s "$duration_s" "${announce[@]}" \
-        --work-factor "${WORK_FACTOR:-1}"
+        --work-factor "${WORK_FACTOR:-1}" --copies "${COPIES:-1}"
 done
 
 status=(--token-file "$folder/operator.token" --timeout-s 30)
--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -238,6 +238,7 @@
     duration_s: float = 600.0,
     seed: int = 1,
     work_factor: Annotated[float, Parameter(help="Factor on the time of work.")] = 1.0,
+    copies: Annotated[int, Parameter(help="Factor on the number of upstreams.")] = 1,
 ) -> int:
     """Run stand-ins for upstreams of both workloads, on loopback, for a limited time."""
     from coltsfootrill.replay.command import run_fake_upstreams  # noqa: PLC0415
@@ -252,6 +253,7 @@
         duration_s=duration_s,
         seed=seed,
         work_factor=work_factor,
+        copies=copies,
     )
 
 
--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -19,10 +19,37 @@
 RENEW_AFTER_MS = 800
 TOMBSTONE_MS = 3_600_000.0
 FORGET_AFTER_MS = 60_000.0
+STEADY_OFFSET_MS = 200.0
+STEADY_COUNT = 3
 
 MergeResult = Literal["changed", "renewed", "ignored"]
 
 
+class TransitTimes:
+    """Offsets between the arrival of announcements and the upstream's clock, in milliseconds.
+
+    Announcements that were held up arrive with different offsets; several in a row with the same
+    one mean that the upstream's clock was set back, and the fastest offset is taken anew.
+    """
+
+    __slots__ = ("_fastest", "_last", "_steady_count")
+
+    def __init__(self) -> None:
+        self._fastest: float | None = None
+        self._last = 0.0
+        self._steady_count = 0
+
+    def get_lateness(self, offset_ms: float) -> float:
+        """Return by how much an announcement is later than the fastest one."""
+        is_steady = abs(offset_ms - self._last) < STEADY_OFFSET_MS
+        self._steady_count = self._steady_count + 1 if is_steady else 0
+        self._last = offset_ms
+        if self._fastest is None or self._steady_count >= STEADY_COUNT:
+            self._fastest = offset_ms
+        self._fastest = min(self._fastest, offset_ms)
+        return offset_ms - self._fastest
+
+
 class UpstreamRecord:
     """The newest announcement of one upstream and the evidence for its lease.
 
@@ -34,9 +61,9 @@
         "announcement",
         "changed_at",
         "evidence_ms",
-        "fastest_offset_ms",
         "origin",
         "renewed_at",
+        "transit",
     )
 
     def __init__(self, announcement: Announcement, *, origin: str, evidence_ms: float) -> None:
@@ -45,7 +72,7 @@
         self.evidence_ms = evidence_ms
         self.changed_at = 0
         self.renewed_at = 0
-        self.fastest_offset_ms: float | None = None
+        self.transit = TransitTimes()
 
     @property
     def is_leaving(self) -> bool:
@@ -101,7 +128,7 @@
         record.origin = origin
         is_new_incarnation = announcement.incarnation > before.incarnation
         if is_new_incarnation:
-            record.fastest_offset_ms = None
+            record.transit = TransitTimes()
             record.evidence_ms = evidence_ms
         record.evidence_ms = max(record.evidence_ms, evidence_ms)
         if is_new_incarnation or not _describes_same(announcement, before):
@@ -120,14 +147,9 @@
         record = self.by_id.get(announcement.id)
         if record is None or announcement.sent_at_ms == 0:
             return now_ms
-        offset_ms = now_ms - announcement.sent_at_ms
-        is_same = announcement.incarnation == record.announcement.incarnation
-        fastest_ms = record.fastest_offset_ms if is_same else None
-        if fastest_ms is None or offset_ms < fastest_ms:
-            if is_same:
-                record.fastest_offset_ms = offset_ms
+        if announcement.incarnation != record.announcement.incarnation:
             return now_ms
-        return now_ms - (offset_ms - fastest_ms)
+        return now_ms - record.transit.get_lateness(now_ms - announcement.sent_at_ms)
 
     def renew(
         self, upstream_id: str, incarnation: int, evidence_ms: float, *, is_passed_on: bool
--- a/src/coltsfootrill/replay/command.py
+++ b/src/coltsfootrill/replay/command.py
@@ -65,13 +65,14 @@
     duration_s: float,
     seed: int,
     work_factor: float,
+    copies: int,
 ) -> int:
     """Run this process's share of the stand-ins."""
     part, _, parts = share.partition("/")
     names = [
         (f"{service.id}-{index}", service)
         for service in [*HERALDIC, *ROTA]
-        for index in range(service.upstream_count)
+        for index in range(service.upstream_count * copies)
     ]
     upstreams = [
         FakeUpstream(
--- a/testing/registry/test_directory.py
+++ b/testing/registry/test_directory.py
@@ -73,6 +73,35 @@
         late = make_announcement(sequence=3, sent_at_ms=52_000)
         assert directory.discount_lateness(late, 4_100) == 2_100
 
+    def test_an_upstream_whose_clock_was_set_back_is_used_again(
+        self, make_announcement: Any
+    ) -> None:
+        directory = Directory()
+        for sequence in range(20):
+            now_ms = 1_000.0 + 800 * sequence
+            jump_ms = 60_000 if sequence >= 5 else 0
+            sent_at_ms = 500_000 + 800 * sequence - jump_ms
+            announcement = make_announcement(sequence=sequence, sent_at_ms=sent_at_ms)
+            evidence_ms = directory.discount_lateness(announcement, now_ms)
+            directory.merge(announcement, origin="e1", evidence_ms=evidence_ms)
+            if sequence == 5:
+                assert evidence_ms == now_ms - 60_000
+        assert directory.list_usable(now_ms + 1)
+
+    def test_a_burst_that_was_held_up_is_late_to_its_last_announcement(
+        self, make_announcement: Any
+    ) -> None:
+        directory = Directory()
+        first = make_announcement(sequence=0, sent_at_ms=500_000)
+        directory.merge(first, origin="e1", evidence_ms=1_000)
+        directory.discount_lateness(first, 1_000)
+        thawed_ms = 6_000.0
+        for sequence in range(1, 6):
+            sent_at_ms = 500_000 + 800 * sequence
+            held_up = make_announcement(sequence=sequence, sent_at_ms=sent_at_ms)
+            evidence_ms = directory.discount_lateness(held_up, thawed_ms)
+            assert evidence_ms == 1_000 + 800 * sequence
+
     def test_the_renewal_of_an_older_incarnation_extends_nothing(
         self, make_announcement: Any
     ) -> None:
