Bound the doubling of ejections

Cause: found by reading: the time of an ejection doubles with each one in a row, as a whole number to the power of the count; after 1,016 of them, less than three hours of a bad upstream, the product overflows and the refresh task fails.

Ruled out: the sheds' pause, which bounds its exponent already.

Before: a test of 2,000 ejections in a row fails with an overflow; after: it passes. The calls between control replicas and the probe's ejection lost a twin each on the way.

--- a/src/coltsfootrill/balancer/ejection.py
+++ b/src/coltsfootrill/balancer/ejection.py
@@ -14,6 +14,7 @@
 EJECTION_MS = 250.0
 EJECTION_MAX_MS = 10_000.0
 CLEAN_SUCCESSES = 20
+DOUBLINGS_MAX_COUNT = 16
 
 
 def get_cap(count: int) -> int:
@@ -51,7 +52,9 @@
     """Eject one upstream; each ejection in a row doubles the time."""
     if load.successes >= CLEAN_SUCCESSES:
         load.ejection_count = 0
-    duration_ms = min(EJECTION_MS * 2**load.ejection_count, EJECTION_MAX_MS)
+    duration_ms = min(
+        EJECTION_MS * 2 ** min(load.ejection_count, DOUBLINGS_MAX_COUNT), EJECTION_MAX_MS
+    )
     load.ejection_count += 1
     load.successes = 0
     load.ejected_until_ms = now_ms + duration_ms
@@ -60,8 +63,3 @@
     load.ramp_from_ms = load.ejected_until_ms
     load.slowness = min(load.slowness, SLOWNESS_TO_EJECT / 2)
     load.errors = 0.0
-
-
-def extend_ejection(load: UpstreamLoad, *, now_ms: float) -> None:
-    """Keep an upstream ejected after a probe that failed."""
-    eject(load, now_ms=now_ms)
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
+from typing import Any
 
 import grpc
 
@@ -247,20 +248,23 @@
     def _call_prepare(self, address: str, request: Prepare) -> Promise:
         if address == self._address:
             return self.acceptor.prepare(request)
-        reply: Promise = self._client(address).call(PREPARE, request, timeout_ms=CALL_TIMEOUT_MS)
-        return reply
+        promise: Promise = self._call(address, PREPARE, request)
+        return promise
 
     def _call_accept(self, address: str, request: Accept) -> Accepted:
         if address == self._address:
             return self.acceptor.accept(request)
-        reply: Accepted = self._client(address).call(ACCEPT, request, timeout_ms=CALL_TIMEOUT_MS)
-        return reply
+        accepted: Accepted = self._call(address, ACCEPT, request)
+        return accepted
 
     def _call_inspect(self, address: str, request: Inspect) -> Inspection:
         if address == self._address:
             return self.acceptor.inspect(request)
-        reply: Inspection = self._client(address).call(INSPECT, request, timeout_ms=CALL_TIMEOUT_MS)
-        return reply
+        inspection: Inspection = self._call(address, INSPECT, request)
+        return inspection
+
+    def _call(self, address: str, method: Method, request: Any) -> Any:
+        return self._client(address).call(method, request, timeout_ms=CALL_TIMEOUT_MS)
 
     def _client(self, address: str) -> RpcClient:
         with self._clients_lock:
--- a/src/coltsfootrill/proxy/prober.py
+++ b/src/coltsfootrill/proxy/prober.py
@@ -9,7 +9,7 @@
 import threading
 from random import Random
 
-from coltsfootrill.balancer.ejection import extend_ejection
+from coltsfootrill.balancer.ejection import eject
 from coltsfootrill.balancer.load import UpstreamLoad
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.probe_budget import ProbeBudget
@@ -107,7 +107,7 @@
         def judge(pool: ServicePool, now_ms: float) -> None:
             load.needs_probe = False
             if not is_good and now_ms < load.ejected_until_ms:
-                extend_ejection(load, now_ms=now_ms)
+                eject(load, now_ms=now_ms)
 
         gate.read_pool(judge)
 
--- a/testing/balancer/test_decisions.py
+++ b/testing/balancer/test_decisions.py
@@ -156,6 +156,15 @@
             now_ms = loads[0].ejected_until_ms
         assert durations == sorted(set(durations))
 
+    def test_an_upstream_that_stays_bad_is_ejected_for_hours_on_end(self) -> None:
+        loads = [_load(f"u{n}") for n in range(3)]
+        now_ms = 0.0
+        for _ in range(2_000):
+            loads[0].slowness = 50
+            assert eject_outliers(loads, now_ms=now_ms) == [loads[0]]
+            now_ms = loads[0].ejected_until_ms
+        assert loads[0].ejected_until_ms - now_ms <= 10_000
+
 
 class TestRetries:
     def test_a_non_idempotent_request_is_retried_only_when_proven_not_run(self) -> None:
