--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	scripts/bench_added.sh
 	scripts/bench_policies.sh
 	scripts/bench_control.sh
+	scripts/bench_change.sh
 
 prove: $(VENV)/.ready
 	$(BIN)/python scripts/prove.py
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import subprocess
 import sys
@@ -15,6 +16,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+from scripts.bench_control import call  # noqa: E402
 from scripts.bench_control import read_cpu_s  # noqa: E402
 from scripts.bench_control import read_peer_bytes  # noqa: E402
 
@@ -22,6 +24,7 @@
 REST_S = 10.0
 SETTLE_S = 5.0
 REQUESTS = 2_000
+SPREADS = 15
 
 
 class Fleet:
@@ -56,6 +59,23 @@
             f"{read_memory_mb(control):.1f} MB"
         )
 
+    def measure_spread_ms(self, entries: int) -> list[float]:
+        """Return how long new upstreams take to be known on every instance."""
+        token = (self.folder / "announce.token").read_text().strip()
+        operator = (self.folder / "operator.token").read_text().strip()
+        times = []
+        for number in range(SPREADS):
+            name = f"spread-{number}"
+            start_s = time.monotonic()
+            call(self.base + 301, token, "POST", "/announcements", _encode_announcement(name))
+            waiting = [self.base + 100 + entry for entry in range(1, entries + 1)]
+            while waiting:
+                known = call(waiting[0], operator, "GET", "/upstreams")["upstreams"]
+                if any(upstream["id"] == name for upstream in known):
+                    waiting.pop(0)
+            times.append((time.monotonic() - start_s) * 1000)
+        return sorted(times)
+
     def measure_call_ms(self, rate: int) -> float:
         """Return the processor time of the first entry instance for one call, beyond rest."""
         entry = self.pids["e1"]
@@ -73,6 +93,21 @@
         return (read_cpu_s(entry) - before - rest_s * elapsed_s) * 1000 / REQUESTS
 
 
+def _encode_announcement(name: str) -> bytes:
+    return json.dumps(
+        {
+            "id": name,
+            "incarnation": 1,
+            "sequence": 1,
+            "address": "127.0.0.1:9",
+            "zone": "zone-1",
+            "services": ["spread"],
+            "slots": 3,
+            "state": "serving",
+        }
+    ).encode()
+
+
 def read_memory_mb(pid: int) -> float:
     """Return the resident memory of a process."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
@@ -89,6 +124,11 @@
             fleet = Fleet(folder, base, entries, copies)
             try:
                 print(f"{entries} instances, {70 * copies} upstreams: {fleet.describe_rest()}")
+                if copies == 1:
+                    times = fleet.measure_spread_ms(entries)
+                    median_ms = times[len(times) // 2]
+                    print(f"  new upstream known everywhere: p50 {median_ms:.0f} ms,", end=" ")
+                    print(f"max {times[-1]:.0f} ms, asking included")
                 sys.stdout.flush()
             finally:
                 fleet.stop()
--- a/src/coltsfootrill/membership/fleet.py
+++ b/src/coltsfootrill/membership/fleet.py
@@ -160,7 +160,7 @@
                     renewal.id,
                     renewal.incarnation,
                     made_ms - renewal.age_ms,
-                    is_passed_on=True,
+                    origin=reply.sender.id,
                 )
             return understood
 
@@ -174,7 +174,7 @@
                     confirmation.upstream_id,
                     confirmation.incarnation,
                     confirmation.evidence_ms,
-                    is_passed_on=False,
+                    origin=None,
                 )
             self.directory.forget_expired(now_ms)
             for instance_id in self.members.remove_lost(now_ms):
--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -152,12 +152,13 @@
         return now_ms - record.transit.get_lateness(now_ms - announcement.sent_at_ms)
 
     def renew(
-        self, upstream_id: str, incarnation: int, evidence_ms: float, *, is_passed_on: bool
+        self, upstream_id: str, incarnation: int, evidence_ms: float, *, origin: str | None
     ) -> bool:
         """Extend a lease on evidence for the same incarnation.
 
-        ``is_passed_on`` makes it an update for instances that do not hear the origin. Returns
-        whether the incarnation, or a newer one, was known.
+        ``origin`` is the instance that brought it, which makes it an update for instances that
+        do not hear that one; ``None`` for evidence that stays here. Returns whether the
+        incarnation, or a newer one, was known.
         """
         record = self.by_id.get(upstream_id)
         if record is None or record.announcement.incarnation < incarnation:
@@ -166,7 +167,10 @@
             return True
         if record.announcement.state != "leaving" and evidence_ms > record.evidence_ms:
             record.evidence_ms = evidence_ms
-            if is_passed_on:
+            if origin is not None:
+                # Keeping the origin would have every instance that once took an announcement
+                # of this upstream pass on each renewal by the others.
+                record.origin = origin
                 self.position += 1
                 record.renewed_at = self.position
         return True
--- a/testing/membership/test_fleet.py
+++ b/testing/membership/test_fleet.py
@@ -79,6 +79,22 @@
         reply = _pull(second, first, position=position)
         assert [renewal.id for renewal in reply.renewals] == ["blazon-1"]
 
+    def test_a_renewal_by_another_instance_is_not_passed_on_as_an_own_one(
+        self, clock: ManualClock, make_announcement: Any
+    ) -> None:
+        # Every instance takes an announcement of every upstream now and then.
+        first, second, third = (_make_fleet(name, clock) for name in ("e1", "e2", "e3"))
+        first.announce(make_announcement(sequence=1))
+        position = _pull(second, first).position
+        _pull(third, first)
+        third_position = third.directory.position
+        clock.advance(500)
+        third.announce(make_announcement(sequence=2))
+        _pull(second, third)
+        clock.advance(1)
+        _pull(first, third, position=third_position)
+        assert _pull(second, first, position=position).renewals == []
+
     def test_a_renewal_of_something_unknown_asks_for_the_whole_state(
         self, clock: ManualClock, make_announcement: Any
     ) -> None:
--- a/testing/registry/test_directory.py
+++ b/testing/registry/test_directory.py
@@ -107,11 +107,11 @@
     ) -> None:
         directory = Directory()
         directory.merge(make_announcement(incarnation=2), origin="e1", evidence_ms=0)
-        assert directory.renew("blazon-1", 1, 5_000, is_passed_on=True)
+        assert directory.renew("blazon-1", 1, 5_000, origin="e2")
         assert not directory.list_usable(LEASE_MS)
 
     def test_the_renewal_of_an_unknown_upstream_is_reported(self) -> None:
-        assert not Directory().renew("blazon-1", 1, 0, is_passed_on=True)
+        assert not Directory().renew("blazon-1", 1, 0, origin="e2")
 
     def test_a_tombstone_outlives_the_lease(self, make_announcement: Any) -> None:
         directory = Directory()
