Have stand-ins announce that they leave, whatever was on its way

Cause: the demo listed seven of eight upstreams as leaving. A stand-in that began to leave while an announcement of 'serving' was on its way took the answer to that one for the answer to 'leaving', and said no more; its lease ended instead.

Ruled out: the directory, which had never been told.

Before: the new test fails; after: it passes.

--- a/src/coltsfootrill/replay/fake_upstream.py
+++ b/src/coltsfootrill/replay/fake_upstream.py
@@ -201,11 +201,12 @@
         await asyncio.sleep(self._random.random() * RENEW_S / 2)
         is_leaving_told = False
         while not is_leaving_told:
-            if upstream.state != "crashed":
+            # The state may change while the announcement is on its way.
+            state = upstream.state
+            if state != "crashed":
                 is_told = await self._announce(upstream)
-                is_leaving_told = is_told and upstream.state == "leaving"
+                is_leaving_told = is_told and state == "leaving"
             end_s = time.monotonic() + RENEW_S
-            state = upstream.state
             while time.monotonic() < end_s and upstream.state == state:
                 await asyncio.sleep(0.02)
 
--- /dev/null
+++ b/testing/replay/test_fake_upstream.py
@@ -0,0 +1,35 @@
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from coltsfootrill.replay.fake_upstream import FakeFleet
+from coltsfootrill.replay.fake_upstream import FakeUpstream
+
+
+class _Recorder(FakeFleet):
+    """Records what is announced; the first announcement is on its way while the state changes."""
+
+    def __init__(self, upstream: FakeUpstream) -> None:
+        super().__init__([upstream], announce_to=["127.0.0.1:9"], token="t", seed=1)
+        self.states: list[str] = []
+
+    async def _announce(self, upstream: FakeUpstream) -> bool:
+        announcement: dict[str, Any] = upstream.announcement()
+        if not self.states:
+            upstream.behave("leave", 1.0)
+        self.states.append(announcement["state"])
+        return True
+
+
+class TestAnnouncing:
+    def test_leaving_is_announced_though_an_announcement_was_on_its_way(self) -> None:
+        upstream = FakeUpstream("u1", "work", zone="z1", port=9, work_ms=1, seed=1)
+        recorder = _Recorder(upstream)
+
+        async def announce() -> None:
+            async with asyncio.timeout(5):
+                await recorder._keep_announcing(upstream)
+
+        asyncio.run(announce())
+        assert recorder.states == ["serving", "leaving"]
