Leave timeouts to poll and the kernel on the path of a request

Cause: a socket with a timeout costs a system call to set it, and the interpreter polls before each receive and send, giving up its lock each time.

Change: sockets block; sends go out at once and fall back to a timeout only when the buffer is full; answers are read without waiting after the poll that is made anyway; the kernel ends idle receives of callers.

Ruled out on the way: waiting by recursion, which could go a thousand deep in the last millisecond before a deadline; it is a loop.

--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -154,6 +154,8 @@
             sock = socket.create_connection(split_address(address), timeout=timeout_ms / 1000)
         except OSError as error:
             raise ConnectError(f"cannot connect to {address}: {error}") from error
+        # Waits are made by poll; a timeout of the socket would cost a call before each use.
+        sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return cls(sock, clock=clock, epoch=epoch)
 
@@ -169,11 +171,10 @@
 
     def send(self, head: bytes, body: bytes, *, deadline_ms: float) -> None:
         """Send one request; raise ``SendError`` when it cannot be sent whole in time."""
-        left_ms = max(deadline_ms - self._clock.now_ms(), 1.0)
         self.is_reusable = False
+        left_ms = max(deadline_ms - self._clock.now_ms(), 1.0)
         try:
-            self._sock.settimeout(left_ms / 1000)
-            self._sock.sendall(head + body if body else head)
+            send_whole(self._sock, head + body if body else head, timeout_ms=left_ms)
         except OSError as error:
             raise SendError(f"the request was not sent whole: {error}") from error
 
@@ -214,11 +215,18 @@
 
     def _receive(self, deadline_ms: float) -> bytes:
         """Return the next bytes; the deadline covers all reads of one answer together."""
-        left_ms = deadline_ms - self._clock.now_ms()
-        if left_ms <= 0:
-            raise TimeoutError("the deadline passed while the answer was read")
-        self._sock.settimeout(left_ms / 1000)
-        data = self._sock.recv(RECEIVE_BYTES)
+        data: bytes | None = None
+        while data is None:
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                raise TimeoutError("the deadline passed while the answer was read")
+            try:
+                data = self._sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                poller = select.poll()
+                poller.register(self._sock, select.POLLIN)
+                # poll takes whole milliseconds; rounding up avoids a busy loop at the end.
+                poller.poll(int(left_ms) + 1)
         if not data:
             raise ReadError("the connection ended before the answer was whole")
         return data
@@ -228,6 +236,22 @@
         self._sock.close()
 
 
+def send_whole(sock: socket.socket, data: bytes, *, timeout_ms: float) -> None:
+    """Send ``data``; raise ``OSError`` when that fails or takes longer than ``timeout_ms``.
+
+    The socket has no timeout of its own. Nearly always all fits into its buffer at once.
+    """
+    try:
+        sent = sock.send(data, socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        sent = 0
+    if sent == len(data):
+        return
+    sock.settimeout(timeout_ms / 1000)
+    sock.sendall(data[sent:])
+    sock.settimeout(None)
+
+
 def _check_framing(reader: _AnswerReader, method: str, status: int) -> None:
     if status < HTTPStatus.OK:
         raise ReadError(f"unexpected interim answer {status}")
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -10,6 +10,7 @@
 
 import select
 import socket
+import struct
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -22,6 +23,7 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.proxy.connection import send_whole
 from coltsfootrill.proxy.outcome import OUTCOME_HEADER
 from coltsfootrill.proxy.outcome import REASON_HEADER
 from coltsfootrill.proxy.outcome import Answer
@@ -118,12 +120,13 @@
 class _CallerConnection:
     """One connection of a caller. ``is_busy`` is true from the first byte of a request on."""
 
-    __slots__ = ("_left_over", "is_busy", "sock")
+    __slots__ = ("_left_over", "_timeout_ms", "is_busy", "sock")
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.is_busy = False
         self._left_over = b""
+        self._timeout_ms = 0.0
 
     def receive(self, adjustments: Adjustments) -> Any:
         """Return the next request as parsed by waitress, ``None`` at the end of the stream."""
@@ -132,7 +135,7 @@
         self._left_over = b""
         while not parser.completed:
             if not data:
-                self.sock.settimeout((RECEIVE_TIMEOUT_MS if self.is_busy else IDLE_CLOSE_MS) / 1000)
+                self._set_timeout(RECEIVE_TIMEOUT_MS if self.is_busy else IDLE_CLOSE_MS)
                 data = self.sock.recv(RECEIVE_BYTES)
                 if not data:
                     return None
@@ -149,8 +152,16 @@
 
     def send(self, data: bytes) -> None:
         """Send an answer whole."""
-        self.sock.settimeout(WRITE_TIMEOUT_MS / 1000)
-        self.sock.sendall(data)
+        send_whole(self.sock, data, timeout_ms=WRITE_TIMEOUT_MS)
+
+    def _set_timeout(self, timeout_ms: float) -> None:
+        """Have the kernel end a receive, which costs no call before each one."""
+        if timeout_ms == self._timeout_ms:
+            return
+        self._timeout_ms = timeout_ms
+        seconds, rest_ms = divmod(int(timeout_ms), 1_000)
+        value = struct.pack("ll", seconds, rest_ms * 1_000)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, value)
 
     def linger(self) -> None:
         """Let the caller read the last answer before the connection goes.
@@ -274,6 +285,7 @@
         listener.close()
 
     def _start_task(self, sock: socket.socket) -> None:
+        sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = _CallerConnection(sock)
         with self._lock:
