Use an upstream at once when its lease is renewed after it ended

Cause: found by reading: gates look at upstreams again when one changes or a lease ends. A renewal that revives a lease that had ended is neither, so after an isolation healed an upstream stayed unused for up to 2.9 s more.

Ruled out: refreshing every gate each 200 ms, which costs processor time at rest.

Before: the new test gets no-upstream after the renewal; after: it is answered.

Conclusion: kept; a revived lease counts as a change.

--- a/src/coltsfootrill/membership/fleet.py
+++ b/src/coltsfootrill/membership/fleet.py
@@ -83,7 +83,7 @@
             now_ms = self._clock.now_ms()
             evidence_ms = self.directory.discount_lateness(announcement, now_ms)
             result = self.directory.merge(
-                announcement, origin=self._own.id, evidence_ms=evidence_ms
+                announcement, origin=self._own.id, evidence_ms=evidence_ms, now_ms=now_ms
             )
             if result == "changed":
                 self._changed.notify_all()
@@ -152,7 +152,10 @@
                 self._merge_member(record, now_ms)
             for shared in reply.upstreams:
                 self.directory.merge(
-                    shared.announcement, origin=shared.origin, evidence_ms=made_ms - shared.age_ms
+                    shared.announcement,
+                    origin=shared.origin,
+                    evidence_ms=made_ms - shared.age_ms,
+                    now_ms=now_ms,
                 )
             understood = True
             for renewal in reply.renewals:
@@ -161,6 +164,7 @@
                     renewal.incarnation,
                     made_ms - renewal.age_ms,
                     origin=reply.sender.id,
+                    now_ms=now_ms,
                 )
             return understood
 
@@ -175,6 +179,7 @@
                     confirmation.incarnation,
                     confirmation.evidence_ms,
                     origin=None,
+                    now_ms=now_ms,
                 )
             self.directory.forget_expired(now_ms)
             for instance_id in self.members.remove_lost(now_ms):
--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -110,10 +110,18 @@
         self.generation = 0
         self._on_change = on_change
 
-    def merge(self, announcement: Announcement, *, origin: str, evidence_ms: float) -> MergeResult:
+    def merge(
+        self,
+        announcement: Announcement,
+        *,
+        origin: str,
+        evidence_ms: float,
+        now_ms: float | None = None,
+    ) -> MergeResult:
         """Take in one announcement and return what it did.
 
         An older incarnation, and anything after ``leaving`` in the same incarnation, is ignored.
+        ``now_ms`` is the time of the evidence unless it is given.
         """
         record = self.by_id.get(announcement.id)
         if record is None:
@@ -130,7 +138,7 @@
         if is_new_incarnation:
             record.transit = TransitTimes()
             record.evidence_ms = evidence_ms
-        record.evidence_ms = max(record.evidence_ms, evidence_ms)
+        self._extend(record, evidence_ms, evidence_ms if now_ms is None else now_ms)
         if is_new_incarnation or not _describes_same(announcement, before):
             self._mark_changed(record, before=None if is_new_incarnation else before.state)
             return "changed"
@@ -152,7 +160,13 @@
         return now_ms - record.transit.get_lateness(now_ms - announcement.sent_at_ms)
 
     def renew(
-        self, upstream_id: str, incarnation: int, evidence_ms: float, *, origin: str | None
+        self,
+        upstream_id: str,
+        incarnation: int,
+        evidence_ms: float,
+        *,
+        origin: str | None,
+        now_ms: float | None = None,
     ) -> bool:
         """Extend a lease on evidence for the same incarnation.
 
@@ -166,7 +180,7 @@
         if record.announcement.incarnation > incarnation:
             return True
         if record.announcement.state != "leaving" and evidence_ms > record.evidence_ms:
-            record.evidence_ms = evidence_ms
+            self._extend(record, evidence_ms, evidence_ms if now_ms is None else now_ms)
             if origin is not None:
                 # Keeping the origin would have every instance that once took an announcement
                 # of this upstream pass on each renewal by the others.
@@ -199,6 +213,13 @@
         self.generation += bool(expired)
         return len(expired)
 
+    def _extend(self, record: UpstreamRecord, evidence_ms: float, now_ms: float) -> None:
+        was_usable = record.is_usable(now_ms)
+        record.evidence_ms = max(record.evidence_ms, evidence_ms)
+        if record.is_usable(now_ms) and not was_usable:
+            # A lease that had ended is alive again: whoever looks at generations must see it.
+            self.generation += 1
+
     def _mark_changed(self, record: UpstreamRecord, before: UpstreamState | None) -> None:
         self.position += 1
         self.generation += 1
--- a/testing/proxy/test_outcomes.py
+++ b/testing/proxy/test_outcomes.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from testing.processes import wait_until
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import answer
@@ -429,6 +430,17 @@
         assert instance.app.count_in_flight().get("u1", 0) == 0
         assert len(upstream.heads) == 1
 
+    def test_an_upstream_whose_lease_ended_is_used_as_soon_as_it_is_renewed(
+        self, serve: Serve, instance: Instance
+    ) -> None:
+        upstream = serve(answer())
+        assert instance.call().outcome == "answered"
+        record = instance.fleet.directory.by_id["u1"]
+        record.evidence_ms -= 10_000
+        wait_until(lambda: instance.call().reason == "no-upstream", within_s=4)
+        instance.announce("u1", upstream.address)
+        assert instance.call().outcome == "answered"
+
     def test_a_request_ends_under_the_manifest_it_began_with(
         self, serve: Serve, instance: Instance
     ) -> None:
