Call a request in flight a claim

Cause: reading as a newcomer: the class for one request in flight was called a lease, the word for the time in which an upstream may get work; a method and its private twin differed by an underscore only.

Ruled out: assignment, too long for its many uses.

--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -32,7 +32,7 @@
 from coltsfootrill.registry.directory import UpstreamRecord
 
 
-class Lease:
+class Claim:
     """One request in flight at one upstream; ended exactly once."""
 
     __slots__ = ("kind_id", "load", "started_ms", "token", "usual_ms")
@@ -125,7 +125,7 @@
 
     def acquire(
         self, kind: Kind, now_ms: float, *, exclude: frozenset[str], is_patient: bool = False
-    ) -> Lease | None:
+    ) -> Claim | None:
         """Choose an upstream and count the request as in flight there.
 
         Returns ``None`` when none is available. Upstreams in ``exclude`` are taken only if there
@@ -153,7 +153,7 @@
         load = self._policy.choose(preferred, context)
         self.has_worked = True
         note_start(load, token=self._turn, now_ms=now_ms, usual_ms=usual_ms)
-        return Lease(
+        return Claim(
             load=load, token=self._turn, kind_id=kind.id, started_ms=now_ms, usual_ms=usual_ms
         )
 
@@ -167,34 +167,34 @@
             remaining_ms=waiter.deadline_ms - now_ms,
         )
 
-    def end_answered(self, lease: Lease, report: LoadReport | None, now_ms: float) -> None:
+    def end_answered(self, claim: Claim, report: LoadReport | None, now_ms: float) -> None:
         """Count a whole answer without a server error."""
         if report is not None:
-            note_report(lease.load, report, now_ms=now_ms)
-        if note_end(lease.load, token=lease.token) is None:
+            note_report(claim.load, report, now_ms=now_ms)
+        if note_end(claim.load, token=claim.token) is None:
             return
-        latency_ms = now_ms - lease.started_ms
-        self.get_latency(lease.kind_id).add(latency_ms)
-        note_success(lease.load, latency_ms=latency_ms, usual_ms=lease.usual_ms)
+        latency_ms = now_ms - claim.started_ms
+        self.get_latency(claim.kind_id).add(latency_ms)
+        note_success(claim.load, latency_ms=latency_ms, usual_ms=claim.usual_ms)
 
-    def end_shed(self, lease: Lease, report: LoadReport | None, now_ms: float) -> None:
+    def end_shed(self, claim: Claim, report: LoadReport | None, now_ms: float) -> None:
         """Count an explicit refusal for lack of capacity."""
         if report is not None:
-            note_report(lease.load, report, now_ms=now_ms)
-        note_end(lease.load, token=lease.token)
-        note_shed(lease.load, now_ms=now_ms)
+            note_report(claim.load, report, now_ms=now_ms)
+        note_end(claim.load, token=claim.token)
+        note_shed(claim.load, now_ms=now_ms)
 
-    def end_failed(self, lease: Lease, now_ms: float) -> None:
+    def end_failed(self, claim: Claim, now_ms: float) -> None:
         """Count a refused connection, a broken answer or a server error."""
-        note_end(lease.load, token=lease.token)
-        note_error(lease.load, now_ms=now_ms)
+        note_end(claim.load, token=claim.token)
+        note_error(claim.load, now_ms=now_ms)
 
-    def end_abandoned(self, lease: Lease, now_ms: float, *, is_slow: bool) -> None:
+    def end_abandoned(self, claim: Claim, now_ms: float, *, is_slow: bool) -> None:
         """Count an attempt that was given up; ``is_slow`` when the upstream is to blame."""
-        note_end(lease.load, token=lease.token)
+        note_end(claim.load, token=claim.token)
         if is_slow:
-            waited_ms = now_ms - lease.started_ms
-            note_straggle(lease.load, waited_ms=waited_ms, usual_ms=lease.usual_ms)
+            waited_ms = now_ms - claim.started_ms
+            note_straggle(claim.load, waited_ms=waited_ms, usual_ms=claim.usual_ms)
 
     def _retire(self, load: UpstreamLoad | None) -> None:
         if load is not None and load.in_flight:
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -5,7 +5,7 @@
 import select
 
 from coltsfootrill.balancer.load import LoadReport
-from coltsfootrill.balancer.pool import Lease
+from coltsfootrill.balancer.pool import Claim
 from coltsfootrill.balancer.retry import AttemptHistory
 from coltsfootrill.balancer.retry import FailureKind
 from coltsfootrill.clock import Clock
@@ -42,10 +42,10 @@
 class _Attempt:
     """One attempt in progress."""
 
-    __slots__ = ("connection", "lease", "sent_ms", "was_idle")
+    __slots__ = ("connection", "claim", "sent_ms", "was_idle")
 
-    def __init__(self, lease: Lease, connection: UpstreamConnection, sent_ms: float) -> None:
-        self.lease = lease
+    def __init__(self, claim: Claim, connection: UpstreamConnection, sent_ms: float) -> None:
+        self.claim = claim
         self.connection = connection
         self.was_idle = not connection.is_fresh
         self.sent_ms = sent_ms
@@ -111,7 +111,7 @@
 
     def _try_once(self) -> Answer | _Failure:
         """Make one attempt, with a second one beside it where that is allowed."""
-        lease = self._gate.acquire(
+        claim = self._gate.acquire(
             self._route.service,
             self._kind,
             arrived_ms=self._request.arrived_ms,
@@ -119,42 +119,44 @@
             exclude=frozenset(self._tried),
             is_gone=self._request.is_gone,
         )
-        failure = self._start(lease, must_be_fresh=not self._kind.idempotent)
+        failure = self._start(claim, must_be_fresh=not self._kind.idempotent)
         if failure is not None:
             return failure
         return self._await_answer()
 
-    def _start(self, lease: Lease, *, must_be_fresh: bool) -> _Failure | None:
-        """Send the request to the upstream of ``lease``; return what went wrong, if anything.
+    def _start(self, claim: Claim, *, must_be_fresh: bool) -> _Failure | None:
+        """Send the request to the upstream of ``claim``; return what went wrong, if anything.
 
         A non-idempotent request goes over a fresh connection: one from the pool may be closed
         or lost already, and then nobody could tell whether the request was run.
         """
-        self._tried.add(lease.load.id)
+        self._tried.add(claim.load.id)
         left_ms = self._request.deadline_ms - self._clock.now_ms()
         if left_ms <= SEND_MARGIN_MS:
-            self._gate.end_abandoned(lease, is_slow=False)
+            self._gate.end_abandoned(claim, is_slow=False)
             raise self._expire()
-        pool = self._pools.get(lease.load.address)
+        pool = self._pools.get(claim.load.address)
         try:
             connection = None if must_be_fresh else pool.take_idle()
             connection = connection or pool.open(left_ms)
         except ConnectError as error:
-            self._end_failed(lease, "refused")
+            self._end_failed(claim, "refused")
             return _Failure("refused", str(error))
         self._history.unproven += 1
         try:
             connection.send(
-                self._make_head(lease), self._request.body, deadline_ms=self._request.deadline_ms
+                self._make_head(claim),
+                self._request.body,
+                deadline_ms=self._request.deadline_ms,
             )
         except SendError as error:
             connection.close()
-            self._end_failed(lease, "lost")
+            self._end_failed(claim, "lost")
             return _Failure("lost", str(error))
-        self._open.append(_Attempt(lease, connection, self._clock.now_ms()))
+        self._open.append(_Attempt(claim, connection, self._clock.now_ms()))
         return None
 
-    def _make_head(self, lease: Lease) -> bytes:
+    def _make_head(self, claim: Claim) -> bytes:
         request = self._request
         headers = list(list_request_headers(request.headers))
         left_ms = request.deadline_ms - self._clock.now_ms()
@@ -215,11 +217,11 @@
         if not is_allowed:
             return
         exclude = frozenset() if is_silent else frozenset(self._tried)
-        lease = self._gate.try_acquire(self._route.service, self._kind, exclude=exclude)
-        if lease is None:
+        claim = self._gate.try_acquire(self._route.service, self._kind, exclude=exclude)
+        if claim is None:
             return
         self._count_extra("silent" if is_silent else "hedge")
-        self._start(lease, must_be_fresh=is_silent)
+        self._start(claim, must_be_fresh=is_silent)
 
     def _poll(self, timeout_ms: float) -> list[_Attempt]:
         """Return the attempts whose answer begins within ``timeout_ms``.
@@ -241,17 +243,17 @@
     def _finish(self, attempt: _Attempt) -> Answer | _Failure:
         """Read the answer of one attempt and judge it."""
         self._open.remove(attempt)
-        lease = attempt.lease
+        claim = attempt.claim
         try:
             answer = attempt.connection.read(
                 self._request.method, deadline_ms=self._request.deadline_ms
             )
         except ReadError as error:
             attempt.connection.close()
-            self._end_failed(lease, "lost")
+            self._end_failed(claim, "lost")
             return _Failure("lost", str(error))
         report = parse_load(answer.get_header(LOAD_HEADER))
-        result = self._judge(lease, answer, report)
+        result = self._judge(claim, answer, report)
         if isinstance(result, Answer):
             result.add_follow_up(lambda: self._give_back(attempt))
         else:
@@ -259,16 +261,16 @@
         return result
 
     def _give_back(self, attempt: _Attempt) -> None:
-        self._pools.get(attempt.lease.load.address).give_back(attempt.connection)
+        self._pools.get(attempt.claim.load.address).give_back(attempt.connection)
 
     def _judge(
-        self, lease: Lease, answer: UpstreamAnswer, report: LoadReport | None
+        self, claim: Claim, answer: UpstreamAnswer, report: LoadReport | None
     ) -> Answer | _Failure:
         if answer.status == 503 and answer.get_header(SHED_HEADER):
             self._count_attempt("shed")
-            self._gate.end_shed(lease, report)
+            self._gate.end_shed(claim, report)
             self._history.unproven -= 1
-            return _Failure("shed", f"upstream {lease.load.id} had no capacity")
+            return _Failure("shed", f"upstream {claim.load.id} had no capacity")
         passed = Answer(
             status=f"{answer.status} {answer.reason}",
             headers=list_answer_headers(answer.headers),
@@ -276,16 +278,16 @@
             outcome="answered",
         )
         if answer.status >= 500:
-            self._end_failed(lease, "server-error")
+            self._end_failed(claim, "server-error")
             if self._kind.idempotent:
                 return _Failure("failed-answer", "the upstream failed", passed)
             return passed
         ended_ms = self._clock.now_ms()
-        passed.add_follow_up(lambda: self._end_answered(lease, report, ended_ms))
+        passed.add_follow_up(lambda: self._end_answered(claim, report, ended_ms))
         return passed
 
-    def _end_answered(self, lease: Lease, report: LoadReport | None, ended_ms: float) -> None:
-        self._gate.end_answered(lease, report, ended_ms)
+    def _end_answered(self, claim: Claim, report: LoadReport | None, ended_ms: float) -> None:
+        self._gate.end_answered(claim, report, ended_ms)
         self._count_attempt("answered")
 
     def _give_up(self, failure: _Failure) -> Answer:
@@ -308,7 +310,7 @@
 
     def _doubt(self, attempt: _Attempt) -> None:
         """Bar the contemporaries of a silent connection from further use."""
-        doubted = self._pools.get(attempt.lease.load.address).doubt()
+        doubted = self._pools.get(attempt.claim.load.address).doubt()
         self._metrics.doubted.inc(doubted + 1)
 
     def _cancel_open(self) -> None:
@@ -317,13 +319,13 @@
         for attempt in self._open:
             attempt.connection.close()
             is_slow = now_ms >= self._request.deadline_ms or len(self._tried) > 1
-            self._gate.end_abandoned(attempt.lease, is_slow=is_slow)
+            self._gate.end_abandoned(attempt.claim, is_slow=is_slow)
             self._count_attempt("cancelled")
         self._open.clear()
 
-    def _end_failed(self, lease: Lease, result: str) -> None:
+    def _end_failed(self, claim: Claim, result: str) -> None:
         self._count_attempt(result)
-        self._gate.end_failed(lease)
+        self._gate.end_failed(claim)
 
     def _count_attempt(self, result: str) -> None:
         self._metrics.count_attempt(self._route.service.id, result)
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -8,7 +8,7 @@
 
 from coltsfootrill.balancer.admission import Waiter
 from coltsfootrill.balancer.load import LoadReport
-from coltsfootrill.balancer.pool import Lease
+from coltsfootrill.balancer.pool import Claim
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.retry import AttemptHistory
 from coltsfootrill.balancer.retry import FailureKind
@@ -29,15 +29,15 @@
 
 
 class _Ticket:
-    """A waiting thread; exactly one of ``lease`` and ``is_evicted`` is set when it is woken."""
+    """A waiting thread; exactly one of ``claim`` and ``is_evicted`` is set when it is woken."""
 
-    __slots__ = ("exclude", "is_evicted", "kind", "lease", "waiter", "woken")
+    __slots__ = ("exclude", "is_evicted", "kind", "claim", "waiter", "woken")
 
     def __init__(self, waiter: Waiter, kind: Kind, exclude: frozenset[str]) -> None:
         self.waiter = waiter
         self.kind = kind
         self.exclude = exclude
-        self.lease: Lease | None = None
+        self.claim: Claim | None = None
         self.is_evicted = False
         self.woken = threading.Event()
 
@@ -65,12 +65,12 @@
         deadline_ms: float,
         exclude: frozenset[str],
         is_gone: Callable[[], bool],
-    ) -> Lease:
+    ) -> Claim:
         """Return an upstream for one attempt; raise ``NotRunError`` when there is none in time."""
         urgent_at_ms = arrived_ms + (kind.latest_ms or 0)
         with self._lock:
             now_ms = self._clock.now_ms()
-            self._refresh(service, now_ms)
+            self._update_pool(service, now_ms)
             waiter = Waiter(
                 priority=kind.priority,
                 deadline_ms=deadline_ms,
@@ -79,24 +79,24 @@
             )
             ticket = _Ticket(waiter, kind, exclude)
             if not self._tickets and self._try_grant(ticket, now_ms):
-                assert ticket.lease is not None
-                return ticket.lease
+                assert ticket.claim is not None
+                return ticket.claim
             self._enqueue(ticket, now_ms)
             self._grant_waiting(now_ms)
-            if ticket.lease is not None:
-                return ticket.lease
+            if ticket.claim is not None:
+                return ticket.claim
         return self._wait(service, ticket, is_gone)
 
-    def try_acquire(self, service: Service, kind: Kind, *, exclude: frozenset[str]) -> Lease | None:
+    def try_acquire(self, service: Service, kind: Kind, *, exclude: frozenset[str]) -> Claim | None:
         """Return an upstream outside ``exclude`` without waiting, ``None`` when there is none."""
         with self._lock:
             now_ms = self._clock.now_ms()
-            self._refresh(service, now_ms)
-            lease = self._pool.acquire(kind, now_ms, exclude=exclude)
-            if lease is not None and lease.load.id in exclude and len(self._pool.by_id) > 1:
-                self._pool.end_abandoned(lease, now_ms, is_slow=False)
+            self._update_pool(service, now_ms)
+            claim = self._pool.acquire(kind, now_ms, exclude=exclude)
+            if claim is not None and claim.load.id in exclude and len(self._pool.by_id) > 1:
+                self._pool.end_abandoned(claim, now_ms, is_slow=False)
                 return None
-            return lease
+            return claim
 
     def earn_retries(self) -> None:
         """Count a first attempt towards the retry budget."""
@@ -118,34 +118,34 @@
         with self._lock:
             return self._pool.get_latency(kind.id).get_quantile_ms(quantile)
 
-    def end_answered(self, lease: Lease, report: LoadReport | None, ended_ms: float) -> None:
+    def end_answered(self, claim: Claim, report: LoadReport | None, ended_ms: float) -> None:
         """Count an answer that was whole at ``ended_ms`` and let the next waiter in."""
         with self._lock:
-            self._pool.end_answered(lease, report, ended_ms)
-            is_due = ended_ms - lease.load.confirmed_at_ms > CONFIRM_EVERY_MS
+            self._pool.end_answered(claim, report, ended_ms)
+            is_due = ended_ms - claim.load.confirmed_at_ms > CONFIRM_EVERY_MS
             if is_due:
-                lease.load.confirmed_at_ms = ended_ms
+                claim.load.confirmed_at_ms = ended_ms
             self._grant_waiting(ended_ms)
         if is_due and report is not None and report.state == "serving":
-            self._fleet.confirm(lease.load.id, lease.load.incarnation, lease.started_ms)
+            self._fleet.confirm(claim.load.id, claim.load.incarnation, claim.started_ms)
 
-    def end_shed(self, lease: Lease, report: LoadReport | None) -> None:
+    def end_shed(self, claim: Claim, report: LoadReport | None) -> None:
         """Count an explicit refusal by the upstream."""
         with self._lock:
-            self._pool.end_shed(lease, report, self._clock.now_ms())
+            self._pool.end_shed(claim, report, self._clock.now_ms())
 
-    def end_failed(self, lease: Lease) -> None:
+    def end_failed(self, claim: Claim) -> None:
         """Count a failed attempt."""
         with self._lock:
             now_ms = self._clock.now_ms()
-            self._pool.end_failed(lease, now_ms)
+            self._pool.end_failed(claim, now_ms)
             self._grant_waiting(now_ms)
 
-    def end_abandoned(self, lease: Lease, *, is_slow: bool) -> None:
+    def end_abandoned(self, claim: Claim, *, is_slow: bool) -> None:
         """Count an attempt that was given up."""
         with self._lock:
             now_ms = self._clock.now_ms()
-            self._pool.end_abandoned(lease, now_ms, is_slow=is_slow)
+            self._pool.end_abandoned(claim, now_ms, is_slow=is_slow)
             self._grant_waiting(now_ms)
 
     def read_pool(self, read: Callable[[ServicePool, float], None]) -> None:
@@ -160,12 +160,12 @@
         """
         with self._lock:
             now_ms = self._clock.now_ms()
-            self._refresh(service, now_ms)
+            self._update_pool(service, now_ms)
             if self._pool.has_worked:
                 self._pool.eject_outliers(now_ms)
             self._grant_waiting(now_ms)
 
-    def _refresh(self, service: Service, now_ms: float) -> None:
+    def _update_pool(self, service: Service, now_ms: float) -> None:
         """Take in upstreams and leases that have changed."""
         generation = self._fleet.directory.generation
         is_known = generation == self._generation and service is self._service
@@ -181,10 +181,10 @@
     def _try_grant(self, ticket: _Ticket, now_ms: float) -> bool:
         waiter = ticket.waiter
         is_patient = waiter.priority == "deferrable" and now_ms < waiter.urgent_at_ms
-        ticket.lease = self._pool.acquire(
+        ticket.claim = self._pool.acquire(
             ticket.kind, now_ms, exclude=ticket.exclude, is_patient=is_patient
         )
-        return ticket.lease is not None
+        return ticket.claim is not None
 
     def _enqueue(self, ticket: _Ticket, now_ms: float) -> None:
         waiter = ticket.waiter
@@ -201,19 +201,19 @@
             loser.is_evicted = True
             loser.woken.set()
 
-    def _wait(self, service: Service, ticket: _Ticket, is_gone: Callable[[], bool]) -> Lease:
+    def _wait(self, service: Service, ticket: _Ticket, is_gone: Callable[[], bool]) -> Claim:
         waiter = ticket.waiter
         while True:
             left_ms = waiter.deadline_ms - self._clock.now_ms()
             ticket.woken.wait(max(0.0, min(left_ms, WAIT_SLICE_MS)) / 1000)
             with self._lock:
                 now_ms = self._clock.now_ms()
-                if ticket.lease is None and not ticket.is_evicted:
+                if ticket.claim is None and not ticket.is_evicted:
                     # Pauses and ejections end by time alone, with no other thread to notice.
-                    self._refresh(service, now_ms)
+                    self._update_pool(service, now_ms)
                     self._grant_waiting(now_ms)
-                if ticket.lease is not None:
-                    return ticket.lease
+                if ticket.claim is not None:
+                    return ticket.claim
                 if ticket.is_evicted:
                     raise _refuse("queue-full", "more urgent requests took the place of this one")
                 if now_ms >= waiter.deadline_ms or is_gone():
