Have the scenario of a frozen instance fail for sure without leases

Change: the instance is frozen and cut off from its peers at once, which leaves the lease alone to stop it. The pages say which keys are read again and which at the start only.

Ruled out: a request sent during the freeze, which races with the same news.

--- a/src/coltsfootrill/tls.py
+++ b/src/coltsfootrill/tls.py
@@ -1,4 +1,7 @@
-"""Credentials between our own processes; key files are read again when they change."""
+"""Credentials between our own processes.
+
+The server's key files are read again when they change; those of calls are read at the start.
+"""
 
 from __future__ import annotations
 
--- a/testing/features/promises.feature
+++ b/testing/features/promises.feature
@@ -39,6 +39,7 @@
 
   Scenario: A frozen entry instance does not use leases that ended meanwhile
     Given e3 is frozen
+    And entry instance e3 is silently cut off from its peers
     When the upstream announces at e1 that it is leaving
     And 4 seconds pass
     And e3 goes on
