Remove what the exchange no longer needs

Cause: reading the whole change again. Members counted positions and kept times that nothing reads, one lateness check stood three times, a message of the control replicas was never sent, and a copy of a record was written by hand where msgspec has one.

--- a/src/coltsfootrill/control/messages.py
+++ b/src/coltsfootrill/control/messages.py
@@ -67,14 +67,6 @@
     audit_count: int
 
 
-class Vote(msgspec.Struct, frozen=True, array_like=True):
-    """What one acceptor holds durably."""
-
-    promised: Ballot
-    accepted: Ballot
-    state: ControlState | None
-
-
 class Prepare(msgspec.Struct, frozen=True, array_like=True):
     """Asks an acceptor to promise ``ballot`` and to tell what it accepted.
 
--- a/src/coltsfootrill/membership/exchange.py
+++ b/src/coltsfootrill/membership/exchange.py
@@ -51,7 +51,6 @@
         self._fleet = fleet
         self._clock = clock
         self._seeds = seeds
-        self._read_manifest = read_manifest
         self._offer_manifest = offer_manifest
         self._get_manifest_version = get_manifest_version
         self._credentials = credentials
--- a/src/coltsfootrill/membership/fleet.py
+++ b/src/coltsfootrill/membership/fleet.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Literal
 
+import msgspec
+
 from coltsfootrill.clock import Clock
 from coltsfootrill.membership.members import Members
 from coltsfootrill.membership.messages import InstanceRecord
@@ -68,13 +70,13 @@
     def set_manifest_version(self, version: int) -> None:
         """Tell the peers which manifest is in force here."""
         with self._changed:
-            self._own = _replace(self._own, manifest_version=version)
+            self._own = msgspec.structs.replace(self._own, manifest_version=version)
             self._changed.notify_all()
 
     def say_goodbye(self) -> None:
         """Tell the peers that this instance leaves on purpose."""
         with self._changed:
-            self._own = _replace(self._own, is_leaving=True)
+            self._own = msgspec.structs.replace(self._own, is_leaving=True)
             self._changed.notify_all()
 
     def announce(self, announcement: Announcement) -> MergeResult:
@@ -231,16 +233,3 @@
             renewals,
             instances,
         )
-
-
-def _replace(
-    record: InstanceRecord, *, is_leaving: bool | None = None, manifest_version: int | None = None
-) -> InstanceRecord:
-    return InstanceRecord(
-        record.id,
-        record.boot,
-        record.address,
-        record.zone,
-        record.is_leaving if is_leaving is None else is_leaving,
-        record.manifest_version if manifest_version is None else manifest_version,
-    )
--- a/src/coltsfootrill/membership/members.py
+++ b/src/coltsfootrill/membership/members.py
@@ -15,25 +15,25 @@
 class Member:
     """One other entry instance; ``heard_ms`` is the local time of its last direct reply."""
 
-    __slots__ = ("changed_at", "heard_ms", "known_ms", "record")
+    __slots__ = ("heard_ms", "record")
 
     def __init__(self, record: InstanceRecord, *, now_ms: float) -> None:
         self.record = record
-        self.known_ms = now_ms
         self.heard_ms = now_ms
-        self.changed_at = 0
+
+    def is_heard(self, now_ms: float) -> bool:
+        """Return whether the instance has replied of late."""
+        return now_ms - self.heard_ms < HEARD_WITHIN_MS
 
 
 class Members:
     """Other instances by identifier. Not thread-safe: the owner holds a lock."""
 
-    __slots__ = ("by_id", "own_id", "position", "stable_since_ms", "started_ms")
+    __slots__ = ("by_id", "own_id", "stable_since_ms")
 
     def __init__(self, own_id: str, *, now_ms: float) -> None:
         self.by_id: dict[str, Member] = {}
         self.own_id = own_id
-        self.position = 0
-        self.started_ms = now_ms
         self.stable_since_ms = now_ms
 
     def merge(self, record: InstanceRecord, *, now_ms: float) -> MemberChange:
@@ -68,17 +68,12 @@
         if member is not None:
             member.heard_ms = max(member.heard_ms, now_ms)
 
-    def is_heard(self, instance_id: str, now_ms: float) -> bool:
-        """Return whether an instance has replied directly of late."""
-        member = self.by_id.get(instance_id)
-        return member is not None and now_ms - member.heard_ms < HEARD_WITHIN_MS
-
     def list_unheard(self, now_ms: float) -> list[str]:
         """Return the instances that are members but do not reply."""
         return [
             instance_id
             for instance_id, member in self.by_id.items()
-            if not member.record.is_leaving and now_ms - member.heard_ms >= HEARD_WITHIN_MS
+            if not member.record.is_leaving and not member.is_heard(now_ms)
         ]
 
     def list_present(self) -> list[Member]:
@@ -93,7 +88,7 @@
         present = self.list_present()
         if not present:
             return False
-        heard = sum(now_ms - member.heard_ms < HEARD_WITHIN_MS for member in present)
+        heard = sum(member.is_heard(now_ms) for member in present)
         return 2 * heard < len(present)
 
     def remove_lost(self, now_ms: float) -> list[str]:
@@ -112,8 +107,5 @@
         return lost
 
     def _mark_changed(self, member: Member, now_ms: float) -> None:
-        self.position += 1
-        member.changed_at = self.position
-        if member.record.boot or member.record.is_leaving:
-            member.heard_ms = max(member.heard_ms, now_ms)
+        member.heard_ms = max(member.heard_ms, now_ms)
         self.stable_since_ms = now_ms
