--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -24,14 +24,20 @@
 
 
 class LoadReport:
-    """Load that an upstream states on an answer: requests in flight there, and its slots."""
+    """Load that an upstream states on an answer: requests in flight there, and its slots.
 
-    __slots__ = ("in_flight", "slots", "state")
+    ``pace`` is how long work takes there now, 1.0 being usual; ``None`` where it is not told.
+    """
+
+    __slots__ = ("in_flight", "pace", "slots", "state")
 
-    def __init__(self, *, in_flight: int, slots: int, state: str) -> None:
+    def __init__(
+        self, *, in_flight: int, slots: int, state: str, pace: float | None = None
+    ) -> None:
         self.in_flight = in_flight
         self.slots = slots
         self.state = state
+        self.pace = pace
 
 
 class UpstreamLoad:
@@ -51,6 +57,7 @@
         "errors_at_ms",
         "id",
         "incarnation",
+        "is_replaced",
         "limit",
         "needs_probe",
         "others_usual",
@@ -74,6 +81,8 @@
         self.zone = zone
         self.slots = slots
         self.limit = float(slots)
+        # Another upstream answers at this address; the directory will tell it too.
+        self.is_replaced = False
         self.started_by_token: dict[int, tuple[float, float]] = {}
         self.reported_others = 0.0
         self.reported_at_ms = now_ms
@@ -130,7 +139,8 @@
 def is_available(load: UpstreamLoad, now_ms: float) -> bool:
     """Return whether a request may start now: not ejected, not paused, below the limit."""
     return (
-        now_ms >= load.ejected_until_ms
+        not load.is_replaced
+        and now_ms >= load.ejected_until_ms
         and now_ms >= load.paused_until_ms
         and load.in_flight < max(1, int(load.limit))
     )
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -25,6 +25,7 @@
 from coltsfootrill.balancer.load import note_start
 from coltsfootrill.balancer.load import note_straggle
 from coltsfootrill.balancer.load import note_success
+from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.balancer.retry import RetryBudget
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
@@ -72,12 +73,13 @@
         random: Random,
         zone: str,
         queue_limit: int,
+        budget: AttemptBudget | None = None,
     ) -> None:
         self.service_id = service.id
         self.by_id: dict[str, UpstreamLoad] = {}
         self.latency_by_kind: dict[str, KindLatency] = {}
         self.queue = AdmissionQueue(queue_limit)
-        self.retry_budget = RetryBudget(service.retry_share)
+        self.retry_budget: AttemptBudget = budget or RetryBudget(service.retry_share)
         self._policy = policy
         self._random = random
         self._zone = zone
@@ -88,7 +90,8 @@
 
     def update(self, service: Service, records: list[UpstreamRecord], now_ms: float) -> None:
         """Take in the upstreams that are usable now under the manifest in force."""
-        self.retry_budget.share = service.retry_share
+        if isinstance(self.retry_budget, RetryBudget):
+            self.retry_budget.share = service.retry_share
         wanted = {
             record.announcement.id: record
             for record in records
@@ -189,6 +192,11 @@
         note_end(claim.load, token=claim.token)
         note_error(claim.load, now_ms=now_ms)
 
+    def end_misdirected(self, claim: Claim) -> None:
+        """Count an answer that another upstream has the address: no new work goes there."""
+        note_end(claim.load, token=claim.token)
+        claim.load.is_replaced = True
+
     def end_abandoned(self, claim: Claim, now_ms: float, *, is_slow: bool) -> None:
         """Count an attempt that was given up; ``is_slow`` when the upstream is to blame."""
         note_end(claim.load, token=claim.token)
--- a/src/coltsfootrill/balancer/retry.py
+++ b/src/coltsfootrill/balancer/retry.py
@@ -3,14 +3,69 @@
 from __future__ import annotations
 
 from typing import Literal
+from typing import Protocol
 
 from coltsfootrill.manifest.model import Kind
 
 BUDGET_START = 3.0
 BUDGET_MAX = 20.0
 RECONNECTS_MAX_COUNT = 3
+WINDOW_STEPS = 40
 
-FailureKind = Literal["refused", "shed", "failed-answer", "lost"]
+FailureKind = Literal["refused", "shed", "misdirected", "failed-answer", "lost"]
+
+
+class AttemptBudget(Protocol):
+    """Bounds attempts beyond the first ones of one service."""
+
+    def earn(self, now_ms: float = 0.0) -> None:
+        """Note a first attempt."""
+
+    def spend(self, now_ms: float = 0.0) -> bool:
+        """Take one further attempt and return whether it is allowed."""
+
+
+class WindowBudget:
+    """Further attempts within a sliding window, bounded by a share of the first ones there.
+
+    All instances share an allowance on top; ``allowance`` is the part of this one. The window is
+    cut into steps: a step that is only partly within the window counts for further attempts, and
+    does not count for first ones.
+    """
+
+    __slots__ = ("_extras_by_step", "_firsts_by_step", "_step_ms", "allowance", "share")
+
+    def __init__(self, share: float, *, window_ms: float, allowance: float) -> None:
+        self.share = share
+        self.allowance = allowance
+        self._step_ms = window_ms / WINDOW_STEPS
+        self._firsts_by_step: dict[int, int] = {}
+        self._extras_by_step: dict[int, int] = {}
+
+    def earn(self, now_ms: float = 0.0) -> None:
+        """Note a first attempt."""
+        self._add(self._firsts_by_step, now_ms)
+
+    def spend(self, now_ms: float = 0.0) -> bool:
+        """Take one further attempt and return whether it is allowed."""
+        step = int(now_ms / self._step_ms)
+        firsts = _count_since(self._firsts_by_step, step - WINDOW_STEPS + 1)
+        extras = _count_since(self._extras_by_step, step - WINDOW_STEPS)
+        if extras + 1 > self.share * firsts + self.allowance:
+            return False
+        self._add(self._extras_by_step, now_ms)
+        return True
+
+    def _add(self, count_by_step: dict[int, int], now_ms: float) -> None:
+        step = int(now_ms / self._step_ms)
+        count_by_step[step] = count_by_step.get(step, 0) + 1
+
+
+def _count_since(count_by_step: dict[int, int], oldest: int) -> int:
+    """Return the sum of the steps from ``oldest`` on, and drop what is older by far."""
+    for step in [step for step in count_by_step if step < oldest - 1]:
+        del count_by_step[step]
+    return sum(count for step, count in count_by_step.items() if step >= oldest)
 
 
 class RetryBudget:
@@ -22,11 +77,11 @@
         self.share = share
         self.tokens = BUDGET_START if share > 0 else 0.0
 
-    def earn(self) -> None:
+    def earn(self, now_ms: float = 0.0) -> None:
         """Note a first attempt."""
         self.tokens = min(BUDGET_MAX, self.tokens + self.share)
 
-    def spend(self) -> bool:
+    def spend(self, now_ms: float = 0.0) -> bool:
         """Take one token and return whether there was one."""
         if self.tokens < 1:
             return False
@@ -57,7 +112,12 @@
 
 
 def may_retry(
-    history: AttemptHistory, failure: FailureKind, *, kind: Kind, budget: RetryBudget
+    history: AttemptHistory,
+    failure: FailureKind,
+    *,
+    kind: Kind,
+    budget: AttemptBudget,
+    now_ms: float = 0.0,
 ) -> bool:
     """Return whether another attempt may be made after ``failure``, spending the budget.
 
@@ -68,18 +128,20 @@
     if failure == "refused":
         history.reconnects += 1
         return history.reconnects <= RECONNECTS_MAX_COUNT
-    if failure != "shed" and not kind.idempotent:
+    if failure not in ("shed", "misdirected") and not kind.idempotent:
         return False
     if history.is_marked or history.retries >= kind.retries:
         return False
-    if not budget.spend():
+    if not budget.spend(now_ms):
         return False
     history.retries += 1
     return True
 
 
-def may_hedge(history: AttemptHistory, *, kind: Kind, budget: RetryBudget) -> bool:
+def may_hedge(
+    history: AttemptHistory, *, kind: Kind, budget: AttemptBudget, now_ms: float = 0.0
+) -> bool:
     """Return whether a second attempt may run beside the first, spending the budget."""
     if not kind.idempotent or kind.hedge_quantile is None or history.is_marked:
         return False
-    return budget.spend()
+    return budget.spend(now_ms)
--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -21,11 +21,19 @@
 from coltsfootrill.operators.output import print_error
 from coltsfootrill.roles.control import ControlRole
 from coltsfootrill.roles.entry import EntryRole
+from coltsfootrill.roles.node import NodeRole
 from coltsfootrill.settings import CONTROL_SETTINGS
 from coltsfootrill.settings import ENTRY_SETTINGS
+from coltsfootrill.settings import NODE_SETTINGS
 from coltsfootrill.settings import InvalidSettingsError
 from coltsfootrill.settings import Settings
 
+_SETTINGS_BY_ROLE = {
+    "entry": ENTRY_SETTINGS,
+    "control": CONTROL_SETTINGS,
+    "node": NODE_SETTINGS,
+}
+
 app = App(
     name="coltsfootrill",
     version=__version__,
@@ -57,6 +65,13 @@
     return EntryRole.from_settings(Settings.from_file(settings, ENTRY_SETTINGS)).run()
 
 
+@app.command
+def node(*, settings: SettingsFile) -> int:
+    """Run a node until SIGTERM: an entry instance that votes too where it has a disk."""
+    set_up_log()
+    return NodeRole.from_file(settings).run()
+
+
 @app.command
 def control(*, settings: SettingsFile) -> int:
     """Run a control replica until SIGTERM."""
@@ -65,9 +80,9 @@
 
 
 @settings_app.command
-def check(file: Path, *, role: Literal["entry", "control"]) -> int:
+def check(file: Path, *, role: Literal["entry", "control", "node"]) -> int:
     """Check a settings file and print every problem."""
-    Settings.from_file(file, ENTRY_SETTINGS if role == "entry" else CONTROL_SETTINGS)
+    Settings.from_file(file, _SETTINGS_BY_ROLE[role])
     print(f"{file}: good settings for the role {role}")
     return ExitCode.DONE
 
--- a/src/coltsfootrill/control/acceptor.py
+++ b/src/coltsfootrill/control/acceptor.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from coltsfootrill.clock import Clock
 from coltsfootrill.control.files import DamagedFileError
 from coltsfootrill.control.files import FileLayer
 from coltsfootrill.control.files import StorageError
@@ -25,6 +26,7 @@
 from coltsfootrill.errors import ColtsfootrillError
 
 _KEY_BYTES = 8
+RECOVERY_PAUSE_MS = 500.0
 
 
 class CannotVoteError(ColtsfootrillError):
@@ -40,12 +42,15 @@
     """The durable state of one replica in one data folder.
 
     ``key`` is the identity of the folder. After damage or a failed write the replica stops
-    voting, and ``fault`` says why.
+    voting, and ``fault`` says why. A failed write is mended once the disk takes writes again.
     """
 
-    def __init__(self, folder: Path, *, files: FileLayer) -> None:
+    def __init__(self, folder: Path, *, files: FileLayer, clock: Clock | None = None) -> None:
         self._folder = folder
         self._files = files
+        self._clock = clock or Clock()
+        self._may_recover = False
+        self._recovered_ms = float("-inf")
         self._lock = threading.Lock()
         self._promised = ZERO_BALLOT
         self._accepted = ZERO_BALLOT
@@ -54,9 +59,9 @@
         self.fault: str | None = None
 
     @classmethod
-    def from_folder(cls, folder: Path, *, files: FileLayer) -> Acceptor:
+    def from_folder(cls, folder: Path, *, files: FileLayer, clock: Clock | None = None) -> Acceptor:
         """Return the replica kept in ``folder``, which is made when it is not there."""
-        acceptor = cls(folder, files=files)
+        acceptor = cls(folder, files=files, clock=clock)
         try:
             folder.mkdir(parents=True, exist_ok=True)
         except OSError as error:
@@ -69,7 +74,10 @@
         """Read the state back; what is damaged becomes the ``fault``."""
         try:
             self._load()
-        except (DamagedFileError, StorageError, msgspec.MsgspecError) as error:
+        except StorageError as error:
+            self.fault = f"{error}; free the disk"
+            self._may_recover = True
+        except (DamagedFileError, msgspec.MsgspecError) as error:
             self.fault = f"{error}; move the folder away and admit this replica again"
 
     def prepare(self, request: Prepare) -> Promise:
@@ -108,16 +116,51 @@
             return self._state
 
     def _check_able(self) -> None:
+        if self.fault is not None and self._may_recover:
+            self._recover()
         if self.fault is not None:
             raise CannotVoteError(self.fault)
 
+    def _recover(self) -> None:
+        """Vote again once the disk holds for certain what a restart would read from it.
+
+        What the failed write left is unknown, so it is read back, and written and synced anew
+        before anything is vouched for.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - self._recovered_ms < RECOVERY_PAUSE_MS:
+            return
+        self._recovered_ms = now_ms
+        promised = self._promised
+        try:
+            self._load()
+            self._promised = max(self._promised, promised)
+            write_record(
+                self._files, self._folder / "promised.rec", msgspec.msgpack.encode(self._promised)
+            )
+            if self._state is not None:
+                record = _AcceptedRecord(self._accepted, self._state)
+                write_record(
+                    self._files, self._folder / "accepted.rec", msgspec.msgpack.encode(record)
+                )
+        except StorageError as error:
+            self.fault = f"{error}; free the disk"
+            return
+        except (DamagedFileError, msgspec.MsgspecError) as error:
+            self.fault = f"{error}; move the folder away and admit this replica again"
+            self._may_recover = False
+            return
+        self.fault = None
+        self._may_recover = False
+
     def _write(self, name: str, payload: bytes) -> None:
         try:
             write_record(self._files, self._folder / name, payload)
         except StorageError as error:
             # After a failed sync the content of the disk is not known, so nothing is vouched
-            # for until a restart has read it again.
-            self.fault = f"{error}; free the disk and restart this replica"
+            # for until it has been read back.
+            self.fault = f"{error}; free the disk"
+            self._may_recover = True
             raise CannotVoteError(self.fault) from error
 
     def _load(self) -> None:
--- a/src/coltsfootrill/control/messages.py
+++ b/src/coltsfootrill/control/messages.py
@@ -141,3 +141,20 @@
     version: int
     manifest: bytes
     replicas: list[str]
+
+
+class SubmitRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A node passes on a manifest that an operator submitted to it."""
+
+    raw: bytes
+    base_version: int | None
+    operator: str
+
+
+class SubmitReply(msgspec.Struct, frozen=True, array_like=True):
+    """What became of it; ``result`` is that of the answer, or ``no-quorum`` or ``unknown``."""
+
+    result: str
+    version: int
+    digest: str
+    message: str
--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -36,6 +36,8 @@
 CALL_TIMEOUT_MS = 1_000.0
 BACKOFF_MS = 20.0
 BACKOFF_MAX_MS = 400.0
+CONFIRM_TRIES = 3
+CONFIRM_PAUSE_MS = 15.0
 
 Reply = TypeVar("Reply", Promise, Accepted, Inspection)
 Result = TypeVar("Result")
@@ -163,8 +165,11 @@
 
     def read(self, *, deadline_ms: float) -> ControlState:
         """Return the current state as a majority confirms it; raise ``NoQuorumError``."""
-        if self._confirm():
-            return self.known
+        for _ in range(CONFIRM_TRIES):
+            if self._confirm():
+                return self.known
+            # A change in progress elsewhere ends soon; a round of our own would outbid it.
+            self._clock.sleep_ms(CONFIRM_PAUSE_MS)
         try:
             return self.change(lambda state: (state, state), deadline_ms=deadline_ms)
         except UnknownResultError as error:
--- a/src/coltsfootrill/control/repair.py
+++ b/src/coltsfootrill/control/repair.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from random import Random
 
 from absl import logging
@@ -21,7 +22,8 @@
     """Watches the voting replicas from one of them.
 
     A replica that lost its disk and came back is admitted again in its own place; one that stays
-    silent gives its place to a spare that answers. Every voting replica does this: the order is
+    silent gives its place to a spare that answers, and spares are added until ``wanted_count``
+    replicas vote. Every voting replica does this: the order is
     safe to repeat, and the loser of a race finds the work done.
     """
 
@@ -29,14 +31,22 @@
         self,
         replica: ControlReplica,
         *,
-        spares: dict[str, str],
+        list_spares: Callable[[], dict[str, str]],
         grace_ms: float,
+        lost_state_grace_ms: float | None = None,
+        check_ms: float = CHECK_MS,
+        wanted_count: int = 0,
         clock: Clock,
         random: Random,
     ) -> None:
         self._replica = replica
-        self._spares = spares
-        self._grace_ms = grace_ms
+        self._list_spares = list_spares
+        self._grace_by_fault: dict[FaultKind, float] = {
+            "silent": grace_ms,
+            "lost-state": grace_ms if lost_state_grace_ms is None else lost_state_grace_ms,
+        }
+        self._check_ms = check_ms
+        self._wanted_count = wanted_count
         self._clock = clock
         self._random = random
         self._faulty_since_ms: dict[str, float] = {}
@@ -44,7 +54,7 @@
 
     def run(self) -> None:
         """Check until ``stop``."""
-        while not self._stopping.wait(CHECK_MS * (0.5 + self._random.random()) / 1000):
+        while not self._stopping.wait(self._check_ms * (0.5 + self._random.random()) / 1000):
             try:
                 self._check()
             except ColtsfootrillError as error:
@@ -67,8 +77,10 @@
             replica_id: self._faulty_since_ms.get(replica_id, now_ms) for replica_id in faults
         }
         for replica_id, fault in faults.items():
-            if now_ms - self._faulty_since_ms[replica_id] >= self._grace_ms:
+            if now_ms - self._faulty_since_ms[replica_id] >= self._grace_by_fault[fault]:
                 self._repair(state, replica_id, fault)
+        if not faults and len(state.replicas) < self._wanted_count:
+            self._add(state)
 
     def _repair(self, state: ControlState, replica_id: str, fault: FaultKind) -> None:
         new_id, address = replica_id, state.replicas[replica_id].address
@@ -76,7 +88,7 @@
             spare_id = self._find_spare(state)
             if spare_id is None:
                 return
-            new_id, address = spare_id, self._spares[spare_id]
+            new_id, address = spare_id, self._list_spares()[spare_id]
         answer = self._replica.replace_replica(replica_id, new_id, address, operator=OPERATOR)
         logging.warning(
             'replica replaced old="%s" new="%s" fault="%s" result="%s"',
@@ -86,8 +98,16 @@
             answer.message,
         )
 
+    def _add(self, state: ControlState) -> None:
+        spare_id = self._find_spare(state)
+        if spare_id is None:
+            return
+        address = self._list_spares()[spare_id]
+        answer = self._replica.replace_replica(None, spare_id, address, operator=OPERATOR)
+        logging.info('replica added new="%s" result="%s"', spare_id, answer.message)
+
     def _find_spare(self, state: ControlState) -> str | None:
-        for spare_id, address in self._spares.items():
+        for spare_id, address in sorted(self._list_spares().items()):
             is_taken = any(replica.address == address for replica in state.replicas.values())
             if not is_taken and self._replica.answers(address):
                 return spare_id
--- a/src/coltsfootrill/control/replacement.py
+++ b/src/coltsfootrill/control/replacement.py
@@ -32,11 +32,16 @@
 
 
 class ReplicaChange:
-    """A replacement; ``key`` is the identity of the new replica's data folder."""
+    """A replacement; ``key`` is the identity of the new replica's data folder.
+
+    Without ``old_id`` the new replica is added to the others.
+    """
 
     __slots__ = ("address", "key", "new_id", "old_id", "operator")
 
-    def __init__(self, *, old_id: str, new_id: str, address: str, key: str, operator: str) -> None:
+    def __init__(
+        self, *, old_id: str | None, new_id: str, address: str, key: str, operator: str
+    ) -> None:
         self.old_id = old_id
         self.new_id = new_id
         self.address = address
@@ -70,10 +75,10 @@
     A repeated order finds its work done and gets the same answer.
     """
     wanted = Replica(change.address, change.key)
-    is_gone = change.old_id == change.new_id or change.old_id not in state.replicas
+    is_gone = change.old_id in (None, change.new_id) or change.old_id not in state.replicas
     if is_gone and state.replicas.get(change.new_id) == wanted:
         return state, _answer("replaced", state, f"{change.new_id} votes in epoch {state.epoch}")
-    if change.old_id not in state.replicas:
+    if change.old_id is not None and change.old_id not in state.replicas:
         message = f"{change.old_id!r} does not vote; voting: {', '.join(state.replicas)}"
         return state, _answer("refused", state, message)
     if change.new_id != change.old_id and change.new_id in state.replicas:
@@ -92,7 +97,7 @@
         wall_ms,
         change.operator,
         "replace-replica",
-        _describe(change.old_id, state.replicas[change.old_id]),
+        "" if change.old_id is None else _describe(change.old_id, state.replicas[change.old_id]),
         _describe(change.new_id, wanted),
         f"epoch {new_state.epoch}",
     )
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import grpc
+from absl import logging
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.control.acceptor import Acceptor
@@ -27,6 +28,7 @@
 from coltsfootrill.control.proposer import NoQuorumError
 from coltsfootrill.control.proposer import PeerCalls
 from coltsfootrill.control.proposer import Register
+from coltsfootrill.control.proposer import UnknownResultError
 from coltsfootrill.control.replacement import FaultKind
 from coltsfootrill.control.replacement import RepairError
 from coltsfootrill.control.replacement import ReplaceAnswer
@@ -38,6 +40,8 @@
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.manifest.codec import InvalidManifestError
 from coltsfootrill.manifest.codec import digest_manifest
+from coltsfootrill.manifest.format import NATIVE_FORMAT
+from coltsfootrill.manifest.format import ManifestFormat
 from coltsfootrill.manifest.table import RoutingTable
 from coltsfootrill.naming.scheme import NamingScheme
 from coltsfootrill.rpc import Method
@@ -70,7 +74,12 @@
         clock: Clock,
         random: Random,
         credentials: grpc.ChannelCredentials | None = None,
+        manifest_format: ManifestFormat = NATIVE_FORMAT,
+        server: RpcServer | None = None,
+        may_found: bool = True,
     ) -> None:
+        self._may_found = may_found
+        self._format = manifest_format
         self.id = replica_id
         self.acceptor = acceptor
         self._listen = address
@@ -82,7 +91,7 @@
         self._clients: dict[str, RpcClient] = {}
         self._clients_lock = threading.Lock()
         self._executor = ThreadPoolExecutor(_CALL_THREADS, thread_name_prefix="control-call")
-        self._server = RpcServer(
+        self._server = server or RpcServer(
             ThreadPoolExecutor(_SERVER_THREADS, thread_name_prefix="control-server")
         )
         self._server.add(PREPARE, acceptor.prepare)
@@ -111,17 +120,19 @@
         self._server.stop(grace_ms=CALL_TIMEOUT_MS)
         self._executor.shutdown(wait=False)
 
-    def submit(self, raw: bytes, *, operator: str) -> SubmitAnswer:
-        """Submit a manifest for acceptance.
+    def submit(self, raw: bytes, *, operator: str, base_version: int | None = None) -> SubmitAnswer:
+        """Submit a manifest for acceptance, on top of ``base_version`` where that is given.
 
         Raises ``InvalidManifestError`` with all problems, ``NoQuorumError`` when certainly nothing
         was accepted, and ``UnknownResultError`` when that cannot be known.
         """
+        self._check_admitted()
         digest = digest_manifest(raw)
         wall_ms = self._clock.wall_ms()
         deadline_ms = self._clock.now_ms() + SUBMIT_TIMEOUT_MS
         try:
-            version = RoutingTable.from_bytes(raw, self._schemes).version
+            manifest = self._format.decode(raw)
+            version = RoutingTable.from_manifest(manifest, digest, self._schemes).version
         except InvalidManifestError:
             self._record_invalid(digest, operator, wall_ms, deadline_ms)
             raise
@@ -135,14 +146,15 @@
                     manifest=raw,
                     operator=operator,
                     wall_ms=wall_ms,
+                    base_version=base_version,
                 ),
                 deadline_ms=deadline_ms,
             )
 
     def replace_replica(
-        self, old_id: str, new_id: str, address: str, *, operator: str
+        self, old_id: str | None, new_id: str, address: str, *, operator: str
     ) -> ReplaceAnswer:
-        """Replace a voting replica, or admit it again after it lost its disk.
+        """Replace a voting replica, add one, or admit one again after it lost its disk.
 
         The new one counts only once it has synced the whole state: its vote is that it has.
         Raises ``RepairError`` when it does not answer, ``NoQuorumError`` and
@@ -167,15 +179,19 @@
 
     def find_faulty(self, state: ControlState) -> dict[str, FaultKind]:
         """Return the voting replicas that do not answer, or lost their state, with the fault."""
-        faults: dict[str, FaultKind] = {}
         request = Inspect(self.id, self._register.known_ballot)
-        for replica_id, replica in state.replicas.items():
+        inspections = {
+            replica_id: self._executor.submit(self._call_inspect, replica.address, request)
+            for replica_id, replica in state.replicas.items()
+        }
+        faults: dict[str, FaultKind] = {}
+        for replica_id, inspection in inspections.items():
             try:
-                inspection = self._call_inspect(replica.address, request)
+                key = inspection.result().key
             except ColtsfootrillError:
                 faults[replica_id] = "silent"
                 continue
-            if replica.key not in ("", inspection.key):
+            if state.replicas[replica_id].key not in ("", key):
                 faults[replica_id] = "lost-state"
         return faults
 
@@ -194,6 +210,7 @@
 
     def read(self) -> ControlState:
         """Return the state a majority holds now; raise ``NoQuorumError`` when isolated."""
+        self._check_admitted()
         with self._register_lock:
             self._trust_settled_sets()
             state = self._register.read(deadline_ms=self._clock.now_ms() + READ_TIMEOUT_MS)
@@ -210,6 +227,14 @@
         addresses = [replica.address for replica in state.replicas.values()]
         return ReadReply(True, state.version, manifest, addresses)
 
+    def _check_admitted(self) -> None:
+        """Refuse to propose on a disk that knows no chosen replica set.
+
+        The replicas of the settings may be others than those that vote by now.
+        """
+        if not self._may_found and self.acceptor.get_state() is None:
+            raise NoQuorumError("this replica has not been admitted; nothing was changed")
+
     def _trust_settled_sets(self) -> None:
         """After a restart, learn the replica set from this replica's disk and those it names.
 
@@ -237,13 +262,17 @@
         return self.read()
 
     def _record_invalid(self, digest: str, operator: str, wall_ms: int, deadline_ms: float) -> None:
-        with self._register_lock:
-            self._register.change(
-                lambda state: refuse_invalid(
-                    state, digest=digest, operator=operator, wall_ms=wall_ms
-                ),
-                deadline_ms=deadline_ms,
-            )
+        try:
+            with self._register_lock:
+                self._register.change(
+                    lambda state: refuse_invalid(
+                        state, digest=digest, operator=operator, wall_ms=wall_ms
+                    ),
+                    deadline_ms=deadline_ms,
+                )
+        except (NoQuorumError, UnknownResultError) as error:
+            # The manifest is refused for its content either way; only the record is lost.
+            logging.warning('refusal not recorded digest="%s" error="%s"', digest, error)
 
     def _call_prepare(self, address: str, request: Prepare) -> Promise:
         if address == self._address:
--- a/src/coltsfootrill/control/submission.py
+++ b/src/coltsfootrill/control/submission.py
@@ -33,11 +33,13 @@
     manifest: bytes,
     operator: str,
     wall_ms: int,
+    base_version: int | None = None,
 ) -> tuple[ControlState, SubmitAnswer]:
     """Return the state after a submission, and the answer to it.
 
     The same version with the same content gets the same answer however often it comes, and
-    after later versions too.
+    after later versions too. A new one is accepted only on top of ``base_version``, where that
+    is given.
     """
     known = _find_version(state, version)
     if known is not None and known.digest == digest:
@@ -50,6 +52,10 @@
         message = f"version {state.version} is in force; submit a higher version"
         answer = _answer("older", state.version, state.digest, message)
         return _audit(state, operator, wall_ms, digest, "older version"), answer
+    if base_version is not None and base_version != state.version:
+        message = f"version {state.version} is in force, not {base_version}; build on that one"
+        answer = _answer("conflict", state.version, state.digest, message)
+        return _audit(state, operator, wall_ms, digest, f"built on {base_version}"), answer
     audited = _audit(state, operator, wall_ms, digest, "accepted")
     history = [*state.history, AcceptedVersion(version, digest, wall_ms)][-HISTORY_MAX_COUNT:]
     new_state = msgspec.structs.replace(
--- /dev/null
+++ b/src/coltsfootrill/events/__init__.py
@@ -0,0 +1,3 @@
+"""Structured log lines: one for each decision."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/coltsfootrill/events/log.py
@@ -0,0 +1,82 @@
+"""Writes events as JSON lines to standard output, never holding up who emits them."""
+
+from __future__ import annotations
+
+import os
+import sys
+import threading
+from collections import deque
+
+import msgspec
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import Event
+from coltsfootrill.events.catalog import LinesDropped
+
+QUEUE_MAX_COUNT = 5_000
+LINES_PER_WRITE = 200
+PAUSE_MS = 100.0
+
+
+class EventLog:
+    """A bounded queue of events and the thread that writes them.
+
+    ``emit`` never blocks: what does not fit is counted, and the count is logged.
+    """
+
+    def __init__(self, instance: str, *, clock: Clock, descriptor: int | None = None) -> None:
+        self._instance = instance
+        self._clock = clock
+        self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
+        self._encoder = msgspec.json.Encoder()
+        self._queue: deque[tuple[int, Event]] = deque()
+        self._stopping = threading.Event()
+        self._thread: threading.Thread | None = None
+        self.dropped = 0
+
+    def start(self) -> None:
+        """Write in a thread of its own."""
+        self._thread = threading.Thread(target=self._run, name="events", daemon=True)
+        self._thread.start()
+
+    def emit(self, event: Event) -> None:
+        """Queue an event."""
+        if len(self._queue) >= QUEUE_MAX_COUNT:
+            self.dropped += 1
+            return
+        self._queue.append((self._clock.wall_ms(), event))
+
+    def close(self) -> None:
+        """Write what is queued, as far as the reader takes it."""
+        self._stopping.set()
+        if self._thread is not None:
+            self._thread.join(PAUSE_MS * 3 / 1000)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(PAUSE_MS / 1000):
+            self._write_all()
+        self._write_all()
+
+    def _write_all(self) -> None:
+        if self.dropped:
+            count, self.dropped = self.dropped, 0
+            self._queue.append((self._clock.wall_ms(), LinesDropped(count=count)))
+        while self._queue:
+            lines: list[bytes] = []
+            while self._queue and len(lines) < LINES_PER_WRITE:
+                lines.append(self._encode(*self._queue.popleft()))
+            _write_whole(self._descriptor, b"".join(lines))
+
+    def _encode(self, at_ms: int, event: Event) -> bytes:
+        body = self._encoder.encode(event)
+        head = b'{"at_ms":%d,"instance":"%s",' % (at_ms, self._instance.encode())
+        return head + body[1:] + b"\n"
+
+
+def _write_whole(descriptor: int, data: bytes) -> None:
+    while data:
+        try:
+            data = data[os.write(descriptor, data) :]
+        except OSError:
+            # Nobody reads the log any more; there is nowhere to tell it.
+            return
--- a/src/coltsfootrill/kernel.py
+++ b/src/coltsfootrill/kernel.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import importlib
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
+from typing import Protocol
+from typing import TypeVar
 
 import pluggy
 
@@ -12,18 +15,36 @@
 
 if TYPE_CHECKING:
     from coltsfootrill.balancer.choice import ChoicePolicy
+    from coltsfootrill.manifest.format import ManifestFormat
     from coltsfootrill.naming.scheme import NamingScheme
+    from coltsfootrill.operators.interface import ControlInterface
+    from coltsfootrill.proxy.dialect import Dialect
 
 BUILTIN_PLUGINS = (
     "coltsfootrill.naming.dotted",
     "coltsfootrill.naming.path",
     "coltsfootrill.naming.urn",
+    "coltsfootrill.naming.web",
+    "coltsfootrill.manifest.format",
+    "coltsfootrill.proxy.dialect",
+    "coltsfootrill.platform.dialect",
+    "coltsfootrill.platform.interface",
+    "coltsfootrill.platform.desired_state",
     "coltsfootrill.balancer.least_expected_wait",
     "coltsfootrill.balancer.random_of_two",
     "coltsfootrill.balancer.round_robin",
 )
 
 
+class HasName(Protocol):
+    """What settings refer to by name."""
+
+    name: str
+
+
+Named = TypeVar("Named", bound=HasName)
+
+
 class PluginError(ColtsfootrillError):
     """A plug-in cannot be used: a name is taken or unknown."""
 
@@ -50,10 +71,31 @@
 
 def find_policy(manager: pluggy.PluginManager, name: str) -> ChoicePolicy:
     """Return the choice policy called ``name``; raise ``PluginError`` when there is none."""
-    by_name: dict[str, ChoicePolicy] = {
-        policy.name: policy for policy in manager.hook.coltsfootrill_choice_policy()
-    }
+    policies: list[ChoicePolicy] = manager.hook.coltsfootrill_choice_policy()
+    return _find_named("choice policy", name, policies)
+
+
+def find_manifest_format(manager: pluggy.PluginManager, name: str) -> ManifestFormat:
+    """Return the manifest format called ``name``; raise ``PluginError`` when there is none."""
+    formats: list[ManifestFormat] = manager.hook.coltsfootrill_manifest_format()
+    return _find_named("manifest format", name, formats)
+
+
+def find_dialect(manager: pluggy.PluginManager, name: str) -> Dialect:
+    """Return the dialect called ``name``; raise ``PluginError`` when there is none."""
+    dialects: list[Dialect] = manager.hook.coltsfootrill_dialect()
+    return _find_named("dialect", name, dialects)
+
+
+def find_interface(manager: pluggy.PluginManager, name: str) -> ControlInterface:
+    """Return the control interface called ``name``; raise ``PluginError`` when there is none."""
+    interfaces: list[ControlInterface] = manager.hook.coltsfootrill_control_interface()
+    return _find_named("control interface", name, interfaces)
+
+
+def _find_named(what: str, name: str, found: Sequence[Named]) -> Named:
+    by_name = {plugin.name: plugin for plugin in found}
     if name not in by_name:
         known = ", ".join(sorted(by_name))
-        raise PluginError(f"no choice policy is called {name!r}; choose one of: {known}")
+        raise PluginError(f"no {what} is called {name!r}; choose one of: {known}")
     return by_name[name]
--- /dev/null
+++ b/src/coltsfootrill/manifest/format.py
@@ -0,0 +1,31 @@
+"""Formats of the manifest; which one is used is a setting."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from coltsfootrill.hookspecs import hookimpl
+from coltsfootrill.manifest.codec import decode_manifest
+from coltsfootrill.manifest.model import Manifest
+
+
+class ManifestFormat:
+    """How the bytes that an operator submits become a manifest.
+
+    ``decode`` raises ``InvalidManifestError`` with every problem it finds.
+    """
+
+    __slots__ = ("decode", "name")
+
+    def __init__(self, *, name: str, decode: Callable[[bytes], Manifest]) -> None:
+        self.name = name
+        self.decode = decode
+
+
+NATIVE_FORMAT = ManifestFormat(name="native", decode=decode_manifest)
+
+
+@hookimpl
+def coltsfootrill_manifest_format() -> ManifestFormat:
+    """Return the program's own format: JSON as ``docs/operators/manifest.md`` describes it."""
+    return NATIVE_FORMAT
--- a/src/coltsfootrill/manifest/holder.py
+++ b/src/coltsfootrill/manifest/holder.py
@@ -8,6 +8,9 @@
 from collections.abc import Mapping
 
 from coltsfootrill.manifest.codec import InvalidManifestError
+from coltsfootrill.manifest.codec import digest_manifest
+from coltsfootrill.manifest.format import NATIVE_FORMAT
+from coltsfootrill.manifest.format import ManifestFormat
 from coltsfootrill.manifest.table import RoutingTable
 from coltsfootrill.naming.scheme import NamingScheme
 
@@ -19,15 +22,17 @@
     last such request ends. ``count_alive`` shows how many are left.
     """
 
-    __slots__ = ("_alive", "_lock", "_on_adopt", "_raw", "_schemes", "current")
+    __slots__ = ("_alive", "_format", "_lock", "_on_adopt", "_raw", "_schemes", "current")
 
     def __init__(
         self,
         schemes: Mapping[str, NamingScheme],
         *,
+        manifest_format: ManifestFormat = NATIVE_FORMAT,
         on_adopt: Callable[[RoutingTable | None, RoutingTable], None] = lambda old, new: None,
     ) -> None:
         self._schemes = schemes
+        self._format = manifest_format
         self._on_adopt = on_adopt
         self._lock = threading.Lock()
         self._raw = b""
@@ -44,7 +49,8 @@
 
         Raises ``InvalidManifestError`` when this program cannot read it.
         """
-        table = RoutingTable.from_bytes(raw, self._schemes)
+        manifest = self._format.decode(raw)
+        table = RoutingTable.from_manifest(manifest, digest_manifest(raw), self._schemes)
         with self._lock:
             before = self.current
             if table.version <= self.version:
--- a/src/coltsfootrill/manifest/table.py
+++ b/src/coltsfootrill/manifest/table.py
@@ -4,6 +4,8 @@
 
 import fnmatch
 from collections.abc import Mapping
+from collections.abc import Sequence
+from random import Random
 
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.manifest.codec import ManifestValueError
@@ -23,14 +25,38 @@
     """A request names no kind, or names two different ones."""
 
 
-class Route:
-    """A service and one of its request kinds."""
+class Target:
+    """A service that serves a kind, with its share of the weights."""
 
-    __slots__ = ("kind", "service")
+    __slots__ = ("service", "share")
 
-    def __init__(self, *, service: Service, kind: Kind) -> None:
+    def __init__(self, *, service: Service, share: float) -> None:
         self.service = service
+        self.share = share
+
+
+class Route:
+    """A request kind and the services that share its requests; mostly there is one."""
+
+    __slots__ = ("kind", "targets")
+
+    def __init__(self, *, kind: Kind, targets: Sequence[Target]) -> None:
         self.kind = kind
+        self.targets = targets
+
+    @property
+    def service(self) -> Service:
+        """Return the first service, which names the route in messages."""
+        return self.targets[0].service
+
+    def choose_service(self, random: Random) -> Service:
+        """Return the service for one request, by weight."""
+        point = random.random() if len(self.targets) > 1 else 0.0
+        for target in self.targets:
+            point -= target.share
+            if point < 0:
+                return target.service
+        return self.targets[-1].service
 
 
 class RoutingTable:
@@ -58,13 +84,18 @@
 
         Raises ``InvalidManifestError`` with every problem of form and of meaning.
         """
-        manifest = decode_manifest(raw)
+        return cls.from_manifest(decode_manifest(raw), digest_manifest(raw), schemes)
+
+    @classmethod
+    def from_manifest(
+        cls, manifest: Manifest, digest: str, schemes: Mapping[str, NamingScheme]
+    ) -> RoutingTable:
+        """Return the table of a decoded manifest; raise ``InvalidManifestError``."""
         problems: list[ManifestValueError] = []
         by_name = _index_names(manifest, schemes, problems)
         _check_rules(manifest, problems)
         if problems:
             raise refuse_manifest(problems)
-        digest = digest_manifest(raw)
         return cls(manifest=manifest, digest=digest, schemes=schemes, by_name=by_name)
 
     @property
@@ -110,15 +141,43 @@
     manifest: Manifest, schemes: Mapping[str, NamingScheme], problems: list[ManifestValueError]
 ) -> dict[tuple[str, str], Route]:
     by_name: dict[tuple[str, str], Route] = {}
+    services_by_id = {service.id: service for service in manifest.services}
     for s, service in enumerate(manifest.services):
         for k, kind in enumerate(service.kinds):
-            route = Route(service=service, kind=kind)
+            where = f"$.services[{s}].kinds[{k}].split"
+            targets = _list_targets(service, kind, services_by_id, where, problems)
+            route = Route(kind=kind, targets=targets)
             for n, text in enumerate(kind.names):
                 where = f"$.services[{s}].kinds[{k}].names[{n}]"
                 _index_name(text, route, where, schemes, by_name, problems)
     return by_name
 
 
+def _list_targets(
+    service: Service,
+    kind: Kind,
+    services_by_id: Mapping[str, Service],
+    where: str,
+    problems: list[ManifestValueError],
+) -> list[Target]:
+    whole = [Target(service=service, share=1.0)]
+    if not kind.split:
+        return whole
+    total = sum(part.weight for part in kind.split)
+    unknown = [part.service for part in kind.split if part.service not in services_by_id]
+    if unknown:
+        problems.append(ManifestValueError(where, f"unknown services: {', '.join(unknown)}"))
+    if any(part.weight < 0 for part in kind.split) or total <= 0:
+        problems.append(ManifestValueError(where, "weights must be 0 or more, and one above 0"))
+    if unknown or total <= 0:
+        return whole
+    return [
+        Target(service=services_by_id[part.service], share=part.weight / total)
+        for part in kind.split
+        if part.weight > 0
+    ]
+
+
 def _index_name(
     text: str,
     route: Route,
--- a/src/coltsfootrill/membership/fleet.py
+++ b/src/coltsfootrill/membership/fleet.py
@@ -17,6 +17,7 @@
 from coltsfootrill.membership.messages import Renewal
 from coltsfootrill.membership.messages import SharedUpstream
 from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.directory import LEASE_MS
 from coltsfootrill.registry.directory import Directory
 from coltsfootrill.registry.directory import MergeResult
 from coltsfootrill.registry.directory import StateChange
@@ -67,6 +68,16 @@
         """Return the record of this instance."""
         return self._own
 
+    @property
+    def generation(self) -> int:
+        """Return a number that grows when the usable upstreams change, leases aside."""
+        return self.directory.generation
+
+    def get_lease_end_ms(self, records: list[UpstreamRecord]) -> float:
+        """Return when the first lease of ``records`` ends, unless it is renewed."""
+        ends = [record.evidence_ms + record.lease_ms for record in records]
+        return min(ends, default=self._clock.now_ms() + LEASE_MS)
+
     def set_manifest_version(self, version: int) -> None:
         """Tell the peers which manifest is in force here."""
         with self._changed:
--- /dev/null
+++ b/src/coltsfootrill/membership/following.py
@@ -0,0 +1,153 @@
+"""The calls that an instance holds open to the hubs, one task for each."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from functools import partial
+from random import Random
+
+import grpc
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.membership.messages import AnnounceReply
+from coltsfootrill.membership.messages import FollowReply
+from coltsfootrill.membership.messages import FollowRequest
+from coltsfootrill.membership.messages import Goodbye
+from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.view import HubView
+from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.rpc import Method
+from coltsfootrill.rpc import RpcClient
+from coltsfootrill.rpc import RpcError
+from coltsfootrill.tasks import start_task
+
+FOLLOW = Method(service="Hub", name="Follow", request=FollowRequest, reply=FollowReply)
+ANNOUNCE = Method(service="Hub", name="Announce", request=Announcement, reply=AnnounceReply)
+SHARE = Method(service="Hub", name="Share", request=Announcement, reply=AnnounceReply)
+LEAVE = Method(service="Hub", name="Leave", request=Goodbye, reply=AnnounceReply)
+
+HOLD_MS = 2_500
+HUB_HOLD_MS = 1_000
+CALL_SLACK_MS = 900.0
+RETRY_PAUSE_MS = 250.0
+
+
+class Identity:
+    """What an instance tells of itself to the hubs."""
+
+    __slots__ = ("is_candidate", "is_hub", "record")
+
+    def __init__(self, record: InstanceRecord, *, is_candidate: bool, is_hub: bool) -> None:
+        self.record = record
+        self.is_candidate = is_candidate
+        self.is_hub = is_hub
+
+
+class HubFollowing:
+    """Follows the voting replicas, and the seeds until a current hub has named the replicas.
+
+    ``on_reply`` is called with the address of the hub and each reply, after the view has it.
+    """
+
+    def __init__(
+        self,
+        view: HubView,
+        *,
+        own_address: str,
+        seeds: list[str],
+        identify: Callable[[], Identity],
+        answer_locally: Callable[[FollowRequest], FollowReply],
+        on_reply: Callable[[str, FollowReply], None],
+        clock: Clock,
+        credentials: grpc.ChannelCredentials | None = None,
+    ) -> None:
+        self._view = view
+        self._own_address = own_address
+        self._seeds = seeds
+        self._identify = identify
+        self._answer_locally = answer_locally
+        self._on_reply = on_reply
+        self._clock = clock
+        self._credentials = credentials
+        self._lock = threading.Lock()
+        self._clients: dict[str, RpcClient] = {}
+        self._tasks_by_address: dict[str, threading.Thread] = {}
+        self._replicas: list[str] = []
+        self._stopping = threading.Event()
+
+    @property
+    def replicas(self) -> list[str]:
+        """Return the addresses that vote, as far as a hub has told them."""
+        return self._replicas
+
+    def update_tasks(self) -> None:
+        """Start a task for each hub without one."""
+        for address in self._list_wanted():
+            task = self._tasks_by_address.get(address)
+            if task is None or not task.is_alive():
+                self._tasks_by_address[address] = start_task(
+                    f"follow-{address}", partial(self._follow, address)
+                )
+
+    def set_seeds(self, seeds: list[str]) -> None:
+        """Take other seeds from changed settings."""
+        self._seeds = seeds
+
+    def stop(self) -> None:
+        """Stop following; calls in progress end by themselves."""
+        self._stopping.set()
+
+    def get_client(self, address: str) -> RpcClient:
+        """Return the channel to an address, made on first use."""
+        with self._lock:
+            client = self._clients.get(address)
+            if client is None:
+                client = RpcClient(address, credentials=self._credentials)
+                self._clients[address] = client
+            return client
+
+    def _list_wanted(self) -> list[str]:
+        if self._view.has_current_hub() and self._replicas:
+            return self._replicas
+        return list(dict.fromkeys([*self._replicas, *self._seeds, self._own_address]))
+
+    def _follow(self, address: str) -> None:
+        """Hold calls open to one hub for as long as it is wanted."""
+        boot = 0
+        position = 0
+        while not self._stopping.is_set() and address in self._list_wanted():
+            identity = self._identify()
+            request = FollowRequest(
+                sender=identity.record,
+                is_candidate=identity.is_candidate,
+                is_hub=identity.is_hub,
+                boot=boot,
+                position=position,
+                hold_ms=HUB_HOLD_MS if identity.is_hub else HOLD_MS,
+            )
+            try:
+                reply = self._call(address, request)
+            except RpcError:
+                self._stopping.wait(RETRY_PAUSE_MS / 1000)
+                continue
+            boot = reply.boot
+            position = reply.position
+            self._view.apply(address, reply)
+            if reply.is_current and reply.replicas:
+                self._replicas = reply.replicas
+            self._on_reply(address, reply)
+
+    def _call(self, address: str, request: FollowRequest) -> FollowReply:
+        if address == self._own_address:
+            return self._answer_locally(request)
+        timeout_ms = request.hold_ms + CALL_SLACK_MS
+        reply: FollowReply = self.get_client(address).call(FOLLOW, request, timeout_ms=timeout_ms)
+        return reply
+
+
+def order_hubs(hubs: list[str], *, own_address: str, random: Random) -> list[str]:
+    """Return hubs in the order in which to ask them: this instance, then the others by chance."""
+    others = [hub for hub in hubs if hub != own_address]
+    random.shuffle(others)
+    return [own_address, *others] if own_address in hubs else others
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -59,6 +59,55 @@
     instances: list[InstanceRecord]
 
 
+class FollowRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a hub for news after ``position`` of its boot ``boot``.
+
+    ``is_candidate`` tells that the sender has a disk and could vote; ``is_hub`` that it votes,
+    so that it needs renewals too.
+    """
+
+    sender: InstanceRecord
+    is_candidate: bool
+    is_hub: bool
+    boot: int
+    position: int
+    hold_ms: int
+
+
+class FollowReply(msgspec.Struct, frozen=True, array_like=True):
+    """What a hub knows, up to ``position``; ages are in milliseconds when the reply was made.
+
+    ``is_current`` tells that a majority of the replicas confirmed the hub's state of late, and
+    ``is_settled`` that it has run long enough to have heard of every upstream. ``live`` names
+    the upstreams that announced themselves of late, ``replicas`` the addresses that vote.
+    """
+
+    boot: int
+    position: int
+    is_current: bool
+    is_settled: bool
+    manifest_version: int
+    instance_count: int
+    upstreams: list[SharedUpstream]
+    live: list[str]
+    renewals: list[Renewal]
+    replicas: list[str]
+
+
+class AnnounceReply(msgspec.Struct, frozen=True, array_like=True):
+    """Whether an announcement is known widely enough to be acknowledged."""
+
+    is_known: bool
+    message: str
+
+
+class Goodbye(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream leaves; ``incarnation`` is ``None`` when it did not tell it."""
+
+    upstream_id: str
+    incarnation: int | None
+
+
 class ManifestRequest(msgspec.Struct, frozen=True, array_like=True):
     """Asks a peer for a manifest newer than ``known_version``."""
 
--- a/src/coltsfootrill/naming/scheme.py
+++ b/src/coltsfootrill/naming/scheme.py
@@ -13,14 +13,18 @@
 
 
 class RequestName:
-    """The parts of a request that can carry a name: host, path and URN header value."""
+    """The parts of a request that can carry a name.
 
-    __slots__ = ("host", "path", "urn")
+    ``path`` is decoded; ``target_path`` is the path as it was sent, without the query.
+    """
+
+    __slots__ = ("host", "path", "target_path", "urn")
 
-    def __init__(self, *, host: str, path: str, urn: str) -> None:
+    def __init__(self, *, host: str, path: str, urn: str, target_path: str | None = None) -> None:
         self.host = host
         self.path = path
         self.urn = urn
+        self.target_path = path if target_path is None else target_path
 
 
 class NamingScheme:
--- a/src/coltsfootrill/operators/http.py
+++ b/src/coltsfootrill/operators/http.py
@@ -16,6 +16,7 @@
 
 BODY_MAX_BYTES = 5 * 1024 * 1024
 _THREADS = 4
+_HEADER_PREFIX = "HTTP_"
 
 Respond = Callable[["HttpRequest"], "HttpReply"]
 
@@ -25,14 +26,20 @@
 
 
 class HttpRequest:
-    """A request: body, query string, and the value of the ``Operator`` header."""
+    """A request: body, path, query string, headers, and the value of the ``Operator`` header."""
 
-    __slots__ = ("body", "operator", "query")
+    __slots__ = ("_environ", "body", "operator", "path", "query")
 
-    def __init__(self, *, body: bytes, query: str, operator: str) -> None:
+    def __init__(self, *, body: bytes, environ: dict[str, Any]) -> None:
         self.body = body
-        self.query = query
-        self.operator = operator
+        self.path = str(environ["PATH_INFO"])
+        self.query = str(environ.get("QUERY_STRING", ""))
+        self.operator = str(environ.get("HTTP_OPERATOR", "unnamed"))[:64]
+        self._environ = environ
+
+    def get_header(self, name: str) -> str:
+        """Return the value of a header, empty when it is absent."""
+        return str(self._environ.get(_HEADER_PREFIX + name.upper().replace("-", "_"), ""))
 
 
 class HttpReply:
@@ -52,12 +59,16 @@
 
 
 class HttpApp:
-    """Routes by method and path; all but public ones need the token."""
+    """Routes by method and path; all but public ones need the token.
+
+    Without a token everything is public: the deployment's network then decides who may call.
+    """
 
-    def __init__(self, token: str, *, on_refused: Callable[[], None]) -> None:
-        self._token = token.encode()
+    def __init__(self, token: str | None, *, on_refused: Callable[[], None] = lambda: None) -> None:
+        self._token = None if token is None else token.encode()
         self._on_refused = on_refused
         self._responders: dict[tuple[str, str], Respond] = {}
+        self._responders_by_prefix: dict[tuple[str, str], Respond] = {}
         self._public: set[str] = set()
 
     def add(self, method: str, path: str, respond: Respond, *, is_public: bool = False) -> None:
@@ -66,6 +77,10 @@
         if is_public:
             self._public.add(path)
 
+    def add_prefix(self, method: str, prefix: str, respond: Respond) -> None:
+        """Serve ``method`` for every path that is ``prefix`` and one more segment."""
+        self._responders_by_prefix[method, prefix] = respond
+
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Answer one WSGI request."""
         reply = self._answer(environ)
@@ -83,19 +98,24 @@
             return HttpReply.from_json(
                 "401 Unauthorized", {"message": "send the token: Authorization: Bearer <token>"}
             )
-        respond = self._responders.get((environ["REQUEST_METHOD"], path))
+        respond = self._find_responder(environ["REQUEST_METHOD"], path)
         if respond is None:
-            known = sorted(f"{method} {known}" for method, known in self._responders)
+            routes = [*self._responders, *self._responders_by_prefix]
+            known = sorted(f"{method} {known}" for method, known in routes)
             message = f"unknown; served here: {', '.join(known)}"
             return HttpReply.from_json("404 Not Found", {"message": message})
-        request = HttpRequest(
-            body=environ["wsgi.input"].read(),
-            query=environ.get("QUERY_STRING", ""),
-            operator=environ.get("HTTP_OPERATOR", "unnamed")[:64],
-        )
-        return respond(request)
+        return respond(HttpRequest(body=environ["wsgi.input"].read(), environ=environ))
+
+    def _find_responder(self, method: str, path: str) -> Respond | None:
+        exact = self._responders.get((method, path))
+        if exact is not None:
+            return exact
+        prefix = path[: path.rfind("/") + 1]
+        return self._responders_by_prefix.get((method, prefix))
 
     def _has_token(self, environ: dict[str, Any]) -> bool:
+        if self._token is None:
+            return True
         stated = environ.get("HTTP_AUTHORIZATION", "").removeprefix("Bearer ").encode("latin-1")
         return hmac.compare_digest(stated, self._token)
 
@@ -103,12 +123,12 @@
 class HttpServer:
     """Serves one application on one address."""
 
-    def __init__(self, app: HttpApp, address: Address) -> None:
+    def __init__(self, app: HttpApp, address: Address, *, threads: int = _THREADS) -> None:
         try:
             self._server = waitress.server.create_server(
                 app,
                 listen=str(address),
-                threads=_THREADS,
+                threads=threads,
                 ident=None,
                 max_request_body_size=BODY_MAX_BYTES,
                 asyncore_use_poll=True,
--- /dev/null
+++ b/src/coltsfootrill/platform/desired_state.py
@@ -0,0 +1,209 @@
+"""The operator's desired state, decoded into the program's manifest.
+
+Routes and services come as tables: names of columns, and rows of values in that order, where null
+stands for a value that is left out.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+import msgspec
+
+from coltsfootrill.hookspecs import hookimpl
+from coltsfootrill.manifest.codec import ManifestValueError
+from coltsfootrill.manifest.codec import refuse_manifest
+from coltsfootrill.manifest.format import ManifestFormat
+from coltsfootrill.manifest.model import SCHEMA_VERSION
+from coltsfootrill.manifest.model import CallerLimits
+from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Manifest
+from coltsfootrill.manifest.model import Service
+from coltsfootrill.manifest.model import SplitPart
+
+TIMEOUT_MAX_MS = 600_000
+ATTEMPTS_DEFAULT = 1
+_VERSION = re.compile(r"[0-9a-fA-F]{8}")
+_ANY_UPSTREAM = "*"
+
+Row = TypeVar("Row")
+
+
+class _Weighted(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _RouteRow(msgspec.Struct, frozen=True, rename="camel"):
+    """One route. ``kind`` is ``safe`` where requests are idempotent.
+
+    ``timeout_ms`` is the longest time a caller is kept waiting; ``max_attempts`` counts the
+    upstreams one request may be sent to, the first included.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float | None = None
+    target_latency_ms: float | None = None
+    priority: int | None = None
+    service: str | None = None
+    max_attempts: int | None = None
+    traffic_split: list[_Weighted] | None = None
+
+
+class _ServiceRow(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    health_check_path: str | None = None
+    max_connections: int | None = None
+
+
+class _Columns(msgspec.Struct, frozen=True):
+    columns: list[str]
+    rows: list[list[Any]]
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    max_header_bytes: int | None = None
+    max_body_bytes: int | None = None
+    header_timeout_ms: float | None = None
+    idle_timeout_ms: float | None = None
+
+
+class _DesiredState(msgspec.Struct, frozen=True):
+    version: str
+    routes: _Columns
+    services: _Columns
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_decoder = msgspec.json.Decoder(_DesiredState)
+
+
+def parse_version(text: str) -> int:
+    """Return the version in eight hexadecimal digits; raise ``ValueError``."""
+    if not _VERSION.fullmatch(text):
+        raise ValueError(f"{text!r} is not a version: eight hexadecimal digits")
+    return int(text, 16)
+
+
+def decode_desired_state(raw: bytes) -> Manifest:
+    """Return the manifest in ``raw``; raise ``InvalidManifestError`` with all problems found."""
+    problems: list[ManifestValueError] = []
+    try:
+        state = _decoder.decode(raw)
+        version = parse_version(state.version)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise refuse_manifest([ManifestValueError("$", str(error))]) from error
+    services = _Table(_ServiceRow, state.services, "$.services", problems).list_rows()
+    routes = _Table(_RouteRow, state.routes, "$.routes", problems).list_rows()
+    known = {service.name for service in services}
+    kinds_by_service: dict[str, list[Kind]] = {name: [] for name in known}
+    for route in routes:
+        first = _check_route(route, known, problems)
+        if first is not None:
+            kinds_by_service[first].append(_make_kind(route))
+    if problems:
+        raise refuse_manifest(problems)
+    return Manifest(
+        schema=SCHEMA_VERSION,
+        version=version,
+        services=[_make_service(service, kinds_by_service[service.name]) for service in services],
+        limits=_make_limits(state.limits),
+    )
+
+
+class _Table(Generic[Row]):
+    """Rows of one kind; those that do not fit become problems."""
+
+    __slots__ = ("_kind", "_problems", "_table", "_where")
+
+    def __init__(
+        self, kind: type[Row], table: _Columns, where: str, problems: list[ManifestValueError]
+    ) -> None:
+        self._kind = kind
+        self._table = table
+        self._where = where
+        self._problems = problems
+
+    def list_rows(self) -> list[Row]:
+        """Return the rows that can be read, without values that are null."""
+        columns = self._table.columns
+        rows: list[Row] = []
+        for index, values in enumerate(self._table.rows):
+            where = f"{self._where}.rows[{index}]"
+            if len(values) != len(columns):
+                self._problems.append(ManifestValueError(where, f"needs {len(columns)} values"))
+                continue
+            named = zip(columns, values, strict=True)
+            present = {column: value for column, value in named if value is not None}
+            try:
+                rows.append(msgspec.convert(present, self._kind, strict=False))
+            except msgspec.ValidationError as error:
+                self._problems.append(ManifestValueError(where, str(error)))
+        return rows
+
+
+def _check_route(
+    route: _RouteRow, known: set[str], problems: list[ManifestValueError]
+) -> str | None:
+    """Return the first service of a route, ``None`` when the route cannot be used."""
+    count_before = len(problems)
+    where = f"$.routes.{route.name}"
+    split = route.traffic_split or []
+    named = [part.service for part in split] or [route.service or ""]
+    unknown = [name for name in named if name not in known]
+    if unknown:
+        problems.append(ManifestValueError(where, f"unknown services: {', '.join(unknown)}"))
+    if any(part.weight < 0 for part in split):
+        problems.append(ManifestValueError(where, "a weight is below 0"))
+    elif split and sum(part.weight for part in split) <= 0:
+        problems.append(ManifestValueError(where, "the weights add up to 0"))
+    if route.timeout_ms is None or not 0 < route.timeout_ms <= TIMEOUT_MAX_MS:
+        message = f"the timeout must be above 0 and at most {TIMEOUT_MAX_MS} ms"
+        problems.append(ManifestValueError(where, message))
+    return named[0] if len(problems) == count_before else None
+
+
+def _make_kind(route: _RouteRow) -> Kind:
+    split = route.traffic_split or []
+    assert route.timeout_ms is not None
+    return Kind(
+        id=route.name,
+        names=[f"web:{route.host}{route.path_prefix}"],
+        idempotent=route.kind == "safe",
+        deadline_ms=max(1, int(route.timeout_ms)),
+        rank=max(0, route.priority or 0),
+        retries=max(0, (route.max_attempts or ATTEMPTS_DEFAULT) - 1),
+        target_ms=int(route.target_latency_ms) if route.target_latency_ms else None,
+        split=[SplitPart(service=part.service, weight=part.weight) for part in split],
+    )
+
+
+def _make_service(service: _ServiceRow, kinds: list[Kind]) -> Service:
+    return Service(
+        id=service.name,
+        upstreams=[_ANY_UPSTREAM],
+        kinds=kinds,
+        health_path=service.health_check_path,
+    )
+
+
+def _make_limits(limits: _Limits) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        head_max_bytes=limits.max_header_bytes or usual.head_max_bytes,
+        body_max_bytes=limits.max_body_bytes or usual.body_max_bytes,
+        receive_timeout_ms=int(limits.header_timeout_ms or usual.receive_timeout_ms),
+        idle_timeout_ms=int(limits.idle_timeout_ms or usual.idle_timeout_ms),
+    )
+
+
+@hookimpl
+def coltsfootrill_manifest_format() -> ManifestFormat:
+    """Return the format ``platform``."""
+    return ManifestFormat(name="platform", decode=decode_desired_state)
--- /dev/null
+++ b/src/coltsfootrill/platform/dialect.py
@@ -0,0 +1,47 @@
+"""Headers of the platform's callers and upstreams."""
+
+from __future__ import annotations
+
+from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.hookspecs import hookimpl
+from coltsfootrill.proxy.dialect import Dialect
+
+USUAL_PACE = 100.0
+_COUNT_MAX = 100_000
+
+
+def parse_platform_load(value: str | None) -> LoadReport | None:
+    """Return the load in ``running,waiting,slots[,pace]``; ``None`` when it is not well formed.
+
+    The fourth figure tells in hundredths how long work takes on the upstream's machine now.
+    """
+    if not value:
+        return None
+    try:
+        figures = [float(part) for part in value.split(",")]
+    except ValueError:
+        return None
+    if len(figures) < 3 or not all(0 <= figure <= _COUNT_MAX for figure in figures):
+        return None
+    running, waiting, slots = (int(figure) for figure in figures[:3])
+    if slots < 1:
+        return None
+    pace = figures[3] / USUAL_PACE if len(figures) > 3 and figures[3] > 0 else None
+    return LoadReport(in_flight=running + waiting, slots=slots, state="serving", pace=pace)
+
+
+@hookimpl
+def coltsfootrill_dialect() -> Dialect:
+    """Return the dialect ``platform``."""
+    return Dialect(
+        name="platform",
+        deadline="X-Deadline-Milliseconds",
+        load="X-Server-Load",
+        not_run="X-Not-Executed",
+        parse_load=parse_platform_load,
+        request_id="X-Attempt-Id",
+        upstream_id="X-Expected-Instance",
+        seal="X-Server-Signature",
+        not_run_statuses=frozenset({421}),
+        promise_statuses=frozenset({408, 421, 429, 503}),
+    )
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -3,22 +3,27 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from random import Random
 
 from coltsfootrill.balancer.choice import ChoicePolicy
 from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import Attempt
+from coltsfootrill.events.catalog import RequestEnded
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.manifest.table import Route
 from coltsfootrill.manifest.table import RouteError
-from coltsfootrill.membership.fleet import Fleet
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.naming.scheme import RequestName
+from coltsfootrill.proxy.caller import CallerRequest
+from coltsfootrill.proxy.dialect import NATIVE_DIALECT
+from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.forward import RequestRun
 from coltsfootrill.proxy.gate import ServiceGate
-from coltsfootrill.proxy.headers import DEADLINE_HEADER
 from coltsfootrill.proxy.headers import DEPTH_HEADER
 from coltsfootrill.proxy.headers import DEPTH_MAX
 from coltsfootrill.proxy.headers import RETRIED_HEADER
@@ -30,7 +35,21 @@
 from coltsfootrill.proxy.outcome import make_error_answer
 from coltsfootrill.proxy.pools import ConnectionPools
 from coltsfootrill.proxy.request import ProxyRequest
-from coltsfootrill.proxy.server import CallerRequest
+from coltsfootrill.registry.source import UpstreamSource
+
+
+class _Visit:
+    """What is known of one request when it ends."""
+
+    __slots__ = ("attempts", "deadline_ms", "message", "request", "route", "service")
+
+    def __init__(self, request: CallerRequest) -> None:
+        self.request = request
+        self.route: Route | None = None
+        self.service: Service | None = None
+        self.attempts: list[Attempt] = []
+        self.deadline_ms = 0.0
+        self.message = ""
 
 
 class ProxyApp:
@@ -40,14 +59,20 @@
         self,
         *,
         manifests: ManifestHolder,
-        fleet: Fleet,
+        fleet: UpstreamSource,
         policy: ChoicePolicy,
         random: Random,
         zone: str,
         queue_limit: int,
         clock: Clock,
         metrics: Metrics,
+        dialect: Dialect = NATIVE_DIALECT,
+        make_budget: Callable[[], AttemptBudget] | None = None,
+        on_ended: Callable[[RequestEnded], None] = lambda event: None,
     ) -> None:
+        self._dialect = dialect
+        self._make_budget = make_budget
+        self._on_ended = on_ended
         self._manifests = manifests
         self._fleet = fleet
         self._policy = policy
@@ -62,14 +87,15 @@
 
     def handle(self, request: CallerRequest) -> Answer:
         """Return the answer to one request."""
-        service_id = ""
+        visit = _Visit(request)
         try:
-            route = self._resolve(request)
-            service_id = route.service.id
-            answer = self._run(request, route)
+            visit.route = self._resolve(request)
+            visit.service = visit.route.choose_service(self._random)
+            answer = self._run(request, visit, visit.route, visit.service)
         except ProxyError as error:
+            visit.message = str(error)
             answer = make_error_answer(error)
-        answer.add_follow_up(lambda: self._count(service_id, answer, request.arrived_ms))
+        answer.add_follow_up(lambda: self._count(visit, answer))
         return answer
 
     def get_gate(self, service: Service) -> ServiceGate:
@@ -111,6 +137,7 @@
             random=Random(self._random.getrandbits(64)),
             zone=self._zone,
             queue_limit=self._queue_limit,
+            budget=None if self._make_budget is None else self._make_budget(),
         )
         return ServiceGate(pool, fleet=self._fleet, clock=self._clock)
 
@@ -129,14 +156,17 @@
             )
         headers = request.headers
         name = RequestName(
-            host=headers.get("HOST", ""), path=request.path, urn=headers.get("URN", "")
+            host=headers.get("HOST", ""),
+            path=request.path,
+            urn=headers.get("URN", ""),
+            target_path=request.target.partition("?")[0],
         )
         try:
             return table.resolve(name)
         except RouteError as error:
             raise NotRunError("404 Not Found", "no-route", str(error)) from error
 
-    def _run(self, request: CallerRequest, route: Route) -> Answer:
+    def _run(self, request: CallerRequest, visit: _Visit, route: Route, service: Service) -> Answer:
         depth = parse_depth(request.get_header(DEPTH_HEADER))
         if depth >= DEPTH_MAX:
             raise NotRunError("508 Loop Detected", "too-deep", f"calls go at most {DEPTH_MAX} deep")
@@ -149,30 +179,51 @@
             deadline_ms=request.arrived_ms + self._get_deadline_ms(request, route.kind),
             depth=depth,
             is_marked=bool(request.get_header(RETRIED_HEADER)),
-            caller=request.caller,
+            watch=request.watch,
         )
         run = RequestRun(
             proxied,
             route,
-            self.get_gate(route.service),
+            self.get_gate(service),
             pools=self.pools,
             clock=self._clock,
             metrics=self._metrics,
+            dialect=self._dialect,
+            service=service,
         )
+        visit.attempts = run.attempts
+        visit.deadline_ms = proxied.deadline_ms - proxied.arrived_ms
         return run.run()
 
     def _get_deadline_ms(self, request: CallerRequest, kind: Kind) -> float:
-        text = request.get_header(DEADLINE_HEADER)
+        text = request.get_header(self._dialect.deadline)
         if not text:
             return kind.deadline_ms
         stated_ms = parse_deadline_ms(text)
         if stated_ms is None:
             raise NotRunError(
-                "400 Bad Request", "bad-deadline", f"{DEADLINE_HEADER} must be a number"
+                "400 Bad Request", "bad-deadline", f"{self._dialect.deadline} must be a number"
             )
         return min(stated_ms, kind.deadline_ms)
 
-    def _count(self, service_id: str, answer: Answer, arrived_ms: float) -> None:
+    def _count(self, visit: _Visit, answer: Answer) -> None:
+        service_id = "" if visit.service is None else visit.service.id
         self._metrics.count_request(service_id, answer.outcome, answer.reason)
-        elapsed_ms = self._clock.now_ms() - arrived_ms
-        self._metrics.latency.labels(service_id).observe(elapsed_ms / 1000)
+        took_ms = self._clock.now_ms() - visit.request.arrived_ms
+        self._metrics.latency.labels(service_id).observe(took_ms / 1000)
+        id_header = self._dialect.request_id
+        self._on_ended(
+            RequestEnded(
+                id=visit.request.get_header(id_header) if id_header else "",
+                service=service_id,
+                kind="" if visit.route is None else visit.route.kind.id,
+                manifest=self._manifests.version,
+                status=answer.status,
+                outcome=answer.outcome,
+                reason=answer.reason,
+                took_ms=round(took_ms, 1),
+                deadline_ms=round(visit.deadline_ms, 1),
+                attempts=visit.attempts,
+                message=visit.message,
+            )
+        )
--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -6,27 +6,25 @@
 import socket
 import threading
 from collections.abc import Iterable
-from http import HTTPStatus
-
-import httptools
 
 from coltsfootrill.clock import Clock
-from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.proxy.answer import NO_ECHO
+from coltsfootrill.proxy.answer import AnswerEcho
+from coltsfootrill.proxy.answer import AnswerReader
+from coltsfootrill.proxy.answer import ConnectionLayerError
+from coltsfootrill.proxy.answer import ReadError
+from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.outcome import Header
 from coltsfootrill.registry.announcement import split_address
 
-ANSWER_MAX_BYTES = 8 * 1024 * 1024
-HEAD_MAX_BYTES = 64 * 1024
 RECEIVE_BYTES = 64 * 1024
 CONNECT_TIMEOUT_MS = 1_000.0
 IDLE_MAX_MS = 10_000.0
+# An upstream may close an idle connection this much before the time that it stated.
+IDLE_MARGIN_MS = 800.0
 IDLE_MAX_COUNT = 8
 
 
-class ConnectionLayerError(ColtsfootrillError):
-    """Something failed between this instance and an upstream."""
-
-
 class ConnectError(ConnectionLayerError):
     """No connection was made: no byte of the request was sent."""
 
@@ -35,96 +33,6 @@
     """The connection broke while the request was sent: part of it may have arrived."""
 
 
-class ReadError(ConnectionLayerError):
-    """No whole, well-formed answer came within the deadline."""
-
-
-class UpstreamAnswer:
-    """A whole answer of an upstream; header names are as the upstream sent them."""
-
-    __slots__ = ("body", "headers", "reason", "status")
-
-    def __init__(self, *, status: int, reason: str, headers: list[Header], body: bytes) -> None:
-        self.status = status
-        self.reason = reason
-        self.headers = headers
-        self.body = body
-
-    def get_header(self, name: str) -> str | None:
-        """Return the first value of a header, ``None`` when it is absent."""
-        wanted = name.lower()
-        for key, value in self.headers:
-            if key.lower() == wanted:
-                return value
-        return None
-
-
-class _AnswerReader:
-    """Collects one answer from ``httptools``, which calls the ``on_`` methods."""
-
-    __slots__ = (
-        "body_bytes",
-        "chunks",
-        "has_chunks",
-        "has_head",
-        "headers",
-        "is_complete",
-        "is_last",
-        "lengths",
-        "reason",
-    )
-
-    def __init__(self) -> None:
-        self.reason = b""
-        self.headers: list[Header] = []
-        self.chunks: list[bytes] = []
-        self.lengths: set[str] = set()
-        self.body_bytes = 0
-        self.has_chunks = False
-        self.is_complete = False
-        self.is_last = False
-        self.has_head = False
-
-    def on_message_begin(self) -> None:
-        """Stop at bytes that follow the answer; they belong to no request."""
-        if self.is_complete:
-            raise ReadError("surplus bytes follow the answer")
-
-    def on_status(self, reason: bytes) -> None:
-        """Take in the reason phrase."""
-        self.reason += reason
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take in one header."""
-        if b"\n" in value or b"\r" in value:
-            raise ReadError("a header of the answer is folded over several lines")
-        key = name.decode("latin-1")
-        text = value.decode("latin-1")
-        lower = key.lower()
-        if lower == "content-length":
-            self.lengths.add(text)
-        elif lower == "connection":
-            self.is_last = self.is_last or "close" in text.lower()
-        elif lower == "transfer-encoding":
-            self.has_chunks = text.strip().lower() == "chunked"
-        self.headers.append((key, text))
-
-    def on_headers_complete(self) -> None:
-        """Note the end of the head."""
-        self.has_head = True
-
-    def on_body(self, data: bytes) -> None:
-        """Take in part of the body."""
-        self.body_bytes += len(data)
-        if self.body_bytes > ANSWER_MAX_BYTES:
-            raise ReadError(f"the answer is larger than {ANSWER_MAX_BYTES} bytes")
-        self.chunks.append(data)
-
-    def on_message_complete(self) -> None:
-        """Note the end of the answer by its own length or last chunk."""
-        self.is_complete = True
-
-
 class UpstreamConnection:
     """One connection; ``opened_ms`` and ``idle_since_ms`` are times of the clock."""
 
@@ -132,6 +40,7 @@
         "_clock",
         "_sock",
         "epoch",
+        "idle_max_ms",
         "idle_since_ms",
         "is_fresh",
         "is_reusable",
@@ -142,6 +51,7 @@
         self._clock = clock
         self.epoch = epoch
         self.idle_since_ms = clock.now_ms()
+        self.idle_max_ms = IDLE_MAX_MS
         self.is_fresh = True
         self.is_reusable = False
 
@@ -178,40 +88,32 @@
         except OSError as error:
             raise SendError(f"the request was not sent whole: {error}") from error
 
-    def read(self, method: str, *, deadline_ms: float) -> UpstreamAnswer:
+    def read(
+        self, method: str, *, deadline_ms: float, echo: AnswerEcho = NO_ECHO
+    ) -> UpstreamAnswer:
         """Return the whole answer; raise ``ReadError`` when it is short, malformed or late.
 
-        An answer whose end is only marked by the end of the connection is refused: a cut one
-        could not be told from a whole one.
+        An answer with the id of ``echo`` and without a length ends with the connection, if that
+        ends in an orderly way.
         """
-        reader = _AnswerReader()
-        parser = httptools.HttpResponseParser(reader)
-        head_bytes = 0
-        has_surplus = False
+        reader = AnswerReader(method, echo, is_fresh=self.is_fresh)
+        answer: UpstreamAnswer | None = None
         try:
-            while not (reader.is_complete or (method == "HEAD" and reader.has_head)):
+            while answer is None:
                 data = self._receive(deadline_ms)
-                parser.feed_data(data)
-                head_bytes += 0 if reader.body_bytes else len(data)
-                if head_bytes > HEAD_MAX_BYTES + RECEIVE_BYTES:
-                    raise ReadError(f"the head of the answer is larger than {HEAD_MAX_BYTES} bytes")
-        except (OSError, httptools.HttpParserError) as error:
-            if not reader.is_complete:
-                raise ReadError(f"{type(error).__name__}: {error.__context__ or error}") from error
-            has_surplus = True
-        status = parser.get_status_code()
-        _check_framing(reader, method, status)
-        is_current = parser.get_http_version() == "1.1"
-        # The parser expects a body after the head of any answer, so HEAD ends a connection.
-        is_whole = reader.is_complete and not has_surplus
-        self.is_reusable = is_current and is_whole and not reader.is_last
+                if data:
+                    answer = reader.feed(data)
+                    continue
+                answer = reader.feed_end()
+                if answer is None:
+                    raise ReadError("the connection ended before the answer was whole")
+        except OSError as error:
+            raise ReadError(f"{type(error).__name__}: {error}") from error
+        self.is_reusable = reader.is_reusable
         self.is_fresh = False
-        return UpstreamAnswer(
-            status=status,
-            reason=reader.reason.decode("latin-1"),
-            headers=reader.headers,
-            body=b"".join(reader.chunks),
-        )
+        if reader.keep_alive_ms is not None:
+            self.idle_max_ms = reader.keep_alive_ms - IDLE_MARGIN_MS
+        return answer
 
     def _receive(self, deadline_ms: float) -> bytes:
         """Return the next bytes; the deadline covers all reads of one answer together."""
@@ -227,8 +129,6 @@
                 poller.register(self._sock, select.POLLIN)
                 # poll takes whole milliseconds; rounding up avoids a busy loop at the end.
                 poller.poll(int(left_ms) + 1)
-        if not data:
-            raise ReadError("the connection ended before the answer was whole")
         return data
 
     def close(self) -> None:
@@ -252,16 +152,6 @@
     sock.settimeout(None)
 
 
-def _check_framing(reader: _AnswerReader, method: str, status: int) -> None:
-    if status < HTTPStatus.OK:
-        raise ReadError(f"unexpected interim answer {status}")
-    if len(reader.lengths) > 1 or (reader.lengths and reader.has_chunks):
-        raise ReadError("the length of the answer is ambiguous")
-    has_body = method != "HEAD" and status not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
-    if has_body and not reader.lengths and not reader.has_chunks:
-        raise ReadError("the answer has no length and is not chunked")
-
-
 def encode_head(method: str, target: str, headers: Iterable[Header], body_bytes: int) -> bytes:
     """Return the request line and headers; values were checked by the server on the way in."""
     lines = [f"{method} {target} HTTP/1.1"]
@@ -296,7 +186,7 @@
                     return None
                 connection = self._idle.pop()
             age_ms = self._clock.now_ms() - connection.idle_since_ms
-            if age_ms < IDLE_MAX_MS and connection.is_idle_clean():
+            if age_ms < connection.idle_max_ms and connection.is_idle_clean():
                 return connection
             connection.close()
 
--- /dev/null
+++ b/src/coltsfootrill/proxy/dialect.py
@@ -0,0 +1,77 @@
+"""Headers that a deployment's callers and upstreams use for deadlines, identity and load."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.hookspecs import hookimpl
+from coltsfootrill.proxy.headers import DEADLINE_HEADER
+from coltsfootrill.proxy.headers import LOAD_HEADER
+from coltsfootrill.proxy.headers import SHED_HEADER
+from coltsfootrill.proxy.headers import parse_load
+
+
+class Dialect:
+    """Names of headers, empty where a deployment has no such header.
+
+    ``deadline`` states the milliseconds left, on the way in and out. ``request_id`` identifies
+    a caller's request and is echoed on its answer. ``upstream_id`` names the upstream that must
+    answer; another one at the same address refuses. ``seal`` is on every genuine answer of an
+    upstream. ``not_run`` marks an explicit refusal, as the statuses in ``not_run_statuses`` do.
+    ``load`` states the upstream's load. Callers take an answer with one of the
+    ``promise_statuses`` to say that the request was not run and never will be.
+    """
+
+    __slots__ = (
+        "deadline",
+        "load",
+        "name",
+        "not_run",
+        "not_run_statuses",
+        "parse_load",
+        "promise_statuses",
+        "request_id",
+        "seal",
+        "upstream_id",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        deadline: str,
+        load: str,
+        not_run: str,
+        parse_load: Callable[[str | None], LoadReport | None],
+        request_id: str = "",
+        upstream_id: str = "",
+        seal: str = "",
+        not_run_statuses: frozenset[int] = frozenset(),
+        promise_statuses: frozenset[int] = frozenset(),
+    ) -> None:
+        self.name = name
+        self.deadline = deadline
+        self.load = load
+        self.not_run = not_run
+        self.parse_load = parse_load
+        self.request_id = request_id
+        self.upstream_id = upstream_id
+        self.seal = seal
+        self.not_run_statuses = not_run_statuses
+        self.promise_statuses = promise_statuses
+
+
+NATIVE_DIALECT = Dialect(
+    name="native",
+    deadline=DEADLINE_HEADER,
+    load=LOAD_HEADER,
+    not_run=SHED_HEADER,
+    parse_load=parse_load,
+)
+
+
+@hookimpl
+def coltsfootrill_dialect() -> Dialect:
+    """Return the program's own headers."""
+    return NATIVE_DIALECT
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -9,23 +9,24 @@
 from coltsfootrill.balancer.retry import AttemptHistory
 from coltsfootrill.balancer.retry import FailureKind
 from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import Attempt as AttemptEvent
+from coltsfootrill.manifest.model import Service
 from coltsfootrill.manifest.table import Route
 from coltsfootrill.metrics import Metrics
+from coltsfootrill.proxy.answer import AnswerEcho
+from coltsfootrill.proxy.answer import ReadError
+from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.connection import ConnectError
-from coltsfootrill.proxy.connection import ReadError
 from coltsfootrill.proxy.connection import SendError
-from coltsfootrill.proxy.connection import UpstreamAnswer
 from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.connection import encode_head
+from coltsfootrill.proxy.dialect import NATIVE_DIALECT
+from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.gate import ServiceGate
-from coltsfootrill.proxy.headers import DEADLINE_HEADER
 from coltsfootrill.proxy.headers import DEPTH_HEADER
-from coltsfootrill.proxy.headers import LOAD_HEADER
 from coltsfootrill.proxy.headers import RETRIED_HEADER
-from coltsfootrill.proxy.headers import SHED_HEADER
 from coltsfootrill.proxy.headers import list_answer_headers
 from coltsfootrill.proxy.headers import list_request_headers
-from coltsfootrill.proxy.headers import parse_load
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.outcome import ProxyError
@@ -74,9 +75,14 @@
         pools: ConnectionPools,
         clock: Clock,
         metrics: Metrics,
+        dialect: Dialect = NATIVE_DIALECT,
+        service: Service | None = None,
     ) -> None:
         self._request = request
-        self._route = route
+        self._service = service or route.service
+        self._dialect = dialect
+        request_id = request.headers.get(dialect.request_id.upper().replace("-", "_"), "")
+        self._echo = AnswerEcho(dialect.request_id, request_id)
         self._kind = route.kind
         self._gate = gate
         self._pools = pools
@@ -85,6 +91,7 @@
         self._history = AttemptHistory(is_marked=request.is_marked)
         self._tried: set[str] = set()
         self._open: list[_Attempt] = []
+        self.attempts: list[AttemptEvent] = []
 
     def run(self) -> Answer:
         """Return the answer; raise ``ProxyError`` when there is none."""
@@ -112,12 +119,12 @@
     def _try_once(self) -> Answer | _Failure:
         """Make one attempt, with a second one beside it where that is allowed."""
         claim = self._gate.acquire(
-            self._route.service,
+            self._service,
             self._kind,
             arrived_ms=self._request.arrived_ms,
             deadline_ms=self._request.deadline_ms,
             exclude=frozenset(self._tried),
-            is_gone=self._request.is_gone,
+            is_gone=self._request.watch.is_gone,
         )
         failure = self._start(claim, must_be_fresh=not self._kind.idempotent)
         if failure is not None:
@@ -158,15 +165,23 @@
 
     def _make_head(self, claim: Claim) -> bytes:
         request = self._request
-        headers = list(list_request_headers(request.headers))
+        headers = list(list_request_headers(request.headers, self._set_headers))
         left_ms = request.deadline_ms - self._clock.now_ms()
-        headers.append((DEADLINE_HEADER, str(max(1, int(left_ms)))))
+        dialect = self._dialect
+        headers.append((dialect.deadline, str(max(1, int(left_ms)))))
+        if dialect.upstream_id:
+            headers.append((dialect.upstream_id, claim.load.id))
         headers.append((DEPTH_HEADER, str(request.depth + 1)))
         history = self._history
         if history.is_marked or history.retries or self._open:
             headers.append((RETRIED_HEADER, "1"))
         return encode_head(request.method, request.target, headers, len(request.body))
 
+    @property
+    def _set_headers(self) -> frozenset[str]:
+        """Return the headers that are set here, whatever the caller sent."""
+        return frozenset((self._dialect.deadline.lower(), self._dialect.upstream_id.lower()))
+
     def _await_answer(self) -> Answer | _Failure:
         """Wait for the first good answer of the attempts in progress."""
         failure = _Failure("lost", "no attempt was answered")
@@ -217,7 +232,7 @@
         if not is_allowed:
             return
         exclude = frozenset() if is_silent else frozenset(self._tried)
-        claim = self._gate.try_acquire(self._route.service, self._kind, exclude=exclude)
+        claim = self._gate.try_acquire(self._service, self._kind, exclude=exclude)
         if claim is None:
             return
         self._count_extra("silent" if is_silent else "hedge")
@@ -229,16 +244,20 @@
         Raises ``UnknownOutcomeError`` as soon as the caller has gone.
         """
         poller = select.poll()
-        poller.register(self._request.caller, select.POLLRDHUP)
+        watch = self._request.watch
+        poller.register(watch.fileno(), watch.events)
         by_fileno: dict[int, _Attempt] = {}
         for attempt in self._open:
             by_fileno[attempt.connection.fileno()] = attempt
             poller.register(attempt.connection.fileno(), select.POLLIN)
         # poll takes whole milliseconds; rounding up avoids a busy loop just before the end.
         events = poller.poll(int(max(0.0, timeout_ms)) + 1)
-        if any(fileno not in by_fileno for fileno, _ in events):
-            raise UnknownOutcomeError("499 Client Closed Request", "caller-gone", "caller left")
-        return [by_fileno[fileno] for fileno, _ in events]
+        for fileno, event in events:
+            if fileno not in by_fileno and watch.notice(event):
+                raise UnknownOutcomeError(
+                    "499 Client Closed Request", "caller-gone", "the caller left"
+                )
+        return [by_fileno[fileno] for fileno, _ in events if fileno in by_fileno]
 
     def _finish(self, attempt: _Attempt) -> Answer | _Failure:
         """Read the answer of one attempt and judge it."""
@@ -246,13 +265,13 @@
         claim = attempt.claim
         try:
             answer = attempt.connection.read(
-                self._request.method, deadline_ms=self._request.deadline_ms
+                self._request.method, deadline_ms=self._request.deadline_ms, echo=self._echo
             )
         except ReadError as error:
             attempt.connection.close()
             self._end_failed(claim, "lost")
             return _Failure("lost", str(error))
-        report = parse_load(answer.get_header(LOAD_HEADER))
+        report = self._dialect.parse_load(answer.get_header(self._dialect.load))
         result = self._judge(claim, answer, report)
         if isinstance(result, Answer):
             result.add_follow_up(lambda: self._give_back(attempt))
@@ -266,14 +285,25 @@
     def _judge(
         self, claim: Claim, answer: UpstreamAnswer, report: LoadReport | None
     ) -> Answer | _Failure:
-        if answer.status == 503 and answer.get_header(SHED_HEADER):
-            self._count_attempt("shed")
+        dialect = self._dialect
+        if answer.status in dialect.not_run_statuses:
+            self._count_attempt(claim, "misdirected")
+            self._gate.end_misdirected(claim)
+            self._history.unproven -= 1
+            return _Failure("misdirected", f"{claim.load.id} is not at its address any more")
+        if answer.get_header(dialect.not_run):
+            self._count_attempt(claim, "shed")
             self._gate.end_shed(claim, report)
             self._history.unproven -= 1
             return _Failure("shed", f"upstream {claim.load.id} had no capacity")
+        is_genuine = not dialect.seal or bool(answer.get_header(dialect.seal))
+        is_encoded = bool(dialect.seal) and answer.get_header("Content-Encoding") is not None
+        if answer.status < 300 and (not is_genuine or is_encoded):
+            self._end_failed(claim, "not-genuine")
+            return _Failure("lost", f"the answer of {claim.load.id} is not its own")
         passed = Answer(
             status=f"{answer.status} {answer.reason}",
-            headers=list_answer_headers(answer.headers),
+            headers=list_answer_headers(answer.headers, dialect.load),
             body=answer.body,
             outcome="answered",
         )
@@ -281,6 +311,8 @@
             self._end_failed(claim, "server-error")
             if self._kind.idempotent:
                 return _Failure("failed-answer", "the upstream failed", passed)
+            if answer.status in dialect.promise_statuses:
+                return _Failure("lost", f"{claim.load.id} failed with status {answer.status}")
             return passed
         ended_ms = self._clock.now_ms()
         passed.add_follow_up(lambda: self._end_answered(claim, report, ended_ms))
@@ -288,7 +320,7 @@
 
     def _end_answered(self, claim: Claim, report: LoadReport | None, ended_ms: float) -> None:
         self._gate.end_answered(claim, report, ended_ms)
-        self._count_attempt("answered")
+        self._count_attempt(claim, "answered")
 
     def _give_up(self, failure: _Failure) -> Answer:
         if failure.answer is not None:
@@ -320,15 +352,24 @@
             attempt.connection.close()
             is_slow = now_ms >= self._request.deadline_ms or len(self._tried) > 1
             self._gate.end_abandoned(attempt.claim, is_slow=is_slow)
-            self._count_attempt("cancelled")
+            self._count_attempt(attempt.claim, "cancelled")
         self._open.clear()
 
     def _end_failed(self, claim: Claim, result: str) -> None:
-        self._count_attempt(result)
+        self._count_attempt(claim, result)
         self._gate.end_failed(claim)
 
-    def _count_attempt(self, result: str) -> None:
-        self._metrics.count_attempt(self._route.service.id, result)
+    def _count_attempt(self, claim: Claim, result: str) -> None:
+        self._metrics.count_attempt(self._service.id, result)
+        now_ms = self._clock.now_ms()
+        self.attempts.append(
+            AttemptEvent(
+                upstream=claim.load.id,
+                after_ms=round(claim.started_ms - self._request.arrived_ms, 1),
+                took_ms=round(now_ms - claim.started_ms, 1),
+                result=result,
+            )
+        )
 
     def _count_extra(self, cause: str) -> None:
-        self._metrics.extra_attempts.labels(self._route.service.id, cause).inc()
+        self._metrics.extra_attempts.labels(self._service.id, cause).inc()
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -17,9 +17,8 @@
 from coltsfootrill.clock import Clock
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
-from coltsfootrill.membership.fleet import Fleet
 from coltsfootrill.proxy.outcome import NotRunError
-from coltsfootrill.registry.directory import LEASE_MS
+from coltsfootrill.registry.source import UpstreamSource
 
 WAIT_SLICE_MS = 10.0
 CONFIRM_EVERY_MS = 300.0
@@ -45,7 +44,7 @@
 class ServiceGate:
     """Thread-safe owner of the state of one service."""
 
-    def __init__(self, pool: ServicePool, *, fleet: Fleet, clock: Clock) -> None:
+    def __init__(self, pool: ServicePool, *, fleet: UpstreamSource, clock: Clock) -> None:
         self._pool = pool
         self._fleet = fleet
         self._clock = clock
@@ -101,17 +100,25 @@
     def earn_retries(self) -> None:
         """Count a first attempt towards the retry budget."""
         with self._lock:
-            self._pool.retry_budget.earn()
+            self._pool.retry_budget.earn(self._clock.now_ms())
 
     def may_retry(self, history: AttemptHistory, failure: FailureKind, kind: Kind) -> bool:
         """Return whether another attempt may follow ``failure``."""
         with self._lock:
-            return may_retry(history, failure, kind=kind, budget=self._pool.retry_budget)
+            return may_retry(
+                history,
+                failure,
+                kind=kind,
+                budget=self._pool.retry_budget,
+                now_ms=self._clock.now_ms(),
+            )
 
     def may_hedge(self, history: AttemptHistory, kind: Kind) -> bool:
         """Return whether a second attempt may run beside the first."""
         with self._lock:
-            return may_hedge(history, kind=kind, budget=self._pool.retry_budget)
+            return may_hedge(
+                history, kind=kind, budget=self._pool.retry_budget, now_ms=self._clock.now_ms()
+            )
 
     def get_quantile_ms(self, kind: Kind, quantile: float) -> float | None:
         """Return a quantile of the kind's recent latencies."""
@@ -141,6 +148,11 @@
             self._pool.end_failed(claim, now_ms)
             self._grant_waiting(now_ms)
 
+    def end_misdirected(self, claim: Claim) -> None:
+        """Count an answer that another upstream has the address."""
+        with self._lock:
+            self._pool.end_misdirected(claim)
+
     def end_abandoned(self, claim: Claim, *, is_slow: bool) -> None:
         """Count an attempt that was given up."""
         with self._lock:
@@ -167,7 +179,7 @@
 
     def _update_pool(self, service: Service, now_ms: float) -> None:
         """Take in upstreams and leases that have changed."""
-        generation = self._fleet.directory.generation
+        generation = self._fleet.generation
         is_known = generation == self._generation and service is self._service
         if is_known and now_ms < self._next_end_ms:
             return
@@ -175,8 +187,7 @@
         self._service = service
         usable = self._fleet.list_usable()
         self._pool.update(service, usable, now_ms)
-        ends = [record.evidence_ms + LEASE_MS for record in usable]
-        self._next_end_ms = min(ends, default=now_ms + LEASE_MS)
+        self._next_end_ms = self._fleet.get_lease_end_ms(usable)
 
     def _try_grant(self, ticket: _Ticket, now_ms: float) -> bool:
         waiter = ticket.waiter
--- a/src/coltsfootrill/proxy/headers.py
+++ b/src/coltsfootrill/proxy/headers.py
@@ -34,37 +34,40 @@
 _INTERNAL_PREFIX = "coltsfootrill-"
 
 
-def list_request_headers(headers: Mapping[str, str]) -> Iterator[Header]:
+def list_request_headers(
+    headers: Mapping[str, str], replaced: frozenset[str] = frozenset()
+) -> Iterator[Header]:
     """Yield the caller's headers that go to the upstream, from waitress's upper-case names.
 
-    Hop-by-hop headers, those that ``Connection`` names, and internal headers are left out.
+    Hop-by-hop headers, those that ``Connection`` names, internal headers and those in
+    ``replaced`` are left out.
     """
     named = _split_tokens(headers.get("CONNECTION", ""))
     for key, value in headers.items():
         name = key.replace("_", "-").lower()
         if name in _HOP_BY_HOP or name in named or name.startswith(_INTERNAL_PREFIX):
             continue
-        if name in ("content-length", "expect"):
+        if name in ("content-length", "expect") or name in replaced:
             continue
         yield name, value
 
 
-def list_answer_headers(headers: Iterable[Header]) -> list[Header]:
-    """Return an upstream's headers that go to the caller."""
+def list_answer_headers(headers: Iterable[Header], load_header: str = LOAD_HEADER) -> list[Header]:
+    """Return an upstream's headers that go to the caller, without its load."""
     pairs = list(headers)
     named: frozenset[str] = frozenset()
     for name, value in pairs:
         if name.lower() == "connection":
             named |= _split_tokens(value)
-    return [(name, value) for name, value in pairs if _passes(name.lower(), named)]
+    left_out = named | {load_header.lower()}
+    return [(name, value) for name, value in pairs if _passes(name.lower(), left_out)]
 
 
-def _passes(name: str, named: frozenset[str]) -> bool:
+def _passes(name: str, left_out: frozenset[str]) -> bool:
     return (
         name not in _HOP_BY_HOP
-        and name not in named
+        and name not in left_out
         and name != "content-length"
-        and name != LOAD_HEADER.lower()
         and not name.startswith(_INTERNAL_PREFIX)
     )
 
--- a/src/coltsfootrill/proxy/prober.py
+++ b/src/coltsfootrill/proxy/prober.py
@@ -20,8 +20,8 @@
 from coltsfootrill.manifest.model import Measuring
 from coltsfootrill.membership.fleet import Fleet
 from coltsfootrill.metrics import Metrics
+from coltsfootrill.proxy.answer import ConnectionLayerError
 from coltsfootrill.proxy.app import ProxyApp
-from coltsfootrill.proxy.connection import ConnectionLayerError
 from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.connection import encode_head
 from coltsfootrill.proxy.gate import ServiceGate
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Mapping
 
-from coltsfootrill.proxy.server import is_closed
+from coltsfootrill.proxy.caller import CallerWatch
 
 
 class ProxyRequest:
@@ -14,13 +13,13 @@
     __slots__ = (
         "arrived_ms",
         "body",
-        "caller",
         "deadline_ms",
         "depth",
         "headers",
         "is_marked",
         "method",
         "target",
+        "watch",
     )
 
     def __init__(
@@ -34,7 +33,7 @@
         deadline_ms: float,
         depth: int,
         is_marked: bool,
-        caller: socket.socket,
+        watch: CallerWatch,
     ) -> None:
         self.method = method
         self.target = target
@@ -44,8 +43,4 @@
         self.deadline_ms = deadline_ms
         self.depth = depth
         self.is_marked = is_marked
-        self.caller = caller
-
-    def is_gone(self) -> bool:
-        """Return whether the caller has closed its end."""
-        return is_closed(self.caller)
+        self.watch = watch
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -10,35 +10,28 @@
 
 import select
 import socket
-import struct
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from email.utils import formatdate
 from typing import Any
 
-import waitress.parser
 from absl import logging
 from waitress.adjustments import Adjustments
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.errors import ColtsfootrillError
-from coltsfootrill.proxy.connection import send_whole
+from coltsfootrill.manifest.model import CallerLimits
+from coltsfootrill.proxy.caller import CallerConnection
+from coltsfootrill.proxy.caller import CallerRequest
+from coltsfootrill.proxy.caller import CallerWatch
 from coltsfootrill.proxy.outcome import OUTCOME_HEADER
 from coltsfootrill.proxy.outcome import REASON_HEADER
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.outcome import make_error_answer
 
-REQUEST_MAX_BYTES = 8 * 1024 * 1024
-REQUEST_HEAD_MAX_BYTES = 64 * 1024
-RECEIVE_BYTES = 64 * 1024
 BACKLOG = 512
-IDLE_CLOSE_MS = 120_000.0
-RECEIVE_TIMEOUT_MS = 30_000.0
-WRITE_TIMEOUT_MS = 30_000.0
-LINGER_MS = 500.0
-LINGER_READS_MAX_COUNT = 256
 ACCEPT_POLL_MS = 200.0
 DRAIN_CHECK_MS = 20.0
 
@@ -47,139 +40,6 @@
     """The callers' port cannot be used."""
 
 
-class CallerRequest:
-    """One whole request; ``headers`` have waitress's names: upper case with underscores.
-
-    ``is_refused`` tells that too many requests were in progress when it arrived. ``caller`` is
-    the socket, readable with an end of stream once the caller has gone.
-    """
-
-    __slots__ = (
-        "arrived_ms",
-        "body",
-        "caller",
-        "headers",
-        "is_refused",
-        "method",
-        "path",
-        "target",
-    )
-
-    def __init__(
-        self,
-        *,
-        method: str,
-        target: str,
-        path: str,
-        headers: dict[str, str],
-        body: bytes,
-        arrived_ms: float,
-        is_refused: bool,
-        caller: socket.socket,
-    ) -> None:
-        self.method = method
-        self.target = target
-        self.path = path
-        self.headers = headers
-        self.body = body
-        self.arrived_ms = arrived_ms
-        self.is_refused = is_refused
-        self.caller = caller
-
-    def get_header(self, name: str) -> str:
-        """Return the value of a header by its usual name, empty when it is absent."""
-        return self.headers.get(name.upper().replace("-", "_"), "")
-
-    def is_gone(self) -> bool:
-        """Return whether the caller has closed its end."""
-        return is_closed(self.caller)
-
-
-def is_closed(sock: socket.socket) -> bool:
-    """Return whether the other end has closed or reset the connection."""
-    poller = select.poll()
-    poller.register(sock, select.POLLRDHUP)
-    return bool(poller.poll(0))
-
-
-class _Parser(waitress.parser.HTTPRequestParser):  # type: ignore[misc]
-    """Refuses requests whose end two readers could see at different places."""
-
-    def parse_header(self, header_plus: bytes) -> None:
-        head = header_plus.lower()
-        has_chunks = b"\ntransfer-encoding:" in head
-        if has_chunks and b"\ncontent-length:" in head:
-            raise waitress.parser.ParsingError("both Content-Length and Transfer-Encoding")
-        if head.count(b"\nhost:") > 1 or head.count(b"\ncontent-length:") > 1:
-            raise waitress.parser.ParsingError("a header that must stand once stands twice")
-        super().parse_header(header_plus)
-        if has_chunks and self.version != "1.1":
-            raise waitress.parser.ParsingError("Transfer-Encoding needs HTTP/1.1")
-
-
-class _CallerConnection:
-    """One connection of a caller. ``is_busy`` is true from the first byte of a request on."""
-
-    __slots__ = ("_left_over", "_timeout_ms", "is_busy", "sock")
-
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock = sock
-        self.is_busy = False
-        self._left_over = b""
-        self._timeout_ms = 0.0
-
-    def receive(self, adjustments: Adjustments) -> Any:
-        """Return the next request as parsed by waitress, ``None`` at the end of the stream."""
-        parser = _Parser(adjustments)
-        data = self._left_over
-        self._left_over = b""
-        while not parser.completed:
-            if not data:
-                self._set_timeout(RECEIVE_TIMEOUT_MS if self.is_busy else IDLE_CLOSE_MS)
-                data = self.sock.recv(RECEIVE_BYTES)
-                if not data:
-                    return None
-            self.is_busy = True
-            consumed = parser.received(data)
-            data = data[consumed:]
-            if parser.empty:
-                parser = _Parser(adjustments)
-            if parser.expect_continue and parser.headers_finished and not parser.completed:
-                parser.expect_continue = False
-                self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-        self._left_over = data
-        return parser
-
-    def send(self, data: bytes) -> None:
-        """Send an answer whole."""
-        send_whole(self.sock, data, timeout_ms=WRITE_TIMEOUT_MS)
-
-    def _set_timeout(self, timeout_ms: float) -> None:
-        """Have the kernel end a receive, which costs no call before each one."""
-        if timeout_ms == self._timeout_ms:
-            return
-        self._timeout_ms = timeout_ms
-        seconds, rest_ms = divmod(int(timeout_ms), 1_000)
-        value = struct.pack("ll", seconds, rest_ms * 1_000)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, value)
-
-    def linger(self) -> None:
-        """Let the caller read the last answer before the connection goes.
-
-        Closing with unread bytes of a refused request would reset the connection, and the
-        refusal would be lost.
-        """
-        self.sock.shutdown(socket.SHUT_WR)
-        self.sock.settimeout(LINGER_MS / 1000)
-        for _ in range(LINGER_READS_MAX_COUNT):
-            if not self.sock.recv(RECEIVE_BYTES):
-                return
-
-    def has_left_over(self) -> bool:
-        """Return whether part of the next request has been read already."""
-        return bool(self._left_over)
-
-
 class CallerServer:
     """Listens for callers on one address and stops without cutting a request."""
 
@@ -190,19 +50,18 @@
         clock: Clock,
         requests_max: int,
         connections_max: int,
+        get_limits: Callable[[], CallerLimits] = CallerLimits,
     ) -> None:
+        self._get_limits = get_limits
+        self._limits = CallerLimits()
         self._handle = handle
         self._clock = clock
         self._requests_max = requests_max
         self._connections_max = connections_max
         self._executor = ThreadPoolExecutor(connections_max, thread_name_prefix="caller")
-        self._adjustments = Adjustments(
-            listen="127.0.0.1:0",
-            max_request_body_size=REQUEST_MAX_BYTES,
-            max_request_header_size=REQUEST_HEAD_MAX_BYTES,
-        )
+        self._adjustments = _make_adjustments(self._limits)
         self._lock = threading.Lock()
-        self._connections: set[_CallerConnection] = set()
+        self._connections: set[CallerConnection] = set()
         self._in_progress = 0
         self._listener: socket.socket | None = None
         self._thread: threading.Thread | None = None
@@ -287,7 +146,7 @@
     def _start_task(self, sock: socket.socket) -> None:
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = _CallerConnection(sock)
+        connection = CallerConnection(sock)
         with self._lock:
             is_full = len(self._connections) >= self._connections_max
             if not is_full:
@@ -297,49 +156,99 @@
             return
         self._executor.submit(self._serve, connection)
 
-    def _serve(self, connection: _CallerConnection) -> None:
-        """Serve one connection until either end closes it."""
+    def _serve(self, connection: CallerConnection) -> None:
+        """Read requests and answer them until another thread reads on, or either end closes."""
         try:
             while self._serve_one(connection):
                 pass
-            connection.linger()
         except OSError:
             # The caller left or went silent; a request of its own was cancelled by then.
             pass
         except Exception:
             logging.exception("a request failed for a fault of this program")
         finally:
-            with self._lock:
-                self._connections.discard(connection)
-            connection.sock.close()
+            self._release(connection)
+
+    def _release(self, connection: CallerConnection) -> None:
+        if not connection.release():
+            return
+        with self._lock:
+            self._connections.discard(connection)
+        try:
+            connection.linger()
+        except OSError:
+            # The caller has gone already.
+            pass
+        connection.sock.close()
 
-    def _serve_one(self, connection: _CallerConnection) -> bool:
-        """Receive and answer one request; return whether the connection stays open."""
-        parsed = connection.receive(self._adjustments)
+    def _serve_one(self, connection: CallerConnection) -> bool:
+        """Receive and answer one request; return whether this thread reads the next one."""
+        limits = self._update_limits()
+        parsed = connection.receive(self._adjustments, limits)
         if parsed is None:
             return False
         arrived_ms = self._clock.now_ms()
+        turn = connection.take_turn()
+        if turn is None:
+            return False
+        reader = _Reader(connection, self._read_on)
+        may_read_on = not _wants_close(parsed) and connection.may_read_on()
+        watch = CallerWatch(connection.sock, reader.hand_over if may_read_on else None)
+        try:
+            if may_read_on and connection.has_left_over():
+                watch.notice(select.POLLIN)
+            is_last = self._work(parsed, connection, turn, watch, arrived_ms)
+        finally:
+            connection.release()
+            parsed.close()
+        return not is_last and not reader.is_handed_over
+
+    def _work(
+        self,
+        parsed: Any,
+        connection: CallerConnection,
+        turn: int,
+        watch: CallerWatch,
+        arrived_ms: float,
+    ) -> bool:
+        """Answer one request; return whether the connection closes behind it."""
         # A request refused by the parser may have no method.
         method = "" if parsed.error is not None else parsed.command.upper()
         with self._lock:
             is_refused = self._in_progress >= self._requests_max
             self._in_progress += 1
         try:
-            answer = self._answer(parsed, connection, arrived_ms, is_refused)
-            is_closing = self._is_draining or _wants_close(parsed)
+            answer = self._answer(parsed, watch, arrived_ms, is_refused)
             try:
-                connection.send(encode_answer(answer, method, is_closing=is_closing))
+                return connection.answer(
+                    turn,
+                    lambda is_last: encode_answer(answer, method, is_closing=is_last),
+                    wants_close=lambda: self._is_draining or _wants_close(parsed),
+                )
             finally:
                 answer.follow_up()
         finally:
             with self._lock:
                 self._in_progress -= 1
-            parsed.close()
-        connection.is_busy = connection.has_left_over()
-        return not is_closing
+
+    def _read_on(self, connection: CallerConnection) -> None:
+        """Have another thread read the next request of a connection."""
+        connection.retain()
+        try:
+            self._executor.submit(self._serve, connection)
+        except RuntimeError:
+            # The server has stopped; what is on its way counts as not read.
+            connection.release()
+
+    def _update_limits(self) -> CallerLimits:
+        limits = self._get_limits()
+        if limits is not self._limits:
+            self._limits = limits
+            self._adjustments = _make_adjustments(limits)
+        return limits
 
     def _answer(
-        self, parsed: Any, connection: _CallerConnection, arrived_ms: float, is_refused: bool
+        self, parsed: Any, watch: CallerWatch, arrived_ms: float, is_refused: bool
     ) -> Answer:
         if parsed.error is not None:
             status = f"{parsed.error.code} {parsed.error.reason}"
@@ -353,11 +262,37 @@
             body=body,
             arrived_ms=arrived_ms,
             is_refused=is_refused,
-            caller=connection.sock,
+            watch=watch,
         )
         return self._handle(request)
 
 
+class _Reader:
+    """Hands the reading of a connection over to another thread, once."""
+
+    __slots__ = ("_connection", "_read_on", "is_handed_over")
+
+    def __init__(
+        self, connection: CallerConnection, read_on: Callable[[CallerConnection], None]
+    ) -> None:
+        self._connection = connection
+        self._read_on = read_on
+        self.is_handed_over = False
+
+    def hand_over(self) -> None:
+        """Have another thread read on."""
+        self.is_handed_over = True
+        self._read_on(self._connection)
+
+
+def _make_adjustments(limits: CallerLimits) -> Adjustments:
+    return Adjustments(
+        listen="127.0.0.1:0",
+        max_request_body_size=limits.body_max_bytes,
+        max_request_header_size=limits.head_max_bytes,
+    )
+
+
 def encode_answer(answer: Answer, method: str, *, is_closing: bool) -> bytes:
     """Return an answer as it goes to the caller, head and body in one piece."""
     lines = [f"HTTP/1.1 {answer.status}"]
--- a/src/coltsfootrill/registry/announcement.py
+++ b/src/coltsfootrill/registry/announcement.py
@@ -26,6 +26,7 @@
 
     ``incarnation`` grows with each start of the upstream and ``sequence`` with each announcement
     of one incarnation. ``sent_at_ms`` is the upstream's own clock; only its differences are used.
+    ``cold_ms`` tells how much longer it is slow after its start.
     """
 
     id: Identifier
@@ -37,6 +38,7 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
     state: UpstreamState
     sent_at_ms: Annotated[int, msgspec.Meta(ge=0, le=2**53)] = 0
+    cold_ms: Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = 0
 
 
 _decoder = msgspec.json.Decoder(Announcement)
--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -61,13 +61,22 @@
         "announcement",
         "changed_at",
         "evidence_ms",
+        "lease_ms",
         "origin",
         "renewed_at",
         "transit",
     )
 
-    def __init__(self, announcement: Announcement, *, origin: str, evidence_ms: float) -> None:
+    def __init__(
+        self,
+        announcement: Announcement,
+        *,
+        origin: str,
+        evidence_ms: float,
+        lease_ms: float = LEASE_MS,
+    ) -> None:
         self.announcement = announcement
+        self.lease_ms = lease_ms
         self.origin = origin
         self.evidence_ms = evidence_ms
         self.changed_at = 0
@@ -81,7 +90,7 @@
 
     def is_usable(self, now_ms: float) -> bool:
         """Return whether new work may be sent: serving, and the lease has not ended."""
-        return self.announcement.state == "serving" and now_ms < self.evidence_ms + LEASE_MS
+        return self.announcement.state == "serving" and now_ms < self.evidence_ms + self.lease_ms
 
 
 class StateChange:
@@ -101,9 +110,15 @@
 class Directory:
     """Records by upstream identifier. Not thread-safe: the owner holds a lock."""
 
-    __slots__ = ("_on_change", "by_id", "generation", "position")
+    __slots__ = ("_lease_ms", "_on_change", "by_id", "generation", "position")
 
-    def __init__(self, on_change: Callable[[StateChange], None] = lambda change: None) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[StateChange], None] = lambda change: None,
+        *,
+        lease_ms: float = LEASE_MS,
+    ) -> None:
+        self._lease_ms = lease_ms
         self.by_id: dict[str, UpstreamRecord] = {}
         self.position = 0
         # Grows when the set of upstreams or one of their states changes, not with renewals.
@@ -125,7 +140,9 @@
         """
         record = self.by_id.get(announcement.id)
         if record is None:
-            record = UpstreamRecord(announcement, origin=origin, evidence_ms=evidence_ms)
+            record = UpstreamRecord(
+                announcement, origin=origin, evidence_ms=evidence_ms, lease_ms=self._lease_ms
+            )
             self.by_id[announcement.id] = record
             self._mark_changed(record, before=None)
             return "changed"
--- a/src/coltsfootrill/roles/control.py
+++ b/src/coltsfootrill/roles/control.py
@@ -46,7 +46,7 @@
         self._metrics = metrics
         self._repair = RepairTask(
             replica,
-            spares=settings.get("control", "spares"),
+            list_spares=lambda: settings.get("control", "spares"),
             grace_ms=settings.get("control", "grace_s") * MS_PER_SECOND,
             clock=Clock(),
             random=SystemRandom(),
--- a/src/coltsfootrill/roles/entry.py
+++ b/src/coltsfootrill/roles/entry.py
@@ -5,7 +5,6 @@
 import sys
 import threading
 from random import Random
-from random import SystemRandom
 from typing import Any
 
 from absl import logging
@@ -26,11 +25,12 @@
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.operators.http import HttpApp
 from coltsfootrill.operators.http import HttpServer
-from coltsfootrill.proxy.app import ProxyApp
 from coltsfootrill.proxy.prober import Prober
-from coltsfootrill.proxy.server import CallerServer
 from coltsfootrill.registry.directory import StateChange
 from coltsfootrill.roles.entry_http import EntryResponders
+from coltsfootrill.roles.gateway import SWITCH_INTERVAL_S
+from coltsfootrill.roles.gateway import Gateway
+from coltsfootrill.roles.gateway import make_random
 from coltsfootrill.roles.signals import install_stop_event
 from coltsfootrill.settings import Settings
 from coltsfootrill.tasks import start_task
@@ -39,9 +39,6 @@
 HOUSEKEEPING_MS = 200.0
 GOODBYE_MS = 300.0
 MEET_PEERS_MS = 10_000.0
-REFRESH_MS = 40.0
-# The interpreter's own interval of 5 ms would let one busy thread hold up all requests that long.
-SWITCH_INTERVAL_S = 0.0005
 
 
 class EntryRole:
@@ -54,7 +51,7 @@
         self._id = settings.get("instance", "id")
         plugins = load_plugins()
         policy = find_policy(plugins, settings.get("balancer", "policy"))
-        random = _make_random(settings.get("balancer", "seed"))
+        random = make_random(settings.get("balancer", "seed"))
         self._credentials = Credentials.from_settings(settings, settings.get("peers", "listen"))
         folder = settings.get("instance", "data")
         self.audit = AuditTrail(
@@ -67,20 +64,19 @@
             on_upstream=self._note_upstream,
             on_member=self._note_member,
         )
-        self.app = ProxyApp(
+        self.gateway = Gateway(
+            settings,
             manifests=self.manifests,
-            fleet=self.fleet,
+            source=self.fleet,
             policy=policy,
             random=random,
-            zone=settings.get("instance", "zone"),
-            queue_limit=settings.get("callers", "queue"),
             clock=self._clock,
             metrics=self.metrics,
         )
         self._exchange = self._make_exchange()
         self._follower = self._make_follower(random)
         self._prober = Prober(
-            self.app,
+            self.gateway.app,
             self.manifests,
             self.fleet,
             fleet_max_count=settings.get("peers", "fleet_max"),
@@ -88,13 +84,6 @@
             clock=self._clock,
             metrics=self.metrics,
         )
-        self._callers = CallerServer(
-            self.app.handle,
-            clock=self._clock,
-            requests_max=settings.get("callers", "requests"),
-            connections_max=settings.get("callers", "connections"),
-        )
-        self.is_stopping = False
         self._started_ms = self._clock.now_ms()
         self._was_isolated = False
 
@@ -118,7 +107,7 @@
     def is_ready(self) -> bool:
         """Return whether the platform's balancer should send callers here."""
         return (
-            not self.is_stopping
+            not self.gateway.is_stopping
             and self.manifests.current is not None
             and not self.fleet.is_isolated()
             and self._has_met_peers()
@@ -137,7 +126,7 @@
 
     def count_in_progress(self) -> int:
         """Return the callers' requests in progress."""
-        return self._callers.count_in_progress()
+        return self.gateway.count_in_progress()
 
     def _start(self) -> None:
         settings = self._settings
@@ -149,9 +138,7 @@
         self._exchange.start(str(settings.get("peers", "listen")), self._credentials.server)
         start_task("control", self._follower.run)
         start_task("prober", self._prober.run)
-        start_task("refresh", self._keep_fresh)
-        listen = settings.get("callers", "listen")
-        self._callers.start(listen.host, listen.port)
+        self.gateway.start()
 
     def _serve_http(self, section: str, token_key: str, add_routes: Any) -> None:
         app = HttpApp(self._settings.get("tokens", token_key), on_refused=self._count_refused)
@@ -160,15 +147,9 @@
 
     def _stop(self) -> int:
         """Stop gracefully and return how many requests were cut."""
-        settings = self._settings
-        self.is_stopping = True
+        self.gateway.is_stopping = True
         self.audit.record(self._id, "stopping")
-        self._callers.announce_close()
-        # The platform's balancer goes on sending callers here until it sees the failed check.
-        self._clock.sleep_ms(settings.get("callers", "notice_ms"))
-        cut = self._callers.stop(
-            idle_ms=settings.get("callers", "idle_ms"), limit_ms=settings.get("callers", "stop_ms")
-        )
+        cut = self.gateway.stop()
         self._prober.stop()
         self._follower.stop()
         self.fleet.say_goodbye()
@@ -181,25 +162,18 @@
     def _keep_house(self) -> None:
         self.fleet.clean()
         self._exchange.update_tasks()
-        usable = self.fleet.list_usable()
-        self.app.pools.keep_only({record.announcement.address for record in usable})
+        self.gateway.drop_idle_connections()
         is_isolated = self.fleet.is_isolated()
         if is_isolated != self._was_isolated:
             self._was_isolated = is_isolated
             self.audit.record(self._id, "isolated" if is_isolated else "not isolated")
-        self.metrics.upstreams.set(len(usable))
+        self.metrics.upstreams.set(len(self.fleet.list_usable()))
         self.metrics.isolated.set(is_isolated)
         self.metrics.members.set(len(self.fleet.list_members()))
         self.metrics.manifest_tables.set(self.manifests.count_alive())
         self.metrics.peer_bytes.labels("sent").set(self._exchange.counter.sent)
         self.metrics.peer_bytes.labels("received").set(self._exchange.counter.received)
 
-    def _keep_fresh(self) -> None:
-        """Refresh the gates for as long as the process runs, its graceful stop included."""
-        while True:
-            self._clock.sleep_ms(REFRESH_MS)
-            self.app.refresh()
-
     def _make_own_record(self) -> InstanceRecord:
         return InstanceRecord(
             id=self._id,
@@ -269,7 +243,3 @@
 
     def _count_refused(self) -> None:
         self.metrics.refused_operations.labels("token").inc()
-
-
-def _make_random(seed: int) -> Random:
-    return Random(seed) if seed else Random(SystemRandom().getrandbits(64))
--- a/src/coltsfootrill/roles/entry_http.py
+++ b/src/coltsfootrill/roles/entry_http.py
@@ -53,7 +53,7 @@
             "role": "entry",
             "id": role.fleet.own.id,
             "ready": role.is_ready(),
-            "stopping": role.is_stopping,
+            "stopping": role.gateway.is_stopping,
             "isolated": role.fleet.is_isolated(),
             "in_progress": role.count_in_progress(),
             "version": role.manifests.version,
@@ -66,7 +66,7 @@
         return HttpReply.from_json("200 OK", status)
 
     def _answer_upstreams(self, request: HttpRequest) -> HttpReply:
-        in_flight_by_id = self._role.app.count_in_flight()
+        in_flight_by_id = self._role.gateway.app.count_in_flight()
         usable = {record.announcement.id for record in self._role.fleet.list_usable()}
         upstreams = []
         for record in self._role.fleet.list_records():
--- /dev/null
+++ b/src/coltsfootrill/roles/gateway.py
@@ -0,0 +1,114 @@
+"""The callers' side of an instance: listener, decisions, and the graceful stop."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from random import SystemRandom
+
+from coltsfootrill.balancer.choice import ChoicePolicy
+from coltsfootrill.balancer.retry import AttemptBudget
+from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import RequestEnded
+from coltsfootrill.manifest.holder import ManifestHolder
+from coltsfootrill.manifest.model import CallerLimits
+from coltsfootrill.metrics import Metrics
+from coltsfootrill.proxy.app import ProxyApp
+from coltsfootrill.proxy.dialect import NATIVE_DIALECT
+from coltsfootrill.proxy.dialect import Dialect
+from coltsfootrill.proxy.server import CallerServer
+from coltsfootrill.registry.source import UpstreamSource
+from coltsfootrill.settings import Settings
+from coltsfootrill.tasks import start_task
+
+REFRESH_MS = 40.0
+# The interpreter's own interval of 5 ms would let one busy thread hold up all requests that long.
+SWITCH_INTERVAL_S = 0.0005
+
+
+class Gateway:
+    """Serves callers with the manifest in force and the upstreams of ``source``."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        manifests: ManifestHolder,
+        source: UpstreamSource,
+        policy: ChoicePolicy,
+        random: Random,
+        clock: Clock,
+        metrics: Metrics,
+        dialect: Dialect = NATIVE_DIALECT,
+        make_budget: Callable[[], AttemptBudget] | None = None,
+        on_ended: Callable[[RequestEnded], None] = lambda event: None,
+    ) -> None:
+        self._settings = settings
+        self._manifests = manifests
+        self._source = source
+        self._clock = clock
+        self.is_stopping = False
+        self.app = ProxyApp(
+            manifests=manifests,
+            fleet=source,
+            policy=policy,
+            random=random,
+            zone=settings.get("instance", "zone"),
+            queue_limit=settings.get("callers", "queue"),
+            clock=clock,
+            metrics=metrics,
+            dialect=dialect,
+            make_budget=make_budget,
+            on_ended=on_ended,
+        )
+        self._callers = CallerServer(
+            self.app.handle,
+            clock=clock,
+            requests_max=settings.get("callers", "requests"),
+            connections_max=settings.get("callers", "connections"),
+            get_limits=self._get_limits,
+        )
+
+    def start(self) -> None:
+        """Listen for callers."""
+        start_task("refresh", self._keep_fresh)
+        listen = self._settings.get("callers", "listen")
+        self._callers.start(listen.host, listen.port)
+
+    def stop(self) -> int:
+        """Stop gracefully and return how many requests were cut."""
+        settings = self._settings
+        self.is_stopping = True
+        self._callers.announce_close()
+        # The platform's balancer goes on sending callers here until it sees the failed check.
+        self._clock.sleep_ms(settings.get("callers", "notice_ms"))
+        return self._callers.stop(
+            idle_ms=settings.get("callers", "idle_ms"), limit_ms=settings.get("callers", "stop_ms")
+        )
+
+    def count_in_progress(self) -> int:
+        """Return the callers' requests in progress."""
+        return self._callers.count_in_progress()
+
+    def drop_idle_connections(self) -> None:
+        """Close idle connections to upstreams that are not usable any more."""
+        usable = self._source.list_usable()
+        self.app.pools.keep_only({record.announcement.address for record in usable})
+
+    def _get_limits(self) -> CallerLimits:
+        table = self._manifests.current
+        return _DEFAULT_LIMITS if table is None else table.manifest.limits
+
+    def _keep_fresh(self) -> None:
+        """Refresh the gates for as long as the process runs, its graceful stop included."""
+        while True:
+            self._clock.sleep_ms(REFRESH_MS)
+            self.app.refresh()
+
+
+_DEFAULT_LIMITS = CallerLimits()
+
+
+def make_random(seed: int) -> Random:
+    """Return a source of random numbers, drawn from the system's for the seed 0."""
+    return Random(seed) if seed else Random(SystemRandom().getrandbits(64))
--- /dev/null
+++ b/src/coltsfootrill/roles/node.py
@@ -0,0 +1,244 @@
+"""The node role: serves callers, and on an instance with a disk also votes."""
+
+from __future__ import annotations
+
+import sys
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from random import SystemRandom
+
+from absl import logging
+
+from coltsfootrill import __version__
+from coltsfootrill.balancer.retry import WindowBudget
+from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import ManifestAdopted
+from coltsfootrill.events.catalog import Reloaded
+from coltsfootrill.events.catalog import Started
+from coltsfootrill.events.catalog import Stopped
+from coltsfootrill.events.catalog import Stopping
+from coltsfootrill.events.catalog import UpstreamChanged
+from coltsfootrill.events.log import EventLog
+from coltsfootrill.events.requests import RequestLog
+from coltsfootrill.kernel import collect_schemes
+from coltsfootrill.kernel import find_dialect
+from coltsfootrill.kernel import find_interface
+from coltsfootrill.kernel import find_manifest_format
+from coltsfootrill.kernel import find_policy
+from coltsfootrill.kernel import load_plugins
+from coltsfootrill.manifest.holder import ManifestHolder
+from coltsfootrill.manifest.table import RoutingTable
+from coltsfootrill.membership.hub import Hub
+from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.view import HubView
+from coltsfootrill.metrics import Metrics
+from coltsfootrill.operators.http import HttpApp
+from coltsfootrill.operators.http import HttpReply
+from coltsfootrill.operators.http import HttpRequest
+from coltsfootrill.operators.http import HttpServer
+from coltsfootrill.registry.directory import StateChange
+from coltsfootrill.roles.gateway import SWITCH_INTERVAL_S
+from coltsfootrill.roles.gateway import Gateway
+from coltsfootrill.roles.gateway import make_random
+from coltsfootrill.roles.node_control import NodeControl
+from coltsfootrill.roles.signals import install_reload_event
+from coltsfootrill.roles.signals import install_stop_event
+from coltsfootrill.rpc import RpcServer
+from coltsfootrill.settings import NODE_SETTINGS
+from coltsfootrill.settings import InvalidSettingsError
+from coltsfootrill.settings import Settings
+from coltsfootrill.tls import Credentials
+
+HOUSEKEEPING_MS = 200.0
+SETTINGS_CHECK_MS = 2_000.0
+RPC_THREADS = 400
+INTERFACE_THREADS = 12
+MS_PER_SECOND = 1_000.0
+_BOOT_BITS = 52
+
+
+class NodeRole:
+    """One node process, put together from its settings."""
+
+    def __init__(self, settings: Settings, path: Path) -> None:
+        self._settings = settings
+        self._path = path
+        self._changed_ns = path.stat().st_mtime_ns
+        self._clock = Clock()
+        self._id = settings.get("instance", "id")
+        self.metrics = Metrics()
+        self.log = EventLog(self._id, clock=self._clock)
+        requests = RequestLog(self.log, clock=self._clock)
+        plugins = load_plugins()
+        random = make_random(settings.get("balancer", "seed"))
+        manifest_format = find_manifest_format(plugins, settings.get("interface", "manifest"))
+        schemes = collect_schemes(plugins)
+        self.manifests = ManifestHolder(
+            schemes, manifest_format=manifest_format, on_adopt=self._note_manifest
+        )
+        self.view = HubView(clock=self._clock, on_upstream=self._note_upstream)
+        self._budgets: list[WindowBudget] = []
+        self.gateway = Gateway(
+            settings,
+            manifests=self.manifests,
+            source=self.view,
+            policy=find_policy(plugins, settings.get("balancer", "policy")),
+            random=random,
+            clock=self._clock,
+            metrics=self.metrics,
+            dialect=find_dialect(plugins, settings.get("interface", "dialect")),
+            make_budget=self._make_budget,
+            on_ended=requests.note,
+        )
+        listen = settings.get("fleet", "listen")
+        credentials = Credentials.from_settings(
+            settings, listen, is_plain_allowed=settings.get("tls", "plain")
+        )
+        boot = SystemRandom().getrandbits(_BOOT_BITS)
+        server = RpcServer(ThreadPoolExecutor(RPC_THREADS, thread_name_prefix="rpc"))
+        self.control = NodeControl(
+            settings,
+            record=InstanceRecord(
+                self._id, boot, str(listen), settings.get("instance", "zone"), False, 0
+            ),
+            manifests=self.manifests,
+            manifest_format=manifest_format,
+            schemes=schemes,
+            view=self.view,
+            server=server,
+            credentials=credentials,
+            clock=self._clock,
+            random=random,
+            log=self.log,
+        )
+        self._interface = find_interface(plugins, settings.get("interface", "name"))
+
+    @classmethod
+    def from_file(cls, path: Path) -> NodeRole:
+        """Return the role; nothing listens before ``run``."""
+        return cls(Settings.from_file(path, NODE_SETTINGS), path)
+
+    @property
+    def hub(self) -> Hub:
+        """Return what this node tells those that follow it."""
+        return self.control.hub
+
+    def run(self, stop: threading.Event | None = None) -> int:
+        """Serve until a signal, then stop gracefully; return the exit code."""
+        stop = stop or install_stop_event()
+        reload = install_reload_event()
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
+        self._start()
+        checked_ms = self._clock.now_ms()
+        while not stop.wait(HOUSEKEEPING_MS / MS_PER_SECOND):
+            self._keep_house()
+            if reload.is_set():
+                reload.clear()
+                self._reload("signal")
+            elif self._clock.now_ms() - checked_ms > SETTINGS_CHECK_MS:
+                checked_ms = self._clock.now_ms()
+                self._reload_if_changed()
+        self.log.emit(Stopping(instance=self._id, in_progress=self.gateway.count_in_progress()))
+        cut = self.gateway.stop()
+        self.control.stop()
+        self.log.emit(Stopped(instance=self._id, cut=cut))
+        self.log.close()
+        return 0
+
+    def is_ready(self) -> bool:
+        """Return whether the platform's balancer should send callers here."""
+        return (
+            not self.gateway.is_stopping
+            and self.manifests.current is not None
+            and bool(self.view.list_usable())
+        )
+
+    def _start(self) -> None:
+        self.log.start()
+        settings = self._settings
+        control_app = HttpApp(None)
+        self._interface.add_control_routes(control_app, self.control)
+        ready_app = HttpApp(None)
+        self._interface.add_ready_routes(ready_app, self.is_ready)
+        metrics_app = HttpApp(None)
+        metrics_app.add("GET", "/metrics", self._answer_metrics)
+        self.control.start()
+        interface = settings.get("interface", "listen")
+        HttpServer(control_app, interface, threads=INTERFACE_THREADS).start()
+        HttpServer(ready_app, settings.get("ready", "listen"), threads=1).start()
+        HttpServer(metrics_app, settings.get("metrics", "listen"), threads=1).start()
+        self.gateway.start()
+        zone = settings.get("instance", "zone")
+        self.log.emit(Started(instance=self._id, zone=zone, version=__version__))
+
+    def _keep_house(self) -> None:
+        self.view.clean()
+        self.control.keep_house()
+        self.gateway.drop_idle_connections()
+        self._share_allowance()
+        self.metrics.upstreams.set(len(self.view.list_usable()))
+        self.metrics.members.set(self.view.count_instances() or 0)
+
+    def _make_budget(self) -> WindowBudget:
+        budget = WindowBudget(
+            self._settings.get("retries", "share"),
+            window_ms=self._settings.get("retries", "window_s") * MS_PER_SECOND,
+            allowance=0.0,
+        )
+        self._budgets.append(budget)
+        return budget
+
+    def _share_allowance(self) -> None:
+        """Take this instance's part of the fleet's allowance, none while the others are unknown."""
+        count = self.view.count_instances()
+        allowance = self._settings.get("retries", "allowance") / count if count else 0.0
+        for budget in self._budgets:
+            budget.allowance = allowance
+
+    def _reload_if_changed(self) -> None:
+        try:
+            changed_ns = self._path.stat().st_mtime_ns
+        except OSError as error:
+            logging.error('settings not found error="%s"', error)
+            return
+        if changed_ns != self._changed_ns:
+            self._changed_ns = changed_ns
+            self._reload("file changed")
+
+    def _reload(self, cause: str) -> None:
+        """Take in changed seeds; everything else needs a restart."""
+        try:
+            settings = Settings.from_file(self._path, NODE_SETTINGS)
+        except InvalidSettingsError as error:
+            problems = "; ".join(str(problem) for problem in error.exceptions)
+            self.log.emit(Reloaded(instance=self._id, cause=cause, changed=[], error=problems))
+            return
+        changed = settings.list_changed(self._settings)
+        self._settings = settings
+        self.control.set_seeds(settings.get("fleet", "seeds"))
+        self.log.emit(Reloaded(instance=self._id, cause=cause, changed=changed))
+
+    def _note_manifest(self, before: RoutingTable | None, after: RoutingTable) -> None:
+        self.metrics.manifest_version.set(after.version)
+        self.log.emit(
+            ManifestAdopted(
+                version=after.version,
+                before=0 if before is None else before.version,
+                digest=after.digest[:12],
+            )
+        )
+        self.control.note_manifest()
+
+    def _note_upstream(self, change: StateChange) -> None:
+        self.log.emit(
+            UpstreamChanged(
+                upstream=change.upstream_id,
+                incarnation=change.incarnation,
+                before=change.before or "",
+                after=change.after,
+            )
+        )
+
+    def _answer_metrics(self, request: HttpRequest) -> HttpReply:
+        return HttpReply("200 OK", self.metrics.render(), content_type="text/plain")
--- /dev/null
+++ b/src/coltsfootrill/roles/node_control.py
@@ -0,0 +1,465 @@
+"""The control side of a node: hub, register, and what it does for operators and upstreams."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from collections.abc import Mapping
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import as_completed
+from random import Random
+from typing import TypeVar
+
+import msgspec
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.files import FileLayer
+from coltsfootrill.control.founding import found
+from coltsfootrill.control.founding import read_founders
+from coltsfootrill.control.messages import ReadReply
+from coltsfootrill.control.messages import ReadRequest
+from coltsfootrill.control.messages import SubmitReply
+from coltsfootrill.control.messages import SubmitRequest
+from coltsfootrill.control.proposer import NoQuorumError
+from coltsfootrill.control.proposer import UnknownResultError
+from coltsfootrill.control.repair import RepairTask
+from coltsfootrill.control.replica import READ
+from coltsfootrill.control.replica import ControlReplica
+from coltsfootrill.control.submission import SubmitAnswer
+from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.events.catalog import DependencyLost
+from coltsfootrill.events.catalog import DependencyRegained
+from coltsfootrill.events.catalog import ManifestSubmitted
+from coltsfootrill.events.catalog import ReplicasChanged
+from coltsfootrill.events.log import EventLog
+from coltsfootrill.manifest.codec import InvalidManifestError
+from coltsfootrill.manifest.codec import ManifestValueError
+from coltsfootrill.manifest.codec import digest_manifest
+from coltsfootrill.manifest.codec import refuse_manifest
+from coltsfootrill.manifest.format import ManifestFormat
+from coltsfootrill.manifest.holder import ManifestHolder
+from coltsfootrill.membership.exchange import FETCH_MANIFEST
+from coltsfootrill.membership.following import ANNOUNCE
+from coltsfootrill.membership.following import FOLLOW
+from coltsfootrill.membership.following import LEAVE
+from coltsfootrill.membership.following import SHARE
+from coltsfootrill.membership.following import HubFollowing
+from coltsfootrill.membership.following import Identity
+from coltsfootrill.membership.following import order_hubs
+from coltsfootrill.membership.hub import Hub
+from coltsfootrill.membership.messages import AnnounceReply
+from coltsfootrill.membership.messages import FollowReply
+from coltsfootrill.membership.messages import Goodbye
+from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.messages import ManifestReply
+from coltsfootrill.membership.messages import ManifestRequest
+from coltsfootrill.membership.view import HubView
+from coltsfootrill.naming.scheme import NamingScheme
+from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.announcement import split_address
+from coltsfootrill.rpc import Method
+from coltsfootrill.rpc import RpcError
+from coltsfootrill.rpc import RpcServer
+from coltsfootrill.settings import Address
+from coltsfootrill.settings import Settings
+from coltsfootrill.tasks import start_task
+from coltsfootrill.tls import Credentials
+
+SUBMIT = Method(service="Control", name="Submit", request=SubmitRequest, reply=SubmitReply)
+
+SYNC_MS = 400.0
+SILENT_GRACE_MS = 3_000.0
+REPAIR_CHECK_MS = 500.0
+HUB_CALL_TIMEOUT_MS = 400.0
+SUBMIT_CALL_TIMEOUT_MS = 2_500.0
+READ_CALL_TIMEOUT_MS = 1_500.0
+FETCH_TIMEOUT_MS = 1_500.0
+GOODBYE_MS = 150.0
+_CALL_THREADS = 16
+
+Answer = TypeVar("Answer")
+
+
+class NodeControl:
+    """Implements ``ControlOperations`` on the hubs, this node's own one or others.
+
+    An operation is done here if this node is a current hub, else by one that it follows.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        record: InstanceRecord,
+        manifests: ManifestHolder,
+        manifest_format: ManifestFormat,
+        schemes: Mapping[str, NamingScheme],
+        view: HubView,
+        server: RpcServer,
+        credentials: Credentials,
+        clock: Clock,
+        random: Random,
+        log: EventLog,
+    ) -> None:
+        self._settings = settings
+        self._record = record
+        self._manifests = manifests
+        self._view = view
+        self._server = server
+        self._credentials = credentials
+        self._clock = clock
+        self._random = random
+        self._log = log
+        self._executor = ThreadPoolExecutor(_CALL_THREADS, thread_name_prefix="hub-call")
+        self._is_member = False
+        self._lost_since_ms: float | None = None
+        self._stopping = threading.Event()
+        self._fetching = threading.Lock()
+        listen: Address = settings.get("fleet", "listen")
+        self._own_address = str(listen)
+        self.hub = Hub(
+            record,
+            boot=record.boot,
+            clock=clock,
+            share=self._share,
+            get_manifest_version=lambda: manifests.version,
+        )
+        self._replica = self._make_replica(manifest_format, schemes)
+        self._following = HubFollowing(
+            view,
+            own_address=self._own_address,
+            seeds=self._list_seeds(settings.get("fleet", "seeds")),
+            identify=self._identify,
+            answer_locally=self.hub.answer,
+            on_reply=self._note_reply,
+            clock=clock,
+            credentials=credentials.channel,
+        )
+        self._add_methods()
+
+    def start(self) -> None:
+        """Serve the other nodes and follow the hubs."""
+        if self._replica is None:
+            self._server.start(self._own_address, self._credentials.server)
+        else:
+            self._replica.start(self._credentials.server)
+            start_task("sync", self._keep_in_sync)
+            start_task("repair", self._make_repair(self._replica).run)
+        self._following.update_tasks()
+
+    def stop(self) -> None:
+        """Tell the hubs that this node leaves, and stop."""
+        self._record = msgspec.structs.replace(self._record, is_leaving=True)
+        self._stopping.set()
+        self._following.stop()
+        self._server.stop(grace_ms=GOODBYE_MS)
+
+    def set_seeds(self, seeds: list[str]) -> None:
+        """Take other seeds from changed settings."""
+        self._following.set_seeds(self._list_seeds(seeds))
+
+    def keep_house(self) -> None:
+        """Do what is due every few hundred milliseconds."""
+        self.hub.clean()
+        self._following.update_tasks()
+        self._note_dependency()
+
+    def note_manifest(self) -> None:
+        """Tell the followers that another manifest is in force."""
+        self.hub.note_manifest()
+
+    def announce(self, announcement: Announcement) -> str | None:
+        """Take an announcement; see ``ControlOperations``."""
+        if self.hub.is_current():
+            _check_known(self.hub.announce(announcement))
+            return None
+        return self._ask_hubs(ANNOUNCE, announcement)
+
+    def leave(self, upstream_id: str, incarnation: int | None) -> None:
+        """Take the goodbye of an upstream; see ``ControlOperations``."""
+        goodbye = Goodbye(upstream_id, incarnation)
+        if self.hub.is_current():
+            _check_known(self.hub.say_goodbye(goodbye))
+            return
+        self._ask_hubs(LEAVE, goodbye)
+
+    def submit(self, raw: bytes, *, base_version: int | None, operator: str) -> SubmitAnswer:
+        """Submit a manifest; see ``ControlOperations``."""
+        request = SubmitRequest(raw, base_version, operator)
+        start_ms = self._clock.now_ms()
+        if self._replica is not None and self.hub.is_current():
+            reply = self._submit_here(request)
+        else:
+            reply = self._submit_elsewhere(request)
+        self._log.emit(
+            ManifestSubmitted(
+                version=reply.version,
+                base_version=base_version,
+                digest=digest_manifest(raw)[:12],
+                result=reply.result,
+                message=reply.message,
+                took_ms=round(self._clock.now_ms() - start_ms, 1),
+            )
+        )
+        return _read_submit_reply(reply)
+
+    def read_manifest(self) -> bytes:
+        """Return the newest accepted manifest; see ``ControlOperations``."""
+        if self._replica is not None and self.hub.is_current():
+            state = self._replica.read()
+            raw = state.manifest
+        else:
+            raw = self._read_elsewhere()
+        if not raw:
+            raise NoQuorumError("no manifest has been accepted yet")
+        return raw
+
+    def _add_methods(self) -> None:
+        self._server.add(FOLLOW, self.hub.answer)
+        self._server.add(ANNOUNCE, self.hub.announce)
+        self._server.add(LEAVE, self.hub.say_goodbye)
+        self._server.add(SHARE, self._take_shared)
+        self._server.add(SUBMIT, self._submit_here)
+        self._server.add(
+            FETCH_MANIFEST,
+            lambda request: ManifestReply(*self._manifests.read_newer(request.known_version)),
+        )
+
+    def _list_seeds(self, addresses: list[str]) -> list[str]:
+        """Return the seeds with the port of nodes, which is the same on all of them."""
+        port = self._settings.get("fleet", "listen").port
+        return [str(Address(split_address(address)[0], port)) for address in addresses]
+
+    def _make_replica(
+        self, manifest_format: ManifestFormat, schemes: Mapping[str, NamingScheme]
+    ) -> ControlReplica | None:
+        data = self._settings.get("instance", "data")
+        if data is None:
+            return None
+        folder = data / "control"
+        files = FileLayer()
+        seeds = self._list_seeds(self._settings.get("fleet", "seeds"))
+        founders = read_founders(folder, files=files)
+        if founders is None and self._settings.get("instance", "first_start"):
+            founders = {split_address(seed)[0]: seed for seed in seeds}
+            found(folder, founders, files=files)
+        may_found = founders is not None
+        return ControlReplica(
+            split_address(self._own_address)[0],
+            address=self._own_address,
+            replicas=founders or {split_address(seed)[0]: seed for seed in seeds},
+            acceptor=Acceptor.from_folder(folder, files=files),
+            schemes=schemes,
+            clock=self._clock,
+            random=self._random,
+            credentials=self._credentials.channel,
+            manifest_format=manifest_format,
+            server=self._server,
+            may_found=may_found,
+        )
+
+    def _make_repair(self, replica: ControlReplica) -> RepairTask:
+        return RepairTask(
+            replica,
+            list_spares=self._list_spares,
+            grace_ms=SILENT_GRACE_MS,
+            lost_state_grace_ms=0.0,
+            check_ms=REPAIR_CHECK_MS,
+            wanted_count=2 * self._settings.get("fleet", "losses") + 1,
+            clock=self._clock,
+            random=self._random,
+        )
+
+    def _list_spares(self) -> dict[str, str]:
+        addresses = self.hub.list_candidates().values()
+        return {split_address(address)[0]: address for address in addresses}
+
+    def _identify(self) -> Identity:
+        replica = self._replica
+        is_able = replica is not None and replica.acceptor.fault is None
+        return Identity(
+            msgspec.structs.replace(self._record, manifest_version=self._manifests.version),
+            is_candidate=is_able and not self._is_member,
+            is_hub=self._is_member,
+        )
+
+    def _keep_in_sync(self) -> None:
+        """Confirm the register with a majority again and again."""
+        assert self._replica is not None
+        while not self._stopping.wait(SYNC_MS / 1000):
+            try:
+                state = self._replica.read()
+            except ColtsfootrillError:
+                # The loss of the majority is logged by ``_note_dependency``.
+                continue
+            self._is_member = self._replica.is_member(state)
+            if state.version > self._manifests.version:
+                self._adopt(state.manifest)
+            if self._is_member:
+                addresses = [replica.address for replica in state.replicas.values()]
+                self.hub.note_confirmed(addresses)
+
+    def _note_reply(self, address: str, reply: FollowReply) -> None:
+        if address == self._own_address:
+            return
+        if self._replica is not None:
+            self.hub.absorb(reply)
+        if reply.manifest_version > self._manifests.version:
+            self._fetch_manifest(address)
+
+    def _fetch_manifest(self, address: str) -> None:
+        # Several hubs tell of a new manifest at the same time; one copy is enough.
+        if not self._fetching.acquire(blocking=False):
+            return
+        try:
+            raw = self._fetch(address)
+            if raw:
+                self._adopt(raw)
+        except RpcError:
+            # The next reply of a hub tells of it again.
+            return
+        finally:
+            self._fetching.release()
+
+    def _fetch(self, address: str) -> bytes:
+        client = self._following.get_client(address)
+        known = self._manifests.version
+        if known == 0:
+            # The first manifest must come from a majority: a hub that is cut off has an old one.
+            first: ReadReply = client.call(
+                READ, ReadRequest(self._record.id, 0, True), timeout_ms=FETCH_TIMEOUT_MS
+            )
+            return first.manifest if first.is_current else b""
+        reply: ManifestReply = client.call(
+            FETCH_MANIFEST, ManifestRequest(known), timeout_ms=FETCH_TIMEOUT_MS
+        )
+        return reply.raw
+
+    def _adopt(self, raw: bytes) -> None:
+        error = self._manifests.adopt_if_valid(raw)
+        if error is not None:
+            self._log.emit(DependencyLost(dependency="manifest", reason=str(error.exceptions[0])))
+
+    def _take_shared(self, announcement: Announcement) -> AnnounceReply:
+        self.hub.merge(announcement, age_ms=0)
+        return AnnounceReply(True, "")
+
+    def _share(self, announcement: Announcement) -> bool:
+        """Hand an announcement to the other replicas; return whether a majority has it."""
+        replicas = self._following.replicas
+        others = [address for address in replicas if address != self._own_address]
+        needed = len(replicas) // 2 + 1
+        known = 1 if self._own_address in replicas else 0
+        calls: list[Future[AnnounceReply]] = [
+            self._executor.submit(self._call_share, address, announcement) for address in others
+        ]
+        for call in as_completed(calls):
+            if call.exception() is None and call.result().is_known:
+                known += 1
+            if known >= needed:
+                return True
+        return known >= needed
+
+    def _call_share(self, address: str, announcement: Announcement) -> AnnounceReply:
+        client = self._following.get_client(address)
+        reply: AnnounceReply = client.call(SHARE, announcement, timeout_ms=HUB_CALL_TIMEOUT_MS)
+        return reply
+
+    def _ask_hubs(self, method: Method, request: Announcement | Goodbye) -> str:
+        """Have a hub take a message; return the address of its control interface."""
+
+        def ask(address: str) -> AnnounceReply:
+            client = self._following.get_client(address)
+            reply: AnnounceReply = client.call(method, request, timeout_ms=HUB_CALL_TIMEOUT_MS)
+            _check_known(reply)
+            return reply
+
+        address, _ = self._try_hubs(ask, tries=2)
+        port = self._settings.get("interface", "listen").port
+        return str(Address(split_address(address)[0], port))
+
+    def _submit_here(self, request: SubmitRequest) -> SubmitReply:
+        if self._replica is None:
+            return SubmitReply("no-quorum", 0, "", "this node does not vote")
+        try:
+            answer = self._replica.submit(
+                request.raw, operator=request.operator, base_version=request.base_version
+            )
+        except InvalidManifestError as error:
+            return SubmitReply("invalid", 0, "", str(error.exceptions[0]))
+        except NoQuorumError as error:
+            return SubmitReply("no-quorum", 0, "", str(error))
+        except UnknownResultError as error:
+            return SubmitReply("unknown", 0, "", str(error))
+        if answer.result == "accepted" and answer.version > self._manifests.version:
+            self._adopt(request.raw)
+        return SubmitReply(answer.result, answer.version, answer.digest, answer.message)
+
+    def _submit_elsewhere(self, request: SubmitRequest) -> SubmitReply:
+        """Pass a manifest on; sending it to a second hub is safe, as it is told by its digest."""
+
+        def ask(address: str) -> SubmitReply:
+            client = self._following.get_client(address)
+            reply: SubmitReply = client.call(SUBMIT, request, timeout_ms=SUBMIT_CALL_TIMEOUT_MS)
+            return reply
+
+        try:
+            _, reply = self._try_hubs(ask, tries=2)
+        except NoQuorumError as error:
+            return SubmitReply("unknown", 0, "", str(error))
+        return reply
+
+    def _read_elsewhere(self) -> bytes:
+        def ask(address: str) -> ReadReply:
+            client = self._following.get_client(address)
+            request = ReadRequest(self._record.id, 0, True)
+            reply: ReadReply = client.call(READ, request, timeout_ms=READ_CALL_TIMEOUT_MS)
+            if not reply.is_current:
+                raise NoQuorumError("the replica that was asked has no majority")
+            return reply
+
+        _, reply = self._try_hubs(ask, tries=2)
+        return reply.manifest
+
+    def _try_hubs(self, ask: Callable[[str], Answer], *, tries: int) -> tuple[str, Answer]:
+        """Return the first answer of a hub with its address; raise ``NoQuorumError``."""
+        hubs = [hub for hub in self._view.list_current_hubs() if hub != self._own_address]
+        reason = "no hub with a majority is known"
+        for address in order_hubs(hubs, own_address=self._own_address, random=self._random)[:tries]:
+            try:
+                return address, ask(address)
+            except ColtsfootrillError as error:
+                reason = str(error)
+        raise NoQuorumError(reason)
+
+    def _note_dependency(self) -> None:
+        is_heard = self._view.has_current_hub()
+        now_ms = self._clock.now_ms()
+        if not is_heard and self._lost_since_ms is None:
+            self._lost_since_ms = now_ms
+            self._log.emit(
+                DependencyLost(dependency="control", reason="no hub with a majority replies")
+            )
+        elif is_heard and self._lost_since_ms is not None:
+            lost_for_ms = round(now_ms - self._lost_since_ms, 1)
+            self._lost_since_ms = None
+            self._log.emit(DependencyRegained(dependency="control", lost_for_ms=lost_for_ms))
+            self._log.emit(ReplicasChanged(replicas=self._following.replicas))
+
+
+def _check_known(reply: AnnounceReply) -> None:
+    if not reply.is_known:
+        raise NoQuorumError(reply.message)
+
+
+def _read_submit_reply(reply: SubmitReply) -> SubmitAnswer:
+    """Return the answer in ``reply`` or raise the error that it stands for."""
+    if reply.result == "invalid":
+        raise refuse_manifest([ManifestValueError("$", reply.message)])
+    if reply.result == "no-quorum":
+        raise NoQuorumError(reply.message)
+    if reply.result == "unknown":
+        raise UnknownResultError(reply.message)
+    return msgspec.convert(msgspec.structs.asdict(reply), SubmitAnswer)
--- a/src/coltsfootrill/roles/signals.py
+++ b/src/coltsfootrill/roles/signals.py
@@ -17,3 +17,10 @@
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
     return stop
+
+
+def install_reload_event() -> threading.Event:
+    """Return an event that is set by SIGHUP, which asks to read the settings again."""
+    reload = threading.Event()
+    signal.signal(signal.SIGHUP, lambda number, frame: reload.set())
+    return reload
--- a/src/coltsfootrill/settings.py
+++ b/src/coltsfootrill/settings.py
@@ -158,6 +158,32 @@
     return parse
 
 
+def parse_flag(text: str) -> bool:
+    """Return whether ``text`` is ``true``; raise ``ValueError`` unless it is that or ``false``."""
+    if text not in ("true", "false"):
+        raise ValueError(text)
+    return text == "true"
+
+
+def parse_share(text: str) -> float:
+    """Return a share from 0 to 1; raise ``ValueError``."""
+    share = float(text)
+    if not 0 <= share <= 1:
+        raise ValueError(text)
+    return share
+
+
+def _share(section: str, key: str, default: str, meaning: str) -> Setting[float]:
+    return Setting(
+        section,
+        key,
+        parse_share,
+        accepted="a number from 0 to 1",
+        meaning=meaning,
+        default=default,
+    )
+
+
 def _count(section: str, key: str, low: int, high: int, default: int, meaning: str) -> Setting[int]:
     return Setting(
         section,
@@ -224,17 +250,41 @@
     _tls_file("authority", "Certificate of the authority that signs all instances, PEM."),
 )
 
+_BALANCER: tuple[Setting[Any], ...] = (
+    Setting(
+        "balancer",
+        "policy",
+        parse_identifier,
+        accepted="the name of a choice policy",
+        meaning="How upstreams are chosen.",
+        default="least-expected-wait",
+    ),
+    _count("balancer", "seed", 0, 2**31, 0, "Seed of random choices; 0 draws one at the start."),
+)
+
+
+def _list_caller_settings(
+    *, connections: int, notice_ms: int, idle_ms: int, stop_ms: int
+) -> tuple[Setting[Any], ...]:
+    section = "callers"
+    return (
+        _address(section, "listen", "Address for callers."),
+        _count(section, "connections", 4, 5_000, connections, "Connections of callers at a time."),
+        _count(section, "requests", 4, 5_000, 256, "Requests in progress at a time."),
+        _count(section, "queue", 1, 10_000, 64, "Requests that wait for one service."),
+        _count(section, "notice_ms", 0, 600_000, notice_ms, "Time for the balancer to notice."),
+        _count(
+            section, "idle_ms", 0, 600_000, idle_ms, "Time idle connections stay open at a stop."
+        ),
+        _count(
+            section, "stop_ms", 0, 86_400_000, stop_ms, "Time for requests to finish at a stop."
+        ),
+    )
+
+
 ENTRY_SETTINGS: tuple[Setting[Any], ...] = (
     *_COMMON,
-    _address("callers", "listen", "Address for callers."),
-    _count("callers", "connections", 4, 5_000, 1_000, "Connections of callers at a time."),
-    _count("callers", "requests", 4, 5_000, 256, "Requests in progress at a time."),
-    _count("callers", "queue", 1, 10_000, 64, "Requests that wait for one service."),
-    _count(
-        "callers", "notice_ms", 0, 600_000, 3_000, "Time for the platform's balancer to notice."
-    ),
-    _count("callers", "idle_ms", 0, 600_000, 1_000, "Time idle connections stay open at a stop."),
-    _count("callers", "stop_ms", 0, 86_400_000, 60_000, "Time for requests to finish at a stop."),
+    *_list_caller_settings(connections=1_000, notice_ms=3_000, idle_ms=1_000, stop_ms=60_000),
     _address("announcements", "listen", "Address for announcements of upstreams."),
     _token("announcement_file", "File with the token of upstreams."),
     _address("peers", "listen", "Address for other entry instances."),
@@ -255,15 +305,7 @@
         default="",
     ),
     _count("peers", "fleet_max", 1, 1_000, 22, "Largest number of entry instances."),
-    Setting(
-        "balancer",
-        "policy",
-        parse_identifier,
-        accepted="the name of a choice policy",
-        meaning="How upstreams are chosen.",
-        default="least-expected-wait",
-    ),
-    _count("balancer", "seed", 0, 2**31, 0, "Seed of random choices; 0 draws one at the start."),
+    *_BALANCER,
 )
 
 CONTROL_SETTINGS: tuple[Setting[Any], ...] = (
@@ -281,6 +323,59 @@
 )
 
 
+NODE_SETTINGS: tuple[Setting[Any], ...] = (
+    _identifier("instance", "id", "Identifier of the instance, unique in the fleet."),
+    _identifier("instance", "zone", "Availability zone of the instance."),
+    Setting(
+        "instance",
+        "data",
+        parse_folder,
+        accepted="a folder, or empty on an instance without a disk",
+        meaning="Folder of durable state; an instance that has one may vote.",
+        default="",
+    ),
+    Setting(
+        "instance",
+        "first_start",
+        parse_flag,
+        accepted="true or false",
+        meaning="Whether the whole fleet starts for the first time, with empty disks.",
+        default="false",
+    ),
+    _address("metrics", "listen", "Address for metrics."),
+    _address("ready", "listen", "Address for the check whether callers may be sent here."),
+    _address("interface", "listen", "Address for operators and announcements of upstreams."),
+    _identifier("interface", "name", "Control interface, a plug-in."),
+    _identifier("interface", "dialect", "Headers of callers and upstreams, a plug-in."),
+    _identifier("interface", "manifest", "Format of manifests, a plug-in."),
+    _address("fleet", "listen", "Address for other nodes; the port is the same on all nodes."),
+    Setting(
+        "fleet",
+        "seeds",
+        parse_addresses,
+        accepted="ip:port, separated by commas",
+        meaning="Nodes to ask first for the others; at the first start they vote.",
+    ),
+    _count("fleet", "losses", 0, 3, 1, "Disks that may be lost at the same time."),
+    *_list_caller_settings(connections=1_000, notice_ms=2_600, idle_ms=200, stop_ms=2_800),
+    _share("retries", "share", "0.2", "Further attempts as a share of first ones, fleet-wide."),
+    _count("retries", "window_s", 1, 3_600, 10, "Length of the window for that share."),
+    _count("retries", "allowance", 0, 100_000, 0, "Further attempts on top, fleet-wide."),
+    *_BALANCER,
+    _tls_file("certificate", "Certificate chain of this instance, PEM."),
+    _tls_file("key", "Private key of this instance, PEM."),
+    _tls_file("authority", "Certificate of the authority that signs all instances, PEM."),
+    Setting(
+        "tls",
+        "plain",
+        parse_flag,
+        accepted="true or false",
+        meaning="Whether nodes talk without TLS, on a network that keeps others out.",
+        default="false",
+    ),
+)
+
+
 class Settings:
     """Values by section and key, as read by the settings of one role."""
 
@@ -325,6 +420,14 @@
             raise InvalidSettingsError("settings refused", problems)
         return cls(by_key)
 
+    def list_changed(self, before: Settings) -> list[str]:
+        """Return the settings that differ from ``before``, as ``section.key``."""
+        return [
+            f"{section}.{key}"
+            for (section, key), value in self._by_key.items()
+            if str(before._by_key.get((section, key))) != str(value)
+        ]
+
     def get(self, section: str, key: str) -> Any:
         """Return the value of a setting of this role."""
         return self._by_key[section, key]
--- a/src/coltsfootrill/tls.py
+++ b/src/coltsfootrill/tls.py
@@ -33,15 +33,18 @@
         self.server = server
 
     @classmethod
-    def from_settings(cls, settings: Settings, listen: Address) -> Credentials:
+    def from_settings(
+        cls, settings: Settings, listen: Address, *, is_plain_allowed: bool = False
+    ) -> Credentials:
         """Return the credentials that ``[tls]`` names.
 
-        Raises ``TlsError`` when files are missing and ``listen`` is not on loopback.
+        Raises ``TlsError`` when files are missing, ``listen`` is not on loopback, and the
+        settings do not allow to go without.
         """
         paths = [settings.get("tls", key) for key in ("certificate", "key", "authority")]
         certificate, key, authority = paths
         if certificate is None or key is None or authority is None:
-            if not listen.is_loopback:
+            if not listen.is_loopback and not is_plain_allowed:
                 raise TlsError("set certificate, key and authority in [tls]: not on loopback")
             return cls(channel=None, server=None)
         return cls(
--- a/testing/features/test_promises.py
+++ b/testing/features/test_promises.py
@@ -212,7 +212,8 @@
     for name in CONTROLS:
         world.system.by_name[name].kill()
         world.system.start(name)
-    wait_until(lambda: world.system.ask("c1", "/status")[0] == 200)
+    for name in CONTROLS:
+        wait_until(lambda name=name: world.system.ask(name, "/status")[0] == 200)  # type: ignore[misc]
 
 
 @when("6 operators submit different manifests of version 2 at the three replicas at once")
--- /dev/null
+++ b/testing/membership/test_hub.py
@@ -0,0 +1,191 @@
+from __future__ import annotations
+
+import msgspec
+
+from coltsfootrill.clock import ManualClock
+from coltsfootrill.membership.hub import SETTLED_AFTER_MS
+from coltsfootrill.membership.hub import SILENT_AFTER_MS
+from coltsfootrill.membership.hub import Hub
+from coltsfootrill.membership.messages import FollowReply
+from coltsfootrill.membership.messages import FollowRequest
+from coltsfootrill.membership.messages import Goodbye
+from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.view import HUB_SILENT_AFTER_MS
+from coltsfootrill.membership.view import HubView
+from coltsfootrill.registry.announcement import Announcement
+
+
+class Pair:
+    """A hub, and the view of an instance that follows it, on one clock."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(1_000_000)
+        self.shared: list[Announcement] = []
+        self.is_shared = True
+        self.hub = self.make_hub(boot=1)
+        self.view = HubView(clock=self.clock)
+        self.hub.note_confirmed(["a", "b", "c"])
+
+    def make_hub(self, *, boot: int) -> Hub:
+        return Hub(
+            InstanceRecord("h1", boot, "10.0.0.1:1", "z1", False, 0),
+            boot=boot,
+            clock=self.clock,
+            share=self.share,
+            get_manifest_version=lambda: 3,
+        )
+
+    def share(self, announcement: Announcement) -> bool:
+        self.shared.append(announcement)
+        return self.is_shared
+
+    def follow(self, *, position: int = 0, boot: int = 0) -> FollowReply:
+        sender = InstanceRecord("n1", 1, "10.0.0.9:1", "z1", False, 0)
+        request = FollowRequest(sender, True, False, boot, position, 0)
+        reply = self.hub.answer(request)
+        self.view.apply("h1", reply)
+        return reply
+
+    def settle(self) -> None:
+        self.clock.advance(SETTLED_AFTER_MS + 1)
+        self.hub.note_confirmed(["a", "b", "c"])
+
+    def list_usable(self) -> list[str]:
+        return [record.announcement.id for record in self.view.list_usable()]
+
+
+def announce(upstream_id: str = "u1", **changes: object) -> Announcement:
+    usual = Announcement(
+        id=upstream_id,
+        incarnation=1,
+        sequence=1,
+        address=f"10.1.0.1:{int(upstream_id[1:]) + 80}",
+        zone="z1",
+        services=["work"],
+        slots=3,
+        state="serving",
+    )
+    return msgspec.structs.replace(usual, **changes)
+
+
+class TestAcknowledgements:
+    def test_a_leaving_upstream_is_acknowledged_once_a_majority_knows_it(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce())
+        leaving = announce(sequence=2, state="leaving")
+        pair.is_shared = False
+        assert not pair.hub.announce(leaving).is_known
+        pair.is_shared = True
+        assert pair.hub.announce(leaving).is_known
+        assert [shared.state for shared in pair.shared] == ["leaving", "leaving"]
+
+    def test_a_hub_without_a_majority_acknowledges_nothing(self) -> None:
+        pair = Pair()
+        pair.clock.advance(10_000)
+        assert not pair.hub.announce(announce()).is_known
+        assert not pair.hub.say_goodbye(Goodbye("u1", None)).is_known
+
+    def test_a_goodbye_means_leaving(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce())
+        pair.follow()
+        assert pair.list_usable() == ["u1"]
+        assert pair.hub.say_goodbye(Goodbye("u1", 1)).is_known
+        pair.follow()
+        assert pair.list_usable() == []
+
+    def test_the_goodbye_of_an_earlier_incarnation_changes_nothing(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce(incarnation=5))
+        assert pair.hub.say_goodbye(Goodbye("u1", 4)).is_known
+        pair.follow()
+        assert pair.list_usable() == ["u1"]
+
+
+class TestLateAnnouncements:
+    def test_one_from_before_the_goodbye_does_not_bring_an_upstream_back(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce(sequence=7, state="leaving"))
+        pair.hub.announce(announce(sequence=6))
+        pair.follow()
+        assert pair.list_usable() == []
+
+    def test_a_younger_upstream_takes_over_an_address(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce("u1", incarnation=1, address="10.1.0.1:80"))
+        pair.hub.announce(announce("u2", incarnation=2, address="10.1.0.1:80"))
+        pair.hub.announce(announce("u1", incarnation=1, sequence=9, address="10.1.0.1:80"))
+        pair.follow()
+        assert pair.list_usable() == ["u2"]
+
+    def test_an_upstream_that_starts_again_under_its_id_counts_anew(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce(incarnation=1, sequence=90, state="leaving"))
+        pair.hub.announce(announce(incarnation=2, sequence=1))
+        pair.follow()
+        assert pair.list_usable() == ["u1"]
+
+
+class TestFollowing:
+    def test_a_reply_holds_only_what_is_new(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce("u1"))
+        first = pair.follow()
+        pair.hub.announce(announce("u2"))
+        second = pair.follow(boot=first.boot, position=first.position)
+        assert [shared.announcement.id for shared in second.upstreams] == ["u2"]
+        assert second.live == ["u1", "u2"]
+        assert (second.manifest_version, second.instance_count) == (3, 1)
+
+    def test_a_follower_of_an_earlier_boot_gets_everything(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce("u1"))
+        reply = pair.follow(boot=99, position=10_000)
+        assert [shared.announcement.id for shared in reply.upstreams] == ["u1"]
+
+    def test_a_silent_upstream_is_not_listed_and_comes_back_with_an_announcement(self) -> None:
+        pair = Pair()
+        pair.settle()
+        pair.hub.announce(announce("u1"))
+        pair.follow()
+        pair.clock.advance(SILENT_AFTER_MS + 1)
+        pair.hub.note_confirmed(["a", "b", "c"])
+        pair.hub.clean()
+        pair.follow()
+        assert pair.list_usable() == []
+        pair.hub.announce(announce("u1", sequence=2))
+        pair.follow()
+        assert pair.list_usable() == ["u1"]
+
+    def test_a_hub_that_has_just_started_takes_no_upstream_away(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce("u1"))
+        pair.follow()
+        pair.hub = pair.make_hub(boot=2)
+        pair.hub.note_confirmed(["a", "b", "c"])
+        pair.follow()
+        assert pair.list_usable() == ["u1"]
+
+    def test_without_a_current_hub_the_last_list_stays_in_use(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce("u1"))
+        pair.follow()
+        pair.clock.advance(HUB_SILENT_AFTER_MS * 3)
+        pair.view.clean()
+        assert not pair.view.has_current_hub()
+        assert pair.list_usable() == ["u1"]
+
+    def test_what_one_hub_heard_the_other_one_knows(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce("u1"))
+        other = pair.make_hub(boot=2)
+        other.absorb(pair.follow())
+        pair.hub = other
+        pair.view = HubView(clock=pair.clock)
+        pair.follow()
+        assert pair.list_usable() == ["u1"]
+
+    def test_candidates_are_those_that_could_vote(self) -> None:
+        pair = Pair()
+        pair.follow()
+        assert pair.hub.list_candidates() == {"n1": "10.0.0.9:1"}
--- /dev/null
+++ b/testing/platform/test_desired_state.py
@@ -0,0 +1,119 @@
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from coltsfootrill.manifest.codec import InvalidManifestError
+from coltsfootrill.manifest.table import RoutingTable
+from coltsfootrill.naming.scheme import RequestName
+from coltsfootrill.platform.desired_state import decode_desired_state
+
+ROUTE_COLUMNS = [
+    "name",
+    "host",
+    "pathPrefix",
+    "kind",
+    "timeoutMs",
+    "targetLatencyMs",
+    "priority",
+    "service",
+    "maxAttempts",
+    "trafficSplit",
+]
+SERVICE_COLUMNS = ["name", "healthCheckPath", "maxConnections", "protocol", "tls"]
+
+
+def encode_state(*routes: list[Any], version: str = "00000007", **changes: Any) -> bytes:
+    state: dict[str, Any] = {
+        "version": version,
+        "routes": {"columns": ROUTE_COLUMNS, "rows": list(routes)},
+        "services": {
+            "columns": SERVICE_COLUMNS,
+            "rows": [["desk", "/health", 260, "h1", False], ["stock", "/health", 260, "h1", False]],
+        },
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 67108864,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+    return json.dumps(state | changes).encode()
+
+
+def route(**changes: Any) -> list[Any]:
+    fields: dict[str, Any] = {
+        "name": "r-1",
+        "host": "a.example",
+        "pathPrefix": "/x/",
+        "kind": "unsafe",
+        "timeoutMs": 1000,
+        "targetLatencyMs": 250.0,
+        "priority": 1,
+        "service": "desk",
+        "maxAttempts": 2,
+        "trafficSplit": None,
+    }
+    return [(fields | changes)[column] for column in ROUTE_COLUMNS]
+
+
+class TestDecoding:
+    def test_a_route_becomes_a_kind_of_its_service(self) -> None:
+        manifest = decode_desired_state(encode_state(route()))
+        kind = manifest.services[0].kinds[0]
+        assert manifest.version == 7
+        assert (kind.names, kind.idempotent) == (["web:a.example/x/"], False)
+        assert (kind.deadline_ms, kind.target_ms, kind.rank, kind.retries) == (1000, 250, 1, 1)
+        assert manifest.limits.idle_timeout_ms == 15_000
+        assert manifest.services[0].health_path == "/health"
+
+    def test_weights_share_the_requests_between_services(self, schemes: Any) -> None:
+        split = [{"service": "desk", "weight": 90}, {"service": "stock", "weight": 10}]
+        raw = encode_state(route(service=None, trafficSplit=split))
+        table = RoutingTable.from_manifest(decode_desired_state(raw), "d", schemes)
+        found = table.resolve(RequestName(host="a.example", path="/x/1", urn=""))
+        assert [(t.service.id, t.share) for t in found.targets] == [("desk", 0.9), ("stock", 0.1)]
+
+    def test_an_unknown_field_is_ignored(self) -> None:
+        assert decode_desired_state(encode_state(route(), colour="red")).version == 7
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"service": "nowhere"},
+            {"timeoutMs": 0},
+            {"timeoutMs": 600_001},
+            {"service": None, "trafficSplit": [{"service": "desk", "weight": 0}]},
+            {
+                "service": None,
+                "trafficSplit": [
+                    {"service": "desk", "weight": 5},
+                    {"service": "stock", "weight": -1},
+                ],
+            },
+            {"service": None, "trafficSplit": [{"service": "nowhere", "weight": 1}]},
+            {"host": 7},
+        ],
+        ids=str,
+    )
+    def test_a_route_that_cannot_be_used_refuses_the_whole(self, changes: dict[str, Any]) -> None:
+        with pytest.raises(InvalidManifestError):
+            decode_desired_state(encode_state(route(**changes)))
+
+    def test_two_routes_at_one_place_refuse_the_whole(self, schemes: Any) -> None:
+        raw = encode_state(route(), route(name="r-2", service="stock"))
+        with pytest.raises(InvalidManifestError):
+            RoutingTable.from_manifest(decode_desired_state(raw), "d", schemes)
+
+    @pytest.mark.parametrize("cut", [0, 1, 40, -1])
+    def test_a_state_that_is_cut_short_is_refused(self, cut: int) -> None:
+        with pytest.raises(InvalidManifestError):
+            decode_desired_state(encode_state(route())[:cut])
+
+    def test_a_version_that_is_not_eight_digits_is_refused(self) -> None:
+        with pytest.raises(InvalidManifestError):
+            decode_desired_state(encode_state(route(), version="7"))
--- a/testing/proxy/test_connection.py
+++ b/testing/proxy/test_connection.py
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 
 from coltsfootrill.clock import Clock
-from coltsfootrill.proxy.connection import ANSWER_MAX_BYTES
+from coltsfootrill.proxy.answer import ANSWER_MAX_BYTES
+from coltsfootrill.proxy.answer import ReadError
+from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.connection import ConnectError
 from coltsfootrill.proxy.connection import ConnectionPool
-from coltsfootrill.proxy.connection import ReadError
-from coltsfootrill.proxy.connection import UpstreamAnswer
 from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.connection import encode_head
 from testing.proxy.fakes import Script
