Choose upstreams by the load and pace that they report, and share the reports

Cause: a quarter of the upstreams is seven times slower at any moment, changing about twice a second, and each instance saw an upstream's load every two seconds only, on its own answers. Ruled out: checks by every instance (17 times the checks), and reports over the held calls (too slow).

--- a/src/coltsfootrill/balancer/latency.py
+++ b/src/coltsfootrill/balancer/latency.py
@@ -10,7 +10,7 @@
 
 
 class KindLatency:
-    """The last ``WINDOW_COUNT`` latencies and their smoothed value in milliseconds."""
+    """The last ``WINDOW_COUNT`` latencies, and the smoothed one at the usual pace, in ms."""
 
     __slots__ = ("_next", "_ordered", "_since_refresh", "_window", "usual_ms")
 
@@ -21,10 +21,10 @@
         self._next = 0
         self._since_refresh = 0
 
-    def add(self, latency_ms: float) -> None:
-        """Take in the latency of one good answer."""
+    def add(self, latency_ms: float, *, pace: float = 1.0) -> None:
+        """Take in the latency of one good answer, got at ``pace`` times the usual time."""
         # The clip keeps one straggler from making the usual latency look large.
-        clipped_ms = min(latency_ms, 4 * self.usual_ms)
+        clipped_ms = min(latency_ms / max(pace, 1.0), 4 * self.usual_ms)
         self.usual_ms += USUAL_WEIGHT * (clipped_ms - self.usual_ms)
         if len(self._window) < WINDOW_COUNT:
             self._window.append(latency_ms)
--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -13,6 +13,9 @@
 USUAL_WEIGHT = 0.05
 SLOWNESS_WEIGHT = 0.2
 SLOWNESS_MAX = 100.0
+PACE_HALF_LIFE_MS = 400.0
+# Without a fresh report an upstream may be on a machine that others keep busy.
+PACE_UNKNOWN = 2.0
 ERROR_HALF_LIFE_MS = 2_000.0
 LIMIT_STEP = 0.2
 LEAVING_PAUSE_MS = 1_000.0
@@ -45,6 +48,7 @@
 
     ``slowness`` is the smoothed ratio of its latency to the usual latency of each kind.
     ``errors`` is a count that halves with time. ``limit`` bounds own requests in flight.
+    ``pace`` is how long work takes there by its last report, 1.0 being usual.
     """
 
     __slots__ = (
@@ -61,6 +65,8 @@
         "limit",
         "needs_probe",
         "others_usual",
+        "pace",
+        "pace_at_ms",
         "paused_until_ms",
         "ramp_from_ms",
         "reported_at_ms",
@@ -87,6 +93,8 @@
         self.reported_others = 0.0
         self.reported_at_ms = now_ms
         self.others_usual = 0.0
+        self.pace = 1.0
+        self.pace_at_ms = float("-inf")
         self.slowness = 1.0
         self.errors = 0.0
         self.errors_at_ms = now_ms
@@ -113,6 +121,15 @@
     return load.in_flight + others
 
 
+def estimate_pace(load: UpstreamLoad, now_ms: float) -> float:
+    """Return how long work takes at the upstream, by its last report and the usual pace.
+
+    A machine's pace changes every few hundred milliseconds, so a report soon tells nothing.
+    """
+    weight = math.pow(0.5, (now_ms - load.pace_at_ms) / PACE_HALF_LIFE_MS)
+    return weight * load.pace + (1 - weight) * PACE_UNKNOWN
+
+
 def estimate_slowness(load: UpstreamLoad, now_ms: float) -> float:
     """Return the slowness, at least that of the longest wait still in progress.
 
@@ -160,6 +177,9 @@
 def note_report(load: UpstreamLoad, report: LoadReport, *, now_ms: float) -> None:
     """Take in the load stated on an answer, before the request is counted as ended."""
     load.slots = report.slots
+    if report.pace is not None:
+        load.pace = report.pace
+        load.pace_at_ms = now_ms
     others = max(0.0, float(report.in_flight - load.in_flight))
     load.reported_others = others
     load.reported_at_ms = now_ms
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -14,6 +14,7 @@
 from coltsfootrill.balancer.choice import ChoicePolicy
 from coltsfootrill.balancer.ejection import eject_outliers
 from coltsfootrill.balancer.latency import KindLatency
+from coltsfootrill.balancer.load import PACE_HALF_LIFE_MS
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.load import UpstreamLoad
 from coltsfootrill.balancer.load import estimate_in_flight
@@ -36,11 +37,19 @@
 class Claim:
     """One request in flight at one upstream; ended exactly once."""
 
-    __slots__ = ("kind_id", "load", "started_ms", "token", "usual_ms")
+    __slots__ = ("kind_id", "load", "pace", "started_ms", "token", "usual_ms")
 
     def __init__(
-        self, *, load: UpstreamLoad, token: int, kind_id: str, started_ms: float, usual_ms: float
+        self,
+        *,
+        load: UpstreamLoad,
+        token: int,
+        kind_id: str,
+        started_ms: float,
+        usual_ms: float,
+        pace: float = 1.0,
     ) -> None:
+        self.pace = pace
         self.load = load
         self.token = token
         self.kind_id = kind_id
@@ -155,11 +164,23 @@
         )
         load = self._policy.choose(preferred, context)
         self.has_worked = True
-        note_start(load, token=self._turn, now_ms=now_ms, usual_ms=usual_ms)
+        pace = load.pace if now_ms - load.pace_at_ms < PACE_HALF_LIFE_MS else 1.0
+        note_start(load, token=self._turn, now_ms=now_ms, usual_ms=usual_ms * pace)
         return Claim(
-            load=load, token=self._turn, kind_id=kind.id, started_ms=now_ms, usual_ms=usual_ms
+            load=load,
+            token=self._turn,
+            kind_id=kind.id,
+            started_ms=now_ms,
+            usual_ms=usual_ms,
+            pace=pace,
         )
 
+    def take_report(self, upstream_id: str, report: LoadReport, now_ms: float) -> None:
+        """Take in a load that was learnt other than by an own answer, if it is newer."""
+        load = self.by_id.get(upstream_id)
+        if load is not None and now_ms > load.reported_at_ms:
+            note_report(load, report, now_ms=now_ms)
+
     def can_still_answer(self, kind: Kind, waiter: Waiter, now_ms: float) -> bool:
         """Return whether a waiter can be expected to meet its deadline."""
         parallel = sum(max(1, int(load.limit)) for load in self.by_id.values())
@@ -177,8 +198,12 @@
         if note_end(claim.load, token=claim.token) is None:
             return
         latency_ms = now_ms - claim.started_ms
-        self.get_latency(claim.kind_id).add(latency_ms)
-        note_success(claim.load, latency_ms=latency_ms, usual_ms=claim.usual_ms)
+        # The pace may have changed meanwhile: the slower one explains more of a long answer.
+        pace = claim.pace
+        if report is not None and report.pace is not None:
+            pace = max(pace, report.pace)
+        self.get_latency(claim.kind_id).add(latency_ms, pace=pace)
+        note_success(claim.load, latency_ms=latency_ms, usual_ms=claim.usual_ms * pace)
 
     def end_shed(self, claim: Claim, report: LoadReport | None, now_ms: float) -> None:
         """Count an explicit refusal for lack of capacity."""
@@ -202,7 +227,8 @@
         note_end(claim.load, token=claim.token)
         if is_slow:
             waited_ms = now_ms - claim.started_ms
-            note_straggle(claim.load, waited_ms=waited_ms, usual_ms=claim.usual_ms)
+            usual_ms = claim.usual_ms * claim.pace
+            note_straggle(claim.load, waited_ms=waited_ms, usual_ms=usual_ms)
 
     def _retire(self, load: UpstreamLoad | None) -> None:
         if load is not None and load.in_flight:
--- a/src/coltsfootrill/balancer/retry.py
+++ b/src/coltsfootrill/balancer/retry.py
@@ -95,15 +95,21 @@
     ``unproven`` counts attempts of which a byte was sent and that the upstream did not explicitly
     refuse: as long as there is one, the request may have run.
     ``is_marked`` tells that the request is part of a call that was itself retried further up.
+    ``sends`` counts all upstreams that it was sent to.
     """
 
-    __slots__ = ("is_marked", "reconnects", "retries", "unproven")
+    __slots__ = ("is_marked", "reconnects", "retries", "sends", "unproven")
 
     def __init__(self, *, is_marked: bool) -> None:
         self.is_marked = is_marked
         self.unproven = 0
         self.reconnects = 0
         self.retries = 0
+        self.sends = 0
+
+    def has_attempt_left(self, kind: Kind) -> bool:
+        """Return whether the kind allows to send the request to another upstream."""
+        return kind.attempts_max is None or self.sends < kind.attempts_max
 
     @property
     def may_have_run(self) -> bool:
@@ -132,6 +138,8 @@
         return False
     if history.is_marked or history.retries >= kind.retries:
         return False
+    if not history.has_attempt_left(kind):
+        return False
     if not budget.spend(now_ms):
         return False
     history.retries += 1
@@ -142,6 +150,8 @@
     history: AttemptHistory, *, kind: Kind, budget: AttemptBudget, now_ms: float = 0.0
 ) -> bool:
     """Return whether a second attempt may run beside the first, spending the budget."""
-    if not kind.idempotent or kind.hedge_quantile is None or history.is_marked:
+    if not kind.idempotent or history.is_marked or not history.has_attempt_left(kind):
+        return False
+    if kind.hedge_quantile is None and kind.target_ms is None:
         return False
     return budget.spend(now_ms)
--- a/src/coltsfootrill/kernel.py
+++ b/src/coltsfootrill/kernel.py
@@ -31,6 +31,7 @@
     "coltsfootrill.platform.interface",
     "coltsfootrill.platform.desired_state",
     "coltsfootrill.balancer.least_expected_wait",
+    "coltsfootrill.balancer.reported_load",
     "coltsfootrill.balancer.random_of_two",
     "coltsfootrill.balancer.round_robin",
 )
--- a/src/coltsfootrill/manifest/model.py
+++ b/src/coltsfootrill/manifest/model.py
@@ -36,7 +36,9 @@
     ``latest_ms`` bounds how long a deferrable request may wait before it is treated as urgent.
     ``hedge_quantile`` is the quantile of the kind's own latency after which a second attempt
     starts; without it there is no hedging. ``rank`` orders kinds of one priority, 0 first.
-    ``target_ms`` is the latency within which an answer has its full worth. With ``split`` the
+    ``target_ms`` is the latency within which an answer has its full worth: an idempotent request
+    that may miss it is hedged. ``attempts_max`` bounds the upstreams that one request is sent to,
+    hedges included. With ``split`` the
     requests are shared between services instead of going to the one the kind stands in.
     """
 
@@ -50,6 +52,7 @@
     hedge_quantile: Quantile | None = None
     rank: Rank = 0
     target_ms: DeadlineMs | None = None
+    attempts_max: Annotated[int, msgspec.Meta(ge=1, le=100)] | None = None
     split: Annotated[list[SplitPart], msgspec.Meta(max_length=64)] = msgspec.field(
         default_factory=list
     )
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -65,6 +65,7 @@
         self._live: frozenset[str] = frozenset()
         self._replicas: list[str] = []
         self._news_at = 1
+        self._instances_at = 1
         self._started_ms = clock.now_ms()
         self._confirmed_ms = float("-inf")
         self._directory.position = 1
@@ -166,6 +167,8 @@
             ]
             for instance_id in gone:
                 del self._followers_by_id[instance_id]
+            if gone:
+                self._note_instances()
 
     def list_candidates(self) -> dict[str, str]:
         """Return the addresses of the instances that could vote, by identifier."""
@@ -192,12 +195,20 @@
         return False
 
     def _note_follower(self, request: FollowRequest, now_ms: float) -> None:
+        known = self._followers_by_id.get(request.sender.id)
         if request.sender.is_leaving:
-            self._followers_by_id.pop(request.sender.id, None)
+            if self._followers_by_id.pop(request.sender.id, None) is not None:
+                self._note_instances()
             return
         self._followers_by_id[request.sender.id] = Follower(
             request.sender, is_candidate=request.is_candidate, heard_ms=now_ms
         )
+        if known is None or known.record.address != request.sender.address:
+            self._note_instances()
+
+    def _note_instances(self) -> None:
+        self._note_news()
+        self._instances_at = self._news_at
 
     def _note_news(self) -> None:
         self._directory.position += 1
@@ -236,4 +247,10 @@
             live=sorted(self._live),
             renewals=renewals,
             replicas=self._replicas,
+            instances=self._list_instances(position),
         )
+
+    def _list_instances(self, position: int) -> list[InstanceRecord] | None:
+        if self._instances_at <= position:
+            return None
+        return [follower.record for follower in self._followers_by_id.values()]
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -80,6 +80,7 @@
     ``is_current`` tells that a majority of the replicas confirmed the hub's state of late, and
     ``is_settled`` that it has run long enough to have heard of every upstream. ``live`` names
     the upstreams that announced themselves of late, ``replicas`` the addresses that vote.
+    ``instances`` are those that follow the hub, left out while they are the same.
     """
 
     boot: int
@@ -92,6 +93,7 @@
     live: list[str]
     renewals: list[Renewal]
     replicas: list[str]
+    instances: list[InstanceRecord] | None
 
 
 class AnnounceReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/membership/view.py
+++ b/src/coltsfootrill/membership/view.py
@@ -7,6 +7,7 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.membership.messages import FollowReply
+from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import Directory
 from coltsfootrill.registry.directory import StateChange
@@ -43,6 +44,7 @@
         self._directory = Directory(on_upstream, lease_ms=float("inf"))
         self._reports_by_hub: dict[str, HubReport] = {}
         self._usable: list[UpstreamRecord] = []
+        self._instances_by_hub: dict[str, list[InstanceRecord]] = {}
         self._announcements: list[Announcement] = []
         self.generation = 0
 
@@ -58,6 +60,8 @@
                     now_ms=now_ms,
                 )
             self._reports_by_hub[hub] = HubReport(reply, heard_ms=now_ms)
+            if reply.instances is not None:
+                self._instances_by_hub[hub] = reply.instances
             self._update(now_ms)
 
     def clean(self) -> None:
@@ -87,6 +91,17 @@
             counts = [report.instance_count for report in self._reports_by_hub.values()]
             return max(counts, default=None)
 
+    def list_instances(self) -> list[InstanceRecord]:
+        """Return the instances that a hub heard of late, this one included, ordered by id."""
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            by_id: dict[str, InstanceRecord] = {}
+            for hub, records in self._instances_by_hub.items():
+                report = self._reports_by_hub.get(hub)
+                if report is not None and now_ms - report.heard_ms < HUB_SILENT_AFTER_MS:
+                    by_id.update({record.id: record for record in records})
+            return [by_id[instance_id] for instance_id in sorted(by_id)]
+
     def list_current_hubs(self) -> list[str]:
         """Return the addresses of the hubs that are current, the one heard last first."""
         with self._lock:
--- a/src/coltsfootrill/platform/desired_state.py
+++ b/src/coltsfootrill/platform/desired_state.py
@@ -172,13 +172,15 @@
 def _make_kind(route: _RouteRow) -> Kind:
     split = route.traffic_split or []
     assert route.timeout_ms is not None
+    attempts = max(1, route.max_attempts or ATTEMPTS_DEFAULT)
     return Kind(
         id=route.name,
         names=[f"web:{route.host}{route.path_prefix}"],
         idempotent=route.kind == "safe",
         deadline_ms=max(1, int(route.timeout_ms)),
         rank=max(0, route.priority or 0),
-        retries=max(0, (route.max_attempts or ATTEMPTS_DEFAULT) - 1),
+        retries=attempts - 1,
+        attempts_max=attempts,
         target_ms=int(route.target_latency_ms) if route.target_latency_ms else None,
         split=[SplitPart(service=part.service, weight=part.weight) for part in split],
     )
--- a/src/coltsfootrill/platform/dialect.py
+++ b/src/coltsfootrill/platform/dialect.py
@@ -41,6 +41,7 @@
         parse_load=parse_platform_load,
         request_id="X-Attempt-Id",
         upstream_id="X-Expected-Instance",
+        answered_by="X-Instance-Identifier",
         seal="X-Server-Signature",
         not_run_statuses=frozenset({421}),
         promise_statuses=frozenset({408, 421, 429, 503}),
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -4,10 +4,13 @@
 
 import threading
 from collections.abc import Callable
+from collections.abc import Sequence
 from random import Random
 
 from coltsfootrill.balancer.choice import ChoicePolicy
 from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.report_book import ReportBook
+from coltsfootrill.balancer.report_book import ReportEntry
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.clock import Clock
 from coltsfootrill.events.catalog import Attempt
@@ -84,6 +87,7 @@
         self._lock = threading.Lock()
         self.gates_by_service: dict[str, ServiceGate] = {}
         self.pools = ConnectionPools(clock)
+        self.reports = ReportBook(clock)
 
     def handle(self, request: CallerRequest) -> Answer:
         """Return the answer to one request."""
@@ -118,6 +122,12 @@
         for service in table.manifest.services:
             self.get_gate(service).refresh(service)
 
+    def take_reports(self, reports: Sequence[ReportEntry]) -> None:
+        """Take in loads that other instances or probes have learnt."""
+        now_ms = self._clock.now_ms()
+        for gate in list(self.gates_by_service.values()):
+            gate.take_reports(reports, now_ms)
+
     def count_in_flight(self) -> dict[str, int]:
         """Return own requests in flight by upstream, over all services."""
         total_by_id: dict[str, int] = {}
@@ -139,7 +149,7 @@
             queue_limit=self._queue_limit,
             budget=None if self._make_budget is None else self._make_budget(),
         )
-        return ServiceGate(pool, fleet=self._fleet, clock=self._clock)
+        return ServiceGate(pool, fleet=self._fleet, clock=self._clock, on_report=self.reports.note)
 
     def _resolve(self, request: CallerRequest) -> Route:
         if request.is_refused:
--- a/src/coltsfootrill/proxy/dialect.py
+++ b/src/coltsfootrill/proxy/dialect.py
@@ -19,11 +19,13 @@
     a caller's request and is echoed on its answer. ``upstream_id`` names the upstream that must
     answer; another one at the same address refuses. ``seal`` is on every genuine answer of an
     upstream. ``not_run`` marks an explicit refusal, as the statuses in ``not_run_statuses`` do.
-    ``load`` states the upstream's load. Callers take an answer with one of the
+    ``load`` states the upstream's load, and ``answered_by`` is the id of the upstream that answers
+    a health check. Callers take an answer with one of the
     ``promise_statuses`` to say that the request was not run and never will be.
     """
 
     __slots__ = (
+        "answered_by",
         "deadline",
         "load",
         "name",
@@ -46,6 +48,7 @@
         parse_load: Callable[[str | None], LoadReport | None],
         request_id: str = "",
         upstream_id: str = "",
+        answered_by: str = "",
         seal: str = "",
         not_run_statuses: frozenset[int] = frozenset(),
         promise_statuses: frozenset[int] = frozenset(),
@@ -57,6 +60,7 @@
         self.parse_load = parse_load
         self.request_id = request_id
         self.upstream_id = upstream_id
+        self.answered_by = answered_by
         self.seal = seal
         self.not_run_statuses = not_run_statuses
         self.promise_statuses = promise_statuses
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -38,6 +38,10 @@
 SILENCE_QUANTILE = 0.99
 SILENCE_FACTOR = 3.0
 SEND_MARGIN_MS = 1.0
+# A second attempt needs about its usual time, and somewhat more for the way and for chance.
+HEDGE_WORK_FACTOR = 1.3
+# Earlier than this many usual times most first attempts would still be answered.
+HEDGE_WAIT_FACTOR = 1.4
 
 
 class _Attempt:
@@ -150,6 +154,7 @@
             self._end_failed(claim, "refused")
             return _Failure("refused", str(error))
         self._history.unproven += 1
+        self._history.sends += 1
         try:
             connection.send(
                 self._make_head(claim),
@@ -210,10 +215,18 @@
         if self._kind.hedge_quantile is not None:
             quantile_ms = self._gate.get_quantile_ms(self._kind, self._kind.hedge_quantile)
             after_ms = float("inf") if quantile_ms is None else quantile_ms
+        elif self._kind.target_ms is not None:
+            after_ms = self._get_hedge_delay_ms(attempt, self._kind.target_ms)
         if attempt.was_idle:
             after_ms = min(after_ms, self._get_silence_ms())
         return attempt.sent_ms + after_ms
 
+    def _get_hedge_delay_ms(self, attempt: _Attempt, target_ms: float) -> float:
+        """Return after how long a second attempt is the last that can still meet the target."""
+        usual_ms = self._gate.get_usual_ms(self._kind)
+        last_start_ms = self._request.arrived_ms + target_ms - HEDGE_WORK_FACTOR * usual_ms
+        return max(HEDGE_WAIT_FACTOR * usual_ms, last_start_ms - attempt.sent_ms)
+
     def _get_silence_ms(self) -> float:
         """Return how long a connection may make no progress before it is doubted."""
         usual_ms = self._gate.get_quantile_ms(self._kind, SILENCE_QUANTILE)
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -5,11 +5,13 @@
 import itertools
 import threading
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from coltsfootrill.balancer.admission import Waiter
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.pool import Claim
 from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.report_book import ReportEntry
 from coltsfootrill.balancer.retry import AttemptHistory
 from coltsfootrill.balancer.retry import FailureKind
 from coltsfootrill.balancer.retry import may_hedge
@@ -44,7 +46,15 @@
 class ServiceGate:
     """Thread-safe owner of the state of one service."""
 
-    def __init__(self, pool: ServicePool, *, fleet: UpstreamSource, clock: Clock) -> None:
+    def __init__(
+        self,
+        pool: ServicePool,
+        *,
+        fleet: UpstreamSource,
+        clock: Clock,
+        on_report: Callable[[str, LoadReport], None] = lambda upstream_id, report: None,
+    ) -> None:
+        self._on_report = on_report
         self._pool = pool
         self._fleet = fleet
         self._clock = clock
@@ -125,8 +135,21 @@
         with self._lock:
             return self._pool.get_latency(kind.id).get_quantile_ms(quantile)
 
+    def get_usual_ms(self, kind: Kind) -> float:
+        """Return the smoothed latency of a kind at the usual pace of upstreams."""
+        with self._lock:
+            return self._pool.get_latency(kind.id).usual_ms
+
+    def take_reports(self, reports: Sequence[ReportEntry], now_ms: float) -> None:
+        """Take in loads that other instances or probes have learnt."""
+        with self._lock:
+            for entry in reports:
+                self._pool.take_report(entry.upstream_id, entry.report, now_ms - entry.age_ms)
+
     def end_answered(self, claim: Claim, report: LoadReport | None, ended_ms: float) -> None:
         """Count an answer that was whole at ``ended_ms`` and let the next waiter in."""
+        if report is not None:
+            self._on_report(claim.load.id, report)
         with self._lock:
             self._pool.end_answered(claim, report, ended_ms)
             is_due = ended_ms - claim.load.confirmed_at_ms > CONFIRM_EVERY_MS
@@ -138,6 +161,8 @@
 
     def end_shed(self, claim: Claim, report: LoadReport | None) -> None:
         """Count an explicit refusal by the upstream."""
+        if report is not None:
+            self._on_report(claim.load.id, report)
         with self._lock:
             self._pool.end_shed(claim, report, self._clock.now_ms())
 
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import sys
 import threading
 from concurrent.futures import ThreadPoolExecutor
@@ -29,6 +30,7 @@
 from coltsfootrill.kernel import load_plugins
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.manifest.table import RoutingTable
+from coltsfootrill.membership.bulletins import BulletinExchange
 from coltsfootrill.membership.hub import Hub
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.view import HubView
@@ -37,6 +39,7 @@
 from coltsfootrill.operators.http import HttpReply
 from coltsfootrill.operators.http import HttpRequest
 from coltsfootrill.operators.http import HttpServer
+from coltsfootrill.proxy.load_watch import LoadWatch
 from coltsfootrill.registry.directory import StateChange
 from coltsfootrill.roles.gateway import SWITCH_INTERVAL_S
 from coltsfootrill.roles.gateway import Gateway
@@ -48,6 +51,7 @@
 from coltsfootrill.settings import NODE_SETTINGS
 from coltsfootrill.settings import InvalidSettingsError
 from coltsfootrill.settings import Settings
+from coltsfootrill.tasks import start_task
 from coltsfootrill.tls import Credentials
 
 HOUSEKEEPING_MS = 200.0
@@ -56,6 +60,8 @@
 INTERFACE_THREADS = 12
 MS_PER_SECOND = 1_000.0
 _BOOT_BITS = 52
+# Reports cross zones in every second round: near upstreams are preferred.
+CROSSING_ROUNDS = 2
 
 
 class NodeRole:
@@ -79,6 +85,7 @@
         )
         self.view = HubView(clock=self._clock, on_upstream=self._note_upstream)
         self._budgets: list[WindowBudget] = []
+        self._dialect = find_dialect(plugins, settings.get("interface", "dialect"))
         self.gateway = Gateway(
             settings,
             manifests=self.manifests,
@@ -87,7 +94,7 @@
             random=random,
             clock=self._clock,
             metrics=self.metrics,
-            dialect=find_dialect(plugins, settings.get("interface", "dialect")),
+            dialect=self._dialect,
             make_budget=self._make_budget,
             on_ended=requests.note,
         )
@@ -96,12 +103,13 @@
             settings, listen, is_plain_allowed=settings.get("tls", "plain")
         )
         boot = SystemRandom().getrandbits(_BOOT_BITS)
+        self._record = InstanceRecord(
+            self._id, boot, str(listen), settings.get("instance", "zone"), False, 0
+        )
         server = RpcServer(ThreadPoolExecutor(RPC_THREADS, thread_name_prefix="rpc"))
         self.control = NodeControl(
             settings,
-            record=InstanceRecord(
-                self._id, boot, str(listen), settings.get("instance", "zone"), False, 0
-            ),
+            record=self._record,
             manifests=self.manifests,
             manifest_format=manifest_format,
             schemes=schemes,
@@ -169,9 +177,42 @@
         HttpServer(ready_app, settings.get("ready", "listen"), threads=1).start()
         HttpServer(metrics_app, settings.get("metrics", "listen"), threads=1).start()
         self.gateway.start()
+        self._start_measuring()
         zone = settings.get("instance", "zone")
         self.log.emit(Started(instance=self._id, zone=zone, version=__version__))
 
+    def _start_measuring(self) -> None:
+        """Check upstreams and exchange what they report; without an interval, do neither."""
+        interval_ms = self._settings.get("measuring", "interval_ms")
+        if not interval_ms:
+            return
+        bulletins = BulletinExchange(
+            self._record,
+            list_instances=self.view.list_instances,
+            on_reports=self.gateway.app.take_reports,
+        )
+        rounds = itertools.count()
+
+        def tell() -> None:
+            reports = self.gateway.app.reports.take()
+            self.gateway.app.take_reports(reports)
+            bulletins.send(reports, crosses_zones=next(rounds) % CROSSING_ROUNDS == 0)
+
+        watch = LoadWatch(
+            self._record,
+            interval_ms=interval_ms,
+            dialect=self._dialect,
+            get_table=lambda: self.manifests.current,
+            list_instances=self.view.list_instances,
+            list_upstreams=self.view.list_usable,
+            book=self.gateway.app.reports,
+            on_round=tell,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+        start_task("bulletins", bulletins.run)
+        start_task("load-watch", watch.run)
+
     def _keep_house(self) -> None:
         self.view.clean()
         self.control.keep_house()
--- a/src/coltsfootrill/settings.py
+++ b/src/coltsfootrill/settings.py
@@ -362,6 +362,7 @@
     _count("retries", "window_s", 1, 3_600, 10, "Length of the window for that share."),
     _count("retries", "allowance", 0, 100_000, 0, "Further attempts on top, fleet-wide."),
     *_BALANCER,
+    _count("measuring", "interval_ms", 0, 60_000, 0, "Time between checks of one upstream."),
     _tls_file("certificate", "Certificate chain of this instance, PEM."),
     _tls_file("key", "Private key of this instance, PEM."),
     _tls_file("authority", "Certificate of the authority that signs all instances, PEM."),
--- /dev/null
+++ b/testing/balancer/test_reported_load.py
@@ -0,0 +1,83 @@
+"""A quarter of the upstreams is several times slower, and another quarter soon: many callers."""
+
+from __future__ import annotations
+
+from random import Random
+
+from coltsfootrill.balancer import reported_load
+from coltsfootrill.balancer.choice import ChoiceContext
+from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.balancer.load import UpstreamLoad
+from coltsfootrill.balancer.load import estimate_pace
+from coltsfootrill.balancer.load import note_error
+from coltsfootrill.balancer.load import note_report
+from coltsfootrill.balancer.load import note_start
+
+NOW_MS = 10_000.0
+
+
+def _load(
+    upstream_id: str, *, zone: str = "z1", in_flight: int = 0, pace: float = 1
+) -> UpstreamLoad:
+    load = UpstreamLoad(
+        id=upstream_id, incarnation=1, address="127.0.0.1:1", zone=zone, slots=3, now_ms=0
+    )
+    load.ramp_from_ms = -1e6
+    report = LoadReport(in_flight=in_flight, slots=3, state="serving", pace=pace)
+    note_report(load, report, now_ms=NOW_MS)
+    return load
+
+
+def _choose_often(loads: list[UpstreamLoad], *, turns: int = 1_000) -> dict[str, int]:
+    random = Random(3)
+    counts = dict.fromkeys([load.id for load in loads], 0)
+    for turn in range(turns):
+        context = ChoiceContext(now_ms=NOW_MS, random=random, zone="z1", usual_ms=60, turn=turn)
+        counts[reported_load.choose(loads, context).id] += 1
+    return counts
+
+
+class TestPace:
+    def test_upstreams_on_slow_machines_get_next_to_nothing(self) -> None:
+        counts = _choose_often([_load("slow", pace=7), *[_load(f"u{n}") for n in range(3)]])
+        assert counts["slow"] < 5
+
+    def test_a_slow_upstream_is_used_when_all_others_are_full(self) -> None:
+        loads = [_load("slow", pace=2), *[_load(f"u{n}", in_flight=12) for n in range(3)]]
+        assert _choose_often(loads)["slow"] > 900
+
+    def test_an_old_report_tells_little(self) -> None:
+        load = _load("u", pace=7)
+        assert estimate_pace(load, NOW_MS) == 7
+        assert 1.9 < estimate_pace(load, NOW_MS + 10_000) < 2.1
+
+
+class TestSpreading:
+    def test_instances_with_the_same_reports_do_not_crowd_one_upstream(self) -> None:
+        loads = [_load(f"u{n}") for n in range(8)]
+        counts = _choose_often(loads)
+        assert max(counts.values()) < 2 * min(counts.values())
+
+    def test_a_free_slot_goes_before_the_last_one_and_that_before_the_queue(self) -> None:
+        counts = _choose_often(
+            [_load("free"), _load("last", in_flight=2), _load("full", in_flight=4)]
+        )
+        assert counts["free"] > 4 * counts["last"] > 4 * counts["full"]
+
+    def test_own_requests_count_before_any_report_shows_them(self) -> None:
+        loads = [_load("mine"), _load("other")]
+        for token in range(3):
+            note_start(loads[0], token=token, now_ms=NOW_MS, usual_ms=60)
+        assert _choose_often(loads)["other"] > 800
+
+    def test_the_near_zone_is_preferred_only_among_equals(self) -> None:
+        counts = _choose_often([_load("near"), _load("far", zone="z2")])
+        assert counts["near"] > counts["far"]
+        counts = _choose_often([_load("near", pace=2), _load("far", zone="z2")])
+        assert counts["far"] > counts["near"]
+
+    def test_failing_fast_attracts_nothing(self) -> None:
+        loads = [_load("failing"), _load("sound")]
+        for _ in range(3):
+            note_error(loads[0], now_ms=NOW_MS)
+        assert _choose_often(loads)["failing"] < 10
