Never pass on a status that promises what is not proved, and reuse connections with care

Cause: tests of the new headers, written against scripted upstreams, showed that an upstream's own 408 or 429 without a mark that nothing ran went to callers of non-idempotent requests as it was; callers take it as a promise. While an answer was awaited behind a surplus one, nobody watched the caller. Change: such a status becomes an unknown outcome; answers are read as they arrive, with the caller watched; a non-idempotent request may use a connection idle for four seconds at most, and none for ten seconds after a loss on a kept one (a setting, off by default). Ruled out: a defect in the reuse after a loss: the test raced with the return of the connection, which follows the answer; tests wait for the end of the request.

--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -12,7 +12,6 @@
 class Started(Event, kw_only=True, tag="started"):
     """The process serves."""
 
-    instance: str
     zone: str
     version: str
 
@@ -20,21 +19,18 @@
 class Stopping(Event, kw_only=True, tag="stopping"):
     """The process was asked to stop; ``in_progress`` requests are not answered yet."""
 
-    instance: str
     in_progress: int
 
 
 class Stopped(Event, kw_only=True, tag="stopped"):
     """The process ends; ``cut`` requests had no answer."""
 
-    instance: str
     cut: int
 
 
 class Reloaded(Event, kw_only=True, tag="reloaded"):
     """The settings file was read again."""
 
-    instance: str
     cause: str
     changed: list[str]
     error: str = ""
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -71,6 +71,7 @@
         metrics: Metrics,
         dialect: Dialect = NATIVE_DIALECT,
         make_budget: Callable[[], AttemptBudget] | None = None,
+        once_idle_max_ms: float = 0.0,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
     ) -> None:
         self._dialect = dialect
@@ -86,7 +87,7 @@
         self._metrics = metrics
         self._lock = threading.Lock()
         self.gates_by_service: dict[str, ServiceGate] = {}
-        self.pools = ConnectionPools(clock)
+        self.pools = ConnectionPools(clock, once_idle_max_ms=once_idle_max_ms)
         self.reports = ReportBook(clock)
 
     def handle(self, request: CallerRequest) -> Answer:
--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import select
 import socket
 import threading
@@ -38,6 +39,7 @@
 
     __slots__ = (
         "_clock",
+        "_reader",
         "_sock",
         "epoch",
         "idle_max_ms",
@@ -49,6 +51,7 @@
     def __init__(self, sock: socket.socket, *, clock: Clock, epoch: int) -> None:
         self._sock = sock
         self._clock = clock
+        self._reader: AnswerReader | None = None
         self.epoch = epoch
         self.idle_since_ms = clock.now_ms()
         self.idle_max_ms = IDLE_MAX_MS
@@ -96,41 +99,43 @@
         An answer with the id of ``echo`` and without a length ends with the connection, if that
         ends in an orderly way.
         """
-        reader = AnswerReader(method, echo, is_fresh=self.is_fresh)
-        answer: UpstreamAnswer | None = None
+        self.expect(method, echo)
+        poller = select.poll()
+        poller.register(self._sock, select.POLLIN)
+        while (answer := self.read_now()) is None:
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                raise ReadError("the deadline passed while the answer was read")
+            # poll takes whole milliseconds; rounding up avoids a busy loop at the end.
+            poller.poll(int(left_ms) + 1)
+        return answer
+
+    def expect(self, method: str, echo: AnswerEcho) -> None:
+        """Prepare to read the answer to a request that has been sent."""
+        self._reader = AnswerReader(method, echo, is_fresh=self.is_fresh)
+
+    def read_now(self) -> UpstreamAnswer | None:
+        """Read what has arrived; return the answer once it is whole, as ``read`` does."""
+        reader = self._reader
+        assert reader is not None
         try:
-            while answer is None:
-                data = self._receive(deadline_ms)
-                if data:
-                    answer = reader.feed(data)
-                    continue
-                answer = reader.feed_end()
-                if answer is None:
-                    raise ReadError("the connection ended before the answer was whole")
+            data = self._sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return None
         except OSError as error:
             raise ReadError(f"{type(error).__name__}: {error}") from error
+        answer = reader.feed(data) if data else reader.feed_end()
+        if answer is None:
+            if not data:
+                raise ReadError("the connection ended before the answer was whole")
+            return None
+        self._reader = None
         self.is_reusable = reader.is_reusable
         self.is_fresh = False
         if reader.keep_alive_ms is not None:
             self.idle_max_ms = reader.keep_alive_ms - IDLE_MARGIN_MS
         return answer
 
-    def _receive(self, deadline_ms: float) -> bytes:
-        """Return the next bytes; the deadline covers all reads of one answer together."""
-        data: bytes | None = None
-        while data is None:
-            left_ms = deadline_ms - self._clock.now_ms()
-            if left_ms <= 0:
-                raise TimeoutError("the deadline passed while the answer was read")
-            try:
-                data = self._sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
-            except BlockingIOError:
-                poller = select.poll()
-                poller.register(self._sock, select.POLLIN)
-                # poll takes whole milliseconds; rounding up avoids a busy loop at the end.
-                poller.poll(int(left_ms) + 1)
-        return data
-
     def close(self) -> None:
         """Close the connection; an upstream takes that as a cancellation."""
         self._sock.close()
@@ -178,14 +183,19 @@
         self._lock = threading.Lock()
         self._epoch = 0
 
-    def take_idle(self) -> UpstreamConnection | None:
-        """Return the idle connection used last, ``None`` when there is no clean one."""
+    def take_idle(self, *, idle_max_ms: float = math.inf) -> UpstreamConnection | None:
+        """Return the idle connection used last, ``None`` when there is no clean one.
+
+        Connections idle for longer than ``idle_max_ms`` stay where they are.
+        """
         while True:
             with self._lock:
                 if not self._idle:
                     return None
+                age_ms = self._clock.now_ms() - self._idle[-1].idle_since_ms
+                if age_ms > idle_max_ms:
+                    return None
                 connection = self._idle.pop()
-            age_ms = self._clock.now_ms() - connection.idle_since_ms
             if age_ms < connection.idle_max_ms and connection.is_idle_clean():
                 return connection
             connection.close()
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import select
 
 from coltsfootrill.balancer.load import LoadReport
@@ -130,16 +131,18 @@
             exclude=frozenset(self._tried),
             is_gone=self._request.watch.is_gone,
         )
-        failure = self._start(claim, must_be_fresh=not self._kind.idempotent)
+        idle_max_ms = self._pools.get_idle_max_ms(is_idempotent=self._kind.idempotent)
+        failure = self._start(claim, idle_max_ms=idle_max_ms)
         if failure is not None:
             return failure
         return self._await_answer()
 
-    def _start(self, claim: Claim, *, must_be_fresh: bool) -> _Failure | None:
+    def _start(self, claim: Claim, *, idle_max_ms: float) -> _Failure | None:
         """Send the request to the upstream of ``claim``; return what went wrong, if anything.
 
-        A non-idempotent request goes over a fresh connection: one from the pool may be closed
-        or lost already, and then nobody could tell whether the request was run.
+        ``idle_max_ms`` is how long a connection from the pool may have been idle, 0 for a fresh
+        one: an idle one may be closed or lost already, and then nobody could tell whether a
+        request on it was run.
         """
         self._tried.add(claim.load.id)
         left_ms = self._request.deadline_ms - self._clock.now_ms()
@@ -148,7 +151,7 @@
             raise self._expire()
         pool = self._pools.get(claim.load.address)
         try:
-            connection = None if must_be_fresh else pool.take_idle()
+            connection = pool.take_idle(idle_max_ms=idle_max_ms) if idle_max_ms else None
             connection = connection or pool.open(left_ms)
         except ConnectError as error:
             self._end_failed(claim, "refused")
@@ -162,10 +165,14 @@
                 deadline_ms=self._request.deadline_ms,
             )
         except SendError as error:
+            if not connection.is_fresh:
+                self._pools.note_reuse_lost()
             connection.close()
             self._end_failed(claim, "lost")
             return _Failure("lost", str(error))
-        self._open.append(_Attempt(claim, connection, self._clock.now_ms()))
+        attempt = _Attempt(claim, connection, self._clock.now_ms())
+        connection.expect(self._request.method, self._echo)
+        self._open.append(attempt)
         return None
 
     def _make_head(self, claim: Claim) -> bytes:
@@ -203,7 +210,7 @@
                 result = self._finish(attempt)
                 if isinstance(result, Answer):
                     return result
-                failure = result
+                failure = result or failure
         return failure
 
     def _get_extra_time_ms(self) -> float:
@@ -249,7 +256,7 @@
         if claim is None:
             return
         self._count_extra("silent" if is_silent else "hedge")
-        self._start(claim, must_be_fresh=is_silent)
+        self._start(claim, idle_max_ms=0.0 if is_silent else math.inf)
 
     def _poll(self, timeout_ms: float) -> list[_Attempt]:
         """Return the attempts whose answer begins within ``timeout_ms``.
@@ -272,16 +279,19 @@
                 )
         return [by_fileno[fileno] for fileno, _ in events if fileno in by_fileno]
 
-    def _finish(self, attempt: _Attempt) -> Answer | _Failure:
-        """Read the answer of one attempt and judge it."""
-        self._open.remove(attempt)
+    def _finish(self, attempt: _Attempt) -> Answer | _Failure | None:
+        """Read on with one attempt; judge its answer once that is whole."""
         claim = attempt.claim
         try:
-            answer = attempt.connection.read(
-                self._request.method, deadline_ms=self._request.deadline_ms, echo=self._echo
-            )
+            answer = attempt.connection.read_now()
+            if answer is None:
+                return None
+            self._open.remove(attempt)
         except ReadError as error:
+            self._open.remove(attempt)
             attempt.connection.close()
+            if attempt.was_idle:
+                self._pools.note_reuse_lost()
             self._end_failed(claim, "lost")
             return _Failure("lost", str(error))
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
@@ -320,13 +330,14 @@
             body=answer.body,
             outcome="answered",
         )
-        if answer.status >= 500:
+        if answer.status >= 500 or answer.status in dialect.promise_statuses:
             self._end_failed(claim, "server-error")
+            # Callers would take such a status to say that nothing was run.
+            is_misleading = answer.status in dialect.promise_statuses
+            message = f"{claim.load.id} failed with status {answer.status}"
             if self._kind.idempotent:
-                return _Failure("failed-answer", "the upstream failed", passed)
-            if answer.status in dialect.promise_statuses:
-                return _Failure("lost", f"{claim.load.id} failed with status {answer.status}")
-            return passed
+                return _Failure("failed-answer", message, None if is_misleading else passed)
+            return _Failure("lost", message) if is_misleading else passed
         ended_ms = self._clock.now_ms()
         passed.add_follow_up(lambda: self._end_answered(claim, report, ended_ms))
         return passed
--- a/src/coltsfootrill/proxy/pools.py
+++ b/src/coltsfootrill/proxy/pools.py
@@ -7,12 +7,21 @@
 from coltsfootrill.clock import Clock
 from coltsfootrill.proxy.connection import ConnectionPool
 
+REUSE_DOUBT_MS = 10_000.0
+
 
 class ConnectionPools:
-    """Connection pools by upstream address."""
+    """Connection pools by upstream address.
+
+    A non-idempotent request may use a connection that has been idle for ``once_idle_max_ms`` at
+    most, and none for ``REUSE_DOUBT_MS`` after a request was lost on an idle one: nobody can
+    tell whether that was run. With 0 each such request gets a connection of its own.
+    """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, *, once_idle_max_ms: float = 0.0) -> None:
         self._clock = clock
+        self._once_idle_max_ms = once_idle_max_ms
+        self._lost_at_ms = float("-inf")
         self._lock = threading.Lock()
         self._by_address: dict[str, ConnectionPool] = {}
 
@@ -26,6 +35,17 @@
                 )
         return pool
 
+    def get_idle_max_ms(self, *, is_idempotent: bool) -> float:
+        """Return how long a connection may have been idle to carry a request."""
+        if is_idempotent:
+            return float("inf")
+        is_doubted = self._clock.now_ms() - self._lost_at_ms < REUSE_DOUBT_MS
+        return 0.0 if is_doubted else self._once_idle_max_ms
+
+    def note_reuse_lost(self) -> None:
+        """Note that a request on a connection that had been idle got no answer."""
+        self._lost_at_ms = self._clock.now_ms()
+
     def keep_only(self, addresses: set[str]) -> None:
         """Close the idle connections to all other addresses."""
         with self._lock:
--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -59,6 +59,7 @@
             metrics=metrics,
             dialect=dialect,
             make_budget=make_budget,
+            once_idle_max_ms=settings.get("upstreams", "once_idle_ms"),
             on_ended=on_ended,
         )
         self._callers = CallerServer(
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -147,10 +147,10 @@
             elif self._clock.now_ms() - checked_ms > SETTINGS_CHECK_MS:
                 checked_ms = self._clock.now_ms()
                 self._reload_if_changed()
-        self.log.emit(Stopping(instance=self._id, in_progress=self.gateway.count_in_progress()))
+        self.log.emit(Stopping(in_progress=self.gateway.count_in_progress()))
         cut = self.gateway.stop()
         self.control.stop()
-        self.log.emit(Stopped(instance=self._id, cut=cut))
+        self.log.emit(Stopped(cut=cut))
         self.log.close()
         return 0
 
@@ -179,7 +179,7 @@
         self.gateway.start()
         self._start_measuring()
         zone = settings.get("instance", "zone")
-        self.log.emit(Started(instance=self._id, zone=zone, version=__version__))
+        self.log.emit(Started(zone=zone, version=__version__))
 
     def _start_measuring(self) -> None:
         """Check upstreams and exchange what they report; without an interval, do neither."""
@@ -253,12 +253,12 @@
             settings = Settings.from_file(self._path, NODE_SETTINGS)
         except InvalidSettingsError as error:
             problems = "; ".join(str(problem) for problem in error.exceptions)
-            self.log.emit(Reloaded(instance=self._id, cause=cause, changed=[], error=problems))
+            self.log.emit(Reloaded(cause=cause, changed=[], error=problems))
             return
         changed = settings.list_changed(self._settings)
         self._settings = settings
         self.control.set_seeds(settings.get("fleet", "seeds"))
-        self.log.emit(Reloaded(instance=self._id, cause=cause, changed=changed))
+        self.log.emit(Reloaded(cause=cause, changed=changed))
 
     def _note_manifest(self, before: RoutingTable | None, after: RoutingTable) -> None:
         self.metrics.manifest_version.set(after.version)
--- a/src/coltsfootrill/settings.py
+++ b/src/coltsfootrill/settings.py
@@ -272,6 +272,14 @@
         _count(section, "connections", 4, 5_000, connections, "Connections of callers at a time."),
         _count(section, "requests", 4, 5_000, 256, "Requests in progress at a time."),
         _count(section, "queue", 1, 10_000, 64, "Requests that wait for one service."),
+        _count(
+            "upstreams",
+            "once_idle_ms",
+            0,
+            3_600_000,
+            0,
+            "Idle time after which a connection carries no non-idempotent request; 0 for none.",
+        ),
         _count(section, "notice_ms", 0, 600_000, notice_ms, "Time for the balancer to notice."),
         _count(
             section, "idle_ms", 0, 600_000, idle_ms, "Time idle connections stay open at a stop."
--- a/testing/proxy/instance.py
+++ b/testing/proxy/instance.py
@@ -19,6 +19,8 @@
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.proxy.app import ProxyApp
+from coltsfootrill.proxy.dialect import NATIVE_DIALECT
+from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.server import CallerServer
 from coltsfootrill.registry.announcement import Announcement
 
@@ -37,7 +39,15 @@
 class Instance:
     """Serves ``/x`` (idempotent), ``/hedged`` and ``/once`` (non-idempotent)."""
 
-    def __init__(self, *, deadline_ms: int = 1_500, queue: int = 8, requests: int = 64) -> None:
+    def __init__(
+        self,
+        *,
+        deadline_ms: int = 1_500,
+        queue: int = 8,
+        requests: int = 64,
+        dialect: Dialect = NATIVE_DIALECT,
+        once_idle_max_ms: float = 0.0,
+    ) -> None:
         clock = Clock()
         plugins = load_plugins()
         self.metrics = Metrics()
@@ -53,6 +63,8 @@
             queue_limit=queue,
             clock=clock,
             metrics=self.metrics,
+            dialect=dialect,
+            once_idle_max_ms=once_idle_max_ms,
         )
         self.server = CallerServer(
             self.app.handle, clock=clock, requests_max=requests, connections_max=200
@@ -107,6 +119,8 @@
         _kind("x", True, deadline_ms, retries=2),
         _kind("hedged", True, deadline_ms, hedge_quantile=0.9),
         _kind("once", False, deadline_ms, retries=2),
+        _kind("aimed", True, deadline_ms, retries=1, target_ms=300, attempts_max=2),
+        _kind("alone", True, deadline_ms, retries=2, target_ms=300, attempts_max=1),
         _kind("later", True, deadline_ms, priority="deferrable", latest_ms=deadline_ms // 2),
     ]
     service = {"id": "work", "upstreams": ["u*"], "kinds": kinds, "retry_share": 0.2}
--- /dev/null
+++ b/testing/proxy/test_dialect.py
@@ -0,0 +1,218 @@
+"""Requests under the platform's headers, against scripted upstreams."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import pytest
+
+from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from testing.processes import wait_until
+from testing.proxy.fakes import Script
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.fakes import encode
+from testing.proxy.instance import Instance
+from testing.proxy.instance import Reply
+
+Serve = Callable[..., ScriptedUpstream]
+SEAL = "x-server-signature: s\r\n"
+NOT_RUN = "x-not-executed: 1\r\n"
+
+
+def _get_id(head: bytes) -> str:
+    for line in head.decode().split("\r\n"):
+        name, _, value = line.partition(": ")
+        if name.lower() == "x-attempt-id":
+            return value
+    return ""
+
+
+def reply_with(
+    body: bytes = b"hello", *, status: str = "200 OK", extra: str = SEAL, before: bytes = b""
+) -> Script:
+    def script(sock: socket.socket, head: bytes, number: int) -> bool:
+        echo = f"x-attempt-id: {_get_id(head)}\r\n"
+        sock.sendall(before + encode(body, status=status, extra=extra + echo))
+        return True
+
+    return script
+
+
+@pytest.fixture
+def instance() -> Iterator[Instance]:
+    made = Instance(dialect=coltsfootrill_dialect(), once_idle_max_ms=4_000)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def serve(instance: Instance) -> Iterator[Serve]:
+    started: list[ScriptedUpstream] = []
+
+    def start(script: Script, upstream_id: str = "") -> ScriptedUpstream:
+        started.append(ScriptedUpstream(script))
+        instance.announce(upstream_id or f"u{len(started)}", started[-1].address)
+        return started[-1]
+
+    yield start
+    for upstream in started:
+        upstream.close()
+
+
+def _call(instance: Instance, path: str = "/x", *, method: str = "GET", **headers: str) -> Reply:
+    reply = instance.call(path, method=method, X_Attempt_Id="q1", **headers)
+    # The connection to the upstream is given back just after the answer has been sent.
+    wait_until(lambda: instance.server.count_in_progress() == 0)
+    return reply
+
+
+class TestRequestHeaders:
+    def test_the_upstream_is_named_and_told_what_is_left(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstream = serve(reply_with(), "u7")
+        _call(instance, X_Deadline_Milliseconds="700", X_Expected_Instance="forged")
+        lines = upstream.heads[0].decode().lower().split("\r\n")
+        deadlines = [line for line in lines if line.startswith("x-deadline-milliseconds: ")]
+        assert len(deadlines) == 1
+        assert 600 < int(deadlines[0].split(": ")[1]) <= 700
+        assert [line for line in lines if "expected-instance" in line] == [
+            "x-expected-instance: u7"
+        ]
+        assert "x-attempt-id: q1" in lines
+
+    def test_the_route_bounds_the_time_that_a_caller_states(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstream = serve(reply_with())
+        _call(instance, X_Deadline_Milliseconds="60000")
+        text = upstream.heads[0].decode().lower().partition("x-deadline-milliseconds: ")[2]
+        assert int(text.split("\r\n")[0]) <= 1_500
+
+
+class TestProofsThatNothingRan:
+    def test_an_upstream_that_has_another_id_is_not_used_again(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        other = serve(reply_with(status="421 Misdirected Request", extra=""))
+        sound = serve(reply_with())
+        for _ in range(6):
+            assert _call(instance, "/once", method="POST").status == 200
+        assert len(other.heads) <= 1
+        assert len(sound.heads) == 6
+
+    def test_a_mark_that_nothing_ran_is_proof_whatever_the_status(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        serve(reply_with(status="429 Too Many Requests", extra=NOT_RUN))
+        sound = serve(reply_with())
+        assert _call(instance, "/once", method="POST").status == 200
+        assert len(sound.heads) == 1
+
+    @pytest.mark.parametrize("status", ["503 Busy", "429 Too Many", "408 Late"])
+    def test_a_status_that_promises_is_not_passed_on_without_proof(
+        self, instance: Instance, serve: Serve, status: str
+    ) -> None:
+        upstream = serve(reply_with(status=status))
+        reply = _call(instance, "/once", method="POST")
+        assert (reply.status, reply.outcome) == (502, "unknown")
+        assert reply.headers["X-Server-Signature"] is None
+        assert len(upstream.heads) == 1
+
+
+class TestAnswersOfOthers:
+    def test_a_success_without_the_seal_is_no_success(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        serve(reply_with(extra=""))
+        assert _call(instance, "/once", method="POST").status == 502
+
+    def test_an_encoded_body_is_not_the_upstreams_own(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        serve(reply_with(extra=SEAL + "content-encoding: gzip\r\n"))
+        assert _call(instance, "/once", method="POST").status == 502
+
+    def test_an_answer_to_an_earlier_request_is_skipped(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        late = encode(b"other", extra=SEAL + "x-attempt-id: q0\r\n")
+        upstream = serve(reply_with(b"mine", before=late))
+        replies = [_call(instance, "/once", method="POST").body for _ in range(3)]
+        assert replies == [b"mine"] * 3
+        assert upstream.connections == 3
+
+    def test_an_answer_without_an_id_is_taken_on_a_fresh_connection_only(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            sock.sendall(encode(str(number).encode(), extra=SEAL))
+            return True
+
+        upstream = serve(script)
+        assert _call(instance, "/once", method="POST").body == b"1"
+        reply = _call(instance, "/once", method="POST")
+        assert (reply.outcome, upstream.connections) == ("unknown", 1)
+
+    def test_an_answer_without_a_length_ends_with_its_connection(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            sock.sendall(f"HTTP/1.1 200 OK\r\n{SEAL}x-attempt-id: q1\r\n\r\nwhole".encode())
+            return False
+
+        serve(script)
+        assert _call(instance, "/once", method="POST").body == b"whole"
+
+
+class TestReuse:
+    def test_a_connection_that_has_just_answered_is_used_again(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstream = serve(reply_with())
+        for _ in range(4):
+            _call(instance, "/once", method="POST")
+        assert upstream.connections == 1
+
+    def test_after_a_loss_on_a_kept_connection_each_request_gets_a_fresh_one(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            if number == 2:
+                return False
+            return reply_with()(sock, head, number)
+
+        upstream = serve(script)
+        statuses = [_call(instance, "/once", method="POST").status for _ in range(5)]
+        assert statuses == [200, 502, 200, 200, 200]
+        assert upstream.connections == 4
+
+    def test_the_time_that_an_upstream_keeps_connections_is_heeded(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstream = serve(reply_with(extra=SEAL + "keep-alive: timeout=1\r\n"))
+        _call(instance)
+        time.sleep(0.3)
+        _call(instance)
+        assert upstream.connections == 2
+
+
+class TestHedging:
+    def test_a_request_that_would_miss_its_target_is_sent_to_a_second_upstream(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        def slow(sock: socket.socket, head: bytes, number: int) -> bool:
+            time.sleep(1.0)
+            return reply_with(b"slow")(sock, head, number)
+
+        serve(slow)
+        serve(slow)
+        started_s = time.monotonic()
+        assert _call(instance, "/alone").body == b"slow"
+        assert time.monotonic() - started_s >= 1.0
+        serve(reply_with(b"quick"), "u3")
+        bodies = [_call(instance, "/aimed").body for _ in range(5)]
+        assert bodies.count(b"quick") >= 4
--- /dev/null
+++ b/testing/proxy/test_pipelining.py
@@ -0,0 +1,84 @@
+"""Callers that send further requests before the first one is answered."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.fakes import encode
+from testing.proxy.instance import Instance
+
+
+def _answer_with_target(sock: socket.socket, head: bytes, number: int) -> bool:
+    """Answer with the request's path; the first path takes longer than the others."""
+    target = head.split(b" ")[1]
+    time.sleep(0.4 if target == b"/x/0" else 0.1)
+    sock.sendall(encode(target))
+    return True
+
+
+@pytest.fixture
+def instance() -> Iterator[Instance]:
+    made = Instance()
+    upstream = ScriptedUpstream(_answer_with_target)
+    made.announce("u1", upstream.address, slots=16)
+    yield made
+    made.close()
+    upstream.close()
+
+
+def _request(number: int, extra: str = "") -> bytes:
+    return f"GET /x/{number} HTTP/1.1\r\nhost: a\r\n{extra}\r\n".encode()
+
+
+def _read_all(sock: socket.socket) -> bytes:
+    data = b""
+    while part := sock.recv(65_536):
+        data += part
+    return data
+
+
+def _list_bodies(data: bytes) -> list[bytes]:
+    return [part.rsplit(b"\r\n", 1)[-1] for part in data.split(b"HTTP/1.1 200 OK")[1:]]
+
+
+class TestPipelining:
+    def test_answers_come_in_the_order_of_the_requests(self, instance: Instance) -> None:
+        last = _request(4, "connection: close\r\n")
+        data = instance.send_raw(b"".join(_request(number) for number in range(4)) + last)
+        assert _list_bodies(data) == [f"/x/{number}".encode() for number in range(5)]
+
+    def test_requests_are_worked_on_side_by_side(self, instance: Instance) -> None:
+        with socket.create_connection(("127.0.0.1", instance.server.port), timeout=5) as sock:
+            started_s = time.monotonic()
+            sock.sendall(_request(0))
+            time.sleep(0.05)
+            for number in range(1, 5):
+                sock.sendall(_request(number))
+                time.sleep(0.02)
+            sock.sendall(_request(5, "connection: close\r\n"))
+            data = _read_all(sock)
+            assert time.monotonic() - started_s < 0.75
+        assert _list_bodies(data) == [f"/x/{number}".encode() for number in range(6)]
+
+    def test_a_stop_closes_behind_the_last_request_that_was_read(self, instance: Instance) -> None:
+        with socket.create_connection(("127.0.0.1", instance.server.port), timeout=5) as sock:
+            sock.sendall(_request(0) + _request(1) + _request(2))
+            time.sleep(0.1)
+            instance.server.announce_close()
+            data = _read_all(sock)
+        assert _list_bodies(data) == [b"/x/0", b"/x/1", b"/x/2"]
+        assert data.lower().count(b"connection: close") == 1
+
+    def test_a_caller_that_leaves_ends_all_its_requests(self, instance: Instance) -> None:
+        with socket.create_connection(("127.0.0.1", instance.server.port), timeout=5) as sock:
+            sock.sendall(_request(0) + _request(0))
+            time.sleep(0.1)
+        deadline_s = time.monotonic() + 0.25
+        while instance.server.count_in_progress() and time.monotonic() < deadline_s:
+            time.sleep(0.01)
+        assert instance.server.count_in_progress() == 0
