--- a/deploy/run.py
+++ b/deploy/run.py
@@ -1,4 +1,7 @@
-"""Starts the program from a checkout, with the settings that the platform has written."""
+"""Starts a node from a checkout, with the settings that the platform has written.
+
+The command line is left out: reading it takes as long as everything else at the start.
+"""
 
 from __future__ import annotations
 
@@ -8,10 +11,19 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from coltsfootrill.cli import main  # noqa: E402
+from coltsfootrill.log import set_up_log  # noqa: E402
+from coltsfootrill.roles.node import NodeRole  # noqa: E402
+from coltsfootrill.settings import InvalidSettingsError  # noqa: E402
 
 SETTINGS_VARIABLE = "COLTSFOOTRILL_SETTINGS"
+EXIT_BAD_SETTINGS = 2
 
 if __name__ == "__main__":
-    sys.argv += ["--settings", os.environ[SETTINGS_VARIABLE]]
-    main()
+    set_up_log()
+    try:
+        role = NodeRole.from_file(Path(os.environ[SETTINGS_VARIABLE]))
+    except InvalidSettingsError as error:
+        for problem in error.exceptions:
+            print(problem, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    sys.exit(role.run())
--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -30,7 +30,7 @@
 HOLD_MS = 2_500
 HUB_HOLD_MS = 1_000
 CALL_SLACK_MS = 900.0
-RETRY_PAUSE_MS = 250.0
+RETRY_PAUSE_MS = 100.0
 
 
 class Identity:
@@ -47,6 +47,8 @@
 class HubFollowing:
     """Follows the voting replicas, and the seeds until a current hub has named the replicas.
 
+    A hub follows the seeds always, so that these can tell who votes: seeds may be instances
+    that have no disk and start at the same moment as everything else.
     ``on_reply`` is called with the address of the hub and each reply, after the view has it.
     """
 
@@ -74,6 +76,7 @@
         self._clients: dict[str, RpcClient] = {}
         self._tasks_by_address: dict[str, threading.Thread] = {}
         self._replicas: list[str] = []
+        self._hints: list[str] = []
         self._stopping = threading.Event()
 
     @property
@@ -109,8 +112,10 @@
 
     def _list_wanted(self) -> list[str]:
         if self._view.has_current_hub() and self._replicas:
-            return self._replicas
-        return list(dict.fromkeys([*self._replicas, *self._seeds, self._own_address]))
+            extra = self._seeds if self._identify().is_hub else []
+            return list(dict.fromkeys([*self._replicas, *extra]))
+        known = [*self._replicas, *self._hints, *self._seeds, self._own_address]
+        return list(dict.fromkeys(known))
 
     def _follow(self, address: str) -> None:
         """Hold calls open to one hub for as long as it is wanted."""
@@ -134,10 +139,18 @@
             boot = reply.boot
             position = reply.position
             self._view.apply(address, reply)
-            if reply.is_current and reply.replicas:
-                self._replicas = reply.replicas
+            self._note_replicas(reply)
             self._on_reply(address, reply)
 
+    def _note_replicas(self, reply: FollowReply) -> None:
+        if not reply.replicas:
+            return
+        if reply.is_current:
+            self._replicas = reply.replicas
+        elif reply.replicas != self._hints:
+            self._hints = reply.replicas
+            self.update_tasks()
+
     def _call(self, address: str, request: FollowRequest) -> FollowReply:
         if address == self._own_address:
             return self._answer_locally(request)
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -15,6 +15,7 @@
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import Renewal
 from coltsfootrill.membership.messages import SharedUpstream
+from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import Directory
 
@@ -30,11 +31,12 @@
 class Follower:
     """An instance that follows this hub; ``heard_ms`` is the time of its last call."""
 
-    __slots__ = ("heard_ms", "is_candidate", "record")
+    __slots__ = ("heard_ms", "is_candidate", "is_hub", "record")
 
-    def __init__(self, record: InstanceRecord, *, is_candidate: bool, heard_ms: float) -> None:
-        self.record = record
-        self.is_candidate = is_candidate
+    def __init__(self, request: FollowRequest, *, heard_ms: float) -> None:
+        self.record = request.sender
+        self.is_candidate = request.is_candidate
+        self.is_hub = request.is_hub
         self.heard_ms = heard_ms
 
 
@@ -53,7 +55,9 @@
         clock: Clock,
         share: Callable[[Announcement], bool],
         get_manifest_version: Callable[[], int],
+        snapshot: UpstreamSnapshot | None = None,
     ) -> None:
+        self._snapshot = snapshot
         self._own = own
         self._boot = boot
         self._clock = clock
@@ -69,6 +73,8 @@
         self._started_ms = clock.now_ms()
         self._confirmed_ms = float("-inf")
         self._directory.position = 1
+        for announcement in [] if snapshot is None else snapshot.read():
+            self.merge(announcement, age_ms=SILENT_AFTER_MS)
 
     def is_current(self) -> bool:
         """Return whether a majority confirmed the state of this replica of late."""
@@ -92,10 +98,25 @@
         if not self.is_current():
             return AnnounceReply(False, "this replica has no majority")
         self.merge(announcement, age_ms=0)
-        if announcement.state == "leaving" and not self._share(announcement):
+        if announcement.state != "leaving":
+            return AnnounceReply(True, "")
+        self.keep()
+        if not self._share(announcement):
             return AnnounceReply(False, "no majority of the replicas knows it")
         return AnnounceReply(True, "")
 
+    def keep(self) -> None:
+        """Write the upstreams to the disk, where there is one."""
+        if self._snapshot is None:
+            return
+        with self._changed:
+            records = self._directory.by_id.values()
+            # The sequence grows with each renewal, which is no reason to write.
+            announcements = [
+                msgspec.structs.replace(record.announcement, sequence=0) for record in records
+            ]
+        self._snapshot.write(announcements)
+
     def say_goodbye(self, goodbye: Goodbye) -> AnnounceReply:
         """Take the goodbye of an upstream; one that is not known needs no more."""
         with self._changed:
@@ -200,12 +221,25 @@
             if self._followers_by_id.pop(request.sender.id, None) is not None:
                 self._note_instances()
             return
-        self._followers_by_id[request.sender.id] = Follower(
-            request.sender, is_candidate=request.is_candidate, heard_ms=now_ms
+        self._followers_by_id[request.sender.id] = Follower(request, heard_ms=now_ms)
+        is_same = (
+            known is not None
+            and known.record.address == request.sender.address
+            and known.is_hub == request.is_hub
         )
-        if known is None or known.record.address != request.sender.address:
+        if not is_same:
             self._note_instances()
 
+    def _list_replicas(self) -> list[str]:
+        """Return who votes, as far as it is known here: confirmed, or told by the voters."""
+        if self._replicas:
+            return self._replicas
+        return [
+            follower.record.address
+            for follower in self._followers_by_id.values()
+            if follower.is_hub
+        ]
+
     def _note_instances(self) -> None:
         self._note_news()
         self._instances_at = self._news_at
@@ -246,7 +280,7 @@
             upstreams=upstreams,
             live=sorted(self._live),
             renewals=renewals,
-            replicas=self._replicas,
+            replicas=self._list_replicas(),
             instances=self._list_instances(position),
         )
 
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -55,6 +55,7 @@
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import ManifestReply
 from coltsfootrill.membership.messages import ManifestRequest
+from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.naming.scheme import NamingScheme
 from coltsfootrill.registry.announcement import Announcement
@@ -70,6 +71,7 @@
 SUBMIT = Method(service="Control", name="Submit", request=SubmitRequest, reply=SubmitReply)
 
 SYNC_MS = 400.0
+SYNC_RETRY_MS = 60.0
 SILENT_GRACE_MS = 3_000.0
 REPAIR_CHECK_MS = 500.0
 HUB_CALL_TIMEOUT_MS = 400.0
@@ -119,12 +121,14 @@
         self._fetching = threading.Lock()
         listen: Address = settings.get("fleet", "listen")
         self._own_address = str(listen)
+        data = settings.get("instance", "data")
         self.hub = Hub(
             record,
             boot=record.boot,
             clock=clock,
             share=self._share,
             get_manifest_version=lambda: manifests.version,
+            snapshot=None if data is None else UpstreamSnapshot(data / "hub", files=FileLayer()),
         )
         self._replica = self._make_replica(manifest_format, schemes)
         self._following = HubFollowing(
@@ -288,18 +292,22 @@
     def _keep_in_sync(self) -> None:
         """Confirm the register with a majority again and again."""
         assert self._replica is not None
-        while not self._stopping.wait(SYNC_MS / 1000):
+        pause_ms = 0.0
+        while not self._stopping.wait(pause_ms / 1000):
             try:
                 state = self._replica.read()
             except ColtsfootrillError:
                 # The loss of the majority is logged by ``_note_dependency``.
+                pause_ms = SYNC_RETRY_MS
                 continue
+            pause_ms = SYNC_MS
             self._is_member = self._replica.is_member(state)
             if state.version > self._manifests.version:
                 self._adopt(state.manifest)
             if self._is_member:
                 addresses = [replica.address for replica in state.replicas.values()]
                 self.hub.note_confirmed(addresses)
+                self.hub.keep()
 
     def _note_reply(self, address: str, reply: FollowReply) -> None:
         if address == self._own_address:
@@ -344,6 +352,7 @@
 
     def _take_shared(self, announcement: Announcement) -> AnnounceReply:
         self.hub.merge(announcement, age_ms=0)
+        self.hub.keep()
         return AnnounceReply(True, "")
 
     def _share(self, announcement: Announcement) -> bool:
--- /dev/null
+++ b/testing/membership/test_following.py
@@ -0,0 +1,97 @@
+"""Instances find the voting replicas from any seeds, over real calls on loopback."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+
+import pytest
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.membership.following import FOLLOW
+from coltsfootrill.membership.following import HubFollowing
+from coltsfootrill.membership.following import Identity
+from coltsfootrill.membership.following import order_hubs
+from coltsfootrill.membership.hub import Hub
+from coltsfootrill.membership.messages import FollowReply
+from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.view import HubView
+from coltsfootrill.rpc import RpcServer
+from testing.processes import wait_until
+
+
+def _find_address(number: int) -> str:
+    with socket.create_server((f"127.0.1.{number}", 0)) as listener:
+        host, port = listener.getsockname()
+        return f"{host}:{port}"
+
+
+class Member:
+    """One instance: hub, view and the calls that it holds open."""
+
+    def __init__(self, address: str, seeds: list[str], *, voters: list[str]) -> None:
+        clock = Clock()
+        self.address = address
+        self.replies: list[FollowReply] = []
+        record = InstanceRecord(address, 1, address, "z1", False, 0)
+        self.hub = Hub(
+            record,
+            boot=hash(address) % 1_000,
+            clock=clock,
+            share=lambda announcement: True,
+            get_manifest_version=lambda: 0,
+        )
+        is_voter = address in voters
+        if is_voter:
+            self.hub.note_confirmed(voters)
+        self.view = HubView(clock=clock)
+        self._server = RpcServer(ThreadPoolExecutor(16))
+        self._server.add(FOLLOW, self.hub.answer)
+        self._server.start(address)
+        self.following = HubFollowing(
+            self.view,
+            own_address=address,
+            seeds=seeds,
+            identify=lambda: Identity(record, is_candidate=False, is_hub=is_voter),
+            answer_locally=self.hub.answer,
+            on_reply=lambda hub, reply: self.replies.append(reply),
+            clock=clock,
+        )
+
+    def close(self) -> None:
+        self.following.stop()
+        self._server.stop(grace_ms=0)
+
+
+@pytest.fixture
+def members() -> Iterator[list[Member]]:
+    addresses = [_find_address(number) for number in range(2, 6)]
+    made = [Member(address, addresses[1:3], voters=addresses[:1]) for address in addresses]
+    yield made
+    for member in made:
+        member.close()
+
+
+class TestSeedsThatDoNotVote:
+    def test_all_find_the_voter_when_everything_starts_at_once(self, members: list[Member]) -> None:
+        voter = members[0]
+        for member in members:
+            member.following.update_tasks()
+
+        def have_all_found() -> bool:
+            voter.hub.note_confirmed([voter.address])
+            for member in members:
+                member.following.update_tasks()
+            return all(member.following.replicas == [voter.address] for member in members)
+
+        wait_until(have_all_found, within_s=10)
+
+
+class TestOrder:
+    def test_the_own_hub_is_asked_first(self) -> None:
+        order = order_hubs(["a", "b", "c"], own_address="b", random=Random(1))
+        assert order[0] == "b"
+        assert sorted(order) == ["a", "b", "c"]
+        assert "d" not in order_hubs(["a"], own_address="d", random=Random(1))
--- a/testing/membership/test_hub.py
+++ b/testing/membership/test_hub.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
+from pathlib import Path
+
 import msgspec
 
 from coltsfootrill.clock import ManualClock
+from coltsfootrill.control.files import FileLayer
 from coltsfootrill.membership.hub import SETTLED_AFTER_MS
 from coltsfootrill.membership.hub import SILENT_AFTER_MS
 from coltsfootrill.membership.hub import Hub
@@ -10,6 +13,7 @@
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import Goodbye
 from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.membership.view import HUB_SILENT_AFTER_MS
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.registry.announcement import Announcement
@@ -22,6 +26,7 @@
         self.clock = ManualClock(1_000_000)
         self.shared: list[Announcement] = []
         self.is_shared = True
+        self.snapshot: UpstreamSnapshot | None = None
         self.hub = self.make_hub(boot=1)
         self.view = HubView(clock=self.clock)
         self.hub.note_confirmed(["a", "b", "c"])
@@ -33,6 +38,7 @@
             clock=self.clock,
             share=self.share,
             get_manifest_version=lambda: 3,
+            snapshot=self.snapshot,
         )
 
     def share(self, announcement: Announcement) -> bool:
@@ -185,6 +191,49 @@
         pair.follow()
         assert pair.list_usable() == ["u1"]
 
+    def test_one_that_does_not_vote_tells_who_does(self) -> None:
+        # After a loss of all power the seeds may be instances without a disk.
+        pair = Pair()
+        seed = Hub(
+            InstanceRecord("s1", 9, "10.0.0.7:1", "z1", False, 0),
+            boot=9,
+            clock=pair.clock,
+            share=pair.share,
+            get_manifest_version=lambda: 0,
+        )
+        voter = InstanceRecord("h1", 1, "10.0.0.1:1", "z1", False, 0)
+        seed.answer(FollowRequest(voter, False, True, 0, 0, 0))
+        other = InstanceRecord("n1", 1, "10.0.0.9:1", "z1", False, 0)
+        reply = seed.answer(FollowRequest(other, False, False, 0, 0, 0))
+        assert (reply.is_current, reply.replicas) == (False, ["10.0.0.1:1"])
+
+    def test_upstreams_are_known_after_all_power_was_lost(self, tmp_path: Path) -> None:
+        pair = Pair()
+        pair.snapshot = UpstreamSnapshot(tmp_path, files=FileLayer())
+        pair.hub = pair.make_hub(boot=2)
+        pair.hub.note_confirmed(["a"])
+        for upstream_id in ("u1", "u2", "u3"):
+            pair.hub.announce(announce(upstream_id))
+        pair.hub.keep()
+        # A goodbye is on the disk before it is acknowledged.
+        pair.hub.announce(announce("u2", sequence=2, state="leaving"))
+        pair.snapshot = UpstreamSnapshot(tmp_path, files=FileLayer())
+        pair.hub = pair.make_hub(boot=3)
+        pair.view = HubView(clock=pair.clock)
+        pair.hub.note_confirmed(["a"])
+        pair.follow()
+        assert pair.list_usable() == ["u1", "u3"]
+        pair.hub.announce(announce("u1", sequence=7))
+        pair.settle()
+        pair.hub.announce(announce("u1", sequence=8))
+        pair.hub.clean()
+        pair.follow()
+        assert pair.list_usable() == ["u1"]
+
+    def test_a_damaged_snapshot_is_as_good_as_none(self, tmp_path: Path) -> None:
+        (tmp_path / "upstreams.rec").write_bytes(b"torn")
+        assert UpstreamSnapshot(tmp_path, files=FileLayer()).read() == []
+
     def test_candidates_are_those_that_could_vote(self) -> None:
         pair = Pair()
         pair.follow()
