Serve requests that can meet their target first, and let late ones take spare room only

Every free slot went to a late request or a second attempt; the usual time of work was learnt from requests that had waited at full upstreams, so nothing seemed to be answered in time any more; with four answers a second and instance it took 15 s to be learnt at all. Change: requests carry their target and rank; those that can still meet it go first, the newest of them first, and only where an answer is expected in time; late ones and second attempts take upstreams without other requests, less a margin that grows while reports show requests waiting; a late request is refused after a quarter of its time, with a time to come back that is spread, or soon where there is room; callers that came back show by the time they have left; the last slot is given up where it costs work done.

--- a/src/coltsfootrill/balancer/choice.py
+++ b/src/coltsfootrill/balancer/choice.py
@@ -28,14 +28,20 @@
         self.turn = turn
 
 
+Expect = Callable[[UpstreamLoad, ChoiceContext], float]
 Choose = Callable[[Sequence[UpstreamLoad], ChoiceContext], UpstreamLoad]
 
 
 class ChoicePolicy:
-    """A named choice function; it gets at least one candidate and returns one of them."""
+    """A named choice function; it gets at least one candidate and returns one of them.
 
-    __slots__ = ("choose", "name")
+    ``expect`` returns the expected time to an answer in milliseconds. With it, upstreams that
+    are known to be full get nothing, and requests go only where they can meet their target.
+    """
+
+    __slots__ = ("choose", "expect", "name")
 
-    def __init__(self, *, name: str, choose: Choose) -> None:
+    def __init__(self, *, name: str, choose: Choose, expect: Expect | None = None) -> None:
         self.name = name
         self.choose = choose
+        self.expect = expect
--- a/src/coltsfootrill/balancer/latency.py
+++ b/src/coltsfootrill/balancer/latency.py
@@ -7,25 +7,66 @@
 SAMPLES_MIN_COUNT = 20
 USUAL_WEIGHT = 0.05
 USUAL_START_MS = 10.0
+SAME_TIME_SHARE = 0.98
+FIRST_WEIGHT = 0.02
+FIRST_SHARE_MIN = 0.4
+
+
+class StatedTimes:
+    """The time that callers of a kind state, to tell those that come back after a refusal.
+
+    A caller that comes back has less time left. That shows only where nearly all state the same
+    time at first.
+    """
+
+    __slots__ = ("_is_first_share", "_longest_ms")
+
+    def __init__(self) -> None:
+        self._longest_ms = 0.0
+        self._is_first_share = 0.0
+
+    def get_age_ms(self, stated_ms: float) -> float:
+        """Take in a stated time; return how long the caller has been waiting already."""
+        if stated_ms > self._longest_ms:
+            self._longest_ms = stated_ms
+            self._is_first_share = 0.0
+        is_first = stated_ms >= SAME_TIME_SHARE * self._longest_ms
+        self._is_first_share += FIRST_WEIGHT * (is_first - self._is_first_share)
+        if is_first or self._is_first_share < FIRST_SHARE_MIN:
+            return 0.0
+        return self._longest_ms - stated_ms
 
 
 class KindLatency:
     """The last ``WINDOW_COUNT`` latencies, and the smoothed one at the usual pace, in ms."""
 
-    __slots__ = ("_next", "_ordered", "_since_refresh", "_window", "usual_ms")
+    __slots__ = (
+        "_next",
+        "_ordered",
+        "_since_refresh",
+        "_usual_count",
+        "_window",
+        "stated",
+        "usual_ms",
+    )
 
     def __init__(self) -> None:
         self.usual_ms = USUAL_START_MS
+        self._usual_count = 0
+        self.stated = StatedTimes()
         self._window: list[float] = []
         self._ordered: list[float] = []
         self._next = 0
         self._since_refresh = 0
 
-    def add(self, latency_ms: float, *, pace: float = 1.0) -> None:
-        """Take in the latency of one good answer, got at ``pace`` times the usual time."""
-        # The clip keeps one straggler from making the usual latency look large.
-        clipped_ms = min(latency_ms / max(pace, 1.0), 4 * self.usual_ms)
-        self.usual_ms += USUAL_WEIGHT * (clipped_ms - self.usual_ms)
+    def add(self, latency_ms: float, *, pace: float = 1.0, is_crowded: bool = False) -> None:
+        """Take in the latency of one good answer, got at ``pace`` times the usual time.
+
+        ``is_crowded`` tells that the upstream was full: the time that the request waited there
+        must not count as its work, or under load nothing would seem to be answered in time.
+        """
+        if not is_crowded:
+            self._add_usual(latency_ms / max(pace, 1.0))
         if len(self._window) < WINDOW_COUNT:
             self._window.append(latency_ms)
         else:
@@ -36,6 +77,15 @@
             self._since_refresh = 0
             self._ordered = sorted(self._window)
 
+    def _add_usual(self, work_ms: float) -> None:
+        if self._usual_count == 0:
+            self.usual_ms = work_ms
+        self._usual_count += 1
+        # The clip keeps one straggler from making the usual latency look large.
+        clipped_ms = min(work_ms, 4 * self.usual_ms)
+        weight = max(USUAL_WEIGHT, 1 / self._usual_count)
+        self.usual_ms += weight * (clipped_ms - self.usual_ms)
+
     def get_quantile_ms(self, quantile: float) -> float | None:
         """Return a quantile of recent latencies, ``None`` while there are too few."""
         count = len(self._ordered)
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
 from coltsfootrill.balancer.admission import AdmissionQueue
@@ -26,6 +27,8 @@
 from coltsfootrill.balancer.load import note_start
 from coltsfootrill.balancer.load import note_straggle
 from coltsfootrill.balancer.load import note_success
+from coltsfootrill.balancer.occupancy import SlotUse
+from coltsfootrill.balancer.occupancy import count_known
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.balancer.retry import RetryBudget
 from coltsfootrill.manifest.model import Kind
@@ -33,11 +36,46 @@
 from coltsfootrill.manifest.table import may_serve
 from coltsfootrill.registry.directory import UpstreamRecord
 
+REPORT_HALF_LIFE_MS = 300.0
+# A request that a report has counted may have ended by now.
+SLOT_TOLERANCE = 0.25
+# Each instance sees what the others start only with the next report. Spare room is what is left
+# beyond a margin of slots, which grows while more than one report in five shows requests waiting.
+MARGIN_STEP_UP = 0.02
+MARGIN_STEP_DOWN = 0.005
+
+
+class Room:
+    """Where a request with a target may go.
+
+    An answer must be expected within ``within_ms``. With ``is_spare`` only upstreams without any
+    other request will do, so that late requests and second attempts take nothing from those that
+    can meet their target.
+    """
+
+    __slots__ = ("is_spare", "within_ms")
+
+    def __init__(self, *, within_ms: float = math.inf, is_spare: bool = False) -> None:
+        self.within_ms = within_ms
+        self.is_spare = is_spare
+
+
+ANY_ROOM = Room()
+
 
 class Claim:
     """One request in flight at one upstream; ended exactly once."""
 
-    __slots__ = ("kind_id", "load", "pace", "started_ms", "token", "usual_ms")
+    __slots__ = (
+        "kind_id",
+        "load",
+        "occupancy",
+        "pace",
+        "report_age_ms",
+        "started_ms",
+        "token",
+        "usual_ms",
+    )
 
     def __init__(
         self,
@@ -48,8 +86,12 @@
         started_ms: float,
         usual_ms: float,
         pace: float = 1.0,
+        occupancy: float = 1.0,
+        report_age_ms: float = 0.0,
     ) -> None:
+        self.report_age_ms = report_age_ms
         self.pace = pace
+        self.occupancy = occupancy
         self.load = load
         self.token = token
         self.kind_id = kind_id
@@ -62,16 +104,18 @@
 
     __slots__ = (
         "_policy",
-        "_random",
         "_retiring",
         "_turn",
         "_zone",
         "by_id",
         "has_worked",
         "latency_by_kind",
+        "margin",
         "queue",
+        "random",
         "retry_budget",
         "service_id",
+        "slot_use",
     )
 
     def __init__(
@@ -89,8 +133,10 @@
         self.latency_by_kind: dict[str, KindLatency] = {}
         self.queue = AdmissionQueue(queue_limit)
         self.retry_budget: AttemptBudget = budget or RetryBudget(service.retry_share)
+        self.slot_use = SlotUse()
+        self.margin = 0.0
         self._policy = policy
-        self._random = random
+        self.random = random
         self._zone = zone
         self._turn = 0
         self._retiring: list[UpstreamLoad] = []
@@ -136,12 +182,19 @@
         return latency
 
     def acquire(
-        self, kind: Kind, now_ms: float, *, exclude: frozenset[str], is_patient: bool = False
+        self,
+        kind: Kind,
+        now_ms: float,
+        *,
+        exclude: frozenset[str],
+        is_patient: bool = False,
+        room: Room = ANY_ROOM,
     ) -> Claim | None:
         """Choose an upstream and count the request as in flight there.
 
         Returns ``None`` when none is available. Upstreams in ``exclude`` are taken only if there
-        is no other. A patient request takes only upstreams that are expected to have a free slot.
+        is no other. A patient request takes only upstreams that are expected to have a free slot;
+        ``room`` tells where a request with a target may go, if the policy can tell.
         """
         available = [load for load in self.by_id.values() if is_available(load, now_ms)]
         usual_ms = self.get_latency(kind.id).usual_ms
@@ -152,17 +205,20 @@
                 if estimate_in_flight(load, now_ms, usual_ms=usual_ms) < load.slots
             ]
         preferred = [load for load in available if load.id not in exclude] or available
-        if not preferred:
-            return None
         self._turn += 1
         context = ChoiceContext(
             now_ms=now_ms,
-            random=self._random,
+            random=self.random,
             zone=self._zone,
             usual_ms=usual_ms,
             turn=self._turn,
         )
+        if kind.target_ms is not None:
+            preferred = self._list_suitable(preferred, context, room)
+        if not preferred:
+            return None
         load = self._policy.choose(preferred, context)
+        occupancy = 1 + count_known(load, now_ms, half_life_ms=REPORT_HALF_LIFE_MS)
         self.has_worked = True
         pace = load.pace if now_ms - load.pace_at_ms < PACE_HALF_LIFE_MS else 1.0
         note_start(load, token=self._turn, now_ms=now_ms, usual_ms=usual_ms * pace)
@@ -173,6 +229,35 @@
             started_ms=now_ms,
             usual_ms=usual_ms,
             pace=pace,
+            occupancy=occupancy,
+            report_age_ms=now_ms - load.reported_at_ms,
+        )
+
+    def _list_suitable(
+        self, loads: list[UpstreamLoad], context: ChoiceContext, room: Room
+    ) -> list[UpstreamLoad]:
+        """Return the upstreams with room that are expected to answer in time."""
+        expect = self._policy.expect
+        if expect is None:
+            return loads
+        suitable: list[UpstreamLoad] = []
+        for load in loads:
+            has_room = self._has_room(load, context.now_ms, is_spare=room.is_spare)
+            if has_room and expect(load, context) <= room.within_ms:
+                suitable.append(load)
+        return suitable
+
+    def _has_room(self, load: UpstreamLoad, now_ms: float, *, is_spare: bool) -> bool:
+        known = count_known(load, now_ms, half_life_ms=REPORT_HALF_LIFE_MS)
+        if is_spare:
+            return known + self.margin < 1 - SLOT_TOLERANCE
+        return known < self.slot_use.get_cap(load.slots) - SLOT_TOLERANCE
+
+    def has_room(self, now_ms: float) -> bool:
+        """Return whether some upstream is available and known to have a free slot."""
+        return any(
+            is_available(load, now_ms) and self._has_room(load, now_ms, is_spare=False)
+            for load in self.by_id.values()
         )
 
     def take_report(self, upstream_id: str, report: LoadReport, now_ms: float) -> None:
@@ -180,6 +265,7 @@
         load = self.by_id.get(upstream_id)
         if load is not None and now_ms > load.reported_at_ms:
             note_report(load, report, now_ms=now_ms)
+            self._note_crowding(report)
 
     def can_still_answer(self, kind: Kind, waiter: Waiter, now_ms: float) -> bool:
         """Return whether a waiter can be expected to meet its deadline."""
@@ -195,6 +281,7 @@
         """Count a whole answer without a server error."""
         if report is not None:
             note_report(claim.load, report, now_ms=now_ms)
+            self._note_crowding(report)
         if note_end(claim.load, token=claim.token) is None:
             return
         latency_ms = now_ms - claim.started_ms
@@ -202,13 +289,20 @@
         pace = claim.pace
         if report is not None and report.pace is not None:
             pace = max(pace, report.pace)
-        self.get_latency(claim.kind_id).add(latency_ms, pace=pace)
+        is_crowded = claim.occupancy > claim.load.slots - 0.5
+        self.get_latency(claim.kind_id).add(latency_ms, pace=pace, is_crowded=is_crowded)
+        self.slot_use.note(
+            occupancy=claim.occupancy,
+            slots=claim.load.slots,
+            share=latency_ms / max(claim.usual_ms * pace, 0.1),
+        )
         note_success(claim.load, latency_ms=latency_ms, usual_ms=claim.usual_ms * pace)
 
     def end_shed(self, claim: Claim, report: LoadReport | None, now_ms: float) -> None:
         """Count an explicit refusal for lack of capacity."""
         if report is not None:
             note_report(claim.load, report, now_ms=now_ms)
+            self._note_crowding(report)
         note_end(claim.load, token=claim.token)
         note_shed(claim.load, now_ms=now_ms)
 
@@ -230,6 +324,13 @@
             usual_ms = claim.usual_ms * claim.pace
             note_straggle(claim.load, waited_ms=waited_ms, usual_ms=usual_ms)
 
+    def _note_crowding(self, report: LoadReport) -> None:
+        """Leave the more slots free, the more often upstreams have requests waiting."""
+        if report.in_flight > report.slots:
+            self.margin = min(float(report.slots), self.margin + MARGIN_STEP_UP)
+        else:
+            self.margin = max(0.0, self.margin - MARGIN_STEP_DOWN)
+
     def _retire(self, load: UpstreamLoad | None) -> None:
         if load is not None and load.in_flight:
             self._retiring.append(load)
--- a/src/coltsfootrill/balancer/reported_load.py
+++ b/src/coltsfootrill/balancer/reported_load.py
@@ -28,10 +28,15 @@
 
 
 def expect_ms(load: UpstreamLoad, context: ChoiceContext) -> float:
+    """Return the expected time of the work alone in milliseconds."""
+    slowness = max(1.0, estimate_slowness(load, context.now_ms) / SLOWNESS_NOISE)
+    return context.usual_ms * max(estimate_pace(load, context.now_ms), slowness)
+
+
+def weigh_ms(load: UpstreamLoad, context: ChoiceContext) -> float:
     """Return the expected time to an answer in milliseconds, penalties included."""
     now_ms = context.now_ms
-    slowness = max(1.0, estimate_slowness(load, now_ms) / SLOWNESS_NOISE)
-    work_ms = context.usual_ms * max(estimate_pace(load, now_ms), slowness)
+    work_ms = expect_ms(load, context)
     in_flight = estimate_in_flight(load, now_ms, usual_ms=context.usual_ms)
     queued = max(0.0, in_flight + 1 - load.slots)
     last_slot = min(1.0, max(0.0, in_flight + 2 - load.slots))
@@ -46,7 +51,7 @@
 
 def choose(candidates: Sequence[UpstreamLoad], context: ChoiceContext) -> UpstreamLoad:
     """Return a candidate, by chance with weights that fall with the expected time."""
-    expected = [expect_ms(load, context) for load in candidates]
+    expected = [weigh_ms(load, context) for load in candidates]
     least_ms = min(expected)
     weights = [(least_ms / max(ms, 0.001)) ** STEEPNESS for ms in expected]
     return context.random.choices(candidates, weights)[0]
@@ -55,4 +60,4 @@
 @hookimpl
 def coltsfootrill_choice_policy() -> ChoicePolicy:
     """Return the policy ``reported-load``."""
-    return ChoicePolicy(name="reported-load", choose=choose)
+    return ChoicePolicy(name="reported-load", choose=choose, expect=expect_ms)
--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -95,14 +95,19 @@
 
 
 class Attempt(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """One attempt at an upstream: when it started after the arrival, and how it ended."""
+    """One attempt at an upstream: when it started after the arrival, and how it ended.
+
+    ``occupancy`` and ``pace`` are what was known of the upstream when it was chosen, the request
+    included, from a report of ``report_age_ms`` before.
+    """
 
     upstream: str
     after_ms: float
     took_ms: float
     result: str
     is_reused: bool = False
-    in_flight: float = 0
+    occupancy: float = 0
+    pace: float = 1.0
     report_age_ms: float = 0
 
 
--- a/src/coltsfootrill/platform/dialect.py
+++ b/src/coltsfootrill/platform/dialect.py
@@ -45,4 +45,5 @@
         seal="X-Server-Signature",
         not_run_statuses=frozenset({421}),
         promise_statuses=frozenset({408, 421, 429, 503}),
+        has_fractions=True,
     )
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -40,6 +40,8 @@
 from coltsfootrill.proxy.request import ProxyRequest
 from coltsfootrill.registry.source import UpstreamSource
 
+RETRY_AFTER_S = 0.3
+
 
 class _Visit:
     """What is known of one request when it ends."""
@@ -99,7 +101,7 @@
             answer = self._run(request, visit, visit.route, visit.service)
         except ProxyError as error:
             visit.message = str(error)
-            answer = make_error_answer(error)
+            answer = make_error_answer(error, has_fractions=self._dialect.has_fractions)
         answer.add_follow_up(lambda: self._count(visit, answer))
         return answer
 
@@ -158,12 +160,15 @@
                 "503 Service Unavailable",
                 "too-many-requests",
                 "this instance has too many requests in progress",
-                retry_after_s=1,
+                retry_after_s=RETRY_AFTER_S,
             )
         table = self._manifests.current
         if table is None:
             raise NotRunError(
-                "503 Service Unavailable", "no-manifest", "no manifest yet", retry_after_s=1
+                "503 Service Unavailable",
+                "no-manifest",
+                "no manifest yet",
+                retry_after_s=RETRY_AFTER_S,
             )
         headers = request.headers
         name = RequestName(
@@ -181,6 +186,7 @@
         depth = parse_depth(request.get_header(DEPTH_HEADER))
         if depth >= DEPTH_MAX:
             raise NotRunError("508 Loop Detected", "too-deep", f"calls go at most {DEPTH_MAX} deep")
+        gate = self.get_gate(service)
         proxied = ProxyRequest(
             method=request.method,
             target=request.target,
@@ -191,11 +197,12 @@
             depth=depth,
             is_marked=bool(request.get_header(RETRIED_HEADER)),
             watch=request.watch,
+            age_ms=self._get_age_ms(request, route, gate),
         )
         run = RequestRun(
             proxied,
             route,
-            self.get_gate(service),
+            gate,
             pools=self.pools,
             clock=self._clock,
             metrics=self._metrics,
@@ -206,6 +213,10 @@
         visit.deadline_ms = proxied.deadline_ms - proxied.arrived_ms
         return run.run()
 
+    def _get_age_ms(self, request: CallerRequest, route: Route, gate: ServiceGate) -> float:
+        stated_ms = parse_deadline_ms(request.get_header(self._dialect.deadline))
+        return 0.0 if stated_ms is None else gate.get_age_ms(route.kind, stated_ms)
+
     def _get_deadline_ms(self, request: CallerRequest, kind: Kind) -> float:
         text = request.get_header(self._dialect.deadline)
         if not text:
--- a/src/coltsfootrill/proxy/dialect.py
+++ b/src/coltsfootrill/proxy/dialect.py
@@ -22,11 +22,13 @@
     ``load`` states the upstream's load, and ``answered_by`` is the id of the upstream that answers
     a health check. Callers take an answer with one of the
     ``promise_statuses`` to say that the request was not run and never will be.
+    ``has_fractions`` tells that callers take parts of a second in ``Retry-After``.
     """
 
     __slots__ = (
         "answered_by",
         "deadline",
+        "has_fractions",
         "load",
         "name",
         "not_run",
@@ -52,7 +54,9 @@
         seal: str = "",
         not_run_statuses: frozenset[int] = frozenset(),
         promise_statuses: frozenset[int] = frozenset(),
+        has_fractions: bool = False,
     ) -> None:
+        self.has_fractions = has_fractions
         self.name = name
         self.deadline = deadline
         self.load = load
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -130,6 +130,7 @@
             deadline_ms=self._request.deadline_ms,
             exclude=frozenset(self._tried),
             is_gone=self._request.watch.is_gone,
+            age_ms=self._request.age_ms,
         )
         idle_max_ms = self._pools.get_idle_max_ms(is_idempotent=self._kind.idempotent)
         failure = self._start(claim, idle_max_ms=idle_max_ms)
@@ -351,7 +352,10 @@
             return failure.answer
         if not self._history.may_have_run:
             raise NotRunError(
-                "503 Service Unavailable", failure.kind, failure.message, retry_after_s=1
+                "503 Service Unavailable",
+                failure.kind,
+                failure.message,
+                retry_after_s=self._gate.get_retry_after_s(),
             )
         raise UnknownOutcomeError("502 Bad Gateway", failure.kind, failure.message)
 
@@ -392,6 +396,9 @@
                 after_ms=round(claim.started_ms - self._request.arrived_ms, 1),
                 took_ms=round(now_ms - claim.started_ms, 1),
                 result=result,
+                occupancy=round(claim.occupancy, 1),
+                pace=round(claim.pace, 2),
+                report_age_ms=round(claim.report_age_ms, 1),
             )
         )
 
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import itertools
+import math
 import threading
 from collections.abc import Callable
 from collections.abc import Sequence
 
 from coltsfootrill.balancer.admission import Waiter
 from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.balancer.pool import ANY_ROOM
 from coltsfootrill.balancer.pool import Claim
+from coltsfootrill.balancer.pool import Room
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.report_book import ReportEntry
 from coltsfootrill.balancer.retry import AttemptHistory
@@ -22,9 +25,15 @@
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.registry.source import UpstreamSource
 
-WAIT_SLICE_MS = 10.0
+WAIT_SLICE_MS = 20.0
+GRANT_PAUSE_MS = 15.0
 CONFIRM_EVERY_MS = 300.0
-RETRY_AFTER_S = 1
+RETRY_AFTER_S = 0.5
+RETRY_SOON_S = 0.04
+# A request that has missed its target waits for this share of its time, then its caller decides.
+LATE_WAIT_SHARE = 0.25
+# Expected times are not exact: somewhat more than the time left may still do.
+TARGET_SLACK = 1.15
 
 _orders = itertools.count()
 
@@ -64,6 +73,7 @@
         # No lease known at the last update ends before this time.
         self._next_end_ms = 0.0
         self._tickets: dict[int, _Ticket] = {}
+        self._granted_ms = float("-inf")
 
     def acquire(
         self,
@@ -74,34 +84,59 @@
         deadline_ms: float,
         exclude: frozenset[str],
         is_gone: Callable[[], bool],
+        age_ms: float = 0.0,
     ) -> Claim:
-        """Return an upstream for one attempt; raise ``NotRunError`` when there is none in time."""
-        urgent_at_ms = arrived_ms + (kind.latest_ms or 0)
+        """Return an upstream for one attempt; raise ``NotRunError`` when there is none in time.
+
+        ``age_ms`` is how long the caller had been waiting when the request arrived.
+        """
         with self._lock:
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
-            waiter = Waiter(
-                priority=kind.priority,
-                deadline_ms=deadline_ms,
-                urgent_at_ms=urgent_at_ms,
-                order=next(_orders),
-            )
+            waiter = self._make_waiter(kind, arrived_ms, deadline_ms, age_ms)
             ticket = _Ticket(waiter, kind, exclude)
             if not self._tickets and self._try_grant(ticket, now_ms):
                 assert ticket.claim is not None
                 return ticket.claim
             self._enqueue(ticket, now_ms)
-            self._grant_waiting(now_ms)
+            self._grant_by_reports(now_ms)
             if ticket.claim is not None:
                 return ticket.claim
         return self._wait(service, ticket, is_gone)
 
+    def get_age_ms(self, kind: Kind, stated_ms: float) -> float:
+        """Return how long a caller that states the time it has left has been waiting already."""
+        with self._lock:
+            return self._pool.get_latency(kind.id).stated.get_age_ms(stated_ms)
+
+    def _make_waiter(
+        self, kind: Kind, arrived_ms: float, deadline_ms: float, age_ms: float
+    ) -> Waiter:
+        target_at_ms = math.inf
+        give_up_ms = math.inf
+        if kind.target_ms is not None:
+            target_at_ms = arrived_ms + kind.target_ms - age_ms
+            give_up_ms = arrived_ms + LATE_WAIT_SHARE * (deadline_ms - arrived_ms)
+        return Waiter(
+            priority=kind.priority,
+            deadline_ms=deadline_ms,
+            urgent_at_ms=arrived_ms + (kind.latest_ms or 0),
+            order=next(_orders),
+            rank=kind.rank,
+            target_at_ms=target_at_ms,
+            work_ms=self._pool.get_latency(kind.id).usual_ms,
+            give_up_ms=give_up_ms,
+        )
+
     def try_acquire(self, service: Service, kind: Kind, *, exclude: frozenset[str]) -> Claim | None:
         """Return an upstream outside ``exclude`` without waiting, ``None`` when there is none."""
         with self._lock:
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
-            claim = self._pool.acquire(kind, now_ms, exclude=exclude)
+            if self._tickets:
+                # Requests that have no upstream yet come before second attempts.
+                return None
+            claim = self._pool.acquire(kind, now_ms, exclude=exclude, room=Room(is_spare=True))
             if claim is not None and claim.load.id in exclude and len(self._pool.by_id) > 1:
                 self._pool.end_abandoned(claim, now_ms, is_slow=False)
                 return None
@@ -135,6 +170,14 @@
         with self._lock:
             return self._pool.get_latency(kind.id).get_quantile_ms(quantile)
 
+    def get_retry_after_s(self) -> float:
+        """Return when a caller that is refused now may find room."""
+        with self._lock:
+            if not self._tickets and self._pool.has_room(self._clock.now_ms()):
+                return RETRY_SOON_S
+            # Spread, so that those refused together do not come back together.
+            return RETRY_AFTER_S * (0.5 + self._pool.random.random())
+
     def get_usual_ms(self, kind: Kind) -> float:
         """Return the smoothed latency of a kind at the usual pace of upstreams."""
         with self._lock:
@@ -145,6 +188,7 @@
         with self._lock:
             for entry in reports:
                 self._pool.take_report(entry.upstream_id, entry.report, now_ms - entry.age_ms)
+            self._grant_by_reports(now_ms)
 
     def end_answered(self, claim: Claim, report: LoadReport | None, ended_ms: float) -> None:
         """Count an answer that was whole at ``ended_ms`` and let the next waiter in."""
@@ -200,7 +244,7 @@
             self._update_pool(service, now_ms)
             if self._pool.has_worked:
                 self._pool.eject_outliers(now_ms)
-            self._grant_waiting(now_ms)
+            self._grant_by_reports(now_ms)
 
     def _update_pool(self, service: Service, now_ms: float) -> None:
         """Take in upstreams and leases that have changed."""
@@ -218,19 +262,25 @@
         waiter = ticket.waiter
         is_patient = waiter.priority == "deferrable" and now_ms < waiter.urgent_at_ms
         ticket.claim = self._pool.acquire(
-            ticket.kind, now_ms, exclude=ticket.exclude, is_patient=is_patient
+            ticket.kind,
+            now_ms,
+            exclude=ticket.exclude,
+            is_patient=is_patient,
+            room=_find_room(ticket, now_ms),
         )
         return ticket.claim is not None
 
     def _enqueue(self, ticket: _Ticket, now_ms: float) -> None:
         waiter = ticket.waiter
         if not self._pool.by_id:
-            raise _refuse("no-upstream", "no upstream of this service is serving")
+            raise self._refuse("no-upstream", "no upstream of this service is serving")
         if not self._pool.can_still_answer(ticket.kind, waiter, now_ms):
-            raise _refuse("overloaded", "the queue is too long for the deadline of this request")
+            raise self._refuse(
+                "overloaded", "the queue is too long for the deadline of this request"
+            )
         evicted = self._pool.queue.add(waiter, now_ms=now_ms)
         if evicted is waiter:
-            raise _refuse("queue-full", "the queue of this service is full")
+            raise self._refuse("queue-full", "the queue of this service is full")
         self._tickets[waiter.order] = ticket
         if evicted is not None:
             loser = self._tickets.pop(evicted.order)
@@ -247,29 +297,54 @@
                 if ticket.claim is None and not ticket.is_evicted:
                     # Pauses and ejections end by time alone, with no other thread to notice.
                     self._update_pool(service, now_ms)
-                    self._grant_waiting(now_ms)
+                    self._grant_by_reports(now_ms)
                 if ticket.claim is not None:
                     return ticket.claim
                 if ticket.is_evicted:
-                    raise _refuse("queue-full", "more urgent requests took the place of this one")
-                if now_ms >= waiter.deadline_ms or is_gone():
+                    raise self._refuse(
+                        "queue-full", "more urgent requests took the place of this one"
+                    )
+                if now_ms >= waiter.deadline_ms or waiter.is_hopeless(now_ms) or is_gone():
                     self._pool.queue.remove(waiter)
                     self._tickets.pop(waiter.order, None)
-                    raise _refuse("deadline", "no upstream was free before the deadline")
+                    raise self._refuse("deadline", "no upstream was free in time")
+
+    def _refuse(self, reason: str, message: str) -> NotRunError:
+        """Return the refusal of a request that has no upstream. Called with the lock held."""
+        wait_s = RETRY_AFTER_S * (0.5 + self._pool.random.random())
+        return NotRunError("503 Service Unavailable", reason, message, retry_after_s=wait_s)
 
     def _grant_waiting(self, now_ms: float) -> None:
         """Let waiters in, the most urgent first, while there are upstreams for them."""
-        while True:
-            waiter = self._pool.queue.get_next(now_ms)
-            if waiter is None:
-                return
-            ticket = self._tickets[waiter.order]
-            if not self._try_grant(ticket, now_ms):
-                return
-            self._pool.queue.remove(waiter)
-            del self._tickets[waiter.order]
-            ticket.woken.set()
-
-
-def _refuse(reason: str, message: str) -> NotRunError:
-    return NotRunError("503 Service Unavailable", reason, message, retry_after_s=RETRY_AFTER_S)
+        # A slow upstream is no use to a request that can meet its target, but to a late one.
+        for is_late in (False, True):
+            while self._grant_next(now_ms, is_late=is_late):
+                pass
+
+    def _grant_by_reports(self, now_ms: float) -> None:
+        """Let waiters in where reports, which all instances have, show room."""
+        if self._tickets and now_ms - self._granted_ms >= GRANT_PAUSE_MS:
+            self._granted_ms = now_ms
+            self._grant_waiting(now_ms)
+
+    def _grant_next(self, now_ms: float, *, is_late: bool) -> bool:
+        waiter = self._pool.queue.get_next(now_ms, is_late=is_late)
+        if waiter is None:
+            return False
+        ticket = self._tickets[waiter.order]
+        if not self._try_grant(ticket, now_ms):
+            return False
+        self._pool.queue.remove(waiter)
+        del self._tickets[waiter.order]
+        ticket.woken.set()
+        return True
+
+
+def _find_room(ticket: _Ticket, now_ms: float) -> Room:
+    """Return where a waiting request may go."""
+    waiter = ticket.waiter
+    if ticket.kind.target_ms is None:
+        return ANY_ROOM
+    if waiter.is_late(now_ms):
+        return Room(is_spare=True)
+    return Room(within_ms=TARGET_SLACK * (waiter.target_at_ms - now_ms))
--- a/src/coltsfootrill/proxy/outcome.py
+++ b/src/coltsfootrill/proxy/outcome.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable
 from typing import Literal
 
@@ -60,7 +61,7 @@
     outcome: Outcome = "unknown"
 
     def __init__(
-        self, status: str, reason: str, message: str, *, retry_after_s: int | None = None
+        self, status: str, reason: str, message: str, *, retry_after_s: float | None = None
     ) -> None:
         super().__init__(message)
         self.status = status
@@ -80,14 +81,18 @@
     outcome: Outcome = "unknown"
 
 
-def make_error_answer(error: ProxyError) -> Answer:
-    """Return the answer that tells a caller of ``error``."""
+def make_error_answer(error: ProxyError, *, has_fractions: bool = False) -> Answer:
+    """Return the answer that tells a caller of ``error``.
+
+    HTTP knows whole seconds to wait only; ``has_fractions`` is for callers that take parts.
+    """
     body = json.dumps(
         {"outcome": error.outcome, "reason": error.reason, "message": str(error)}
     ).encode()
     headers: list[Header] = [("Content-Type", "application/json")]
     if error.retry_after_s is not None:
-        headers.append(("Retry-After", str(error.retry_after_s)))
+        wait_s = error.retry_after_s if has_fractions else math.ceil(error.retry_after_s)
+        headers.append(("Retry-After", f"{wait_s:.3g}"))
     return Answer(
         status=error.status,
         headers=headers,
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -8,9 +8,13 @@
 
 
 class ProxyRequest:
-    """One request of a caller, whole. ``headers`` have waitress's upper-case names."""
+    """One request of a caller, whole. ``headers`` have waitress's upper-case names.
+
+    ``age_ms`` is how long the caller had been waiting when the request arrived.
+    """
 
     __slots__ = (
+        "age_ms",
         "arrived_ms",
         "body",
         "deadline_ms",
@@ -34,7 +38,9 @@
         depth: int,
         is_marked: bool,
         watch: CallerWatch,
+        age_ms: float = 0.0,
     ) -> None:
+        self.age_ms = age_ms
         self.method = method
         self.target = target
         self.headers = headers
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -121,7 +121,8 @@
             return True
         with self._lock:
             connections = list(self._connections)
-        if any(connection.is_busy for connection in connections):
+        # A request counts as in progress until its answer has been followed up.
+        if self._in_progress or any(connection.is_busy for connection in connections):
             return False
         return not connections or elapsed_ms >= idle_ms
 
--- /dev/null
+++ b/testing/balancer/test_overload.py
@@ -0,0 +1,198 @@
+"""Demand above capacity that lasts: late requests and second attempts must not keep it up.
+
+A burst fills every upstream with requests that have missed their target. Unless requests that can
+still meet it go first, the fleet serves everybody too late long after the burst has ended.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from coltsfootrill.balancer.admission import AdmissionQueue
+from coltsfootrill.balancer.admission import Waiter
+from coltsfootrill.balancer.latency import KindLatency
+from coltsfootrill.balancer.latency import StatedTimes
+from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.balancer.occupancy import SlotUse
+from coltsfootrill.balancer.pool import Room
+from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.reported_load import coltsfootrill_choice_policy
+from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Service
+from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.directory import UpstreamRecord
+
+NOW_MS = 10_000.0
+WORK_MS = 100.0
+
+
+def _waiter(order: int, **changes: Any) -> Waiter:
+    fields: dict[str, Any] = {
+        "priority": "normal",
+        "deadline_ms": 3_000.0,
+        "urgent_at_ms": 0.0,
+        "order": order,
+        "target_at_ms": 400.0,
+        "work_ms": WORK_MS,
+        "give_up_ms": 750.0,
+    }
+    return Waiter(**(fields | changes))
+
+
+class TestOrder:
+    def test_a_request_that_can_meet_its_target_goes_before_a_late_one(self) -> None:
+        queue = AdmissionQueue(10)
+        late = _waiter(1, target_at_ms=50.0)
+        on_time = _waiter(2)
+        queue.add(late, now_ms=0)
+        queue.add(on_time, now_ms=0)
+        assert queue.get_next(0) is on_time
+        assert queue.get_next(0, is_late=True) is late
+
+    def test_among_those_on_time_the_newest_goes_first_and_among_late_the_oldest(self) -> None:
+        queue = AdmissionQueue(10)
+        waiters = [_waiter(order) for order in range(3)]
+        for waiter in waiters:
+            queue.add(waiter, now_ms=0)
+        assert queue.get_next(0) is waiters[2]
+        assert queue.get_next(350) is waiters[0]
+
+    def test_a_less_urgent_kind_waits_for_a_more_urgent_one(self) -> None:
+        queue = AdmissionQueue(10)
+        urgent = _waiter(1, rank=1)
+        queue.add(urgent, now_ms=0)
+        queue.add(_waiter(2, rank=2), now_ms=0)
+        assert queue.get_next(0) is urgent
+
+    @pytest.mark.parametrize(("now_ms", "expected"), [(200, False), (350, False), (760, True)])
+    def test_a_late_request_is_told_to_come_back_after_a_part_of_its_time(
+        self, now_ms: float, expected: bool
+    ) -> None:
+        assert _waiter(1).is_hopeless(now_ms) is expected
+
+    def test_what_cannot_be_answered_before_its_deadline_is_refused(self) -> None:
+        assert _waiter(1, deadline_ms=390.0).is_hopeless(300)
+
+
+class Fleet:
+    """One pool with upstreams of three slots, and the reports that all instances see."""
+
+    def __init__(self, count: int = 4) -> None:
+        self.kind = Kind(
+            id="k", names=["web:a/x/"], idempotent=True, deadline_ms=3_000, target_ms=400
+        )
+        service = Service(id="work", upstreams=["*"], kinds=[self.kind])
+        self.pool = ServicePool(
+            service,
+            policy=coltsfootrill_choice_policy(),
+            random=Random(3),
+            zone="z1",
+            queue_limit=8,
+        )
+        records = [_record(f"u{number}") for number in range(count)]
+        self.pool.update(service, records, 0)
+        self.pool.get_latency("k").add(WORK_MS)
+
+    def report(self, upstream_id: str, in_flight: int, *, pace: float = 1.0, at_ms: float) -> None:
+        report = LoadReport(in_flight=in_flight, slots=3, state="serving", pace=pace)
+        self.pool.take_report(upstream_id, report, at_ms)
+
+    def report_all(self, in_flight: int, *, at_ms: float = NOW_MS) -> None:
+        for upstream_id in self.pool.by_id:
+            self.report(upstream_id, in_flight, at_ms=at_ms)
+
+    def may_start(self, room: Room) -> bool:
+        return self.pool.acquire(self.kind, NOW_MS, exclude=frozenset(), room=room) is not None
+
+
+def _record(upstream_id: str) -> UpstreamRecord:
+    announcement = Announcement(
+        id=upstream_id,
+        incarnation=1,
+        sequence=1,
+        address="10.0.0.1:80",
+        zone="z1",
+        services=["work"],
+        slots=3,
+        state="serving",
+    )
+    return UpstreamRecord(announcement, origin="", evidence_ms=0, lease_ms=float("inf"))
+
+
+class TestRoom:
+    def test_late_requests_leave_slots_to_those_that_can_meet_their_target(self) -> None:
+        fleet = Fleet()
+        fleet.report_all(1)
+        assert not fleet.may_start(Room(is_spare=True))
+        assert fleet.may_start(Room(within_ms=400))
+
+    def test_late_requests_use_what_nobody_needs(self) -> None:
+        fleet = Fleet()
+        fleet.report_all(0)
+        assert fleet.may_start(Room(is_spare=True))
+
+    def test_nothing_is_sent_to_upstreams_that_are_known_to_be_full(self) -> None:
+        fleet = Fleet()
+        fleet.report_all(3)
+        assert not fleet.may_start(Room(within_ms=400))
+
+    def test_a_request_waits_for_an_upstream_that_can_meet_its_target(self) -> None:
+        fleet = Fleet(count=1)
+        fleet.report("u0", 0, pace=7, at_ms=NOW_MS)
+        assert not fleet.may_start(Room(within_ms=400))
+        assert fleet.may_start(Room(is_spare=True))
+
+    def test_requests_waiting_at_upstreams_take_spare_room_away_and_it_comes_back(self) -> None:
+        fleet = Fleet()
+        for step in range(20):
+            fleet.report_all(5, at_ms=NOW_MS - 100 + step)
+        fleet.report_all(0)
+        assert fleet.pool.margin > 1
+        assert not fleet.may_start(Room(is_spare=True))
+        for step in range(200):
+            fleet.report_all(0, at_ms=NOW_MS + step)
+        assert fleet.pool.margin == 0
+
+    def test_an_old_report_of_a_full_upstream_is_not_believed_for_ever(self) -> None:
+        fleet = Fleet()
+        fleet.report_all(9, at_ms=NOW_MS - 3_000)
+        assert fleet.may_start(Room(within_ms=400))
+
+
+class TestWhatIsLearnt:
+    def test_time_spent_waiting_at_a_full_upstream_is_not_taken_for_work(self) -> None:
+        latency = KindLatency()
+        for _ in range(50):
+            latency.add(WORK_MS)
+            latency.add(9 * WORK_MS, is_crowded=True)
+        assert latency.usual_ms == pytest.approx(WORK_MS)
+
+    def test_the_first_answers_tell_the_usual_time_at_once(self) -> None:
+        latency = KindLatency()
+        latency.add(400)
+        assert latency.usual_ms == 400
+
+    def test_the_last_slot_is_given_up_when_it_costs_work_done(self) -> None:
+        use = SlotUse()
+        for _ in range(100):
+            use.note(occupancy=3, slots=3, share=1.7)
+            use.note(occupancy=1, slots=3, share=1.0)
+        assert use.get_cap(3) == 2
+        for _ in range(100):
+            use.note(occupancy=3, slots=3, share=1.0)
+        assert use.get_cap(3) == 3
+
+    def test_a_caller_that_comes_back_shows_by_the_time_it_has_left(self) -> None:
+        stated = StatedTimes()
+        for _ in range(100):
+            assert stated.get_age_ms(3_000) == 0
+        assert stated.get_age_ms(2_000) == 1_000
+
+    def test_callers_that_state_all_kinds_of_times_tell_nothing(self) -> None:
+        stated = StatedTimes()
+        random = Random(1)
+        ages = [stated.get_age_ms(random.uniform(100, 3_000)) for _ in range(200)]
+        assert set(ages) == {0.0}
