--- /dev/null
+++ b/testing/control/test_recovery.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from coltsfootrill.clock import ManualClock
+from coltsfootrill.control.acceptor import RECOVERY_PAUSE_MS
+from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.acceptor import CannotVoteError
+from coltsfootrill.control.files import FileLayer
+from coltsfootrill.control.founding import found
+from coltsfootrill.control.founding import read_founders
+from coltsfootrill.control.messages import Ballot
+from coltsfootrill.control.messages import ControlState
+from coltsfootrill.control.messages import Inspect
+from coltsfootrill.control.messages import Prepare
+from coltsfootrill.control.messages import Replica
+from coltsfootrill.control.replacement import ReplicaChange
+from coltsfootrill.control.replacement import replace_replica
+from coltsfootrill.control.submission import submit_manifest
+from testing.control.cluster import FOLDER
+from testing.control.cluster import Cluster
+
+
+class TestFullDisk:
+    def test_a_replica_votes_again_once_its_disk_takes_writes(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        clock = ManualClock(1_000)
+        disk = cluster.disks["a"]
+        acceptor = Acceptor(FOLDER / "a", files=disk, clock=clock)
+        acceptor.load()
+        disk.is_full = True
+        with pytest.raises(CannotVoteError):
+            acceptor.prepare(Prepare(1, Ballot(90, "b")))
+        with pytest.raises(CannotVoteError):
+            acceptor.prepare(Prepare(1, Ballot(91, "b")))
+        disk.is_full = False
+        clock.advance(RECOVERY_PAUSE_MS)
+        promise = acceptor.prepare(Prepare(1, Ballot(92, "b")))
+        assert promise.is_granted
+        assert promise.state is not None
+        assert promise.state.manifest == b"one"
+
+    def test_what_was_promised_before_still_holds_after_it(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        clock = ManualClock(1_000)
+        disk = cluster.disks["a"]
+        acceptor = Acceptor(FOLDER / "a", files=disk, clock=clock)
+        acceptor.load()
+        assert acceptor.prepare(Prepare(1, Ballot(90, "b"))).is_granted
+        disk.is_full = True
+        with pytest.raises(CannotVoteError):
+            acceptor.prepare(Prepare(1, Ballot(95, "c")))
+        disk.is_full = False
+        clock.advance(RECOVERY_PAUSE_MS)
+        assert not acceptor.prepare(Prepare(1, Ballot(89, "c"))).is_granted
+        assert acceptor.inspect(Inspect("b", Ballot(0, ""))).state is not None
+
+    def test_two_replicas_with_full_disks_at_a_time_lose_nothing(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        for name in "ab":
+            cluster.disks[name].is_full = True
+        with pytest.raises(Exception, match="majority|confirmed"):
+            cluster.submit("c", 2, "two", timeout_ms=300)
+        for name in "ab":
+            cluster.disks[name].is_full = False
+        assert cluster.submit("c", 3, "three", timeout_ms=8_000).result == "accepted"
+        assert cluster.read("a").manifest == b"three"
+
+
+def _make_state(version: int = 0) -> ControlState:
+    replicas = {name: Replica(name, "k") for name in "abc"}
+    return ControlState(1, 1, replicas, version, "d", b"raw", [], [], 0)
+
+
+class TestAdding:
+    def test_a_replica_is_added_to_the_others_once(self) -> None:
+        change = ReplicaChange(old_id=None, new_id="d", address="d", key="k", operator="repair")
+        state, answer = replace_replica(_make_state(), change, wall_ms=0)
+        assert (answer.result, answer.epoch, sorted(state.replicas)) == (
+            "replaced",
+            2,
+            ["a", "b", "c", "d"],
+        )
+        again, answer = replace_replica(state, change, wall_ms=0)
+        assert (answer.result, again) == ("replaced", state)
+
+    def test_an_address_that_votes_already_is_not_added(self) -> None:
+        change = ReplicaChange(old_id=None, new_id="d", address="b", key="k", operator="repair")
+        assert replace_replica(_make_state(), change, wall_ms=0)[1].result == "refused"
+
+
+class TestBaseVersion:
+    @pytest.mark.parametrize(
+        ("base", "result"), [(5, "accepted"), (None, "accepted"), (4, "conflict"), (6, "conflict")]
+    )
+    def test_a_manifest_is_accepted_on_top_of_the_one_in_force_only(
+        self, base: int | None, result: str
+    ) -> None:
+        _, answer = submit_manifest(
+            _make_state(5),
+            version=7,
+            digest="e",
+            manifest=b"new",
+            operator="o",
+            wall_ms=0,
+            base_version=base,
+        )
+        assert answer.result == result
+
+
+class TestFounding:
+    def test_the_first_replica_set_outlives_changed_seeds(self, tmp_path: Path) -> None:
+        files = FileLayer()
+        assert read_founders(tmp_path / "control", files=files) is None
+        found(tmp_path / "control", {"a": "10.0.0.1:1"}, files=files)
+        assert read_founders(tmp_path / "control", files=files) == {"a": "10.0.0.1:1"}
