Spend the budget on second attempts only where they can still help

Change: a second attempt goes only where an answer is expected by the target, never to the upstream already asked, and costs budget only then; a kind with a target is silent after three times that, until its quantiles are known.

--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -238,7 +238,10 @@
     def _get_silence_ms(self) -> float:
         """Return how long a connection may make no progress before it is doubted."""
         usual_ms = self._gate.get_quantile_ms(self._kind, SILENCE_QUANTILE)
-        return max(SILENCE_MIN_MS, SILENCE_FACTOR * (usual_ms or SILENCE_MIN_MS))
+        if usual_ms is None:
+            # Too few answers yet; a slow kind must not look silent until there are enough.
+            usual_ms = float(self._kind.target_ms or SILENCE_MIN_MS)
+        return max(SILENCE_MIN_MS, SILENCE_FACTOR * usual_ms)
 
     def _start_extra(self) -> None:
         attempt = self._open[0]
@@ -247,18 +250,31 @@
         )
         if is_silent:
             self._doubt(attempt)
+        exclude = frozenset() if is_silent else frozenset(self._tried)
+        within_ms = math.inf if is_silent else self._get_target_left_ms()
+        claim = self._gate.try_acquire(
+            self._service, self._kind, exclude=exclude, within_ms=within_ms
+        )
+        if claim is None:
+            return
+        # The budget is spent only where there is room for the attempt.
+        if is_silent:
             is_allowed = self._gate.may_retry(self._history, "lost", self._kind)
         else:
             is_allowed = self._gate.may_hedge(self._history, self._kind)
         if not is_allowed:
-            return
-        exclude = frozenset() if is_silent else frozenset(self._tried)
-        claim = self._gate.try_acquire(self._service, self._kind, exclude=exclude)
-        if claim is None:
+            self._gate.end_abandoned(claim, is_slow=False)
             return
         self._count_extra("silent" if is_silent else "hedge")
         self._start(claim, idle_max_ms=0.0 if is_silent else math.inf)
 
+    def _get_target_left_ms(self) -> float:
+        """Return the time left until the target; a second attempt that misses it is no use."""
+        if self._kind.target_ms is None:
+            return math.inf
+        request = self._request
+        return request.arrived_ms - request.age_ms + self._kind.target_ms - self._clock.now_ms()
+
     def _poll(self, timeout_ms: float) -> list[_Attempt]:
         """Return the attempts whose answer begins within ``timeout_ms``.
 
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -128,16 +128,27 @@
             give_up_ms=give_up_ms,
         )
 
-    def try_acquire(self, service: Service, kind: Kind, *, exclude: frozenset[str]) -> Claim | None:
-        """Return an upstream outside ``exclude`` without waiting, ``None`` when there is none."""
+    def try_acquire(
+        self,
+        service: Service,
+        kind: Kind,
+        *,
+        exclude: frozenset[str],
+        within_ms: float = math.inf,
+    ) -> Claim | None:
+        """Return an upstream outside ``exclude`` without waiting, ``None`` when there is none.
+
+        It is expected to answer within ``within_ms``, as far as the policy can tell.
+        """
+        room = Room(within_ms=TARGET_SLACK * within_ms, is_spare=True)
         with self._lock:
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
             if self._tickets:
                 # Requests that have no upstream yet come before second attempts.
                 return None
-            claim = self._pool.acquire(kind, now_ms, exclude=exclude, room=Room(is_spare=True))
-            if claim is not None and claim.load.id in exclude and len(self._pool.by_id) > 1:
+            claim = self._pool.acquire(kind, now_ms, exclude=exclude, room=room)
+            if claim is not None and claim.load.id in exclude:
                 self._pool.end_abandoned(claim, now_ms, is_slow=False)
                 return None
             return claim
--- a/testing/balancer/test_overload.py
+++ b/testing/balancer/test_overload.py
@@ -196,3 +196,11 @@
         random = Random(1)
         ages = [stated.get_age_ms(random.uniform(100, 3_000)) for _ in range(200)]
         assert set(ages) == {0.0}
+
+
+class TestSecondAttempts:
+    def test_none_goes_to_an_upstream_that_cannot_meet_the_target_either(self) -> None:
+        fleet = Fleet(count=2)
+        fleet.report("u0", 0, pace=7, at_ms=NOW_MS)
+        fleet.report("u1", 1, at_ms=NOW_MS)
+        assert not fleet.may_start(Room(within_ms=200, is_spare=True))
--- a/testing/proxy/test_dialect.py
+++ b/testing/proxy/test_dialect.py
@@ -216,3 +216,19 @@
         serve(reply_with(b"quick"), "u3")
         bodies = [_call(instance, "/aimed").body for _ in range(5)]
         assert bodies.count(b"quick") >= 4
+
+    def test_the_budget_is_not_spent_where_there_is_no_second_upstream(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        def slow(sock: socket.socket, head: bytes, number: int) -> bool:
+            time.sleep(0.5)
+            return reply_with()(sock, head, number)
+
+        serve(slow)
+        for _ in range(6):
+            assert _call(instance, "/aimed").status == 200
+        gate = instance.app.gates_by_service["work"]
+        tokens: list[float] = []
+        gate.read_pool(lambda pool, now_ms: tokens.append(pool.retry_budget.tokens))
+        # Six first attempts earned 0.2 each on top of three.
+        assert tokens[0] > 4
