--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -119,6 +119,7 @@
         self._lost_since_ms: float | None = None
         self._stopping = threading.Event()
         self._fetching = threading.Lock()
+        self._repair: RepairTask | None = None
         listen: Address = settings.get("fleet", "listen")
         self._own_address = str(listen)
         data = settings.get("instance", "data")
@@ -150,13 +151,16 @@
         else:
             self._replica.start(self._credentials.server)
             start_task("sync", self._keep_in_sync)
-            start_task("repair", self._make_repair(self._replica).run)
+            self._repair = self._make_repair(self._replica)
+            start_task("repair", self._repair.run)
         self._following.update_tasks()
 
     def stop(self) -> None:
         """Tell the hubs that this node leaves, and stop."""
         self._record = msgspec.structs.replace(self._record, is_leaving=True)
         self._stopping.set()
+        if self._repair is not None:
+            self._repair.stop()
         self._following.stop()
         self._server.stop(grace_ms=GOODBYE_MS)
 
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -99,6 +99,10 @@
         headers: dict[str, Any] = {"Host": "a.example", "X_Attempt_Id": "q1"}
         return self.call("callers", "POST", "/x/1", b"order", **headers)[0]
 
+    def end_is_clean(self) -> bool:
+        """Return whether no task of the process failed."""
+        return "task failed" not in self._log.read_text()
+
     def list_events(self, name: str) -> list[dict[str, Any]]:
         events = []
         for line in self._log.read_text().splitlines():
@@ -219,6 +223,11 @@
         assert node.end(signal.SIGTERM) == 0
         assert [event["cut"] for event in node.list_events("stopped")] == [0]
         assert len(node.list_events("stopping")) == 1
+        assert node.end_is_clean()
+        voter = fleet.nodes[0]
+        assert voter.end(signal.SIGTERM) == 0
+        assert voter.end_is_clean()
+        voter.start(is_first=False)
         node.start(is_first=False)
 
 
