--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -22,11 +22,11 @@
 from coltsfootrill.roles.control import ControlRole
 from coltsfootrill.roles.entry import EntryRole
 from coltsfootrill.roles.node import NodeRole
-from coltsfootrill.settings import CONTROL_SETTINGS
-from coltsfootrill.settings import ENTRY_SETTINGS
-from coltsfootrill.settings import NODE_SETTINGS
 from coltsfootrill.settings import InvalidSettingsError
 from coltsfootrill.settings import Settings
+from coltsfootrill.settings_catalog import CONTROL_SETTINGS
+from coltsfootrill.settings_catalog import ENTRY_SETTINGS
+from coltsfootrill.settings_catalog import NODE_SETTINGS
 
 _SETTINGS_BY_ROLE = {
     "entry": ENTRY_SETTINGS,
--- a/src/coltsfootrill/operators/commands.py
+++ b/src/coltsfootrill/operators/commands.py
@@ -22,11 +22,11 @@
 from coltsfootrill.operators.output import print_error
 from coltsfootrill.operators.output import print_json
 from coltsfootrill.operators.output import print_table
-from coltsfootrill.settings import CONTROL_SETTINGS
-from coltsfootrill.settings import ENTRY_SETTINGS
-from coltsfootrill.settings import NODE_SETTINGS
 from coltsfootrill.settings import Address
 from coltsfootrill.settings import parse_address
+from coltsfootrill.settings_catalog import CONTROL_SETTINGS
+from coltsfootrill.settings_catalog import ENTRY_SETTINGS
+from coltsfootrill.settings_catalog import NODE_SETTINGS
 
 STATUS_POLL_S = 0.2
 
--- /dev/null
+++ b/src/coltsfootrill/roles/hub_calls.py
@@ -0,0 +1,139 @@
+"""Calls of a node to the hubs: what it cannot do itself, one that is current does."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import as_completed
+from random import Random
+from typing import TypeVar
+
+from coltsfootrill.control.messages import ReadReply
+from coltsfootrill.control.messages import ReadRequest
+from coltsfootrill.control.messages import SubmitReply
+from coltsfootrill.control.messages import SubmitRequest
+from coltsfootrill.control.proposer import NoQuorumError
+from coltsfootrill.control.replica import READ
+from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.membership.following import SHARE
+from coltsfootrill.membership.following import HubFollowing
+from coltsfootrill.membership.following import order_hubs
+from coltsfootrill.membership.messages import AnnounceReply
+from coltsfootrill.membership.messages import Goodbye
+from coltsfootrill.membership.view import HubView
+from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.announcement import split_address
+from coltsfootrill.rpc import Method
+from coltsfootrill.settings import Address
+
+SUBMIT = Method(service="Control", name="Submit", request=SubmitRequest, reply=SubmitReply)
+
+HUB_CALL_TIMEOUT_MS = 400.0
+SUBMIT_CALL_TIMEOUT_MS = 2_500.0
+READ_CALL_TIMEOUT_MS = 1_500.0
+_CALL_THREADS = 16
+_TRIES = 2
+
+Answer = TypeVar("Answer")
+
+
+class HubCalls:
+    """Asks current hubs, a second one where the first does not answer."""
+
+    def __init__(
+        self,
+        following: HubFollowing,
+        view: HubView,
+        *,
+        own_id: str,
+        own_address: str,
+        interface_port: int,
+        random: Random,
+    ) -> None:
+        self._following = following
+        self._view = view
+        self._own_id = own_id
+        self._own_address = own_address
+        self._interface_port = interface_port
+        self._random = random
+        self._executor = ThreadPoolExecutor(_CALL_THREADS, thread_name_prefix="hub-call")
+
+    def share(self, announcement: Announcement) -> bool:
+        """Hand an announcement to the other replicas; return whether a majority has it."""
+        replicas = self._following.replicas
+        others = [address for address in replicas if address != self._own_address]
+        needed = len(replicas) // 2 + 1
+        known = 1 if self._own_address in replicas else 0
+        calls: list[Future[AnnounceReply]] = [
+            self._executor.submit(self._call_share, address, announcement) for address in others
+        ]
+        for call in as_completed(calls):
+            if call.exception() is None and call.result().is_known:
+                known += 1
+            if known >= needed:
+                return True
+        return known >= needed
+
+    def _call_share(self, address: str, announcement: Announcement) -> AnnounceReply:
+        client = self._following.get_client(address)
+        reply: AnnounceReply = client.call(SHARE, announcement, timeout_ms=HUB_CALL_TIMEOUT_MS)
+        return reply
+
+    def announce(self, method: Method, request: Announcement | Goodbye) -> str:
+        """Have a hub take a message; return the address of its control interface."""
+
+        def ask(address: str) -> AnnounceReply:
+            client = self._following.get_client(address)
+            reply: AnnounceReply = client.call(method, request, timeout_ms=HUB_CALL_TIMEOUT_MS)
+            check_known(reply)
+            return reply
+
+        address, _ = self._try_hubs(ask)
+        return str(Address(split_address(address)[0], self._interface_port))
+
+    def submit(self, request: SubmitRequest) -> SubmitReply:
+        """Pass a manifest on; sending it to a second hub is safe, as it is told by its digest."""
+
+        def ask(address: str) -> SubmitReply:
+            client = self._following.get_client(address)
+            reply: SubmitReply = client.call(SUBMIT, request, timeout_ms=SUBMIT_CALL_TIMEOUT_MS)
+            return reply
+
+        try:
+            _, reply = self._try_hubs(ask)
+        except NoQuorumError as error:
+            return SubmitReply("unknown", 0, "", str(error))
+        return reply
+
+    def read_manifest(self) -> bytes:
+        """Return the newest accepted manifest; raise ``NoQuorumError`` when not certain."""
+
+        def ask(address: str) -> ReadReply:
+            client = self._following.get_client(address)
+            request = ReadRequest(self._own_id, 0, True)
+            reply: ReadReply = client.call(READ, request, timeout_ms=READ_CALL_TIMEOUT_MS)
+            if not reply.is_current:
+                raise NoQuorumError("the replica that was asked has no majority")
+            return reply
+
+        _, reply = self._try_hubs(ask)
+        return reply.manifest
+
+    def _try_hubs(self, ask: Callable[[str], Answer]) -> tuple[str, Answer]:
+        """Return the first answer of a hub with its address; raise ``NoQuorumError``."""
+        hubs = [hub for hub in self._view.list_current_hubs() if hub != self._own_address]
+        reason = "no hub with a majority is known"
+        order = order_hubs(hubs, own_address=self._own_address, random=self._random)
+        for address in order[:_TRIES]:
+            try:
+                return address, ask(address)
+            except ColtsfootrillError as error:
+                reason = str(error)
+        raise NoQuorumError(reason)
+
+
+def check_known(reply: AnnounceReply) -> None:
+    """Raise ``NoQuorumError`` when an announcement is not known widely enough."""
+    if not reply.is_known:
+        raise NoQuorumError(reply.message)
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -48,9 +48,9 @@
 from coltsfootrill.roles.signals import install_reload_event
 from coltsfootrill.roles.signals import install_stop_event
 from coltsfootrill.rpc import RpcServer
-from coltsfootrill.settings import NODE_SETTINGS
 from coltsfootrill.settings import InvalidSettingsError
 from coltsfootrill.settings import Settings
+from coltsfootrill.settings_catalog import NODE_SETTINGS
 from coltsfootrill.tasks import start_task
 from coltsfootrill.tls import Credentials
 
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -3,13 +3,8 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
 from collections.abc import Mapping
-from concurrent.futures import Future
-from concurrent.futures import ThreadPoolExecutor
-from concurrent.futures import as_completed
 from random import Random
-from typing import TypeVar
 
 import msgspec
 
@@ -47,7 +42,6 @@
 from coltsfootrill.membership.following import SHARE
 from coltsfootrill.membership.following import HubFollowing
 from coltsfootrill.membership.following import Identity
-from coltsfootrill.membership.following import order_hubs
 from coltsfootrill.membership.hub import Hub
 from coltsfootrill.membership.messages import AnnounceReply
 from coltsfootrill.membership.messages import FollowReply
@@ -60,7 +54,9 @@
 from coltsfootrill.naming.scheme import NamingScheme
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import split_address
-from coltsfootrill.rpc import Method
+from coltsfootrill.roles.hub_calls import SUBMIT
+from coltsfootrill.roles.hub_calls import HubCalls
+from coltsfootrill.roles.hub_calls import check_known
 from coltsfootrill.rpc import RpcError
 from coltsfootrill.rpc import RpcServer
 from coltsfootrill.settings import Address
@@ -68,20 +64,12 @@
 from coltsfootrill.tasks import start_task
 from coltsfootrill.tls import Credentials
 
-SUBMIT = Method(service="Control", name="Submit", request=SubmitRequest, reply=SubmitReply)
-
 SYNC_MS = 400.0
 SYNC_RETRY_MS = 60.0
 SILENT_GRACE_MS = 3_000.0
 REPAIR_CHECK_MS = 500.0
-HUB_CALL_TIMEOUT_MS = 400.0
-SUBMIT_CALL_TIMEOUT_MS = 2_500.0
-READ_CALL_TIMEOUT_MS = 1_500.0
 FETCH_TIMEOUT_MS = 1_500.0
 GOODBYE_MS = 150.0
-_CALL_THREADS = 16
-
-Answer = TypeVar("Answer")
 
 
 class NodeControl:
@@ -114,7 +102,6 @@
         self._clock = clock
         self._random = random
         self._log = log
-        self._executor = ThreadPoolExecutor(_CALL_THREADS, thread_name_prefix="hub-call")
         self._is_member = False
         self._lost_since_ms: float | None = None
         self._stopping = threading.Event()
@@ -127,7 +114,7 @@
             record,
             boot=record.boot,
             clock=clock,
-            share=self._share,
+            share=lambda announcement: self._calls.share(announcement),
             get_manifest_version=lambda: manifests.version,
             snapshot=None if data is None else UpstreamSnapshot(data / "hub", files=FileLayer()),
         )
@@ -142,6 +129,14 @@
             clock=clock,
             credentials=credentials.channel,
         )
+        self._calls = HubCalls(
+            self._following,
+            view,
+            own_id=record.id,
+            own_address=self._own_address,
+            interface_port=settings.get("interface", "listen").port,
+            random=random,
+        )
         self._add_methods()
 
     def start(self) -> None:
@@ -181,17 +176,17 @@
     def announce(self, announcement: Announcement) -> str | None:
         """Take an announcement; see ``ControlOperations``."""
         if self.hub.is_current():
-            _check_known(self.hub.announce(announcement))
+            check_known(self.hub.announce(announcement))
             return None
-        return self._ask_hubs(ANNOUNCE, announcement)
+        return self._calls.announce(ANNOUNCE, announcement)
 
     def leave(self, upstream_id: str, incarnation: int | None) -> None:
         """Take the goodbye of an upstream; see ``ControlOperations``."""
         goodbye = Goodbye(upstream_id, incarnation)
         if self.hub.is_current():
-            _check_known(self.hub.say_goodbye(goodbye))
+            check_known(self.hub.say_goodbye(goodbye))
             return
-        self._ask_hubs(LEAVE, goodbye)
+        self._calls.announce(LEAVE, goodbye)
 
     def submit(self, raw: bytes, *, base_version: int | None, operator: str) -> SubmitAnswer:
         """Submit a manifest; see ``ControlOperations``."""
@@ -200,7 +195,7 @@
         if self._replica is not None and self.hub.is_current():
             reply = self._submit_here(request)
         else:
-            reply = self._submit_elsewhere(request)
+            reply = self._calls.submit(request)
         self._log.emit(
             ManifestSubmitted(
                 version=reply.version,
@@ -219,7 +214,7 @@
             state = self._replica.read()
             raw = state.manifest
         else:
-            raw = self._read_elsewhere()
+            raw = self._calls.read_manifest()
         if not raw:
             raise NoQuorumError("no manifest has been accepted yet")
         return raw
@@ -359,40 +354,6 @@
         self.hub.keep()
         return AnnounceReply(True, "")
 
-    def _share(self, announcement: Announcement) -> bool:
-        """Hand an announcement to the other replicas; return whether a majority has it."""
-        replicas = self._following.replicas
-        others = [address for address in replicas if address != self._own_address]
-        needed = len(replicas) // 2 + 1
-        known = 1 if self._own_address in replicas else 0
-        calls: list[Future[AnnounceReply]] = [
-            self._executor.submit(self._call_share, address, announcement) for address in others
-        ]
-        for call in as_completed(calls):
-            if call.exception() is None and call.result().is_known:
-                known += 1
-            if known >= needed:
-                return True
-        return known >= needed
-
-    def _call_share(self, address: str, announcement: Announcement) -> AnnounceReply:
-        client = self._following.get_client(address)
-        reply: AnnounceReply = client.call(SHARE, announcement, timeout_ms=HUB_CALL_TIMEOUT_MS)
-        return reply
-
-    def _ask_hubs(self, method: Method, request: Announcement | Goodbye) -> str:
-        """Have a hub take a message; return the address of its control interface."""
-
-        def ask(address: str) -> AnnounceReply:
-            client = self._following.get_client(address)
-            reply: AnnounceReply = client.call(method, request, timeout_ms=HUB_CALL_TIMEOUT_MS)
-            _check_known(reply)
-            return reply
-
-        address, _ = self._try_hubs(ask, tries=2)
-        port = self._settings.get("interface", "listen").port
-        return str(Address(split_address(address)[0], port))
-
     def _submit_here(self, request: SubmitRequest) -> SubmitReply:
         if self._replica is None:
             return SubmitReply("no-quorum", 0, "", "this node does not vote")
@@ -410,43 +371,6 @@
             self._adopt(request.raw)
         return SubmitReply(answer.result, answer.version, answer.digest, answer.message)
 
-    def _submit_elsewhere(self, request: SubmitRequest) -> SubmitReply:
-        """Pass a manifest on; sending it to a second hub is safe, as it is told by its digest."""
-
-        def ask(address: str) -> SubmitReply:
-            client = self._following.get_client(address)
-            reply: SubmitReply = client.call(SUBMIT, request, timeout_ms=SUBMIT_CALL_TIMEOUT_MS)
-            return reply
-
-        try:
-            _, reply = self._try_hubs(ask, tries=2)
-        except NoQuorumError as error:
-            return SubmitReply("unknown", 0, "", str(error))
-        return reply
-
-    def _read_elsewhere(self) -> bytes:
-        def ask(address: str) -> ReadReply:
-            client = self._following.get_client(address)
-            request = ReadRequest(self._record.id, 0, True)
-            reply: ReadReply = client.call(READ, request, timeout_ms=READ_CALL_TIMEOUT_MS)
-            if not reply.is_current:
-                raise NoQuorumError("the replica that was asked has no majority")
-            return reply
-
-        _, reply = self._try_hubs(ask, tries=2)
-        return reply.manifest
-
-    def _try_hubs(self, ask: Callable[[str], Answer], *, tries: int) -> tuple[str, Answer]:
-        """Return the first answer of a hub with its address; raise ``NoQuorumError``."""
-        hubs = [hub for hub in self._view.list_current_hubs() if hub != self._own_address]
-        reason = "no hub with a majority is known"
-        for address in order_hubs(hubs, own_address=self._own_address, random=self._random)[:tries]:
-            try:
-                return address, ask(address)
-            except ColtsfootrillError as error:
-                reason = str(error)
-        raise NoQuorumError(reason)
-
     def _note_dependency(self) -> None:
         is_heard = self._view.has_current_hub()
         now_ms = self._clock.now_ms()
@@ -462,11 +386,6 @@
             self._log.emit(ReplicasChanged(replicas=self._following.replicas))
 
 
-def _check_known(reply: AnnounceReply) -> None:
-    if not reply.is_known:
-        raise NoQuorumError(reply.message)
-
-
 def _read_submit_reply(reply: SubmitReply) -> SubmitAnswer:
     """Return the answer in ``reply`` or raise the error that it stands for."""
     if reply.result == "invalid":
--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -8,10 +8,10 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from coltsfootrill.settings import CONTROL_SETTINGS
-from coltsfootrill.settings import ENTRY_SETTINGS
 from coltsfootrill.settings import InvalidSettingsError
 from coltsfootrill.settings import Settings
+from coltsfootrill.settings_catalog import CONTROL_SETTINGS
+from coltsfootrill.settings_catalog import ENTRY_SETTINGS
 
 
 class TestSettings:
