Log ejections, and drop events that nothing emitted

Cause: read as a newcomer, the catalogue named two events and a field that no code emitted, and the node had a property without a reader. Change: an ejection is logged by its service's gate; the others are gone; tests cause a lost answer, a refusal and an ejection and look at their lines. No decision changed.

--- a/src/coltsfootrill/balancer/ejection.py
+++ b/src/coltsfootrill/balancer/ejection.py
@@ -23,7 +23,7 @@
 
 
 def eject_outliers(loads: Sequence[UpstreamLoad], *, now_ms: float) -> list[UpstreamLoad]:
-    """Eject the worst upstreams of one service, up to the cap, and return them.
+    """Eject the worst upstreams of one service, up to the cap, and return them as they are then.
 
     Slowness is compared with the median, so that a service that is slow as a whole ejects none.
     """
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -162,10 +162,10 @@
             self._retire(self.by_id.pop(upstream_id))
         self._retiring = [load for load in self._retiring if load.in_flight]
 
-    def eject_outliers(self, now_ms: float) -> None:
-        """Eject upstreams that straggle or fail."""
+    def eject_outliers(self, now_ms: float) -> list[UpstreamLoad]:
+        """Eject upstreams that straggle or fail, and return them."""
         self.has_worked = any(load.in_flight for load in self.by_id.values())
-        eject_outliers(list(self.by_id.values()), now_ms=now_ms)
+        return eject_outliers(list(self.by_id.values()), now_ms=now_ms)
 
     def count_in_flight(self) -> dict[str, int]:
         """Return own requests in flight by upstream, those that left included."""
--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -60,13 +60,11 @@
 
 
 class UpstreamEjected(Event, kw_only=True, tag="upstream-ejected"):
-    """New work is kept from an upstream for a while."""
+    """New work is kept from an upstream for a while, for its errors or its slowness."""
 
     upstream: str
     service: str
     for_ms: float
-    errors: float
-    slowness: float
 
 
 class ManifestAdopted(Event, kw_only=True, tag="manifest-adopted"):
@@ -105,7 +103,6 @@
     after_ms: float
     took_ms: float
     result: str
-    is_reused: bool = False
     occupancy: float = 0
     pace: float = 1.0
     report_age_ms: float = 0
@@ -141,10 +138,3 @@
     """Lines that did not fit into the queue or the allowance of a second."""
 
     count: int
-
-
-class UpstreamFailed(Event, kw_only=True, tag="upstream-failed"):
-    """The program met a fault of its own, or one that it does not expect."""
-
-    where: str
-    error: str
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -8,13 +8,16 @@
 from random import Random
 
 from coltsfootrill.balancer.choice import ChoicePolicy
+from coltsfootrill.balancer.load import UpstreamLoad
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.report_book import ReportBook
 from coltsfootrill.balancer.report_book import ReportEntry
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.clock import Clock
 from coltsfootrill.events.catalog import Attempt
+from coltsfootrill.events.catalog import Event
 from coltsfootrill.events.catalog import RequestEnded
+from coltsfootrill.events.catalog import UpstreamEjected
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
@@ -75,7 +78,9 @@
         make_budget: Callable[[], AttemptBudget] | None = None,
         once_idle_max_ms: float = 0.0,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
+        on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
+        self._on_event = on_event
         self._dialect = dialect
         self._make_budget = make_budget
         self._on_ended = on_ended
@@ -152,7 +157,18 @@
             queue_limit=self._queue_limit,
             budget=None if self._make_budget is None else self._make_budget(),
         )
-        return ServiceGate(pool, fleet=self._fleet, clock=self._clock, on_report=self.reports.note)
+        return ServiceGate(
+            pool,
+            fleet=self._fleet,
+            clock=self._clock,
+            on_report=self.reports.note,
+            on_ejected=self._note_ejected,
+        )
+
+    def _note_ejected(self, service_id: str, load: UpstreamLoad, for_ms: float) -> None:
+        self._on_event(
+            UpstreamEjected(upstream=load.id, service=service_id, for_ms=round(for_ms, 1))
+        )
 
     def _resolve(self, request: CallerRequest) -> Route:
         if request.is_refused:
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -10,6 +10,7 @@
 
 from coltsfootrill.balancer.admission import Waiter
 from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.balancer.load import UpstreamLoad
 from coltsfootrill.balancer.pool import ANY_ROOM
 from coltsfootrill.balancer.pool import Claim
 from coltsfootrill.balancer.pool import Room
@@ -62,8 +63,10 @@
         fleet: UpstreamSource,
         clock: Clock,
         on_report: Callable[[str, LoadReport], None] = lambda upstream_id, report: None,
+        on_ejected: Callable[[str, UpstreamLoad, float], None] = lambda service, load, for_ms: None,
     ) -> None:
         self._on_report = on_report
+        self._on_ejected = on_ejected
         self._pool = pool
         self._fleet = fleet
         self._clock = clock
@@ -253,9 +256,10 @@
         with self._lock:
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
-            if self._pool.has_worked:
-                self._pool.eject_outliers(now_ms)
+            ejected = self._pool.eject_outliers(now_ms) if self._pool.has_worked else []
             self._grant_by_reports(now_ms)
+        for load in ejected:
+            self._on_ejected(service.id, load, load.ejected_until_ms - now_ms)
 
     def _update_pool(self, service: Service, now_ms: float) -> None:
         """Take in upstreams and leases that have changed."""
--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -9,6 +9,7 @@
 from coltsfootrill.balancer.choice import ChoicePolicy
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import Event
 from coltsfootrill.events.catalog import RequestEnded
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.manifest.model import CallerLimits
@@ -42,6 +43,7 @@
         dialect: Dialect = NATIVE_DIALECT,
         make_budget: Callable[[], AttemptBudget] | None = None,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
+        on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
         self._settings = settings
         self._manifests = manifests
@@ -61,6 +63,7 @@
             make_budget=make_budget,
             once_idle_max_ms=settings.get("upstreams", "once_idle_ms"),
             on_ended=on_ended,
+            on_event=on_event,
         )
         self._callers = CallerServer(
             self.app.handle,
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -31,7 +31,6 @@
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.manifest.table import RoutingTable
 from coltsfootrill.membership.bulletins import BulletinExchange
-from coltsfootrill.membership.hub import Hub
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.metrics import Metrics
@@ -97,6 +96,7 @@
             dialect=self._dialect,
             make_budget=self._make_budget,
             on_ended=requests.note,
+            on_event=self.log.emit,
         )
         listen = settings.get("fleet", "listen")
         credentials = Credentials.from_settings(
@@ -127,11 +127,6 @@
         """Return the role; nothing listens before ``run``."""
         return cls(Settings.from_file(path, NODE_SETTINGS), path)
 
-    @property
-    def hub(self) -> Hub:
-        """Return what this node tells those that follow it."""
-        return self.control.hub
-
     def run(self, stop: threading.Event | None = None) -> int:
         """Serve until a signal, then stop gracefully; return the exit code."""
         stop = stop or install_stop_event()
--- a/testing/proxy/instance.py
+++ b/testing/proxy/instance.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import Event
 from coltsfootrill.kernel import collect_schemes
 from coltsfootrill.kernel import find_policy
 from coltsfootrill.kernel import load_plugins
@@ -54,6 +55,7 @@
         self.manifests = ManifestHolder(collect_schemes(plugins))
         self.manifests.adopt(make_manifest(1, deadline_ms))
         self.fleet = Fleet(InstanceRecord("e1", 1, "127.0.0.1:1", "z1", False, 1), clock=clock)
+        self.events: list[Event] = []
         self.app = ProxyApp(
             manifests=self.manifests,
             fleet=self.fleet,
@@ -65,6 +67,8 @@
             metrics=self.metrics,
             dialect=dialect,
             once_idle_max_ms=once_idle_max_ms,
+            on_ended=self.events.append,
+            on_event=self.events.append,
         )
         self.server = CallerServer(
             self.app.handle, clock=clock, requests_max=requests, connections_max=200
--- /dev/null
+++ b/testing/proxy/test_events.py
@@ -0,0 +1,59 @@
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from coltsfootrill.events.catalog import RequestEnded
+from coltsfootrill.events.catalog import UpstreamEjected
+from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from testing.processes import wait_until
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.fakes import answer
+from testing.proxy.fakes import send_raw
+from testing.proxy.instance import Instance
+
+
+@pytest.fixture
+def instance() -> Iterator[Instance]:
+    made = Instance(dialect=coltsfootrill_dialect())
+    yield made
+    made.close()
+
+
+def _wait_ended(instance: Instance) -> RequestEnded:
+    wait_until(lambda: any(isinstance(event, RequestEnded) for event in instance.events))
+    (event,) = [event for event in instance.events if isinstance(event, RequestEnded)]
+    return event
+
+
+class TestRequestEnded:
+    def test_a_lost_answer_is_told_with_its_attempt_and_what_was_known(
+        self, instance: Instance
+    ) -> None:
+        upstream = ScriptedUpstream(send_raw(b""))
+        instance.announce("u1", upstream.address)
+        instance.call("/once", method="POST", X_Attempt_Id="q7")
+        event = _wait_ended(instance)
+        assert (event.id, event.service, event.kind) == ("q7", "work", "once")
+        assert (event.outcome, event.reason, event.manifest) == ("unknown", "lost", 1)
+        (attempt,) = event.attempts
+        assert (attempt.upstream, attempt.result, attempt.occupancy) == ("u1", "lost", 1.0)
+        upstream.close()
+
+    def test_a_refusal_tells_its_reason(self, instance: Instance) -> None:
+        instance.call("/x", X_Attempt_Id="q8")
+        event = _wait_ended(instance)
+        assert (event.outcome, event.reason, event.attempts) == ("not-run", "no-upstream", [])
+
+
+class TestUpstreamEjected:
+    def test_an_upstream_that_fails_again_and_again_is_told(self, instance: Instance) -> None:
+        upstreams = [ScriptedUpstream(answer(b"", status="500 Broken")) for _ in range(3)]
+        for number, upstream in enumerate(upstreams):
+            instance.announce(f"u{number}", upstream.address)
+        for _ in range(12):
+            instance.call("/once", method="POST")
+        wait_until(lambda: any(isinstance(event, UpstreamEjected) for event in instance.events))
+        for upstream in upstreams:
+            upstream.close()
