--- a/testing/control/test_recovery.py
+++ b/testing/control/test_recovery.py
@@ -21,16 +21,23 @@
 from coltsfootrill.control.submission import submit_manifest
 from testing.control.cluster import FOLDER
 from testing.control.cluster import Cluster
+from testing.control.disk import Disk
+
+
+def _load_acceptor(clock: ManualClock) -> tuple[Acceptor, Disk]:
+    """Return a replica that has accepted the manifest ``one``, and its disk."""
+    cluster = Cluster()
+    cluster.submit("a", 1, "one")
+    disk = cluster.disks["a"]
+    acceptor = Acceptor(FOLDER / "a", files=disk, clock=clock)
+    acceptor.load()
+    return acceptor, disk
 
 
 class TestFullDisk:
     def test_a_replica_votes_again_once_its_disk_takes_writes(self) -> None:
-        cluster = Cluster()
-        cluster.submit("a", 1, "one")
         clock = ManualClock(1_000)
-        disk = cluster.disks["a"]
-        acceptor = Acceptor(FOLDER / "a", files=disk, clock=clock)
-        acceptor.load()
+        acceptor, disk = _load_acceptor(clock)
         disk.is_full = True
         with pytest.raises(CannotVoteError):
             acceptor.prepare(Prepare(1, Ballot(90, "b")))
@@ -44,12 +51,8 @@
         assert promise.state.manifest == b"one"
 
     def test_what_was_promised_before_still_holds_after_it(self) -> None:
-        cluster = Cluster()
-        cluster.submit("a", 1, "one")
         clock = ManualClock(1_000)
-        disk = cluster.disks["a"]
-        acceptor = Acceptor(FOLDER / "a", files=disk, clock=clock)
-        acceptor.load()
+        acceptor, disk = _load_acceptor(clock)
         assert acceptor.prepare(Prepare(1, Ballot(90, "b"))).is_granted
         disk.is_full = True
         with pytest.raises(CannotVoteError):
