Explain a request from its id, and log what refusals and beliefs were decided by

Cause: from a failed request on-call engineers had to grep by hand; a refusal told its reason but not what was known of the service, the logged manifest was the one in force at the end of the request, not the one it ran under, and ends of ejections, the retry budget, other instances, single hubs and the operator of a manifest had no lines. Change: `coltsfootrill explain ID [FILES]` orders the lines of any number of processes, lists what the request's instance believed, how others fared at the same upstream, and a conclusion. Refusals carry the numbers that decided them. Ruled out: logging ordinary answers one by one (volume); the budget's every denial (a line a second would be news of nothing).

--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -255,7 +255,11 @@
 
     def has_room(self, now_ms: float) -> bool:
         """Return whether some upstream is available and known to have a free slot."""
-        return any(
+        return self.count_with_room(now_ms) > 0
+
+    def count_with_room(self, now_ms: float) -> int:
+        """Return how many upstreams are available and known to have a free slot."""
+        return sum(
             is_available(load, now_ms) and self._has_room(load, now_ms, is_spare=False)
             for load in self.by_id.values()
         )
--- a/src/coltsfootrill/balancer/retry.py
+++ b/src/coltsfootrill/balancer/retry.py
@@ -17,9 +17,22 @@
 FailureKind = Literal["refused", "shed", "misdirected", "failed-answer", "lost"]
 
 
+class BudgetUse:
+    """Further attempts that count now, and how many may."""
+
+    __slots__ = ("allowed", "spent")
+
+    def __init__(self, *, spent: int, allowed: float) -> None:
+        self.spent = spent
+        self.allowed = allowed
+
+
 class AttemptBudget(Protocol):
     """Bounds attempts beyond the first ones of one service."""
 
+    def get_use(self, now_ms: float) -> BudgetUse:
+        """Return what is spent and what is allowed at this moment."""
+
     def earn(self, now_ms: float = 0.0) -> None:
         """Note a first attempt."""
 
@@ -50,14 +63,19 @@
 
     def spend(self, now_ms: float = 0.0) -> bool:
         """Take one further attempt and return whether it is allowed."""
-        step = int(now_ms / self._step_ms)
-        firsts = _count_since(self._firsts_by_step, step - WINDOW_STEPS + 1)
-        extras = _count_since(self._extras_by_step, step - WINDOW_STEPS)
-        if extras + 1 > self.share * firsts + self.allowance:
+        use = self.get_use(now_ms)
+        if use.spent + 1 > use.allowed:
             return False
         self._add(self._extras_by_step, now_ms)
         return True
 
+    def get_use(self, now_ms: float) -> BudgetUse:
+        """Return the further attempts within the window, and how many may be there."""
+        step = int(now_ms / self._step_ms)
+        firsts = _count_since(self._firsts_by_step, step - WINDOW_STEPS + 1)
+        extras = _count_since(self._extras_by_step, step - WINDOW_STEPS)
+        return BudgetUse(spent=extras, allowed=self.share * firsts + self.allowance)
+
     def _add(self, count_by_step: dict[int, int], now_ms: float) -> None:
         step = int(now_ms / self._step_ms)
         count_by_step[step] = count_by_step.get(step, 0) + 1
@@ -103,6 +121,10 @@
         self.tokens -= 1
         return True
 
+    def get_use(self, now_ms: float) -> BudgetUse:
+        """Return the tokens that are left; what was spent is not kept."""
+        return BudgetUse(spent=0, allowed=self.tokens)
+
 
 class AttemptHistory:
     """What happened so far to one request.
--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -18,6 +18,7 @@
 from coltsfootrill.operators.client import CallError
 from coltsfootrill.operators.client import OperatorClient
 from coltsfootrill.operators.exit_codes import ExitCode
+from coltsfootrill.operators.explain import explain_request
 from coltsfootrill.operators.output import print_error
 from coltsfootrill.roles.control import ControlRole
 from coltsfootrill.roles.entry import EntryRole
@@ -172,6 +173,15 @@
     return commands.show_audit(client, after_number=after, as_json=json)
 
 
+@app.command
+def explain(request_id: str, *files: Path) -> int:
+    """Explain a request from the logs of instances, named as files or given as standard input.
+
+    Name the logs of all instances: how others fared at the same upstream is part of the answer.
+    """
+    return explain_request(request_id, files)
+
+
 @app.command
 def replay(
     trace: Path,
--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -67,6 +67,39 @@
     for_ms: float
 
 
+class UpstreamReadmitted(Event, kw_only=True, tag="upstream-readmitted"):
+    """An ejection has ended: the upstream gets new work again, little at first."""
+
+    upstream: str
+    service: str
+
+
+class InstancesChanged(Event, kw_only=True, tag="instances-changed"):
+    """Other instances of the fleet are known."""
+
+    count: int
+    joined: list[str] = []
+    left: list[str] = []
+
+
+class RetriesExhausted(Event, kw_only=True, tag="retries-exhausted"):
+    """A further attempt was not made, as the budget of its service is spent.
+
+    ``spent`` further attempts count now, of ``allowed`` ones.
+    """
+
+    service: str
+    spent: int
+    allowed: float
+
+
+class RetriesAvailable(Event, kw_only=True, tag="retries-available"):
+    """The budget of a service allows further attempts again."""
+
+    service: str
+    after_ms: float
+
+
 class ManifestAdopted(Event, kw_only=True, tag="manifest-adopted"):
     """Another manifest is in force here."""
 
@@ -80,6 +113,7 @@
 
     version: int
     base_version: int | None
+    operator: str
     digest: str
     result: str
     message: str = ""
@@ -108,10 +142,27 @@
     report_age_ms: float = 0
 
 
+class Admission(msgspec.Struct, frozen=True, kw_only=True):
+    """What was known of a service when a request found no upstream.
+
+    Of its ``upstreams``, ``ejected`` ones are kept from new work, ``with_room`` had a free slot by
+    their last report; the newest of these reports was ``report_age_ms`` old. ``waiting`` requests
+    had no upstream yet, and the work usually takes ``usual_ms``.
+    """
+
+    upstreams: int
+    ejected: int
+    with_room: int
+    waiting: int
+    usual_ms: float
+    report_age_ms: float
+
+
 class RequestEnded(Event, kw_only=True, tag="request-ended"):
     """A request got its answer, or lost its caller.
 
-    ``waited_ms`` is the time without an upstream, ``left_ms`` what was left of its deadline.
+    ``manifest`` is the version that it ran under; ``admission`` is there when it was refused for
+    want of an upstream.
     """
 
     id: str
@@ -125,6 +176,7 @@
     deadline_ms: float
     attempts: list[Attempt] = []
     message: str = ""
+    admission: Admission | None = None
 
 
 class RequestsSummed(Event, kw_only=True, tag="requests-summed"):
@@ -138,3 +190,25 @@
     """Lines that did not fit into the queue or the allowance of a second."""
 
     count: int
+
+
+AnyEvent = (
+    Started
+    | Stopping
+    | Stopped
+    | Reloaded
+    | DependencyLost
+    | DependencyRegained
+    | UpstreamChanged
+    | UpstreamEjected
+    | UpstreamReadmitted
+    | InstancesChanged
+    | RetriesExhausted
+    | RetriesAvailable
+    | ManifestAdopted
+    | ManifestSubmitted
+    | ReplicasChanged
+    | RequestEnded
+    | RequestsSummed
+    | LinesDropped
+)
--- /dev/null
+++ b/src/coltsfootrill/events/explanation.py
@@ -0,0 +1,203 @@
+"""From the id of a request to its cause: the events that bear on it, and a conclusion."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from collections.abc import Sequence
+
+from coltsfootrill.events.catalog import AnyEvent
+from coltsfootrill.events.catalog import Attempt
+from coltsfootrill.events.catalog import DependencyLost
+from coltsfootrill.events.catalog import DependencyRegained
+from coltsfootrill.events.catalog import ManifestAdopted
+from coltsfootrill.events.catalog import Reloaded
+from coltsfootrill.events.catalog import ReplicasChanged
+from coltsfootrill.events.catalog import RequestEnded
+from coltsfootrill.events.catalog import RetriesAvailable
+from coltsfootrill.events.catalog import RetriesExhausted
+from coltsfootrill.events.catalog import Started
+from coltsfootrill.events.catalog import Stopping
+from coltsfootrill.events.catalog import UpstreamChanged
+from coltsfootrill.events.catalog import UpstreamEjected
+from coltsfootrill.events.catalog import UpstreamReadmitted
+from coltsfootrill.events.reader import LoggedEvent
+
+# How far around a request other requests at the same upstream or service are counted.
+NEIGHBOUR_MS = 2_000
+# An attempt that lasted this share of the request's time used it up.
+SPENT_SHARE = 0.8
+
+_OWN_STATE = (Started, Stopping, Reloaded, ManifestAdopted, ReplicasChanged)
+_OF_UPSTREAM = (UpstreamChanged, UpstreamEjected, UpstreamReadmitted)
+_OF_BUDGET = (RetriesExhausted, RetriesAvailable)
+
+
+class UpstreamRecord:
+    """How attempts at one upstream ended, on all instances, around a request."""
+
+    __slots__ = ("count_by_result", "upstream_id")
+
+    def __init__(self, upstream_id: str, count_by_result: Counter[str]) -> None:
+        self.upstream_id = upstream_id
+        self.count_by_result = count_by_result
+
+
+class Explanation:
+    """One request with what its instance believed then, how others fared, and the conclusion.
+
+    ``beliefs`` are the events of its instance that were in force when it arrived, and those until
+    it ended; ``service_outcomes`` counts other logged requests of its service by their reason.
+    """
+
+    __slots__ = ("beliefs", "conclusion", "request", "service_outcomes", "upstreams")
+
+    def __init__(
+        self,
+        *,
+        request: LoggedEvent,
+        beliefs: list[LoggedEvent],
+        upstreams: list[UpstreamRecord],
+        service_outcomes: Counter[str],
+        conclusion: str,
+    ) -> None:
+        self.request = request
+        self.beliefs = beliefs
+        self.upstreams = upstreams
+        self.service_outcomes = service_outcomes
+        self.conclusion = conclusion
+
+
+def explain(events: Sequence[LoggedEvent], request_id: str) -> list[Explanation]:
+    """Return an explanation for each logged end of a request, oldest first."""
+    ended: list[tuple[LoggedEvent, RequestEnded]] = [
+        (logged, logged.event) for logged in events if isinstance(logged.event, RequestEnded)
+    ]
+    found = [(logged, event) for logged, event in ended if event.id == request_id]
+    return [_explain_one(events, ended, logged, event) for logged, event in found]
+
+
+def _explain_one(
+    events: Sequence[LoggedEvent],
+    ended: Sequence[tuple[LoggedEvent, RequestEnded]],
+    logged: LoggedEvent,
+    request: RequestEnded,
+) -> Explanation:
+    beliefs = list(_list_beliefs(events, logged, request))
+    near = [
+        other
+        for at, other in ended
+        if other is not request and abs(at.at_ms - logged.at_ms) <= NEIGHBOUR_MS
+    ]
+    upstreams = [
+        UpstreamRecord(upstream_id, _count_results(near, upstream_id))
+        for upstream_id in dict.fromkeys(attempt.upstream for attempt in request.attempts)
+    ]
+    service_outcomes = Counter(
+        other.reason or other.outcome for other in near if other.service == request.service
+    )
+    return Explanation(
+        request=logged,
+        beliefs=beliefs,
+        upstreams=upstreams,
+        service_outcomes=service_outcomes,
+        conclusion=_conclude(request, beliefs),
+    )
+
+
+def _list_beliefs(
+    events: Sequence[LoggedEvent], logged: LoggedEvent, request: RequestEnded
+) -> Iterator[LoggedEvent]:
+    """Yield the last event of each subject before the request, and all while it ran."""
+    asked = {attempt.upstream for attempt in request.attempts}
+    arrived_ms = logged.at_ms - request.took_ms
+    last_by_subject: dict[str, LoggedEvent] = {}
+    during: list[LoggedEvent] = []
+    for other in events:
+        if other.instance != logged.instance or other.at_ms > logged.at_ms:
+            continue
+        subject = _find_subject(other.event, asked, request.service)
+        if subject is None:
+            continue
+        if other.at_ms >= arrived_ms:
+            during.append(other)
+        else:
+            last_by_subject[subject] = other
+    yield from sorted(last_by_subject.values(), key=lambda belief: belief.at_ms)
+    yield from during
+
+
+def _find_subject(event: AnyEvent, asked: set[str], service: str) -> str | None:
+    """Return what an event is about, ``None`` where it does not bear on the request."""
+    if isinstance(event, _OWN_STATE):
+        return type(event).__name__
+    if isinstance(event, DependencyLost | DependencyRegained):
+        return f"dependency {event.dependency}"
+    if isinstance(event, _OF_UPSTREAM):
+        kind = "state" if isinstance(event, UpstreamChanged) else "ejection"
+        return f"{kind} {event.upstream}" if event.upstream in asked else None
+    if isinstance(event, _OF_BUDGET):
+        return "budget" if event.service == service else None
+    return None
+
+
+def _count_results(requests: Sequence[RequestEnded], upstream_id: str) -> Counter[str]:
+    return Counter(
+        attempt.result
+        for request in requests
+        for attempt in request.attempts
+        if attempt.upstream == upstream_id
+    )
+
+
+def _conclude(request: RequestEnded, beliefs: Sequence[LoggedEvent]) -> str:
+    if request.outcome == "answered":
+        return _conclude_answered(request)
+    if request.reason == "caller-gone":
+        return "The caller closed its connection before there was an answer."
+    if not request.attempts:
+        return _conclude_unsent(request, beliefs)
+    return _conclude_sent(request, request.attempts[-1])
+
+
+def _conclude_answered(request: RequestEnded) -> str:
+    if len(request.attempts) > 1:
+        first = request.attempts[0]
+        return f"Answered after another attempt; the first, at {first.upstream}, {first.result}."
+    if request.attempts and request.attempts[0].after_ms > request.took_ms / 2:
+        return "Answered; most of the time passed before an upstream had room."
+    return "Answered by the first upstream asked; the time passed there."
+
+
+def _conclude_unsent(request: RequestEnded, beliefs: Sequence[LoggedEvent]) -> str:
+    lost = [belief.event for belief in beliefs if isinstance(belief.event, DependencyLost)]
+    if request.reason == "no-manifest":
+        because = f": {lost[-1].dependency} was lost ({lost[-1].reason})" if lost else ""
+        return f"This instance had no manifest{because}. Nothing was sent."
+    admission = request.admission
+    if admission is None:
+        return f"Refused before any upstream was chosen: {request.message or request.reason}."
+    if admission.upstreams == 0:
+        return "No upstream of the service was usable here. Nothing was sent."
+    return (
+        f"No room in time: of {admission.upstreams} upstreams {admission.ejected} were ejected and "
+        f"{admission.with_room} had a free slot by reports of {admission.report_age_ms:g} ms ago; "
+        f"{admission.waiting} other requests waited, and work takes {admission.usual_ms:g} ms. "
+        "Nothing was sent."
+    )
+
+
+def _conclude_sent(request: RequestEnded, last: Attempt) -> str:
+    where = f"{last.upstream} (attempt {len(request.attempts)})"
+    if request.outcome == "not-run":
+        return f"Every upstream that was asked refused the request, last {where}: it did not run."
+    if request.reason == "deadline":
+        if last.took_ms >= SPENT_SHARE * request.deadline_ms:
+            return f"{where} did not answer within the time of the request; it may have run there."
+        return f"Time was used up before {where} could answer; it may have run."
+    if last.result == "lost":
+        return (
+            f"The connection to {where} ended after {last.took_ms:g} ms without a whole answer. "
+            "The request may have run, so it was not sent again."
+        )
+    return f"{where} ended with {last.result}: {request.message or request.reason}."
--- /dev/null
+++ b/src/coltsfootrill/events/reader.py
@@ -0,0 +1,63 @@
+"""Reads the lines that processes have logged, from any number of files."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from coltsfootrill.events.catalog import AnyEvent
+
+
+class LoggedEvent:
+    """An event with the instance that logged it and the Unix millisecond of its line."""
+
+    __slots__ = ("at_ms", "event", "instance")
+
+    def __init__(self, *, at_ms: int, instance: str, event: AnyEvent) -> None:
+        self.at_ms = at_ms
+        self.instance = instance
+        self.event = event
+
+
+class LogContent:
+    """All events of some logs in the order of their times; ``unreadable`` lines were passed over.
+
+    Lines that hold no JSON object, such as those of libraries, do not count as unreadable.
+    """
+
+    __slots__ = ("events", "unreadable")
+
+    def __init__(self, events: list[LoggedEvent], *, unreadable: int) -> None:
+        self.events = events
+        self.unreadable = unreadable
+
+
+class _Head(msgspec.Struct, frozen=True):
+    at_ms: int
+    instance: str
+
+
+_head_decoder = msgspec.json.Decoder(_Head)
+_event_decoder = msgspec.json.Decoder(AnyEvent)
+
+
+def read_log(lines: Iterable[str]) -> LogContent:
+    """Return the events in ``lines``; what a collector put before the JSON is left out."""
+    events: list[LoggedEvent] = []
+    unreadable = 0
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        raw = line[start:]
+        try:
+            head = _head_decoder.decode(raw)
+            event = _event_decoder.decode(raw)
+        except msgspec.MsgspecError:
+            # Cut by the collector, or from another version: counted, and told to the reader.
+            unreadable += 1
+            continue
+        events.append(LoggedEvent(at_ms=head.at_ms, instance=head.instance, event=event))
+    events.sort(key=lambda logged: logged.at_ms)
+    return LogContent(events, unreadable=unreadable)
--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -49,7 +49,9 @@
 
     A hub follows the seeds always, so that these can tell who votes: seeds may be instances
     that have no disk and start at the same moment as everything else.
-    ``on_reply`` is called with the address of the hub and each reply, after the view has it.
+    ``on_reply`` is called with the address of the hub and each reply, after the view has it;
+    ``on_lost`` with the reason when a hub that replied does so no more, and ``on_regained`` with
+    the time in between in milliseconds when it replies again.
     """
 
     def __init__(
@@ -61,6 +63,8 @@
         identify: Callable[[], Identity],
         answer_locally: Callable[[FollowRequest], FollowReply],
         on_reply: Callable[[str, FollowReply], None],
+        on_lost: Callable[[str, str], None] = lambda address, reason: None,
+        on_regained: Callable[[str, float], None] = lambda address, lost_for_ms: None,
         clock: Clock,
         credentials: grpc.ChannelCredentials | None = None,
     ) -> None:
@@ -70,6 +74,8 @@
         self._identify = identify
         self._answer_locally = answer_locally
         self._on_reply = on_reply
+        self._on_lost = on_lost
+        self._on_regained = on_regained
         self._clock = clock
         self._credentials = credentials
         self._lock = threading.Lock()
@@ -121,6 +127,7 @@
         """Hold calls open to one hub for as long as it is wanted."""
         boot = 0
         position = 0
+        lost_ms: float | None = None
         while not self._stopping.is_set() and address in self._list_wanted():
             identity = self._identify()
             request = FollowRequest(
@@ -133,9 +140,15 @@
             )
             try:
                 reply = self._call(address, request)
-            except RpcError:
+            except RpcError as error:
+                if lost_ms is None and boot:
+                    lost_ms = self._clock.now_ms()
+                    self._on_lost(address, str(error))
                 self._stopping.wait(RETRY_PAUSE_MS / 1000)
                 continue
+            if lost_ms is not None:
+                self._on_regained(address, self._clock.now_ms() - lost_ms)
+                lost_ms = None
             boot = reply.boot
             position = reply.position
             self._view.apply(address, reply)
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -8,16 +8,15 @@
 from random import Random
 
 from coltsfootrill.balancer.choice import ChoicePolicy
-from coltsfootrill.balancer.load import UpstreamLoad
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.report_book import ReportBook
 from coltsfootrill.balancer.report_book import ReportEntry
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import Admission
 from coltsfootrill.events.catalog import Attempt
 from coltsfootrill.events.catalog import Event
 from coltsfootrill.events.catalog import RequestEnded
-from coltsfootrill.events.catalog import UpstreamEjected
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
@@ -49,7 +48,16 @@
 class _Visit:
     """What is known of one request when it ends."""
 
-    __slots__ = ("attempts", "deadline_ms", "message", "request", "route", "service")
+    __slots__ = (
+        "admission",
+        "attempts",
+        "deadline_ms",
+        "manifest_version",
+        "message",
+        "request",
+        "route",
+        "service",
+    )
 
     def __init__(self, request: CallerRequest) -> None:
         self.request = request
@@ -58,6 +66,8 @@
         self.attempts: list[Attempt] = []
         self.deadline_ms = 0.0
         self.message = ""
+        self.manifest_version = 0
+        self.admission: Admission | None = None
 
 
 class ProxyApp:
@@ -101,11 +111,13 @@
         """Return the answer to one request."""
         visit = _Visit(request)
         try:
-            visit.route = self._resolve(request)
+            visit.route = self._resolve(request, visit)
             visit.service = visit.route.choose_service(self._random)
             answer = self._run(request, visit, visit.route, visit.service)
         except ProxyError as error:
             visit.message = str(error)
+            if isinstance(error, NotRunError):
+                visit.admission = error.admission
             answer = make_error_answer(error, has_fractions=self._dialect.has_fractions)
         answer.add_follow_up(lambda: self._count(visit, answer))
         return answer
@@ -162,15 +174,10 @@
             fleet=self._fleet,
             clock=self._clock,
             on_report=self.reports.note,
-            on_ejected=self._note_ejected,
+            on_event=self._on_event,
         )
 
-    def _note_ejected(self, service_id: str, load: UpstreamLoad, for_ms: float) -> None:
-        self._on_event(
-            UpstreamEjected(upstream=load.id, service=service_id, for_ms=round(for_ms, 1))
-        )
-
-    def _resolve(self, request: CallerRequest) -> Route:
+    def _resolve(self, request: CallerRequest, visit: _Visit) -> Route:
         if request.is_refused:
             raise NotRunError(
                 "503 Service Unavailable",
@@ -186,6 +193,7 @@
                 "no manifest yet",
                 retry_after_s=RETRY_AFTER_S,
             )
+        visit.manifest_version = table.version
         headers = request.headers
         name = RequestName(
             host=headers.get("HOST", ""),
@@ -255,7 +263,7 @@
                 id=visit.request.get_header(id_header) if id_header else "",
                 service=service_id,
                 kind="" if visit.route is None else visit.route.kind.id,
-                manifest=self._manifests.version,
+                manifest=visit.manifest_version,
                 status=answer.status,
                 outcome=answer.outcome,
                 reason=answer.reason,
@@ -263,5 +271,6 @@
                 deadline_ms=round(visit.deadline_ms, 1),
                 attempts=visit.attempts,
                 message=visit.message,
+                admission=visit.admission,
             )
         )
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -10,7 +10,6 @@
 
 from coltsfootrill.balancer.admission import Waiter
 from coltsfootrill.balancer.load import LoadReport
-from coltsfootrill.balancer.load import UpstreamLoad
 from coltsfootrill.balancer.pool import ANY_ROOM
 from coltsfootrill.balancer.pool import Claim
 from coltsfootrill.balancer.pool import Room
@@ -21,9 +20,12 @@
 from coltsfootrill.balancer.retry import may_hedge
 from coltsfootrill.balancer.retry import may_retry
 from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import Event
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.outcome import NotRunError
+from coltsfootrill.proxy.pool_watch import PoolWatch
+from coltsfootrill.proxy.pool_watch import describe_admission
 from coltsfootrill.registry.source import UpstreamSource
 
 WAIT_SLICE_MS = 20.0
@@ -63,10 +65,10 @@
         fleet: UpstreamSource,
         clock: Clock,
         on_report: Callable[[str, LoadReport], None] = lambda upstream_id, report: None,
-        on_ejected: Callable[[str, UpstreamLoad, float], None] = lambda service, load, for_ms: None,
+        on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
         self._on_report = on_report
-        self._on_ejected = on_ejected
+        self._watch = PoolWatch(pool, on_event=on_event)
         self._pool = pool
         self._fleet = fleet
         self._clock = clock
@@ -164,20 +166,14 @@
     def may_retry(self, history: AttemptHistory, failure: FailureKind, kind: Kind) -> bool:
         """Return whether another attempt may follow ``failure``."""
         with self._lock:
-            return may_retry(
-                history,
-                failure,
-                kind=kind,
-                budget=self._pool.retry_budget,
-                now_ms=self._clock.now_ms(),
-            )
+            now_ms = self._clock.now_ms()
+            return may_retry(history, failure, kind=kind, budget=self._watch.budget, now_ms=now_ms)
 
     def may_hedge(self, history: AttemptHistory, kind: Kind) -> bool:
         """Return whether a second attempt may run beside the first."""
         with self._lock:
-            return may_hedge(
-                history, kind=kind, budget=self._pool.retry_budget, now_ms=self._clock.now_ms()
-            )
+            now_ms = self._clock.now_ms()
+            return may_hedge(history, kind=kind, budget=self._watch.budget, now_ms=now_ms)
 
     def get_quantile_ms(self, kind: Kind, quantile: float) -> float | None:
         """Return a quantile of the kind's recent latencies."""
@@ -257,9 +253,8 @@
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
             ejected = self._pool.eject_outliers(now_ms) if self._pool.has_worked else []
+            self._watch.note_ejected(ejected, now_ms)
             self._grant_by_reports(now_ms)
-        for load in ejected:
-            self._on_ejected(service.id, load, load.ejected_until_ms - now_ms)
 
     def _update_pool(self, service: Service, now_ms: float) -> None:
         """Take in upstreams and leases that have changed."""
@@ -288,14 +283,16 @@
     def _enqueue(self, ticket: _Ticket, now_ms: float) -> None:
         waiter = ticket.waiter
         if not self._pool.by_id:
-            raise self._refuse("no-upstream", "no upstream of this service is serving")
+            raise self._refuse(ticket.kind, "no-upstream", "no upstream of this service is serving")
         if not self._pool.can_still_answer(ticket.kind, waiter, now_ms):
             raise self._refuse(
-                "overloaded", "the queue is too long for the deadline of this request"
+                ticket.kind,
+                "overloaded",
+                "the queue is too long for the deadline of this request",
             )
         evicted = self._pool.queue.add(waiter, now_ms=now_ms)
         if evicted is waiter:
-            raise self._refuse("queue-full", "the queue of this service is full")
+            raise self._refuse(ticket.kind, "queue-full", "the queue of this service is full")
         self._tickets[waiter.order] = ticket
         if evicted is not None:
             loser = self._tickets.pop(evicted.order)
@@ -317,17 +314,25 @@
                     return ticket.claim
                 if ticket.is_evicted:
                     raise self._refuse(
-                        "queue-full", "more urgent requests took the place of this one"
+                        ticket.kind,
+                        "queue-full",
+                        "more urgent requests took the place of this one",
                     )
                 if now_ms >= waiter.deadline_ms or waiter.is_hopeless(now_ms) or is_gone():
                     self._pool.queue.remove(waiter)
                     self._tickets.pop(waiter.order, None)
-                    raise self._refuse("deadline", "no upstream was free in time")
+                    raise self._refuse(ticket.kind, "deadline", "no upstream was free in time")
 
-    def _refuse(self, reason: str, message: str) -> NotRunError:
+    def _refuse(self, kind: Kind, reason: str, message: str) -> NotRunError:
         """Return the refusal of a request that has no upstream. Called with the lock held."""
         wait_s = RETRY_AFTER_S * (0.5 + self._pool.random.random())
-        return NotRunError("503 Service Unavailable", reason, message, retry_after_s=wait_s)
+        return NotRunError(
+            "503 Service Unavailable",
+            reason,
+            message,
+            retry_after_s=wait_s,
+            admission=describe_admission(self._pool, kind.id, self._clock.now_ms()),
+        )
 
     def _grant_waiting(self, now_ms: float) -> None:
         """Let waiters in, the most urgent first, while there are upstreams for them."""
--- a/src/coltsfootrill/proxy/outcome.py
+++ b/src/coltsfootrill/proxy/outcome.py
@@ -8,6 +8,7 @@
 from typing import Literal
 
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.events.catalog import Admission
 
 Outcome = Literal["answered", "not-run", "unknown"]
 Header = tuple[str, str]
@@ -70,10 +71,25 @@
 
 
 class NotRunError(ProxyError):
-    """The request was certainly not run by any upstream."""
+    """The request was certainly not run by any upstream.
+
+    ``admission`` is what was known of the service, where it had no upstream for the request.
+    """
 
     outcome: Outcome = "not-run"
 
+    def __init__(
+        self,
+        status: str,
+        reason: str,
+        message: str,
+        *,
+        retry_after_s: float | None = None,
+        admission: Admission | None = None,
+    ) -> None:
+        super().__init__(status, reason, message, retry_after_s=retry_after_s)
+        self.admission = admission
+
 
 class UnknownOutcomeError(ProxyError):
     """The request may or may not have been run."""
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -16,6 +16,8 @@
 from coltsfootrill.balancer.retry import WindowBudget
 from coltsfootrill.balancer.retry import share_allowance
 from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import DependencyLost
+from coltsfootrill.events.catalog import InstancesChanged
 from coltsfootrill.events.catalog import ManifestAdopted
 from coltsfootrill.events.catalog import Reloaded
 from coltsfootrill.events.catalog import Started
@@ -40,6 +42,7 @@
 from coltsfootrill.operators.http import HttpReply
 from coltsfootrill.operators.http import HttpRequest
 from coltsfootrill.operators.http import HttpServer
+from coltsfootrill.operators.http import OperatorListenError
 from coltsfootrill.proxy.load_watch import LoadWatch
 from coltsfootrill.registry.directory import StateChange
 from coltsfootrill.roles.gateway import SWITCH_INTERVAL_S
@@ -87,6 +90,7 @@
         )
         self.view = HubView(clock=self._clock, on_upstream=self._note_upstream)
         self._budgets: list[WindowBudget] = []
+        self._known_instances: frozenset[str] = frozenset()
         self._dialect = find_dialect(plugins, settings.get("interface", "dialect"))
         self.gateway = Gateway(
             settings,
@@ -167,18 +171,25 @@
         self._interface.add_control_routes(control_app, self.control)
         ready_app = HttpApp(None)
         self._interface.add_ready_routes(ready_app, self.is_ready)
-        metrics_app = HttpApp(None)
-        metrics_app.add("GET", "/metrics", self._answer_metrics)
         self.control.start()
         interface = settings.get("interface", "listen")
         HttpServer(control_app, interface, threads=INTERFACE_THREADS).start()
         HttpServer(ready_app, settings.get("ready", "listen"), threads=1).start()
-        HttpServer(metrics_app, settings.get("metrics", "listen"), threads=1).start()
+        self._serve_metrics()
         self.gateway.start()
         self._start_measuring()
         zone = settings.get("instance", "zone")
         self.log.emit(Started(zone=zone, version=__version__))
 
+    def _serve_metrics(self) -> None:
+        """Serve metrics; callers are served also where their port is taken."""
+        app = HttpApp(None)
+        app.add("GET", "/metrics", self._answer_metrics)
+        try:
+            HttpServer(app, self._settings.get("metrics", "listen"), threads=1).start()
+        except OperatorListenError as error:
+            self.log.emit(DependencyLost(dependency="metrics", reason=str(error)))
+
     def _start_measuring(self) -> None:
         """Check upstreams and exchange what they report; without an interval, do neither."""
         interval_ms = self._settings.get("measuring", "interval_ms")
@@ -216,9 +227,21 @@
         self.control.keep_house()
         self.gateway.drop_idle_connections()
         self._share_allowance()
+        self._note_instances()
         self.metrics.upstreams.set(len(self.view.list_usable()))
         self.metrics.members.set(self.view.count_instances() or 0)
 
+    def _note_instances(self) -> None:
+        known = frozenset(record.id for record in self.view.list_instances())
+        before, self._known_instances = self._known_instances, known
+        if known == before:
+            return
+        self.log.emit(
+            InstancesChanged(
+                count=len(known), joined=sorted(known - before), left=sorted(before - known)
+            )
+        )
+
     def _make_budget(self) -> WindowBudget:
         budget = WindowBudget(
             BUDGET_USE * self._settings.get("retries", "share"),
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -126,6 +126,8 @@
             identify=self._identify,
             answer_locally=self.hub.answer,
             on_reply=self._note_reply,
+            on_lost=self._note_hub_lost,
+            on_regained=self._note_hub_regained,
             clock=clock,
             credentials=credentials.channel,
         )
@@ -200,6 +202,7 @@
             ManifestSubmitted(
                 version=reply.version,
                 base_version=base_version,
+                operator=operator,
                 digest=digest_manifest(raw)[:12],
                 result=reply.result,
                 message=reply.message,
@@ -371,6 +374,15 @@
             self._adopt(request.raw)
         return SubmitReply(answer.result, answer.version, answer.digest, answer.message)
 
+    def _note_hub_lost(self, address: str, reason: str) -> None:
+        if not self._stopping.is_set():
+            self._log.emit(DependencyLost(dependency=f"hub {address}", reason=reason))
+
+    def _note_hub_regained(self, address: str, lost_for_ms: float) -> None:
+        self._log.emit(
+            DependencyRegained(dependency=f"hub {address}", lost_for_ms=round(lost_for_ms, 1))
+        )
+
     def _note_dependency(self) -> None:
         is_heard = self._view.has_current_hub()
         now_ms = self._clock.now_ms()
--- /dev/null
+++ b/testing/events/test_explanation.py
@@ -0,0 +1,171 @@
+"""The lines are those of played days, shortened; see docs/OPERATIONS.md."""
+
+from __future__ import annotations
+
+from coltsfootrill.events.explanation import Explanation
+from coltsfootrill.events.explanation import explain
+from coltsfootrill.events.reader import read_log
+
+
+def _explain(request_id: str, *lines: str) -> Explanation:
+    (explanation,) = explain(read_log(lines).events, request_id)
+    return explanation
+
+
+def _line(at_ms: int, event: str, fields: str = "", instance: str = "n1") -> str:
+    rest = f",{fields}" if fields else ""
+    return f'{{"at_ms":{at_ms},"instance":"{instance}","event":"{event}"{rest}}}'
+
+
+def _ended(
+    at_ms: int,
+    request_id: str,
+    *,
+    status: str,
+    outcome: str,
+    reason: str,
+    took_ms: float,
+    attempts: str = "",
+    more: str = "",
+    instance: str = "n1",
+) -> str:
+    fields = (
+        f'"id":"{request_id}","service":"desk","kind":"k","manifest":3,"status":"{status}",'
+        f'"outcome":"{outcome}","reason":"{reason}","took_ms":{took_ms},"deadline_ms":1000'
+    )
+    if attempts:
+        fields += f',"attempts":[{attempts}]'
+    return _line(at_ms, "request-ended", fields + more, instance)
+
+
+def _attempt(upstream: str, took_ms: float, result: str, after_ms: float = 0.1) -> str:
+    return (
+        f'{{"upstream":"{upstream}","after_ms":{after_ms},"took_ms":{took_ms},"result":"{result}"}}'
+    )
+
+
+class TestRefusals:
+    def test_a_node_without_a_manifest_names_what_it_lost(self) -> None:
+        explanation = _explain(
+            "q1",
+            _line(900, "dependency-lost", '"dependency":"control","reason":"no hub replies"'),
+            _ended(1000, "q1", status="503", outcome="not-run", reason="no-manifest", took_ms=0.2),
+        )
+        assert "control was lost (no hub replies)" in explanation.conclusion
+
+    def test_a_dependency_that_was_regained_is_not_blamed(self) -> None:
+        explanation = _explain(
+            "q1",
+            _line(800, "dependency-lost", '"dependency":"control","reason":"no hub replies"'),
+            _line(900, "dependency-regained", '"dependency":"control","lost_for_ms":100'),
+            _ended(1000, "q1", status="503", outcome="not-run", reason="no-manifest", took_ms=0.2),
+        )
+        assert "control" not in explanation.conclusion
+
+    def test_a_refusal_at_admission_tells_its_inputs(self) -> None:
+        admission = (
+            ',"admission":{"upstreams":6,"ejected":1,"with_room":0,"waiting":4,"usual_ms":78,'
+            '"report_age_ms":35}'
+        )
+        explanation = _explain(
+            "q1",
+            _ended(
+                1000,
+                "q1",
+                status="503",
+                outcome="not-run",
+                reason="deadline",
+                took_ms=250,
+                more=admission,
+            ),
+            _ended(1100, "q2", status="503", outcome="not-run", reason="overloaded", took_ms=0.1),
+        )
+        for part in ("6 upstreams 1 were ejected", "0 had a free slot", "4 other requests"):
+            assert part in explanation.conclusion
+        assert explanation.service_outcomes == {"overloaded": 1}
+
+
+class TestLostAnswers:
+    def test_the_upstream_its_beliefs_and_its_other_attempts_are_found(self) -> None:
+        lost = _attempt("u1", 67.0, "lost")
+        explanation = _explain(
+            "q1",
+            _line(500, "upstream-ejected", '"upstream":"u1","service":"desk","for_ms":250'),
+            _line(750, "upstream-readmitted", '"upstream":"u1","service":"desk"'),
+            _line(760, "upstream-ejected", '"upstream":"u9","service":"desk","for_ms":250'),
+            _ended(
+                900,
+                "q2",
+                status="502",
+                outcome="unknown",
+                reason="lost",
+                took_ms=60,
+                attempts=lost,
+                instance="n2",
+            ),
+            _ended(
+                1000,
+                "q1",
+                status="502",
+                outcome="unknown",
+                reason="lost",
+                took_ms=67.3,
+                attempts=lost,
+            ),
+        )
+        assert "u1 (attempt 1) ended after 67 ms without a whole answer" in explanation.conclusion
+        assert [belief.at_ms for belief in explanation.beliefs] == [750]
+        assert explanation.upstreams[0].count_by_result == {"lost": 1}
+
+
+class TestDeadlines:
+    def test_an_upstream_that_used_up_the_time_is_named(self) -> None:
+        explanation = _explain(
+            "q1",
+            _ended(
+                2000,
+                "q1",
+                status="504",
+                outcome="unknown",
+                reason="deadline",
+                took_ms=1000,
+                attempts=_attempt("u1", 999.0, "cancelled"),
+            ),
+        )
+        assert "u1 (attempt 1) did not answer within the time" in explanation.conclusion
+
+    def test_a_request_that_waited_here_first_is_told_apart(self) -> None:
+        explanation = _explain(
+            "q1",
+            _ended(
+                2000,
+                "q1",
+                status="504",
+                outcome="unknown",
+                reason="deadline",
+                took_ms=1000,
+                attempts=_attempt("u1", 200.0, "cancelled", after_ms=800),
+            ),
+        )
+        assert "used up before u1" in explanation.conclusion
+
+
+class TestOthers:
+    def test_events_of_other_instances_are_not_taken_for_own_beliefs(self) -> None:
+        explanation = _explain(
+            "q1",
+            _line(900, "stopping", '"in_progress":0', instance="n2"),
+            _line(950, "stopping", '"in_progress":1'),
+            _ended(1000, "q1", status="503", outcome="not-run", reason="deadline", took_ms=1),
+        )
+        assert [belief.instance for belief in explanation.beliefs] == ["n1"]
+
+    def test_a_caller_that_left_is_told(self) -> None:
+        explanation = _explain(
+            "q1",
+            _ended(1000, "q1", status="499", outcome="unknown", reason="caller-gone", took_ms=1),
+        )
+        assert "caller closed its connection" in explanation.conclusion
+
+    def test_an_unknown_id_has_no_explanation(self) -> None:
+        assert explain([], "q1") == []
--- /dev/null
+++ b/testing/events/test_reader.py
@@ -0,0 +1,32 @@
+from __future__ import annotations
+
+from coltsfootrill.events.catalog import Stopped
+from coltsfootrill.events.reader import read_log
+
+LATER = '{"at_ms":20,"instance":"n2","event":"stopped","cut":2}\n'
+EARLIER = '{"at_ms":10,"instance":"n1","event":"stopped","cut":0}\n'
+
+
+class TestReadLog:
+    def test_lines_of_several_processes_are_put_in_order(self) -> None:
+        content = read_log([LATER, EARLIER])
+        assert [event.instance for event in content.events] == ["n1", "n2"]
+        assert isinstance(content.events[1].event, Stopped)
+        assert content.events[1].event.cut == 2
+
+    def test_what_a_collector_puts_before_the_json_is_left_out(self) -> None:
+        content = read_log(["[12.3] n1 | " + EARLIER])
+        assert content.events[0].at_ms == 10
+        assert content.unreadable == 0
+
+    def test_a_cut_line_is_counted_and_costs_no_other(self) -> None:
+        content = read_log([EARLIER[:30], LATER])
+        assert len(content.events) == 1
+        assert content.unreadable == 1
+
+    def test_an_event_of_another_version_is_counted(self) -> None:
+        assert read_log(['{"at_ms":1,"instance":"n","event":"unheard-of"}']).unreadable == 1
+
+    def test_lines_of_libraries_are_no_events(self) -> None:
+        content = read_log(["W1204 07:00 datagram not sent\n"])
+        assert (content.events, content.unreadable) == ([], 0)
--- /dev/null
+++ b/testing/proxy/test_pool_watch.py
@@ -0,0 +1,125 @@
+from __future__ import annotations
+
+from random import Random
+
+from coltsfootrill.balancer.ejection import eject
+from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.random_of_two import coltsfootrill_choice_policy
+from coltsfootrill.balancer.retry import WindowBudget
+from coltsfootrill.events.catalog import Event
+from coltsfootrill.events.catalog import RetriesAvailable
+from coltsfootrill.events.catalog import RetriesExhausted
+from coltsfootrill.events.catalog import UpstreamEjected
+from coltsfootrill.events.catalog import UpstreamReadmitted
+from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Service
+from coltsfootrill.proxy.pool_watch import BUDGET_NEWS_MS
+from coltsfootrill.proxy.pool_watch import PoolWatch
+from coltsfootrill.proxy.pool_watch import describe_admission
+from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.directory import UpstreamRecord
+
+NOW_MS = 10_000.0
+
+
+def _make_pool(count: int = 3) -> ServicePool:
+    service = Service(
+        id="desk",
+        upstreams=["u*"],
+        kinds=[Kind(id="k", names=["a"], idempotent=True, deadline_ms=1_000)],
+    )
+    pool = ServicePool(
+        service,
+        policy=coltsfootrill_choice_policy(),
+        random=Random(1),
+        zone="z",
+        queue_limit=4,
+        budget=WindowBudget(0.0, window_ms=1_000.0, allowance=1.0),
+    )
+    records = [
+        UpstreamRecord(
+            Announcement(
+                id=f"u{number}",
+                incarnation=1,
+                sequence=1,
+                address=f"127.0.0.1:{number + 1}",
+                zone="z",
+                services=["desk"],
+                slots=3,
+                state="serving",
+            ),
+            origin="",
+            evidence_ms=0,
+            lease_ms=float("inf"),
+        )
+        for number in range(count)
+    ]
+    pool.update(service, records, NOW_MS)
+    return pool
+
+
+class TestEjections:
+    def test_the_end_of_an_ejection_is_told_once(self) -> None:
+        events: list[Event] = []
+        pool = _make_pool()
+        watch = PoolWatch(pool, on_event=events.append)
+        load = pool.by_id["u1"]
+        eject(load, now_ms=NOW_MS)
+        watch.note_ejected([load], NOW_MS)
+        assert isinstance(events[0], UpstreamEjected)
+        watch.note_ejected([], load.ejected_until_ms - 1)
+        assert len(events) == 1
+        for _ in range(2):
+            watch.note_ejected([], load.ejected_until_ms)
+        assert isinstance(events[1], UpstreamReadmitted)
+        assert len(events) == 2
+
+    def test_an_upstream_that_has_left_is_not_readmitted(self) -> None:
+        events: list[Event] = []
+        pool = _make_pool()
+        watch = PoolWatch(pool, on_event=events.append)
+        load = pool.by_id["u1"]
+        eject(load, now_ms=NOW_MS)
+        watch.note_ejected([load], NOW_MS)
+        del pool.by_id["u1"]
+        watch.note_ejected([], load.ejected_until_ms)
+        assert len(events) == 1
+
+
+class TestBudget:
+    def test_the_first_denial_and_the_recovery_are_told(self) -> None:
+        events: list[Event] = []
+        watch = PoolWatch(_make_pool(), on_event=events.append)
+        assert watch.budget.spend(0.0)
+        for _ in range(3):
+            assert not watch.budget.spend(1.0)
+        (denied,) = events
+        assert isinstance(denied, RetriesExhausted)
+        assert (denied.service, denied.spent, denied.allowed) == ("desk", 1, 1.0)
+        later_ms = 2 * BUDGET_NEWS_MS
+        assert watch.budget.spend(later_ms)
+        assert isinstance(events[1], RetriesAvailable)
+
+    def test_a_short_budget_that_allows_one_now_and_then_is_no_news(self) -> None:
+        events: list[Event] = []
+        pool = _make_pool()
+        watch = PoolWatch(pool, on_event=events.append)
+        budget = pool.retry_budget
+        assert isinstance(budget, WindowBudget)
+        assert watch.budget.spend(0.0)
+        assert not watch.budget.spend(1.0)
+        budget.allowance = 2.0
+        assert watch.budget.spend(BUDGET_NEWS_MS / 2)
+        assert [type(event) for event in events] == [RetriesExhausted]
+
+
+class TestAdmission:
+    def test_it_counts_what_was_known(self) -> None:
+        pool = _make_pool()
+        eject(pool.by_id["u1"], now_ms=NOW_MS)
+        admission = describe_admission(pool, "k", NOW_MS + 30)
+        assert (admission.upstreams, admission.ejected, admission.with_room) == (3, 1, 2)
+        assert (admission.waiting, admission.report_age_ms) == (0, 30.0)
+
+    def test_a_service_without_upstreams_has_none(self) -> None:
+        assert describe_admission(_make_pool(0), "k", NOW_MS).upstreams == 0
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -230,6 +230,40 @@
         voter.start(is_first=False)
         node.start(is_first=False)
 
+    def test_a_metrics_port_that_is_taken_keeps_no_node_from_serving(self, fleet: Fleet) -> None:
+        fleet.put_in_force(2, 0)
+        fleet.announce(1)
+        fleet.wait_served()
+        node = fleet.nodes[3]
+        node.end()
+        with socket.create_server((node.host, node.ports["metrics"])):
+            node.start(is_first=False)
+            fleet.wait_served()
+        wait_until(
+            lambda: "metrics" in [e["dependency"] for e in node.list_events("dependency-lost")]
+        )
+
+    def test_what_others_come_to_believe_of_a_voter_that_is_killed_is_logged(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.put_in_force(2, 0)
+        fleet.announce(1)
+        fleet.wait_served()
+        voter, other = fleet.nodes[0], fleet.nodes[3]
+        hub = f"hub {voter.host}:{voter.ports['fleet']}"
+
+        def lists(name: str) -> bool:
+            return hub in [event["dependency"] for event in other.list_events(name)]
+
+        voter.end()
+        wait_until(lambda: lists("dependency-lost"), within_s=10)
+        wait_until(
+            lambda: "n1" in other.list_events("instances-changed")[-1].get("left", []),
+            within_s=20,
+        )
+        voter.start(is_first=False)
+        wait_until(lambda: lists("dependency-regained"), within_s=20)
+
 
 def _is_admitted(node: Node) -> bool:
     return (node.data / "control" / "accepted.rec").exists()
