--- a/src/coltsfootrill/events/explanation.py
+++ b/src/coltsfootrill/events/explanation.py
@@ -116,6 +116,9 @@
     for other in events:
         if other.instance != logged.instance or other.at_ms > logged.at_ms:
             continue
+        if isinstance(other.event, Started):
+            # A new process knows nothing of what the one before believed.
+            last_by_subject.clear()
         subject = _find_subject(other.event, asked, request.service)
         if subject is None:
             continue
--- a/testing/events/test_explanation.py
+++ b/testing/events/test_explanation.py
@@ -160,6 +160,15 @@
         )
         assert [belief.instance for belief in explanation.beliefs] == ["n1"]
 
+    def test_what_was_believed_before_a_restart_is_left_out(self) -> None:
+        explanation = _explain(
+            "q1",
+            _line(100, "dependency-lost", '"dependency":"control","reason":"no hub replies"'),
+            _line(500, "started", '"zone":"z","version":"1"'),
+            _ended(1000, "q1", status="503", outcome="not-run", reason="no-manifest", took_ms=1),
+        )
+        assert [belief.at_ms for belief in explanation.beliefs] == [500]
+
     def test_a_caller_that_left_is_told(self) -> None:
         explanation = _explain(
             "q1",
