Close idle connections of a stopping instance one by one, never beside a request

A request that was read between the two was passed on to an upstream and its connection cut. Change: each connection is closed under its own lock, only if it has no request; one whose bytes are received later gets no turn, so it is never passed on. Busy connections no longer hold idle ones open. Ruled out: a longer time for idle connections, which only moves the moment of the race. Tests: a request that is sent as the server decides was worked on and cut before (test failed), and is answered or never begun now.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -193,6 +193,17 @@
             self._users += 1
             return self._next_turn
 
+    def close_if_idle(self) -> bool:
+        """Take no further request unless one is here already; return whether none is.
+
+        The bytes of one may have been received by now: it gets no turn, so it is never worked on.
+        """
+        with self._turns:
+            if self.is_busy:
+                return False
+            self._closed_after = self._next_turn
+            return True
+
     def may_read_on(self) -> bool:
         """Return whether another request may be read before the open ones are answered."""
         return self._next_turn - self._sent_turn < TURNS_OPEN_MAX_COUNT
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -106,7 +106,12 @@
         if self._thread is not None:
             self._thread.join()
         start_ms = self._clock.now_ms()
-        while not self._is_finished(self._clock.now_ms() - start_ms, idle_ms, limit_ms):
+        while not self._is_finished():
+            elapsed_ms = self._clock.now_ms() - start_ms
+            if elapsed_ms >= limit_ms:
+                break
+            if elapsed_ms >= idle_ms:
+                self._close_idle()
             self._clock.sleep_ms(DRAIN_CHECK_MS)
         cut = self.count_in_progress()
         with self._lock:
@@ -116,15 +121,18 @@
         self._executor.shutdown(wait=cut == 0)
         return cut
 
-    def _is_finished(self, elapsed_ms: float, idle_ms: float, limit_ms: float) -> bool:
-        if elapsed_ms >= limit_ms:
-            return True
+    def _is_finished(self) -> bool:
+        with self._lock:
+            # A request counts as in progress until its answer has been followed up.
+            return not self._in_progress and not self._connections
+
+    def _close_idle(self) -> None:
+        """Close the connections without a request; one that is read later is not worked on."""
         with self._lock:
             connections = list(self._connections)
-        # A request counts as in progress until its answer has been followed up.
-        if self._in_progress or any(connection.is_busy for connection in connections):
-            return False
-        return not connections or elapsed_ms >= idle_ms
+        for connection in connections:
+            if connection.close_if_idle():
+                _shut_down(connection.sock)
 
     def _accept(self, listener: socket.socket) -> None:
         while self._is_accepting:
--- /dev/null
+++ b/testing/proxy/test_server.py
@@ -0,0 +1,109 @@
+"""Requests that arrive while the server closes connections: answered, or never worked on."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.proxy.caller import CallerConnection
+from coltsfootrill.proxy.caller import CallerRequest
+from coltsfootrill.proxy.outcome import Answer
+from coltsfootrill.proxy.server import CallerServer
+from testing.processes import wait_until
+
+REQUEST = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+
+
+class Handler:
+    """Works on a request until it may end."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.may_end = threading.Event()
+
+    def __call__(self, request: CallerRequest) -> Answer:
+        self.count += 1
+        self.may_end.wait(1)
+        return Answer(status="200 OK", headers=[], body=b"done", outcome="answered")
+
+
+@pytest.fixture
+def handler() -> Iterator[Handler]:
+    made = Handler()
+    yield made
+    made.may_end.set()
+
+
+def _start(handler: Handler) -> tuple[CallerServer, socket.socket]:
+    server = CallerServer(handler, clock=Clock(), requests_max=8, connections_max=8)
+    server.start("127.0.0.1", 0)
+    caller = socket.create_connection(("127.0.0.1", server.port))
+    wait_until(lambda: bool(server._connections))
+    return server, caller
+
+
+def _read_all(caller: socket.socket) -> bytes:
+    caller.settimeout(3)
+    answer = b""
+    try:
+        while data := caller.recv(1_000):
+            answer += data
+    except OSError:
+        pass
+    return answer
+
+
+class TestStop:
+    def test_a_request_that_is_read_as_idle_connections_close_is_answered_or_not_worked_on(
+        self, handler: Handler, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        server, caller = _start(handler)
+        count = server.count_in_progress
+
+        def send_late() -> int:
+            # The server has just found that nothing is in progress.
+            caller.sendall(REQUEST)
+            threading.Event().wait(0.2)
+            handler.may_end.set()
+            return count()
+
+        monkeypatch.setattr(server, "count_in_progress", send_late)
+        server.stop(idle_ms=0, limit_ms=2_000)
+        assert (handler.count, b"done" in _read_all(caller)) in [(0, False), (1, True)]
+
+    def test_a_request_in_progress_keeps_its_connection_while_idle_ones_close(
+        self, handler: Handler
+    ) -> None:
+        server, busy = _start(handler)
+        idle = socket.create_connection(("127.0.0.1", server.port))
+        busy.sendall(REQUEST)
+        wait_until(lambda: handler.count == 1 and len(server._connections) == 2)
+        stop = threading.Thread(target=server.stop, kwargs={"idle_ms": 100, "limit_ms": 3_000})
+        stop.start()
+        assert _read_all(idle) == b""
+        handler.may_end.set()
+        assert b"done" in _read_all(busy)
+        stop.join()
+
+
+class TestCloseIfIdle:
+    def test_a_connection_without_a_request_takes_none_afterwards(self) -> None:
+        ours, theirs = socket.socketpair()
+        connection = CallerConnection(ours)
+        assert connection.close_if_idle()
+        assert connection.take_turn() is None
+        theirs.close()
+
+    def test_a_connection_with_a_request_is_left_open(self) -> None:
+        ours, theirs = socket.socketpair()
+        connection = CallerConnection(ours)
+        turn = connection.take_turn()
+        assert turn is not None
+        assert not connection.close_if_idle()
+        connection.answer(turn, lambda is_last: b"whole", wants_close=lambda: True)
+        assert theirs.recv(10) == b"whole"
+        theirs.close()
