Let hubs tell changes of the fleet, and collectors the loads of upstreams

Worked out: every join made each hub send the whole list of instances (about 14 KB at 140) to all followers at once, 140 x 140 x 14 KB a hub; and 47 nodes a zone told each other loads directly, 46 datagrams 12.5 times a second each, about 1,100 sent and as many taken a second with those of the other zones. Change: replies name instances that are new, changed or gone, and the live upstreams only when these change; a join is told with other news or after 500 ms, a voter at once; replies go out in batches that grow with the followers (0.8 ms each), so that a round never takes all of a hub's time. In zones of more than 15 instances reports go to one of two collectors in turn, those with the widest links, which tell the zone every 200 ms. Smaller zones work as before. Ruled out: one collector (its loss would end all reports until it is noticed); fewer hubs followed by each node (a leaving upstream is acknowledged once a majority knows it, so each must hear all).

--- a/src/coltsfootrill/membership/bulletins.py
+++ b/src/coltsfootrill/membership/bulletins.py
@@ -1,26 +1,38 @@
 """Datagrams in which instances tell each other the load that upstreams reported.
 
 A report is worth nothing a few hundred milliseconds later, so a datagram that is lost is not sent
-again. Between availability zones one instance passes the reports on to the others of its zone.
+again. In a zone with few instances each tells all others; where that would cost too much, two
+collectors take the reports, and each tells the zone again and again what it has taken. Between
+availability zones one instance passes the reports on to the others of its zone. ``ways`` decides
+who sends to whom.
 """
 
 from __future__ import annotations
 
 import socket
+import threading
 from collections.abc import Callable
 from collections.abc import Sequence
 
-import google_crc32c
 import msgspec
 from absl import logging
 
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.report_book import ReportEntry
+from coltsfootrill.clock import Clock
 from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.ways import DIRECT_MAX_COUNT
+from coltsfootrill.membership.ways import choose_collector
+from coltsfootrill.membership.ways import choose_relays
+from coltsfootrill.membership.ways import list_neighbours
 from coltsfootrill.registry.announcement import split_address
 
 DATAGRAM_MAX_BYTES = 8 * 1024
-ENTRIES_MAX_COUNT = 64
+# About 25 bytes each.
+ENTRIES_MAX_COUNT = 200
+COLLECT_MS = 200.0
+HOPS_TO_ZONE = 1
+HOPS_TO_COLLECTOR = 2
 PACE_SCALE = 100
 LOG_PAUSE_S = 30
 
@@ -36,10 +48,10 @@
 
 
 class Bulletin(msgspec.Struct, frozen=True, array_like=True):
-    """Loads from one instance; ``is_first_hop`` asks the receiver to pass them on in its zone."""
+    """Loads from one instance; ``hops`` is how many times they are still to be passed on."""
 
     sender: str
-    is_first_hop: bool
+    hops: int
     entries: list[LoadEntry]
 
 
@@ -47,30 +59,6 @@
 _decoder = msgspec.msgpack.Decoder(Bulletin)
 
 
-def rank(key: str, instance_id: str) -> int:
-    """Return the weight of an instance for a key; the highest one is responsible for it."""
-    return int(google_crc32c.value(f"{key}/{instance_id}".encode()))
-
-
-def choose_relays(own: InstanceRecord, instances: Sequence[InstanceRecord]) -> list[str]:
-    """Return the address of one instance in each other zone, spread over the senders."""
-    best_by_zone: dict[str, InstanceRecord] = {}
-    for record in instances:
-        best = best_by_zone.get(record.zone)
-        if record.zone == own.zone:
-            continue
-        if best is None or rank(own.id, record.id) > rank(own.id, best.id):
-            best_by_zone[record.zone] = record
-    return [record.address for record in best_by_zone.values()]
-
-
-def list_neighbours(own: InstanceRecord, instances: Sequence[InstanceRecord]) -> list[str]:
-    """Return the addresses of the other instances in the own zone."""
-    return [
-        record.address for record in instances if record.zone == own.zone and record.id != own.id
-    ]
-
-
 class BulletinExchange:
     """Sends reports to the other instances and takes theirs; datagrams may be lost."""
 
@@ -80,23 +68,32 @@
         *,
         list_instances: Callable[[], list[InstanceRecord]],
         on_reports: Callable[[list[ReportEntry]], None],
+        clock: Clock,
     ) -> None:
         self._own = own
         self._list_instances = list_instances
         self._on_reports = on_reports
+        self._collected = CollectedLoads(clock)
+        self._rounds = 0
         host, port = split_address(own.address)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
 
     def send(self, entries: Sequence[ReportEntry], *, crosses_zones: bool) -> None:
-        """Tell the neighbours, and where wanted one instance in each other zone."""
+        """Tell the own zone, and where wanted one instance in each other zone."""
         if not entries:
             return
         instances = self._list_instances()
-        packed = [_pack(entry) for entry in entries[:ENTRIES_MAX_COUNT]]
-        self._send_to(list_neighbours(self._own, instances), packed, is_first_hop=False)
+        packed = [_pack(entry) for entry in entries]
+        self._rounds += 1
+        collector = choose_collector(self._own, instances, turn=self._rounds)
+        if collector is not None:
+            # The collector tells the neighbours and the other zones.
+            self._send_to([collector], packed, hops=HOPS_TO_COLLECTOR)
+            return
+        self._send_to(list_neighbours(self._own, instances), packed, hops=0)
         if crosses_zones:
-            self._send_to(choose_relays(self._own, instances), packed, is_first_hop=True)
+            self._send_to(choose_relays(self._own, instances), packed, hops=HOPS_TO_ZONE)
 
     def run(self) -> None:
         """Take datagrams until the process ends."""
@@ -110,23 +107,99 @@
                 )
                 continue
             self._on_reports([_unpack(entry) for entry in bulletin.entries])
-            if bulletin.is_first_hop:
-                neighbours = list_neighbours(self._own, self._list_instances())
-                self._send_to(neighbours, bulletin.entries, is_first_hop=False)
+            if bulletin.hops:
+                self._pass_on(bulletin)
+
+    def collect(self) -> None:
+        """Tell what was collected again and again, until the process ends."""
+        while True:
+            self._collected.wait()
+            collected = self._collected.take()
+            instances = self._list_instances()
+            near = [entry for entry, hops in collected if hops >= HOPS_TO_COLLECTOR]
+            every = [entry for entry, _ in collected]
+            self._send_to(list_neighbours(self._own, instances), every, hops=0)
+            self._send_to(choose_relays(self._own, instances), near, hops=HOPS_TO_ZONE)
+
+    def _pass_on(self, bulletin: Bulletin) -> None:
+        neighbours = list_neighbours(self._own, self._list_instances())
+        if len(neighbours) > DIRECT_MAX_COUNT:
+            self._collected.note(bulletin)
+        else:
+            self._send_to(neighbours, bulletin.entries, hops=0)
 
     def _send_to(
-        self, addresses: Sequence[str], entries: list[LoadEntry], *, is_first_hop: bool
+        self, addresses: Sequence[str], entries: Sequence[LoadEntry], *, hops: int
     ) -> None:
         if not addresses:
             return
-        data = _encoder.encode(Bulletin(self._own.id, is_first_hop, entries))
-        for address in addresses:
-            try:
-                self._socket.sendto(data, socket.MSG_DONTWAIT, split_address(address))
-            except OSError as error:
-                logging.log_every_n_seconds(
-                    logging.WARNING, 'datagram not sent error="%s"', LOG_PAUSE_S, error
-                )
+        for start in range(0, len(entries), ENTRIES_MAX_COUNT):
+            part = list(entries[start : start + ENTRIES_MAX_COUNT])
+            data = _encoder.encode(Bulletin(self._own.id, hops, part))
+            for address in addresses:
+                self._send(data, address)
+
+    def _send(self, data: bytes, address: str) -> None:
+        try:
+            self._socket.sendto(data, socket.MSG_DONTWAIT, split_address(address))
+        except OSError as error:
+            logging.log_every_n_seconds(
+                logging.WARNING, 'datagram not sent error="%s"', LOG_PAUSE_S, error
+            )
+
+
+class CollectedLoads:
+    """Loads that wait to be told with others, the newest of each upstream. Thread-safe."""
+
+    __slots__ = ("_clock", "_entry_by_id", "_is_due", "_lock", "_told_ms")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._is_due = threading.Event()
+        self._entry_by_id: dict[str, _Collected] = {}
+        self._told_ms = float("-inf")
+
+    def note(self, bulletin: Bulletin) -> None:
+        """Take in what a bulletin tells; of each upstream only the newest load is kept."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            for entry in bulletin.entries:
+                known = self._entry_by_id.get(entry.upstream_id)
+                made_ms = now_ms - entry.age_ms
+                if known is None or known.made_ms <= made_ms:
+                    self._entry_by_id[entry.upstream_id] = _Collected(
+                        entry, hops=bulletin.hops, made_ms=made_ms
+                    )
+        self._is_due.set()
+
+    def wait(self) -> None:
+        """Return when there is something to tell and the last time was long enough ago."""
+        self._is_due.wait()
+        self._clock.sleep_ms(max(0.0, self._told_ms + COLLECT_MS - self._clock.now_ms()))
+
+    def take(self) -> list[tuple[LoadEntry, int]]:
+        """Return and drop what was noted, each entry with its age now and its hops."""
+        with self._lock:
+            taken = list(self._entry_by_id.values())
+            self._entry_by_id = {}
+            self._is_due.clear()
+        self._told_ms = now_ms = self._clock.now_ms()
+        return [
+            (msgspec.structs.replace(one.entry, age_ms=int(now_ms - one.made_ms)), one.hops)
+            for one in taken
+        ]
+
+
+class _Collected:
+    """An entry that was made at ``made_ms``, and the hops of the bulletin that brought it."""
+
+    __slots__ = ("entry", "hops", "made_ms")
+
+    def __init__(self, entry: LoadEntry, *, hops: int, made_ms: float) -> None:
+        self.entry = entry
+        self.hops = hops
+        self.made_ms = made_ms
 
 
 def _pack(entry: ReportEntry) -> LoadEntry:
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -15,6 +15,7 @@
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import Renewal
 from coltsfootrill.membership.messages import SharedUpstream
+from coltsfootrill.membership.roster import Roster
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import Directory
@@ -23,23 +24,15 @@
 SETTLED_AFTER_MS = 6_000.0
 SILENT_AFTER_MS = 5_000.0
 FOLLOWER_GONE_AFTER_MS = 8_000.0
-# Several changes that come together go out in one reply.
+# Several changes that come together go out in one reply, the more followers the more of them:
+# a round of replies must not take all of a hub's time.
 BATCH_MS = 4.0
+BATCH_PER_FOLLOWER_MS = 0.8
+# Who else follows is no hurry, unless it votes.
+INSTANCE_NEWS_MS = 500.0
 HOLD_MAX_MS = 5_000
 
 
-class Follower:
-    """An instance that follows this hub; ``heard_ms`` is the time of its last call."""
-
-    __slots__ = ("heard_ms", "is_candidate", "is_hub", "record")
-
-    def __init__(self, request: FollowRequest, *, heard_ms: float) -> None:
-        self.record = request.sender
-        self.is_candidate = request.is_candidate
-        self.is_hub = request.is_hub
-        self.heard_ms = heard_ms
-
-
 class Hub:
     """Thread-safe owner of the announcements made to the voting replicas.
 
@@ -65,11 +58,12 @@
         self._get_manifest_version = get_manifest_version
         self._changed = threading.Condition()
         self._directory = Directory()
-        self._followers_by_id: dict[str, Follower] = {}
+        self._roster = Roster()
         self._live: frozenset[str] = frozenset()
+        self._live_at = 1
         self._replicas: list[str] = []
         self._news_at = 1
-        self._instances_at = 1
+        self._untold_since_ms: float | None = None
         self._started_ms = clock.now_ms()
         self._confirmed_ms = float("-inf")
         self._directory.position = 1
@@ -164,6 +158,8 @@
         with self._changed:
             self._note_follower(request, start_ms)
             position = request.position if request.boot == self._boot else 0
+            if position < self._roster.horizon:
+                position = 0
             end_ms = start_ms + min(max(request.hold_ms, 0), HOLD_MAX_MS)
             while self._news_at <= position:
                 left_ms = end_ms - self._clock.now_ms()
@@ -171,7 +167,8 @@
                     break
             is_news = self._news_at > position
         if is_news:
-            self._clock.sleep_ms(BATCH_MS)
+            followers = len(self._roster.by_id)
+            self._clock.sleep_ms(max(BATCH_MS, BATCH_PER_FOLLOWER_MS * followers))
         with self._changed:
             return self._make_reply(position, is_for_hub=request.is_hub)
 
@@ -181,22 +178,18 @@
             now_ms = self._clock.now_ms()
             self._update_live(now_ms)
             self._directory.forget_expired(now_ms)
-            gone = [
-                instance_id
-                for instance_id, follower in self._followers_by_id.items()
-                if now_ms - follower.heard_ms > FOLLOWER_GONE_AFTER_MS
-            ]
-            for instance_id in gone:
-                del self._followers_by_id[instance_id]
-            if gone:
-                self._note_instances()
+            for instance_id in self._roster.list_silent(now_ms - FOLLOWER_GONE_AFTER_MS):
+                self._drop_follower(instance_id)
+            untold_since_ms = self._untold_since_ms
+            if untold_since_ms is not None and now_ms - untold_since_ms >= INSTANCE_NEWS_MS:
+                self._note_news()
 
     def list_candidates(self) -> dict[str, str]:
         """Return the addresses of the instances that could vote, by identifier."""
         with self._changed:
             return {
                 instance_id: follower.record.address
-                for instance_id, follower in self._followers_by_id.items()
+                for instance_id, follower in self._roster.by_id.items()
                 if follower.is_candidate and not follower.record.is_leaving
             }
 
@@ -216,37 +209,40 @@
         return False
 
     def _note_follower(self, request: FollowRequest, now_ms: float) -> None:
-        known = self._followers_by_id.get(request.sender.id)
         if request.sender.is_leaving:
-            if self._followers_by_id.pop(request.sender.id, None) is not None:
-                self._note_instances()
+            self._drop_follower(request.sender.id)
             return
-        self._followers_by_id[request.sender.id] = Follower(request, heard_ms=now_ms)
-        is_same = (
-            known is not None
-            and known.record.address == request.sender.address
-            and known.is_hub == request.is_hub
-        )
-        if not is_same:
-            self._note_instances()
+        known = self._roster.by_id.get(request.sender.id)
+        was_hub = known is not None and known.is_hub
+        if not self._roster.note(request, heard_ms=now_ms, position=self._directory.position + 1):
+            return
+        self._note_untold()
+        if request.is_hub != was_hub:
+            # Who starts without knowing who votes learns it from this.
+            self._note_news()
+
+    def _drop_follower(self, instance_id: str) -> None:
+        if self._roster.drop(instance_id, position=self._directory.position + 1):
+            self._note_untold()
+
+    def _note_untold(self) -> None:
+        """Note a change of the instances that followers are told with the next news."""
+        self._directory.position += 1
+        if self._untold_since_ms is None:
+            self._untold_since_ms = self._clock.now_ms()
 
     def _list_replicas(self) -> list[str]:
         """Return who votes, as far as it is known here: confirmed, or told by the voters."""
         if self._replicas:
             return self._replicas
         return [
-            follower.record.address
-            for follower in self._followers_by_id.values()
-            if follower.is_hub
+            follower.record.address for follower in self._roster.by_id.values() if follower.is_hub
         ]
 
-    def _note_instances(self) -> None:
-        self._note_news()
-        self._instances_at = self._news_at
-
     def _note_news(self) -> None:
         self._directory.position += 1
         self._news_at = self._directory.position
+        self._untold_since_ms = None
         self._changed.notify_all()
 
     def _update_live(self, now_ms: float) -> None:
@@ -258,6 +254,7 @@
         if live != self._live:
             self._live = live
             self._note_news()
+            self._live_at = self._news_at
 
     def _make_reply(self, position: int, *, is_for_hub: bool) -> FollowReply:
         now_ms = self._clock.now_ms()
@@ -276,15 +273,12 @@
             is_current=self.is_current(),
             is_settled=now_ms - self._started_ms > SETTLED_AFTER_MS,
             manifest_version=self._get_manifest_version(),
-            instance_count=len(self._followers_by_id),
+            instance_count=len(self._roster.by_id),
             upstreams=upstreams,
-            live=sorted(self._live),
+            live=sorted(self._live) if self._live_at > position or position == 0 else None,
             renewals=renewals,
             replicas=self._list_replicas(),
-            instances=self._list_instances(position),
+            is_whole=position == 0,
+            instances=self._roster.list_changed(position),
+            gone_instances=self._roster.list_gone(position) if position else [],
         )
-
-    def _list_instances(self, position: int) -> list[InstanceRecord] | None:
-        if self._instances_at <= position:
-            return None
-        return [follower.record for follower in self._followers_by_id.values()]
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -8,7 +8,10 @@
 
 
 class InstanceRecord(msgspec.Struct, frozen=True, array_like=True):
-    """One entry instance. ``boot`` grows with each start; ``is_leaving`` is its goodbye."""
+    """One entry instance. ``boot`` grows with each start; ``is_leaving`` is its goodbye.
+
+    ``link_mbps`` is the bandwidth of its link in Mbit/s, 0 where that is not known.
+    """
 
     id: str
     boot: int
@@ -16,6 +19,7 @@
     zone: str
     is_leaving: bool
     manifest_version: int
+    link_mbps: float = 0
 
 
 class PullRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -79,8 +83,9 @@
 
     ``is_current`` tells that a majority of the replicas confirmed the hub's state of late, and
     ``is_settled`` that it has run long enough to have heard of every upstream. ``live`` names
-    the upstreams that announced themselves of late, ``replicas`` the addresses that vote.
-    ``instances`` are those that follow the hub, left out while they are the same.
+    the upstreams that announced themselves of late, left out while they are the same;
+    ``replicas`` are the addresses that vote. ``instances`` are those that began to follow the hub
+    or changed, all of them if ``is_whole``, and ``gone_instances`` those that follow it no more.
     """
 
     boot: int
@@ -90,10 +95,12 @@
     manifest_version: int
     instance_count: int
     upstreams: list[SharedUpstream]
-    live: list[str]
+    live: list[str] | None
     renewals: list[Renewal]
     replicas: list[str]
-    instances: list[InstanceRecord] | None
+    is_whole: bool
+    instances: list[InstanceRecord]
+    gone_instances: list[str]
 
 
 class AnnounceReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/membership/view.py
+++ b/src/coltsfootrill/membership/view.py
@@ -17,16 +17,16 @@
 
 
 class HubReport:
-    """The last reply of one hub."""
+    """The last reply of one hub; ``live`` are the upstreams that it lists."""
 
     __slots__ = ("heard_ms", "is_current", "is_settled", "instance_count", "live")
 
-    def __init__(self, reply: FollowReply, *, heard_ms: float) -> None:
+    def __init__(self, reply: FollowReply, *, live: frozenset[str], heard_ms: float) -> None:
         self.heard_ms = heard_ms
         self.is_current = reply.is_current
         self.is_settled = reply.is_settled
         self.instance_count = reply.instance_count
-        self.live = frozenset(reply.live)
+        self.live = live
 
 
 class HubView:
@@ -44,7 +44,8 @@
         self._directory = Directory(on_upstream, lease_ms=float("inf"))
         self._reports_by_hub: dict[str, HubReport] = {}
         self._usable: list[UpstreamRecord] = []
-        self._instances_by_hub: dict[str, list[InstanceRecord]] = {}
+        # By hub, then by identifier; replaced as a whole, never changed in place.
+        self._instances_by_hub: dict[str, dict[str, InstanceRecord]] = {}
         self._announcements: list[Announcement] = []
         self.generation = 0
 
@@ -59,9 +60,10 @@
                     evidence_ms=now_ms - shared.age_ms,
                     now_ms=now_ms,
                 )
-            self._reports_by_hub[hub] = HubReport(reply, heard_ms=now_ms)
-            if reply.instances is not None:
-                self._instances_by_hub[hub] = reply.instances
+            self._reports_by_hub[hub] = HubReport(
+                reply, live=self._find_live(hub, reply), heard_ms=now_ms
+            )
+            self._note_instances(hub, reply)
             self._update(now_ms)
 
     def clean(self) -> None:
@@ -99,7 +101,7 @@
             for hub, records in self._instances_by_hub.items():
                 report = self._reports_by_hub.get(hub)
                 if report is not None and now_ms - report.heard_ms < HUB_SILENT_AFTER_MS:
-                    by_id.update({record.id: record for record in records})
+                    by_id.update(records)
             return [by_id[instance_id] for instance_id in sorted(by_id)]
 
     def list_current_hubs(self) -> list[str]:
@@ -113,6 +115,21 @@
             ]
             return [hub for _, hub in sorted(current, reverse=True)]
 
+    def _find_live(self, hub: str, reply: FollowReply) -> frozenset[str]:
+        if reply.live is not None:
+            return frozenset(reply.live)
+        before = self._reports_by_hub.get(hub)
+        return frozenset() if before is None else before.live
+
+    def _note_instances(self, hub: str, reply: FollowReply) -> None:
+        if not (reply.is_whole or reply.instances or reply.gone_instances):
+            return
+        known = {} if reply.is_whole else dict(self._instances_by_hub.get(hub, {}))
+        for instance_id in reply.gone_instances:
+            known.pop(instance_id, None)
+        known.update({record.id: record for record in reply.instances})
+        self._instances_by_hub[hub] = known
+
     def _list_heard(self, now_ms: float) -> list[HubReport]:
         return [
             report
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -111,7 +111,13 @@
         )
         boot = SystemRandom().getrandbits(_BOOT_BITS)
         self._record = InstanceRecord(
-            self._id, boot, str(listen), settings.get("instance", "zone"), False, 0
+            self._id,
+            boot,
+            str(listen),
+            settings.get("instance", "zone"),
+            False,
+            0,
+            settings.get("instance", "link_mbps"),
         )
         server = RpcServer(ThreadPoolExecutor(RPC_THREADS, thread_name_prefix="rpc"))
         self.control = NodeControl(
@@ -199,6 +205,7 @@
             self._record,
             list_instances=self.view.list_instances,
             on_reports=self.gateway.app.take_reports,
+            clock=self._clock,
         )
         rounds = itertools.count()
 
@@ -220,6 +227,7 @@
             metrics=self.metrics,
         )
         start_task("bulletins", bulletins.run)
+        start_task("collector", bulletins.collect)
         start_task("load-watch", watch.run)
 
     def _keep_house(self) -> None:
--- a/src/coltsfootrill/settings.py
+++ b/src/coltsfootrill/settings.py
@@ -4,6 +4,7 @@
 
 import configparser
 import ipaddress
+import math
 import re
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -158,6 +159,14 @@
     return parse
 
 
+def parse_amount(text: str) -> float:
+    """Return a number that is finite and not negative."""
+    number = float(text)
+    if not 0 <= number < math.inf:
+        raise ValueError(text)
+    return number
+
+
 def parse_flag(text: str) -> bool:
     """Return whether ``text`` is ``true``; raise ``ValueError`` unless it is that or ``false``."""
     if text not in ("true", "false"):
--- a/src/coltsfootrill/settings_catalog.py
+++ b/src/coltsfootrill/settings_catalog.py
@@ -9,6 +9,7 @@
 from coltsfootrill.settings import Setting
 from coltsfootrill.settings import parse_address
 from coltsfootrill.settings import parse_addresses
+from coltsfootrill.settings import parse_amount
 from coltsfootrill.settings import parse_count
 from coltsfootrill.settings import parse_file
 from coltsfootrill.settings import parse_flag
@@ -202,6 +203,14 @@
         meaning="Whether the whole fleet starts for the first time, with empty disks.",
         default="false",
     ),
+    Setting(
+        "instance",
+        "link_mbps",
+        parse_amount,
+        accepted="a number of at least 0",
+        meaning="Bandwidth of its link in Mbit/s; 0 where it is not known.",
+        default="0",
+    ),
     _address("metrics", "listen", "Address for metrics."),
     _address("ready", "listen", "Address for the check whether callers may be sent here."),
     _address("interface", "listen", "Address for operators and announcements of upstreams."),
--- /dev/null
+++ b/testing/membership/test_roster.py
@@ -0,0 +1,121 @@
+"""What a fleet of many instances costs a hub: who joined or left is told once, not all of them."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from coltsfootrill.clock import ManualClock
+from coltsfootrill.membership import roster as roster_module
+from coltsfootrill.membership.hub import FOLLOWER_GONE_AFTER_MS
+from coltsfootrill.membership.hub import INSTANCE_NEWS_MS
+from coltsfootrill.membership.hub import Hub
+from coltsfootrill.membership.messages import FollowReply
+from coltsfootrill.membership.messages import FollowRequest
+from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.view import HubView
+from testing.membership.test_hub import announce
+
+FLEET_COUNT = 140
+
+
+def _request(number: int, *, boot: int = 0, position: int = 0, hub: bool = False) -> FollowRequest:
+    sender = InstanceRecord(f"n{number}", 1, f"10.0.0.{number}:1", "z1", False, 0)
+    return FollowRequest(sender, False, hub, boot, position, 0)
+
+
+class Fleet:
+    """A hub that many instances follow, and the view of the first of them."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(1_000_000)
+        self.hub = Hub(
+            InstanceRecord("h1", 1, "10.9.0.1:1", "z1", False, 0),
+            boot=7,
+            clock=self.clock,
+            share=lambda announcement: True,
+            get_manifest_version=lambda: 3,
+        )
+        self.hub.note_confirmed(["a", "b", "c"])
+        self.view = HubView(clock=self.clock)
+        self.position = 0
+        for number in range(FLEET_COUNT):
+            self.hub.answer(_request(number))
+        self.hub.note_confirmed(["a", "b", "c"])
+        self.hub.clean()
+        self.follow()
+
+    def follow(self) -> FollowReply:
+        reply = self.hub.answer(_request(0, boot=7, position=self.position))
+        self.position = reply.position
+        self.view.apply("h1", reply)
+        return reply
+
+    def list_known(self) -> set[str]:
+        return {record.id for record in self.view.list_instances()}
+
+    def is_told_at_once(self) -> bool:
+        return self.hub._news_at > self.position
+
+
+class TestManyFollowers:
+    def test_one_that_joins_is_told_alone(self) -> None:
+        fleet = Fleet()
+        assert len(fleet.list_known()) == FLEET_COUNT
+        fleet.hub.answer(_request(500))
+        reply = fleet.follow()
+        assert [record.id for record in reply.instances] == ["n500"]
+        assert not reply.is_whole
+        assert len(fleet.list_known()) == FLEET_COUNT + 1
+
+    def test_one_that_leaves_is_told_alone(self) -> None:
+        fleet = Fleet()
+        leaving = _request(9)
+        record = msgspec.structs.replace(leaving.sender, is_leaving=True)
+        fleet.hub.answer(msgspec.structs.replace(leaving, sender=record))
+        reply = fleet.follow()
+        assert (reply.gone_instances, reply.instances) == (["n9"], [])
+        assert "n9" not in fleet.list_known()
+
+    def test_those_that_fall_silent_are_told(self) -> None:
+        fleet = Fleet()
+        fleet.clock.advance(FOLLOWER_GONE_AFTER_MS + 1)
+        fleet.hub.answer(_request(3))
+        fleet.hub.clean()
+        fleet.follow()
+        assert fleet.list_known() == {"n0", "n3"}
+
+    def test_a_quiet_call_carries_neither_instances_nor_live_upstreams(self) -> None:
+        fleet = Fleet()
+        fleet.hub.announce(announce())
+        assert fleet.follow().live == ["u1"]
+        reply = fleet.follow()
+        assert (reply.live, reply.instances, reply.upstreams) == (None, [], [])
+        assert [record.announcement.id for record in fleet.view.list_usable()] == ["u1"]
+
+    def test_joining_wakes_nobody_at_once_but_within_the_bound(self) -> None:
+        fleet = Fleet()
+        fleet.hub.answer(_request(500))
+        fleet.hub.clean()
+        assert not fleet.is_told_at_once()
+        fleet.clock.advance(INSTANCE_NEWS_MS)
+        fleet.hub.clean()
+        assert fleet.is_told_at_once()
+
+    def test_another_voter_is_told_at_once(self) -> None:
+        fleet = Fleet()
+        fleet.hub.answer(_request(500, hub=True))
+        assert fleet.is_told_at_once()
+
+    def test_who_missed_forgotten_departures_gets_the_whole_list(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(roster_module, "GONE_MAX_COUNT", 3)
+        fleet = Fleet()
+        for number in range(1, 6):
+            leaving = _request(number)
+            record = msgspec.structs.replace(leaving.sender, is_leaving=True)
+            fleet.hub.answer(msgspec.structs.replace(leaving, sender=record))
+        reply = fleet.follow()
+        assert reply.is_whole
+        assert len(fleet.list_known()) == FLEET_COUNT - 5
