Add a soak of real nodes with faults from outside and checks from what callers see

Cause: the soak that exists replays workloads against entry instances and control replicas; the node role, which runs on the users' platform, was only proved by scenarios and by the users' bench. Change: `testing/soak` runs real nodes, speaks the platform's protocol as callers, upstreams and an operator, and injects faults from outside: SIGTERM, SIGKILL, SIGSTOP, lost disks, departures of upstreams, and loopback proxies that delay, silence, cut one way or reset the links to callers and to upstreams; upstreams refuse, lose, hang, fail or answer twice. Every check has a test that breaks it. Left: links between nodes are not behind proxies; disks and clocks misbehave in unit tests only; `scripts/soak.py` for the other two roles stays beside it as `make soak-entry`.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 PYTHON ?= python3
 VENV := .venv
+# The first of the seeds that a soak plays; a fresh one each day.
+SOAK_SEED ?= $(shell date +%Y%m%d00)
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format dist bench prove slopes soak clean
+.PHONY: demo test lint format dist bench prove slopes soak soak-entry clean
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -43,6 +45,9 @@
 	$(BIN)/python scripts/slopes.py
 
 soak: $(VENV)/.ready
+	$(BIN)/python -m testing.soak 10 $(SOAK_SEED) 20
+
+soak-entry: $(VENV)/.ready
 	$(BIN)/python scripts/soak.py 600 1
 
 clean:
--- /dev/null
+++ b/testing/nodes.py
@@ -0,0 +1,112 @@
+"""Nodes as real processes on loopback, each with an address of its own."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+PORTS = ("fleet", "interface", "ready", "callers", "metrics")
+
+
+class Node:
+    """One process with an address of its own, since the ports are the same on all nodes."""
+
+    def __init__(
+        self,
+        number: int,
+        folder: Path,
+        ports: dict[str, int],
+        seeds: list[str],
+        *,
+        network: str = "127.0.2",
+    ) -> None:
+        self.host = f"{network}.{number}"
+        self.ports = ports
+        self.data = folder / f"data-{number}"
+        self._log = folder / f"node-{number}.log"
+        self._path = folder / f"node-{number}.ini"
+        self._has_disk = number <= 3
+        self._seeds = seeds
+        self._number = number
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    def start(self, *, is_first: bool, seeds: list[str] | None = None) -> None:
+        ports = self.ports
+        self._path.write_text(
+            f"[instance]\nid = n{self._number}\nzone = z{self._number}\n"
+            f"data = {self.data if self._has_disk else ''}\n"
+            f"first_start = {'true' if is_first else 'false'}\n"
+            f"[metrics]\nlisten = {self.host}:{ports['metrics']}\n"
+            f"[ready]\nlisten = {self.host}:{ports['ready']}\n"
+            f"[interface]\nlisten = {self.host}:{ports['interface']}\n"
+            "name = platform\ndialect = platform\nmanifest = platform\n"
+            f"[fleet]\nlisten = {self.host}:{ports['fleet']}\n"
+            f"seeds = {','.join(seeds or self._seeds)}\n"
+            f"[callers]\nlisten = {self.host}:{ports['callers']}\nnotice_ms = 300\n"
+            "[balancer]\npolicy = reported-load\n[measuring]\ninterval_ms = 100\n"
+            "[tls]\nplain = true\n"
+        )
+        arguments = [sys.executable, "-m", "coltsfootrill", "node", "--settings", str(self._path)]
+        with open(self._log, "ab") as log:
+            self._popen = subprocess.Popen(arguments, stdout=log, stderr=log)
+
+    def send(self, number: signal.Signals) -> None:
+        assert self._popen is not None
+        self._popen.send_signal(number)
+
+    def end(self, number: signal.Signals = signal.SIGKILL) -> int:
+        assert self._popen is not None
+        self._popen.send_signal(number)
+        return self._popen.wait(timeout=20)
+
+    def is_alive(self) -> bool:
+        return self._popen is not None and self._popen.poll() is None
+
+    def read_log(self) -> str:
+        return self._log.read_text()
+
+    def call(
+        self, port: str, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> tuple[int, bytes]:
+        connection = http.client.HTTPConnection(self.host, self.ports[port], timeout=8)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        try:
+            connection.request(method, path, body=body or None, headers=named)
+            response = connection.getresponse()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+        finally:
+            connection.close()
+
+    def submit(self, raw: bytes, base: int) -> int:
+        path = "/Configuration.Replace"
+        return self.call("interface", "POST", path, raw, X_Base_Version=f"{base:08x}")[0]
+
+    def read(self) -> tuple[int, bytes]:
+        return self.call("interface", "GET", "/Configuration.Read")
+
+    def end_is_clean(self) -> bool:
+        """Return whether no task of the process failed."""
+        return "task failed" not in self._log.read_text()
+
+    def list_events(self, name: str) -> list[dict[str, Any]]:
+        events = []
+        for line in self._log.read_text().splitlines():
+            if line.startswith('{"at_ms"'):
+                events.append(json.loads(line))
+        return [event for event in events if event["event"] == name]
+
+
+def find_ports(network: str = "127.0.2") -> dict[str, int]:
+    sockets = [socket.create_server((f"{network}.1", 0)) for _ in PORTS]
+    ports = {name: sock.getsockname()[1] for name, sock in zip(PORTS, sockets, strict=True)}
+    for sock in sockets:
+        sock.close()
+    return ports
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import signal
 import socket
 import subprocess
-import sys
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -15,107 +13,38 @@
 
 import pytest
 
+from testing.nodes import Node
+from testing.nodes import find_ports
 from testing.platform.test_desired_state import encode_state
 from testing.platform.test_desired_state import route
 from testing.processes import wait_until
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.test_dialect import reply_with
 
-PORTS = ("fleet", "interface", "ready", "callers", "metrics")
 COUNT = 4
 
 
-class Node:
-    """One process with an address of its own, since the ports are the same on all nodes."""
-
-    def __init__(self, number: int, folder: Path, ports: dict[str, int], seeds: list[str]) -> None:
-        self.host = f"127.0.2.{number}"
-        self.ports = ports
-        self.data = folder / f"data-{number}"
-        self._log = folder / f"node-{number}.log"
-        self._path = folder / f"node-{number}.ini"
-        self._has_disk = number <= 3
-        self._seeds = seeds
-        self._number = number
-        self._popen: subprocess.Popen[bytes] | None = None
-
-    def start(self, *, is_first: bool, seeds: list[str] | None = None) -> None:
-        ports = self.ports
-        self._path.write_text(
-            f"[instance]\nid = n{self._number}\nzone = z{self._number}\n"
-            f"data = {self.data if self._has_disk else ''}\n"
-            f"first_start = {'true' if is_first else 'false'}\n"
-            f"[metrics]\nlisten = {self.host}:{ports['metrics']}\n"
-            f"[ready]\nlisten = {self.host}:{ports['ready']}\n"
-            f"[interface]\nlisten = {self.host}:{ports['interface']}\n"
-            "name = platform\ndialect = platform\nmanifest = platform\n"
-            f"[fleet]\nlisten = {self.host}:{ports['fleet']}\n"
-            f"seeds = {','.join(seeds or self._seeds)}\n"
-            f"[callers]\nlisten = {self.host}:{ports['callers']}\nnotice_ms = 300\n"
-            "[balancer]\npolicy = reported-load\n[measuring]\ninterval_ms = 100\n"
-            "[tls]\nplain = true\n"
-        )
-        arguments = [sys.executable, "-m", "coltsfootrill", "node", "--settings", str(self._path)]
-        with open(self._log, "ab") as log:
-            self._popen = subprocess.Popen(arguments, stdout=log, stderr=log)
-
-    def end(self, number: signal.Signals = signal.SIGKILL) -> int:
-        assert self._popen is not None
-        self._popen.send_signal(number)
-        return self._popen.wait(timeout=20)
-
-    def call(
-        self, port: str, method: str, path: str, body: bytes = b"", **headers: str
-    ) -> tuple[int, bytes]:
-        connection = http.client.HTTPConnection(self.host, self.ports[port], timeout=8)
-        named = {name.replace("_", "-"): value for name, value in headers.items()}
-        try:
-            connection.request(method, path, body=body or None, headers=named)
-            response = connection.getresponse()
-            return response.status, response.read()
-        except (OSError, http.client.HTTPException):
-            return 0, b""
-        finally:
-            connection.close()
-
-    def submit(self, raw: bytes, base: int) -> int:
-        path = "/Configuration.Replace"
-        return self.call("interface", "POST", path, raw, X_Base_Version=f"{base:08x}")[0]
-
-    def read(self) -> tuple[int, bytes]:
-        return self.call("interface", "GET", "/Configuration.Read")
-
-    def beat(self, upstream: ScriptedUpstream, sequence: int, state: str = "ready") -> int:
-        body = {
-            "address": upstream.address,
-            "serverInfo": {"service": "desk", "version": "v1", "zone": "z1", "concurrency": 3},
-            "status": {"state": state, "sequence": sequence, "coldRemainingMs": 0},
-            "born": 1,
-        }
-        path = "/Instances.Heartbeat/i-1"
-        return self.call("interface", "POST", path, json.dumps(body).encode())[0]
-
-    def order(self) -> int:
-        headers: dict[str, Any] = {"Host": "a.example", "X_Attempt_Id": "q1"}
-        return self.call("callers", "POST", "/x/1", b"order", **headers)[0]
-
-    def end_is_clean(self) -> bool:
-        """Return whether no task of the process failed."""
-        return "task failed" not in self._log.read_text()
-
-    def list_events(self, name: str) -> list[dict[str, Any]]:
-        events = []
-        for line in self._log.read_text().splitlines():
-            if line.startswith('{"at_ms"'):
-                events.append(json.loads(line))
-        return [event for event in events if event["event"] == name]
+def beat(node: Node, upstream: ScriptedUpstream, sequence: int, state: str = "ready") -> int:
+    body = {
+        "address": upstream.address,
+        "serverInfo": {"service": "desk", "version": "v1", "zone": "z1", "concurrency": 3},
+        "status": {"state": state, "sequence": sequence, "coldRemainingMs": 0},
+        "born": 1,
+    }
+    path = "/Instances.Heartbeat/i-1"
+    return node.call("interface", "POST", path, json.dumps(body).encode())[0]
+
+
+def order(node: Node) -> int:
+    headers: dict[str, Any] = {"Host": "a.example", "X_Attempt_Id": "q1"}
+    return node.call("callers", "POST", "/x/1", b"order", **headers)[0]
 
 
 class Fleet:
     """Three nodes with a disk and one without."""
 
     def __init__(self, folder: Path) -> None:
-        ports = _find_ports()
+        ports = find_ports()
         seeds = [f"127.0.2.{number}:{ports['interface']}" for number in range(1, 4)]
         self.nodes = [Node(number, folder, ports, seeds) for number in range(1, COUNT + 1)]
         self.upstream = ScriptedUpstream(reply_with())
@@ -133,11 +62,11 @@
         return raw
 
     def announce(self, sequence: int) -> None:
-        wait_until(lambda: self.nodes[3].beat(self.upstream, sequence) == 200, within_s=20)
+        wait_until(lambda: beat(self.nodes[3], self.upstream, sequence) == 200, within_s=20)
 
     def wait_served(self, within_s: float = 15) -> None:
         for node in self.nodes:
-            wait_until(lambda node=node: node.order() == 200, within_s=within_s)  # type: ignore[misc]
+            wait_until(lambda node=node: order(node) == 200, within_s=within_s)  # type: ignore[misc]
 
 
 @pytest.fixture
@@ -147,14 +76,6 @@
     made.close()
 
 
-def _find_ports() -> dict[str, int]:
-    sockets = [socket.create_server(("127.0.2.1", 0)) for _ in PORTS]
-    ports = {name: sock.getsockname()[1] for name, sock in zip(PORTS, sockets, strict=True)}
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 class TestWholePath:
     def test_what_is_told_to_one_node_holds_on_all(self, fleet: Fleet) -> None:
         raw = fleet.put_in_force(2, 0)
@@ -177,10 +98,10 @@
         fleet.put_in_force(2, 0)
         fleet.announce(1)
         fleet.wait_served()
-        assert fleet.nodes[0].beat(fleet.upstream, 2, state="draining") == 200
+        assert beat(fleet.nodes[0], fleet.upstream, 2, state="draining") == 200
         time.sleep(1.0)
         before = len(fleet.upstream.heads)
-        assert {node.order() for node in fleet.nodes} == {503}
+        assert {order(node) for node in fleet.nodes} == {503}
         orders = [head for head in fleet.upstream.heads[before:] if b"/x/1" in head]
         assert orders == []
 
--- /dev/null
+++ b/testing/soak/ledger.py
@@ -0,0 +1,141 @@
+"""What callers, upstreams and operators saw, and the promises that it must keep."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterator
+
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
+DRAIN_MS = 2_000.0
+APPLY_MS = 2_000.0
+
+
+def now_ms() -> float:
+    return time.monotonic() * 1000
+
+
+class Run:
+    """One arrival of a request at an upstream."""
+
+    __slots__ = ("arrived_ms", "is_executed", "request_id", "upstream_id")
+
+    def __init__(self, request_id: str, upstream_id: str, *, is_executed: bool) -> None:
+        self.request_id = request_id
+        self.upstream_id = upstream_id
+        self.is_executed = is_executed
+        self.arrived_ms = now_ms()
+
+
+class Reply:
+    """What a caller got: a status, 0 for a connection that ended, and the body."""
+
+    __slots__ = ("body", "ended_ms", "node", "sent_ms", "status")
+
+    def __init__(self, status: int, body: bytes, *, node: str, sent_ms: float) -> None:
+        self.status = status
+        self.body = body
+        self.node = node
+        self.sent_ms = sent_ms
+        self.ended_ms = now_ms()
+
+
+class Ledger:
+    """Thread-safe record of one run. ``violations`` holds a line for each broken promise."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._runs_by_id: dict[str, list[Run]] = {}
+        self._reply_by_id: dict[str, Reply] = {}
+        self._idempotent: dict[str, bool] = {}
+        self._left_ms_by_upstream: dict[str, float] = {}
+        self._acknowledged: list[tuple[float, int, bytes]] = []
+        self.violations: list[str] = []
+        self.faults: list[str] = []
+
+    def note_request(self, request_id: str, *, is_idempotent: bool) -> None:
+        with self._lock:
+            self._idempotent[request_id] = is_idempotent
+
+    def note_run(self, run: Run) -> None:
+        with self._lock:
+            self._runs_by_id.setdefault(run.request_id, []).append(run)
+            left_ms = self._left_ms_by_upstream.get(run.upstream_id)
+        if left_ms is not None and run.arrived_ms > left_ms + DRAIN_MS:
+            late_ms = run.arrived_ms - left_ms
+            self.violate(f"{run.upstream_id} got {run.request_id} {late_ms:.0f} ms after it left")
+
+    def note_reply(self, request_id: str, reply: Reply) -> None:
+        with self._lock:
+            self._reply_by_id[request_id] = reply
+        if 200 <= reply.status < 300 and reply.body != make_body(request_id):
+            self.violate(f"{request_id} got another body: {reply.body[:60]!r}")
+
+    def note_left(self, upstream_id: str) -> None:
+        """Note that a node acknowledged that an upstream leaves."""
+        with self._lock:
+            self._left_ms_by_upstream.setdefault(upstream_id, now_ms())
+
+    def note_acknowledged(self, version: int, raw: bytes) -> None:
+        with self._lock:
+            self._acknowledged.append((now_ms(), version, raw))
+
+    def note_read(self, sent_ms: float, version: int, node: str) -> None:
+        """Check a manifest that a node told against what had been acknowledged before."""
+        with self._lock:
+            due = [known for at_ms, known, _ in self._acknowledged if at_ms + APPLY_MS < sent_ms]
+        if due and version < max(due):
+            self.violate(f"{node} told version {version} after {max(due)} was acknowledged")
+
+    def get_newest(self) -> tuple[int, bytes]:
+        """Return the newest acknowledged version with its bytes, 0 when there is none."""
+        with self._lock:
+            newest = max(self._acknowledged, key=lambda one: one[1], default=(0.0, 0, b""))
+        return newest[1], newest[2]
+
+    def violate(self, message: str) -> None:
+        with self._lock:
+            self.violations.append(message)
+
+    def note_fault(self, message: str) -> None:
+        with self._lock:
+            self.faults.append(message)
+
+    def judge(self, *, is_planned_only: bool) -> None:
+        """Check what can be told only when everything has ended.
+
+        ``is_planned_only`` tells that nothing but planned work happened: then no request that
+        was passed on may end without an answer.
+        """
+        for request_id, runs in self._runs_by_id.items():
+            executed = [run for run in runs if run.is_executed]
+            reply = self._reply_by_id.get(request_id)
+            if request_id not in self._idempotent:
+                self.violate(f"{request_id} was run and nobody sent it")
+                continue
+            if not self._idempotent[request_id]:
+                self._judge_unsafe(request_id, executed, reply)
+            if is_planned_only and executed and (reply is None or reply.status == 0):
+                self.violate(f"{request_id} was run and cut by planned work")
+
+    def _judge_unsafe(self, request_id: str, executed: list[Run], reply: Reply | None) -> None:
+        if len(executed) > 1:
+            self.violate(f"{request_id} was run {len(executed)} times")
+        if executed and reply is not None and reply.status in PROMISES_NOT_RUN:
+            self.violate(f"{request_id} was told not to have run ({reply.status}) and ran")
+
+    def count(self) -> dict[str, int]:
+        """Return the requests by what became of them."""
+        counts: dict[str, int] = {"sent": len(self._idempotent)}
+        for outcome in self._list_outcomes():
+            counts[outcome] = counts.get(outcome, 0) + 1
+        return counts
+
+    def _list_outcomes(self) -> Iterator[str]:
+        for reply in self._reply_by_id.values():
+            yield "cut" if reply.status == 0 else str(reply.status)
+
+
+def make_body(request_id: str) -> bytes:
+    """Return the body with which an upstream answers a request."""
+    return f"whole answer to {request_id}".encode()
--- /dev/null
+++ b/testing/soak/proxy.py
@@ -0,0 +1,94 @@
+"""A loopback proxy that delays, resets, silences or cuts one way the connections through it."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+import time
+from typing import Literal
+
+Mode = Literal["pass", "delay", "silent", "one-way"]
+DELAY_S = 0.15
+RESET = struct.pack("ii", 1, 0)
+
+
+class FaultProxy:
+    """Listens on a port of its own and passes bytes to ``target`` as ``mode`` says."""
+
+    def __init__(self, target: tuple[str, int], *, host: str = "127.0.0.1") -> None:
+        self._target = target
+        self._listener = socket.create_server((host, 0), backlog=256)
+        self.address = f"{host}:{self._listener.getsockname()[1]}"
+        self.mode: Mode = "pass"
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def reset_all(self) -> None:
+        """Reset the connections that are open now."""
+        with self._lock:
+            sockets = list(self._open)
+        for sock in sockets:
+            _reset(sock)
+
+    def close(self) -> None:
+        self._listener.close()
+        self.reset_all()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                caller, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._connect, args=(caller,), daemon=True).start()
+
+    def _connect(self, caller: socket.socket) -> None:
+        try:
+            target = socket.create_connection(self._target, timeout=2)
+        except OSError:
+            _reset(caller)
+            return
+        target.settimeout(None)
+        with self._lock:
+            self._open |= {caller, target}
+        for source, sink, is_back in ((caller, target, False), (target, caller, True)):
+            threading.Thread(target=self._pass, args=(source, sink, is_back), daemon=True).start()
+
+    def _pass(self, source: socket.socket, sink: socket.socket, is_back: bool) -> None:
+        try:
+            while data := source.recv(65_536):
+                if not self._hold(is_back):
+                    # What is swallowed leaves a gap: the connection must never pass bytes again.
+                    self._swallow(source)
+                    return
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            for sock in (source, sink):
+                _reset(sock)
+        finally:
+            with self._lock:
+                self._open.discard(source)
+
+    def _hold(self, is_back: bool) -> bool:
+        """Return whether bytes are passed on, after the delay there is."""
+        mode = self.mode
+        if mode == "delay":
+            time.sleep(DELAY_S)
+        return mode in ("pass", "delay") or (mode == "one-way" and not is_back)
+
+    def _swallow(self, source: socket.socket) -> None:
+        while source.recv(65_536):
+            pass
+
+
+def _reset(sock: socket.socket) -> None:
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        sock.shutdown(socket.SHUT_RDWR)
+        sock.close()
+    except OSError:
+        # It was closed already.
+        return
--- /dev/null
+++ b/testing/soak/test_ledger.py
@@ -0,0 +1,119 @@
+"""Each promise that the soak checks, broken once: a check that cannot fail would be no check."""
+
+from __future__ import annotations
+
+import pytest
+
+from testing.soak import ledger as ledger_module
+from testing.soak.ledger import APPLY_MS
+from testing.soak.ledger import DRAIN_MS
+from testing.soak.ledger import Ledger
+from testing.soak.ledger import Reply
+from testing.soak.ledger import Run
+from testing.soak.ledger import make_body
+
+
+class Time:
+    def __init__(self) -> None:
+        self.now_ms = 1_000.0
+
+    def __call__(self) -> float:
+        return self.now_ms
+
+
+@pytest.fixture
+def time(monkeypatch: pytest.MonkeyPatch) -> Time:
+    made = Time()
+    monkeypatch.setattr(ledger_module, "now_ms", made)
+    return made
+
+
+def _run(request_id: str, *, is_executed: bool = True) -> Run:
+    return Run(request_id, "i-1", is_executed=is_executed)
+
+
+def _reply(status: int, body: bytes = b"") -> Reply:
+    return Reply(status, body, node="n1", sent_ms=0)
+
+
+class TestRequests:
+    def test_an_unsafe_request_runs_once(self) -> None:
+        ledger = Ledger()
+        ledger.note_request("q1", is_idempotent=False)
+        ledger.note_run(_run("q1", is_executed=False))
+        ledger.note_run(_run("q1"))
+        ledger.judge(is_planned_only=False)
+        assert ledger.violations == []
+        ledger.note_run(_run("q1"))
+        ledger.judge(is_planned_only=False)
+        assert ledger.violations == ["q1 was run 2 times"]
+
+    def test_a_safe_request_may_run_again(self) -> None:
+        ledger = Ledger()
+        ledger.note_request("q1", is_idempotent=True)
+        for _ in range(2):
+            ledger.note_run(_run("q1"))
+        ledger.judge(is_planned_only=False)
+        assert ledger.violations == []
+
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    def test_a_refusal_says_the_truth(self, status: int) -> None:
+        ledger = Ledger()
+        ledger.note_request("q1", is_idempotent=False)
+        ledger.note_run(_run("q1"))
+        ledger.note_reply("q1", _reply(status))
+        ledger.judge(is_planned_only=False)
+        assert len(ledger.violations) == 1
+
+    def test_an_answer_is_the_own_one_and_whole(self) -> None:
+        ledger = Ledger()
+        ledger.note_reply("q1", _reply(200, make_body("q1")))
+        assert ledger.violations == []
+        ledger.note_reply("q1", _reply(200, make_body("q2")))
+        assert len(ledger.violations) == 1
+
+    def test_nothing_is_run_that_nobody_sent(self) -> None:
+        ledger = Ledger()
+        ledger.note_run(_run("q9"))
+        ledger.judge(is_planned_only=False)
+        assert ledger.violations == ["q9 was run and nobody sent it"]
+
+    def test_planned_work_cuts_nothing(self) -> None:
+        ledger = Ledger()
+        ledger.note_request("q1", is_idempotent=True)
+        ledger.note_run(_run("q1"))
+        ledger.note_reply("q1", _reply(0))
+        ledger.judge(is_planned_only=False)
+        assert ledger.violations == []
+        ledger.judge(is_planned_only=True)
+        assert ledger.violations == ["q1 was run and cut by planned work"]
+
+
+class TestDepartures:
+    def test_no_request_reaches_an_upstream_long_after_its_departure_was_acknowledged(
+        self, time: Time
+    ) -> None:
+        ledger = Ledger()
+        ledger.note_left("i-1")
+        time.now_ms += DRAIN_MS
+        ledger.note_run(_run("q1"))
+        assert ledger.violations == []
+        time.now_ms += 1
+        ledger.note_run(_run("q2"))
+        assert len(ledger.violations) == 1
+
+
+class TestManifests:
+    def test_no_node_tells_an_older_manifest_than_was_acknowledged_before(self, time: Time) -> None:
+        ledger = Ledger()
+        ledger.note_acknowledged(4, b"four")
+        ledger.note_read(time.now_ms + APPLY_MS, 3, "n1")
+        assert ledger.violations == []
+        ledger.note_read(time.now_ms + APPLY_MS + 1, 3, "n1")
+        assert len(ledger.violations) == 1
+
+    def test_the_newest_acknowledged_one_is_known(self) -> None:
+        ledger = Ledger()
+        ledger.note_acknowledged(4, b"four")
+        ledger.note_acknowledged(6, b"six")
+        assert ledger.get_newest() == (6, b"six")
--- /dev/null
+++ b/testing/soak/upstreams.py
@@ -0,0 +1,160 @@
+"""Stand-ins for upstreams: they announce themselves, run requests, misbehave and leave."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+from random import Random
+from typing import Literal
+
+from testing.nodes import Node
+from testing.soak.ledger import Ledger
+from testing.soak.ledger import Run
+from testing.soak.ledger import make_body
+from testing.soak.proxy import FaultProxy
+
+Habit = Literal["good", "full", "lose", "hang", "fail", "late-extra"]
+BEAT_S = 0.5
+SLOTS = 3
+WORK_S = 0.02
+HANG_S = 1.5
+HEADER_END = b"\r\n\r\n"
+
+
+class SoakUpstream:
+    """One upstream behind a proxy of its own; ``habit`` is how it treats requests."""
+
+    def __init__(
+        self, name: str, service: str, nodes: list[Node], ledger: Ledger, random: Random
+    ) -> None:
+        self.name = name
+        self._service = service
+        self._nodes = nodes
+        self._ledger = ledger
+        self._random = random
+        self.habit: Habit = "good"
+        self._born_ms = time.time_ns() // 1_000_000
+        self._sequence = 0
+        self._in_flight = 0
+        self._is_leaving = False
+        self._ended = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.proxy = FaultProxy(("127.0.0.1", self._listener.getsockname()[1]))
+        threading.Thread(target=self._accept, daemon=True).start()
+        threading.Thread(target=self._beat_on, daemon=True).start()
+
+    def leave(self) -> None:
+        """Announce the departure until a node acknowledges it; go on serving a little."""
+        self._is_leaving = True
+        while not self._ended.is_set():
+            if self._beat("draining"):
+                self._ledger.note_left(self.name)
+                self._ended.wait(3.0)
+                break
+            self._ended.wait(0.1)
+        self.end()
+
+    def end(self) -> None:
+        self._ended.set()
+        self._listener.close()
+        self.proxy.close()
+
+    def _beat_on(self) -> None:
+        while not self._ended.wait(BEAT_S * self._random.uniform(0.8, 1.2)):
+            if not self._is_leaving:
+                self._beat("ready")
+
+    def _beat(self, state: str) -> bool:
+        self._sequence += 1
+        body = {
+            "address": self.proxy.address,
+            "serverInfo": {
+                "service": self._service,
+                "version": "v1",
+                "zone": "z1",
+                "concurrency": SLOTS,
+            },
+            "status": {"state": state, "sequence": self._sequence, "coldRemainingMs": 0},
+            "born": self._born_ms,
+        }
+        node = self._random.choice(self._nodes)
+        path = f"/Instances.Heartbeat/{self.name}"
+        return node.call("interface", "POST", path, json.dumps(body).encode())[0] == 200
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        data = b""
+        try:
+            while True:
+                while HEADER_END not in data:
+                    part = sock.recv(65_536)
+                    if not part:
+                        return
+                    data += part
+                head, _, data = data.partition(HEADER_END)
+                length = int(_get_header(head, b"content-length") or 0)
+                while len(data) < length:
+                    data += sock.recv(65_536)
+                data = data[length:]
+                if not self._answer(sock, head):
+                    return
+        except OSError:
+            return
+        finally:
+            sock.close()
+
+    def _answer(self, sock: socket.socket, head: bytes) -> bool:
+        """Answer one request; return whether the connection is kept."""
+        load = f"x-server-load: {self._in_flight},0,{SLOTS},100\r\n"
+        if head.startswith(b"GET /health"):
+            extra = f"x-instance-identifier: {self.name}\r\n{load}"
+            sock.sendall(_encode("200 OK", b"", extra))
+            return True
+        request_id = _get_header(head, b"x-attempt-id").decode()
+        extra = f"x-attempt-id: {request_id}\r\n{load}"
+        expected = _get_header(head, b"x-expected-instance").decode()
+        if expected != self.name:
+            sock.sendall(_encode("421 Misdirected Request", b"", extra))
+            return True
+        if self.habit == "full" or self._in_flight >= 2 * SLOTS:
+            self._ledger.note_run(Run(request_id, self.name, is_executed=False))
+            extra += "x-not-executed: 1\r\n"
+            sock.sendall(_encode("503 Service Unavailable", b"", extra))
+            return True
+        self._ledger.note_run(Run(request_id, self.name, is_executed=True))
+        return self._work(sock, request_id, extra + "x-server-signature: s\r\n")
+
+    def _work(self, sock: socket.socket, request_id: str, extra: str) -> bool:
+        habit = self.habit
+        self._in_flight += 1
+        try:
+            time.sleep(HANG_S if habit == "hang" else WORK_S * self._random.uniform(0.5, 2))
+        finally:
+            self._in_flight -= 1
+        if habit == "lose":
+            return False
+        status = "500 Internal Server Error" if habit == "fail" else "200 OK"
+        whole = _encode(status, make_body(request_id), extra)
+        sock.sendall(whole * 2 if habit == "late-extra" else whole)
+        return True
+
+
+def _get_header(head: bytes, name: bytes) -> bytes:
+    for line in head.split(b"\r\n")[1:]:
+        key, _, value = line.partition(b":")
+        if key.strip().lower() == name:
+            return value.strip()
+    return b""
+
+
+def _encode(status: str, body: bytes, extra: str) -> bytes:
+    return f"HTTP/1.1 {status}\r\ncontent-length: {len(body)}\r\n{extra}\r\n".encode() + body
