Soak: leave out departures that a node missed while it stood still

Played again with times: 127.0.3.4 was frozen for 3.8 s, 0.46 s before the departure of i-desk-3 was acknowledged, and sent after it went on what it had begun before. The promise holds for nodes in touch only, and one that was frozen is not for 3 s after it goes on. Change: the check knows which node a request was sent to and when nodes stood still; only such a node is left out, only for an acknowledgement up to 3 s after its freeze ended. Ruled out: a longer bound for all. Killed and restarted nodes keep the bound of 2 s.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -54,7 +54,7 @@
         request_id = f"q{next(_ids)}"
         is_safe = self._random.random() < 0.5
         connection = self._connect()
-        self._ledger.note_request(request_id, is_idempotent=is_safe)
+        self._ledger.note_request(request_id, is_idempotent=is_safe, node=self._node)
         headers = {
             "Host": HOST,
             "X-Attempt-Id": request_id,
--- a/testing/soak/ledger.py
+++ b/testing/soak/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 import time
 from collections.abc import Iterator
@@ -9,6 +10,8 @@
 PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
 DRAIN_MS = 2_000.0
 APPLY_MS = 2_000.0
+# For so long after it was frozen a node may act on what it knew before.
+IN_TOUCH_AFTER_MS = 3_000.0
 
 
 def now_ms() -> float:
@@ -40,6 +43,23 @@
         self.ended_ms = now_ms()
 
 
+class Freeze:
+    """A time in which a node stood still; ``end`` is called when it goes on."""
+
+    __slots__ = ("_began_ms", "_ended_ms")
+
+    def __init__(self) -> None:
+        self._began_ms = now_ms()
+        self._ended_ms = math.inf
+
+    def end(self) -> None:
+        self._ended_ms = now_ms()
+
+    def covers(self, from_ms: float, until_ms: float) -> bool:
+        """Return whether the node was out of touch for it at some time between two moments."""
+        return self._began_ms <= until_ms and from_ms <= self._ended_ms + IN_TOUCH_AFTER_MS
+
+
 class Ledger:
     """Thread-safe record of one run. ``violations`` holds a line for each broken promise."""
 
@@ -48,20 +68,33 @@
         self._runs_by_id: dict[str, list[Run]] = {}
         self._reply_by_id: dict[str, Reply] = {}
         self._idempotent: dict[str, bool] = {}
+        self._node_by_request: dict[str, str] = {}
+        self._frozen_by_node: dict[str, list[Freeze]] = {}
         self._left_ms_by_upstream: dict[str, float] = {}
         self._acknowledged: list[tuple[float, int, bytes]] = []
         self.violations: list[str] = []
         self.faults: list[str] = []
 
-    def note_request(self, request_id: str, *, is_idempotent: bool) -> None:
+    def note_request(self, request_id: str, *, is_idempotent: bool, node: str) -> None:
         with self._lock:
             self._idempotent[request_id] = is_idempotent
+            self._node_by_request[request_id] = node
+
+    def note_frozen(self, node: str) -> Freeze:
+        """Note that a node stands still from now on, until the freeze is ended."""
+        freeze = Freeze()
+        with self._lock:
+            self._frozen_by_node.setdefault(node, []).append(freeze)
+        return freeze
 
     def note_run(self, run: Run) -> None:
         with self._lock:
             self._runs_by_id.setdefault(run.request_id, []).append(run)
             left_ms = self._left_ms_by_upstream.get(run.upstream_id)
+            freezes = self._frozen_by_node.get(self._node_by_request.get(run.request_id, ""), [])
         if left_ms is not None and run.arrived_ms > left_ms + DRAIN_MS:
+            if any(freeze.covers(left_ms, run.arrived_ms) for freeze in freezes):
+                return
             late_ms = run.arrived_ms - left_ms
             self.violate(f"{run.upstream_id} got {run.request_id} {late_ms:.0f} ms after it left")
 
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -124,7 +124,7 @@
 
     def _probe(self, node: Node) -> int:
         request_id = f"p{self._random.getrandbits(48):x}"
-        self.ledger.note_request(request_id, is_idempotent=True)
+        self.ledger.note_request(request_id, is_idempotent=True, node=node.host)
         headers = {"Host": "a.example", "X_Attempt_Id": request_id}
         sent_ms = now_ms()
         status, body = node.call("callers", "GET", f"/y/{request_id}", **headers)
@@ -181,9 +181,11 @@
         pause_s = self._random.uniform(0.3, 4.0)
 
         def freeze() -> None:
+            frozen = self.ledger.note_frozen(node.host)
             node.send(signal.SIGSTOP)
             time.sleep(pause_s)
             node.send(signal.SIGCONT)
+            frozen.end()
 
         self._on_node(node, f"frozen {pause_s:.1f} s", freeze, starts=False)
 
