--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.membership.live import LiveSet
 from coltsfootrill.membership.messages import AnnounceReply
 from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import FollowRequest
@@ -59,8 +60,7 @@
         self._changed = threading.Condition()
         self._directory = Directory()
         self._roster = Roster()
-        self._live: frozenset[str] = frozenset()
-        self._live_at = 1
+        self._live = LiveSet()
         self._replicas: list[str] = []
         self._news_at = 1
         self._untold_since_ms: float | None = None
@@ -134,7 +134,7 @@
             if result == "changed":
                 self._update_live(now_ms)
                 self._note_news()
-            elif announcement.id not in self._live:
+            elif announcement.id not in self._live.ids:
                 self._update_live(now_ms)
 
     def absorb(self, reply: FollowReply) -> None:
@@ -177,7 +177,8 @@
         with self._changed:
             now_ms = self._clock.now_ms()
             self._update_live(now_ms)
-            self._directory.forget_expired(now_ms)
+            if self._directory.forget_expired(now_ms):
+                self._live.forget(set(self._directory.by_id))
             for instance_id in self._roster.list_silent(now_ms - FOLLOWER_GONE_AFTER_MS):
                 self._drop_follower(instance_id)
             untold_since_ms = self._untold_since_ms
@@ -251,10 +252,8 @@
             for record in self._directory.by_id.values()
             if not record.is_leaving and now_ms - record.evidence_ms < SILENT_AFTER_MS
         )
-        if live != self._live:
-            self._live = live
+        if self._live.replace(live, position=self._directory.position + 1):
             self._note_news()
-            self._live_at = self._news_at
 
     def _make_reply(self, position: int, *, is_for_hub: bool) -> FollowReply:
         now_ms = self._clock.now_ms()
@@ -275,10 +274,11 @@
             manifest_version=self._get_manifest_version(),
             instance_count=len(self._roster.by_id),
             upstreams=upstreams,
-            live=sorted(self._live) if self._live_at > position or position == 0 else None,
             renewals=renewals,
             replicas=self._list_replicas(),
             is_whole=position == 0,
+            live=self._live.list_live(position),
+            silent=self._live.list_silent(position) if position else [],
             instances=self._roster.list_changed(position),
             gone_instances=self._roster.list_gone(position) if position else [],
         )
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -82,10 +82,10 @@
     """What a hub knows, up to ``position``; ages are in milliseconds when the reply was made.
 
     ``is_current`` tells that a majority of the replicas confirmed the hub's state of late, and
-    ``is_settled`` that it has run long enough to have heard of every upstream. ``live`` names
-    the upstreams that announced themselves of late, left out while they are the same;
-    ``replicas`` are the addresses that vote. ``instances`` are those that began to follow the hub
-    or changed, all of them if ``is_whole``, and ``gone_instances`` those that follow it no more.
+    ``is_settled`` that it has run long enough to have heard of every upstream. ``replicas`` are
+    the addresses that vote. What follows tells changes, and all there is if ``is_whole``:
+    ``live`` upstreams announced themselves of late, ``silent`` ones did no more; ``instances``
+    began to follow the hub or changed, ``gone_instances`` follow it no more.
     """
 
     boot: int
@@ -95,10 +95,11 @@
     manifest_version: int
     instance_count: int
     upstreams: list[SharedUpstream]
-    live: list[str] | None
     renewals: list[Renewal]
     replicas: list[str]
     is_whole: bool
+    live: list[str]
+    silent: list[str]
     instances: list[InstanceRecord]
     gone_instances: list[str]
 
--- a/src/coltsfootrill/membership/view.py
+++ b/src/coltsfootrill/membership/view.py
@@ -116,10 +116,9 @@
             return [hub for _, hub in sorted(current, reverse=True)]
 
     def _find_live(self, hub: str, reply: FollowReply) -> frozenset[str]:
-        if reply.live is not None:
-            return frozenset(reply.live)
         before = self._reports_by_hub.get(hub)
-        return frozenset() if before is None else before.live
+        known = frozenset() if reply.is_whole or before is None else before.live
+        return (known - set(reply.silent)) | set(reply.live)
 
     def _note_instances(self, hub: str, reply: FollowReply) -> None:
         if not (reply.is_whole or reply.instances or reply.gone_instances):
