Prefer upstreams of the own zone, and those that answered of late

Change: the penalty is half of the usual work; an upstream that has not answered this instance for 4 s, so that there is no idle connection to it, has one of 0.3. Both give way to a slower pace or to requests waiting there, so a burst that fills the near zone still goes elsewhere. Tests of the pattern (a zone with room, a burst that fills it, upstreams that answered of late): two fail without the change, all pass with it; 63 tests of the package pass.

--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -48,11 +48,13 @@
 
     ``slowness`` is the smoothed ratio of its latency to the usual latency of each kind.
     ``errors`` is a count that halves with time. ``limit`` bounds own requests in flight.
-    ``pace`` is how long work takes there by its last report, 1.0 being usual.
+    ``pace`` is how long work takes there by its last report, 1.0 being usual. ``answered_at_ms``
+    is when it last answered a request of this instance.
     """
 
     __slots__ = (
         "address",
+        "answered_at_ms",
         "confirmed_at_ms",
         "consecutive_sheds",
         "ejected_until_ms",
@@ -105,6 +107,7 @@
         self.ejection_count = 0
         self.needs_probe = False
         self.confirmed_at_ms = 0.0
+        self.answered_at_ms = float("-inf")
         self.ramp_from_ms = now_ms
 
     @property
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -283,6 +283,7 @@
 
     def end_answered(self, claim: Claim, report: LoadReport | None, now_ms: float) -> None:
         """Count a whole answer without a server error."""
+        claim.load.answered_at_ms = now_ms
         if report is not None:
             note_report(claim.load, report, now_ms=now_ms)
             self._note_crowding(report)
--- a/src/coltsfootrill/balancer/reported_load.py
+++ b/src/coltsfootrill/balancer/reported_load.py
@@ -18,7 +18,12 @@
 from coltsfootrill.balancer.load import get_ramp_share
 from coltsfootrill.hookspecs import hookimpl
 
-ZONE_CROSSING_MS = 4.0
+# Bytes between zones cost, and work there depends on one more zone: an upstream elsewhere must
+# be faster by this share of the usual work.
+ZONE_CROSSING_SHARE = 0.5
+# A new connection takes time of the upstream; one that answered of late has one that is idle.
+COLD_SHARE = 0.3
+WARM_MS = 4_000.0
 ERROR_PENALTY = 3.0
 SLOWNESS_NOISE = 1.5
 STEEPNESS = 7
@@ -45,7 +50,9 @@
     expected_ms *= 1 + ERROR_PENALTY * estimate_errors(load, now_ms)
     expected_ms /= max(0.5, get_ramp_share(load, now_ms))
     if load.zone != context.zone:
-        expected_ms += ZONE_CROSSING_MS
+        expected_ms += ZONE_CROSSING_SHARE * context.usual_ms
+    if now_ms - load.answered_at_ms > WARM_MS:
+        expected_ms += COLD_SHARE * context.usual_ms
     return expected_ms
 
 
--- a/testing/balancer/test_reported_load.py
+++ b/testing/balancer/test_reported_load.py
@@ -76,6 +76,27 @@
         counts = _choose_often([_load("near", pace=2), _load("far", zone="z2")])
         assert counts["far"] > counts["near"]
 
+    def test_little_crosses_zones_while_the_near_one_has_room(self) -> None:
+        near = [_load(f"near{n}") for n in range(3)]
+        far = [_load(f"far{n}", zone=f"z{2 + n % 2}") for n in range(6)]
+        counts = _choose_often([*near, *far])
+        assert sum(counts[load.id] for load in near) > 800
+
+    def test_a_burst_that_fills_the_near_zone_goes_elsewhere(self) -> None:
+        near = [_load(f"near{n}", in_flight=4) for n in range(3)]
+        far = [_load(f"far{n}", zone="z2") for n in range(3)]
+        counts = _choose_often([*near, *far])
+        assert sum(counts[load.id] for load in far) > 800
+
+    def test_upstreams_that_answered_of_late_are_preferred_while_they_have_room(self) -> None:
+        loads = [_load(f"u{n}") for n in range(6)]
+        loads[0].answered_at_ms = loads[1].answered_at_ms = NOW_MS - 1_000
+        counts = _choose_often(loads)
+        assert counts["u0"] + counts["u1"] > 600
+        loads[0].reported_others = loads[1].reported_others = 4
+        counts = _choose_often(loads)
+        assert counts["u0"] + counts["u1"] < 100
+
     def test_failing_fast_attracts_nothing(self) -> None:
         loads = [_load("failing"), _load("sound")]
         for _ in range(3):
