Move the times of second attempts out of the forwarding, and spread returns in one place

Change: proxy/extra.py holds when a second attempt starts and when a connection counts as silent; one method of the gate spreads the time; the constant of app.py says that it is for an instance that cannot take a request. Behaviour stays as it is; the moved functions get tests of their own.

--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -42,7 +42,8 @@
 from coltsfootrill.proxy.request import ProxyRequest
 from coltsfootrill.registry.source import UpstreamSource
 
-RETRY_AFTER_S = 0.3
+# What keeps an instance from taking a request at all has mostly passed by then.
+NOT_READY_RETRY_AFTER_S = 0.3
 
 
 class _Visit:
@@ -183,7 +184,7 @@
                 "503 Service Unavailable",
                 "too-many-requests",
                 "this instance has too many requests in progress",
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
         table = self._manifests.current
         if table is None:
@@ -191,7 +192,7 @@
                 "503 Service Unavailable",
                 "no-manifest",
                 "no manifest yet",
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
         visit.manifest_version = table.version
         headers = request.headers
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -23,6 +23,9 @@
 from coltsfootrill.proxy.connection import encode_head
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
+from coltsfootrill.proxy.extra import find_extra_at_ms
+from coltsfootrill.proxy.extra import get_silence_ms
+from coltsfootrill.proxy.extra import get_target_left_ms
 from coltsfootrill.proxy.gate import ServiceGate
 from coltsfootrill.proxy.headers import DEPTH_HEADER
 from coltsfootrill.proxy.headers import RETRIED_HEADER
@@ -35,14 +38,7 @@
 from coltsfootrill.proxy.pools import ConnectionPools
 from coltsfootrill.proxy.request import ProxyRequest
 
-SILENCE_MIN_MS = 60.0
-SILENCE_QUANTILE = 0.99
-SILENCE_FACTOR = 3.0
 SEND_MARGIN_MS = 1.0
-# A second attempt needs about its usual time, and somewhat more for the way and for chance.
-HEDGE_WORK_FACTOR = 1.3
-# Earlier than this many usual times most first attempts would still be answered.
-HEDGE_WAIT_FACTOR = 1.4
 
 
 class _Attempt:
@@ -198,7 +194,14 @@
     def _await_answer(self) -> Answer | _Failure:
         """Wait for the first good answer of the attempts in progress."""
         failure = _Failure("lost", "no attempt was answered")
-        extra_at_ms = self._get_extra_time_ms()
+        first = self._open[0]
+        extra_at_ms = find_extra_at_ms(
+            self._gate,
+            self._kind,
+            self._request,
+            sent_ms=first.sent_ms,
+            was_idle=first.was_idle,
+        )
         while self._open:
             now_ms = self._clock.now_ms()
             if now_ms >= self._request.deadline_ms:
@@ -214,44 +217,17 @@
                 failure = result or failure
         return failure
 
-    def _get_extra_time_ms(self) -> float:
-        """Return when a second attempt starts beside the first one, if it is allowed then."""
-        if not self._kind.idempotent:
-            return self._request.deadline_ms
-        attempt = self._open[0]
-        after_ms = float("inf")
-        if self._kind.hedge_quantile is not None:
-            quantile_ms = self._gate.get_quantile_ms(self._kind, self._kind.hedge_quantile)
-            after_ms = float("inf") if quantile_ms is None else quantile_ms
-        elif self._kind.target_ms is not None:
-            after_ms = self._get_hedge_delay_ms(attempt, self._kind.target_ms)
-        if attempt.was_idle:
-            after_ms = min(after_ms, self._get_silence_ms())
-        return attempt.sent_ms + after_ms
-
-    def _get_hedge_delay_ms(self, attempt: _Attempt, target_ms: float) -> float:
-        """Return after how long a second attempt is the last that can still meet the target."""
-        usual_ms = self._gate.get_usual_ms(self._kind)
-        last_start_ms = self._request.arrived_ms + target_ms - HEDGE_WORK_FACTOR * usual_ms
-        return max(HEDGE_WAIT_FACTOR * usual_ms, last_start_ms - attempt.sent_ms)
-
-    def _get_silence_ms(self) -> float:
-        """Return how long a connection may make no progress before it is doubted."""
-        usual_ms = self._gate.get_quantile_ms(self._kind, SILENCE_QUANTILE)
-        if usual_ms is None:
-            # Too few answers yet; a slow kind must not look silent until there are enough.
-            usual_ms = float(self._kind.target_ms or SILENCE_MIN_MS)
-        return max(SILENCE_MIN_MS, SILENCE_FACTOR * usual_ms)
-
     def _start_extra(self) -> None:
         attempt = self._open[0]
         is_silent = attempt.was_idle and (
-            self._clock.now_ms() - attempt.sent_ms >= self._get_silence_ms()
+            self._clock.now_ms() - attempt.sent_ms >= get_silence_ms(self._gate, self._kind)
         )
         if is_silent:
             self._doubt(attempt)
         exclude = frozenset() if is_silent else frozenset(self._tried)
-        within_ms = math.inf if is_silent else self._get_target_left_ms()
+        within_ms = math.inf
+        if not is_silent:
+            within_ms = get_target_left_ms(self._kind, self._request, self._clock.now_ms())
         claim = self._gate.try_acquire(
             self._service, self._kind, exclude=exclude, within_ms=within_ms
         )
@@ -268,13 +244,6 @@
         self._count_extra("silent" if is_silent else "hedge")
         self._start(claim, idle_max_ms=0.0 if is_silent else math.inf)
 
-    def _get_target_left_ms(self) -> float:
-        """Return the time left until the target; a second attempt that misses it is no use."""
-        if self._kind.target_ms is None:
-            return math.inf
-        request = self._request
-        return request.arrived_ms - request.age_ms + self._kind.target_ms - self._clock.now_ms()
-
     def _poll(self, timeout_ms: float) -> list[_Attempt]:
         """Return the attempts whose answer begins within ``timeout_ms``.
 
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -185,8 +185,7 @@
         with self._lock:
             if not self._tickets and self._pool.has_room(self._clock.now_ms()):
                 return RETRY_SOON_S
-            # Spread, so that those refused together do not come back together.
-            return RETRY_AFTER_S * (0.5 + self._pool.random.random())
+            return self._spread_retry_after_s()
 
     def get_usual_ms(self, kind: Kind) -> float:
         """Return the smoothed latency of a kind at the usual pace of upstreams."""
@@ -325,15 +324,18 @@
 
     def _refuse(self, kind: Kind, reason: str, message: str) -> NotRunError:
         """Return the refusal of a request that has no upstream. Called with the lock held."""
-        wait_s = RETRY_AFTER_S * (0.5 + self._pool.random.random())
         return NotRunError(
             "503 Service Unavailable",
             reason,
             message,
-            retry_after_s=wait_s,
+            retry_after_s=self._spread_retry_after_s(),
             admission=describe_admission(self._pool, kind.id, self._clock.now_ms()),
         )
 
+    def _spread_retry_after_s(self) -> float:
+        """Return a time to come back, spread so that those refused together do not do so."""
+        return RETRY_AFTER_S * (0.5 + self._pool.random.random())
+
     def _grant_waiting(self, now_ms: float) -> None:
         """Let waiters in, the most urgent first, while there are upstreams for them."""
         # A slow upstream is no use to a request that can meet its target, but to a late one.
--- /dev/null
+++ b/testing/proxy/test_extra.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+from typing import Any
+from typing import cast
+
+from coltsfootrill.manifest.model import Kind
+from coltsfootrill.proxy.extra import HEDGE_WAIT_FACTOR
+from coltsfootrill.proxy.extra import HEDGE_WORK_FACTOR
+from coltsfootrill.proxy.extra import SILENCE_FACTOR
+from coltsfootrill.proxy.extra import SILENCE_MIN_MS
+from coltsfootrill.proxy.extra import find_extra_at_ms
+from coltsfootrill.proxy.extra import get_silence_ms
+from coltsfootrill.proxy.extra import get_target_left_ms
+from coltsfootrill.proxy.gate import ServiceGate
+from coltsfootrill.proxy.request import ProxyRequest
+
+ARRIVED_MS = 1_000.0
+DEADLINE_MS = 3_000.0
+USUAL_MS = 100.0
+
+
+class Gate:
+    """Tells latencies only."""
+
+    def __init__(self, quantile_ms: float | None = None) -> None:
+        self._quantile_ms = quantile_ms
+
+    def get_usual_ms(self, kind: Kind) -> float:
+        return USUAL_MS
+
+    def get_quantile_ms(self, kind: Kind, quantile: float) -> float | None:
+        return self._quantile_ms
+
+
+class Request:
+    arrived_ms = ARRIVED_MS
+    deadline_ms = DEADLINE_MS
+    age_ms = 0.0
+
+
+def _kind(**changes: Any) -> Kind:
+    fields: dict[str, Any] = {"id": "k", "names": ["a"], "idempotent": True, "deadline_ms": 2_000}
+    return Kind(**(fields | changes))
+
+
+def _find(kind: Kind, *, sent_ms: float, gate: Gate | None = None, was_idle: bool = False) -> float:
+    return find_extra_at_ms(
+        cast(ServiceGate, gate or Gate()),
+        kind,
+        cast(ProxyRequest, Request()),
+        sent_ms=sent_ms,
+        was_idle=was_idle,
+    )
+
+
+class TestSecondAttempt:
+    def test_a_request_that_must_not_run_twice_has_none(self) -> None:
+        kind = _kind(idempotent=False, target_ms=400)
+        assert _find(kind, sent_ms=ARRIVED_MS, was_idle=True) == DEADLINE_MS
+
+    def test_it_starts_when_it_can_just_meet_the_target(self) -> None:
+        at_ms = _find(_kind(target_ms=400), sent_ms=ARRIVED_MS)
+        assert at_ms == ARRIVED_MS + 400 - HEDGE_WORK_FACTOR * USUAL_MS
+
+    def test_it_waits_until_most_first_attempts_would_be_answered(self) -> None:
+        at_ms = _find(_kind(target_ms=400), sent_ms=ARRIVED_MS + 300)
+        assert at_ms == ARRIVED_MS + 300 + HEDGE_WAIT_FACTOR * USUAL_MS
+
+    def test_a_doubtful_connection_has_it_sooner(self) -> None:
+        gate = Gate(quantile_ms=30.0)
+        at_ms = _find(_kind(target_ms=1_500), sent_ms=ARRIVED_MS, gate=gate, was_idle=True)
+        assert at_ms == ARRIVED_MS + SILENCE_FACTOR * 30.0
+
+    def test_without_target_or_quantile_only_silence_starts_one(self) -> None:
+        assert _find(_kind(), sent_ms=ARRIVED_MS) == float("inf")
+
+
+class TestSilence:
+    def test_a_slow_kind_does_not_look_silent_before_its_latency_is_known(self) -> None:
+        gate = cast(ServiceGate, Gate())
+        assert get_silence_ms(gate, _kind(target_ms=400)) == SILENCE_FACTOR * 400
+        assert get_silence_ms(gate, _kind()) == SILENCE_FACTOR * SILENCE_MIN_MS
+
+
+class TestTargetLeft:
+    def test_the_time_that_the_caller_had_waited_before_counts(self) -> None:
+        request = Request()
+        request.age_ms = 150.0
+        left_ms = get_target_left_ms(
+            _kind(target_ms=400), cast(ProxyRequest, request), ARRIVED_MS + 50
+        )
+        assert left_ms == 200
