--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(BIN)/black src testing
 
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest $(PYTEST_OPTIONS)
 
 # shiv unpacks the file on first use, in the process itself: it starts no other process.
 dist: $(VENV)/.ready
