Take datagrams of loads with the longest identifiers whole

Cause (read as a newcomer): a datagram may hold 200 loads, up to 16 KB with identifiers of 64 characters, and the receiver took 8 KB: the rest was cut off and the whole datagram not readable. Change: 32 KB are taken. A test with 450 such upstreams failed before and passes now.

--- a/src/coltsfootrill/membership/bulletins.py
+++ b/src/coltsfootrill/membership/bulletins.py
@@ -27,8 +27,8 @@
 from coltsfootrill.membership.ways import list_neighbours
 from coltsfootrill.registry.announcement import split_address
 
-DATAGRAM_MAX_BYTES = 8 * 1024
-# About 25 bytes each.
+# Entries have 25 bytes with short identifiers of upstreams, and 80 with the longest.
+DATAGRAM_MAX_BYTES = 32 * 1024
 ENTRIES_MAX_COUNT = 200
 COLLECT_MS = 200.0
 HOPS_TO_ZONE = 1
--- a/testing/membership/test_bulletins.py
+++ b/testing/membership/test_bulletins.py
@@ -76,6 +76,24 @@
             entry = seen[key][0]
             assert (entry.upstream_id, entry.report.pace, entry.age_ms) == ("u1", 7.0, 12)
 
+    def test_loads_of_many_upstreams_with_long_identifiers_arrive_whole(self) -> None:
+        port = _find_port()
+        fleet = [_record(number, "z1", port=port) for number in (7, 8)]
+        seen: list[ReportEntry] = []
+        exchanges = [
+            BulletinExchange(
+                record, list_instances=lambda: fleet, on_reports=seen.extend, clock=Clock()
+            )
+            for record in fleet
+        ]
+        threading.Thread(target=exchanges[1].run, daemon=True).start()
+        report = LoadReport(in_flight=2, slots=3, state="serving", pace=7.0)
+        names = {f"upstream-{number}-".ljust(64, "x") for number in range(450)}
+        exchanges[0].send(
+            [ReportEntry(name, report, age_ms=12.0) for name in names], crosses_zones=False
+        )
+        wait_until(lambda: {entry.upstream_id for entry in seen} == names)
+
     def test_bytes_that_are_no_bulletin_are_dropped(self) -> None:
         port = _find_port()
         own = _record(5, "z1", port=port)
