Take bounds with fractions, and defaults for what a template leaves empty

The platform's bounds may be fractions; such a deployment would not have been served at all. By the same reading, a bound that a deployment does not have renders an empty value, which was refused too. Change: allowance and link take any number of at least 0, the window any above 0; a setting that is left empty has its default, if there is one. Ruled out: rounding in the template, which cannot compute. Tests: both fail before and pass after; negative, infinite, not a number and a window of 0 are refused.

--- a/src/coltsfootrill/settings.py
+++ b/src/coltsfootrill/settings.py
@@ -167,6 +167,14 @@
     return number
 
 
+def parse_span(text: str) -> float:
+    """Return a number that is finite and above 0."""
+    number = parse_amount(text)
+    if number == 0:
+        raise ValueError(text)
+    return number
+
+
 def parse_flag(text: str) -> bool:
     """Return whether ``text`` is ``true``; raise ``ValueError`` unless it is that or ``false``."""
     if text not in ("true", "false"):
@@ -213,7 +221,10 @@
         problems: list[SettingError] = []
         by_key: dict[tuple[str, str], Any] = {}
         for setting in known:
-            value = parser.get(setting.section, setting.key, fallback=setting.default)
+            value = parser.get(setting.section, setting.key, fallback=None)
+            if not (value or "").strip() and setting.default is not None:
+                # Who writes settings from a template leaves empty what is not known.
+                value = setting.default
             if value is None:
                 problems.append(SettingError(setting.section, setting.key, None, setting.accepted))
                 continue
--- a/src/coltsfootrill/settings_catalog.py
+++ b/src/coltsfootrill/settings_catalog.py
@@ -18,6 +18,7 @@
 from coltsfootrill.settings import parse_optional_address
 from coltsfootrill.settings import parse_replicas
 from coltsfootrill.settings import parse_share
+from coltsfootrill.settings import parse_span
 from coltsfootrill.settings import parse_spares
 from coltsfootrill.settings import parse_token
 
@@ -33,6 +34,17 @@
     )
 
 
+def _amount(section: str, key: str, default: str, meaning: str) -> Setting[float]:
+    return Setting(
+        section,
+        key,
+        parse_amount,
+        accepted="a number of at least 0",
+        meaning=meaning,
+        default=default,
+    )
+
+
 def _count(section: str, key: str, low: int, high: int, default: int, meaning: str) -> Setting[int]:
     return Setting(
         section,
@@ -203,14 +215,7 @@
         meaning="Whether the whole fleet starts for the first time, with empty disks.",
         default="false",
     ),
-    Setting(
-        "instance",
-        "link_mbps",
-        parse_amount,
-        accepted="a number of at least 0",
-        meaning="Bandwidth of its link in Mbit/s; 0 where it is not known.",
-        default="0",
-    ),
+    _amount("instance", "link_mbps", "0", "Bandwidth of its link in Mbit/s; 0 if not known."),
     _address("metrics", "listen", "Address for metrics."),
     _address("ready", "listen", "Address for the check whether callers may be sent here."),
     _address("interface", "listen", "Address for operators and announcements of upstreams."),
@@ -228,8 +233,15 @@
     _count("fleet", "losses", 0, 3, 1, "Disks that may be lost at the same time."),
     *_list_caller_settings(connections=1_000, notice_ms=2_600, idle_ms=200, stop_ms=2_800),
     _share("retries", "share", "0.2", "Further attempts as a share of first ones, fleet-wide."),
-    _count("retries", "window_s", 1, 3_600, 10, "Length of the window for that share."),
-    _count("retries", "allowance", 0, 100_000, 0, "Further attempts on top, fleet-wide."),
+    Setting(
+        "retries",
+        "window_s",
+        parse_span,
+        accepted="a number above 0",
+        meaning="Length of the window for that share in seconds.",
+        default="10",
+    ),
+    _amount("retries", "allowance", "0", "Further attempts on top, fleet-wide."),
     *_BALANCER,
     _count("measuring", "interval_ms", 0, 60_000, 0, "Time between checks of one upstream."),
     *_TLS_FILES,
--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -12,6 +12,7 @@
 from coltsfootrill.settings import Settings
 from coltsfootrill.settings_catalog import CONTROL_SETTINGS
 from coltsfootrill.settings_catalog import ENTRY_SETTINGS
+from coltsfootrill.settings_catalog import NODE_SETTINGS
 
 
 class TestSettings:
@@ -31,6 +32,30 @@
             ("control", "replicas"),
         }
 
+    def test_bounds_with_fractions_are_taken(self, tmp_path: Path) -> None:
+        path = tmp_path / "n.ini"
+        path.write_text("[retries]\nallowance = 22.823529411764707\nwindow_s = 7.5\n")
+        with pytest.raises(InvalidSettingsError) as caught:
+            Settings.from_file(path, NODE_SETTINGS)
+        assert not [e for e in caught.value.exceptions if "retries" in str(e)]
+
+    def test_what_is_left_empty_has_its_default(self, tmp_path: Path) -> None:
+        path = tmp_path / "n.ini"
+        path.write_text("[retries]\nshare =\nwindow_s =\n[fleet]\nlosses =\nlisten =\n")
+        with pytest.raises(InvalidSettingsError) as caught:
+            Settings.from_file(path, NODE_SETTINGS)
+        problems = " ".join(str(error) for error in caught.value.exceptions)
+        assert "retries" not in problems and "losses" not in problems
+        assert "[fleet] listen" in problems
+
+    @pytest.mark.parametrize("text", ["-1", "nan", "inf", "x", "0"])
+    def test_a_window_that_is_no_span_is_refused(self, tmp_path: Path, text: str) -> None:
+        path = tmp_path / "n.ini"
+        path.write_text(f"[retries]\nwindow_s = {text}\n")
+        with pytest.raises(InvalidSettingsError) as caught:
+            Settings.from_file(path, NODE_SETTINGS)
+        assert [e for e in caught.value.exceptions if "window_s" in str(e)]
+
     def test_a_key_that_stands_twice_is_refused(self, tmp_path: Path) -> None:
         path = tmp_path / "c.ini"
         path.write_text("[instance]\nid = c1\nid = c2\n")
