Refuse reads and changes of a replica that has stopped its calls, without a trace

Change: nobody replied, as after a timeout, so reads and changes end as without a majority, with a line in the log. A change of which some calls may have gone out still ends as unknown, never as refused. Ruled out: raising NoQuorumError there, which promises that nothing was changed.

--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -19,6 +19,7 @@
 from typing import TypeVar
 
 import msgspec
+from absl import logging
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.control.messages import ZERO_BALLOT
@@ -305,9 +306,14 @@
             replica.address for replicas in votes.replica_sets for replica in replicas.values()
         }
         addresses -= votes.by_address.keys()
-        pending: dict[Future[Reply], str] = {
-            self._executor.submit(call, address): address for address in sorted(addresses)
-        }
+        try:
+            pending: dict[Future[Reply], str] = {
+                self._executor.submit(call, address): address for address in sorted(addresses)
+            }
+        except RuntimeError as error:
+            # The replica is stopping. Some may have been called: that is as if none replied.
+            logging.warning('replicas not called error="%s"', error)
+            return
         end_ms = self._clock.now_ms() + CALL_TIMEOUT_MS
         wants_all = not all(
             replica.key for replicas in votes.replica_sets for replica in replicas.values()
--- a/testing/control/test_recovery.py
+++ b/testing/control/test_recovery.py
@@ -16,6 +16,8 @@
 from coltsfootrill.control.messages import Inspect
 from coltsfootrill.control.messages import Prepare
 from coltsfootrill.control.messages import Replica
+from coltsfootrill.control.proposer import NoQuorumError
+from coltsfootrill.control.proposer import UnknownResultError
 from coltsfootrill.control.replacement import ReplicaChange
 from coltsfootrill.control.replacement import replace_replica
 from coltsfootrill.control.submission import submit_manifest
@@ -116,6 +118,17 @@
         assert answer.result == result
 
 
+class TestStopping:
+    def test_a_replica_that_has_stopped_its_calls_refuses_reads_and_changes(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.executor.shutdown()
+        with pytest.raises(NoQuorumError):
+            cluster.read("a")
+        with pytest.raises((NoQuorumError, UnknownResultError)):
+            cluster.submit("a", 2, "two")
+
+
 class TestFounding:
     def test_the_first_replica_set_outlives_changed_seeds(self, tmp_path: Path) -> None:
         files = FileLayer()
