Tell silenced connections of a test apart by their sockets, not by descriptor numbers

The stand-in keeps the descriptor numbers of the connections that it silences. The node under test drops the idle ones among them, the stand-in closes its ends, and a second fresh connection gets such a number again: the stand-in then stays silent on a connection that was never silenced, so the request runs into its deadline.

Ruled out: the first fresh connection (its descriptor is reserved when accept starts to wait, before any is closed); slow answers that raise the silence threshold (25 runs without load, none above 0.4 s).

Before: with the return of connections delayed by 50 ms and low descriptors taken, so that a second connection is opened, 2 of 4 runs failed with exactly the reported outcomes, and a trace named the reused number in both. After: the same forcing, 10 of 10 passed; the file passes.

Conclusion: a fault of the stand-in, not of the program. The test asserts what it did.

--- a/testing/proxy/test_outcomes.py
+++ b/testing/proxy/test_outcomes.py
@@ -219,14 +219,15 @@
         self, instance: Instance, serve: Serve
     ) -> None:
         is_cut = threading.Event()
-        silent: set[int] = set()
+        # By the sockets themselves: a descriptor is used again once another one is closed.
+        silent: set[socket.socket] = set()
 
         def script(sock: socket.socket, head: bytes, number: int) -> bool:
-            if is_cut.is_set() and sock.fileno() in silent:
+            if is_cut.is_set() and sock in silent:
                 threading.Event().wait(10)
                 return False
             if not is_cut.is_set():
-                silent.add(sock.fileno())
+                silent.add(sock)
             time.sleep(0.02)
             sock.sendall(encode())
             return True
