Have one instance for each service choose upstreams for the whole fleet

Requests were admitted with hardly a wait (0 to 130 ms) to upstreams that were reported quick, and half of them were late all the same: a report of a free slot let each of 22 instances send one of its waiting requests there, up to fourteen met at an upstream with three slots within 160 ms. Timetable pulls stayed at 4 to 14 % on target for 25 s after the bursts had ended, at their usual demand.

Change: a dispatcher for each service, the first in rank among the instances that hubs list. It counts the attempts of all, keeps one queue, and is asked by one datagram before each attempt; without a reply the instance chooses itself. Reports count what was in flight at their moment; grants that no report shows any more are dropped. Datagrams of loads share the socket.

Ruled out: choice of slow machines (0 to 5 picks a second at a pace above 1.5); want of room (half of the slots were in use while requests were refused).

Late requests leave one slot free instead of all others where attempts are counted in one place: that has not been measured yet.

--- a/src/coltsfootrill/balancer/choice.py
+++ b/src/coltsfootrill/balancer/choice.py
@@ -9,21 +9,35 @@
 from coltsfootrill.balancer.load import UpstreamLoad
 
 
+class Origin:
+    """The instance that works on a request: its zone, and where it has idle connections.
+
+    ``warm_ids`` are the upstreams it has one to; ``None`` where only this instance's own answers
+    tell.
+    """
+
+    __slots__ = ("warm_ids", "zone")
+
+    def __init__(self, zone: str, warm_ids: frozenset[str] | None = None) -> None:
+        self.zone = zone
+        self.warm_ids = warm_ids
+
+
 class ChoiceContext:
     """What a policy may use besides the candidates.
 
-    ``zone`` is the instance's own availability zone, ``usual_ms`` the usual latency of the kind,
-    ``turn`` a number that grows by one with each choice.
+    ``usual_ms`` is the usual latency of the kind, ``turn`` a number that grows by one with each
+    choice.
     """
 
-    __slots__ = ("now_ms", "random", "turn", "usual_ms", "zone")
+    __slots__ = ("now_ms", "origin", "random", "turn", "usual_ms")
 
     def __init__(
-        self, *, now_ms: float, random: Random, zone: str, usual_ms: float, turn: int
+        self, *, now_ms: float, random: Random, origin: Origin, usual_ms: float, turn: int
     ) -> None:
         self.now_ms = now_ms
         self.random = random
-        self.zone = zone
+        self.origin = origin
         self.usual_ms = usual_ms
         self.turn = turn
 
--- a/src/coltsfootrill/balancer/latency.py
+++ b/src/coltsfootrill/balancer/latency.py
@@ -77,6 +77,16 @@
             self._since_refresh = 0
             self._ordered = sorted(self._window)
 
+    def seed(self, usual_ms: float) -> None:
+        """Take the usual latency that another instance has learnt, until there are answers."""
+        if self._usual_count == 0 and usual_ms > 0:
+            self.usual_ms = usual_ms
+
+    @property
+    def is_learnt(self) -> bool:
+        """Return whether there were answers."""
+        return self._usual_count > 0
+
     def _add_usual(self, work_ms: float) -> None:
         if self._usual_count == 0:
             self.usual_ms = work_ms
--- a/src/coltsfootrill/balancer/least_expected_wait.py
+++ b/src/coltsfootrill/balancer/least_expected_wait.py
@@ -36,15 +36,15 @@
     wait_ms = work_ms * (1 + queued / load.slots + 0.2 * busy_share)
     wait_ms *= 1 + ERROR_PENALTY * estimate_errors(load, now_ms)
     wait_ms /= get_ramp_share(load, now_ms)
-    if load.zone != context.zone:
+    if load.zone != context.origin.zone:
         wait_ms += ZONE_CROSSING_MS
     return wait_ms
 
 
 def choose(candidates: Sequence[UpstreamLoad], context: ChoiceContext) -> UpstreamLoad:
     """Return the candidate with the least expected wait in a sample of near and far ones."""
-    near = [load for load in candidates if load.zone == context.zone]
-    far = [load for load in candidates if load.zone != context.zone]
+    near = [load for load in candidates if load.zone == context.origin.zone]
+    far = [load for load in candidates if load.zone != context.origin.zone]
     sample = _draw(near, NEAR_SAMPLE_COUNT, context) + _draw(far, FAR_SAMPLE_COUNT, context)
     return min(sample, key=lambda load: expect_wait_ms(load, context))
 
--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 
 REPORT_HALF_LIFE_MIN_MS = 10.0
 USUAL_WEIGHT = 0.05
@@ -24,6 +25,12 @@
 RAMP_SHARE_MIN = 0.1
 SHED_PAUSE_MS = 10.0
 SHED_PAUSE_MAX_MS = 160.0
+# For this long an upstream that has answered has an idle connection.
+WARM_MS = 4_000.0
+# Reports are hardly older than this when they arrive.
+ENDS_KEPT_COUNT = 32
+# A request of another instance may take this long from the choice to its upstream.
+ON_ITS_WAY_MS = 100.0
 
 
 class LoadReport:
@@ -49,7 +56,8 @@
     ``slowness`` is the smoothed ratio of its latency to the usual latency of each kind.
     ``errors`` is a count that halves with time. ``limit`` bounds own requests in flight.
     ``pace`` is how long work takes there by its last report, 1.0 being usual. ``answered_at_ms``
-    is when it last answered a request of this instance.
+    is when it last answered a request of this instance. ``remote_tokens`` are the requests that
+    other instances work on; ``recent_ends`` holds the start and the end of the last ones.
     """
 
     __slots__ = (
@@ -71,6 +79,8 @@
         "pace_at_ms",
         "paused_until_ms",
         "ramp_from_ms",
+        "recent_ends",
+        "remote_tokens",
         "reported_at_ms",
         "reported_others",
         "slots",
@@ -92,6 +102,8 @@
         # Another upstream answers at this address; the directory will tell it too.
         self.is_replaced = False
         self.started_by_token: dict[int, tuple[float, float]] = {}
+        self.remote_tokens: set[int] = set()
+        self.recent_ends: deque[tuple[float, float]] = deque(maxlen=ENDS_KEPT_COUNT)
         self.reported_others = 0.0
         self.reported_at_ms = now_ms
         self.others_usual = 0.0
@@ -158,12 +170,17 @@
 
 def is_available(load: UpstreamLoad, now_ms: float) -> bool:
     """Return whether a request may start now: not ejected, not paused, below the limit."""
-    return (
-        not load.is_replaced
-        and now_ms >= load.ejected_until_ms
-        and now_ms >= load.paused_until_ms
-        and load.in_flight < max(1, int(load.limit))
-    )
+    return not is_shunned(load, now_ms) and load.in_flight < max(1, int(load.limit))
+
+
+def is_shunned(load: UpstreamLoad, now_ms: float) -> bool:
+    """Return whether this instance keeps new work from the upstream, whatever room it has."""
+    return load.is_replaced or now_ms < load.ejected_until_ms or now_ms < load.paused_until_ms
+
+
+def is_warm(load: UpstreamLoad, now_ms: float) -> bool:
+    """Return whether the upstream answered this instance of late."""
+    return now_ms - load.answered_at_ms <= WARM_MS
 
 
 def note_start(load: UpstreamLoad, *, token: int, now_ms: float, usual_ms: float) -> None:
@@ -171,19 +188,56 @@
     load.started_by_token[token] = (now_ms, max(usual_ms, 0.1))
 
 
-def note_end(load: UpstreamLoad, *, token: int) -> float | None:
-    """Note that a request ended, however; return when it started."""
+def note_end(load: UpstreamLoad, *, token: int, now_ms: float | None = None) -> float | None:
+    """Note that a request ended, however; return when it started.
+
+    Without ``now_ms`` the request counts as one that never reached the upstream.
+    """
     started = load.started_by_token.pop(token, None)
-    return None if started is None else started[0]
+    load.remote_tokens.discard(token)
+    if started is None:
+        return None
+    if now_ms is not None:
+        load.recent_ends.append((started[0], now_ms))
+    return started[0]
+
+
+def count_own_at(load: UpstreamLoad, at_ms: float) -> int:
+    """Return how many own requests were in flight at a moment that is not long ago."""
+    running = sum(started_ms <= at_ms for started_ms, _ in load.started_by_token.values())
+    ended = sum(started_ms <= at_ms < ended_ms for started_ms, ended_ms in load.recent_ends)
+    return running + ended
+
+
+def drop_overcounted(load: UpstreamLoad, *, reported: int, at_ms: float) -> None:
+    """Forget remote requests that the upstream, which reported ``reported`` ones, cannot have.
+
+    Their ends were told in datagrams that got lost. The oldest ones go first.
+    """
+    settled = [
+        (started_ms, token)
+        for token, (started_ms, _) in load.started_by_token.items()
+        if started_ms <= at_ms - ON_ITS_WAY_MS
+    ]
+    excess = len(settled) - reported
+    if excess <= 0:
+        return
+    remote = sorted(item for item in settled if item[1] in load.remote_tokens)
+    for _, token in remote[:excess]:
+        note_end(load, token=token)
 
 
 def note_report(load: UpstreamLoad, report: LoadReport, *, now_ms: float) -> None:
-    """Take in the load stated on an answer, before the request is counted as ended."""
+    """Take in the load that an upstream stated at ``now_ms``.
+
+    One that came with an answer is taken in before the request is counted as ended.
+    """
     load.slots = report.slots
     if report.pace is not None:
         load.pace = report.pace
         load.pace_at_ms = now_ms
-    others = max(0.0, float(report.in_flight - load.in_flight))
+    drop_overcounted(load, reported=report.in_flight, at_ms=now_ms)
+    others = max(0.0, float(report.in_flight - count_own_at(load, now_ms)))
     load.reported_others = others
     load.reported_at_ms = now_ms
     load.others_usual += USUAL_WEIGHT * (others - load.others_usual)
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -7,12 +7,14 @@
 
 import math
 from random import Random
+from typing import Literal
 
 from coltsfootrill.balancer.admission import AdmissionQueue
 from coltsfootrill.balancer.admission import Waiter
 from coltsfootrill.balancer.admission import can_meet_deadline
 from coltsfootrill.balancer.choice import ChoiceContext
 from coltsfootrill.balancer.choice import ChoicePolicy
+from coltsfootrill.balancer.choice import Origin
 from coltsfootrill.balancer.ejection import eject_outliers
 from coltsfootrill.balancer.latency import KindLatency
 from coltsfootrill.balancer.load import PACE_HALF_LIFE_MS
@@ -20,6 +22,8 @@
 from coltsfootrill.balancer.load import UpstreamLoad
 from coltsfootrill.balancer.load import estimate_in_flight
 from coltsfootrill.balancer.load import is_available
+from coltsfootrill.balancer.load import is_shunned
+from coltsfootrill.balancer.load import is_warm
 from coltsfootrill.balancer.load import note_end
 from coltsfootrill.balancer.load import note_error
 from coltsfootrill.balancer.load import note_report
@@ -44,29 +48,58 @@
 MARGIN_STEP_UP = 0.02
 MARGIN_STEP_DOWN = 0.005
 
+Result = Literal["answered", "shed", "failed", "misdirected", "abandoned", "straggled"]
+
 
 class Room:
     """Where a request with a target may go.
 
-    An answer must be expected within ``within_ms``. With ``is_spare`` only upstreams without any
-    other request will do, so that late requests and second attempts take nothing from those that
-    can meet their target.
+    An answer must be expected within ``within_ms``. With ``is_spare`` an upstream must have more
+    room, so that late requests and second attempts take nothing from those that can meet their
+    target: ``reserve`` slots stay free, or all others where ``reserve`` is ``None``. The former is
+    enough where the attempts of all instances are counted.
     """
 
-    __slots__ = ("is_spare", "within_ms")
+    __slots__ = ("is_spare", "reserve", "within_ms")
 
-    def __init__(self, *, within_ms: float = math.inf, is_spare: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        within_ms: float = math.inf,
+        is_spare: bool = False,
+        reserve: int | None = None,
+    ) -> None:
         self.within_ms = within_ms
         self.is_spare = is_spare
+        self.reserve = reserve
 
 
 ANY_ROOM = Room()
 
 
+class Grant:
+    """What another instance, the ``dispatcher`` of a service, has chosen for one attempt.
+
+    ``token`` names the attempt in messages to that instance, which listens at ``address``.
+    """
+
+    __slots__ = ("address", "dispatcher", "token", "upstream_id")
+
+    def __init__(self, *, dispatcher: str, address: str, token: int, upstream_id: str) -> None:
+        self.dispatcher = dispatcher
+        self.address = address
+        self.token = token
+        self.upstream_id = upstream_id
+
+
 class Claim:
-    """One request in flight at one upstream; ended exactly once."""
+    """One request in flight at one upstream; ended exactly once.
+
+    ``grant`` is set where another instance chose the upstream.
+    """
 
     __slots__ = (
+        "grant",
         "kind_id",
         "load",
         "occupancy",
@@ -89,6 +122,7 @@
         occupancy: float = 1.0,
         report_age_ms: float = 0.0,
     ) -> None:
+        self.grant: Grant | None = None
         self.report_age_ms = report_age_ms
         self.pace = pace
         self.occupancy = occupancy
@@ -106,11 +140,11 @@
         "_policy",
         "_retiring",
         "_turn",
-        "_zone",
         "by_id",
         "has_worked",
         "latency_by_kind",
         "margin",
+        "origin",
         "queue",
         "random",
         "retry_budget",
@@ -137,7 +171,7 @@
         self.margin = 0.0
         self._policy = policy
         self.random = random
-        self._zone = zone
+        self.origin = Origin(zone)
         self._turn = 0
         self._retiring: list[UpstreamLoad] = []
         # Whether a request started or was in flight since the upstreams were last judged.
@@ -189,12 +223,14 @@
         exclude: frozenset[str],
         is_patient: bool = False,
         room: Room = ANY_ROOM,
+        origin: Origin | None = None,
     ) -> Claim | None:
         """Choose an upstream and count the request as in flight there.
 
         Returns ``None`` when none is available. Upstreams in ``exclude`` are taken only if there
         is no other. A patient request takes only upstreams that are expected to have a free slot;
-        ``room`` tells where a request with a target may go, if the policy can tell.
+        ``room`` tells where a request with a target may go, if the policy can tell. ``origin`` is
+        the instance that will send the request, this one by default.
         """
         available = [load for load in self.by_id.values() if is_available(load, now_ms)]
         usual_ms = self.get_latency(kind.id).usual_ms
@@ -209,7 +245,7 @@
         context = ChoiceContext(
             now_ms=now_ms,
             random=self.random,
-            zone=self._zone,
+            origin=origin or self.origin,
             usual_ms=usual_ms,
             turn=self._turn,
         )
@@ -217,7 +253,21 @@
             preferred = self._list_suitable(preferred, context, room)
         if not preferred:
             return None
-        load = self._policy.choose(preferred, context)
+        return self._start(self._policy.choose(preferred, context), kind, now_ms)
+
+    def start_at(self, upstream_id: str, kind: Kind, now_ms: float) -> Claim | None:
+        """Count a request as in flight where another instance has sent it.
+
+        Returns ``None`` where that upstream is not usable by what is known here.
+        """
+        load = self.by_id.get(upstream_id)
+        if load is None or load.is_replaced:
+            return None
+        self._turn += 1
+        return self._start(load, kind, now_ms)
+
+    def _start(self, load: UpstreamLoad, kind: Kind, now_ms: float) -> Claim:
+        usual_ms = self.get_latency(kind.id).usual_ms
         occupancy = 1 + count_known(load, now_ms, half_life_ms=REPORT_HALF_LIFE_MS)
         self.has_worked = True
         pace = load.pace if now_ms - load.pace_at_ms < PACE_HALF_LIFE_MS else 1.0
@@ -242,16 +292,27 @@
             return loads
         suitable: list[UpstreamLoad] = []
         for load in loads:
-            has_room = self._has_room(load, context.now_ms, is_spare=room.is_spare)
+            has_room = self._has_room(load, context.now_ms, room)
             if has_room and expect(load, context) <= room.within_ms:
                 suitable.append(load)
         return suitable
 
-    def _has_room(self, load: UpstreamLoad, now_ms: float, *, is_spare: bool) -> bool:
+    def _has_room(self, load: UpstreamLoad, now_ms: float, room: Room) -> bool:
         known = count_known(load, now_ms, half_life_ms=REPORT_HALF_LIFE_MS)
-        if is_spare:
+        if room.is_spare and room.reserve is None:
             return known + self.margin < 1 - SLOT_TOLERANCE
-        return known < self.slot_use.get_cap(load.slots) - SLOT_TOLERANCE
+        cap = self.slot_use.get_cap(load.slots)
+        if room.is_spare:
+            cap = max(1, cap - (room.reserve or 0))
+        return known < cap - SLOT_TOLERANCE
+
+    def list_shunned(self, now_ms: float) -> list[str]:
+        """Return the upstreams that this instance keeps new work from."""
+        return [load.id for load in self.by_id.values() if is_shunned(load, now_ms)]
+
+    def list_warm(self, now_ms: float) -> list[str]:
+        """Return the upstreams that this instance has idle connections to."""
+        return [load.id for load in self.by_id.values() if is_warm(load, now_ms)]
 
     def has_room(self, now_ms: float) -> bool:
         """Return whether some upstream is available and known to have a free slot."""
@@ -260,7 +321,7 @@
     def count_with_room(self, now_ms: float) -> int:
         """Return how many upstreams are available and known to have a free slot."""
         return sum(
-            is_available(load, now_ms) and self._has_room(load, now_ms, is_spare=False)
+            is_available(load, now_ms) and self._has_room(load, now_ms, ANY_ROOM)
             for load in self.by_id.values()
         )
 
@@ -281,13 +342,26 @@
             remaining_ms=waiter.deadline_ms - now_ms,
         )
 
+    def end(self, claim: Claim, result: Result, report: LoadReport | None, now_ms: float) -> None:
+        """Count an attempt that has ended in one of the ways below."""
+        if result == "answered":
+            self.end_answered(claim, report, now_ms)
+        elif result == "shed":
+            self.end_shed(claim, report, now_ms)
+        elif result == "failed":
+            self.end_failed(claim, now_ms)
+        elif result == "misdirected":
+            self.end_misdirected(claim)
+        else:
+            self.end_abandoned(claim, now_ms, is_slow=result == "straggled")
+
     def end_answered(self, claim: Claim, report: LoadReport | None, now_ms: float) -> None:
         """Count a whole answer without a server error."""
         claim.load.answered_at_ms = now_ms
         if report is not None:
             note_report(claim.load, report, now_ms=now_ms)
             self._note_crowding(report)
-        if note_end(claim.load, token=claim.token) is None:
+        if note_end(claim.load, token=claim.token, now_ms=now_ms) is None:
             return
         latency_ms = now_ms - claim.started_ms
         # The pace may have changed meanwhile: the slower one explains more of a long answer.
@@ -304,16 +378,23 @@
         note_success(claim.load, latency_ms=latency_ms, usual_ms=claim.usual_ms * pace)
 
     def end_shed(self, claim: Claim, report: LoadReport | None, now_ms: float) -> None:
-        """Count an explicit refusal for lack of capacity."""
+        """Count an explicit refusal, for lack of capacity as far as the upstream's report tells.
+
+        One that refuses with slots free would gain nothing from a pause, and where all of a
+        service do so, pauses would leave callers with no upstream at all.
+        """
+        note_end(claim.load, token=claim.token)
         if report is not None:
             note_report(claim.load, report, now_ms=now_ms)
             self._note_crowding(report)
-        note_end(claim.load, token=claim.token)
-        note_shed(claim.load, now_ms=now_ms)
+        if report is not None and report.in_flight < report.slots:
+            note_error(claim.load, now_ms=now_ms)
+        else:
+            note_shed(claim.load, now_ms=now_ms)
 
     def end_failed(self, claim: Claim, now_ms: float) -> None:
         """Count a refused connection, a broken answer or a server error."""
-        note_end(claim.load, token=claim.token)
+        note_end(claim.load, token=claim.token, now_ms=now_ms)
         note_error(claim.load, now_ms=now_ms)
 
     def end_misdirected(self, claim: Claim) -> None:
@@ -323,7 +404,7 @@
 
     def end_abandoned(self, claim: Claim, now_ms: float, *, is_slow: bool) -> None:
         """Count an attempt that was given up; ``is_slow`` when the upstream is to blame."""
-        note_end(claim.load, token=claim.token)
+        note_end(claim.load, token=claim.token, now_ms=now_ms)
         if is_slow:
             waited_ms = now_ms - claim.started_ms
             usual_ms = claim.usual_ms * claim.pace
--- a/src/coltsfootrill/balancer/reported_load.py
+++ b/src/coltsfootrill/balancer/reported_load.py
@@ -16,20 +16,22 @@
 from coltsfootrill.balancer.load import estimate_pace
 from coltsfootrill.balancer.load import estimate_slowness
 from coltsfootrill.balancer.load import get_ramp_share
+from coltsfootrill.balancer.load import is_warm
 from coltsfootrill.hookspecs import hookimpl
 
 # Bytes between zones cost, and work there depends on one more zone: an upstream elsewhere must
 # be faster by this share of the usual work.
 ZONE_CROSSING_SHARE = 0.5
-# A new connection takes time of the upstream; one that answered of late has one that is idle.
+# A new connection takes time of the upstream.
 COLD_SHARE = 0.3
-WARM_MS = 4_000.0
 ERROR_PENALTY = 3.0
 SLOWNESS_NOISE = 1.5
 STEEPNESS = 7
 # The last free slot of an upstream is slower than the others, and one more request may come.
 LAST_SLOT_PENALTY = 0.35
 BUSY_PENALTY = 0.1
+# Answers that took no time at all must not leave a choice without weights.
+EXPECTED_MIN_MS = 0.001
 
 
 def expect_ms(load: UpstreamLoad, context: ChoiceContext) -> float:
@@ -49,18 +51,25 @@
     expected_ms = work_ms * (crowding + queued / load.slots)
     expected_ms *= 1 + ERROR_PENALTY * estimate_errors(load, now_ms)
     expected_ms /= max(0.5, get_ramp_share(load, now_ms))
-    if load.zone != context.zone:
+    if load.zone != context.origin.zone:
         expected_ms += ZONE_CROSSING_SHARE * context.usual_ms
-    if now_ms - load.answered_at_ms > WARM_MS:
+    if not _is_warm(load, context):
         expected_ms += COLD_SHARE * context.usual_ms
     return expected_ms
 
 
+def _is_warm(load: UpstreamLoad, context: ChoiceContext) -> bool:
+    warm_ids = context.origin.warm_ids
+    if warm_ids is not None:
+        return load.id in warm_ids
+    return is_warm(load, context.now_ms)
+
+
 def choose(candidates: Sequence[UpstreamLoad], context: ChoiceContext) -> UpstreamLoad:
     """Return a candidate, by chance with weights that fall with the expected time."""
-    expected = [weigh_ms(load, context) for load in candidates]
+    expected = [max(weigh_ms(load, context), EXPECTED_MIN_MS) for load in candidates]
     least_ms = min(expected)
-    weights = [(least_ms / max(ms, 0.001)) ** STEEPNESS for ms in expected]
+    weights = [(least_ms / ms) ** STEEPNESS for ms in expected]
     return context.random.choices(candidates, weights)[0]
 
 
--- a/src/coltsfootrill/membership/bulletins.py
+++ b/src/coltsfootrill/membership/bulletins.py
@@ -9,32 +9,28 @@
 
 from __future__ import annotations
 
-import socket
 import threading
 from collections.abc import Callable
 from collections.abc import Sequence
 
 import msgspec
-from absl import logging
 
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.report_book import ReportEntry
 from coltsfootrill.clock import Clock
+from coltsfootrill.membership.datagrams import DatagramPort
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.ways import DIRECT_MAX_COUNT
 from coltsfootrill.membership.ways import choose_collector
 from coltsfootrill.membership.ways import choose_relays
 from coltsfootrill.membership.ways import list_neighbours
-from coltsfootrill.registry.announcement import split_address
 
-# Entries have 25 bytes with short identifiers of upstreams, and 80 with the longest.
-DATAGRAM_MAX_BYTES = 32 * 1024
+TOPIC = b"L"
 ENTRIES_MAX_COUNT = 200
 COLLECT_MS = 200.0
 HOPS_TO_ZONE = 1
 HOPS_TO_COLLECTOR = 2
 PACE_SCALE = 100
-LOG_PAUSE_S = 30
 
 
 class LoadEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -66,6 +62,7 @@
         self,
         own: InstanceRecord,
         *,
+        port: DatagramPort,
         list_instances: Callable[[], list[InstanceRecord]],
         on_reports: Callable[[list[ReportEntry]], None],
         clock: Clock,
@@ -75,9 +72,8 @@
         self._on_reports = on_reports
         self._collected = CollectedLoads(clock)
         self._rounds = 0
-        host, port = split_address(own.address)
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind((host, port))
+        self._port = port
+        port.handle(TOPIC, self.take)
 
     def send(self, entries: Sequence[ReportEntry], *, crosses_zones: bool) -> None:
         """Tell the own zone, and where wanted one instance in each other zone."""
@@ -95,20 +91,12 @@
         if crosses_zones:
             self._send_to(choose_relays(self._own, instances), packed, hops=HOPS_TO_ZONE)
 
-    def run(self) -> None:
-        """Take datagrams until the process ends."""
-        while True:
-            data = self._socket.recv(DATAGRAM_MAX_BYTES)
-            try:
-                bulletin = _decoder.decode(data)
-            except msgspec.MsgspecError as error:
-                logging.log_every_n_seconds(
-                    logging.WARNING, 'datagram not readable error="%s"', LOG_PAUSE_S, error
-                )
-                continue
-            self._on_reports([_unpack(entry) for entry in bulletin.entries])
-            if bulletin.hops:
-                self._pass_on(bulletin)
+    def take(self, payload: bytes, sender: str) -> None:
+        """Take a datagram; raise ``msgspec.MsgspecError`` if it cannot be read."""
+        bulletin = _decoder.decode(payload)
+        self._on_reports([_unpack(entry) for entry in bulletin.entries])
+        if bulletin.hops:
+            self._pass_on(bulletin)
 
     def collect(self) -> None:
         """Tell what was collected again and again, until the process ends."""
@@ -137,15 +125,7 @@
             part = list(entries[start : start + ENTRIES_MAX_COUNT])
             data = _encoder.encode(Bulletin(self._own.id, hops, part))
             for address in addresses:
-                self._send(data, address)
-
-    def _send(self, data: bytes, address: str) -> None:
-        try:
-            self._socket.sendto(data, socket.MSG_DONTWAIT, split_address(address))
-        except OSError as error:
-            logging.log_every_n_seconds(
-                logging.WARNING, 'datagram not sent error="%s"', LOG_PAUSE_S, error
-            )
+                self._port.send(TOPIC, data, address)
 
 
 class CollectedLoads:
--- a/src/coltsfootrill/membership/ways.py
+++ b/src/coltsfootrill/membership/ways.py
@@ -11,6 +11,7 @@
 # More neighbours than these are told by collectors.
 DIRECT_MAX_COUNT = 14
 COLLECTORS_COUNT = 2
+DISPATCHERS_COUNT = 3
 
 
 def rank(key: str, instance_id: str) -> int:
@@ -18,6 +19,19 @@
     return int(google_crc32c.value(f"{key}/{instance_id}".encode()))
 
 
+def list_dispatchers(service_id: str, instances: Sequence[InstanceRecord]) -> list[InstanceRecord]:
+    """Return the instances that may choose for the whole fleet where a service's requests go.
+
+    The first one does; the next ones take its place while it does not answer. Those with the
+    widest links come first.
+    """
+    return sorted(
+        instances,
+        key=lambda record: (record.link_mbps, rank(service_id, record.id)),
+        reverse=True,
+    )[:DISPATCHERS_COUNT]
+
+
 def list_neighbours(own: InstanceRecord, instances: Sequence[InstanceRecord]) -> list[str]:
     """Return the addresses of the other instances in the own zone."""
     return [
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -13,6 +13,7 @@
 from coltsfootrill.balancer.report_book import ReportEntry
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.clock import Clock
+from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.events.catalog import Admission
 from coltsfootrill.events.catalog import Attempt
 from coltsfootrill.events.catalog import Event
@@ -40,6 +41,7 @@
 from coltsfootrill.proxy.outcome import make_error_answer
 from coltsfootrill.proxy.pools import ConnectionPools
 from coltsfootrill.proxy.request import ProxyRequest
+from coltsfootrill.proxy.request import RequestTimes
 from coltsfootrill.registry.source import UpstreamSource
 
 # What keeps an instance from taking a request at all has mostly passed by then.
@@ -88,10 +90,12 @@
         dialect: Dialect = NATIVE_DIALECT,
         make_budget: Callable[[], AttemptBudget] | None = None,
         once_idle_max_ms: float = 0.0,
+        dispatch: DispatchClient | None = None,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
         on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
         self._on_event = on_event
+        self._dispatch = dispatch
         self._dialect = dialect
         self._make_budget = make_budget
         self._on_ended = on_ended
@@ -135,6 +139,12 @@
                 self.gates_by_service[service.id] = gate
             return gate
 
+    def find_gate(self, service_id: str) -> tuple[ServiceGate, Service] | None:
+        """Return the gate of a service of the manifest in force, and the service."""
+        table = self._manifests.current
+        service = None if table is None else table.services_by_id.get(service_id)
+        return None if service is None else (self.get_gate(service), service)
+
     def refresh(self) -> None:
         """Take in what changes by time alone, for every service of the manifest in force."""
         table = self._manifests.current
@@ -174,6 +184,7 @@
             pool,
             fleet=self._fleet,
             clock=self._clock,
+            dispatch=self._dispatch,
             on_report=self.reports.note,
             on_event=self._on_event,
         )
@@ -212,17 +223,20 @@
         if depth >= DEPTH_MAX:
             raise NotRunError("508 Loop Detected", "too-deep", f"calls go at most {DEPTH_MAX} deep")
         gate = self.get_gate(service)
+        times = RequestTimes(
+            arrived_ms=request.arrived_ms,
+            deadline_ms=request.arrived_ms + self._get_deadline_ms(request, route.kind),
+            age_ms=self._get_age_ms(request, route, gate),
+        )
         proxied = ProxyRequest(
             method=request.method,
             target=request.target,
             headers=request.headers,
             body=request.body,
-            arrived_ms=request.arrived_ms,
-            deadline_ms=request.arrived_ms + self._get_deadline_ms(request, route.kind),
+            times=times,
             depth=depth,
             is_marked=bool(request.get_header(RETRIED_HEADER)),
             watch=request.watch,
-            age_ms=self._get_age_ms(request, route, gate),
         )
         run = RequestRun(
             proxied,
@@ -235,7 +249,7 @@
             service=service,
         )
         visit.attempts = run.attempts
-        visit.deadline_ms = proxied.deadline_ms - proxied.arrived_ms
+        visit.deadline_ms = times.deadline_ms - times.arrived_ms
         return run.run()
 
     def _get_age_ms(self, request: CallerRequest, route: Route, gate: ServiceGate) -> float:
--- a/src/coltsfootrill/proxy/extra.py
+++ b/src/coltsfootrill/proxy/extra.py
@@ -6,7 +6,7 @@
 
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.proxy.gate import ServiceGate
-from coltsfootrill.proxy.request import ProxyRequest
+from coltsfootrill.proxy.request import RequestTimes
 
 SILENCE_MIN_MS = 60.0
 SILENCE_QUANTILE = 0.99
@@ -18,7 +18,7 @@
 
 
 def find_extra_at_ms(
-    gate: ServiceGate, kind: Kind, request: ProxyRequest, *, sent_ms: float, was_idle: bool
+    gate: ServiceGate, kind: Kind, times: RequestTimes, *, sent_ms: float, was_idle: bool
 ) -> float:
     """Return when a second attempt starts beside one of ``sent_ms``, if it is allowed then.
 
@@ -26,13 +26,13 @@
     have been lost without a sign.
     """
     if not kind.idempotent:
-        return request.deadline_ms
+        return times.deadline_ms
     after_ms = math.inf
     if kind.hedge_quantile is not None:
         quantile_ms = gate.get_quantile_ms(kind, kind.hedge_quantile)
         after_ms = math.inf if quantile_ms is None else quantile_ms
     elif kind.target_ms is not None:
-        after_ms = _get_hedge_delay_ms(gate, kind, request.arrived_ms + kind.target_ms - sent_ms)
+        after_ms = _get_hedge_delay_ms(gate, kind, times.arrived_ms + kind.target_ms - sent_ms)
     if was_idle:
         after_ms = min(after_ms, get_silence_ms(gate, kind))
     return sent_ms + after_ms
@@ -47,11 +47,11 @@
     return max(SILENCE_MIN_MS, SILENCE_FACTOR * usual_ms)
 
 
-def get_target_left_ms(kind: Kind, request: ProxyRequest, now_ms: float) -> float:
+def get_target_left_ms(kind: Kind, times: RequestTimes, now_ms: float) -> float:
     """Return the time left until the target; a second attempt that misses it is no use."""
     if kind.target_ms is None:
         return math.inf
-    return request.arrived_ms - request.age_ms + kind.target_ms - now_ms
+    return times.arrived_ms - times.age_ms + kind.target_ms - now_ms
 
 
 def _get_hedge_delay_ms(gate: ServiceGate, kind: Kind, target_left_ms: float) -> float:
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -122,11 +122,9 @@
         claim = self._gate.acquire(
             self._service,
             self._kind,
-            arrived_ms=self._request.arrived_ms,
-            deadline_ms=self._request.deadline_ms,
+            self._request.times,
             exclude=frozenset(self._tried),
             is_gone=self._request.watch.is_gone,
-            age_ms=self._request.age_ms,
         )
         idle_max_ms = self._pools.get_idle_max_ms(is_idempotent=self._kind.idempotent)
         failure = self._start(claim, idle_max_ms=idle_max_ms)
@@ -142,9 +140,9 @@
         request on it was run.
         """
         self._tried.add(claim.load.id)
-        left_ms = self._request.deadline_ms - self._clock.now_ms()
+        left_ms = self._request.times.deadline_ms - self._clock.now_ms()
         if left_ms <= SEND_MARGIN_MS:
-            self._gate.end_abandoned(claim, is_slow=False)
+            self._gate.end(claim, "abandoned")
             raise self._expire()
         pool = self._pools.get(claim.load.address)
         try:
@@ -159,7 +157,7 @@
             connection.send(
                 self._make_head(claim),
                 self._request.body,
-                deadline_ms=self._request.deadline_ms,
+                deadline_ms=self._request.times.deadline_ms,
             )
         except SendError as error:
             if not connection.is_fresh:
@@ -175,7 +173,7 @@
     def _make_head(self, claim: Claim) -> bytes:
         request = self._request
         headers = list(list_request_headers(request.headers, self._set_headers))
-        left_ms = request.deadline_ms - self._clock.now_ms()
+        left_ms = request.times.deadline_ms - self._clock.now_ms()
         dialect = self._dialect
         headers.append((dialect.deadline, str(max(1, int(left_ms)))))
         if dialect.upstream_id:
@@ -198,18 +196,18 @@
         extra_at_ms = find_extra_at_ms(
             self._gate,
             self._kind,
-            self._request,
+            self._request.times,
             sent_ms=first.sent_ms,
             was_idle=first.was_idle,
         )
         while self._open:
             now_ms = self._clock.now_ms()
-            if now_ms >= self._request.deadline_ms:
+            if now_ms >= self._request.times.deadline_ms:
                 raise self._expire()
             if now_ms >= extra_at_ms:
-                extra_at_ms = self._request.deadline_ms
+                extra_at_ms = self._request.times.deadline_ms
                 self._start_extra()
-            until_ms = min(self._request.deadline_ms, extra_at_ms)
+            until_ms = min(self._request.times.deadline_ms, extra_at_ms)
             for attempt in self._poll(until_ms - now_ms):
                 result = self._finish(attempt)
                 if isinstance(result, Answer):
@@ -227,7 +225,7 @@
         exclude = frozenset() if is_silent else frozenset(self._tried)
         within_ms = math.inf
         if not is_silent:
-            within_ms = get_target_left_ms(self._kind, self._request, self._clock.now_ms())
+            within_ms = get_target_left_ms(self._kind, self._request.times, self._clock.now_ms())
         claim = self._gate.try_acquire(
             self._service, self._kind, exclude=exclude, within_ms=within_ms
         )
@@ -239,7 +237,7 @@
         else:
             is_allowed = self._gate.may_hedge(self._history, self._kind)
         if not is_allowed:
-            self._gate.end_abandoned(claim, is_slow=False)
+            self._gate.end(claim, "abandoned")
             return
         self._count_extra("silent" if is_silent else "hedge")
         self._start(claim, idle_max_ms=0.0 if is_silent else math.inf)
@@ -297,12 +295,12 @@
         dialect = self._dialect
         if answer.status in dialect.not_run_statuses:
             self._count_attempt(claim, "misdirected")
-            self._gate.end_misdirected(claim)
+            self._gate.end(claim, "misdirected")
             self._history.unproven -= 1
             return _Failure("misdirected", f"{claim.load.id} is not at its address any more")
         if answer.get_header(dialect.not_run):
             self._count_attempt(claim, "shed")
-            self._gate.end_shed(claim, report)
+            self._gate.end(claim, "shed", report)
             self._history.unproven -= 1
             return _Failure("shed", f"upstream {claim.load.id} had no capacity")
         is_genuine = not dialect.seal or bool(answer.get_header(dialect.seal))
@@ -363,14 +361,14 @@
         now_ms = self._clock.now_ms()
         for attempt in self._open:
             attempt.connection.close()
-            is_slow = now_ms >= self._request.deadline_ms or len(self._tried) > 1
-            self._gate.end_abandoned(attempt.claim, is_slow=is_slow)
+            is_slow = now_ms >= self._request.times.deadline_ms or len(self._tried) > 1
+            self._gate.end(attempt.claim, "straggled" if is_slow else "abandoned")
             self._count_attempt(attempt.claim, "cancelled")
         self._open.clear()
 
     def _end_failed(self, claim: Claim, result: str) -> None:
         self._count_attempt(claim, result)
-        self._gate.end_failed(claim)
+        self._gate.end(claim, "failed")
 
     def _count_attempt(self, claim: Claim, result: str) -> None:
         self._metrics.count_attempt(self._service.id, result)
@@ -378,7 +376,7 @@
         self.attempts.append(
             AttemptEvent(
                 upstream=claim.load.id,
-                after_ms=round(claim.started_ms - self._request.arrived_ms, 1),
+                after_ms=round(claim.started_ms - self._request.times.arrived_ms, 1),
                 took_ms=round(now_ms - claim.started_ms, 1),
                 result=result,
                 occupancy=round(claim.occupancy, 1),
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -7,22 +7,31 @@
 from coltsfootrill.proxy.caller import CallerWatch
 
 
-class ProxyRequest:
-    """One request of a caller, whole. ``headers`` have waitress's upper-case names.
+class RequestTimes:
+    """When a request arrived, and its deadline, as times of the clock.
 
     ``age_ms`` is how long the caller had been waiting when the request arrived.
     """
 
+    __slots__ = ("age_ms", "arrived_ms", "deadline_ms")
+
+    def __init__(self, *, arrived_ms: float, deadline_ms: float, age_ms: float = 0.0) -> None:
+        self.arrived_ms = arrived_ms
+        self.deadline_ms = deadline_ms
+        self.age_ms = age_ms
+
+
+class ProxyRequest:
+    """A caller's request, whole. ``headers`` have waitress's upper-case names."""
+
     __slots__ = (
-        "age_ms",
-        "arrived_ms",
         "body",
-        "deadline_ms",
         "depth",
         "headers",
         "is_marked",
         "method",
         "target",
+        "times",
         "watch",
     )
 
@@ -33,20 +42,16 @@
         target: str,
         headers: Mapping[str, str],
         body: bytes,
-        arrived_ms: float,
-        deadline_ms: float,
+        times: RequestTimes,
         depth: int,
         is_marked: bool,
         watch: CallerWatch,
-        age_ms: float = 0.0,
     ) -> None:
-        self.age_ms = age_ms
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
-        self.arrived_ms = arrived_ms
-        self.deadline_ms = deadline_ms
+        self.times = times
         self.depth = depth
         self.is_marked = is_marked
         self.watch = watch
--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -9,6 +9,7 @@
 from coltsfootrill.balancer.choice import ChoicePolicy
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.clock import Clock
+from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.events.catalog import Event
 from coltsfootrill.events.catalog import RequestEnded
 from coltsfootrill.manifest.holder import ManifestHolder
@@ -42,6 +43,7 @@
         metrics: Metrics,
         dialect: Dialect = NATIVE_DIALECT,
         make_budget: Callable[[], AttemptBudget] | None = None,
+        dispatch: DispatchClient | None = None,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
         on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
@@ -62,6 +64,7 @@
             dialect=dialect,
             make_budget=make_budget,
             once_idle_max_ms=settings.get("upstreams", "once_idle_ms"),
+            dispatch=dispatch,
             on_ended=on_ended,
             on_event=on_event,
         )
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -16,6 +16,8 @@
 from coltsfootrill.balancer.retry import WindowBudget
 from coltsfootrill.balancer.retry import share_allowance
 from coltsfootrill.clock import Clock
+from coltsfootrill.dispatch.client import DispatchClient
+from coltsfootrill.dispatch.server import DispatchServer
 from coltsfootrill.events.catalog import DependencyLost
 from coltsfootrill.events.catalog import InstancesChanged
 from coltsfootrill.events.catalog import ManifestAdopted
@@ -35,6 +37,7 @@
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.manifest.table import RoutingTable
 from coltsfootrill.membership.bulletins import BulletinExchange
+from coltsfootrill.membership.datagrams import DatagramPort
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.metrics import Metrics
@@ -92,6 +95,18 @@
         self._budgets: list[WindowBudget] = []
         self._known_instances: frozenset[str] = frozenset()
         self._dialect = find_dialect(plugins, settings.get("interface", "dialect"))
+        listen = settings.get("fleet", "listen")
+        boot = SystemRandom().getrandbits(_BOOT_BITS)
+        self._record = InstanceRecord(
+            self._id,
+            boot,
+            str(listen),
+            settings.get("instance", "zone"),
+            False,
+            0,
+            settings.get("instance", "link_mbps"),
+        )
+        self._port = DatagramPort(str(listen))
         self.gateway = Gateway(
             settings,
             manifests=self.manifests,
@@ -102,23 +117,13 @@
             metrics=self.metrics,
             dialect=self._dialect,
             make_budget=self._make_budget,
+            dispatch=self._make_dispatch_client(),
             on_ended=requests.note,
             on_event=self.log.emit,
         )
-        listen = settings.get("fleet", "listen")
         credentials = Credentials.from_settings(
             settings, listen, is_plain_allowed=settings.get("tls", "plain")
         )
-        boot = SystemRandom().getrandbits(_BOOT_BITS)
-        self._record = InstanceRecord(
-            self._id,
-            boot,
-            str(listen),
-            settings.get("instance", "zone"),
-            False,
-            0,
-            settings.get("instance", "link_mbps"),
-        )
         server = RpcServer(ThreadPoolExecutor(RPC_THREADS, thread_name_prefix="rpc"))
         self.control = NodeControl(
             settings,
@@ -133,6 +138,12 @@
             random=random,
             log=self.log,
         )
+        self._dispatch_server = DispatchServer(
+            port=self._port,
+            find_gate=self.gateway.app.find_gate,
+            is_stopping=lambda: self.gateway.is_stopping,
+            clock=self._clock,
+        )
         self._interface = find_interface(plugins, settings.get("interface", "name"))
 
     @classmethod
@@ -198,11 +209,14 @@
 
     def _start_measuring(self) -> None:
         """Check upstreams and exchange what they report; without an interval, do neither."""
+        self._port.open()
+        start_task("datagrams", self._port.run)
         interval_ms = self._settings.get("measuring", "interval_ms")
         if not interval_ms:
             return
         bulletins = BulletinExchange(
             self._record,
+            port=self._port,
             list_instances=self.view.list_instances,
             on_reports=self.gateway.app.take_reports,
             clock=self._clock,
@@ -226,12 +240,25 @@
             clock=self._clock,
             metrics=self.metrics,
         )
-        start_task("bulletins", bulletins.run)
         start_task("collector", bulletins.collect)
         start_task("load-watch", watch.run)
 
+    def _make_dispatch_client(self) -> DispatchClient | None:
+        timeout_ms = self._settings.get("dispatch", "timeout_ms")
+        if not timeout_ms:
+            return None
+        return DispatchClient(
+            self._record,
+            port=self._port,
+            list_instances=self.view.list_instances,
+            clock=self._clock,
+            timeout_ms=timeout_ms,
+            on_event=self.log.emit,
+        )
+
     def _keep_house(self) -> None:
         self.view.clean()
+        self._dispatch_server.clean()
         self.control.keep_house()
         self.gateway.drop_idle_connections()
         self._share_allowance()
--- a/src/coltsfootrill/settings_catalog.py
+++ b/src/coltsfootrill/settings_catalog.py
@@ -244,6 +244,14 @@
     _amount("retries", "allowance", "0", "Further attempts on top, fleet-wide."),
     *_BALANCER,
     _count("measuring", "interval_ms", 0, 60_000, 0, "Time between checks of one upstream."),
+    _count(
+        "dispatch",
+        "timeout_ms",
+        0,
+        10_000,
+        0,
+        "Time in which the instance that chooses for a service replies; 0 to choose here.",
+    ),
     *_TLS_FILES,
     Setting(
         "tls",
--- a/testing/balancer/test_overload.py
+++ b/testing/balancer/test_overload.py
@@ -162,6 +162,28 @@
         assert fleet.may_start(Room(within_ms=400))
 
 
+class TestRefusalsOfUpstreams:
+    """All upstreams of a service refuse half of their requests, with slots free or without."""
+
+    def _shed(self, fleet: Fleet, *, in_flight: int) -> None:
+        claim = fleet.pool.acquire(fleet.kind, NOW_MS, exclude=frozenset())
+        if claim is not None:
+            report = LoadReport(in_flight=in_flight, slots=3, state="serving")
+            fleet.pool.end_shed(claim, report, NOW_MS)
+
+    def test_refusals_with_slots_free_leave_upstreams_to_try(self) -> None:
+        fleet = Fleet()
+        for _ in range(40):
+            self._shed(fleet, in_flight=0)
+        assert fleet.pool.count_with_room(NOW_MS) == 4
+
+    def test_refusals_for_want_of_slots_give_upstreams_a_pause(self) -> None:
+        fleet = Fleet()
+        for _ in range(4):
+            self._shed(fleet, in_flight=9)
+        assert fleet.pool.count_with_room(NOW_MS) == 0
+
+
 class TestWhatIsLearnt:
     def test_time_spent_waiting_at_a_full_upstream_is_not_taken_for_work(self) -> None:
         latency = KindLatency()
--- /dev/null
+++ b/testing/dispatch/memory.py
@@ -0,0 +1,109 @@
+"""Datagrams inside one process: handed over at once, or lost as a test wants it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.reported_load import coltsfootrill_choice_policy
+from coltsfootrill.clock import Clock
+from coltsfootrill.dispatch.server import DispatchServer
+from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Service
+from coltsfootrill.proxy.gate import ServiceGate
+from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.directory import UpstreamRecord
+
+
+class MemoryNetwork:
+    """Ports by address. ``is_lost`` tells of each datagram whether it gets lost."""
+
+    def __init__(self) -> None:
+        self.ports_by_address: dict[str, MemoryPort] = {}
+        self.is_lost: Callable[[str, str, bytes], bool] = lambda source, target, data: False
+
+    def deliver(self, source: str, target: str, topic: bytes, payload: bytes) -> None:
+        port = self.ports_by_address.get(target)
+        if port is not None and not self.is_lost(source, target, topic + payload):
+            port.handlers_by_topic[topic](payload, source)
+
+
+class MemoryPort:
+    """Stands in for a port of datagrams."""
+
+    def __init__(self, network: MemoryNetwork, address: str) -> None:
+        self._network = network
+        self._address = address
+        self.handlers_by_topic: dict[bytes, Callable[[bytes, str], None]] = {}
+        network.ports_by_address[address] = self
+
+    def handle(self, topic: bytes, handler: Callable[[bytes, str], None]) -> None:
+        self.handlers_by_topic[topic] = handler
+
+    def send(self, topic: bytes, payload: bytes, address: str) -> None:
+        self._network.deliver(self._address, address, topic, payload)
+
+
+class Upstreams:
+    """A fixed list of usable upstreams."""
+
+    generation = 1
+
+    def __init__(self, count: int, *, slots: int = 3) -> None:
+        self.records = [_record(f"u{number}", slots) for number in range(count)]
+
+    def list_usable(self) -> list[UpstreamRecord]:
+        return self.records
+
+    def get_lease_end_ms(self, records: list[UpstreamRecord]) -> float:
+        return float("inf")
+
+    def confirm(self, upstream_id: str, incarnation: int, evidence_ms: float) -> None:
+        return
+
+
+def make_service(**changes: Any) -> Service:
+    fields = {"names": ["web:a/x/"], "idempotent": True, "deadline_ms": 3_000, "target_ms": 400}
+    kind = Kind(**({"id": "k"} | fields | changes))
+    return Service(id="work", upstreams=["*"], kinds=[kind])
+
+
+def make_gate(
+    upstreams: Upstreams, *, clock: Clock, queue_limit: int = 64, **options: Any
+) -> ServiceGate:
+    pool = ServicePool(
+        make_service(),
+        policy=coltsfootrill_choice_policy(),
+        random=Random(7),
+        zone="z1",
+        queue_limit=queue_limit,
+    )
+    return ServiceGate(pool, fleet=upstreams, clock=clock, **options)
+
+
+def make_server(
+    port: MemoryPort, gate: ServiceGate, *, clock: Clock, is_stopping: bool = False
+) -> DispatchServer:
+    found = (gate, make_service())
+    return DispatchServer(
+        port=port,  # type: ignore[arg-type]
+        find_gate=lambda service_id: found if service_id == "work" else None,
+        is_stopping=lambda: is_stopping,
+        clock=clock,
+    )
+
+
+def _record(upstream_id: str, slots: int) -> UpstreamRecord:
+    announcement = Announcement(
+        id=upstream_id,
+        incarnation=1,
+        sequence=1,
+        address="10.0.0.1:80",
+        zone="z1",
+        services=["work"],
+        slots=slots,
+        state="serving",
+    )
+    return UpstreamRecord(announcement, origin="", evidence_ms=0, lease_ms=float("inf"))
