Shorten questions to dispatchers, and tell in logs who chose an upstream

A question carried a list of the upstreams with idle connections, which the dispatcher can tell itself from the answers that it hears of, and times as floats.

Attempts in the log name the instance that chose (chosen_by), and explain prints it.

--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -23,7 +23,6 @@
 from coltsfootrill.balancer.load import estimate_in_flight
 from coltsfootrill.balancer.load import is_available
 from coltsfootrill.balancer.load import is_shunned
-from coltsfootrill.balancer.load import is_warm
 from coltsfootrill.balancer.load import note_end
 from coltsfootrill.balancer.load import note_error
 from coltsfootrill.balancer.load import note_report
@@ -310,10 +309,6 @@
         """Return the upstreams that this instance keeps new work from."""
         return [load.id for load in self.by_id.values() if is_shunned(load, now_ms)]
 
-    def list_warm(self, now_ms: float) -> list[str]:
-        """Return the upstreams that this instance has idle connections to."""
-        return [load.id for load in self.by_id.values() if is_warm(load, now_ms)]
-
     def has_room(self, now_ms: float) -> bool:
         """Return whether some upstream is available and known to have a free slot."""
         return self.count_with_room(now_ms) > 0
--- a/src/coltsfootrill/dispatch/asking.py
+++ b/src/coltsfootrill/dispatch/asking.py
@@ -92,7 +92,9 @@
     With ``extra_within_ms`` it is an attempt beside another one; infinity sets no bound.
     """
     latency = pool.get_latency(kind.id)
-    is_bounded = extra_within_ms is not None and extra_within_ms < math.inf
+    within_ms: int | None = None
+    if extra_within_ms is not None and extra_within_ms < math.inf:
+        within_ms = int(extra_within_ms)
     return Ask(
         token=_NO_TOKEN,
         service=service.id,
@@ -102,12 +104,11 @@
         rank=kind.rank,
         priority=kind.priority,
         latest_ms=kind.latest_ms,
-        waited_ms=now_ms - times.arrived_ms,
-        age_ms=times.age_ms,
-        left_ms=times.deadline_ms - now_ms,
+        waited_ms=int(now_ms - times.arrived_ms),
+        age_ms=int(times.age_ms),
+        left_ms=int(times.deadline_ms - now_ms),
         is_extra=extra_within_ms is not None,
-        within_ms=extra_within_ms if is_bounded else None,
-        usual_ms=latency.usual_ms if latency.is_learnt else 0.0,
+        within_ms=within_ms,
+        usual_ms=round(latency.usual_ms, 1) if latency.is_learnt else 0.0,
         exclude=sorted(exclude.union(pool.list_shunned(now_ms))),
-        warm=pool.list_warm(now_ms),
     )
--- a/src/coltsfootrill/dispatch/client.py
+++ b/src/coltsfootrill/dispatch/client.py
@@ -145,7 +145,7 @@
         sends = 0
         while sends < SENDS_MAX_COUNT:
             waited_ms = self._clock.now_ms() - start_ms
-            self._send(ask, dispatcher, waited_ms)
+            self._send(ask, dispatcher, int(waited_ms))
             sends += 1
             until_ms = start_ms + waited_ms + self._timeout_ms
             while (now_ms := self._clock.now_ms()) < until_ms:
@@ -170,7 +170,7 @@
                 pending.reply = None
             return reply
 
-    def _send(self, ask: Ask, dispatcher: InstanceRecord, waited_ms: float) -> None:
+    def _send(self, ask: Ask, dispatcher: InstanceRecord, waited_ms: int) -> None:
         message = msgspec.structs.replace(
             ask, waited_ms=ask.waited_ms + waited_ms, left_ms=ask.left_ms - waited_ms
         )
--- a/src/coltsfootrill/dispatch/messages.py
+++ b/src/coltsfootrill/dispatch/messages.py
@@ -28,7 +28,7 @@
     caller had been waiting before, ``left_ms`` the time to its deadline. ``within_ms`` bounds the
     expected answer of an attempt beside another one, which does not wait (``is_extra``).
     ``usual_ms`` is the usual latency of the kind, 0 where it is not known. Upstreams in ``exclude``
-    are to be left out, the asking instance has idle connections to those in ``warm``.
+    are to be left out.
     """
 
     token: int
@@ -39,14 +39,13 @@
     rank: int
     priority: Priority
     latest_ms: int | None
-    waited_ms: float
-    age_ms: float
-    left_ms: float
+    waited_ms: int
+    age_ms: int
+    left_ms: int
     is_extra: bool
-    within_ms: float | None
+    within_ms: int | None
     usual_ms: float
     exclude: list[str]
-    warm: list[str]
 
 
 class Granted(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/coltsfootrill/dispatch/server.py
+++ b/src/coltsfootrill/dispatch/server.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from coltsfootrill.balancer.choice import Origin
+from coltsfootrill.balancer.load import WARM_MS
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.messages import ANSWERS
 from coltsfootrill.dispatch.messages import QUESTIONS
@@ -44,6 +45,31 @@
 }
 
 
+class _Answers:
+    """Which upstreams have answered which instances: those have idle connections there."""
+
+    __slots__ = ("_answered_ms_by_sender",)
+
+    def __init__(self) -> None:
+        self._answered_ms_by_sender: dict[str, dict[str, float]] = {}
+
+    def note(self, sender: str, upstream_id: str, now_ms: float) -> None:
+        """Note an answer."""
+        self._answered_ms_by_sender.setdefault(sender, {})[upstream_id] = now_ms
+
+    def list_warm(self, sender: str, now_ms: float) -> frozenset[str]:
+        """Return the upstreams that answered an instance of late, and forget the others."""
+        answered_ms_by_id = self._answered_ms_by_sender.get(sender, {})
+        warm = {
+            upstream_id: at_ms
+            for upstream_id, at_ms in answered_ms_by_id.items()
+            if now_ms - at_ms <= WARM_MS
+        }
+        if answered_ms_by_id:
+            self._answered_ms_by_sender[sender] = warm
+        return frozenset(warm)
+
+
 class _Entry:
     """One attempt of another instance; ``ticket`` is ``None`` until the gate has it."""
 
@@ -77,6 +103,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._entry_by_key: dict[tuple[str, int], _Entry] = {}
+        self._answers = _Answers()
         port.handle(QUESTIONS, self.take)
 
     def take(self, payload: bytes, sender: str) -> None:
@@ -123,7 +150,7 @@
                 age_ms=ask.age_ms,
             ),
             exclude=frozenset(ask.exclude),
-            origin=Origin(ask.zone, frozenset(ask.warm)),
+            origin=Origin(ask.zone, self._answers.list_warm(sender, now_ms)),
             usual_ms=ask.usual_ms,
             extra_within_ms=_read_within_ms(ask),
             on_settled=lambda ticket: self._send(sender, _find_reply(ask.token, ticket)),
@@ -140,8 +167,12 @@
     def _end(self, entry: _Entry, release: Release) -> None:
         with self._lock:
             self._entry_by_key.pop((entry.sender, entry.token), None)
-        if entry.ticket is not None:
-            entry.gate.end_remote(entry.ticket, release.result, release.get_report())
+        if entry.ticket is None:
+            return
+        if release.result == "answered" and entry.ticket.claim is not None:
+            upstream_id = entry.ticket.claim.load.id
+            self._answers.note(entry.sender, upstream_id, self._clock.now_ms())
+        entry.gate.end_remote(entry.ticket, release.result, release.get_report())
 
     def _send(self, address: str, reply: Reply) -> None:
         self._port.send(ANSWERS, encode(reply), address)
--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -130,7 +130,8 @@
     """One attempt at an upstream: when it started after the arrival, and how it ended.
 
     ``occupancy`` and ``pace`` are what was known of the upstream when it was chosen, the request
-    included, from a report of ``report_age_ms`` before.
+    included, from a report of ``report_age_ms`` before. ``chosen_by`` is the instance that chose
+    the upstream, where that was another one.
     """
 
     upstream: str
@@ -140,6 +141,7 @@
     occupancy: float = 0
     pace: float = 1.0
     report_age_ms: float = 0
+    chosen_by: str = ""
 
 
 class Admission(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/coltsfootrill/operators/explain.py
+++ b/src/coltsfootrill/operators/explain.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.events.catalog import Attempt
 from coltsfootrill.events.catalog import RequestEnded
 from coltsfootrill.events.explanation import Explanation
 from coltsfootrill.events.explanation import explain
@@ -73,7 +74,7 @@
     if request.attempts:
         print("attempts")
         print_table(
-            ("upstream", "after_ms", "took_ms", "result", "occupancy", "pace", "report_age_ms"),
+            Attempt.__struct_fields__,
             [msgspec.structs.astuple(attempt) for attempt in request.attempts],
         )
     if explanation.beliefs:
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -382,6 +382,7 @@
                 occupancy=round(claim.occupancy, 1),
                 pace=round(claim.pace, 2),
                 report_age_ms=round(claim.report_age_ms, 1),
+                chosen_by="" if claim.grant is None else claim.grant.dispatcher,
             )
         )
 
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -98,7 +98,7 @@
         asking.start(FIRST)
         for _ in range(3):
             asking.ask()
-        denied = asking.ask(left_ms=50.0)
+        denied = asking.ask(left_ms=50)
         assert isinstance(denied, Denied)
         assert denied.reason == "overloaded"
 
@@ -228,7 +228,7 @@
             gate.acquire(
                 service,
                 service.kinds[0],
-                RequestTimes(arrived_ms=now_ms, deadline_ms=now_ms + 1),
+                RequestTimes(arrived_ms=now_ms, deadline_ms=now_ms + 8),
                 exclude=frozenset(),
                 is_gone=lambda: False,
             )
--- a/testing/dispatch/test_server.py
+++ b/testing/dispatch/test_server.py
@@ -47,14 +47,13 @@
         "rank": 2,
         "priority": "normal",
         "latest_ms": None,
-        "waited_ms": 0.0,
-        "age_ms": 0.0,
-        "left_ms": 3_000.0,
+        "waited_ms": 0,
+        "age_ms": 0,
+        "left_ms": 3_000,
         "is_extra": False,
         "within_ms": None,
         "usual_ms": USUAL_MS,
         "exclude": [],
-        "warm": [],
     }
     return Ask(**(fields | changes))
 
@@ -183,6 +182,24 @@
         assert 3 not in fleet.list_granted()
 
 
+class TestConnections:
+    def test_an_instance_is_sent_where_it_has_an_idle_connection(self) -> None:
+        fleet = Fleet(upstreams=6, instances=2)
+        fleet.ask(0)
+        first = fleet.list_granted()[0]
+        fleet.clock.advance(USUAL_MS)
+        fleet.release(0)
+        for number in range(6):
+            fleet.report(f"u{number}", 0)
+        chosen: Counter[str] = Counter()
+        for token in range(2, 402, 2):
+            fleet.ask(token)
+            chosen[fleet.list_granted()[token]] += 1
+            fleet.release(token, "abandoned")
+        # Without a preference it would be one in six.
+        assert chosen[first] > 200 / 3
+
+
 class TestRenewals:
     def test_a_repeated_question_gets_the_same_upstream_and_takes_no_second_slot(self) -> None:
         fleet = Fleet(upstreams=2, instances=1)
@@ -206,7 +223,7 @@
     def test_an_attempt_whose_end_is_never_told_ends_after_its_deadline(self) -> None:
         fleet = Fleet(upstreams=1, instances=2)
         for token in range(3):
-            fleet.ask(token, left_ms=500.0)
+            fleet.ask(token, left_ms=500)
         fleet.clock.advance(2_000)
         fleet.server.clean()
         fleet.ask(9)
@@ -217,7 +234,7 @@
     def test_a_request_that_waits_in_vain_is_refused(self) -> None:
         fleet = Fleet(upstreams=1, instances=2)
         for token in range(4):
-            fleet.ask(token, left_ms=600.0)
+            fleet.ask(token, left_ms=600)
         fleet.clock.advance(550)
         fleet.gate.refresh(make_service())
         assert fleet.get_last(3) == Denied(3, "deadline")
