--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -53,24 +53,16 @@
 class Room:
     """Where a request with a target may go.
 
-    An answer must be expected within ``within_ms``. With ``is_spare`` an upstream must have more
-    room, so that late requests and second attempts take nothing from those that can meet their
-    target: ``reserve`` slots stay free, or all others where ``reserve`` is ``None``. The former is
-    enough where the attempts of all instances are counted.
+    An answer must be expected within ``within_ms``. With ``is_spare`` only upstreams without any
+    other request will do, so that late requests and second attempts take nothing from those that
+    can meet their target.
     """
 
-    __slots__ = ("is_spare", "reserve", "within_ms")
+    __slots__ = ("is_spare", "within_ms")
 
-    def __init__(
-        self,
-        *,
-        within_ms: float = math.inf,
-        is_spare: bool = False,
-        reserve: int | None = None,
-    ) -> None:
+    def __init__(self, *, within_ms: float = math.inf, is_spare: bool = False) -> None:
         self.within_ms = within_ms
         self.is_spare = is_spare
-        self.reserve = reserve
 
 
 ANY_ROOM = Room()
@@ -291,19 +283,16 @@
             return loads
         suitable: list[UpstreamLoad] = []
         for load in loads:
-            has_room = self._has_room(load, context.now_ms, room)
+            has_room = self._has_room(load, context.now_ms, is_spare=room.is_spare)
             if has_room and expect(load, context) <= room.within_ms:
                 suitable.append(load)
         return suitable
 
-    def _has_room(self, load: UpstreamLoad, now_ms: float, room: Room) -> bool:
+    def _has_room(self, load: UpstreamLoad, now_ms: float, *, is_spare: bool) -> bool:
         known = count_known(load, now_ms, half_life_ms=REPORT_HALF_LIFE_MS)
-        if room.is_spare and room.reserve is None:
+        if is_spare:
             return known + self.margin < 1 - SLOT_TOLERANCE
-        cap = self.slot_use.get_cap(load.slots)
-        if room.is_spare:
-            cap = max(1, cap - (room.reserve or 0))
-        return known < cap - SLOT_TOLERANCE
+        return known < self.slot_use.get_cap(load.slots) - SLOT_TOLERANCE
 
     def list_shunned(self, now_ms: float) -> list[str]:
         """Return the upstreams that this instance keeps new work from."""
@@ -316,7 +305,7 @@
     def count_with_room(self, now_ms: float) -> int:
         """Return how many upstreams are available and known to have a free slot."""
         return sum(
-            is_available(load, now_ms) and self._has_room(load, now_ms, ANY_ROOM)
+            is_available(load, now_ms) and self._has_room(load, now_ms, is_spare=False)
             for load in self.by_id.values()
         )
 
--- a/src/coltsfootrill/dispatch/asking.py
+++ b/src/coltsfootrill/dispatch/asking.py
@@ -19,6 +19,9 @@
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.request import RequestTimes
 
+# A slot stays empty for about a round trip between two attempts that a dispatcher chooses for: with
+# shorter work that would cost more of an upstream's time than its queue does.
+WORK_MIN_MS = 100.0
 # The token is set by the client that sends the question.
 _NO_TOKEN = 0
 
@@ -48,9 +51,12 @@
     ) -> Claim | Denied | None:
         """Return the upstream for one attempt, counted in the pool, or why there is none.
 
-        ``None`` says that this instance has to choose itself.
+        ``None`` says that this instance has to choose itself: work is short, or nobody replies.
         """
         with self._lock:
+            latency = self._pool.get_latency(kind.id)
+            if not latency.is_learnt or latency.usual_ms < WORK_MIN_MS:
+                return None
             ask = make_ask(
                 self._pool,
                 service,
@@ -91,7 +97,6 @@
 
     With ``extra_within_ms`` it is an attempt beside another one; infinity sets no bound.
     """
-    latency = pool.get_latency(kind.id)
     within_ms: int | None = None
     if extra_within_ms is not None and extra_within_ms < math.inf:
         within_ms = int(extra_within_ms)
@@ -109,6 +114,6 @@
         left_ms=int(times.deadline_ms - now_ms),
         is_extra=extra_within_ms is not None,
         within_ms=within_ms,
-        usual_ms=round(latency.usual_ms, 1) if latency.is_learnt else 0.0,
+        usual_ms=round(pool.get_latency(kind.id).usual_ms, 1),
         exclude=sorted(exclude.union(pool.list_shunned(now_ms))),
     )
--- a/src/coltsfootrill/dispatch/messages.py
+++ b/src/coltsfootrill/dispatch/messages.py
@@ -27,7 +27,7 @@
     ``waited_ms`` is how long the request has been at the asking instance, ``age_ms`` how long its
     caller had been waiting before, ``left_ms`` the time to its deadline. ``within_ms`` bounds the
     expected answer of an attempt beside another one, which does not wait (``is_extra``).
-    ``usual_ms`` is the usual latency of the kind, 0 where it is not known. Upstreams in ``exclude``
+    ``usual_ms`` is the usual latency of the kind. Upstreams in ``exclude``
     are to be left out.
     """
 
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -45,9 +45,6 @@
 RETRY_SOON_S = 0.04
 # A request that has missed its target waits for this share of its time, then its caller decides.
 LATE_WAIT_SHARE = 0.25
-# Late requests and second attempts leave so many slots of each upstream to others, where the
-# attempts of all instances are counted in one place.
-RESERVE_SLOTS = 1
 _MESSAGE_BY_REFUSAL = {
     "no-upstream": "no upstream of this service is serving",
     "overloaded": "the queue is too long for the deadline of this request",
@@ -72,7 +69,6 @@
         on_report: Callable[[str, LoadReport], None] = lambda upstream_id, report: None,
         on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
-        self._reserve = None if dispatch is None else RESERVE_SLOTS
         self._on_report = on_report
         self._watch = PoolWatch(pool, on_event=on_event)
         self._pool = pool
@@ -253,7 +249,7 @@
         if self._tickets:
             # Requests that have no upstream yet come before second attempts.
             return None
-        room = Room(within_ms=TARGET_SLACK * within_ms, is_spare=True, reserve=self._reserve)
+        room = Room(within_ms=TARGET_SLACK * within_ms, is_spare=True)
         claim = self._pool.acquire(kind, now_ms, exclude=exclude, room=room, origin=origin)
         if claim is not None and claim.load.id in exclude:
             self._pool.end_abandoned(claim, now_ms, is_slow=False)
@@ -369,7 +365,7 @@
             now_ms,
             exclude=ticket.exclude,
             is_patient=is_patient,
-            room=ticket.find_room(now_ms, reserve=self._reserve),
+            room=ticket.find_room(now_ms),
             origin=ticket.origin,
         )
         if claim is None:
--- a/src/coltsfootrill/proxy/tickets.py
+++ b/src/coltsfootrill/proxy/tickets.py
@@ -57,12 +57,12 @@
         self.refusal = reason
         self.on_settled(self)
 
-    def find_room(self, now_ms: float, *, reserve: int | None) -> Room:
-        """Return where the request may go; ``reserve`` is what a late one leaves free."""
+    def find_room(self, now_ms: float) -> Room:
+        """Return where the request may go."""
         if self.kind.target_ms is None:
             return ANY_ROOM
         if self.waiter.is_late(now_ms):
-            return Room(is_spare=True, reserve=reserve)
+            return Room(is_spare=True)
         return Room(within_ms=TARGET_SLACK * (self.waiter.target_at_ms - now_ms))
 
 
--- a/testing/dispatch/memory.py
+++ b/testing/dispatch/memory.py
@@ -71,7 +71,12 @@
 
 
 def make_gate(
-    upstreams: Upstreams, *, clock: Clock, queue_limit: int = 64, **options: Any
+    upstreams: Upstreams,
+    *,
+    clock: Clock,
+    queue_limit: int = 64,
+    usual_ms: float = 100.0,
+    **options: Any,
 ) -> ServiceGate:
     pool = ServicePool(
         make_service(),
@@ -80,6 +85,7 @@
         zone="z1",
         queue_limit=queue_limit,
     )
+    pool.get_latency("k").add(usual_ms)
     return ServiceGate(pool, fleet=upstreams, clock=clock, **options)
 
 
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -212,6 +212,13 @@
         assert claim.load.id == "u1"  # type: ignore[attr-defined]
         assert _count_in_flight(far) == 0
 
+    def test_short_work_is_not_worth_a_round_trip(self, asking: Asking) -> None:
+        far = asking.start(FIRST)
+        gate = make_gate(Upstreams(1), clock=asking.clock, dispatch=asking.client, usual_ms=60.0)
+        claim = self._acquire(gate)
+        assert claim.grant is None  # type: ignore[attr-defined]
+        assert _count_in_flight(far) == 0
+
     def test_without_a_dispatcher_the_own_pool_serves(self, asking: Asking) -> None:
         gate = make_gate(Upstreams(1), clock=asking.clock, dispatch=asking.client)
         claim = self._acquire(gate)
