Let operators set from which length of work a dispatcher is asked

Cause: the threshold of 100 ms was a constant, and upstreams of the soak and of the tests with processes work for 20 ms, so that neither used the dispatcher any more.

Change: [dispatch] work_min_ms, 100 by default; nodes of tests and of the soak take 5. Nothing changes on the platform, where the default is in force.

Before: testing/roles passed without a single question to a dispatcher.

--- a/src/coltsfootrill/dispatch/asking.py
+++ b/src/coltsfootrill/dispatch/asking.py
@@ -19,9 +19,6 @@
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.request import RequestTimes
 
-# A slot stays empty for about a round trip between two attempts that a dispatcher chooses for: with
-# shorter work that would cost more of an upstream's time than its queue does.
-WORK_MIN_MS = 100.0
 # The token is set by the client that sends the question.
 _NO_TOKEN = 0
 
@@ -55,7 +52,7 @@
         """
         with self._lock:
             latency = self._pool.get_latency(kind.id)
-            if not latency.is_learnt or latency.usual_ms < WORK_MIN_MS:
+            if not latency.is_learnt or latency.usual_ms < self._client.work_min_ms:
                 return None
             ask = make_ask(
                 self._pool,
--- a/src/coltsfootrill/dispatch/client.py
+++ b/src/coltsfootrill/dispatch/client.py
@@ -54,7 +54,9 @@
     """Thread-safe; each call of ``ask`` holds the thread of one request.
 
     A dispatcher that does not reply within ``timeout_ms`` twice is left out for ``DOWN_MS``, and
-    the next in rank is asked.
+    the next in rank is asked. Work that usually takes less than ``work_min_ms`` is not worth a
+    question: between two attempts that a dispatcher chooses for, a slot stays empty for about a
+    round trip.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         list_instances: Callable[[], list[InstanceRecord]],
         clock: Clock,
         timeout_ms: float,
+        work_min_ms: float = 0.0,
         on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
         self._own = own
@@ -72,6 +75,7 @@
         self._list_instances = list_instances
         self._clock = clock
         self._timeout_ms = timeout_ms
+        self.work_min_ms = work_min_ms
         self._on_event = on_event
         self._tokens = itertools.count(SystemRandom().getrandbits(_TOKEN_BITS))
         self._lock = threading.Lock()
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -253,6 +253,7 @@
             list_instances=self.view.list_instances,
             clock=self._clock,
             timeout_ms=timeout_ms,
+            work_min_ms=self._settings.get("dispatch", "work_min_ms"),
             on_event=self.log.emit,
         )
 
--- a/src/coltsfootrill/settings_catalog.py
+++ b/src/coltsfootrill/settings_catalog.py
@@ -252,6 +252,14 @@
         0,
         "Time in which the instance that chooses for a service replies; 0 to choose here.",
     ),
+    _count(
+        "dispatch",
+        "work_min_ms",
+        0,
+        3_600_000,
+        100,
+        "Usual latency from which a kind's requests are worth a question to that instance.",
+    ),
     *_TLS_FILES,
     Setting(
         "tls",
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -53,6 +53,7 @@
             list_instances=lambda: RECORDS,
             clock=self.clock,
             timeout_ms=10.0,
+            work_min_ms=90.0,
             on_event=self.events.append,
         )
 
--- a/testing/nodes.py
+++ b/testing/nodes.py
@@ -50,7 +50,7 @@
             f"seeds = {','.join(seeds or self._seeds)}\n"
             f"[callers]\nlisten = {self.host}:{ports['callers']}\nnotice_ms = 300\n"
             "[balancer]\npolicy = reported-load\n[measuring]\ninterval_ms = 100\n"
-            "[dispatch]\ntimeout_ms = 30\n"
+            "[dispatch]\ntimeout_ms = 30\nwork_min_ms = 5\n"
             "[tls]\nplain = true\n"
         )
         arguments = [sys.executable, "-m", "coltsfootrill", "node", "--settings", str(self._path)]
