Hand back or use grants that come at the last moment, and tell a stopping dispatcher once

Cause, found by reading: a grant that arrived between the end of the wait and the end of the question was neither used nor handed back, so its slot counted as taken until a report told otherwise (100 ms and more). A request whose caller had left took its grant and began to be sent. A dispatcher that goes on stopping was logged as regained and lost again every 1.5 s.

Ruled out: a request run twice or refused falsely by any of these; the sending instance judges both.

Before: three new tests failed. After: the 43 tests of testing/dispatch pass.

--- a/src/coltsfootrill/dispatch/client.py
+++ b/src/coltsfootrill/dispatch/client.py
@@ -103,7 +103,11 @@
         finally:
             with self._lock:
                 del self._pending_by_token[token]
+        if reply is None:
+            # A grant may have come at the last moment; it must not be lost.
+            reply = pending.reply
         if isinstance(reply, Granted):
+            self._note_up(dispatcher)
             return Grant(
                 dispatcher=dispatcher.id,
                 address=dispatcher.address,
@@ -154,10 +158,9 @@
             until_ms = start_ms + waited_ms + self._timeout_ms
             while (now_ms := self._clock.now_ms()) < until_ms:
                 if now_ms >= end_ms or is_gone():
-                    return self._leave(dispatcher, pending, ask.token)
+                    return self._leave(dispatcher, ask.token)
                 reply = self._take_reply(pending, min(until_ms - now_ms, WAIT_SLICE_MS))
                 if isinstance(reply, Granted | Denied):
-                    self._note_up(dispatcher)
                     return reply
                 if reply is not None:
                     sends = 0
@@ -180,12 +183,8 @@
         )
         self._port.send(QUESTIONS, encode(message), dispatcher.address)
 
-    def _leave(self, dispatcher: InstanceRecord, pending: _Pending, token: int) -> Reply:
-        """Withdraw a question whose request can wait no longer."""
-        with self._lock:
-            reply = pending.reply
-        if isinstance(reply, Granted):
-            return reply
+    def _leave(self, dispatcher: InstanceRecord, token: int) -> Reply:
+        """Withdraw a question whose request can wait no longer, whatever was granted meanwhile."""
         self._port.send(QUESTIONS, encode(Release(token, "abandoned")), dispatcher.address)
         return Denied(token, "deadline")
 
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -9,6 +9,7 @@
 from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.dispatch.messages import ANSWERS
 from coltsfootrill.dispatch.messages import QUESTIONS
+from coltsfootrill.dispatch.messages import Ask
 from coltsfootrill.dispatch.messages import Denied
 from coltsfootrill.dispatch.messages import Granted
 from coltsfootrill.dispatch.messages import Release
@@ -155,6 +156,23 @@
         port.handle(QUESTIONS, reply)
         assert isinstance(asking.ask(), Grant)
 
+    def test_a_grant_that_comes_as_the_caller_leaves_is_handed_back(self, asking: Asking) -> None:
+        gate = asking.start(FIRST)
+        assert isinstance(asking.client.ask(make_ask(0), is_gone=lambda: True), Denied)
+        assert _count_in_flight(gate) == 0
+
+    def test_a_grant_that_comes_as_the_wait_ends_is_used(
+        self, asking: Asking, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        port = MemoryPort(asking.network, FIRST.address)
+
+        def wait_in_vain(dispatcher: object, pending: object, ask: Ask, is_gone: object) -> None:
+            port.send(ANSWERS, encode(Granted(ask.token, "u0")), OWN.address)
+
+        monkeypatch.setattr(asking.client, "_await", wait_in_vain)
+        assert isinstance(asking.ask(), Grant)
+        assert asking.events == []
+
 
 class TestDispatchersThatAreLost:
     def test_the_next_request_asks_the_second_in_rank(self, asking: Asking) -> None:
@@ -170,6 +188,15 @@
         assert asking.ask() is None
         assert isinstance(asking.ask(), Grant)
 
+    def test_one_that_goes_on_stopping_is_told_once(
+        self, asking: Asking, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr("coltsfootrill.dispatch.client.DOWN_MS", 0.0)
+        asking.start(FIRST, is_stopping=True)
+        for _ in range(3):
+            asking.ask()
+        assert [type(event) for event in asking.events] == [DependencyLost]
+
     def test_losing_and_regaining_one_are_told_once(
         self, asking: Asking, monkeypatch: pytest.MonkeyPatch
     ) -> None:
