Name blocked upstreams and remote admissions by usual terms

Cause: is_shunned and take_in needed explaining. Renames only; ruled out: any change of behaviour (the tests of dispatch, balancer and proxy pass before and after).

--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -170,10 +170,10 @@
 
 def is_available(load: UpstreamLoad, now_ms: float) -> bool:
     """Return whether a request may start now: not ejected, not paused, below the limit."""
-    return not is_shunned(load, now_ms) and load.in_flight < max(1, int(load.limit))
+    return not is_blocked(load, now_ms) and load.in_flight < max(1, int(load.limit))
 
 
-def is_shunned(load: UpstreamLoad, now_ms: float) -> bool:
+def is_blocked(load: UpstreamLoad, now_ms: float) -> bool:
     """Return whether this instance keeps new work from the upstream, whatever room it has."""
     return load.is_replaced or now_ms < load.ejected_until_ms or now_ms < load.paused_until_ms
 
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -22,7 +22,7 @@
 from coltsfootrill.balancer.load import UpstreamLoad
 from coltsfootrill.balancer.load import estimate_in_flight
 from coltsfootrill.balancer.load import is_available
-from coltsfootrill.balancer.load import is_shunned
+from coltsfootrill.balancer.load import is_blocked
 from coltsfootrill.balancer.load import note_end
 from coltsfootrill.balancer.load import note_error
 from coltsfootrill.balancer.load import note_report
@@ -294,9 +294,9 @@
             return known + self.margin < 1 - SLOT_TOLERANCE
         return known < self.slot_use.get_cap(load.slots) - SLOT_TOLERANCE
 
-    def list_shunned(self, now_ms: float) -> list[str]:
+    def list_blocked(self, now_ms: float) -> list[str]:
         """Return the upstreams that this instance keeps new work from."""
-        return [load.id for load in self.by_id.values() if is_shunned(load, now_ms)]
+        return [load.id for load in self.by_id.values() if is_blocked(load, now_ms)]
 
     def has_room(self, now_ms: float) -> bool:
         """Return whether some upstream is available and known to have a free slot."""
--- a/src/coltsfootrill/dispatch/asking.py
+++ b/src/coltsfootrill/dispatch/asking.py
@@ -112,5 +112,5 @@
         is_extra=extra_within_ms is not None,
         within_ms=within_ms,
         usual_ms=round(pool.get_latency(kind.id).usual_ms, 1),
-        exclude=sorted(exclude.union(pool.list_shunned(now_ms))),
+        exclude=sorted(exclude.union(pool.list_blocked(now_ms))),
     )
--- a/src/coltsfootrill/dispatch/server.py
+++ b/src/coltsfootrill/dispatch/server.py
@@ -141,7 +141,7 @@
         )
         with self._lock:
             self._entry_by_key[(sender, ask.token)] = entry
-        entry.ticket = gate.take_in(
+        entry.ticket = gate.admit_remote(
             service,
             _read_kind(ask),
             RequestTimes(
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -140,7 +140,7 @@
                 raise self._refuse(kind, found.reason)
         return found
 
-    def take_in(
+    def admit_remote(
         self,
         service: Service,
         kind: Kind,
