--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -27,7 +27,7 @@
 SHED_PAUSE_MAX_MS = 160.0
 # For this long an upstream that has answered has an idle connection.
 WARM_MS = 4_000.0
-# Reports are hardly older than this when they arrive.
+# More requests than these hardly end at one upstream while a report is on its way.
 ENDS_KEPT_COUNT = 32
 # A request of another instance may take this long from the choice to its upstream.
 ON_ITS_WAY_MS = 100.0
--- a/testing/balancer/test_overload.py
+++ b/testing/balancer/test_overload.py
@@ -22,8 +22,7 @@
 from coltsfootrill.balancer.reported_load import coltsfootrill_choice_policy
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
-from coltsfootrill.registry.announcement import Announcement
-from coltsfootrill.registry.directory import UpstreamRecord
+from testing.records import make_usable_record
 
 NOW_MS = 10_000.0
 WORK_MS = 100.0
@@ -92,7 +91,7 @@
             zone="z1",
             queue_limit=8,
         )
-        records = [_record(f"u{number}") for number in range(count)]
+        records = [make_usable_record(f"u{number}") for number in range(count)]
         self.pool.update(service, records, 0)
         self.pool.get_latency("k").add(WORK_MS)
 
@@ -108,20 +107,6 @@
         return self.pool.acquire(self.kind, NOW_MS, exclude=frozenset(), room=room) is not None
 
 
-def _record(upstream_id: str) -> UpstreamRecord:
-    announcement = Announcement(
-        id=upstream_id,
-        incarnation=1,
-        sequence=1,
-        address="10.0.0.1:80",
-        zone="z1",
-        services=["work"],
-        slots=3,
-        state="serving",
-    )
-    return UpstreamRecord(announcement, origin="", evidence_ms=0, lease_ms=float("inf"))
-
-
 class TestRoom:
     def test_late_requests_leave_slots_to_those_that_can_meet_their_target(self) -> None:
         fleet = Fleet()
--- a/testing/dispatch/memory.py
+++ b/testing/dispatch/memory.py
@@ -13,8 +13,8 @@
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.gate import ServiceGate
-from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import UpstreamRecord
+from testing.records import make_usable_record
 
 
 class MemoryNetwork:
@@ -52,7 +52,7 @@
     generation = 1
 
     def __init__(self, count: int, *, slots: int = 3) -> None:
-        self.records = [_record(f"u{number}", slots) for number in range(count)]
+        self.records = [make_usable_record(f"u{number}", slots=slots) for number in range(count)]
 
     def list_usable(self) -> list[UpstreamRecord]:
         return self.records
@@ -99,17 +99,3 @@
         is_stopping=lambda: is_stopping,
         clock=clock,
     )
-
-
-def _record(upstream_id: str, slots: int) -> UpstreamRecord:
-    announcement = Announcement(
-        id=upstream_id,
-        incarnation=1,
-        sequence=1,
-        address="10.0.0.1:80",
-        zone="z1",
-        services=["work"],
-        slots=slots,
-        state="serving",
-    )
-    return UpstreamRecord(announcement, origin="", evidence_ms=0, lease_ms=float("inf"))
--- /dev/null
+++ b/testing/records.py
@@ -0,0 +1,21 @@
+"""Records of upstreams as the directory holds them, for tests without announcements."""
+
+from __future__ import annotations
+
+from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.directory import UpstreamRecord
+
+
+def make_usable_record(upstream_id: str, *, slots: int = 3) -> UpstreamRecord:
+    """Return an upstream of the service ``work`` that is usable for ever."""
+    announcement = Announcement(
+        id=upstream_id,
+        incarnation=1,
+        sequence=1,
+        address="10.0.0.1:80",
+        zone="z1",
+        services=["work"],
+        slots=slots,
+        state="serving",
+    )
+    return UpstreamRecord(announcement, origin="", evidence_ms=0, lease_ms=float("inf"))
