Wait for the spare before an operator orders it to vote

The scenario took a first accepted manifest as the sign that all is up, which two of three replicas give; the spare c4 may still be starting then, and an order to use a replica that does not answer is refused, as it has to be.

Shown by force: with c4 started 1 s late the test failed each time the reported way, the message being 'the new replica does not answer'. Ruled out: the repair task having used the spare already (c2 or c3 started 2, 3 and 6 s late does not give this failure).

Change: the step waits until each process, the spare too, says that it is ready. The assertions are as they were.

Conclusion: a race in the test, not a fault of the program.

--- a/testing/features/test_repair.py
+++ b/testing/features/test_repair.py
@@ -31,6 +31,8 @@
 def start(system: System) -> None:
     system.add_control(["c1", "c2", "c3"], spares=["c4"], extra="grace_s = 1\n")
     system.start()
+    # An order to use a spare that does not listen yet is refused.
+    wait_until(lambda: all(system.is_ready(name) for name in system.by_name))
     wait_until(lambda: system.submit("c1", make_manifest(1))[0] == 200)
 
 
