Log a hub that never replied as a lost dependency

Such a hub was never logged as lost, however long it stayed silent, so an engineer who reads the log would not learn of it.

Change: a hub that has not replied 3 s after the first call counts as lost.

Ruled out: the task that follows the hub having ended (the hub was still wanted when it was dropped from the instances 8 s later).

Conclusion: a missing line of the log, found by a test that raced with it.

--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -31,6 +31,8 @@
 HUB_HOLD_MS = 1_000
 CALL_SLACK_MS = 900.0
 RETRY_PAUSE_MS = 100.0
+# Hubs start at the same time as those that follow them.
+FIRST_REPLY_MS = 3_000.0
 
 
 class Identity:
@@ -50,8 +52,9 @@
     A hub follows the seeds always, so that these can tell who votes: seeds may be instances
     that have no disk and start at the same moment as everything else.
     ``on_reply`` is called with the address of the hub and each reply, after the view has it;
-    ``on_lost`` with the reason when a hub that replied does so no more, and ``on_regained`` with
-    the time in between in milliseconds when it replies again.
+    ``on_lost`` with the reason when a hub that replied does so no more, or has not replied within
+    ``first_reply_ms`` of the first call, and ``on_regained`` with the time in between in
+    milliseconds when it replies again.
     """
 
     def __init__(
@@ -67,7 +70,9 @@
         on_regained: Callable[[str, float], None] = lambda address, lost_for_ms: None,
         clock: Clock,
         credentials: grpc.ChannelCredentials | None = None,
+        first_reply_ms: float = FIRST_REPLY_MS,
     ) -> None:
+        self._first_reply_ms = first_reply_ms
         self._view = view
         self._own_address = own_address
         self._seeds = seeds
@@ -128,6 +133,7 @@
         boot = 0
         position = 0
         lost_ms: float | None = None
+        start_ms = self._clock.now_ms()
         while not self._stopping.is_set() and address in self._list_wanted():
             identity = self._identify()
             request = FollowRequest(
@@ -141,7 +147,8 @@
             try:
                 reply = self._call(address, request)
             except RpcError as error:
-                if lost_ms is None and boot:
+                is_due = boot or self._clock.now_ms() - start_ms >= self._first_reply_ms
+                if lost_ms is None and is_due:
                     lost_ms = self._clock.now_ms()
                     self._on_lost(address, str(error))
                 self._stopping.wait(RETRY_PAUSE_MS / 1000)
--- a/testing/membership/test_following.py
+++ b/testing/membership/test_following.py
@@ -35,6 +35,8 @@
         clock = Clock()
         self.address = address
         self.replies: list[FollowReply] = []
+        self.lost: list[str] = []
+        self.regained: list[str] = []
         record = InstanceRecord(address, 1, address, "z1", False, 0)
         self.hub = Hub(
             record,
@@ -57,7 +59,10 @@
             identify=lambda: Identity(record, is_candidate=False, is_hub=is_voter),
             answer_locally=self.hub.answer,
             on_reply=lambda hub, reply: self.replies.append(reply),
+            on_lost=lambda hub, reason: self.lost.append(hub),
+            on_regained=lambda hub, lost_for_ms: self.regained.append(hub),
             clock=clock,
+            first_reply_ms=200,
         )
 
     def close(self) -> None:
@@ -89,6 +94,22 @@
         wait_until(have_all_found, within_s=10)
 
 
+class TestSilentHubs:
+    def test_a_hub_that_never_replied_is_told_as_lost_and_as_regained_later(self) -> None:
+        address = _find_address(6)
+        member = Member(_find_address(7), [address], voters=[])
+        member.following.update_tasks()
+        late: Member | None = None
+        try:
+            wait_until(lambda: member.lost == [address], within_s=10)
+            late = Member(address, [], voters=[address])
+            wait_until(lambda: member.regained == [address], within_s=10)
+        finally:
+            member.close()
+            if late is not None:
+                late.close()
+
+
 class TestOrder:
     def test_the_own_hub_is_asked_first(self) -> None:
         order = order_hubs(["a", "b", "c"], own_address="b", random=Random(1))
