Keep manifests off the links between replicas that hold them

Change: a replica names the ballot that its own disk holds when it inspects or prepares, so the others do not send that state again; a node that does not vote reads only what is newer than what it holds; messages of 1 KiB and more are compressed by the transport. Also mended: after a joint round that found a still newer epoch, the known state was kept with the ballot of another one.

Tests: no reply holds a whole state once all disks do; a replica that missed a change is told it.

--- a/src/coltsfootrill/control/acceptor.py
+++ b/src/coltsfootrill/control/acceptor.py
@@ -19,6 +19,7 @@
 from coltsfootrill.control.messages import Accepted
 from coltsfootrill.control.messages import Ballot
 from coltsfootrill.control.messages import ControlState
+from coltsfootrill.control.messages import HeldState
 from coltsfootrill.control.messages import Inspect
 from coltsfootrill.control.messages import Inspection
 from coltsfootrill.control.messages import Prepare
@@ -88,7 +89,8 @@
             if is_granted:
                 self._write("promised.rec", msgspec.msgpack.encode(request.ballot))
                 self._promised = request.ballot
-            return Promise(self.key, is_granted, self._promised, self._accepted, self._state)
+            state = self._get_unknown(request.known)
+            return Promise(self.key, is_granted, self._promised, self._accepted, state)
 
     def accept(self, request: Accept) -> Accepted:
         """Accept a state unless a higher ballot was promised; raise ``CannotVoteError``."""
@@ -107,13 +109,20 @@
         """Return what was accepted last; raise ``CannotVoteError``."""
         with self._lock:
             self._check_able()
-            state = None if self._accepted == request.known else self._state
-            return Inspection(self.key, self._accepted, state)
+            return Inspection(self.key, self._accepted, self._get_unknown(request.known))
 
     def get_state(self) -> ControlState | None:
         """Return the state accepted last, which a majority may or may not hold."""
+        return self.get_held().state
+
+    def get_held(self) -> HeldState:
+        """Return the state accepted last with its ballot."""
         with self._lock:
-            return self._state
+            return HeldState(self._accepted, self._state)
+
+    def _get_unknown(self, known: Ballot) -> ControlState | None:
+        """Return the accepted state unless it is the one accepted under ``known``."""
+        return None if self._accepted == known else self._state
 
     def _check_able(self) -> None:
         if self.fault is not None and self._may_recover:
--- a/src/coltsfootrill/control/messages.py
+++ b/src/coltsfootrill/control/messages.py
@@ -67,18 +67,33 @@
     audit_count: int
 
 
+class HeldState:
+    """A state and the ballot under which it was accepted; a ballot has one state only."""
+
+    __slots__ = ("ballot", "state")
+
+    def __init__(self, ballot: Ballot, state: ControlState | None) -> None:
+        self.ballot = ballot
+        self.state = state
+
+
 class Prepare(msgspec.Struct, frozen=True, array_like=True):
     """Asks an acceptor to promise ``ballot`` and to tell what it accepted.
 
-    ``epoch`` is that of the replica set that the sender knows.
+    ``epoch`` is that of the replica set that the sender knows, ``known`` the ballot whose state
+    it has already.
     """
 
     epoch: int
     ballot: Ballot
+    known: Ballot = ZERO_BALLOT
 
 
 class Promise(msgspec.Struct, frozen=True, array_like=True):
-    """The reply to ``Prepare``; not granted when a higher ballot was promised before."""
+    """The reply to ``Prepare``; not granted when a higher ballot was promised before.
+
+    ``state`` was accepted under ``accepted``; it is left out when the sender has it.
+    """
 
     key: str
     is_granted: bool
--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -27,6 +27,7 @@
 from coltsfootrill.control.messages import Accepted
 from coltsfootrill.control.messages import Ballot
 from coltsfootrill.control.messages import ControlState
+from coltsfootrill.control.messages import HeldState
 from coltsfootrill.control.messages import Inspect
 from coltsfootrill.control.messages import Inspection
 from coltsfootrill.control.messages import Prepare
@@ -93,7 +94,11 @@
 
 
 class Register:
-    """The proposer of one replica. ``initial`` is the state before any change."""
+    """The proposer of one replica.
+
+    ``initial`` is the state before any change. ``get_held`` returns what the replica's own
+    acceptor holds, so that the other acceptors need not send it.
+    """
 
     def __init__(
         self,
@@ -101,12 +106,14 @@
         initial: ControlState,
         *,
         calls: PeerCalls,
+        get_held: Callable[[], HeldState],
         executor: Executor,
         clock: Clock,
         random: Random,
     ) -> None:
         self._replica_id = replica_id
         self._calls = calls
+        self._get_held = get_held
         self._executor = executor
         self._clock = clock
         self._random = random
@@ -179,7 +186,8 @@
     def _confirm(self) -> bool:
         """Learn the chosen state without a write; return whether a majority agrees on one."""
         votes: _Votes[Inspection] = _Votes([self.known.replicas])
-        request = Inspect(self._replica_id, self._known_ballot)
+        held = self._get_newest_held()
+        request = Inspect(self._replica_id, held.ballot)
 
         def ask() -> None:
             self._gather(
@@ -192,7 +200,7 @@
         ballot = self._get_agreed(votes)
         if ballot == ZERO_BALLOT:
             return False
-        state = self._find_state(votes, ballot)
+        state = self._find_state(votes, ballot, held)
         if state.replicas != self.known.replicas:
             # The state is chosen only if a majority of its own replica set holds it too.
             votes.replica_sets.append(state.replicas)
@@ -209,17 +217,27 @@
         newest = max(ballots, default=ZERO_BALLOT)
         return newest if votes.has_majority(lambda reply: reply.accepted == newest) else ZERO_BALLOT
 
-    def _find_state(self, votes: _Votes[Inspection], ballot: Ballot) -> ControlState:
+    def _find_state(
+        self, votes: _Votes[Inspection], ballot: Ballot, held: HeldState
+    ) -> ControlState:
         for reply in votes.by_address.values():
             if reply.accepted == ballot and reply.state is not None:
                 return reply.state
-        return self.known
+        return held.state or self.known
+
+    def _get_newest_held(self) -> HeldState:
+        """Return the newest state held here, known to be chosen or not."""
+        own = self._get_held()
+        if own.state is not None and own.ballot > self._known_ballot:
+            return own
+        return HeldState(self._known_ballot, self.known)
 
     def _prepare(self) -> tuple[Ballot, ControlState, list[dict[str, Replica]]] | None:
         """Win a ballot; return it, the newest state, and the replica sets that must accept."""
         self._round += 1
         ballot = Ballot(self._round, self._replica_id)
-        request = Prepare(self.known.epoch, ballot)
+        held = self._get_newest_held()
+        request = Prepare(self.known.epoch, ballot, held.ballot)
         votes: _Votes[Promise] = _Votes([self.known.replicas])
         self._gather(
             votes,
@@ -229,16 +247,16 @@
         self._round = max([self._round, *(p.promised.round for p in votes.by_address.values())])
         if not votes.has_majority(lambda promise: promise.is_granted):
             return None
-        newest = self._find_newest(votes)
+        newest = self._find_newest(votes, held)
         if newest.replicas != self.known.replicas and newest.epoch > self.known.epoch:
-            return self._prepare_joint(ballot, newest, votes)
+            return self._prepare_joint(ballot, newest, votes, held)
         return ballot, self._record_keys(newest, votes), [newest.replicas]
 
     def _prepare_joint(
-        self, ballot: Ballot, newest: ControlState, votes: _Votes[Promise]
+        self, ballot: Ballot, newest: ControlState, votes: _Votes[Promise], held: HeldState
     ) -> tuple[Ballot, ControlState, list[dict[str, Replica]]] | None:
         """Win the ballot in the set of a newer epoch too, whose change may be half done."""
-        request = Prepare(newest.epoch, ballot)
+        request = Prepare(newest.epoch, ballot, held.ballot)
         votes.replica_sets.append(newest.replicas)
         self._gather(
             votes,
@@ -247,20 +265,22 @@
         )
         if not votes.has_majority(lambda promise: promise.is_granted):
             return None
-        found = self._find_newest(votes)
+        found = self._find_newest(votes, held)
         if found.epoch > newest.epoch:
             self.known = newest
+            self._known_ballot = ZERO_BALLOT
             return None
         return ballot, found, [self.known.replicas, newest.replicas]
 
-    def _find_newest(self, votes: _Votes[Promise]) -> ControlState:
+    def _find_newest(self, votes: _Votes[Promise], held: HeldState) -> ControlState:
         newest = self.known
         newest_ballot = ZERO_BALLOT
         for promise in votes.by_address.values():
-            if not promise.is_granted or promise.state is None:
+            state = held.state if promise.accepted == held.ballot else promise.state
+            if not promise.is_granted or state is None:
                 continue
             if promise.accepted > newest_ballot:
-                newest = promise.state
+                newest = state
                 newest_ballot = promise.accepted
         return newest
 
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -106,6 +106,7 @@
             calls=PeerCalls(
                 prepare=self._call_prepare, accept=self._call_accept, inspect=self._call_inspect
             ),
+            get_held=acceptor.get_held,
             executor=self._executor,
             clock=clock,
             random=random,
@@ -161,7 +162,8 @@
         ``UnknownResultError`` as ``submit`` does.
         """
         try:
-            inspection = self._call_inspect(address, Inspect(self.id, ZERO_BALLOT))
+            request = Inspect(self.id, self._register.known_ballot)
+            inspection = self._call_inspect(address, request)
         except ColtsfootrillError as error:
             raise RepairError(f"the new replica does not answer: {error}") from error
         change = ReplicaChange(
@@ -198,7 +200,7 @@
     def answers(self, address: str) -> bool:
         """Return whether the replica at an address is able to vote."""
         try:
-            self._call_inspect(address, Inspect(self.id, ZERO_BALLOT))
+            self._call_inspect(address, Inspect(self.id, self._register.known_ballot))
         except ColtsfootrillError:
             return False
         return True
--- a/src/coltsfootrill/roles/hub_calls.py
+++ b/src/coltsfootrill/roles/hub_calls.py
@@ -106,12 +106,15 @@
             return SubmitReply("unknown", 0, "", str(error))
         return reply
 
-    def read_manifest(self) -> bytes:
-        """Return the newest accepted manifest; raise ``NoQuorumError`` when not certain."""
+    def read_manifest(self, known_version: int) -> bytes:
+        """Return the newest accepted manifest, empty if it is not newer than a known one.
+
+        Raises ``NoQuorumError`` when that is not certain.
+        """
 
         def ask(address: str) -> ReadReply:
             client = self._following.get_client(address)
-            request = ReadRequest(self._own_id, 0, True)
+            request = ReadRequest(self._own_id, known_version, True)
             reply: ReadReply = client.call(READ, request, timeout_ms=READ_CALL_TIMEOUT_MS)
             if not reply.is_current:
                 raise NoQuorumError("the replica that was asked has no majority")
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -217,7 +217,8 @@
             state = self._replica.read()
             raw = state.manifest
         else:
-            raw = self._calls.read_manifest()
+            known_version, known = self._manifests.read_newer(0)
+            raw = self._calls.read_manifest(known_version) or known
         if not raw:
             raise NoQuorumError("no manifest has been accepted yet")
         return raw
--- a/src/coltsfootrill/rpc.py
+++ b/src/coltsfootrill/rpc.py
@@ -17,6 +17,8 @@
 Reply = TypeVar("Reply")
 
 MESSAGE_MAX_BYTES = 16 * 1024 * 1024
+# Compressing a smaller message costs more time than it saves on a narrow link.
+COMPRESSED_MIN_BYTES = 1_024
 _FAILURES_BEFORE_REMAKE = 2
 _OPTIONS = (
     ("grpc.max_receive_message_length", MESSAGE_MAX_BYTES),
@@ -44,8 +46,15 @@
         self.decode_reply: Callable[[bytes], Any] = msgspec.msgpack.Decoder(reply).decode
 
 
+def choose_compression(raw: bytes) -> grpc.Compression:
+    """Return how a message is sent: large ones compressed."""
+    if len(raw) < COMPRESSED_MIN_BYTES:
+        return grpc.Compression.NoCompression
+    return grpc.Compression.Gzip
+
+
 class ByteCounter:
-    """Counts the bytes of messages, without the framing of the transport."""
+    """Counts the bytes of messages, before compression and without the transport's framing."""
 
     __slots__ = ("received", "sent")
 
@@ -79,7 +88,9 @@
         self._counter.sent += len(raw)
         stub = self._channel.unary_unary(method.path)
         try:
-            answer = stub(raw, timeout=max(timeout_ms, 1) / 1000)
+            answer = stub(
+                raw, timeout=max(timeout_ms, 1) / 1000, compression=choose_compression(raw)
+            )
             self._counter.received += len(answer)
             reply = method.decode_reply(answer)
         except grpc.RpcError as error:
@@ -141,6 +152,7 @@
             except ColtsfootrillError as error:
                 context.abort(grpc.StatusCode.FAILED_PRECONDITION, str(error))
             counter.sent += len(answer)
+            context.set_compression(choose_compression(answer))
             return answer
 
         self._handlers[method.path] = grpc.unary_unary_rpc_method_handler(serve)
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -29,7 +29,10 @@
 
 
 class Cluster:
-    """Replicas by address. ``cut`` holds pairs of proposer and address that cannot talk."""
+    """Replicas by address. ``cut`` holds pairs of proposer and address that cannot talk.
+
+    ``states_told`` counts the replies of a replica to another one that held a whole state.
+    """
 
     def __init__(self, names: str = "abc", spares: str = "def", seed: int = 1) -> None:
         self.random = Random(seed)
@@ -41,6 +44,7 @@
         self.down: set[str] = set()
         self.lost_replies: set[str] = set()
         self.held: list[Callable[[], Any]] = []
+        self.states_told = 0
         self.hold_accepts_at: set[str] = set()
         members = {name: Replica(name, "") for name in names}
         self.initial = ControlState(1, 1, members, 0, "", b"", [], [], 0)
@@ -108,6 +112,7 @@
                 accept=lambda address, request: self._call(name, address, "accept", request),
                 inspect=lambda address, request: self._call(name, address, "inspect", request),
             ),
+            get_held=lambda: self.acceptors[name].get_held(),
             executor=self.executor,
             clock=self.clock,
             random=self.random,
@@ -126,4 +131,6 @@
             raise RpcError(f"{address}: unavailable") from error
         if address in self.lost_replies:
             raise RpcError(f"{address}: deadline_exceeded")
+        if address != sender and getattr(reply, "state", None) is not None:
+            self.states_told += 1
         return reply
--- a/testing/control/test_register.py
+++ b/testing/control/test_register.py
@@ -16,6 +16,7 @@
 from testing.control.cluster import FOLDER
 from testing.control.cluster import Cluster
 from testing.control.disk import SimulatedCrashError
+from testing.processes import wait_until
 
 
 class TestSubmitting:
@@ -56,6 +57,25 @@
         assert (answer.result, answer.version) == ("accepted", 2)
         assert cluster.read("a").version == 5
 
+    def test_a_replica_is_not_told_again_what_its_own_disk_holds(self) -> None:
+        # With a large manifest the replies of a round would fill narrow links.
+        cluster = Cluster()
+        for version in range(1, 4):
+            assert cluster.submit("abc"[version % 3], version, f"v{version}").result == "accepted"
+            wait_until(lambda: len({cluster.acceptors[at].get_held().ballot for at in "abc"}) == 1)
+            assert [cluster.read(at).version for at in "abc"] == [version] * 3
+        assert cluster.states_told == 0
+
+    def test_a_replica_that_missed_a_change_is_told_it(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.cut |= {("a", "c"), ("b", "c")}
+        cluster.submit("a", 2, "two")
+        cluster.cut.clear()
+        assert cluster.read("c").manifest == b"two"
+        assert cluster.submit("c", 3, "three").result == "accepted"
+        assert cluster.read("a").manifest == b"three"
+
     def test_without_a_majority_certainly_nothing_is_accepted(self) -> None:
         cluster = Cluster()
         cluster.submit("a", 1, "one")
