Give a change in progress more time before a read outbids it

Each hub reads every 400 ms; a read that finds no agreed state three times within 45 ms runs a round of its own, which outbids a change that takes longer, as one of 80 KB does on half a core.

Change: four tries, with pauses of about 15, 30, 60 and 120 ms.

--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -38,7 +38,8 @@
 CALL_TIMEOUT_MS = 1_000.0
 BACKOFF_MS = 20.0
 BACKOFF_MAX_MS = 400.0
-CONFIRM_TRIES = 3
+# A change of a large manifest takes some 200 ms; a read that outbids it makes both start again.
+CONFIRM_TRIES = 4
 CONFIRM_PAUSE_MS = 15.0
 
 Reply = TypeVar("Reply", Promise, Accepted, Inspection)
@@ -173,11 +174,11 @@
 
     def read(self, *, deadline_ms: float) -> ControlState:
         """Return the current state as a majority confirms it; raise ``NoQuorumError``."""
-        for _ in range(CONFIRM_TRIES):
+        for attempt in range(CONFIRM_TRIES):
             if self._confirm():
                 return self.known
             # A change in progress elsewhere ends soon; a round of our own would outbid it.
-            self._clock.sleep_ms(CONFIRM_PAUSE_MS)
+            self._clock.sleep_ms(CONFIRM_PAUSE_MS * 2**attempt * (0.5 + self._random.random()))
         try:
             return self.change(lambda state: (state, state), deadline_ms=deadline_ms)
         except UnknownResultError as error:
