Split the gate and the pool, and name what an attempt asks for

Change: claims, grants and rooms have a module of their own (balancer/claim.py); which waiting request gets an upstream next is decided in proxy/granting.py, which reads no clock and takes no lock; AttemptDemand holds what an attempt asks for. Nothing behaves otherwise: the tests are the same but for imports.

--- a/src/coltsfootrill/dispatch/client.py
+++ b/src/coltsfootrill/dispatch/client.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
+from coltsfootrill.balancer.claim import Grant
+from coltsfootrill.balancer.claim import Result
 from coltsfootrill.balancer.load import LoadReport
-from coltsfootrill.balancer.pool import Grant
-from coltsfootrill.balancer.pool import Result
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.messages import ANSWERS
 from coltsfootrill.dispatch.messages import QUESTIONS
--- a/src/coltsfootrill/dispatch/messages.py
+++ b/src/coltsfootrill/dispatch/messages.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
+from coltsfootrill.balancer.claim import Result
 from coltsfootrill.balancer.load import LoadReport
-from coltsfootrill.balancer.pool import Result
 from coltsfootrill.manifest.model import Priority
 
 QUESTIONS = b"D"
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -5,8 +5,8 @@
 import math
 import select
 
+from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.load import LoadReport
-from coltsfootrill.balancer.pool import Claim
 from coltsfootrill.balancer.retry import AttemptHistory
 from coltsfootrill.balancer.retry import FailureKind
 from coltsfootrill.clock import Clock
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import itertools
 import math
 import threading
 from collections.abc import Callable
 from collections.abc import Sequence
 
-from coltsfootrill.balancer.admission import Waiter
 from coltsfootrill.balancer.choice import Origin
+from coltsfootrill.balancer.claim import Claim
+from coltsfootrill.balancer.claim import Result
 from coltsfootrill.balancer.load import LoadReport
-from coltsfootrill.balancer.pool import Claim
-from coltsfootrill.balancer.pool import Result
-from coltsfootrill.balancer.pool import Room
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.report_book import ReportEntry
 from coltsfootrill.balancer.retry import AttemptHistory
@@ -27,24 +24,21 @@
 from coltsfootrill.events.catalog import Event
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
+from coltsfootrill.proxy.granting import Granting
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.pool_watch import PoolWatch
 from coltsfootrill.proxy.pool_watch import describe_admission
+from coltsfootrill.proxy.request import AttemptDemand
 from coltsfootrill.proxy.request import RequestTimes
-from coltsfootrill.proxy.tickets import TARGET_SLACK
 from coltsfootrill.proxy.tickets import Ticket
-from coltsfootrill.proxy.tickets import TicketQueue
 from coltsfootrill.registry.source import UpstreamSource
 
 WAIT_SLICE_MS = 20.0
 # A second attempt is granted or refused at once; its end is told within this time at the latest.
 EXTRA_LEFT_MS = 10_000.0
-GRANT_PAUSE_MS = 15.0
 CONFIRM_EVERY_MS = 300.0
 RETRY_AFTER_S = 0.5
 RETRY_SOON_S = 0.04
-# A request that has missed its target waits for this share of its time, then its caller decides.
-LATE_WAIT_SHARE = 0.25
 _MESSAGE_BY_REFUSAL = {
     "no-upstream": "no upstream of this service is serving",
     "overloaded": "the queue is too long for the deadline of this request",
@@ -53,8 +47,6 @@
     "no-room": "no upstream has room for a second attempt",
 }
 
-_orders = itertools.count()
-
 
 class ServiceGate:
     """Thread-safe owner of the state of one service."""
@@ -82,8 +74,7 @@
         self._service: Service | None = None
         # No lease known at the last update ends before this time.
         self._next_end_ms = 0.0
-        self._tickets = TicketQueue(pool.queue)
-        self._granted_ms = float("-inf")
+        self._granting = Granting(pool)
 
     def acquire(
         self,
@@ -95,30 +86,22 @@
         is_gone: Callable[[], bool],
     ) -> Claim:
         """Return an upstream for one attempt; raise ``NotRunError`` when there is none in time."""
-        claim = self._acquire_elsewhere(service, kind, times, exclude=exclude, is_gone=is_gone)
+        demand = AttemptDemand(service, kind, times, exclude=exclude, is_gone=is_gone)
+        claim = self._acquire_elsewhere(demand)
         if claim is not None:
             return claim
         woken = threading.Event()
         with self._lock:
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
-            waiter = self._make_waiter(kind, times)
+            waiter = self._granting.make_waiter(kind, times)
             ticket = Ticket(waiter, kind, exclude=exclude, on_settled=lambda _: woken.set())
-            self._admit(ticket, now_ms)
+            self._granting.admit(ticket, now_ms)
             if ticket.is_settled:
                 return self._redeem(ticket)
         return self._wait(service, ticket, woken, is_gone)
 
-    def _acquire_elsewhere(
-        self,
-        service: Service,
-        kind: Kind,
-        times: RequestTimes,
-        *,
-        exclude: frozenset[str],
-        is_gone: Callable[[], bool],
-        extra_within_ms: float | None = None,
-    ) -> Claim | None:
+    def _acquire_elsewhere(self, demand: AttemptDemand) -> Claim | None:
         """Ask the dispatcher; raise ``NotRunError`` if it refuses.
 
         Returns ``None`` if there is no dispatcher, or none that knows better than this instance.
@@ -126,18 +109,11 @@
         if self._asker is None:
             return None
         with self._lock:
-            self._update_pool(service, self._clock.now_ms())
-        found = self._asker.acquire(
-            service,
-            kind,
-            times,
-            exclude=exclude,
-            is_gone=is_gone,
-            extra_within_ms=extra_within_ms,
-        )
+            self._update_pool(demand.service, self._clock.now_ms())
+        found = self._asker.acquire(demand)
         if isinstance(found, Denied):
             with self._lock:
-                raise self._refuse(kind, found.reason)
+                raise self._refuse(demand.kind, found.reason)
         return found
 
     def admit_remote(
@@ -161,16 +137,12 @@
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
             self._pool.get_latency(kind.id).seed(usual_ms)
-            waiter = self._make_waiter(kind, times)
+            waiter = self._granting.make_waiter(kind, times)
             ticket = Ticket(waiter, kind, exclude=exclude, on_settled=on_settled, origin=origin)
             if extra_within_ms is None:
-                self._admit(ticket, now_ms)
+                self._granting.admit(ticket, now_ms)
             else:
-                claim = self._find_extra(kind, exclude, extra_within_ms, now_ms, origin=origin)
-                if claim is None:
-                    ticket.refuse("no-room")
-                else:
-                    self._settle(ticket, claim)
+                self._granting.admit_extra(ticket, extra_within_ms, now_ms)
             return ticket
 
     def end_remote(self, ticket: Ticket, result: Result, report: LoadReport | None) -> None:
@@ -178,33 +150,16 @@
         with self._lock:
             now_ms = self._clock.now_ms()
             if ticket.claim is None:
-                self._tickets.remove(ticket)
+                self._granting.tickets.remove(ticket)
                 return
             self._pool.end(ticket.claim, result, report, now_ms)
-            self._grant_waiting(now_ms)
+            self._granting.grant_waiting(now_ms)
 
     def get_age_ms(self, kind: Kind, stated_ms: float) -> float:
         """Return how long a caller that states the time it has left has been waiting already."""
         with self._lock:
             return self._pool.get_latency(kind.id).stated.get_age_ms(stated_ms)
 
-    def _make_waiter(self, kind: Kind, times: RequestTimes) -> Waiter:
-        target_at_ms = math.inf
-        give_up_ms = math.inf
-        if kind.target_ms is not None:
-            target_at_ms = times.arrived_ms + kind.target_ms - times.age_ms
-            give_up_ms = times.arrived_ms + LATE_WAIT_SHARE * (times.deadline_ms - times.arrived_ms)
-        return Waiter(
-            priority=kind.priority,
-            deadline_ms=times.deadline_ms,
-            urgent_at_ms=times.arrived_ms + (kind.latest_ms or 0),
-            order=next(_orders),
-            rank=kind.rank,
-            target_at_ms=target_at_ms,
-            work_ms=self._pool.get_latency(kind.id).usual_ms,
-            give_up_ms=give_up_ms,
-        )
-
     def try_acquire(
         self,
         service: Service,
@@ -219,15 +174,9 @@
         """
         now_ms = self._clock.now_ms()
         times = RequestTimes(arrived_ms=now_ms, deadline_ms=now_ms + EXTRA_LEFT_MS)
+        demand = AttemptDemand(service, kind, times, exclude=exclude, extra_within_ms=within_ms)
         try:
-            claim = self._acquire_elsewhere(
-                service,
-                kind,
-                times,
-                exclude=exclude,
-                is_gone=lambda: False,
-                extra_within_ms=within_ms,
-            )
+            claim = self._acquire_elsewhere(demand)
         except NotRunError:
             return None
         if claim is not None:
@@ -235,26 +184,7 @@
         with self._lock:
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
-            return self._find_extra(kind, exclude, within_ms, now_ms)
-
-    def _find_extra(
-        self,
-        kind: Kind,
-        exclude: frozenset[str],
-        within_ms: float,
-        now_ms: float,
-        *,
-        origin: Origin | None = None,
-    ) -> Claim | None:
-        if self._tickets:
-            # Requests that have no upstream yet come before second attempts.
-            return None
-        room = Room(within_ms=TARGET_SLACK * within_ms, is_spare=True)
-        claim = self._pool.acquire(kind, now_ms, exclude=exclude, room=room, origin=origin)
-        if claim is not None and claim.load.id in exclude:
-            self._pool.end_abandoned(claim, now_ms, is_slow=False)
-            return None
-        return claim
+            return self._granting.find_extra(kind, exclude, within_ms, now_ms)
 
     def earn_retries(self) -> None:
         """Count a first attempt towards the retry budget."""
@@ -281,7 +211,7 @@
     def get_retry_after_s(self) -> float:
         """Return when a caller that is refused now may find room."""
         with self._lock:
-            if not self._tickets and self._pool.has_room(self._clock.now_ms()):
+            if not self._granting.tickets and self._pool.has_room(self._clock.now_ms()):
                 return RETRY_SOON_S
             return self._spread_retry_after_s()
 
@@ -295,7 +225,7 @@
         with self._lock:
             for entry in reports:
                 self._pool.take_report(entry.upstream_id, entry.report, now_ms - entry.age_ms)
-            self._grant_by_reports(now_ms)
+            self._granting.grant_by_reports(now_ms)
 
     def end_answered(self, claim: Claim, report: LoadReport | None, ended_ms: float) -> None:
         """Count an answer that was whole at ``ended_ms`` and let the next waiter in."""
@@ -307,7 +237,7 @@
             is_due = ended_ms - claim.load.confirmed_at_ms > CONFIRM_EVERY_MS
             if is_due:
                 claim.load.confirmed_at_ms = ended_ms
-            self._grant_waiting(ended_ms)
+            self._granting.grant_waiting(ended_ms)
         if is_due and report is not None and report.state == "serving":
             self._fleet.confirm(claim.load.id, claim.load.incarnation, claim.started_ms)
 
@@ -319,7 +249,7 @@
         with self._lock:
             now_ms = self._clock.now_ms()
             self._pool.end(claim, result, report, now_ms)
-            self._grant_waiting(now_ms)
+            self._granting.grant_waiting(now_ms)
 
     def _release(self, claim: Claim, result: Result, report: LoadReport | None) -> None:
         """Tell the instance that chose the upstream how the attempt ended."""
@@ -341,8 +271,8 @@
             self._update_pool(service, now_ms)
             ejected = self._pool.eject_outliers(now_ms) if self._pool.has_worked else []
             self._watch.note_ejected(ejected, now_ms)
-            self._tickets.refuse_hopeless(now_ms)
-            self._grant_by_reports(now_ms)
+            self._granting.tickets.refuse_hopeless(now_ms)
+            self._granting.grant_by_reports(now_ms)
 
     def _update_pool(self, service: Service, now_ms: float) -> None:
         """Take in upstreams and leases that have changed."""
@@ -356,46 +286,6 @@
         self._pool.update(service, usable, now_ms)
         self._next_end_ms = self._fleet.get_lease_end_ms(usable)
 
-    def _try_grant(self, ticket: Ticket, now_ms: float) -> bool:
-        """Choose an upstream for a request if there is one for it; return whether there was."""
-        waiter = ticket.waiter
-        is_patient = waiter.priority == "deferrable" and now_ms < waiter.urgent_at_ms
-        claim = self._pool.acquire(
-            ticket.kind,
-            now_ms,
-            exclude=ticket.exclude,
-            is_patient=is_patient,
-            room=ticket.find_room(now_ms),
-            origin=ticket.origin,
-        )
-        if claim is None:
-            return False
-        self._settle(ticket, claim)
-        return True
-
-    def _settle(self, ticket: Ticket, claim: Claim) -> None:
-        if ticket.origin is not None:
-            claim.load.remote_tokens.add(claim.token)
-        ticket.settle(claim)
-
-    def _admit(self, ticket: Ticket, now_ms: float) -> None:
-        """Settle a request at once if that can be done, else have it wait."""
-        if not self._tickets and self._try_grant(ticket, now_ms):
-            return
-        reason = self._enqueue(ticket, now_ms)
-        if reason:
-            ticket.refuse(reason)
-            return
-        self._grant_by_reports(now_ms)
-
-    def _enqueue(self, ticket: Ticket, now_ms: float) -> str:
-        """Have a request wait; return why it cannot, "" if it does."""
-        if not self._pool.by_id:
-            return "no-upstream"
-        if not self._pool.can_still_answer(ticket.kind, ticket.waiter, now_ms):
-            return "overloaded"
-        return "" if self._tickets.add(ticket, now_ms) else "queue-full"
-
     def _redeem(self, ticket: Ticket) -> Claim:
         """Return the claim of a settled request; raise ``NotRunError`` if it was refused."""
         if ticket.claim is None:
@@ -418,11 +308,11 @@
                 if not ticket.is_settled:
                     # Pauses and ejections end by time alone, with no other thread to notice.
                     self._update_pool(service, now_ms)
-                    self._grant_by_reports(now_ms)
+                    self._granting.grant_by_reports(now_ms)
                 if ticket.is_settled:
                     return self._redeem(ticket)
                 if waiter.is_hopeless(now_ms) or is_gone():
-                    self._tickets.remove(ticket)
+                    self._granting.tickets.remove(ticket)
                     raise self._refuse(ticket.kind, "deadline")
 
     def _refuse(self, kind: Kind, reason: str) -> NotRunError:
@@ -438,23 +328,3 @@
     def _spread_retry_after_s(self) -> float:
         """Return a time to come back, spread so that those refused together do not do so."""
         return RETRY_AFTER_S * (0.5 + self._pool.random.random())
-
-    def _grant_waiting(self, now_ms: float) -> None:
-        """Let waiters in, the most urgent first, while there are upstreams for them."""
-        # A slow upstream is no use to a request that can meet its target, but to a late one.
-        for is_late in (False, True):
-            while self._grant_next(now_ms, is_late=is_late):
-                pass
-
-    def _grant_by_reports(self, now_ms: float) -> None:
-        """Let waiters in where reports, which all instances have, show room."""
-        if self._tickets and now_ms - self._granted_ms >= GRANT_PAUSE_MS:
-            self._granted_ms = now_ms
-            self._grant_waiting(now_ms)
-
-    def _grant_next(self, now_ms: float, *, is_late: bool) -> bool:
-        ticket = self._tickets.get_next(now_ms, is_late=is_late)
-        if ticket is None or not self._try_grant(ticket, now_ms):
-            return False
-        self._tickets.remove(ticket)
-        return True
--- /dev/null
+++ b/src/coltsfootrill/proxy/granting.py
@@ -0,0 +1,148 @@
+"""Hands upstreams of one service to requests, at once or in order of urgency.
+
+Nothing here blocks or reads a clock. The owner holds a lock around each call and passes the time.
+"""
+
+from __future__ import annotations
+
+import itertools
+import math
+
+from coltsfootrill.balancer.admission import Waiter
+from coltsfootrill.balancer.choice import Origin
+from coltsfootrill.balancer.claim import Claim
+from coltsfootrill.balancer.claim import Room
+from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.manifest.model import Kind
+from coltsfootrill.proxy.request import RequestTimes
+from coltsfootrill.proxy.tickets import TARGET_SLACK
+from coltsfootrill.proxy.tickets import Ticket
+from coltsfootrill.proxy.tickets import TicketQueue
+
+GRANT_PAUSE_MS = 15.0
+# A request that has missed its target waits for this share of its time, then its caller decides.
+LATE_WAIT_SHARE = 0.25
+
+_orders = itertools.count()
+
+
+class Granting:
+    """The waiting requests of one service, and which of them gets an upstream next."""
+
+    __slots__ = ("_granted_ms", "_pool", "tickets")
+
+    def __init__(self, pool: ServicePool) -> None:
+        self._pool = pool
+        self.tickets = TicketQueue(pool.queue)
+        self._granted_ms = float("-inf")
+
+    def make_waiter(self, kind: Kind, times: RequestTimes) -> Waiter:
+        """Return a request's place in the order of urgency."""
+        target_at_ms = math.inf
+        give_up_ms = math.inf
+        if kind.target_ms is not None:
+            target_at_ms = times.arrived_ms + kind.target_ms - times.age_ms
+            give_up_ms = times.arrived_ms + LATE_WAIT_SHARE * (times.deadline_ms - times.arrived_ms)
+        return Waiter(
+            priority=kind.priority,
+            deadline_ms=times.deadline_ms,
+            urgent_at_ms=times.arrived_ms + (kind.latest_ms or 0),
+            order=next(_orders),
+            rank=kind.rank,
+            target_at_ms=target_at_ms,
+            work_ms=self._pool.get_latency(kind.id).usual_ms,
+            give_up_ms=give_up_ms,
+        )
+
+    def _try_grant(self, ticket: Ticket, now_ms: float) -> bool:
+        """Choose an upstream for a request if there is one for it; return whether there was."""
+        waiter = ticket.waiter
+        is_patient = waiter.priority == "deferrable" and now_ms < waiter.urgent_at_ms
+        claim = self._pool.acquire(
+            ticket.kind,
+            now_ms,
+            exclude=ticket.exclude,
+            is_patient=is_patient,
+            room=ticket.find_room(now_ms),
+            origin=ticket.origin,
+        )
+        if claim is None:
+            return False
+        self._settle(ticket, claim)
+        return True
+
+    def admit_extra(self, ticket: Ticket, within_ms: float, now_ms: float) -> None:
+        """Settle an attempt beside another one, which does not wait."""
+        claim = self.find_extra(
+            ticket.kind, ticket.exclude, within_ms, now_ms, origin=ticket.origin
+        )
+        if claim is None:
+            ticket.refuse("no-room")
+        else:
+            self._settle(ticket, claim)
+
+    def _settle(self, ticket: Ticket, claim: Claim) -> None:
+        if ticket.origin is not None:
+            claim.load.remote_tokens.add(claim.token)
+        ticket.settle(claim)
+
+    def admit(self, ticket: Ticket, now_ms: float) -> None:
+        """Settle a request at once if that can be done, else have it wait."""
+        if not self.tickets and self._try_grant(ticket, now_ms):
+            return
+        reason = self._enqueue(ticket, now_ms)
+        if reason:
+            ticket.refuse(reason)
+            return
+        self.grant_by_reports(now_ms)
+
+    def _enqueue(self, ticket: Ticket, now_ms: float) -> str:
+        """Have a request wait; return why it cannot, "" if it does."""
+        if not self._pool.by_id:
+            return "no-upstream"
+        if not self._pool.can_still_answer(ticket.kind, ticket.waiter, now_ms):
+            return "overloaded"
+        return "" if self.tickets.add(ticket, now_ms) else "queue-full"
+
+    def find_extra(
+        self,
+        kind: Kind,
+        exclude: frozenset[str],
+        within_ms: float,
+        now_ms: float,
+        *,
+        origin: Origin | None = None,
+    ) -> Claim | None:
+        """Return an upstream for an attempt beside another one, ``None`` when there is none.
+
+        It is expected to answer within ``within_ms``, as far as the policy can tell.
+        """
+        if self.tickets:
+            # Requests that have no upstream yet come before second attempts.
+            return None
+        room = Room(within_ms=TARGET_SLACK * within_ms, is_spare=True)
+        claim = self._pool.acquire(kind, now_ms, exclude=exclude, room=room, origin=origin)
+        if claim is not None and claim.load.id in exclude:
+            self._pool.end_abandoned(claim, now_ms, is_slow=False)
+            return None
+        return claim
+
+    def grant_waiting(self, now_ms: float) -> None:
+        """Let waiters in, the most urgent first, while there are upstreams for them."""
+        # A slow upstream is no use to a request that can meet its target, but to a late one.
+        for is_late in (False, True):
+            while self._grant_next(now_ms, is_late=is_late):
+                pass
+
+    def grant_by_reports(self, now_ms: float) -> None:
+        """Let waiters in where reports, which all instances have, show room."""
+        if self.tickets and now_ms - self._granted_ms >= GRANT_PAUSE_MS:
+            self._granted_ms = now_ms
+            self.grant_waiting(now_ms)
+
+    def _grant_next(self, now_ms: float, *, is_late: bool) -> bool:
+        ticket = self.tickets.get_next(now_ms, is_late=is_late)
+        if ticket is None or not self._try_grant(ticket, now_ms):
+            return False
+        self.tickets.remove(ticket)
+        return True
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Mapping
 
+from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.caller import CallerWatch
 
 
@@ -21,6 +24,33 @@
         self.age_ms = age_ms
 
 
+class AttemptDemand:
+    """One attempt that needs an upstream outside ``exclude``, if there is one.
+
+    ``is_gone`` tells whether its caller has left. With ``extra_within_ms`` it is an attempt beside
+    another one, which does not wait and is worth nothing unless it ends within that time.
+    """
+
+    __slots__ = ("exclude", "extra_within_ms", "is_gone", "kind", "service", "times")
+
+    def __init__(
+        self,
+        service: Service,
+        kind: Kind,
+        times: RequestTimes,
+        *,
+        exclude: frozenset[str],
+        is_gone: Callable[[], bool] = lambda: False,
+        extra_within_ms: float | None = None,
+    ) -> None:
+        self.service = service
+        self.kind = kind
+        self.times = times
+        self.exclude = exclude
+        self.is_gone = is_gone
+        self.extra_within_ms = extra_within_ms
+
+
 class ProxyRequest:
     """A caller's request, whole. ``headers`` have waitress's upper-case names."""
 
--- a/src/coltsfootrill/proxy/tickets.py
+++ b/src/coltsfootrill/proxy/tickets.py
@@ -7,9 +7,9 @@
 from coltsfootrill.balancer.admission import AdmissionQueue
 from coltsfootrill.balancer.admission import Waiter
 from coltsfootrill.balancer.choice import Origin
-from coltsfootrill.balancer.pool import ANY_ROOM
-from coltsfootrill.balancer.pool import Claim
-from coltsfootrill.balancer.pool import Room
+from coltsfootrill.balancer.claim import ANY_ROOM
+from coltsfootrill.balancer.claim import Claim
+from coltsfootrill.balancer.claim import Room
 from coltsfootrill.manifest.model import Kind
 
 # Expected times are not exact: somewhat more than the time left may still do.
--- a/testing/balancer/test_overload.py
+++ b/testing/balancer/test_overload.py
@@ -13,11 +13,11 @@
 
 from coltsfootrill.balancer.admission import AdmissionQueue
 from coltsfootrill.balancer.admission import Waiter
+from coltsfootrill.balancer.claim import Room
 from coltsfootrill.balancer.latency import KindLatency
 from coltsfootrill.balancer.latency import StatedTimes
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.occupancy import SlotUse
-from coltsfootrill.balancer.pool import Room
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.reported_load import coltsfootrill_choice_policy
 from coltsfootrill.manifest.model import Kind
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from coltsfootrill.balancer.pool import Grant
+from coltsfootrill.balancer.claim import Grant
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.dispatch.messages import ANSWERS
