Split the control side of a node: copies of manifests, and hubs that are lost

Change: fetching and adopting manifests is in roles/manifest_copy.py, the events about lost and regained hubs in roles/hub_losses.py.

--- /dev/null
+++ b/src/coltsfootrill/roles/hub_losses.py
@@ -0,0 +1,48 @@
+"""Logs which hubs a node loses and regains, and when it is without any."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.events.catalog import DependencyLost
+from coltsfootrill.events.catalog import DependencyRegained
+from coltsfootrill.events.catalog import ReplicasChanged
+from coltsfootrill.events.log import EventLog
+
+
+class HubLosses:
+    """Turns what the calls to hubs tell into events; silent once the node is stopping."""
+
+    __slots__ = ("_clock", "_is_stopping", "_log", "_lost_since_ms")
+
+    def __init__(self, log: EventLog, *, clock: Clock, is_stopping: Callable[[], bool]) -> None:
+        self._log = log
+        self._clock = clock
+        self._is_stopping = is_stopping
+        self._lost_since_ms: float | None = None
+
+    def note_lost(self, address: str, reason: str) -> None:
+        """Note that the hub at an address does not reply."""
+        if not self._is_stopping():
+            self._log.emit(DependencyLost(dependency=f"hub {address}", reason=reason))
+
+    def note_regained(self, address: str, lost_for_ms: float) -> None:
+        """Note that a lost hub replies again."""
+        self._log.emit(
+            DependencyRegained(dependency=f"hub {address}", lost_for_ms=round(lost_for_ms, 1))
+        )
+
+    def check(self, *, is_heard: bool, replicas: list[str]) -> None:
+        """Note whether any hub with a majority replies, and who votes when one does again."""
+        now_ms = self._clock.now_ms()
+        if not is_heard and self._lost_since_ms is None:
+            self._lost_since_ms = now_ms
+            self._log.emit(
+                DependencyLost(dependency="control", reason="no hub with a majority replies")
+            )
+        elif is_heard and self._lost_since_ms is not None:
+            lost_for_ms = round(now_ms - self._lost_since_ms, 1)
+            self._lost_since_ms = None
+            self._log.emit(DependencyRegained(dependency="control", lost_for_ms=lost_for_ms))
+            self._log.emit(ReplicasChanged(replicas=replicas))
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -13,21 +13,15 @@
 from coltsfootrill.control.files import FileLayer
 from coltsfootrill.control.founding import found
 from coltsfootrill.control.founding import read_founders
-from coltsfootrill.control.messages import ReadReply
-from coltsfootrill.control.messages import ReadRequest
 from coltsfootrill.control.messages import SubmitReply
 from coltsfootrill.control.messages import SubmitRequest
 from coltsfootrill.control.proposer import NoQuorumError
 from coltsfootrill.control.proposer import UnknownResultError
 from coltsfootrill.control.repair import RepairTask
-from coltsfootrill.control.replica import READ
 from coltsfootrill.control.replica import ControlReplica
 from coltsfootrill.control.submission import SubmitAnswer
 from coltsfootrill.errors import ColtsfootrillError
-from coltsfootrill.events.catalog import DependencyLost
-from coltsfootrill.events.catalog import DependencyRegained
 from coltsfootrill.events.catalog import ManifestSubmitted
-from coltsfootrill.events.catalog import ReplicasChanged
 from coltsfootrill.events.log import EventLog
 from coltsfootrill.manifest.codec import InvalidManifestError
 from coltsfootrill.manifest.codec import ManifestValueError
@@ -48,7 +42,6 @@
 from coltsfootrill.membership.messages import Goodbye
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import ManifestReply
-from coltsfootrill.membership.messages import ManifestRequest
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.naming.scheme import NamingScheme
@@ -57,7 +50,8 @@
 from coltsfootrill.roles.hub_calls import SUBMIT
 from coltsfootrill.roles.hub_calls import HubCalls
 from coltsfootrill.roles.hub_calls import check_known
-from coltsfootrill.rpc import RpcError
+from coltsfootrill.roles.hub_losses import HubLosses
+from coltsfootrill.roles.manifest_copy import ManifestCopy
 from coltsfootrill.rpc import RpcServer
 from coltsfootrill.settings import Address
 from coltsfootrill.settings import Settings
@@ -68,7 +62,6 @@
 SYNC_RETRY_MS = 60.0
 SILENT_GRACE_MS = 3_000.0
 REPAIR_CHECK_MS = 500.0
-FETCH_TIMEOUT_MS = 1_500.0
 GOODBYE_MS = 150.0
 
 
@@ -103,9 +96,8 @@
         self._random = random
         self._log = log
         self._is_member = False
-        self._lost_since_ms: float | None = None
         self._stopping = threading.Event()
-        self._fetching = threading.Lock()
+        self._losses = HubLosses(log, clock=clock, is_stopping=self._stopping.is_set)
         self._repair: RepairTask | None = None
         listen: Address = settings.get("fleet", "listen")
         self._own_address = str(listen)
@@ -126,8 +118,8 @@
             identify=self._identify,
             answer_locally=self.hub.answer,
             on_reply=self._note_reply,
-            on_lost=self._note_hub_lost,
-            on_regained=self._note_hub_regained,
+            on_lost=self._losses.note_lost,
+            on_regained=self._losses.note_regained,
             clock=clock,
             credentials=credentials.channel,
         )
@@ -139,6 +131,9 @@
             interface_port=settings.get("interface", "listen").port,
             random=random,
         )
+        self._copy = ManifestCopy(
+            manifests, own_id=record.id, get_client=self._following.get_client, log=log
+        )
         self._add_methods()
 
     def start(self) -> None:
@@ -169,7 +164,8 @@
         """Do what is due every few hundred milliseconds."""
         self.hub.clean()
         self._following.update_tasks()
-        self._note_dependency()
+        is_heard = self._view.has_current_hub()
+        self._losses.check(is_heard=is_heard, replicas=self._following.replicas)
 
     def note_manifest(self) -> None:
         """Tell the followers that another manifest is in force."""
@@ -300,13 +296,13 @@
             try:
                 state = self._replica.read()
             except ColtsfootrillError:
-                # The loss of the majority is logged by ``_note_dependency``.
+                # The loss of the majority is logged by ``HubLosses``.
                 pause_ms = SYNC_RETRY_MS
                 continue
             pause_ms = SYNC_MS
             self._is_member = self._replica.is_member(state)
             if state.version > self._manifests.version:
-                self._adopt(state.manifest)
+                self._copy.adopt(state.manifest)
             if self._is_member:
                 addresses = [replica.address for replica in state.replicas.values()]
                 self.hub.note_confirmed(addresses)
@@ -317,41 +313,7 @@
             return
         if self._replica is not None:
             self.hub.absorb(reply)
-        if reply.manifest_version > self._manifests.version:
-            self._fetch_manifest(address)
-
-    def _fetch_manifest(self, address: str) -> None:
-        # Several hubs tell of a new manifest at the same time; one copy is enough.
-        if not self._fetching.acquire(blocking=False):
-            return
-        try:
-            raw = self._fetch(address)
-            if raw:
-                self._adopt(raw)
-        except RpcError:
-            # The next reply of a hub tells of it again.
-            return
-        finally:
-            self._fetching.release()
-
-    def _fetch(self, address: str) -> bytes:
-        client = self._following.get_client(address)
-        known = self._manifests.version
-        if known == 0:
-            # The first manifest must come from a majority: a hub that is cut off has an old one.
-            first: ReadReply = client.call(
-                READ, ReadRequest(self._record.id, 0, True), timeout_ms=FETCH_TIMEOUT_MS
-            )
-            return first.manifest if first.is_current else b""
-        reply: ManifestReply = client.call(
-            FETCH_MANIFEST, ManifestRequest(known), timeout_ms=FETCH_TIMEOUT_MS
-        )
-        return reply.raw
-
-    def _adopt(self, raw: bytes) -> None:
-        error = self._manifests.adopt_if_valid(raw)
-        if error is not None:
-            self._log.emit(DependencyLost(dependency="manifest", reason=str(error.exceptions[0])))
+        self._copy.note_version(reply.manifest_version, address)
 
     def _take_shared(self, announcement: Announcement) -> AnnounceReply:
         self.hub.merge(announcement, age_ms=0)
@@ -372,32 +334,9 @@
         except UnknownResultError as error:
             return SubmitReply("unknown", 0, "", str(error))
         if answer.result == "accepted" and answer.version > self._manifests.version:
-            self._adopt(request.raw)
+            self._copy.adopt(request.raw)
         return SubmitReply(answer.result, answer.version, answer.digest, answer.message)
 
-    def _note_hub_lost(self, address: str, reason: str) -> None:
-        if not self._stopping.is_set():
-            self._log.emit(DependencyLost(dependency=f"hub {address}", reason=reason))
-
-    def _note_hub_regained(self, address: str, lost_for_ms: float) -> None:
-        self._log.emit(
-            DependencyRegained(dependency=f"hub {address}", lost_for_ms=round(lost_for_ms, 1))
-        )
-
-    def _note_dependency(self) -> None:
-        is_heard = self._view.has_current_hub()
-        now_ms = self._clock.now_ms()
-        if not is_heard and self._lost_since_ms is None:
-            self._lost_since_ms = now_ms
-            self._log.emit(
-                DependencyLost(dependency="control", reason="no hub with a majority replies")
-            )
-        elif is_heard and self._lost_since_ms is not None:
-            lost_for_ms = round(now_ms - self._lost_since_ms, 1)
-            self._lost_since_ms = None
-            self._log.emit(DependencyRegained(dependency="control", lost_for_ms=lost_for_ms))
-            self._log.emit(ReplicasChanged(replicas=self._following.replicas))
-
 
 def _read_submit_reply(reply: SubmitReply) -> SubmitAnswer:
     """Return the answer in ``reply`` or raise the error that it stands for."""
