--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -60,7 +60,6 @@
             "X-Attempt-Id": request_id,
             "X-Deadline-Milliseconds": str(DEADLINE_MS),
         }
-        sent_ms = now_ms()
         status, body = 0, b""
         try:
             if is_safe:
@@ -74,7 +73,7 @@
                 self._drop()
         except (OSError, http.client.HTTPException):
             self._drop()
-        self._ledger.note_reply(request_id, Reply(status, body, node=self._node, sent_ms=sent_ms))
+        self._ledger.note_reply(request_id, Reply(status, body))
 
     def _connect(self) -> http.client.HTTPConnection:
         if self._connection is None:
--- a/testing/soak/ledger.py
+++ b/testing/soak/ledger.py
@@ -33,14 +33,11 @@
 class Reply:
     """What a caller got: a status, 0 for a connection that ended, and the body."""
 
-    __slots__ = ("body", "ended_ms", "node", "sent_ms", "status")
+    __slots__ = ("body", "status")
 
-    def __init__(self, status: int, body: bytes, *, node: str, sent_ms: float) -> None:
+    def __init__(self, status: int, body: bytes) -> None:
         self.status = status
         self.body = body
-        self.node = node
-        self.sent_ms = sent_ms
-        self.ended_ms = now_ms()
 
 
 class Freeze:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -17,7 +17,6 @@
 from testing.soak.ledger import APPLY_MS
 from testing.soak.ledger import Ledger
 from testing.soak.ledger import Reply
-from testing.soak.ledger import now_ms
 from testing.soak.proxy import FaultProxy
 from testing.soak.upstreams import SoakUpstream
 
@@ -126,9 +125,8 @@
         request_id = f"p{self._random.getrandbits(48):x}"
         self.ledger.note_request(request_id, is_idempotent=True, node=node.host)
         headers = {"Host": "a.example", "X_Attempt_Id": request_id}
-        sent_ms = now_ms()
         status, body = node.call("callers", "GET", f"/y/{request_id}", **headers)
-        self.ledger.note_reply(request_id, Reply(status, body, node=node.host, sent_ms=sent_ms))
+        self.ledger.note_reply(request_id, Reply(status, body))
         return status
 
     def _close(self) -> None:
--- a/testing/soak/test_ledger.py
+++ b/testing/soak/test_ledger.py
@@ -34,7 +34,7 @@
 
 
 def _reply(status: int, body: bytes = b"") -> Reply:
-    return Reply(status, body, node="n1", sent_ms=0)
+    return Reply(status, body)
 
 
 class TestRequests:
