Bring the mutants up to date and add those of nodes and dispatchers

Cause: nine of 28 mutants named code that has changed since, so that scripts/prove.py called them stale, and none covered the node role or dispatchers.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -18,6 +18,11 @@
 
 
 FEATURES = "testing/features/test_promises.py::test_"
+DISPATCH_SERVER = "testing/dispatch/test_server.py::Test"
+DISPATCH_CLIENT = "testing/dispatch/test_client.py::Test"
+HUB = "testing/membership/test_hub.py::Test"
+NODE = "testing/roles/test_node.py::Test"
+REGISTER = "testing/control/test_register.py::Test"
 REQUESTS = "testing/features/test_requests.py::test_"
 OUTCOMES = "testing/proxy/test_outcomes.py::Test"
 CONNECTION = "testing/proxy/test_connection.py::Test"
@@ -42,8 +47,8 @@
     Mutant(
         "a planned stop of an entry instance cuts nothing",
         "proxy/server.py",
-        "if any(connection.is_busy for connection in connections):",
-        "if False:",
+        "            return not self._in_progress and not self._connections\n",
+        "            return True\n",
         FEATURES + "a_planned_stop_of_an_entry_instance_cuts_no_request",
     ),
     Mutant(
@@ -105,15 +110,16 @@
     Mutant(
         "a non-idempotent request runs at most once",
         "balancer/retry.py",
-        '    if failure != "shed" and not kind.idempotent:\n        return False\n',
+        '    if failure not in ("shed", "misdirected") and not kind.idempotent:\n'
+        "        return False\n",
         "",
         OUTCOMES + "AtMostOnce",
     ),
     Mutant(
         "a non-idempotent request has a fresh connection",
-        "proxy/forward.py",
-        "must_be_fresh=not self._kind.idempotent",
-        "must_be_fresh=False",
+        "proxy/pools.py",
+        "        if is_idempotent:\n",
+        "        if True:\n",
         OUTCOMES + "AtMostOnce",
     ),
     Mutant(
@@ -126,15 +132,15 @@
     Mutant(
         "bytes after an answer meet no other request",
         "proxy/connection.py",
-        "is_whole = reader.is_complete and not has_surplus",
-        "is_whole = True",
+        "self.is_reusable = reader.is_reusable",
+        "self.is_reusable = True",
         CONNECTION + "WholeAnswers",
     ),
     Mutant(
         "late bytes meet no other request",
         "proxy/connection.py",
-        "age_ms < IDLE_MAX_MS and connection.is_idle_clean()",
-        "age_ms < IDLE_MAX_MS",
+        "age_ms < connection.idle_max_ms and connection.is_idle_clean()",
+        "age_ms < connection.idle_max_ms",
         CONNECTION + "WholeAnswers",
     ),
     Mutant(
@@ -153,8 +159,8 @@
     ),
     Mutant(
         "work on a silent connection moves to a fresh one",
-        "proxy/forward.py",
-        "after_ms = min(after_ms, self._get_silence_ms())",
+        "proxy/extra.py",
+        "after_ms = min(after_ms, get_silence_ms(gate, kind))",
         "pass",
         OUTCOMES + "SilentConnections",
     ),
@@ -175,14 +181,15 @@
     Mutant(
         "a non-idempotent request runs at most once, over real processes",
         "balancer/retry.py",
-        '    if failure != "shed" and not kind.idempotent:\n        return False\n',
+        '    if failure not in ("shed", "misdirected") and not kind.idempotent:\n'
+        "        return False\n",
         "",
         REQUESTS + "a_nonidempotent_request_runs_at_most_once",
     ),
     Mutant(
         "silent connections to upstreams, over real processes",
-        "proxy/forward.py",
-        "after_ms = min(after_ms, self._get_silence_ms())",
+        "proxy/extra.py",
+        "after_ms = min(after_ms, get_silence_ms(gate, kind))",
         "pass",
         REQUESTS + "open_connections_to_an_upstream_go_silent_while_new_ones_work",
     ),
@@ -210,7 +217,7 @@
     Mutant(
         "a caller that leaves is cancelled upstream",
         "proxy/forward.py",
-        "poller.register(self._request.caller, select.POLLRDHUP)",
+        "poller.register(watch.fileno(), watch.events)",
         "pass",
         OUTCOMES + "Callers",
     ),
@@ -221,4 +228,88 @@
         "False",
         DECISIONS + "Admission",
     ),
+    Mutant(
+        "a leaving upstream is acknowledged once a majority knows it",
+        "membership/hub.py",
+        "        if not self._share(announcement):\n",
+        "        if False:\n",
+        HUB + "Acknowledgements",
+    ),
+    Mutant(
+        "a replica without a majority takes no announcement",
+        "membership/hub.py",
+        "        if not self.is_current():\n            return AnnounceReply(",
+        "        if False:\n            return AnnounceReply(",
+        HUB + "Acknowledgements",
+    ),
+    Mutant(
+        "a silent upstream gets no new work",
+        "membership/hub.py",
+        "SILENT_AFTER_MS = 5_000.0",
+        "SILENT_AFTER_MS = 5_000_000.0",
+        HUB + "Following",
+    ),
+    Mutant(
+        "upstreams are known after all power was lost",
+        "membership/hub.py",
+        "[] if snapshot is None else snapshot.read()",
+        "[]",
+        HUB + "Following",
+    ),
+    Mutant(
+        "a lost disk is admitted again, over real processes",
+        "control/repair.py",
+        "        for replica_id, fault in faults.items():\n",
+        "        for replica_id, fault in {}.items():\n",
+        NODE + "LostPower",
+    ),
+    Mutant(
+        "a replica is not told again what its own disk holds",
+        "control/proposer.py",
+        "Inspect(self._replica_id, held.ballot)",
+        "Inspect(self._replica_id, ZERO_BALLOT)",
+        REGISTER + "Submitting",
+    ),
+    Mutant(
+        "a hub that never replied is logged as lost",
+        "membership/following.py",
+        "boot or self._clock.now_ms() - start_ms >= self._first_reply_ms",
+        "boot",
+        "testing/membership/test_following.py::TestSilentHubs",
+    ),
+    Mutant(
+        "a dispatcher gives a slot away once",
+        "balancer/pool.py",
+        "        note_start(load, token=self._turn, now_ms=now_ms, usual_ms=usual_ms * pace)\n",
+        "",
+        DISPATCH_SERVER + "OneQueueForAll",
+    ),
+    Mutant(
+        "ends that were never told are found by reports",
+        "balancer/load.py",
+        "    if excess <= 0:\n",
+        "    if True:\n",
+        DISPATCH_SERVER + "ReportsAndGrants",
+    ),
+    Mutant(
+        "a repeated question takes no second slot",
+        "dispatch/server.py",
+        "        if entry is not None:\n            entry.renewed_ms = now_ms\n",
+        "        if False:\n            entry.renewed_ms = now_ms\n",
+        DISPATCH_SERVER + "Renewals",
+    ),
+    Mutant(
+        "an instance whose dispatcher is lost asks the next one",
+        "dispatch/client.py",
+        "            if now_ms - down_since_ms >= DOWN_MS:\n",
+        "            if True:\n",
+        DISPATCH_CLIENT + "DispatchersThatAreLost",
+    ),
+    Mutant(
+        "a grant that comes too late is handed back",
+        "dispatch/client.py",
+        "if pending is None and isinstance(reply, Granted):",
+        "if False:",
+        DISPATCH_CLIENT + "LostDatagrams",
+    ),
 ]
