--- a/src/coltsfootrill/roles/hub_losses.py
+++ b/src/coltsfootrill/roles/hub_losses.py
@@ -12,7 +12,7 @@
 
 
 class HubLosses:
-    """Turns what the calls to hubs tell into events; silent once the node is stopping."""
+    """Turns what the calls to hubs tell into events; a stopping node tells no losses."""
 
     __slots__ = ("_clock", "_is_stopping", "_log", "_lost_since_ms")
 
