Keep both soaks in one place

scripts/soak.py, the soak of entry instances and control replicas, is testing/soak/entry_fleet.py now; make soak-entry runs it.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	$(BIN)/python -m testing.soak 10 $(SOAK_SEED) 20
 
 soak-entry: $(VENV)/.ready
-	$(BIN)/python scripts/soak.py 600 1
+	$(BIN)/python -m testing.soak.entry_fleet 600 1
 
 clean:
 	rm -rf $(VENV) build dist src/*.egg-info
--- a/scripts/soak.py
+++ b/testing/soak/entry_fleet.py
@@ -1,6 +1,6 @@
 """A long replay of both workloads while instances are killed, frozen and stopped, seeded.
 
-Usage: soak.py DURATION_S SEED [ENTRIES] [RATE]
+Usage: ``python -m testing.soak.entry_fleet DURATION_S SEED [ENTRIES] [RATE]``.
 Counts violations of each promise; exits with 1 when there is one.
 """
 
@@ -16,7 +16,7 @@
 from pathlib import Path
 from random import Random
 
-ROOT = Path(__file__).resolve().parent.parent
+ROOT = Path(__file__).resolve().parents[2]
 PROGRAM = str(ROOT / ".venv/bin/coltsfootrill")
 BASE = 27_500
 RENEW_FLEET_S = 60
