Admit remote attempts by the same demand as local ones, and inspect replicas in one way

Cause: read once more, the parameters of an attempt stood a second time in admit_remote beside AttemptDemand, and a replica built the same inspection in three places.

Change: admit_remote takes an AttemptDemand; _inspect asks a replica, less a state known here. Behaviour and tests are the same.

Ruled out: one accept loop for the stand-ins of tests and soak (they differ in what they count).

Conclusion: one type for what an attempt asks for, on both sides.

--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -162,8 +162,7 @@
         ``UnknownResultError`` as ``submit`` does.
         """
         try:
-            request = Inspect(self.id, self._register.known_ballot)
-            inspection = self._call_inspect(address, request)
+            inspection = self._inspect(address)
         except ColtsfootrillError as error:
             raise RepairError(f"the new replica does not answer: {error}") from error
         change = ReplicaChange(
@@ -181,9 +180,8 @@
 
     def find_faulty(self, state: ControlState) -> dict[str, FaultKind]:
         """Return the voting replicas that do not answer, or lost their state, with the fault."""
-        request = Inspect(self.id, self._register.known_ballot)
         inspections = {
-            replica_id: self._executor.submit(self._call_inspect, replica.address, request)
+            replica_id: self._executor.submit(self._inspect, replica.address)
             for replica_id, replica in state.replicas.items()
         }
         faults: dict[str, FaultKind] = {}
@@ -200,7 +198,7 @@
     def answers(self, address: str) -> bool:
         """Return whether the replica at an address is able to vote."""
         try:
-            self._call_inspect(address, Inspect(self.id, self._register.known_ballot))
+            self._inspect(address)
         except ColtsfootrillError:
             return False
         return True
@@ -288,6 +286,10 @@
         accepted: Accepted = self._call(address, ACCEPT, request)
         return accepted
 
+    def _inspect(self, address: str) -> Inspection:
+        """Return what the replica at an address accepted last, less a state that is known here."""
+        return self._call_inspect(address, Inspect(self.id, self._register.known_ballot))
+
     def _call_inspect(self, address: str, request: Inspect) -> Inspection:
         if address == self._address:
             return self.acceptor.inspect(request)
--- a/src/coltsfootrill/dispatch/server.py
+++ b/src/coltsfootrill/dispatch/server.py
@@ -27,6 +27,7 @@
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.membership.datagrams import DatagramPort
 from coltsfootrill.proxy.gate import ServiceGate
+from coltsfootrill.proxy.request import AttemptDemand
 from coltsfootrill.proxy.request import RequestTimes
 from coltsfootrill.proxy.tickets import Ticket
 
@@ -141,18 +142,19 @@
         )
         with self._lock:
             self._entry_by_key[(sender, ask.token)] = entry
+        times = RequestTimes(
+            arrived_ms=now_ms - ask.waited_ms, deadline_ms=entry.deadline_ms, age_ms=ask.age_ms
+        )
         entry.ticket = gate.admit_remote(
-            service,
-            _read_kind(ask),
-            RequestTimes(
-                arrived_ms=now_ms - ask.waited_ms,
-                deadline_ms=entry.deadline_ms,
-                age_ms=ask.age_ms,
+            AttemptDemand(
+                service,
+                _read_kind(ask),
+                times,
+                exclude=frozenset(ask.exclude),
+                extra_within_ms=_read_within_ms(ask),
             ),
-            exclude=frozenset(ask.exclude),
             origin=Origin(ask.zone, self._answers.list_warm(sender, now_ms)),
             usual_ms=ask.usual_ms,
-            extra_within_ms=_read_within_ms(ask),
             on_settled=lambda ticket: self._send(sender, _find_reply(ask.token, ticket)),
         )
         if not entry.ticket.is_settled:
--- a/src/coltsfootrill/proxy/gate.py
+++ b/src/coltsfootrill/proxy/gate.py
@@ -118,31 +118,32 @@
 
     def admit_remote(
         self,
-        service: Service,
-        kind: Kind,
-        times: RequestTimes,
+        demand: AttemptDemand,
         *,
-        exclude: frozenset[str],
         origin: Origin,
         usual_ms: float,
-        extra_within_ms: float | None,
         on_settled: Callable[[Ticket], None],
     ) -> Ticket:
         """Choose an upstream for an attempt that another instance makes, now or later.
 
-        ``usual_ms`` is what that instance knows of the latency of the kind. With
-        ``extra_within_ms`` it is an attempt beside another one, which does not wait.
+        ``usual_ms`` is what that instance knows of the latency of the kind.
         """
+        kind = demand.kind
         with self._lock:
             now_ms = self._clock.now_ms()
-            self._update_pool(service, now_ms)
+            self._update_pool(demand.service, now_ms)
             self._pool.get_latency(kind.id).seed(usual_ms)
-            waiter = self._granting.make_waiter(kind, times)
-            ticket = Ticket(waiter, kind, exclude=exclude, on_settled=on_settled, origin=origin)
-            if extra_within_ms is None:
+            ticket = Ticket(
+                self._granting.make_waiter(kind, demand.times),
+                kind,
+                exclude=demand.exclude,
+                on_settled=on_settled,
+                origin=origin,
+            )
+            if demand.extra_within_ms is None:
                 self._granting.admit(ticket, now_ms)
             else:
-                self._granting.admit_extra(ticket, extra_within_ms, now_ms)
+                self._granting.admit_extra(ticket, demand.extra_within_ms, now_ms)
             return ticket
 
     def end_remote(self, ticket: Ticket, result: Result, report: LoadReport | None) -> None:
