Bound the bytes that are read without an answer

Cause: the parser passes on a header only once it is complete, and chunk sizes and extensions never, so the bounds on head and body saw nothing of them. Of 13 kinds of endless bytes nine were read until the deadline, header values with quadratic cost; a body in small chunks took nine times its size. Ruled out: timers that a trickle resets; there are none, the deadline of a read is absolute. Change: the reader bounds the bytes of a head, all received bytes, and the answers to other requests that it skips; a body is collected in one buffer. Conclusion: an endless answer ends early and its connection with it. Left: bodies up to the bound are held for each connection, so many such upstreams at once could still exceed a small instance's memory.

--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -12,6 +12,10 @@
 
 ANSWER_MAX_BYTES = 8 * 1024 * 1024
 HEAD_MAX_BYTES = 64 * 1024
+# Includes the framing of chunks, trailers, and late answers to earlier requests that are skipped.
+RECEIVED_MAX_BYTES = 2 * ANSWER_MAX_BYTES
+# An upstream sends few answers to earlier requests; one that keeps sending them is in trouble.
+SKIPPED_ANSWERS_MAX_COUNT = 16
 _KEEP_ALIVE_TIMEOUT = "timeout="
 
 
@@ -70,8 +74,7 @@
     """Collects the answers on a connection; ``httptools`` calls the ``on_`` methods."""
 
     __slots__ = (
-        "_body_bytes",
-        "_chunks",
+        "_body",
         "_get_status",
         "_headers",
         "_is_head_request",
@@ -98,8 +101,7 @@
         """Reset the state for the next answer."""
         self._reason = b""
         self._headers: list[Header] = []
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self.lengths: set[str] = set()
         self.has_chunks = False
         self.has_head = False
@@ -149,10 +151,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Store part of the body; raise ``ReadError`` if it grows too large."""
-        self._body_bytes += len(data)
-        if self._body_bytes > ANSWER_MAX_BYTES:
+        self._body += data
+        if len(self._body) > ANSWER_MAX_BYTES:
             raise ReadError(f"the body of the answer exceeds {ANSWER_MAX_BYTES} bytes")
-        self._chunks.append(data)
 
     def on_message_complete(self) -> None:
         """Finish an answer whose length or last chunk marks its end."""
@@ -178,7 +179,7 @@
                 status=self.status,
                 reason=self._reason.decode("latin-1"),
                 headers=self._headers,
-                body=b"".join(self._chunks),
+                body=bytes(self._body),
             )
         )
         self.on_message_begin()
@@ -188,10 +189,21 @@
     """Parses bytes of a connection until the answer to a request is complete.
 
     Answers that belong to another request are skipped. ``has_surplus`` is then true, and the
-    connection must not be reused.
+    connection must not be reused. The parser passes on a header only once it is complete, and
+    chunk extensions never, so the received bytes are bounded here as well.
     """
 
-    __slots__ = ("_collector", "_echo", "_is_fresh", "_is_head_request", "_parser", "has_surplus")
+    __slots__ = (
+        "_bytes_without_head",
+        "_collector",
+        "_echo",
+        "_is_fresh",
+        "_is_head_request",
+        "_parser",
+        "_received_bytes",
+        "_skipped_count",
+        "has_surplus",
+    )
 
     def __init__(self, method: str, echo: AnswerEcho, *, is_fresh: bool) -> None:
         self._echo = echo
@@ -199,6 +211,9 @@
         self._is_head_request = method == "HEAD"
         self._collector = _MessageCollector(self._get_status, is_head_request=self._is_head_request)
         self._parser = httptools.HttpResponseParser(self._collector)
+        self._received_bytes = 0
+        self._skipped_count = 0
+        self._bytes_without_head = 0
         self.has_surplus = False
 
     @property
@@ -229,7 +244,26 @@
                 ) from error
             self.has_surplus = True
             return answer
-        return self._take_matching()
+        skipped_count = len(self._collector.messages)
+        answer = self._take_matching()
+        if answer is None:
+            self._check_progress(len(data), skipped_count)
+        return answer
+
+    def _check_progress(self, received_bytes: int, skipped_count: int) -> None:
+        """Count what arrived without completing the answer; raise ``ReadError`` beyond a limit."""
+        self._skipped_count += skipped_count
+        if self._skipped_count > SKIPPED_ANSWERS_MAX_COUNT:
+            raise ReadError(f"{self._skipped_count} answers to other requests arrived instead")
+        self._received_bytes += received_bytes
+        if self._received_bytes > RECEIVED_MAX_BYTES:
+            raise ReadError(f"no complete answer within {RECEIVED_MAX_BYTES} bytes")
+        if self._collector.has_head or skipped_count:
+            self._bytes_without_head = 0
+            return
+        self._bytes_without_head += received_bytes
+        if self._bytes_without_head > HEAD_MAX_BYTES:
+            raise ReadError(f"the head of the answer exceeds {HEAD_MAX_BYTES} bytes")
 
     def feed_end(self) -> UpstreamAnswer | None:
         """Handle the end of the stream; return the answer if that completes it."""
--- a/testing/proxy/test_connection.py
+++ b/testing/proxy/test_connection.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+import tracemalloc
 from collections.abc import Callable
 from collections.abc import Iterator
 
@@ -11,6 +12,8 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.proxy.answer import ANSWER_MAX_BYTES
+from coltsfootrill.proxy.answer import RECEIVED_MAX_BYTES
+from coltsfootrill.proxy.answer import AnswerEcho
 from coltsfootrill.proxy.answer import ReadError
 from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.connection import ConnectError
@@ -157,6 +160,69 @@
                 assert str(error)
 
 
+def _send_endlessly(start: bytes, part: bytes) -> Script:
+    """Return a script that repeats ``part`` after ``start`` until the caller closes."""
+
+    def script(sock: socket.socket, head: bytes, number: int) -> bool:
+        sock.sendall(start)
+        block = part * (65_536 // len(part) + 1)
+        while True:
+            sock.sendall(block)
+
+    return script
+
+
+_OK = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED = _OK + b"transfer-encoding: chunked\r\n\r\n"
+
+
+class TestEndlessBytes:
+    """An upstream in trouble sends bytes that never become an answer."""
+
+    @pytest.mark.parametrize(
+        ("start", "part"),
+        [
+            pytest.param(b"", b"\0", id="not-http"),
+            pytest.param(b"", b"\r\n", id="empty-lines"),
+            pytest.param(b"HTTP/1.1 200 ", b"a", id="reason"),
+            pytest.param(_OK + b"x-a", b"a", id="header-name"),
+            pytest.param(_OK + b"x-a: ", b"a", id="header-value"),
+            pytest.param(_OK, b"x-a: b\r\n", id="headers"),
+            pytest.param(_OK + b"\r\n", b"a", id="body-without-length"),
+            pytest.param(_CHUNKED, b"5\r\nhello\r\n", id="chunks"),
+            pytest.param(_CHUNKED, b"0", id="chunk-size"),
+            pytest.param(_CHUNKED + b"5;", b"a", id="chunk-extension"),
+            pytest.param(_CHUNKED + b"0\r\n", b"x-a: b\r\n", id="trailers"),
+            pytest.param(_CHUNKED + b"0\r\nx-a: ", b"a", id="trailer-value"),
+            pytest.param(b"", encode(extra="x-id: other\r\n"), id="answers-to-other-requests"),
+        ],
+    )
+    def test_answer_is_rejected_within_a_bound_and_before_the_deadline(
+        self, serve: Serve, start: bytes, part: bytes
+    ) -> None:
+        upstream = serve(_send_endlessly(start, part))
+        clock = Clock()
+        connection = ConnectionPool(upstream.address, clock=clock).open(1_000)
+        deadline_ms = clock.now_ms() + 20_000
+        connection.send(HEAD, b"", deadline_ms=deadline_ms)
+        tracemalloc.start()
+        try:
+            with pytest.raises(ReadError) as caught:
+                connection.read("GET", deadline_ms=deadline_ms, echo=AnswerEcho("x-id", "own"))
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+            connection.close()
+        assert "deadline" not in str(caught.value)
+        assert peak_bytes < 3 * RECEIVED_MAX_BYTES
+
+    def test_surplus_after_a_complete_answer_ends_with_the_connection(self, serve: Serve) -> None:
+        upstream = serve(_send_endlessly(encode(b"hello") + b"a", b"a"))
+        pool = ConnectionPool(upstream.address, clock=Clock())
+        assert _call(pool).body == b"hello"
+        assert pool.take_idle() is None
+
+
 class TestPool:
     def test_connection_closed_by_the_upstream_is_not_reused(self, serve: Serve) -> None:
         upstream = serve(send_raw(encode(b"x"), keeps_open=False))
