Let requests wait for the first manifest while an instance starts

Cause: after the loss of all power callers return before any instance has a manifest. On six local nodes that restart together, the manifest comes 5 to 20 ms after the callers' port is open; the 1.2 to 1.6 s before it are the start of the process. Ruled out: a manifest kept on the disk of each node; one that was cut off could serve an old version. Change: a request waits for the first manifest up to half of its stated timeout, within five seconds of the start; it is refused at once afterwards, and the wait ends when the caller leaves.

--- a/src/coltsfootrill/manifest/holder.py
+++ b/src/coltsfootrill/manifest/holder.py
@@ -22,7 +22,16 @@
     last of its requests ends. ``count_live_tables`` returns how many are still in memory.
     """
 
-    __slots__ = ("_format", "_live_tables", "_lock", "_on_adopt", "_raw", "_schemes", "current")
+    __slots__ = (
+        "_format",
+        "_has_first",
+        "_live_tables",
+        "_lock",
+        "_on_adopt",
+        "_raw",
+        "_schemes",
+        "current",
+    )
 
     def __init__(
         self,
@@ -37,6 +46,7 @@
         self._lock = threading.Lock()
         self._raw = b""
         self._live_tables: weakref.WeakSet[RoutingTable] = weakref.WeakSet()
+        self._has_first = threading.Event()
         self.current: RoutingTable | None = None
 
     @property
@@ -59,6 +69,7 @@
             self.current = table
             self._live_tables.add(table)
             self._on_adopt(previous, table)
+        self._has_first.set()
         return True
 
     def adopt_if_valid(self, raw: bytes) -> InvalidManifestError | None:
@@ -69,6 +80,11 @@
             return error
         return None
 
+    def wait_for_first(self, timeout_ms: float) -> RoutingTable | None:
+        """Return the table in force; wait up to ``timeout_ms`` for the first one."""
+        self._has_first.wait(timeout_ms / 1000)
+        return self.current
+
     def read_newer(self, known_version: int) -> tuple[int, bytes]:
         """Return the version in force, and its bytes if it is newer than ``known_version``.
 
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -29,6 +29,7 @@
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
+from coltsfootrill.proxy.first_manifest import FirstManifestWait
 from coltsfootrill.proxy.forward import RequestForwarder
 from coltsfootrill.proxy.headers import DEPTH_HEADER
 from coltsfootrill.proxy.headers import DEPTH_MAX
@@ -108,6 +109,7 @@
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
+        self._first_manifest = FirstManifestWait(manifests, clock=clock)
         self.controllers_by_service: dict[str, AdmissionController] = {}
         self.pools = ConnectionPools(clock, once_idle_max_ms=once_idle_max_ms)
         self.reports = LoadReportCache(clock)
@@ -199,7 +201,11 @@
                 "this instance has too many requests in progress",
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
-        table = self._manifests.current
+        table = self._manifests.current or self._first_manifest.wait(
+            arrived_ms=request.arrived_ms,
+            timeout_ms=parse_deadline_ms(request.get_header(self._dialect.deadline)),
+            has_caller_left=request.monitor.has_caller_left,
+        )
         if table is None:
             raise NotRunError(
                 "503 Service Unavailable",
