Expect a share of the target until there is an answer, and give up connecting sooner

Without an answer yet, requests were expected to take 10 ms, so each one in progress made its upstream an outlier. One node of zone d got its manifest 1.00 s after it had started, all others after 0.1 to 0.3 s: its first packet to a peer that was still without power was lost, and the kernel repeats that packet after a second. Ruled out: elections and reads of the replicas; all other nodes had the manifest at once. Change: kinds with a target are expected to take 0.4 of it until the first answer; an attempt to connect to a peer ends after 0.3 s.

--- a/src/coltsfootrill/balancer/latency.py
+++ b/src/coltsfootrill/balancer/latency.py
@@ -79,7 +79,7 @@
             self._ordered = sorted(self._window)
 
     def seed(self, typical_ms: float) -> None:
-        """Use the typical latency of another instance until there is an answer."""
+        """Use an expected latency, or that of another instance, until there is an answer."""
         if self._typical_count == 0 and typical_ms > 0:
             self.typical_ms = typical_ms
 
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -49,6 +49,9 @@
 # shows requests waiting.
 MARGIN_STEP_UP = 0.02
 MARGIN_STEP_DOWN = 0.005
+# Targets leave room for a slow attempt, so most answers take less than half of the target. Without
+# an expected latency, the first requests after a restart would all appear to be slow.
+EXPECTED_SHARE_OF_TARGET = 0.4
 
 
 class ServicePool:
@@ -99,6 +102,9 @@
         """Replace the upstreams by those usable now under the manifest in force."""
         if isinstance(self.retry_budget, RetryBudget):
             self.retry_budget.share = service.retry_share
+        for kind in service.kinds:
+            if kind.target_ms is not None:
+                self.get_latency(kind.id).seed(EXPECTED_SHARE_OF_TARGET * kind.target_ms)
         wanted = {
             record.announcement.id: record
             for record in records
--- a/src/coltsfootrill/rpc.py
+++ b/src/coltsfootrill/rpc.py
@@ -19,6 +19,7 @@
 MESSAGE_MAX_BYTES = 16 * 1024 * 1024
 # Compressing a smaller message takes more time than it saves on a link of low bandwidth.
 COMPRESSED_MIN_BYTES = 1_024
+CONNECT_TIMEOUT_MS = 300
 _FAILURES_BEFORE_RECONNECT = 2
 _OPTIONS = (
     ("grpc.max_receive_message_length", MESSAGE_MAX_BYTES),
@@ -26,6 +27,9 @@
     ("grpc.enable_http_proxy", 0),
     ("grpc.so_reuseport", 0),
     ("grpc.use_local_subchannel_pool", 1),
+    # Also the time after which an attempt to connect is given up. A host that has just lost power
+    # does not answer, and the kernel sends the opening packet again only after a second.
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 500),
 )
--- a/testing/balancer/test_overload.py
+++ b/testing/balancer/test_overload.py
@@ -214,3 +214,44 @@
         fleet.report("u0", 0, pace=7, at_ms=NOW_MS)
         fleet.report("u1", 1, at_ms=NOW_MS)
         assert not fleet.may_start(SlotRequirement(within_ms=200, is_spare=True))
+
+
+class TestRestartUnderLoad:
+    """A restarted instance gets its usual load before it knows how long any request takes."""
+
+    def _restart(self) -> Fleet:
+        fleet = Fleet(6)
+        fleet.pool.latency_by_kind.clear()
+        service = Service(id="work", upstreams=["*"], kinds=[fleet.kind])
+        records = [make_usable_record(upstream_id) for upstream_id in fleet.pool.by_id]
+        fleet.pool.update(service, records, NOW_MS)
+        return fleet
+
+    def test_upstreams_are_not_ejected_for_the_usual_latency(self) -> None:
+        fleet = self._restart()
+        claims = [
+            fleet.pool.acquire(fleet.kind, NOW_MS, exclude=frozenset({"u2", "u3", "u4", "u5"}))
+            for _ in range(4)
+        ]
+        assert all(claims)
+        assert fleet.pool.eject_outliers(NOW_MS + WORK_MS) == []
+        for claim in claims:
+            assert claim is not None
+            fleet.pool.end_answered(claim, None, NOW_MS + WORK_MS)
+        assert fleet.pool.eject_outliers(NOW_MS + WORK_MS) == []
+
+    def test_an_upstream_that_does_not_answer_within_four_times_the_target_is_ejected(
+        self,
+    ) -> None:
+        fleet = self._restart()
+        claim = fleet.pool.acquire(fleet.kind, NOW_MS, exclude=frozenset())
+        assert claim is not None and fleet.kind.target_ms is not None
+        ejected = fleet.pool.eject_outliers(NOW_MS + 4 * fleet.kind.target_ms)
+        assert [load.id for load in ejected] == [claim.load.id]
+
+    def test_the_first_answer_replaces_the_expected_latency(self) -> None:
+        fleet = self._restart()
+        claim = fleet.pool.acquire(fleet.kind, NOW_MS, exclude=frozenset())
+        assert claim is not None
+        fleet.pool.end_answered(claim, None, NOW_MS + WORK_MS / 2)
+        assert fleet.pool.get_latency("k").typical_ms == WORK_MS / 2
