Name the test classes of the new mutants

Ruled out: stale texts; each occurs once. Change: names of classes, a shorter text to replace. Measured: linter clean, testing/test_mutants.py passes, the shortened mutant is seen. Conclusion: green again.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -328,13 +328,13 @@
         "proxy/first_manifest.py",
         "        while table is None and not has_caller_left():\n",
         "        while False:\n",
-        "testing/proxy/test_first_manifest.py",
+        "testing/proxy/test_first_manifest.py::TestRestartOfAWholeFleet",
     ),
     Mutant(
         "usual latencies eject no upstream after a restart",
         "balancer/pool.py",
-        "                self.get_latency(kind.id).seed(EXPECTED_SHARE_OF_TARGET * kind.target_ms)\n",
-        "                pass\n",
+        ".seed(EXPECTED_SHARE_OF_TARGET * kind.target_ms)\n",
+        "\n",
         "testing/balancer/test_overload.py::TestRestartUnderLoad",
     ),
     Mutant(
@@ -342,13 +342,13 @@
         "rpc.py",
         "CONNECT_TIMEOUT_MS = 300\n",
         "CONNECT_TIMEOUT_MS = 20_000\n",
-        "testing/test_rpc.py",
+        "testing/test_rpc.py::TestSilentHost",
     ),
     Mutant(
         "unchanged loads are not sent to other zones each time",
         "membership/load_changes.py",
         "        return _differs(sent.report, entry.report)\n",
         "        return True\n",
-        "testing/membership/test_load_changes.py",
+        "testing/membership/test_load_changes.py::TestChangedLoads",
     ),
 ]
