Parse a setting in one place, and say why a dispatcher denies

Cause: left by earlier work: the remedy of a setting was built twice, a docstring had lost that a policy may estimate nothing, and a dispatcher that lacks a service was logged as stopping. Ruled out: a change of what is accepted or retried. Change: one function parses a setting; the log names the three causes for which a dispatcher denies. Tests of dispatch and settings pass.

--- a/src/coltsfootrill/dispatch/client.py
+++ b/src/coltsfootrill/dispatch/client.py
@@ -36,6 +36,7 @@
 RENEWAL_INTERVAL_MS = 120.0
 # While it waits, a request checks at this interval whether its caller has disconnected.
 WAIT_POLL_INTERVAL_MS = 20.0
+_UNAVAILABLE_REASON = "it is stopping, or has no such service or no usable upstream of it"
 # A dispatcher that did not reply is tried again by the first request after this time.
 DISPATCHER_BACKOFF_MS = 1_500.0
 # Rankings of dispatchers are cached for this time.
@@ -124,7 +125,7 @@
             )
         if isinstance(reply, Denied) and reply.reason != "unavailable":
             return reply
-        reason = "it is stopping" if isinstance(reply, Denied) else "no reply in time"
+        reason = _UNAVAILABLE_REASON if isinstance(reply, Denied) else "no reply in time"
         self._record_loss(dispatcher, reason)
         return None
 
--- a/src/coltsfootrill/proxy/admission_controller.py
+++ b/src/coltsfootrill/proxy/admission_controller.py
@@ -184,7 +184,7 @@
     ) -> Claim | None:
         """Return an upstream outside ``exclude`` without waiting, ``None`` if there is none.
 
-        The policy expects it to answer within ``within_ms``.
+        The policy expects it to answer within ``within_ms``, as far as it can estimate latencies.
         """
         now_ms = self._clock.now_ms()
         times = RequestTimes(arrived_ms=now_ms, deadline_ms=now_ms + SECOND_ATTEMPT_TIMEOUT_MS)
--- a/src/coltsfootrill/settings.py
+++ b/src/coltsfootrill/settings.py
@@ -249,15 +249,10 @@
             if not (value or "").strip() and setting.default is not None:
                 # Files made from a template contain empty values where the value is not known.
                 value = setting.default
-            if value is None:
-                remedy = f"expected {setting.accepted}"
-                problems.append(SettingError(setting.section, setting.key, None, remedy))
-                continue
             try:
-                by_key[setting.section, setting.key] = setting.parse(value.strip())
-            except (ValueError, OSError):
-                remedy = f"expected {setting.accepted}"
-                problems.append(SettingError(setting.section, setting.key, value, remedy))
+                by_key[setting.section, setting.key] = _parse_value(setting, value)
+            except SettingError as error:
+                problems.append(error)
         problems.extend(_find_unknown(parser, known))
         if problems:
             raise InvalidSettingsError("settings refused", problems)
@@ -276,6 +271,17 @@
         return self._by_key[section, key]
 
 
+def _parse_value(setting: Setting[T], value: str | None) -> T:
+    """Return the parsed value; raise ``SettingError`` if it is missing or not accepted."""
+    try:
+        if value is None:
+            raise ValueError("missing")
+        return setting.parse(value.strip())
+    except (ValueError, OSError) as error:
+        remedy = f"expected {setting.accepted}"
+        raise SettingError(setting.section, setting.key, value, remedy) from error
+
+
 def _find_unknown(
     parser: configparser.ConfigParser, known: Sequence[Setting[Any]]
 ) -> list[SettingError]:
