Send the heartbeats of upstreams to the hub of their zone

An upstream stayed with the node that it had found first, or with a random hub: with five zones four of five heartbeats crossed a zone boundary, about 30 a second with 47 upstreams. Ruled out: rarer heartbeats; the platform sets their interval. Change: the answer names a current hub of the upstream's zone; without one, things are as before. Measured: new tests of the view and of four nodes; tests of node role, hub, platform and requests pass.

--- a/src/coltsfootrill/membership/view.py
+++ b/src/coltsfootrill/membership/view.py
@@ -116,6 +116,14 @@
             ]
             return [hub for _, hub in sorted(current, reverse=True)]
 
+    def find_current_hub(self, zone: str) -> str | None:
+        """Return the address of a current hub in an availability zone, if one is known."""
+        zone_by_address = {record.address: record.zone for record in self.list_instances()}
+        for hub in self.list_current_hubs():
+            if zone_by_address.get(hub) == zone:
+                return hub
+        return None
+
     def _find_live(self, hub: str, reply: FollowReply) -> frozenset[str]:
         before = self._state_by_hub.get(hub)
         known = frozenset() if reply.is_whole or before is None else before.live
--- a/src/coltsfootrill/operators/interface.py
+++ b/src/coltsfootrill/operators/interface.py
@@ -19,7 +19,8 @@
     def announce(self, announcement: Announcement) -> str | None:
         """Store an announcement and return the address for later ones.
 
-        The address is that of the hub that acknowledged it, ``None`` if this node's hub did.
+        The address is that of a hub in the upstream's availability zone if there is one, otherwise
+        that of the hub that acknowledged it; ``None`` stands for this node.
         Raises ``NoQuorumError`` if no majority of the replicas acknowledges it.
         """
 
--- a/src/coltsfootrill/roles/hub_client.py
+++ b/src/coltsfootrill/roles/hub_client.py
@@ -97,7 +97,11 @@
             return reply
 
         address, _ = self._call_first_available(call_hub)
-        return str(Address(split_address(address)[0], self._interface_port))
+        return self.get_interface_address(address)
+
+    def get_interface_address(self, hub: str) -> str:
+        """Return the address of a hub's control interface, whose port is the same on all nodes."""
+        return str(Address(split_address(hub)[0], self._interface_port))
 
     def submit(self, request: SubmitRequest) -> SubmitReply:
         """Forward a manifest to a hub; the result is ``unknown`` when no call succeeds.
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -172,10 +172,21 @@
 
     def announce(self, announcement: Announcement) -> str | None:
         """Handle an announcement; see ``ControlOperations``."""
-        if self.hub.is_current():
-            check_acknowledged(self.hub.announce(announcement))
+        if not self.hub.is_current():
+            acknowledged_by = self._hub_client.announce(ANNOUNCE, announcement)
+            return self._find_near_interface(announcement.zone) or acknowledged_by
+        check_acknowledged(self.hub.announce(announcement))
+        if announcement.zone == self._own_record.zone:
             return None
-        return self._hub_client.announce(ANNOUNCE, announcement)
+        return self._find_near_interface(announcement.zone)
+
+    def _find_near_interface(self, zone: str) -> str | None:
+        """Return the control interface of a current hub in a zone, ``None`` if there is none.
+
+        Traffic between zones has a cost, and upstreams announce themselves all the time.
+        """
+        hub = self._view.find_current_hub(zone)
+        return None if hub is None else self._hub_client.get_interface_address(hub)
 
     def leave(self, upstream_id: str, incarnation: int | None) -> None:
         """Deregister an upstream; see ``ControlOperations``."""
--- a/testing/membership/test_hub.py
+++ b/testing/membership/test_hub.py
@@ -243,3 +243,40 @@
         pair = Pair()
         pair.follow()
         assert pair.hub.list_candidates() == {"n1": "10.0.0.9:1"}
+
+
+class TestNearHubs:
+    def _follow(self, view: HubView, zone: str, *, is_current: bool) -> str:
+        """Follow a new hub in ``zone``, and return its address."""
+        address = f"10.0.{zone[1:]}.1:1"
+        record = InstanceRecord(f"h-{zone}", 1, address, zone, False, 0)
+        hub = Hub(
+            record,
+            boot=1,
+            clock=ManualClock(),
+            share=lambda announcement: True,
+            get_manifest_version=lambda: 1,
+        )
+        if is_current:
+            hub.record_majority_read([address])
+        view.apply(address, hub.answer(FollowRequest(record, False, True, 0, 0, 0)))
+        return address
+
+    def test_the_current_hub_of_a_zone_is_found(self) -> None:
+        view = HubView(clock=ManualClock())
+        hubs = [self._follow(view, zone, is_current=True) for zone in ("z1", "z2")]
+        assert [view.find_current_hub(zone) for zone in ("z1", "z2")] == hubs
+
+    def test_a_zone_without_a_current_hub_has_none(self) -> None:
+        view = HubView(clock=ManualClock())
+        self._follow(view, "z1", is_current=False)
+        self._follow(view, "z2", is_current=True)
+        assert view.find_current_hub("z1") is None
+        assert view.find_current_hub("z3") is None
+
+    def test_a_hub_that_no_longer_replies_is_not_near(self) -> None:
+        clock = ManualClock()
+        view = HubView(clock=clock)
+        self._follow(view, "z1", is_current=True)
+        clock.advance(HUB_RESPONSIVE_WITHIN_MS)
+        assert view.find_current_hub("z1") is None
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -37,6 +37,20 @@
     return node.call("interface", "POST", path, json.dumps(body).encode())[0]
 
 
+def find_heartbeat_node(node: Node, *, zone: str) -> str:
+    """Announce an upstream of ``zone`` to a node; return the host for its later heartbeats."""
+    body = {
+        "address": "127.0.0.1:9",
+        "serverInfo": {"service": "desk", "version": "v1", "zone": zone, "concurrency": 3},
+        "status": {"state": "ready", "sequence": 1, "coldRemainingMs": 0},
+        "born": 1,
+    }
+    path = f"/Instances.Heartbeat/i-{zone}"
+    status, reply = node.call("interface", "POST", path, json.dumps(body).encode())
+    address = json.loads(reply).get("heartbeatAddress", "") if status == 200 else ""
+    return str(address).partition(":")[0]
+
+
 def send_request(node: Node) -> int:
     headers: dict[str, Any] = {"Host": "a.example", "X_Attempt_Id": "q1"}
     return node.call("callers", "POST", "/x/1", b"order", **headers)[0]
@@ -112,6 +126,21 @@
         assert forwarded == []
 
 
+class TestHeartbeats:
+    def test_upstreams_are_sent_to_the_hub_of_their_zone(self, fleet: Fleet) -> None:
+        fleet.submit_manifest(2, 0)
+        without_disk, first, second = fleet.nodes[3], fleet.nodes[0], fleet.nodes[1]
+        for node in (without_disk, first):
+            wait_until(
+                lambda node=node: find_heartbeat_node(node, zone="z2") == second.host,  # type: ignore[misc]
+                within_s=20,
+            )
+        # The node that acknowledged it is near already, and zone z4 has no hub.
+        assert find_heartbeat_node(second, zone="z2") == ""
+        assert find_heartbeat_node(second, zone="z4") == ""
+        assert find_heartbeat_node(without_disk, zone="z4") != without_disk.host
+
+
 class TestPowerLoss:
     def test_nodes_serve_again_when_the_only_seed_does_not_vote(self, fleet: Fleet) -> None:
         raw = fleet.submit_manifest(2, 0)
