Prove that heartbeats stay in the zone of their upstream

Cause: the mechanism was new and had no mutant. Ruled out: a stale text; it occurs once. Measured: the test fails without the mechanism and passes with it.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -351,4 +351,11 @@
         "        return True\n",
         "testing/membership/test_load_changes.py::TestChangedLoads",
     ),
+    Mutant(
+        "the heartbeats of an upstream go to a hub of its zone",
+        "membership/view.py",
+        "            if zone_by_address.get(hub) == zone:\n",
+        "            if True:\n",
+        HUB + "NearHubs",
+    ),
 ]
