Bound the incomplete answers of all upstreams together

Cause: the bound on the bytes of one answer let a hundred upstreams that send without end take 800 MB, four times the memory of a small instance. Besides, parser and collector refer to each other, so what an attempt had received stayed in memory until the collector of cycles ran. Ruled out: a lower bound for each answer; whole answers of 8 MB are accepted. Change: the process counts the bytes of incomplete answers; above 32 MB, answers that are larger than 256 KB and still incomplete are given up. What was received is dropped when its connection closes. The test fails without the count. Tests of proxy, events and mutants pass.

--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -9,6 +9,8 @@
 
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.proxy.outcome import Header
+from coltsfootrill.proxy.receive_budget import INCOMPLETE_MAX_BYTES
+from coltsfootrill.proxy.receive_budget import ReceiveBudget
 
 ANSWER_MAX_BYTES = 8 * 1024 * 1024
 HEAD_MAX_BYTES = 64 * 1024
@@ -97,6 +99,11 @@
         self.keep_alive_ms: float | None = None
         self.on_message_begin()
 
+    def clear(self) -> None:
+        """Drop the answers and what has been received of the next one."""
+        self.messages.clear()
+        self.on_message_begin()
+
     def on_message_begin(self) -> None:
         """Reset the state for the next answer."""
         self._reason = b""
@@ -194,6 +201,7 @@
     """
 
     __slots__ = (
+        "_budget",
         "_bytes_without_head",
         "_collector",
         "_echo",
@@ -205,7 +213,15 @@
         "has_surplus",
     )
 
-    def __init__(self, method: str, echo: AnswerEcho, *, is_fresh: bool) -> None:
+    def __init__(
+        self,
+        method: str,
+        echo: AnswerEcho,
+        *,
+        is_fresh: bool,
+        budget: ReceiveBudget | None = None,
+    ) -> None:
+        self._budget = budget or ReceiveBudget()
         self._echo = echo
         self._is_fresh = is_fresh
         self._is_head_request = method == "HEAD"
@@ -256,8 +272,14 @@
         if self._skipped_count > SKIPPED_ANSWERS_MAX_COUNT:
             raise ReadError(f"{self._skipped_count} answers to other requests arrived instead")
         self._received_bytes += received_bytes
+        self._budget.add(received_bytes)
         if self._received_bytes > RECEIVED_MAX_BYTES:
             raise ReadError(f"no complete answer within {RECEIVED_MAX_BYTES} bytes")
+        if self._budget.is_exceeded_by(self._received_bytes):
+            raise ReadError(
+                f"{self._received_bytes} bytes are no complete answer yet, and the incomplete"
+                f" answers of all upstreams exceed {INCOMPLETE_MAX_BYTES} bytes"
+            )
         if self._collector.has_head or skipped_count:
             self._bytes_without_head = 0
             return
@@ -265,6 +287,15 @@
         if self._bytes_without_head > HEAD_MAX_BYTES:
             raise ReadError(f"the head of the answer exceeds {HEAD_MAX_BYTES} bytes")
 
+    def release(self) -> None:
+        """Free what was received, once the answer is complete or given up.
+
+        The parser and its collector refer to each other, so they are freed only later.
+        """
+        self._collector.clear()
+        self._budget.release(self._received_bytes)
+        self._received_bytes = 0
+
     def feed_end(self) -> UpstreamAnswer | None:
         """Handle the end of the stream; return the answer if that completes it."""
         # Without a length a truncated answer looks complete. Only the echoed id shows that the
--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -16,6 +16,7 @@
 from coltsfootrill.proxy.answer import ReadError
 from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.outcome import Header
+from coltsfootrill.proxy.receive_budget import ReceiveBudget
 from coltsfootrill.registry.announcement import split_address
 
 RECEIVE_BYTES = 64 * 1024
@@ -42,6 +43,7 @@
     """
 
     __slots__ = (
+        "_budget",
         "_clock",
         "_reader",
         "_sock",
@@ -52,7 +54,15 @@
         "is_reusable",
     )
 
-    def __init__(self, sock: socket.socket, *, clock: Clock, epoch: int) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        *,
+        clock: Clock,
+        epoch: int,
+        budget: ReceiveBudget | None = None,
+    ) -> None:
+        self._budget = budget
         self._sock = sock
         self._clock = clock
         self._reader: AnswerReader | None = None
@@ -64,9 +74,18 @@
 
     @classmethod
     def open(
-        cls, address: str, *, clock: Clock, timeout_ms: float, epoch: int
+        cls,
+        address: str,
+        *,
+        clock: Clock,
+        timeout_ms: float,
+        epoch: int,
+        budget: ReceiveBudget | None = None,
     ) -> UpstreamConnection:
-        """Connect to ``ip:port``; raise ``ConnectError`` on failure or timeout."""
+        """Connect to ``ip:port``; raise ``ConnectError`` on failure or timeout.
+
+        ``budget`` bounds the memory of incomplete answers together with other connections.
+        """
         try:
             sock = socket.create_connection(split_address(address), timeout=timeout_ms / 1000)
         except OSError as error:
@@ -74,7 +93,7 @@
         # Waiting is done with poll: a socket timeout would cost a system call before each use.
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return cls(sock, clock=clock, epoch=epoch)
+        return cls(sock, clock=clock, epoch=epoch, budget=budget)
 
     def fileno(self) -> int:
         """Return the descriptor to poll for the answer."""
@@ -116,7 +135,7 @@
 
     def expect(self, method: str, echo: AnswerEcho) -> None:
         """Prepare to read the answer to a request that has been sent."""
-        self._reader = AnswerReader(method, echo, is_fresh=self.is_fresh)
+        self._reader = AnswerReader(method, echo, is_fresh=self.is_fresh, budget=self._budget)
 
     def read_available(self) -> UpstreamAnswer | None:
         """Read what has arrived, without blocking; return the answer once it is complete.
@@ -136,6 +155,7 @@
             if not data:
                 raise ReadError("the upstream closed the connection before the answer was complete")
             return None
+        reader.release()
         self._reader = None
         self.is_reusable = reader.is_reusable
         self.is_fresh = False
@@ -145,6 +165,9 @@
 
     def close(self) -> None:
         """Close the connection, which cancels a request in progress at the upstream."""
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            reader.release()
         self._sock.close()
 
 
@@ -182,10 +205,11 @@
     too. ``discard_idle`` therefore prevents the reuse of every connection opened so far.
     """
 
-    __slots__ = ("_address", "_clock", "_epoch", "_idle", "_lock")
+    __slots__ = ("_address", "_budget", "_clock", "_epoch", "_idle", "_lock")
 
-    def __init__(self, address: str, *, clock: Clock) -> None:
+    def __init__(self, address: str, *, clock: Clock, budget: ReceiveBudget | None = None) -> None:
         self._address = address
+        self._budget = budget
         self._clock = clock
         self._idle: list[UpstreamConnection] = []
         self._lock = threading.Lock()
@@ -215,6 +239,7 @@
             clock=self._clock,
             timeout_ms=min(timeout_ms, CONNECT_TIMEOUT_MS),
             epoch=self._epoch,
+            budget=self._budget,
         )
 
     def give_back(self, connection: UpstreamConnection) -> None:
--- a/src/coltsfootrill/proxy/pools.py
+++ b/src/coltsfootrill/proxy/pools.py
@@ -6,6 +6,7 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.proxy.connection import ConnectionPool
+from coltsfootrill.proxy.receive_budget import ReceiveBudget
 
 REUSE_PAUSE_MS = 10_000.0
 
@@ -23,6 +24,7 @@
         self._clock = clock
         self._once_idle_max_ms = once_idle_max_ms
         self._reuse_failed_at_ms = float("-inf")
+        self._receive_budget = ReceiveBudget()
         self._lock = threading.Lock()
         self._by_address: dict[str, ConnectionPool] = {}
 
@@ -32,7 +34,8 @@
         if pool is None:
             with self._lock:
                 pool = self._by_address.setdefault(
-                    address, ConnectionPool(address, clock=self._clock)
+                    address,
+                    ConnectionPool(address, clock=self._clock, budget=self._receive_budget),
                 )
         return pool
 
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -358,4 +358,11 @@
         "            if True:\n",
         HUB + "NearHubs",
     ),
+    Mutant(
+        "the incomplete answers of all upstreams are bounded together",
+        "proxy/receive_budget.py",
+        "        return answer_bytes > SMALL_ANSWER_MAX_BYTES and",
+        "        return False and",
+        CONNECTION + "EndlessBytes",
+    ),
 ]
--- a/testing/proxy/test_connection.py
+++ b/testing/proxy/test_connection.py
@@ -5,6 +5,7 @@
 import tracemalloc
 from collections.abc import Callable
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from hypothesis import given
@@ -20,6 +21,9 @@
 from coltsfootrill.proxy.connection import ConnectionPool
 from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.connection import encode_head
+from coltsfootrill.proxy.pools import ConnectionPools
+from coltsfootrill.proxy.receive_budget import INCOMPLETE_MAX_BYTES
+from coltsfootrill.proxy.receive_budget import SMALL_ANSWER_MAX_BYTES
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import answer
@@ -27,6 +31,9 @@
 from testing.proxy.fakes import send_raw
 from testing.proxy.fakes import stay_silent
 
+# Their bodies would take 800 MB without a common bound.
+ENDLESS_COUNT = 100
+
 Serve = Callable[[Script], ScriptedUpstream]
 HEAD = encode_head("GET", "/x", [("host", "h")], 0)
 
@@ -216,6 +223,37 @@
         assert "deadline" not in str(caught.value)
         assert peak_bytes < 3 * RECEIVED_MAX_BYTES
 
+    def test_many_endless_answers_are_bounded_together_and_small_ones_complete(
+        self, serve: Serve
+    ) -> None:
+        endless = serve(_send_endlessly(_OK + b"\r\n", b"a"))
+        usual = serve(answer(b"usual" * 40_000))
+        pools = ConnectionPools(Clock())
+        pool = pools.get(endless.address)
+
+        def get_error(_: int) -> str:
+            # The error itself would hold what was received.
+            try:
+                _call(pool, timeout_ms=60_000)
+            except ReadError as error:
+                return str(error)
+            return ""
+
+        tracemalloc.start()
+        try:
+            with ThreadPoolExecutor(ENDLESS_COUNT) as executor:
+                errors = executor.map(get_error, range(ENDLESS_COUNT))
+                assert _call(pools.get(usual.address)).body == b"usual" * 40_000
+                messages = list(errors)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert all("bytes" in message for message in messages)
+        assert any("of all upstreams" in message for message in messages)
+        # Twice, because a growing buffer is copied.
+        assert peak_bytes < 2 * (INCOMPLETE_MAX_BYTES + ENDLESS_COUNT * SMALL_ANSWER_MAX_BYTES)
+        assert pools._receive_budget._held_bytes == 0
+
     def test_surplus_after_a_complete_answer_ends_with_the_connection(self, serve: Serve) -> None:
         upstream = serve(_send_endlessly(encode(b"hello") + b"a", b"a"))
         pool = ConnectionPool(upstream.address, clock=Clock())
