Say why an upstream was ejected

Cause: `upstream-ejected` named neither the limit that was exceeded nor by how much. Ruled out: an event of its own for the comparison; it would double the lines of a burst. Change: the comparison of an upstream with the others is kept as a score (multiples of the limit of errors and of that of latency); the event states the greater one as `reason` and `limit_ratio`. Lines of earlier versions are still read. The tests of the event log use the shared records. Which upstreams are ejected is unchanged. Conclusion: bursts of ejections can be explained from the logs; whether the limit for latency is too low during bursts is still open.

--- a/src/coltsfootrill/balancer/ejection.py
+++ b/src/coltsfootrill/balancer/ejection.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 
+from coltsfootrill.balancer.load import OutlierScore
 from coltsfootrill.balancer.load import UpstreamLoad
 from coltsfootrill.balancer.load import estimate_errors
 from coltsfootrill.balancer.load import estimate_slowness
@@ -40,15 +41,14 @@
     baseline_errors = _find_quantile(errors_by_id.values(), EJECTED_SHARE_MAX)
     errors_to_eject = ERRORS_TO_EJECT + ERRORS_FACTOR * baseline_errors
 
-    def get_outlier_score(load: UpstreamLoad) -> float:
-        by_errors = errors_by_id[load.id] / errors_to_eject
-        by_slowness = slowness_by_id[load.id] / (median_slowness * SLOWNESS_TO_EJECT)
-        return max(by_errors, by_slowness)
-
-    outliers = [
-        load for load in loads if now_ms >= load.ejected_until_ms and get_outlier_score(load) >= 1
-    ]
-    outliers.sort(key=get_outlier_score, reverse=True)
+    candidates = [load for load in loads if now_ms >= load.ejected_until_ms]
+    for load in candidates:
+        load.outlier_score = OutlierScore(
+            by_errors=errors_by_id[load.id] / errors_to_eject,
+            by_latency=slowness_by_id[load.id] / (median_slowness * SLOWNESS_TO_EJECT),
+        )
+    outliers = [load for load in candidates if load.outlier_score.limit_ratio >= 1]
+    outliers.sort(key=lambda load: load.outlier_score.limit_ratio, reverse=True)
     for load in outliers[:free_count]:
         eject(load, now_ms=now_ms)
     return outliers[:free_count]
--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -9,6 +9,7 @@
 
 import math
 from collections import deque
+from typing import Literal
 
 REPORT_HALF_LIFE_MIN_MS = 10.0
 TYPICAL_WEIGHT = 0.05
@@ -32,6 +33,8 @@
 # A request of another instance may take up to this long from the choice to its upstream.
 REMOTE_TRANSIT_MAX_MS = 100.0
 
+OutlierReason = Literal["errors", "latency"]
+
 
 class LoadReport:
     """Load that an upstream states on an answer: requests in flight there, and its slots.
@@ -51,6 +54,29 @@
         self.pace = pace
 
 
+class OutlierScore:
+    """How far an upstream exceeds the limits that apply within its service.
+
+    ``by_errors`` and ``by_latency`` are multiples of the limit; from 1 on it may be ejected.
+    """
+
+    __slots__ = ("by_errors", "by_latency")
+
+    def __init__(self, *, by_errors: float, by_latency: float) -> None:
+        self.by_errors = by_errors
+        self.by_latency = by_latency
+
+    @property
+    def limit_ratio(self) -> float:
+        """Return the multiple of the limit that is exceeded most."""
+        return max(self.by_errors, self.by_latency)
+
+    @property
+    def reason(self) -> OutlierReason:
+        """Return what the limit that is exceeded most applies to."""
+        return "errors" if self.by_errors > self.by_latency else "latency"
+
+
 class UpstreamLoad:
     """State of one upstream incarnation as seen from this instance.
 
@@ -59,7 +85,8 @@
     own requests in flight. ``pace`` is its last reported latency relative to the typical one.
     ``answered_at_ms`` is when it last answered a request of this instance. ``remote_tokens``
     identifies the requests that other instances sent; ``recent_ends`` holds the start and end
-    times of the latest requests that ended.
+    times of the latest requests that ended. ``outlier_score`` is that of the last comparison with
+    the others; it stays while the upstream is ejected.
     """
 
     __slots__ = (
@@ -77,6 +104,7 @@
         "limit",
         "needs_probe",
         "others_typical",
+        "outlier_score",
         "pace",
         "pace_at_ms",
         "paused_until_ms",
@@ -119,6 +147,7 @@
         self.paused_until_ms = 0.0
         self.ejected_until_ms = 0.0
         self.ejection_count = 0
+        self.outlier_score = OutlierScore(by_errors=0.0, by_latency=0.0)
         self.needs_probe = False
         self.confirmed_at_ms = 0.0
         self.answered_at_ms = float("-inf")
--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -63,11 +63,16 @@
 
 
 class UpstreamEjected(Event, kw_only=True, tag="upstream-ejected"):
-    """An upstream was ejected for its errors or latency: no new requests for ``for_ms``."""
+    """An upstream was ejected for its errors or latency: no new requests for ``for_ms``.
+
+    ``reason`` is ``errors`` or ``latency``, and ``limit_ratio`` how many times the limit was.
+    """
 
     upstream: str
     service: str
     for_ms: float
+    reason: str = ""
+    limit_ratio: float = 0.0
 
 
 class UpstreamReadmitted(Event, kw_only=True, tag="upstream-readmitted"):
--- a/src/coltsfootrill/proxy/pool_event_log.py
+++ b/src/coltsfootrill/proxy/pool_event_log.py
@@ -39,10 +39,7 @@
         """Emit events for upstreams just ejected and for those whose ejection has ended."""
         for load in ejected:
             self._ejected_by_id[load.id] = load
-            for_ms = round(load.ejected_until_ms - now_ms, 1)
-            self._on_event(
-                UpstreamEjected(upstream=load.id, service=self._pool.service_id, for_ms=for_ms)
-            )
+            self._on_event(_make_ejected_event(load, self._pool.service_id, now_ms))
         ended = [load for load in self._ejected_by_id.values() if now_ms >= load.ejected_until_ms]
         for load in ended:
             del self._ejected_by_id[load.id]
@@ -50,6 +47,16 @@
                 self._on_event(UpstreamReadmitted(upstream=load.id, service=self._pool.service_id))
 
 
+def _make_ejected_event(load: UpstreamLoad, service_id: str, now_ms: float) -> UpstreamEjected:
+    return UpstreamEjected(
+        upstream=load.id,
+        service=service_id,
+        for_ms=round(load.ejected_until_ms - now_ms, 1),
+        reason=load.outlier_score.reason,
+        limit_ratio=round(load.outlier_score.limit_ratio, 2),
+    )
+
+
 class _LoggedBudget:
     """A pool's retry budget that emits events when it starts and stops denying attempts."""
 
--- a/testing/balancer/test_decisions.py
+++ b/testing/balancer/test_decisions.py
@@ -162,6 +162,21 @@
                 record_error(load, now_ms=0)
         assert eject_outliers(loads, now_ms=0) == [loads[4]]
 
+    @pytest.mark.parametrize(
+        ("failures", "slowness", "reason", "limit_ratio"),
+        [(6, 1.0, "errors", 2.0), (0, 12.0, "latency", 3.0), (3, 12.0, "latency", 3.0)],
+    )
+    def test_the_reason_is_the_limit_that_is_exceeded_most(
+        self, failures: int, slowness: float, reason: str, limit_ratio: float
+    ) -> None:
+        loads = [_load(f"u{n}") for n in range(9)]
+        loads[4].slowness = slowness
+        for _ in range(failures):
+            record_error(loads[4], now_ms=0)
+        eject_outliers(loads, now_ms=0)
+        score = loads[4].outlier_score
+        assert (score.reason, score.limit_ratio) == (reason, pytest.approx(limit_ratio))
+
     def test_each_consecutive_ejection_lasts_longer(self) -> None:
         loads = [_load(f"u{n}") for n in range(3)]
         durations = []
--- a/testing/proxy/test_pool_event_log.py
+++ b/testing/proxy/test_pool_event_log.py
@@ -16,15 +16,14 @@
 from coltsfootrill.proxy.pool_event_log import BUDGET_EVENT_MIN_MS
 from coltsfootrill.proxy.pool_event_log import PoolEventLog
 from coltsfootrill.proxy.pool_event_log import describe_admission
-from coltsfootrill.registry.announcement import Announcement
-from coltsfootrill.registry.directory import UpstreamRecord
+from testing.records import make_usable_record
 
 NOW_MS = 10_000.0
 
 
 def _make_pool(count: int = 3) -> ServicePool:
     service = Service(
-        id="desk",
+        id="work",
         upstreams=["u*"],
         kinds=[Kind(id="k", names=["a"], idempotent=True, deadline_ms=1_000)],
     )
@@ -36,24 +35,7 @@
         queue_limit=4,
         budget=WindowBudget(0.0, window_ms=1_000.0, allowance=1.0),
     )
-    records = [
-        UpstreamRecord(
-            Announcement(
-                id=f"u{number}",
-                incarnation=1,
-                sequence=1,
-                address=f"127.0.0.1:{number + 1}",
-                zone="z",
-                services=["desk"],
-                slots=3,
-                state="serving",
-            ),
-            origin="",
-            last_confirmed_ms=0,
-            lease_ms=float("inf"),
-        )
-        for number in range(count)
-    ]
+    records = [make_usable_record(f"u{number}") for number in range(count)]
     pool.update(service, records, NOW_MS)
     return pool
 
@@ -74,6 +56,16 @@
         assert isinstance(events[1], UpstreamReadmitted)
         assert len(events) == 2
 
+    def test_event_tells_which_limit_was_exceeded_and_by_how_much(self) -> None:
+        events: list[Event] = []
+        pool = _make_pool()
+        pool.by_id["u1"].slowness = 10.0
+        ejected = pool.eject_outliers(NOW_MS)
+        PoolEventLog(pool, on_event=events.append).record_ejections(ejected, NOW_MS)
+        (event,) = events
+        assert isinstance(event, UpstreamEjected)
+        assert (event.upstream, event.reason, event.limit_ratio) == ("u1", "latency", 2.5)
+
     def test_upstream_that_has_left_emits_no_readmission(self) -> None:
         events: list[Event] = []
         pool = _make_pool()
@@ -95,7 +87,7 @@
             assert not event_log.budget.spend(1.0)
         (denied,) = events
         assert isinstance(denied, RetriesExhausted)
-        assert (denied.service, denied.spent, denied.allowed) == ("desk", 1, 1.0)
+        assert (denied.service, denied.spent, denied.allowed) == ("work", 1, 1.0)
         later_ms = 2 * BUDGET_EVENT_MIN_MS
         assert event_log.budget.spend(later_ms)
         assert isinstance(events[1], RetriesAvailable)
