--- a/testing/nodes.py
+++ b/testing/nodes.py
@@ -17,7 +17,7 @@
 class Node:
     """A node process with its own loopback address, because all nodes use the same ports.
 
-    Nodes 1 to 3 have a disk, so they vote; later ones have none.
+    Nodes 1 to 3 have a disk, so they vote; later ones have none unless ``has_disk`` is set.
     """
 
     def __init__(
@@ -28,13 +28,14 @@
         seeds: list[str],
         *,
         network: str = "127.0.2",
+        has_disk: bool = False,
     ) -> None:
         self.host = f"{network}.{number}"
         self.ports = ports
         self.data = folder / f"data-{number}"
         self._log = folder / f"node-{number}.log"
         self._path = folder / f"node-{number}.ini"
-        self._has_disk = number <= 3
+        self._has_disk = has_disk or number <= 3
         self._seeds = seeds
         self._number = number
         self._process: subprocess.Popen[bytes] | None = None
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -13,6 +13,8 @@
 
 import pytest
 
+from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.files import FileLayer
 from testing.nodes import Node
 from testing.nodes import find_free_ports
 from testing.platform.test_desired_state import encode_state
@@ -62,6 +64,9 @@
     def __init__(self, folder: Path) -> None:
         ports = find_free_ports()
         seeds = [f"127.0.2.{number}:{ports['interface']}" for number in range(1, 4)]
+        self._folder = folder
+        self._ports = ports
+        self._seeds = seeds
         self.nodes = [Node(number, folder, ports, seeds) for number in range(1, NODE_COUNT + 1)]
         self.upstream = ScriptedUpstream(reply_with())
         for node in self.nodes:
@@ -70,7 +75,18 @@
     def close(self) -> None:
         self.upstream.close()
         for node in self.nodes:
-            node.end()
+            if node.is_alive():
+                node.end()
+
+    def replace_voter(self, old: Node, signal_number: signal.Signals) -> Node:
+        """End a voter for good; add a node with an empty disk at a new address that votes."""
+        old.end(signal_number)
+        number = len(self.nodes) + 1
+        added = Node(number, self._folder, self._ports, self._seeds, has_disk=True)
+        self.nodes.append(added)
+        added.start(is_first_start=False)
+        wait_until(lambda: _votes(added), within_s=20)
+        return added
 
     def submit_manifest(self, version: int, base_version: int) -> bytes:
         raw = encode_state(route(), version=f"{version:08x}")
@@ -165,7 +181,7 @@
         first.end()
         subprocess.run(["rm", "-rf", str(first.data)], check=True)
         first.start(is_first_start=False)
-        wait_until(lambda: first.read()[0] == 200 and _has_rejoined(first), within_s=20)
+        wait_until(lambda: first.read()[0] == 200 and _votes(first), within_s=20)
         second.end()
         raw = encode_state(route(timeoutMs=900), version="00000009")
         wait_until(lambda: fleet.nodes[2].submit(raw, 2) == 200, within_s=20)
@@ -173,6 +189,52 @@
         second.start(is_first_start=False)
 
 
+class TestReplacedVoters:
+    """Voters that are gone for good, while the seeds name only the first ones."""
+
+    def test_two_in_a_row_with_a_change_after_each_lose_nothing(self, fleet: Fleet) -> None:
+        fleet.submit_manifest(2, 0)
+        first, second, third = fleet.nodes[:3]
+        fourth = fleet.replace_voter(first, signal.SIGKILL)
+        _submit_at(third, 3, 2)
+        fleet.replace_voter(second, signal.SIGTERM)
+        _submit_at(third, 4, 3)
+        third.end()
+        raw = _submit_at(fourth, 5, 4)
+        wait_until(lambda: fleet.nodes[-1].read() == (200, raw), within_s=20)
+
+    def test_a_disk_lost_right_after_an_acknowledged_change_loses_nothing(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.submit_manifest(2, 0)
+        first, second, third = fleet.nodes[:3]
+        added = fleet.replace_voter(first, signal.SIGKILL)
+        raw = _submit_at(third, 3, 2)
+        added.end()
+        subprocess.run(["rm", "-rf", str(added.data)], check=True)
+        added.start(is_first_start=False)
+        wait_until(lambda: _votes(added), within_s=20)
+        second.end()
+        wait_until(lambda: added.read() == (200, raw), within_s=20)
+        _submit_at(added, 4, 3)
+
+    def test_replaced_voters_that_return_decide_nothing(self, fleet: Fleet) -> None:
+        fleet.submit_manifest(2, 0)
+        first, second, third = fleet.nodes[:3]
+        fleet.replace_voter(first, signal.SIGKILL)
+        fleet.replace_voter(second, signal.SIGKILL)
+        raw = _submit_at(third, 3, 2)
+        for node in fleet.nodes[2:]:
+            node.end()
+        for node in (first, second):
+            node.start(is_first_start=False)
+        for node in (first, second):
+            wait_until(lambda node=node: node.call("interface", "GET", "/")[0] != 0)  # type: ignore[misc]
+            assert node.submit(encode_state(route(), version="00000003"), 2) != 200
+            status, body = node.read()
+            assert status != 200 or body == raw
+
+
 class TestStopAndFailure:
     def test_a_graceful_stop_is_logged_and_cuts_no_request(self, fleet: Fleet) -> None:
         fleet.submit_manifest(2, 0)
@@ -224,5 +286,19 @@
         wait_until(lambda: has_logged("dependency-regained"), within_s=20)
 
 
-def _has_rejoined(node: Node) -> bool:
-    return (node.data / "control" / "accepted.rec").exists()
+def _submit_at(node: Node, version: int, base_version: int) -> bytes:
+    raw = encode_state(route(timeoutMs=900 + version), version=f"{version:08x}")
+    wait_until(lambda: node.submit(raw, base_version) == 200, within_s=20)
+    return raw
+
+
+def _votes(node: Node) -> bool:
+    """Return whether the node's disk holds a replica set that is recorded as chosen.
+
+    Before that record, the replacement is incomplete, and a majority of the old set is needed too.
+    """
+    folder = node.data / "control"
+    if not (folder / "accepted.rec").exists():
+        return False
+    state = Acceptor.from_folder(folder, files=FileLayer()).get_state()
+    return state is not None and state.is_replica_set_chosen
