Keep requests in a zone with many upstreams, and compare only these

Cause: on a voter of 121 nodes the datagrams of the dispatcher are the largest part of its processor time (4.0 of 12.8 s in 31 s). Each choice estimates the cost of all upstreams of the service, 11 us each; a pair of request and release takes 0.82 ms with 71 upstreams, and the large fleet has 361. And of requests in a fleet whose upstreams are all idle about 15 % left their zone: each upstream elsewhere is unlikely, but they are many, and bytes between zones bind there. Ruled out: a random subset of all upstreams; it would cross as often. Skipping the filter of upstreams that meet the target; it is what keeps late answers rare. Change: with eight or more upstreams in the origin's zone the choice is made among these, unless each of them costs more than an idle one in another zone. Smaller zones are as before: a burst would fill them while others are idle. Measured: calls of functions for a pair of request and release, 71 upstreams in four zones, 3,530 to 1,320; time beside other work 0.82 to 0.65 ms.

--- a/src/coltsfootrill/balancer/choice.py
+++ b/src/coltsfootrill/balancer/choice.py
@@ -44,6 +44,7 @@
 
 Expect = Callable[[UpstreamLoad, ChoiceContext], float]
 Choose = Callable[[Sequence[UpstreamLoad], ChoiceContext], UpstreamLoad]
+ChooseNear = Callable[[Sequence[UpstreamLoad], ChoiceContext], UpstreamLoad | None]
 
 
 class ChoicePolicy:
@@ -51,12 +52,21 @@
 
     ``expect`` returns the expected time to an answer in milliseconds. If it is set, requests of
     kinds with a target are sent only to upstreams that are not known to be saturated and that are
-    expected to answer within the target.
+    expected to answer within the target. ``choose_near`` gets the upstreams in the zone of the
+    origin, if they are many; it returns ``None`` if one in another zone may be faster.
     """
 
-    __slots__ = ("choose", "expect", "name")
+    __slots__ = ("choose", "choose_near", "expect", "name")
 
-    def __init__(self, *, name: str, choose: Choose, expect: Expect | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        choose: Choose,
+        expect: Expect | None = None,
+        choose_near: ChooseNear | None = None,
+    ) -> None:
         self.name = name
         self.choose = choose
         self.expect = expect
+        self.choose_near = choose_near
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -52,6 +52,8 @@
 # Targets leave room for a slow attempt, so most answers take less than half of the target. Without
 # an expected latency, the first requests after a restart would all appear to be slow.
 EXPECTED_SHARE_OF_TARGET = 0.4
+# With fewer upstreams in a zone, a burst there would fill them while others are idle.
+NEAR_MIN_COUNT = 8
 
 
 class ServicePool:
@@ -174,11 +176,11 @@
             typical_ms=typical_ms,
             turn=self._turn,
         )
-        if kind.target_ms is not None:
-            preferred = self._list_suitable(preferred, context, requirement)
-        if not preferred:
-            return None
-        return self._start(self._policy.choose(preferred, context), kind, now_ms)
+        wanted = requirement if kind.target_ms is not None else None
+        load = self._choose_near(preferred, context, wanted) or self._choose(
+            preferred, context, wanted
+        )
+        return None if load is None else self._start(load, kind, now_ms)
 
     def start_at(self, upstream_id: str, kind: Kind, now_ms: float) -> Claim | None:
         """Count a request as in flight where another instance has sent it.
@@ -208,12 +210,39 @@
             report_age_ms=now_ms - load.reported_at_ms,
         )
 
+    def _choose(
+        self,
+        loads: list[UpstreamLoad],
+        context: ChoiceContext,
+        requirement: SlotRequirement | None,
+    ) -> UpstreamLoad | None:
+        suitable = self._list_suitable(loads, context, requirement)
+        return self._policy.choose(suitable, context) if suitable else None
+
+    def _choose_near(
+        self,
+        loads: list[UpstreamLoad],
+        context: ChoiceContext,
+        requirement: SlotRequirement | None,
+    ) -> UpstreamLoad | None:
+        """Choose in the zone of the origin, if many upstreams there share the load."""
+        if self._policy.choose_near is None or len(loads) < NEAR_MIN_COUNT:
+            return None
+        near = [load for load in loads if load.zone == context.origin.zone]
+        if not NEAR_MIN_COUNT <= len(near) < len(loads):
+            return None
+        suitable = self._list_suitable(near, context, requirement)
+        return self._policy.choose_near(suitable, context) if suitable else None
+
     def _list_suitable(
-        self, loads: list[UpstreamLoad], context: ChoiceContext, requirement: SlotRequirement
+        self,
+        loads: list[UpstreamLoad],
+        context: ChoiceContext,
+        requirement: SlotRequirement | None,
     ) -> list[UpstreamLoad]:
         """Return the upstreams with a free slot that are expected to answer in time."""
         expect = self._policy.expect
-        if expect is None:
+        if expect is None or requirement is None:
             return loads
         suitable: list[UpstreamLoad] = []
         for load in loads:
--- a/src/coltsfootrill/balancer/reported_load.py
+++ b/src/coltsfootrill/balancer/reported_load.py
@@ -69,13 +69,36 @@
 
 def choose(candidates: Sequence[UpstreamLoad], context: ChoiceContext) -> UpstreamLoad:
     """Return a random candidate; its weight decreases with its expected time."""
-    expected = [max(estimate_cost_ms(load, context), EXPECTED_MIN_MS) for load in candidates]
-    least_ms = min(expected)
-    weights = [(least_ms / ms) ** STEEPNESS for ms in expected]
-    return context.random.choices(candidates, weights)[0]
+    return _choose_weighted(candidates, _list_costs_ms(candidates, context), context)
+
+
+def choose_near(near: Sequence[UpstreamLoad], context: ChoiceContext) -> UpstreamLoad | None:
+    """Return one of the upstreams in the origin's zone as ``choose`` does, or ``None``.
+
+    With ``None``, each of them costs more than an idle upstream in another zone. In a large fleet
+    most requests thus neither leave their zone nor need a comparison with all upstreams.
+    """
+    costs_ms = _list_costs_ms(near, context)
+    if min(costs_ms) > (1 + ZONE_CROSSING_SHARE) * context.typical_ms:
+        return None
+    return _choose_weighted(near, costs_ms, context)
+
+
+def _list_costs_ms(loads: Sequence[UpstreamLoad], context: ChoiceContext) -> list[float]:
+    return [max(estimate_cost_ms(load, context), EXPECTED_MIN_MS) for load in loads]
+
+
+def _choose_weighted(
+    loads: Sequence[UpstreamLoad], costs_ms: Sequence[float], context: ChoiceContext
+) -> UpstreamLoad:
+    least_ms = min(costs_ms)
+    weights = [(least_ms / ms) ** STEEPNESS for ms in costs_ms]
+    return context.random.choices(loads, weights)[0]
 
 
 @hookimpl
 def coltsfootrill_choice_policy() -> ChoicePolicy:
     """Return the policy ``reported-load``."""
-    return ChoicePolicy(name="reported-load", choose=choose, expect=expect_ms)
+    return ChoicePolicy(
+        name="reported-load", choose=choose, expect=expect_ms, choose_near=choose_near
+    )
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -386,4 +386,18 @@
         "",
         REGISTER + "Repair",
     ),
+    Mutant(
+        "requests stay in a zone with many upstreams while it has room",
+        "balancer/pool.py",
+        "        if not NEAR_MIN_COUNT <= len(near) < len(loads):\n",
+        "        if True:\n",
+        "testing/balancer/test_near_choice.py::TestLargeZone",
+    ),
+    Mutant(
+        "requests leave a zone whose upstreams are slow",
+        "balancer/reported_load.py",
+        "    if min(costs_ms) > (1 + ZONE_CROSSING_SHARE) * context.typical_ms:\n",
+        "    if False:\n",
+        "testing/balancer/test_near_choice.py::TestLargeZone",
+    ),
 ]
--- a/testing/records.py
+++ b/testing/records.py
@@ -6,14 +6,14 @@
 from coltsfootrill.registry.directory import UpstreamRecord
 
 
-def make_usable_record(upstream_id: str, *, slots: int = 3) -> UpstreamRecord:
+def make_usable_record(upstream_id: str, *, slots: int = 3, zone: str = "z1") -> UpstreamRecord:
     """Return a record of the service ``work`` whose lease never ends."""
     announcement = Announcement(
         id=upstream_id,
         incarnation=1,
         sequence=1,
         address="10.0.0.1:80",
-        zone="z1",
+        zone=zone,
         services=["work"],
         slots=slots,
         state="serving",
