Say what limit_ratio and a missing requirement mean

Cause: read again by someone new to it, "how many times the limit was" could not be understood, and the list of suitable upstreams did not say what happens without a requirement. Ruled out: nothing. Change: three docstrings. Measured: linter, types, tests of balancer and events pass. Conclusion: no change of behaviour.

--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -55,7 +55,7 @@
 
 
 class OutlierScore:
-    """How far an upstream exceeds the limits that apply within its service.
+    """How the errors and the latency of an upstream compare with their limits in its service.
 
     ``by_errors`` and ``by_latency`` are multiples of the limit; from 1 on it may be ejected.
     """
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -240,7 +240,10 @@
         context: ChoiceContext,
         requirement: SlotRequirement | None,
     ) -> list[UpstreamLoad]:
-        """Return the upstreams with a free slot that are expected to answer in time."""
+        """Return the upstreams with a free slot that are expected to answer in time.
+
+        Without ``requirement``, all of them are suitable.
+        """
         expect = self._policy.expect
         if expect is None or requirement is None:
             return loads
--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -65,7 +65,8 @@
 class UpstreamEjected(Event, kw_only=True, tag="upstream-ejected"):
     """An upstream was ejected for its errors or latency: no new requests for ``for_ms``.
 
-    ``reason`` is ``errors`` or ``latency``, and ``limit_ratio`` how many times the limit was.
+    ``reason`` is ``errors`` or ``latency``. ``limit_ratio`` is the multiple of the limit that was
+    reached; the limit depends on how the other upstreams of the service do.
     """
 
     upstream: str
