Split the tests of decisions by module, and the relays from the processes

Cause: testing/balancer/test_decisions.py (358 lines) held the tests of six modules, and testing/processes.py (384 lines) the relays between instances as well. Ruled out: nothing. Change: test_admission, test_ejection, test_least_expected_wait, test_load, test_probe_budget and test_retry, each with the tests of its module, which are unchanged; the load that they share stands in testing/balancer/loads.py. Relays and their patterns stand in testing/relay.py. Mutants name the new files. Conclusion: tests mirror modules.

--- a/testing/features/test_requests.py
+++ b/testing/features/test_requests.py
@@ -18,12 +18,12 @@
 from pytest_bdd import when
 
 from testing.processes import Announcer
-from testing.processes import Relay
 from testing.processes import System
 from testing.processes import wait_until
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import encode
 from testing.proxy.instance import make_manifest
+from testing.relay import Relay
 
 scenarios("requests.feature")
 
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -30,7 +30,7 @@
 OUTCOMES = "testing/proxy/test_outcomes.py::Test"
 CONNECTION = "testing/proxy/test_connection.py::Test"
 DIRECTORY = "testing/registry/test_directory.py::Test"
-DECISIONS = "testing/balancer/test_decisions.py::Test"
+BALANCER = "testing/balancer/test_"
 
 MUTANTS = [
     Mutant(
@@ -172,7 +172,7 @@
         "balancer/probe_budget.py",
         "self._earned_by_id[upstream_id] = -self._random.random()\n",
         "self._earned_by_id[upstream_id] = 1.0\n",
-        DECISIONS + "ProbeBudget",
+        BALANCER + "probe_budget.py::TestProbeBudget",
     ),
     Mutant(
         "the probe budget holds, over real processes",
@@ -215,7 +215,7 @@
         "balancer/least_expected_wait.py",
         "    wait_ms *= 1 + ERROR_PENALTY * estimate_errors(load, now_ms)\n",
         "",
-        DECISIONS + "LeastExpectedWait",
+        BALANCER + "least_expected_wait.py::TestLeastExpectedWait",
     ),
     Mutant(
         "requests of a disconnected caller are cancelled at the upstream",
@@ -229,7 +229,7 @@
         "balancer/admission.py",
         'waiter.priority == "deferrable" and now_ms >= waiter.urgent_at_ms',
         "False",
-        DECISIONS + "Admission",
+        BALANCER + "admission.py::TestAdmission",
     ),
     Mutant(
         "a leave is acknowledged once a majority has recorded it",
@@ -391,13 +391,13 @@
         "balancer/pool.py",
         "        if not NEAR_MIN_COUNT <= len(near) < len(loads):\n",
         "        if True:\n",
-        "testing/balancer/test_near_choice.py::TestLargeZone",
+        BALANCER + "near_choice.py::TestLargeZone",
     ),
     Mutant(
         "requests leave a zone whose upstreams are slow",
         "balancer/reported_load.py",
         "    if min(costs_ms) > (1 + ZONE_CROSSING_SHARE) * context.typical_ms:\n",
         "    if False:\n",
-        "testing/balancer/test_near_choice.py::TestLargeZone",
+        BALANCER + "near_choice.py::TestLargeZone",
     ),
 ]
