Test the loss of all connections to a voting instance at once

Ruled out: a fault: the test passes on the code as it is, so nothing was changed. Change: relays can close the open connections and count those accepted; twelve followers of one voting instance lose theirs, and an upstream leaves at that moment. Conclusion: no storm at this size.

--- a/testing/membership/test_following.py
+++ b/testing/membership/test_following.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
@@ -18,8 +19,12 @@
 from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.view import HubView
+from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.announcement import UpstreamState
+from coltsfootrill.registry.announcement import split_address
 from coltsfootrill.rpc import RpcServer
 from testing.processes import wait_until
+from testing.relay import Relay
 
 
 def _find_address(number: int) -> str:
@@ -28,6 +33,19 @@
         return f"{host}:{port}"
 
 
+def _announce(state: UpstreamState) -> Announcement:
+    return Announcement(
+        id="u1",
+        incarnation=1,
+        sequence=1,
+        address="127.0.0.1:9",
+        zone="z1",
+        services=["work"],
+        slots=3,
+        state=state,
+    )
+
+
 class Member:
     """One instance with its hub, its view and its long polls."""
 
@@ -112,6 +130,45 @@
                 late.close()
 
 
+class TestClosedConnections:
+    """The pattern: all connections to a voting instance are lost at the same moment."""
+
+    FOLLOWERS_COUNT = 12
+    # The second one is for an attempt that is given up because the host is busy.
+    ATTEMPTS_MAX_COUNT = 2
+    # A leaving upstream must get no new requests from any instance after this time.
+    LEAVING_KNOWN_WITHIN_S = 2.5
+
+    @pytest.fixture
+    def relay(self) -> Iterator[Relay]:
+        address = _find_address(20)
+        relay = Relay(split_address(address)[1], host="127.0.1.20")
+        self.hub = Member(address, [], voters=[relay.address])
+        self.followers = [
+            Member(_find_address(21 + number), [relay.address], voters=[])
+            for number in range(self.FOLLOWERS_COUNT)
+        ]
+        self.hub.hub.merge(_announce("serving"), age_ms=0)
+        for follower in self.followers:
+            follower.following.update_tasks()
+        wait_until(lambda: all(f.view.list_usable() for f in self.followers), within_s=10)
+        yield relay
+        for member in [self.hub, *self.followers]:
+            member.close()
+
+    def test_followers_connect_again_without_a_storm_and_miss_no_change(self, relay: Relay) -> None:
+        before = relay.accepted_count
+        relay.close_existing()
+        self.hub.hub.record_majority_read([relay.address])
+        self.hub.hub.merge(_announce("leaving"), age_ms=0)
+        wait_until(
+            lambda: not any(f.view.list_usable() for f in self.followers),
+            within_s=self.LEAVING_KNOWN_WITHIN_S,
+        )
+        time.sleep(1)
+        assert relay.accepted_count - before <= self.ATTEMPTS_MAX_COUNT * self.FOLLOWERS_COUNT
+
+
 class TestOrder:
     def test_the_own_hub_comes_first(self) -> None:
         order = order_hubs(["a", "b", "c"], own_address="b", random=Random(1))
--- a/testing/relay.py
+++ b/testing/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
 import socket
 import threading
@@ -25,15 +26,19 @@
     ``cut`` discards all data. ``cut_sender`` discards the data of connections on which messages of
     one sender occur, in both directions. Both last until ``heal``. ``cut_existing`` discards the
     data of the connections that are open at the time, as a middlebox that lost its state does.
+    ``close_existing`` closes them. ``accepted_count`` counts connections since the start.
     """
 
-    def __init__(self, target_port: int) -> None:
-        self._target_port = target_port
+    def __init__(self, target_port: int, *, host: str = "127.0.0.1") -> None:
+        self._target = (host, target_port)
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = int(self._listener.getsockname()[1])
+        self.address = f"127.0.0.1:{self.port}"
         self._is_cut = False
         self._sender: re.Pattern[bytes] | None = None
         self._epoch = 0
+        self._open: list[socket.socket] = []
+        self.accepted_count = 0
         threading.Thread(target=self._accept, daemon=True).start()
 
     def cut(self) -> None:
@@ -51,19 +56,27 @@
     def cut_existing(self) -> None:
         self._epoch += 1
 
+    def close_existing(self) -> None:
+        closing, self._open = self._open, []
+        for end in closing:
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
+
     def _accept(self) -> None:
         while True:
             caller, _ = self._listener.accept()
+            self.accepted_count += 1
             threading.Thread(target=self._connect, args=(caller,), daemon=True).start()
 
     def _connect(self, caller: socket.socket) -> None:
         connection = _Connection(self._epoch)
         try:
-            target = socket.create_connection(("127.0.0.1", self._target_port), timeout=2)
+            target = socket.create_connection(self._target, timeout=2)
         except OSError:
             caller.close()
             return
         target.settimeout(None)
+        self._open += [caller, target]
         for source, sink, is_from_caller in ((caller, target, True), (target, caller, False)):
             arguments = (source, sink, connection, is_from_caller)
             threading.Thread(target=self._forward, args=arguments, daemon=True).start()
