Lose no call of a replay, and keep no ended connection in relays

The replayer asks select whether a connection has ended; with a descriptor above 1,023 that raises ValueError, which stayed in the future of the call, so the call had no result and nothing was said. Change: poll instead of select; a call that ends by an unexpected error ends the replay with ReplayError; relays refer to their connections weakly. Conclusion: a replay with an incomplete result can no longer look complete.

--- a/src/coltsfootrill/replay/runner.py
+++ b/src/coltsfootrill/replay/runner.py
@@ -5,9 +5,11 @@
 import http.client
 import json
 import select
+import socket
 import threading
 import time
 import uuid
+from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -27,7 +29,7 @@
 
 
 class ReplayError(ColtsfootrillError):
-    """The replay cannot run because the fake upstreams are missing or do not answer."""
+    """The replay has no valid result: no fake upstream answers, or calls failed unexpectedly."""
 
 
 class CallResult:
@@ -83,10 +85,12 @@
         sender = threading.Thread(target=self._send_events, args=(start_s,), daemon=True)
         sender.start()
         with ThreadPoolExecutor(CLIENT_THREADS) as pool:
+            calls: list[Future[None]] = []
             for number, arrival in enumerate(self._trace.arrivals):
                 _sleep_until(start_s + arrival.at_ms / 1000)
-                pool.submit(self._call, arrival, number)
+                calls.append(pool.submit(self._call, arrival, number))
         sender.join()
+        _raise_unexpected(calls)
         return self._make_report(self._fetch_fake_reports())
 
     def _send_events(self, start_s: float) -> None:
@@ -142,7 +146,7 @@
         for offset in range(len(self._callers)):
             address = self._callers[(number + offset) % len(self._callers)]
             connection = self._get_connection(address, deadline_ms)
-            if connection.sock is not None and select.select([connection.sock], [], [], 0)[0]:
+            if connection.sock is not None and _has_ended(connection.sock):
                 # The instance has closed the connection since its last answer.
                 connection.close()
             try:
@@ -197,6 +201,23 @@
         return [f"{name} is {figures[name]}" for name, holds in checks if not holds]
 
 
+def _raise_unexpected(calls: list[Future[None]]) -> None:
+    """Raise ``ReplayError`` if a call ended by an error that is not a result of the call."""
+    errors = [error for call in calls if (error := call.exception()) is not None]
+    if errors:
+        raise ReplayError(
+            f"{len(errors)} of {len(calls)} calls failed unexpectedly: {errors[0]}"
+        ) from errors[0]
+
+
+def _has_ended(sock: socket.socket) -> bool:
+    """Return whether an idle connection was closed by its other end, or has bytes to be read."""
+    # Unlike select, poll accepts descriptors above 1,023.
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def get_thread_connection(local: threading.local, address: str) -> http.client.HTTPConnection:
     """Return the connection of the calling thread to an address, created on first use."""
     by_address: dict[str, http.client.HTTPConnection] = getattr(local, "by_address", {})
--- a/testing/relay.py
+++ b/testing/relay.py
@@ -6,6 +6,7 @@
 import re
 import socket
 import threading
+import weakref
 
 import msgspec
 
@@ -37,7 +38,8 @@
         self._is_cut = False
         self._sender: re.Pattern[bytes] | None = None
         self._epoch = 0
-        self._open: list[socket.socket] = []
+        # Weak, so that a connection that has ended does not keep its descriptors.
+        self._open: weakref.WeakSet[socket.socket] = weakref.WeakSet()
         self.accepted_count = 0
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -57,8 +59,7 @@
         self._epoch += 1
 
     def close_existing(self) -> None:
-        closing, self._open = self._open, []
-        for end in closing:
+        for end in list(self._open):
             with contextlib.suppress(OSError):
                 end.shutdown(socket.SHUT_RDWR)
 
@@ -76,7 +77,7 @@
             caller.close()
             return
         target.settimeout(None)
-        self._open += [caller, target]
+        self._open.update((caller, target))
         for source, sink, is_from_caller in ((caller, target, True), (target, caller, False)):
             arguments = (source, sink, connection, is_from_caller)
             threading.Thread(target=self._forward, args=arguments, daemon=True).start()
--- a/testing/replay/test_replay.py
+++ b/testing/replay/test_replay.py
@@ -9,6 +9,8 @@
 import pytest
 
 from coltsfootrill.replay.runner import Replayer
+from coltsfootrill.replay.runner import ReplayError
+from coltsfootrill.replay.runner import ReplayReport
 from coltsfootrill.replay.trace import Trace
 from coltsfootrill.replay.trace import TraceError
 from coltsfootrill.replay.trace import generate_trace
@@ -18,6 +20,8 @@
 from testing.processes import System
 from testing.processes import get_free_port
 from testing.processes import wait_until
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.fakes import answer
 
 TRACES = Path(__file__).parent.parent.parent / "traces"
 ENTRIES = ["e1", "e2", "e3", "e4"]
@@ -108,6 +112,40 @@
         assert any("answered_share" in violation for violation in replayer.run().violations)
 
 
+class TestCalls:
+    """The pattern: a process with so many open files that their numbers exceed 1,023."""
+
+    def _replay(self) -> ReplayReport:
+        trace = Trace.from_file(TRACES / "rota-faults.jsonl")
+        trace.arrivals = trace.arrivals[:4]
+        trace.events = []
+        instance = ScriptedUpstream(answer(b"{}"))
+        try:
+            return Replayer(trace, callers=[instance.address], fakes=[]).run()
+        finally:
+            instance.close()
+
+    def test_every_call_has_a_result_with_descriptors_that_select_refuses(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def refuse(*descriptors: object) -> None:
+            raise ValueError("filedescriptor out of range in select()")
+
+        monkeypatch.setattr("select.select", refuse)
+        monkeypatch.setattr("coltsfootrill.replay.runner.CLIENT_THREADS", 1)
+        assert self._replay().figures["requests"] == 4
+
+    def test_an_unexpected_error_of_a_call_is_not_lost(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def fail(replayer: Replayer, arrival: object, number: int, request_id: str) -> None:
+            raise ValueError("unexpected")
+
+        monkeypatch.setattr(Replayer, "_exchange", fail)
+        with pytest.raises(ReplayError, match="4 of 4 calls failed unexpectedly: unexpected"):
+            self._replay()
+
+
 class TestTraces:
     def test_the_same_seed_generates_the_same_trace(self) -> None:
         first, second = (
