Serve with one piece of code what stood twice

Cause: read again as a whole, the change since had written some things a second time: whether a hub has replied recently (three times in the view), the state of a promise that the caller holds already, whether a connection has pending data (replayer and upstream connection), the release of a reader, the body of a heartbeat and an announcement in tests. The choice within a zone compared the number of all upstreams before that of the zone, which the second comparison includes. Ruled out: the shape pairs of fixtures and of small state classes: their logic is not the same. Change: HubState.is_responsive, _get_state of the proposer, has_pending_data, _release_reader; tests use the shared record and one encoding of a heartbeat; the first comparison is gone. No assertion, bound or pattern changed.

--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -226,7 +226,7 @@
         requirement: SlotRequirement | None,
     ) -> UpstreamLoad | None:
         """Choose in the zone of the origin, if many upstreams there share the load."""
-        if self._policy.choose_near is None or len(loads) < NEAR_MIN_COUNT:
+        if self._policy.choose_near is None:
             return None
         near = [load for load in loads if load.zone == context.origin.zone]
         if not NEAR_MIN_COUNT <= len(near) < len(loads):
--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -293,7 +293,7 @@
     def _adopt_newer_set(self, votes: _Votes[Promise], local: AcceptedState) -> None:
         """Adopt a newer replica set from any reply: the set called may have been replaced."""
         for promise in votes.by_address.values():
-            state = local.state if promise.accepted == local.ballot else promise.state
+            state = _get_state(promise, local)
             if state is not None:
                 self.adopt_if_chosen(state)
 
@@ -301,7 +301,7 @@
         newest = self.known
         newest_ballot = ZERO_BALLOT
         for promise in votes.by_address.values():
-            state = local.state if promise.accepted == local.ballot else promise.state
+            state = _get_state(promise, local)
             if not promise.is_granted or state is None:
                 continue
             if promise.accepted > newest_ballot:
@@ -398,3 +398,8 @@
     if replica.key or promise is None:
         return replica
     return Replica(replica.address, promise.key)
+
+
+def _get_state(promise: Promise, local: AcceptedState) -> ControlState | None:
+    """Return the state that a replica accepted; it omits one that the caller holds already."""
+    return local.state if promise.accepted == local.ballot else promise.state
--- a/src/coltsfootrill/membership/view.py
+++ b/src/coltsfootrill/membership/view.py
@@ -29,6 +29,10 @@
         self.instance_count = reply.instance_count
         self.live = live
 
+    def is_responsive(self, now_ms: float) -> bool:
+        """Return whether the hub has replied recently."""
+        return now_ms - self.last_reply_ms < HUB_RESPONSIVE_WITHIN_MS
+
 
 class HubView:
     """Thread-safe view of all upstreams; ``generation`` grows when the usable ones change.
@@ -108,7 +112,7 @@
             sources = [
                 records
                 for hub, records in self._instances_by_hub.items()
-                if now_ms - self._state_by_hub[hub].last_reply_ms < HUB_RESPONSIVE_WITHIN_MS
+                if self._state_by_hub[hub].is_responsive(now_ms)
             ]
             if not _are_identical(sources, self._instance_sources):
                 by_id = {key: record for records in sources for key, record in records.items()}
@@ -123,7 +127,7 @@
             current = [
                 (state.last_reply_ms, hub)
                 for hub, state in self._state_by_hub.items()
-                if state.is_current and now_ms - state.last_reply_ms < HUB_RESPONSIVE_WITHIN_MS
+                if state.is_current and state.is_responsive(now_ms)
             ]
             return [hub for _, hub in sorted(current, reverse=True)]
 
@@ -150,11 +154,7 @@
         self._instances_by_hub[hub] = known
 
     def _list_responsive(self, now_ms: float) -> list[HubState]:
-        return [
-            state
-            for state in self._state_by_hub.values()
-            if now_ms - state.last_reply_ms < HUB_RESPONSIVE_WITHIN_MS
-        ]
+        return [state for state in self._state_by_hub.values() if state.is_responsive(now_ms)]
 
     def _update(self, now_ms: float) -> None:
         responsive = self._list_responsive(now_ms)
--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -101,9 +101,7 @@
 
     def has_no_pending_data(self) -> bool:
         """Return whether neither bytes nor an end of stream arrived since the last answer."""
-        poller = select.poll()
-        poller.register(self._sock, select.POLLIN)
-        return not poller.poll(0)
+        return not has_pending_data(self._sock)
 
     def send(self, head: bytes, body: bytes, *, deadline_ms: float) -> None:
         """Send a request; raise ``SendError`` if it cannot be sent completely by the deadline."""
@@ -155,8 +153,7 @@
             if not data:
                 raise ReadError("the upstream closed the connection before the answer was complete")
             return None
-        reader.release()
-        self._reader = None
+        self._release_reader()
         self.is_reusable = reader.is_reusable
         self.is_fresh = False
         if reader.keep_alive_ms is not None:
@@ -165,10 +162,21 @@
 
     def close(self) -> None:
         """Close the connection, which cancels a request in progress at the upstream."""
+        self._release_reader()
+        self._sock.close()
+
+    def _release_reader(self) -> None:
         reader, self._reader = self._reader, None
         if reader is not None:
             reader.release()
-        self._sock.close()
+
+
+def has_pending_data(sock: socket.socket) -> bool:
+    """Return whether bytes or an end of stream can be read from ``sock`` without blocking."""
+    # Unlike select, poll accepts descriptors above 1,023.
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
 
 
 def send_all(sock: socket.socket, data: bytes, *, timeout_ms: float) -> None:
--- a/src/coltsfootrill/replay/runner.py
+++ b/src/coltsfootrill/replay/runner.py
@@ -4,8 +4,6 @@
 
 import http.client
 import json
-import select
-import socket
 import threading
 import time
 import uuid
@@ -16,6 +14,7 @@
 from hdrh.histogram import HdrHistogram
 
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.proxy.connection import has_pending_data
 from coltsfootrill.replay.trace import Arrival
 from coltsfootrill.replay.trace import Trace
 
@@ -146,7 +145,7 @@
         for offset in range(len(self._callers)):
             address = self._callers[(number + offset) % len(self._callers)]
             connection = self._get_connection(address, deadline_ms)
-            if connection.sock is not None and _has_ended(connection.sock):
+            if connection.sock is not None and has_pending_data(connection.sock):
                 # The instance has closed the connection since its last answer.
                 connection.close()
             try:
@@ -210,14 +209,6 @@
         ) from errors[0]
 
 
-def _has_ended(sock: socket.socket) -> bool:
-    """Return whether an idle connection was closed by its other end, or has bytes to be read."""
-    # Unlike select, poll accepts descriptors above 1,023.
-    poller = select.poll()
-    poller.register(sock, select.POLLIN)
-    return bool(poller.poll(0))
-
-
 def get_thread_connection(local: threading.local, address: str) -> http.client.HTTPConnection:
     """Return the connection of the calling thread to an address, created on first use."""
     by_address: dict[str, http.client.HTTPConnection] = getattr(local, "by_address", {})
--- a/testing/membership/test_following.py
+++ b/testing/membership/test_following.py
@@ -8,6 +8,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
+import msgspec
 import pytest
 
 from coltsfootrill.clock import Clock
@@ -24,6 +25,7 @@
 from coltsfootrill.registry.announcement import split_address
 from coltsfootrill.rpc import RpcServer
 from testing.processes import wait_until
+from testing.records import make_usable_record
 from testing.relay import Relay
 
 
@@ -34,16 +36,7 @@
 
 
 def _announce(state: UpstreamState) -> Announcement:
-    return Announcement(
-        id="u1",
-        incarnation=1,
-        sequence=1,
-        address="127.0.0.1:9",
-        zone="z1",
-        services=["work"],
-        slots=3,
-        state=state,
-    )
+    return msgspec.structs.replace(make_usable_record("u1").announcement, state=state)
 
 
 class Member:
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -29,28 +29,26 @@
 def send_heartbeat(
     node: Node, upstream: ScriptedUpstream, sequence: int, state: str = "ready"
 ) -> int:
-    body = {
-        "address": upstream.address,
-        "serverInfo": {"service": "desk", "version": "v1", "zone": "z1", "concurrency": 3},
-        "status": {"state": state, "sequence": sequence, "coldRemainingMs": 0},
-        "born": 1,
-    }
-    path = "/Instances.Heartbeat/i-1"
-    return node.call("interface", "POST", path, json.dumps(body).encode())[0]
+    body = _encode_heartbeat(upstream.address, zone="z1", sequence=sequence, state=state)
+    return node.call("interface", "POST", "/Instances.Heartbeat/i-1", body)[0]
 
 
 def find_heartbeat_node(node: Node, *, zone: str) -> str:
     """Announce an upstream of ``zone`` to a node; return the host for its later heartbeats."""
+    body = _encode_heartbeat("127.0.0.1:9", zone=zone, sequence=1, state="ready")
+    status, reply = node.call("interface", "POST", f"/Instances.Heartbeat/i-{zone}", body)
+    address = json.loads(reply).get("heartbeatAddress", "") if status == 200 else ""
+    return str(address).partition(":")[0]
+
+
+def _encode_heartbeat(address: str, *, zone: str, sequence: int, state: str) -> bytes:
     body = {
-        "address": "127.0.0.1:9",
+        "address": address,
         "serverInfo": {"service": "desk", "version": "v1", "zone": zone, "concurrency": 3},
-        "status": {"state": "ready", "sequence": 1, "coldRemainingMs": 0},
+        "status": {"state": state, "sequence": sequence, "coldRemainingMs": 0},
         "born": 1,
     }
-    path = f"/Instances.Heartbeat/i-{zone}"
-    status, reply = node.call("interface", "POST", path, json.dumps(body).encode())
-    address = json.loads(reply).get("heartbeatAddress", "") if status == 200 else ""
-    return str(address).partition(":")[0]
+    return json.dumps(body).encode()
 
 
 def send_request(node: Node) -> int:
