Log each fetch of a manifest, and channels that are opened again

Cause: a failed fetch was dropped without a line, so the logs could not tell a silent connection (first hypothesis of the incident) from a fetch that blocks the others (second hypothesis). Ruled out: the time of a manifest in force is already logged by every instance (manifest-adopted). Change: event manifest-fetched with hub, version, time and error; a line when a channel is replaced.

--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -118,6 +118,18 @@
     digest: str
 
 
+class ManifestFetched(Event, kw_only=True, tag="manifest-fetched"):
+    """A fetch of manifest ``version`` from a hub that reported it has ended, after ``took_ms``.
+
+    ``error`` is the reason if it failed; the next reply of a hub starts another fetch.
+    """
+
+    hub: str
+    version: int
+    took_ms: float
+    error: str = ""
+
+
 class ManifestSubmitted(Event, kw_only=True, tag="manifest-submitted"):
     """A manifest submitted by an operator was accepted or refused, as ``result`` states."""
 
@@ -221,6 +233,7 @@
     | RetriesExhausted
     | RetriesAvailable
     | ManifestAdopted
+    | ManifestFetched
     | ManifestSubmitted
     | ReplicasChanged
     | RequestEnded
--- a/src/coltsfootrill/roles/manifest_sync.py
+++ b/src/coltsfootrill/roles/manifest_sync.py
@@ -5,10 +5,12 @@
 import threading
 from collections.abc import Callable
 
+from coltsfootrill.clock import Clock
 from coltsfootrill.control.messages import ReadReply
 from coltsfootrill.control.messages import ReadRequest
 from coltsfootrill.control.replica import READ
 from coltsfootrill.events.catalog import DependencyLost
+from coltsfootrill.events.catalog import ManifestFetched
 from coltsfootrill.events.log import EventLog
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.membership.exchange import FETCH_MANIFEST
@@ -23,7 +25,7 @@
 class ManifestSync:
     """Updates a node's manifest when a hub reports a newer version. Thread-safe."""
 
-    __slots__ = ("_fetch_lock", "_get_client", "_log", "_manifests", "_own_id")
+    __slots__ = ("_clock", "_fetch_lock", "_get_client", "_log", "_manifests", "_own_id")
 
     def __init__(
         self,
@@ -31,8 +33,10 @@
         *,
         own_id: str,
         get_client: Callable[[str], RpcClient],
+        clock: Clock,
         log: EventLog,
     ) -> None:
+        self._clock = clock
         self._manifests = manifests
         self._own_id = own_id
         self._get_client = get_client
@@ -46,15 +50,19 @@
         # Several hubs report a new manifest at the same time; one fetch is enough.
         if not self._fetch_lock.acquire(blocking=False):
             return
+        start_ms = self._clock.now_ms()
+        error = ""
         try:
             raw = self._fetch(address)
             if raw:
                 self.adopt(raw)
-        except RpcError:
+        except RpcError as rpc_error:
             # The next reply of a hub reports the version again.
-            return
+            error = str(rpc_error)
         finally:
             self._fetch_lock.release()
+        took_ms = round(self._clock.now_ms() - start_ms, 1)
+        self._log.emit(ManifestFetched(hub=address, version=version, took_ms=took_ms, error=error))
 
     def adopt(self, raw: bytes) -> None:
         """Put an accepted manifest into force; log an event if it cannot be read."""
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -129,7 +129,11 @@
             random=random,
         )
         self._manifest_sync = ManifestSync(
-            manifests, own_id=record.id, get_client=self._following.get_client, log=log
+            manifests,
+            own_id=record.id,
+            get_client=self._following.get_client,
+            clock=clock,
+            log=log,
         )
         self._add_rpc_methods()
 
--- a/src/coltsfootrill/rpc.py
+++ b/src/coltsfootrill/rpc.py
@@ -10,6 +10,7 @@
 
 import grpc
 import msgspec
+from absl import logging
 
 from coltsfootrill.errors import ColtsfootrillError
 
@@ -130,6 +131,7 @@
             self._failures = 0
             old_channel = self._channel
             self._channel = self._open()
+        logging.info('channel opened again address="%s"', self._address)
         old_channel.close()
 
 
