Replace a silent channel after one call without a reply

Callers saw: 404 for a route that a manifest had added, more than two seconds after that manifest was acknowledged, at instances whose links worked again. Cause: a connection that goes silent reports no error. A channel was opened again only after two calls in a row without a reply. A long poll takes 3.4 s to time out, so an instance that lost all its connections heard of no manifest for up to 6.9 s, though new connections worked all the while. Change: one call that times out is enough, if no other call on the channel was answered meanwhile; calls that wait on it end with it, a failure of a call on a channel that is already replaced counts no more, and a refusal counts as a reply. The class of fault: loss of state between two ends, found by time only. Tests: two of the three new ones failed before (the second call timed out as well); the third holds the other side, that a slow call replaces no channel on which others are answered. Three mutants seen. Conclusion: at most one poll of 3.4 s is lost; the manifest has five (window and time to apply).

--- a/src/coltsfootrill/rpc.py
+++ b/src/coltsfootrill/rpc.py
@@ -22,6 +22,7 @@
 COMPRESSED_MIN_BYTES = 1_024
 CONNECT_TIMEOUT_MS = 300
 _FAILURES_BEFORE_RECONNECT = 2
+_TIMED_OUT = grpc.StatusCode.DEADLINE_EXCEEDED
 _OPTIONS = (
     ("grpc.max_receive_message_length", MESSAGE_MAX_BYTES),
     ("grpc.max_send_message_length", MESSAGE_MAX_BYTES),
@@ -69,9 +70,22 @@
 
 
 class RpcClient:
-    """A client of one address, which replaces its channel after consecutive failed calls."""
-
-    __slots__ = ("_address", "_channel", "_counter", "_credentials", "_failures", "_lock")
+    """A client of one address, which replaces a channel that no longer works.
+
+    That is one on which a call timed out and no other call got a reply meanwhile, or on which calls
+    failed ``_FAILURES_BEFORE_RECONNECT`` times in a row for another reason. Calls that wait on the
+    channel fail with it. Thread-safe.
+    """
+
+    __slots__ = (
+        "_address",
+        "_channel",
+        "_counter",
+        "_credentials",
+        "_failures",
+        "_lock",
+        "_replies_count",
+    )
 
     def __init__(
         self,
@@ -85,6 +99,7 @@
         self._counter = counter or ByteCounter()
         self._lock = threading.Lock()
         self._failures = 0
+        self._replies_count = 0
         self._channel = self._open()
 
     def call(self, method: Method, request: Any, *, timeout_ms: float) -> Any:
@@ -94,7 +109,9 @@
         """
         raw = msgspec.msgpack.encode(request)
         self._counter.sent += len(raw)
-        stub = self._channel.unary_unary(method.path)
+        channel = self._channel
+        replies_before = self._replies_count
+        stub = channel.unary_unary(method.path)
         try:
             raw_reply = stub(
                 raw, timeout=max(timeout_ms, 1) / 1000, compression=choose_compression(raw)
@@ -102,14 +119,17 @@
             self._counter.received += len(raw_reply)
             reply = method.decode_reply(raw_reply)
         except grpc.RpcError as error:
-            if error.code() != grpc.StatusCode.FAILED_PRECONDITION:
-                self._record_failure()
+            if error.code() == grpc.StatusCode.FAILED_PRECONDITION:
+                self._record_reply()
+            else:
+                is_silent = error.code() == _TIMED_OUT and self._replies_count == replies_before
+                self._record_failure(channel, is_silent=is_silent)
             reason = f"{error.code().name.lower()} {error.details() or ''}"
             raise RpcError(f"{self._address}: {reason.strip()}") from error
         except (ValueError, msgspec.MsgspecError) as error:
             # A closed channel raises ValueError: another thread has replaced it in the meantime.
             raise RpcError(f"{self._address}: {error}") from error
-        self._failures = 0
+        self._record_reply()
         return reply
 
     def close(self) -> None:
@@ -121,18 +141,24 @@
             return grpc.insecure_channel(self._address, options=_OPTIONS)
         return grpc.secure_channel(self._address, self._credentials, options=_OPTIONS)
 
-    def _record_failure(self) -> None:
-        # A connection whose state a middlebox has dropped reports no error. Consecutive calls
-        # without a reply are the only sign of it.
+    def _record_reply(self) -> None:
         with self._lock:
+            self._failures = 0
+            self._replies_count += 1
+
+    def _record_failure(self, channel: Any, *, is_silent: bool) -> None:
+        with self._lock:
+            if channel is not self._channel:
+                return
             self._failures += 1
-            if self._failures < _FAILURES_BEFORE_RECONNECT:
+            # A connection whose state a middlebox has dropped reports no error: a timeout is the
+            # only sign of it. Waiting for a second one would double the time without any news.
+            if not is_silent and self._failures < _FAILURES_BEFORE_RECONNECT:
                 return
             self._failures = 0
-            old_channel = self._channel
             self._channel = self._open()
         logging.info('channel opened again address="%s"', self._address)
-        old_channel.close()
+        channel.close()
 
 
 class RpcServer:
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -106,10 +106,25 @@
     Mutant(
         "channels between instances that stop responding are replaced",
         "rpc.py",
-        "            if self._failures < _FAILURES_BEFORE_RECONNECT:\n                return\n",
+        "            if not is_silent and self._failures < _FAILURES_BEFORE_RECONNECT:\n"
+        "                return\n",
         "            return\n",
         FEATURES + "silent_connections_between_instances_are_replaced",
     ),
+    Mutant(
+        "one call without a reply is enough to replace a silent channel",
+        "rpc.py",
+        "if not is_silent and self._failures",
+        "if self._failures",
+        "testing/test_rpc.py::TestSilentConnection",
+    ),
+    Mutant(
+        "a slow call does not replace a channel on which others are answered",
+        "rpc.py",
+        "is_silent = error.code() == _TIMED_OUT and self._replies_count == replies_before\n",
+        "is_silent = error.code() == _TIMED_OUT\n",
+        "testing/test_rpc.py::TestSilentConnection",
+    ),
     Mutant(
         "a non-idempotent request runs at most once",
         "balancer/retry.py",
--- a/testing/test_rpc.py
+++ b/testing/test_rpc.py
@@ -1,18 +1,28 @@
 from __future__ import annotations
 
 import socket
+import threading
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 
 import pytest
 
+from coltsfootrill.membership.exchange import FETCH_MANIFEST
 from coltsfootrill.membership.following import FOLLOW
+from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.messages import ManifestReply
+from coltsfootrill.membership.messages import ManifestRequest
 from coltsfootrill.rpc import RpcClient
 from coltsfootrill.rpc import RpcError
+from coltsfootrill.rpc import RpcServer
+from testing.relay import Relay
 
 LONG_TIMEOUT_MS = 20_000.0
+SHORT_TIMEOUT_MS = 500.0
+POLL = FollowRequest(InstanceRecord("n1", 1, "127.0.0.1:1", "z1", False, 1), False, False, 0, 0, 0)
 # More pending connections than the kernel queues for a backlog of 0.
 PENDING_COUNT = 4
 
@@ -32,8 +42,76 @@
 class TestSilentHost:
     def test_call_fails_once_the_attempt_to_connect_is_given_up(self, silent_address: str) -> None:
         client = RpcClient(silent_address)
-        sender = InstanceRecord("n1", 1, "127.0.0.1:1", "z1", False, 1)
-        request = FollowRequest(sender, False, False, 0, 0, 0)
         with pytest.raises(RpcError, match="unavailable"):
-            client.call(FOLLOW, request, timeout_ms=LONG_TIMEOUT_MS)
+            client.call(FOLLOW, POLL, timeout_ms=LONG_TIMEOUT_MS)
         client.close()
+
+
+class SilentServer:
+    """A server behind a relay. Its method ``Follow`` waits until ``release`` is set."""
+
+    def __init__(self) -> None:
+        self.release = threading.Event()
+        self._server = RpcServer(ThreadPoolExecutor(8))
+        self._server.add(FOLLOW, self._answer_late)
+        self._server.add(FETCH_MANIFEST, lambda request: ManifestReply(1, b""))
+        self._server.start("127.0.0.1:0")
+        self.relay = Relay(self._server.port)
+
+    def _answer_late(self, request: FollowRequest) -> FollowReply:
+        self.release.wait()
+        return FollowReply(1, 1, True, True, 1, 0, [], [], [], True, [], [], [], [])
+
+    def close(self) -> None:
+        self.release.set()
+        self._server.stop(grace_ms=0)
+
+
+@pytest.fixture
+def server() -> Iterator[SilentServer]:
+    server = SilentServer()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def client(server: SilentServer) -> Iterator[RpcClient]:
+    client = RpcClient(server.relay.address)
+    client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
+    yield client
+    client.close()
+
+
+class TestSilentConnection:
+    # Guards against a manifest in force too late: silent channels lasted until a second timeout.
+    def test_the_first_call_without_a_reply_is_the_only_one(
+        self, server: SilentServer, client: RpcClient
+    ) -> None:
+        server.relay.cut_existing()
+        with pytest.raises(RpcError, match="deadline_exceeded"):
+            client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=SHORT_TIMEOUT_MS)
+        reply = client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
+        assert reply.version == 1
+
+    def test_calls_that_wait_on_the_connection_end_with_it(
+        self, server: SilentServer, client: RpcClient
+    ) -> None:
+        server.relay.cut_existing()
+        with ThreadPoolExecutor(1) as executor:
+            poll = executor.submit(client.call, FOLLOW, POLL, timeout_ms=LONG_TIMEOUT_MS)
+            with pytest.raises(RpcError, match="deadline_exceeded"):
+                client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=SHORT_TIMEOUT_MS)
+            error = poll.exception()
+        assert isinstance(error, RpcError)
+        assert "cancelled" in str(error)
+
+    def test_a_slow_call_keeps_a_connection_on_which_others_are_answered(
+        self, server: SilentServer, client: RpcClient
+    ) -> None:
+        with ThreadPoolExecutor(1) as executor:
+            poll = executor.submit(client.call, FOLLOW, POLL, timeout_ms=SHORT_TIMEOUT_MS)
+            while not poll.done():
+                client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
+        assert isinstance(poll.exception(), RpcError)
+        client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
+        assert server.relay.accepted_count == 1
