Keep requests to an upstream within the rate that it states

Upstreams saw: more requests than one and a half times what they state that they take from all instances together (19 in 4 s where 17 are allowed). Cause: no module read the rate. The load report of such an upstream shows free slots, so it was chosen as if it were well; and since a dispatcher chooses for the fleet, a limit at each instance would not have been enough. The class of fault: a limit that holds for the fleet, enforced nowhere or in parts. Ruled out: restarts as the cause, as the first breaks come before the planned one. Change: the rate goes from answers to the instance that chose, with the reported end, and to all with the exchanged loads. The first dispatcher in rank has the whole rate, all others a quarter together. Short work and first requests are dispatched too while a rate is stated. Refusals take the rate into account. New event upstream-rate-limited; refused requests say how many upstreams had no request left.

--- a/src/coltsfootrill/balancer/admission.py
+++ b/src/coltsfootrill/balancer/admission.py
@@ -127,7 +127,9 @@
         return sum(rank_waiter(other, now_ms) < rank for other in self._waiters)
 
 
-def can_meet_deadline(*, ahead: int, parallel: int, typical_ms: float, remaining_ms: float) -> bool:
+def can_meet_deadline(
+    *, ahead: int, parallel: float, typical_ms: float, remaining_ms: float
+) -> bool:
     """Return whether a request queued behind ``ahead`` others can meet its deadline.
 
     Assumes that ``parallel`` requests run at a time and that each takes ``typical_ms``.
--- a/src/coltsfootrill/balancer/claim.py
+++ b/src/coltsfootrill/balancer/claim.py
@@ -48,7 +48,8 @@
 
     ``pace`` is the upstream's pace and ``occupancy`` the requests known to be there, this one
     included, both at the start. ``report_age_ms`` is the age of the load report at that time.
-    ``grant`` is set if another instance chose the upstream.
+    ``grant`` is set if another instance chose the upstream. ``stated_per_s`` is the rate of
+    requests that the upstream states on its answer, ``None`` if it states none.
     """
 
     __slots__ = (
@@ -59,6 +60,7 @@
         "pace",
         "report_age_ms",
         "started_ms",
+        "stated_per_s",
         "token",
         "typical_ms",
     )
@@ -76,6 +78,7 @@
         report_age_ms: float = 0.0,
     ) -> None:
         self.grant: Grant | None = None
+        self.stated_per_s: float | None = None
         self.report_age_ms = report_age_ms
         self.pace = pace
         self.occupancy = occupancy
--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -9,8 +9,12 @@
 
 import math
 from collections import deque
+from random import Random
 from typing import Literal
 
+from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
+from coltsfootrill.balancer.rate_limit import RateLimit
+
 REPORT_HALF_LIFE_MIN_MS = 10.0
 TYPICAL_WEIGHT = 0.05
 SLOWNESS_WEIGHT = 0.2
@@ -86,7 +90,8 @@
     ``answered_at_ms`` is when it last answered a request of this instance. ``remote_tokens``
     identifies the requests that other instances sent; ``recent_ends`` holds the start and end
     times of the latest requests that ended. ``outlier_score`` is that of the last comparison with
-    the others; it stays while the upstream is ejected.
+    the others; it stays while the upstream is ejected. ``rate_limit`` holds the rate of requests
+    that the upstream states.
     """
 
     __slots__ = (
@@ -109,6 +114,7 @@
         "pace_at_ms",
         "paused_until_ms",
         "ramp_from_ms",
+        "rate_limit",
         "recent_ends",
         "remote_tokens",
         "reported_at_ms",
@@ -121,8 +127,17 @@
     )
 
     def __init__(
-        self, *, id: str, incarnation: int, address: str, zone: str, slots: int, now_ms: float
+        self,
+        *,
+        id: str,
+        incarnation: int,
+        address: str,
+        zone: str,
+        slots: int,
+        now_ms: float,
+        rate_limit: RateLimit | None = None,
     ) -> None:
+        self.rate_limit = rate_limit or RateLimit(share=WHOLE_SHARE, random=Random(0))
         self.id = id
         self.incarnation = incarnation
         self.address = address
@@ -200,8 +215,17 @@
 
 
 def is_available(load: UpstreamLoad, now_ms: float) -> bool:
-    """Return whether a request may start now: not ejected, not paused, below the limit."""
-    return not is_blocked(load, now_ms) and load.in_flight < max(1, int(load.limit))
+    """Return whether a request may start now: not blocked, and below all limits."""
+    return (
+        not is_blocked(load, now_ms)
+        and load.in_flight < max(1, int(load.limit))
+        and load.rate_limit.allows_request(now_ms)
+    )
+
+
+def get_parallel(load: UpstreamLoad, *, typical_ms: float) -> float:
+    """Return how many requests of this instance may run there at a time, within its limits."""
+    return min(max(1, int(load.limit)), load.rate_limit.get_concurrency(typical_ms))
 
 
 def is_blocked(load: UpstreamLoad, now_ms: float) -> bool:
--- a/src/coltsfootrill/balancer/load_report_cache.py
+++ b/src/coltsfootrill/balancer/load_report_cache.py
@@ -9,14 +9,25 @@
 
 
 class ReportEntry:
-    """A load that an upstream reported ``age_ms`` ago."""
+    """What an upstream stated ``age_ms`` ago: its load, its rate of requests, or both.
 
-    __slots__ = ("age_ms", "report", "upstream_id")
+    ``per_s`` is the rate in requests a second; either is ``None`` if it was not stated.
+    """
 
-    def __init__(self, upstream_id: str, report: LoadReport, *, age_ms: float) -> None:
+    __slots__ = ("age_ms", "per_s", "report", "upstream_id")
+
+    def __init__(
+        self,
+        upstream_id: str,
+        report: LoadReport | None,
+        *,
+        age_ms: float,
+        per_s: float | None = None,
+    ) -> None:
         self.upstream_id = upstream_id
         self.report = report
         self.age_ms = age_ms
+        self.per_s = per_s
 
 
 class LoadReportCache:
@@ -27,12 +38,19 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
-        self._report_by_id: dict[str, tuple[float, LoadReport]] = {}
+        self._report_by_id: dict[str, _StoredReport] = {}
 
-    def record(self, upstream_id: str, report: LoadReport) -> None:
-        """Store a report that has just arrived."""
+    def record(
+        self, upstream_id: str, report: LoadReport | None, per_s: float | None = None
+    ) -> None:
+        """Store what an upstream has just stated: its load, its rate of requests, or both."""
         with self._lock:
-            self._report_by_id[upstream_id] = (self._clock.now_ms(), report)
+            known = self._report_by_id.get(upstream_id)
+            if known is not None:
+                # A health check states no rate.
+                report = report or known.report
+                per_s = known.per_s if per_s is None else per_s
+            self._report_by_id[upstream_id] = _StoredReport(report, per_s, self._clock.now_ms())
 
     def take(self) -> list[ReportEntry]:
         """Return the stored reports and remove them."""
@@ -41,6 +59,19 @@
             taken = self._report_by_id
             self._report_by_id = {}
         return [
-            ReportEntry(upstream_id, report, age_ms=now_ms - at_ms)
-            for upstream_id, (at_ms, report) in taken.items()
+            ReportEntry(
+                upstream_id, stored.report, age_ms=now_ms - stored.at_ms, per_s=stored.per_s
+            )
+            for upstream_id, stored in taken.items()
         ]
+
+
+class _StoredReport:
+    """What an upstream stated at ``at_ms``."""
+
+    __slots__ = ("at_ms", "per_s", "report")
+
+    def __init__(self, report: LoadReport | None, per_s: float | None, at_ms: float) -> None:
+        self.report = report
+        self.per_s = per_s
+        self.at_ms = at_ms
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -23,6 +23,7 @@
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.load import UpstreamLoad
 from coltsfootrill.balancer.load import estimate_in_flight
+from coltsfootrill.balancer.load import get_parallel
 from coltsfootrill.balancer.load import is_available
 from coltsfootrill.balancer.load import is_blocked
 from coltsfootrill.balancer.load import record_end
@@ -34,6 +35,8 @@
 from coltsfootrill.balancer.load import record_success
 from coltsfootrill.balancer.occupancy import SaturationEstimate
 from coltsfootrill.balancer.occupancy import count_known
+from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
+from coltsfootrill.balancer.rate_limit import RateLimit
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.balancer.retry import RetryBudget
 from coltsfootrill.manifest.model import Kind
@@ -61,6 +64,7 @@
 
     __slots__ = (
         "_policy",
+        "_rate_share",
         "_retiring",
         "_turn",
         "by_id",
@@ -96,6 +100,8 @@
         self.random = random
         self.origin = Origin(zone)
         self._turn = 0
+        # The part of the rates stated by upstreams that this instance has.
+        self._rate_share = WHOLE_SHARE
         self._retiring: list[UpstreamLoad] = []
         # Whether a request started or was in flight since the last check for outliers.
         self.has_recent_requests = False
@@ -117,11 +123,23 @@
             load = self.by_id.get(upstream_id)
             if load is None or not _is_same(load, record):
                 self._retire(load)
-                self.by_id[upstream_id] = _make_load(record, now_ms)
+                self.by_id[upstream_id] = self._make_load(record, now_ms)
         for upstream_id in [known for known in self.by_id if known not in wanted]:
             self._retire(self.by_id.pop(upstream_id))
         self._retiring = [load for load in self._retiring if load.in_flight]
 
+    def set_rate_share(self, share: float, now_ms: float) -> None:
+        """Set the part of the rates stated by upstreams that this instance has."""
+        if share == self._rate_share:
+            return
+        self._rate_share = share
+        for load in self.by_id.values():
+            load.rate_limit.set_share(share, now_ms)
+
+    def has_rate_limits(self) -> bool:
+        """Return whether any upstream states a rate of requests."""
+        return any(load.rate_limit.per_s is not None for load in self.by_id.values())
+
     def eject_outliers(self, now_ms: float) -> list[UpstreamLoad]:
         """Eject slow or failing upstreams, and return them."""
         self.has_recent_requests = any(load.in_flight for load in self.by_id.values())
@@ -180,7 +198,10 @@
         load = self._choose_near(preferred, context, wanted) or self._choose(
             preferred, context, wanted
         )
-        return None if load is None else self._start(load, kind, now_ms)
+        if load is None:
+            return None
+        load.rate_limit.record_request(now_ms)
+        return self._start(load, kind, now_ms)
 
     def start_at(self, upstream_id: str, kind: Kind, now_ms: float) -> Claim | None:
         """Count a request as in flight where another instance has sent it.
@@ -282,13 +303,20 @@
             record_report(load, report, now_ms=now_ms)
             self._update_margin(report)
 
+    def apply_shared_rate(self, upstream_id: str, per_s: float, stated_ms: float) -> None:
+        """Record the rate that an upstream stated to another instance at ``stated_ms``."""
+        load = self.by_id.get(upstream_id)
+        if load is not None:
+            load.rate_limit.record_shared(per_s, stated_ms)
+
     def can_still_answer(self, kind: Kind, waiter: Waiter, now_ms: float) -> bool:
         """Return whether a waiter can be expected to meet its deadline."""
-        parallel = sum(max(1, int(load.limit)) for load in self.by_id.values())
+        typical_ms = self.get_latency(kind.id).typical_ms
+        parallel = sum(get_parallel(load, typical_ms=typical_ms) for load in self.by_id.values())
         return can_meet_deadline(
             ahead=self.queue.count_ahead(waiter, now_ms),
             parallel=parallel,
-            typical_ms=self.get_latency(kind.id).typical_ms,
+            typical_ms=typical_ms,
             remaining_ms=waiter.deadline_ms - now_ms,
         )
 
@@ -308,6 +336,9 @@
     def end_answered(self, claim: Claim, report: LoadReport | None, now_ms: float) -> None:
         """Record a complete answer without a server error."""
         claim.load.answered_at_ms = now_ms
+        claim.load.rate_limit.record_answer(
+            claim.stated_per_s, started_ms=claim.started_ms, now_ms=now_ms
+        )
         if report is not None:
             record_report(claim.load, report, now_ms=now_ms)
             self._update_margin(report)
@@ -334,6 +365,7 @@
         service did so, pauses would leave callers with no upstream at all.
         """
         record_end(claim.load, token=claim.token)
+        _record_stated_rate(claim, now_ms)
         if report is not None:
             record_report(claim.load, report, now_ms=now_ms)
             self._update_margin(report)
@@ -345,6 +377,7 @@
     def end_failed(self, claim: Claim, now_ms: float) -> None:
         """Record a refused connection, a broken answer or a server error."""
         record_end(claim.load, token=claim.token, now_ms=now_ms)
+        _record_stated_rate(claim, now_ms)
         record_error(claim.load, now_ms=now_ms)
 
     def end_misdirected(self, claim: Claim) -> None:
@@ -367,6 +400,18 @@
         else:
             self.margin = max(0.0, self.margin - MARGIN_STEP_DOWN)
 
+    def _make_load(self, record: UpstreamRecord, now_ms: float) -> UpstreamLoad:
+        announcement = record.announcement
+        return UpstreamLoad(
+            id=announcement.id,
+            incarnation=announcement.incarnation,
+            address=announcement.address,
+            zone=announcement.zone,
+            slots=announcement.slots,
+            now_ms=now_ms,
+            rate_limit=RateLimit(share=self._rate_share, random=self.random),
+        )
+
     def _retire(self, load: UpstreamLoad | None) -> None:
         if load is not None and load.in_flight:
             self._retiring.append(load)
@@ -377,13 +422,9 @@
     return load.incarnation == announcement.incarnation and load.address == announcement.address
 
 
-def _make_load(record: UpstreamRecord, now_ms: float) -> UpstreamLoad:
-    announcement = record.announcement
-    return UpstreamLoad(
-        id=announcement.id,
-        incarnation=announcement.incarnation,
-        address=announcement.address,
-        zone=announcement.zone,
-        slots=announcement.slots,
-        now_ms=now_ms,
-    )
+def _record_stated_rate(claim: Claim, now_ms: float) -> None:
+    """Record the rate on an answer that is no success; without a rate it proves nothing."""
+    if claim.stated_per_s is not None:
+        claim.load.rate_limit.record_answer(
+            claim.stated_per_s, started_ms=claim.started_ms, now_ms=now_ms
+        )
--- a/src/coltsfootrill/dispatch/client.py
+++ b/src/coltsfootrill/dispatch/client.py
@@ -12,6 +12,8 @@
 from coltsfootrill.balancer.claim import Grant
 from coltsfootrill.balancer.claim import Result
 from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.balancer.rate_limit import FALLBACK_SHARE
+from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.messages import REPLY_TOPIC
 from coltsfootrill.dispatch.messages import REQUEST_TOPIC
@@ -129,11 +131,32 @@
         self._record_loss(dispatcher, reason)
         return None
 
-    def release(self, grant: Grant, result: Result, report: LoadReport | None = None) -> None:
-        """Report the end of an attempt to the dispatcher that granted it."""
-        release = Release(grant.token, result)
+    def get_rate_share(self, service_id: str) -> float:
+        """Return the part of the rates stated by the upstreams of a service that is this one's.
+
+        The dispatcher that all others should use has the whole rate.
+        """
+        dispatchers = self._list_dispatchers(service_id, self._clock.now_ms())
+        if not dispatchers or dispatchers[0].id == self._own.id:
+            return WHOLE_SHARE
+        return FALLBACK_SHARE / len(self._list_instances())
+
+    def release(
+        self,
+        grant: Grant,
+        result: Result,
+        report: LoadReport | None = None,
+        per_s: float | None = None,
+    ) -> None:
+        """Report the end of an attempt to the dispatcher that granted it.
+
+        ``per_s`` is the rate of requests that the upstream states.
+        """
+        release = Release(grant.token, result, per_s=per_s)
         if report is not None:
-            release = Release(grant.token, result, report.in_flight, report.slots, report.pace)
+            release = Release(
+                grant.token, result, report.in_flight, report.slots, report.pace, per_s
+            )
         self._port.send(REQUEST_TOPIC, encode(release), grant.address)
 
     def handle_reply(self, payload: bytes, sender: str) -> None:
--- a/src/coltsfootrill/dispatch/messages.py
+++ b/src/coltsfootrill/dispatch/messages.py
@@ -79,6 +79,7 @@
 
     ``in_flight``, ``slots`` and ``pace`` are the load that the upstream reported with its answer.
     ``slots`` is 0 without a report, and ``pace`` is ``None`` if the report does not contain it.
+    ``per_s`` is the rate of requests that the upstream stated, ``None`` if it stated none.
     """
 
     token: int
@@ -86,6 +87,7 @@
     in_flight: int = 0
     slots: int = 0
     pace: float | None = None
+    per_s: float | None = None
 
     def get_report(self) -> LoadReport | None:
         """Return the load that the upstream reported, ``None`` without a report."""
--- a/src/coltsfootrill/dispatch/remote_acquire.py
+++ b/src/coltsfootrill/dispatch/remote_acquire.py
@@ -39,11 +39,13 @@
         The claim is counted in the local pool. Returns ``None`` when this instance has to choose
         the upstream itself: no typical latency has been measured yet, the work is too short for a
         round trip, no dispatcher can be used, or the chosen upstream must not get new work
-        according to the local pool.
+        according to the local pool. While an upstream states a rate, only the dispatcher knows how
+        many requests it gets, so the first two reasons do not apply.
         """
         with self._lock:
             latency = self._pool.get_latency(demand.kind.id)
-            if not latency.has_samples or latency.typical_ms < self._client.work_min_ms:
+            is_worthwhile = latency.has_samples and latency.typical_ms >= self._client.work_min_ms
+            if not is_worthwhile and not self._pool.has_rate_limits():
                 return None
             request = make_acquire_request(self._pool, demand, now_ms=self._clock.now_ms())
         result = self._client.acquire(request, has_caller_left=demand.has_caller_left)
@@ -53,14 +55,15 @@
             claim = self._pool.start_at(result.upstream_id, demand.kind, self._clock.now_ms())
         if claim is None:
             # The local pool does not allow new work on this upstream.
-            self.release(result, "abandoned", None)
+            self._client.release(result, "abandoned")
             return None
         claim.grant = result
         return claim
 
-    def release(self, grant: Grant, result: Result, report: LoadReport | None) -> None:
-        """Report the result of an attempt to the dispatcher that granted it."""
-        self._client.release(grant, result, report)
+    def release(self, claim: Claim, result: Result, report: LoadReport | None) -> None:
+        """Report the result of an attempt to the dispatcher that granted it, if one did."""
+        if claim.grant is not None:
+            self._client.release(claim.grant, result, report, claim.stated_per_s)
 
 
 def make_acquire_request(
--- a/src/coltsfootrill/dispatch/server.py
+++ b/src/coltsfootrill/dispatch/server.py
@@ -188,9 +188,11 @@
             self._attempts_by_key.pop((attempt.sender, attempt.token), None)
         if attempt.pending is None:
             return
-        if release.result == "answered" and attempt.pending.claim is not None:
-            upstream_id = attempt.pending.claim.load.id
-            self._answer_times.record(attempt.sender, upstream_id, self._clock.now_ms())
+        claim = attempt.pending.claim
+        if claim is not None:
+            claim.stated_per_s = release.per_s
+            if release.result == "answered":
+                self._answer_times.record(attempt.sender, claim.load.id, self._clock.now_ms())
         attempt.controller.end_remote(attempt.pending, release.result, release.get_report())
 
     def _send(self, address: str, reply: DispatchReply) -> None:
--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -83,6 +83,17 @@
     service: str
 
 
+class UpstreamRateLimited(Event, kw_only=True, tag="upstream-rate-limited"):
+    """An upstream states that it takes ``per_s`` requests a second from all instances together.
+
+    Without ``per_s`` it states no rate any more, or has left.
+    """
+
+    upstream: str
+    service: str
+    per_s: float | None = None
+
+
 class InstancesChanged(Event, kw_only=True, tag="instances-changed"):
     """The set of known instances in the fleet changed; ``count`` is its new size."""
 
@@ -169,8 +180,9 @@
 class Admission(msgspec.Struct, frozen=True, kw_only=True):
     """State of a service when a request was refused for lack of an upstream.
 
-    Of ``upstreams`` upstreams, ``ejected`` received no new requests and ``with_room`` had a free
-    slot according to their last load reports, the newest of which was ``report_age_ms`` old.
+    Of ``upstreams`` upstreams, ``ejected`` received no new requests, ``rate_limited`` had no
+    request left at the rate that they state, and ``with_room`` had a free slot according to their
+    last load reports, the newest of which was ``report_age_ms`` old.
     ``waiting`` requests were queued, and the typical latency of the service was ``usual_ms``.
     """
 
@@ -180,6 +192,7 @@
     waiting: int
     usual_ms: float
     report_age_ms: float
+    rate_limited: int = 0
 
 
 class RequestEnded(Event, kw_only=True, tag="request-ended"):
@@ -229,6 +242,7 @@
     | UpstreamChanged
     | UpstreamEjected
     | UpstreamReadmitted
+    | UpstreamRateLimited
     | InstancesChanged
     | RetriesExhausted
     | RetriesAvailable
--- a/src/coltsfootrill/membership/load_changes.py
+++ b/src/coltsfootrill/membership/load_changes.py
@@ -64,6 +64,8 @@
 def _differs(before: LoadEntry, after: LoadEntry) -> bool:
     if (before.in_flight, before.slots) != (after.in_flight, after.slots):
         return True
+    if before.per_s != after.per_s:
+        return True
     if before.pace is None or after.pace is None:
         return before.pace is not after.pace
     slower, faster = max(before.pace, after.pace), min(before.pace, after.pace)
--- a/src/coltsfootrill/membership/load_gossip.py
+++ b/src/coltsfootrill/membership/load_gossip.py
@@ -177,13 +177,17 @@
 
 def _pack(entry: ReportEntry) -> LoadEntry:
     report = entry.report
+    age_ms = int(entry.age_ms)
+    if report is None:
+        return LoadEntry(entry.upstream_id, 0, 0, None, age_ms, entry.per_s)
     pace = None if report.pace is None else int(report.pace * PACE_SCALE)
-    return LoadEntry(entry.upstream_id, report.in_flight, report.slots, pace, int(entry.age_ms))
+    return LoadEntry(entry.upstream_id, report.in_flight, report.slots, pace, age_ms, entry.per_s)
 
 
 def _unpack(entry: LoadEntry) -> ReportEntry:
+    age_ms = max(0, entry.age_ms)
+    if entry.slots < 1:
+        return ReportEntry(entry.upstream_id, None, age_ms=age_ms, per_s=entry.per_s)
     pace = None if entry.pace is None else entry.pace / PACE_SCALE
-    report = LoadReport(
-        in_flight=entry.in_flight, slots=max(1, entry.slots), state="serving", pace=pace
-    )
-    return ReportEntry(entry.upstream_id, report, age_ms=max(0, entry.age_ms))
+    report = LoadReport(in_flight=entry.in_flight, slots=entry.slots, state="serving", pace=pace)
+    return ReportEntry(entry.upstream_id, report, age_ms=age_ms, per_s=entry.per_s)
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -135,13 +135,17 @@
 
 
 class LoadEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Load of one upstream; ``pace`` is multiplied by ``PACE_SCALE``, ``None`` if not reported."""
+    """Load of one upstream; ``pace`` is multiplied by ``PACE_SCALE``, ``None`` if not reported.
+
+    ``slots`` is 0 without a load. ``per_s`` is the rate of requests that the upstream states.
+    """
 
     upstream_id: str
     in_flight: int
     slots: int
     pace: int | None
     age_ms: int
+    per_s: float | None = None
 
 
 class LoadGossip(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/platform/dialect.py
+++ b/src/coltsfootrill/platform/dialect.py
@@ -44,6 +44,7 @@
         upstream_id="X-Expected-Instance",
         answered_by="X-Instance-Identifier",
         signature="X-Server-Signature",
+        rate_limit="Server-Limit",
         not_run_statuses=frozenset({421}),
         implied_not_run_statuses=frozenset({408, 421, 429, 503}),
         has_fractional_retry_after=True,
--- a/src/coltsfootrill/proxy/admission_controller.py
+++ b/src/coltsfootrill/proxy/admission_controller.py
@@ -13,6 +13,7 @@
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.load_report_cache import ReportEntry
 from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.balancer.retry import AttemptHistory
 from coltsfootrill.balancer.retry import FailureKind
 from coltsfootrill.balancer.retry import may_hedge
@@ -59,12 +60,15 @@
         fleet: UpstreamSource,
         clock: Clock,
         dispatch: DispatchClient | None = None,
-        on_report: Callable[[str, LoadReport], None] = lambda upstream_id, report: None,
+        on_report: Callable[[str, LoadReport | None, float | None], None] = (
+            lambda upstream_id, report, per_s: None
+        ),
         on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
         self._on_report = on_report
         self._event_log = PoolEventLog(pool, on_event=on_event)
         self._pool = pool
+        self._dispatch = dispatch
         self._fleet = fleet
         self._clock = clock
         self._lock = threading.Lock()
@@ -240,14 +244,16 @@
         """Apply load reports received from other instances or probes."""
         with self._lock:
             for entry in reports:
-                self._pool.apply_report(entry.upstream_id, entry.report, now_ms - entry.age_ms)
+                stated_ms = now_ms - entry.age_ms
+                if entry.report is not None:
+                    self._pool.apply_report(entry.upstream_id, entry.report, stated_ms)
+                if entry.per_s is not None:
+                    self._pool.apply_shared_rate(entry.upstream_id, entry.per_s, stated_ms)
             self._grants.grant_waiting_throttled(now_ms)
 
     def end_answered(self, claim: Claim, report: LoadReport | None, ended_ms: float) -> None:
         """Record an answer that was complete at ``ended_ms`` and admit waiting attempts."""
-        if report is not None:
-            self._on_report(claim.load.id, report)
-        self._release(claim, "answered", report)
+        self._share_result(claim, "answered", report)
         with self._lock:
             self._pool.end_answered(claim, report, ended_ms)
             should_confirm = ended_ms - claim.load.confirmed_at_ms > CONFIRM_INTERVAL_MS
@@ -259,18 +265,18 @@
 
     def end(self, claim: Claim, result: Result, report: LoadReport | None = None) -> None:
         """Record an attempt that ended without a valid answer and admit waiting attempts."""
-        if report is not None:
-            self._on_report(claim.load.id, report)
-        self._release(claim, result, report)
+        self._share_result(claim, result, report)
         with self._lock:
             now_ms = self._clock.now_ms()
             self._pool.end(claim, result, report, now_ms)
             self._grants.grant_waiting(now_ms)
 
-    def _release(self, claim: Claim, result: Result, report: LoadReport | None) -> None:
-        """Report the result of the attempt to the instance that chose the upstream."""
-        if self._remote_acquirer is not None and claim.grant is not None:
-            self._remote_acquirer.release(claim.grant, result, report)
+    def _share_result(self, claim: Claim, result: Result, report: LoadReport | None) -> None:
+        """Pass on what the upstream stated, and the result to the instance that chose it."""
+        if report is not None or claim.stated_per_s is not None:
+            self._on_report(claim.load.id, report, claim.stated_per_s)
+        if self._remote_acquirer is not None:
+            self._remote_acquirer.release(claim, result, report)
 
     def read_pool(self, read: Callable[[ServicePool, float], None]) -> None:
         """Call ``read`` with the pool and the time, under the lock."""
@@ -283,12 +289,17 @@
         Called periodically, outside the request path. Return whether there are or recently were
         requests, so that the next call should follow soon.
         """
+        rate_share = (
+            WHOLE_SHARE if self._dispatch is None else self._dispatch.get_rate_share(service.id)
+        )
         with self._lock:
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
+            self._pool.set_rate_share(rate_share, now_ms)
             has_requests = self._pool.has_recent_requests or bool(self._grants.pending)
             ejected = self._pool.eject_outliers(now_ms) if self._pool.has_recent_requests else []
             self._event_log.record_ejections(ejected, now_ms)
+            self._event_log.record_rate_limits()
             self._grants.pending.refuse_expired_remote(now_ms)
             self._grants.grant_waiting_throttled(now_ms)
             return has_requests
--- a/src/coltsfootrill/proxy/dialect.py
+++ b/src/coltsfootrill/proxy/dialect.py
@@ -20,8 +20,10 @@
     the upstream that must answer; a different upstream at the same address refuses. ``signature``
     is on every genuine answer of an upstream. ``not_run`` marks an explicit refusal, as the
     statuses in ``not_run_statuses`` do. ``load`` states the upstream's load, and ``answered_by`` is
-    the id of the upstream that answers a health check. Callers interpret an answer with one of the
-    ``implied_not_run_statuses`` as a guarantee that the request was not and will not be run.
+    the id of the upstream that answers a health check. ``rate_limit`` states, on an answer, how
+    many requests a second the upstream takes from all instances together. Callers interpret an
+    answer with one of the ``implied_not_run_statuses`` as a guarantee that the request was not and
+    will not be run.
     ``has_fractional_retry_after`` states that callers accept fractional seconds in
     ``Retry-After``.
     """
@@ -36,6 +38,7 @@
         "not_run",
         "not_run_statuses",
         "parse_load",
+        "rate_limit",
         "request_id",
         "signature",
         "upstream_id",
@@ -53,6 +56,7 @@
         upstream_id: str = "",
         answered_by: str = "",
         signature: str = "",
+        rate_limit: str = "",
         not_run_statuses: frozenset[int] = frozenset(),
         implied_not_run_statuses: frozenset[int] = frozenset(),
         has_fractional_retry_after: bool = False,
@@ -67,6 +71,7 @@
         self.upstream_id = upstream_id
         self.answered_by = answered_by
         self.signature = signature
+        self.rate_limit = rate_limit
         self.not_run_statuses = not_run_statuses
         self.implied_not_run_statuses = implied_not_run_statuses
 
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -28,6 +28,7 @@
 from coltsfootrill.proxy.headers import RETRIED_HEADER
 from coltsfootrill.proxy.headers import list_answer_headers
 from coltsfootrill.proxy.headers import list_request_headers
+from coltsfootrill.proxy.headers import parse_rate_limit
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.outcome import ProxyError
@@ -285,6 +286,8 @@
             self._end_failed(claim, "lost")
             return _Failure("lost", str(error))
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
+        if self._dialect.rate_limit:
+            claim.stated_per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
         result = self._classify_answer(claim, answer, report)
         if isinstance(result, Answer):
             result.add_sent_callback(lambda: self._give_back(attempt))
--- a/src/coltsfootrill/proxy/headers.py
+++ b/src/coltsfootrill/proxy/headers.py
@@ -90,6 +90,15 @@
     return int(value) if value.isascii() and value.isdigit() and len(value) < 5 else 0
 
 
+def parse_rate_limit(value: str | None) -> float | None:
+    """Return the rate in requests a second; ``None`` if absent or not a number of at least 0."""
+    try:
+        per_s = float(value or "")
+    except ValueError:
+        return None
+    return per_s if math.isfinite(per_s) and per_s >= 0 else None
+
+
 def parse_load(value: str | None) -> LoadReport | None:
     """Return the load in ``in_flight=N;slots=N;state=S``; ``None`` if malformed."""
     if not value:
--- a/src/coltsfootrill/proxy/load_poller.py
+++ b/src/coltsfootrill/proxy/load_poller.py
@@ -22,6 +22,7 @@
 from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.connection import encode_head
 from coltsfootrill.proxy.dialect import Dialect
+from coltsfootrill.proxy.headers import parse_rate_limit
 from coltsfootrill.registry.directory import UpstreamRecord
 
 CONNECT_TIMEOUT_MS = 100.0
@@ -215,8 +216,12 @@
         self._metrics.probes.labels("good" if answer.status < 300 else "bad").inc()
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
         answered_by = answer.get_header(self._dialect.answered_by)
-        if report is not None and answered_by in (None, upstream_id):
-            self._report_cache.record(upstream_id, report)
+        per_s = None
+        if self._dialect.rate_limit:
+            per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
+        is_useful = report is not None or per_s is not None
+        if is_useful and answered_by in (None, upstream_id):
+            self._report_cache.record(upstream_id, report, per_s)
 
     def _record_failure(self, state: _PollState) -> None:
         self._metrics.probes.labels("failed").inc()
--- a/src/coltsfootrill/proxy/pool_event_log.py
+++ b/src/coltsfootrill/proxy/pool_event_log.py
@@ -14,6 +14,7 @@
 from coltsfootrill.events.catalog import RetriesAvailable
 from coltsfootrill.events.catalog import RetriesExhausted
 from coltsfootrill.events.catalog import UpstreamEjected
+from coltsfootrill.events.catalog import UpstreamRateLimited
 from coltsfootrill.events.catalog import UpstreamReadmitted
 
 # A nearly exhausted budget allows single attempts; recovery is reported only after this time.
@@ -27,12 +28,13 @@
     further attempts.
     """
 
-    __slots__ = ("_ejected_by_id", "_on_event", "_pool", "budget")
+    __slots__ = ("_ejected_by_id", "_on_event", "_per_s_by_id", "_pool", "budget")
 
     def __init__(self, pool: ServicePool, *, on_event: Callable[[Event], None]) -> None:
         self._pool = pool
         self._on_event = on_event
         self._ejected_by_id: dict[str, UpstreamLoad] = {}
+        self._per_s_by_id: dict[str, float] = {}
         self.budget: AttemptBudget = _LoggedBudget(pool, on_event=on_event)
 
     def record_ejections(self, ejected: Sequence[UpstreamLoad], now_ms: float) -> None:
@@ -46,6 +48,25 @@
             if self._pool.by_id.get(load.id) is load:
                 self._on_event(UpstreamReadmitted(upstream=load.id, service=self._pool.service_id))
 
+    def record_rate_limits(self) -> None:
+        """Emit an event for each upstream whose stated rate of requests is new or has changed."""
+        per_s_by_id = {
+            load.id: load.rate_limit.per_s
+            for load in self._pool.by_id.values()
+            if load.rate_limit.per_s is not None
+        }
+        if per_s_by_id == self._per_s_by_id:
+            return
+        for upstream_id in sorted(per_s_by_id.keys() | self._per_s_by_id.keys()):
+            per_s = per_s_by_id.get(upstream_id)
+            if per_s != self._per_s_by_id.get(upstream_id):
+                self._on_event(
+                    UpstreamRateLimited(
+                        upstream=upstream_id, service=self._pool.service_id, per_s=per_s
+                    )
+                )
+        self._per_s_by_id = per_s_by_id
+
 
 def _make_ejected_event(load: UpstreamLoad, service_id: str, now_ms: float) -> UpstreamEjected:
     return UpstreamEjected(
@@ -100,6 +121,7 @@
     return Admission(
         upstreams=len(loads),
         ejected=sum(now_ms < load.ejected_until_ms for load in loads),
+        rate_limited=sum(not load.rate_limit.allows_request(now_ms) for load in loads),
         with_room=pool.count_with_free_slot(now_ms),
         waiting=len(pool.queue),
         usual_ms=round(pool.get_latency(kind_id).typical_ms, 1),
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -5,6 +5,9 @@
 import pytest
 
 from coltsfootrill.balancer.claim import Grant
+from coltsfootrill.balancer.load_report_cache import ReportEntry
+from coltsfootrill.balancer.rate_limit import FALLBACK_SHARE
+from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.dispatch.messages import REPLY_TOPIC
@@ -296,3 +299,43 @@
         assert claim is not None and claim.load.id not in tried
         assert controller.try_acquire(service, service.kinds[0], exclude=tried) is None
         assert _count_in_flight(dispatcher) == 2
+
+
+class TestStatedRate:
+    def test_only_the_first_dispatcher_has_the_whole_rate(self, harness: DispatchHarness) -> None:
+        shares = [harness.make_client(record).get_rate_share("work") for record in RECORDS]
+        assert sorted(shares)[-1] == WHOLE_SHARE
+        assert sum(shares) < WHOLE_SHARE + FALLBACK_SHARE
+
+    def test_short_work_goes_to_the_dispatcher_while_an_upstream_states_a_rate(
+        self, harness: DispatchHarness
+    ) -> None:
+        remote = harness.start(FIRST)
+        own = make_controller(
+            Upstreams(1), clock=harness.clock, typical_ms=5.0, dispatch=harness.client
+        )
+        own.refresh(make_service())
+        entry = ReportEntry("u0", None, age_ms=0, per_s=2.0)
+        own.apply_reports([entry], harness.clock.now_ms())
+        now_ms = harness.clock.now_ms()
+        times = RequestTimes(arrived_ms=now_ms, deadline_ms=now_ms + 3_000)
+        claim = own.acquire(
+            make_service(),
+            make_service().kinds[0],
+            times,
+            exclude=frozenset(),
+            has_caller_left=lambda: False,
+        )
+        assert claim.grant is not None
+        assert _count_in_flight(remote) == 1
+        claim.stated_per_s = 2.0
+        own.end(claim, "answered")
+        assert _list_rates(remote) == [2.0]
+
+
+def _list_rates(controller: AdmissionController) -> list[float | None]:
+    rates: list[float | None] = []
+    controller.read_pool(
+        lambda pool, now_ms: rates.extend(load.rate_limit.per_s for load in pool.by_id.values())
+    )
+    return rates
--- a/testing/dispatch/test_server.py
+++ b/testing/dispatch/test_server.py
@@ -26,6 +26,8 @@
 from coltsfootrill.dispatch.messages import Waiting
 from coltsfootrill.dispatch.messages import decode_reply
 from coltsfootrill.dispatch.messages import encode
+from testing.balancer.test_rate_limit import count_allowed
+from testing.balancer.test_rate_limit import count_most
 from testing.dispatch.memory import MemoryNetwork
 from testing.dispatch.memory import MemoryPort
 from testing.dispatch.memory import Upstreams
@@ -80,9 +82,9 @@
         port = self.ports[token % len(self.ports)]
         port.send(REQUEST_TOPIC, encode(make_acquire_request(token, **changes)), DISPATCHER)
 
-    def release(self, token: int, result: Any = "answered") -> None:
+    def release(self, token: int, result: Any = "answered", *, per_s: float | None = None) -> None:
         port = self.ports[token % len(self.ports)]
-        port.send(REQUEST_TOPIC, encode(Release(token, result)), DISPATCHER)
+        port.send(REQUEST_TOPIC, encode(Release(token, result, per_s=per_s)), DISPATCHER)
 
     def report(self, upstream_id: str, in_flight: int, *, pace: float = 1.0) -> None:
         report = LoadReport(in_flight=in_flight, slots=3, state="serving", pace=pace)
@@ -278,3 +280,41 @@
         fleet = Fleet(upstreams=1, instances=1)
         with pytest.raises(msgspec.MsgspecError):
             fleet.server.handle_request(payload, "10.1.1.0:1")
+
+
+class TestStatedRate:
+    """The pattern: many instances send to one upstream that states a rate for all together."""
+
+    # Guards against a rate that each instance keeps to, but not all of them together.
+    def test_the_fleet_together_keeps_to_the_rate(self) -> None:
+        fleet = Fleet(upstreams=1, instances=20)
+        fleet.acquire(0)
+        fleet.release(0, per_s=2.0)
+        granted_ms: list[float] = []
+        for token in range(1, 1_001):
+            fleet.clock.advance(20)
+            fleet.acquire(token, is_second_attempt=True)
+            if isinstance(fleet.get_last_reply(token), Granted):
+                granted_ms.append(fleet.clock.now_ms())
+                fleet.release(token, per_s=2.0)
+        assert count_most(granted_ms) <= count_allowed(2.0)
+        assert len(granted_ms) >= 0.9 * 2.0 * 20
+
+    def test_a_dispatcher_that_has_just_started_learns_the_rate_from_others(self) -> None:
+        fleet = Fleet(upstreams=1, instances=20)
+        entry = ReportEntry("u0", None, age_ms=0, per_s=2.0)
+        fleet.controller.apply_reports([entry], fleet.clock.now_ms())
+        fleet.acquire(1, is_second_attempt=True)
+        assert isinstance(fleet.get_last_reply(1), Denied)
+
+    def test_requests_that_the_rate_leaves_no_time_for_are_refused_at_once(self) -> None:
+        fleet = Fleet(upstreams=1, instances=20)
+        fleet.acquire(0)
+        fleet.release(0, per_s=2.0)
+        for token in range(1, 21):
+            fleet.acquire(token, target_ms=None)
+        refused = [
+            token for token in range(1, 21) if isinstance(fleet.get_last_reply(token), Denied)
+        ]
+        # Their deadline is 3 s ahead, in which the upstream takes some six requests.
+        assert len(refused) >= 12
--- a/testing/membership/test_load_gossip.py
+++ b/testing/membership/test_load_gossip.py
@@ -88,6 +88,22 @@
             entry = seen[key][0]
             assert (entry.upstream_id, entry.report.pace, entry.age_ms) == ("u1", 7.0, 12)
 
+    def test_a_stated_rate_arrives_with_and_without_a_load(self) -> None:
+        port = _find_port()
+        fleet = [_record(number, "z1", port=port) for number in (5, 6)]
+        seen: list[ReportEntry] = []
+        exchanges = [_open_exchange(record, fleet, seen.extend) for record in fleet]
+        report = LoadReport(in_flight=2, slots=3, state="serving")
+        entries = [
+            ReportEntry("u1", report, age_ms=0, per_s=2.5),
+            ReportEntry("u2", None, age_ms=0, per_s=0.0),
+        ]
+        exchanges[0].send(entries, crosses_zones=False)
+        wait_until(lambda: len(seen) == 2)
+        assert [(entry.upstream_id, entry.per_s) for entry in seen] == [("u1", 2.5), ("u2", 0.0)]
+        assert seen[0].report is not None
+        assert seen[1].report is None
+
     def test_loads_of_many_upstreams_with_long_identifiers_all_arrive(self) -> None:
         port = _find_port()
         fleet = [_record(number, "z1", port=port) for number in (7, 8)]
@@ -203,6 +219,13 @@
         assert (entry.report.in_flight, entry.age_ms) == (2, 30)
         assert report_cache.take() == []
 
+    def test_a_health_check_without_a_rate_keeps_the_one_of_an_answer(self) -> None:
+        report_cache = LoadReportCache(ManualClock())
+        report_cache.record("u1", None, 2.5)
+        report_cache.record("u1", LoadReport(in_flight=1, slots=3, state="serving"))
+        (entry,) = report_cache.take()
+        assert (entry.per_s, entry.report is not None) == (2.5, True)
+
 
 def _find_port() -> int:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -415,4 +415,25 @@
         "    if False:\n",
         BALANCER + "near_choice.py::TestLargeZone",
     ),
+    Mutant(
+        "an upstream gets no more requests than it states",
+        "balancer/load.py",
+        "        and load.rate_limit.allows_request(now_ms)\n",
+        "",
+        "testing/proxy/test_rate_limit.py::TestStatedRate",
+    ),
+    Mutant(
+        "the fleet together keeps to the rate that an upstream states",
+        "dispatch/server.py",
+        "            claim.stated_per_s = release.per_s\n",
+        "",
+        "testing/dispatch/test_server.py::TestStatedRate",
+    ),
+    Mutant(
+        "instances that choose themselves all at once save up no requests",
+        "balancer/rate_limit.py",
+        "min(now_ms - self._checked_ms, UNUSED_MAX_MS)",
+        "now_ms - self._checked_ms",
+        "testing/balancer/test_rate_limit.py::TestStatedRate",
+    ),
 ]
--- /dev/null
+++ b/testing/proxy/test_rate_limit.py
@@ -0,0 +1,106 @@
+"""Upstreams in need state on their answers how many requests a second they take in all."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from coltsfootrill.events.catalog import UpstreamRateLimited
+from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from coltsfootrill.proxy.headers import parse_rate_limit
+from testing.balancer.test_rate_limit import WINDOW_MS
+from testing.balancer.test_rate_limit import count_allowed
+from testing.processes import wait_until
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.instance import Instance
+from testing.proxy.instance import Reply
+from testing.proxy.test_dialect import SIGNATURE
+from testing.proxy.test_dialect import reply_with
+
+PER_S = 2.0
+CALLS_COUNT = 40
+WAIT_MS = 20
+
+
+class NeedyUpstream:
+    """An upstream that states a rate while ``is_in_need``, and records when requests arrive."""
+
+    def __init__(self, instance: Instance) -> None:
+        self.is_in_need = True
+        self.arrived_s: list[float] = []
+        self._instance = instance
+        self._upstream = ScriptedUpstream(self._answer)
+        instance.announce("u1", self._upstream.address)
+
+    def _answer(self, sock: socket.socket, head: bytes, number: int) -> bool:
+        self.arrived_s.append(time.monotonic())
+        stated = f"server-limit: {PER_S}\r\n" if self.is_in_need else ""
+        return reply_with(extra=SIGNATURE + stated)(sock, head, number)
+
+    def call(self) -> Reply:
+        return self._instance.call(X_Attempt_Id="q1", X_Deadline_Milliseconds=str(WAIT_MS))
+
+    def count_most(self) -> int:
+        """Return the largest number of arrivals within the window."""
+        return max(
+            sum(0 <= at_s - start_s < WINDOW_MS / 1_000 for at_s in self.arrived_s)
+            for start_s in self.arrived_s
+        )
+
+    def close(self) -> None:
+        self._upstream.close()
+
+
+@pytest.fixture
+def instance() -> Iterator[Instance]:
+    made = Instance(dialect=coltsfootrill_dialect())
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def upstream(instance: Instance) -> Iterator[NeedyUpstream]:
+    started = NeedyUpstream(instance)
+    yield started
+    started.close()
+
+
+class TestStatedRate:
+    # Guards against an upstream that gets more requests than one and a half times what it states.
+    def test_an_upstream_gets_no_more_than_it_allows(self, upstream: NeedyUpstream) -> None:
+        replies = [upstream.call() for _ in range(CALLS_COUNT)]
+        assert upstream.count_most() <= count_allowed(PER_S)
+        refused = [reply for reply in replies if reply.status != 200]
+        assert {(reply.status, reply.outcome) for reply in refused} == {(503, "not-run")}
+        assert all(reply.headers["Retry-After"] for reply in refused)
+
+    def test_an_answer_without_a_rate_lifts_the_limit(
+        self, instance: Instance, upstream: NeedyUpstream
+    ) -> None:
+        assert upstream.call().status == 200
+        upstream.is_in_need = False
+        wait_until(lambda: upstream.call().status == 200)
+        wait_until(lambda: instance.server.count_in_progress() == 0)
+        for _ in range(CALLS_COUNT):
+            wait_until(lambda: instance.server.count_in_progress() == 0)
+            assert instance.call(X_Attempt_Id="q1").status == 200
+        events = [event for event in instance.events if isinstance(event, UpstreamRateLimited)]
+        assert [event.per_s for event in events] == [PER_S, None]
+
+    @pytest.mark.parametrize(
+        ("text", "per_s"),
+        [
+            ("2", 2.0),
+            ("2.7", 2.7),
+            ("0", 0.0),
+            ("", None),
+            ("-1", None),
+            ("inf", None),
+            ("x", None),
+        ],
+    )
+    def test_a_rate_that_is_no_number_is_ignored(self, text: str, per_s: float | None) -> None:
+        assert parse_rate_limit(text) == per_s
