Send a second attempt at the same upstream on a connection of its own

Cause: attempts of one request carry the same id. If an upstream refuses the first, and no other can take the second, that goes to the same upstream, often on the same kept connection. A faulty upstream that writes its refusal once more there, late, is believed: the id matches, and the check for surplus bytes comes before the send. The request then runs while its attempt counts as not run. Ruled out: the refusal of another request (its id differs, and an answer without an id is accepted on a fresh connection only). Change: an attempt at an upstream that this request has already tried opens a fresh connection. Conclusion: answers can be matched by id only between requests, not between attempts of one.

--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -128,6 +128,9 @@
             has_caller_left=self._request.monitor.has_caller_left,
         )
         idle_max_ms = self._pools.get_idle_max_ms(is_idempotent=self._kind.idempotent)
+        if claim.load.id in self._tried:
+            # On the connection of the earlier attempt, its answer could be taken for this one's.
+            idle_max_ms = 0.0
         failure = self._send_attempt(claim, idle_max_ms=idle_max_ms)
         if failure is not None:
             return failure
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -436,4 +436,11 @@
         "now_ms - self._checked_ms",
         "testing/balancer/test_rate_limit.py::TestStatedRate",
     ),
+    Mutant(
+        "a refusal that is written again answers no later attempt",
+        "proxy/forward.py",
+        "            idle_max_ms = 0.0\n        failure",
+        "            pass\n        failure",
+        "testing/proxy/test_dialect.py::TestRepeatedRefusals",
+    ),
 ]
--- a/testing/proxy/test_dialect.py
+++ b/testing/proxy/test_dialect.py
@@ -230,3 +230,33 @@
         controller.read_pool(lambda pool, now_ms: tokens.append(pool.retry_budget.tokens))
         # Six first attempts earned 0.2 tokens each, in addition to the initial 3.
         assert tokens[0] > 4
+
+
+class RefusingUpstream:
+    """Refuses its first request, and again where it answers the next one on that connection."""
+
+    def __init__(self) -> None:
+        self.run_count = 0
+        self._refused_on: socket.socket | None = None
+
+    def answer(self, sock: socket.socket, head: bytes, number: int) -> bool:
+        refuse = reply_with(status="429 Too Many Requests", extra=NOT_RUN)
+        if number == 1:
+            self._refused_on = sock
+            return refuse(sock, head, number)
+        if sock is self._refused_on:
+            refuse(sock, head, number)
+        self.run_count += 1
+        return reply_with()(sock, head, number)
+
+
+class TestRepeatedRefusals:
+    # Guards against a request that has run being called not run, or run again.
+    def test_a_refusal_that_is_written_again_is_no_answer_to_the_next_attempt(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstream = RefusingUpstream()
+        serve(upstream.answer)
+        reply = _call(instance, "/once", method="POST")
+        assert (reply.status, reply.outcome) == (200, "answered")
+        assert upstream.run_count == 1
