Show that an answer cut off in its head is never complete

Cause: other operators saw clients get a 200 with an empty or short body, framed as whole, when an upstream stopped in the middle of its answer's head and closed. It cannot happen here: an answer counts only once its head has ended, and one without a length only with the id of its request. Ruled out: every cut of answers with a length, with chunks, and of the head of one without a length. Change: tests only, with each cut.

--- a/testing/proxy/test_connection.py
+++ b/testing/proxy/test_connection.py
@@ -15,6 +15,7 @@
 from coltsfootrill.proxy.answer import ANSWER_MAX_BYTES
 from coltsfootrill.proxy.answer import RECEIVED_MAX_BYTES
 from coltsfootrill.proxy.answer import AnswerEcho
+from coltsfootrill.proxy.answer import AnswerReader
 from coltsfootrill.proxy.answer import ReadError
 from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.connection import ConnectError
@@ -68,6 +69,39 @@
     return result
 
 
+_ECHO = AnswerEcho("X-Id", "q1")
+_HEAD_START = b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: q1\r\n"
+_FRAMED_ANSWERS = [
+    _HEAD_START + b"Content-Length: 5\r\n\r\nhello",
+    _HEAD_START + b"Content-Length: 0\r\n\r\n",
+    _HEAD_START + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+]
+
+
+def _read_and_end(raw: bytes) -> UpstreamAnswer | None:
+    """Return the answer in ``raw``, followed by the end of the stream."""
+    reader = AnswerReader("GET", _ECHO, is_fresh=True)
+    return reader.feed(raw) or reader.feed_end()
+
+
+class TestAnswersCutOff:
+    # Guards against an answer whose head was cut off and that passes as a complete one.
+    @pytest.mark.parametrize("raw", _FRAMED_ANSWERS)
+    def test_no_part_of_a_framed_answer_is_complete(self, raw: bytes) -> None:
+        assert [cut for cut in range(len(raw)) if _read_and_end(raw[:cut]) is not None] == []
+        assert _read_and_end(raw) is not None
+
+    def test_no_part_of_the_head_of_an_answer_without_a_length_is_complete(self) -> None:
+        head = _HEAD_START + b"Content-Type: text/plain\r\n\r\n"
+        assert [cut for cut in range(len(head)) if _read_and_end(head[:cut]) is not None] == []
+        assert _read_and_end(head + b"hello") is not None
+
+    def test_a_caller_gets_an_error_for_an_answer_cut_off_in_its_head(self, serve: Serve) -> None:
+        upstream = serve(send_raw(_HEAD_START + b"Content-Le"))
+        with pytest.raises(ReadError, match="before the answer was complete"):
+            _call(ConnectionPool(upstream.address, clock=Clock()))
+
+
 class TestWholeAnswers:
     def test_connection_is_reused_after_answer_with_length(self, serve: Serve) -> None:
         upstream = serve(answer(b"one", extra="x-a: b\r\n"))
