Refuse answers with a transfer coding other than chunks

Callers could get: a 200 with part of a body, or with a coded body, framed as whole with a length. Cause: an answer with 'gzip, chunked', or two transfer codings, did not count as chunked, so the end of the stream was taken for the end of its body; a complete one was passed on coded, without the header that says so. Change: any other coding, or a second one, is an error of the answer; none is ever asked for. Before and after: six cases of the new test failed, now pass; one mutant seen.

--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -138,7 +138,9 @@
         elif lower == "keep-alive":
             self.keep_alive_ms = _parse_keep_alive_ms(text)
         elif lower == "transfer-encoding":
-            self.has_chunks = text.strip().lower() == "chunked"
+            if self.has_chunks or text.strip().lower() != "chunked":
+                raise ReadError(f"transfer coding {text!r} of the answer; only chunked is accepted")
+            self.has_chunks = True
         self._headers.append((key, text))
 
     def on_headers_complete(self) -> None:
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -443,4 +443,11 @@
         "            pass\n        failure",
         "testing/proxy/test_dialect.py::TestRepeatedRefusals",
     ),
+    Mutant(
+        "an answer with another transfer coding than chunks is refused",
+        "proxy/answer.py",
+        'if self.has_chunks or text.strip().lower() != "chunked":',
+        "if False:",
+        "testing/proxy/test_connection.py::TestAnswersCutOff",
+    ),
 ]
--- a/testing/proxy/test_connection.py
+++ b/testing/proxy/test_connection.py
@@ -96,6 +96,16 @@
         assert [cut for cut in range(len(head)) if _read_and_end(head[:cut]) is not None] == []
         assert _read_and_end(head + b"hello") is not None
 
+    # Guards against a coded or cut-off body that passes as the whole body of a success.
+    @pytest.mark.parametrize("codings", [["gzip, chunked"], ["chunked", "identity"], ["gzip"]])
+    @pytest.mark.parametrize("body", [b"5\r\nhel", b"5\r\nhello\r\n0\r\n\r\n"])
+    def test_a_transfer_coding_other_than_chunks_is_refused(
+        self, codings: list[str], body: bytes
+    ) -> None:
+        lines = "".join(f"Transfer-Encoding: {coding}\r\n" for coding in codings)
+        with pytest.raises(ReadError, match="transfer coding"):
+            _read_and_end(_HEAD_START + lines.encode() + b"\r\n" + body)
+
     def test_a_caller_gets_an_error_for_an_answer_cut_off_in_its_head(self, serve: Serve) -> None:
         upstream = serve(send_raw(_HEAD_START + b"Content-Le"))
         with pytest.raises(ReadError, match="before the answer was complete"):
