Refuse a request that comes late in a planned stop

Callers saw (reported by other operators, shown here by a test): a request taken late in a planned stop was passed on and cut without an answer at the end of the stop. Cause: a stopping instance closes idle connections, but on one that is busy it read and passed on whatever its caller sent next, until the end. Change: from the moment at which idle connections are closed, a request is refused as not-run, reason stopping, to be sent again at once; a request has one reason for a refusal in place of a flag. Before and after: the new test saw it passed on, now refused while the earlier one is answered; one mutant seen; tests of the proxy pass.

--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -27,6 +27,7 @@
 from coltsfootrill.naming.scheme import RequestName
 from coltsfootrill.proxy.admission_controller import AdmissionController
 from coltsfootrill.proxy.caller import CallerRequest
+from coltsfootrill.proxy.caller import Refusal
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.first_manifest import FirstManifestWait
@@ -47,6 +48,14 @@
 
 # Conditions that keep an instance from accepting any request have usually ended by then.
 NOT_READY_RETRY_AFTER_S = 0.3
+_MESSAGE_BY_REFUSAL: dict[Refusal, str] = {
+    "too-many-requests": "this instance has too many requests in progress",
+    "stopping": "this instance is stopping; another one accepts the request",
+}
+_RETRY_AFTER_S_BY_REFUSAL: dict[Refusal, float] = {
+    "too-many-requests": NOT_READY_RETRY_AFTER_S,
+    "stopping": 0.0,
+}
 
 
 class _RequestRecord:
@@ -199,12 +208,12 @@
         )
 
     def _resolve(self, request: CallerRequest, record: _RequestRecord) -> Route:
-        if request.is_over_limit:
+        if request.refusal is not None:
             raise NotRunError(
                 "503 Service Unavailable",
-                "too-many-requests",
-                "this instance has too many requests in progress",
-                retry_after_s=NOT_READY_RETRY_AFTER_S,
+                request.refusal,
+                _MESSAGE_BY_REFUSAL[request.refusal],
+                retry_after_s=_RETRY_AFTER_S_BY_REFUSAL[request.refusal],
             )
         table = self._manifests.current or self._first_manifest.wait(
             arrived_ms=request.arrived_ms,
--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -13,6 +13,7 @@
 import threading
 from collections.abc import Callable
 from typing import Any
+from typing import Literal
 
 import waitress.parser
 from waitress.adjustments import Adjustments
@@ -26,22 +27,26 @@
 LINGER_READS_MAX_COUNT = 256
 PIPELINED_REQUESTS_MAX_COUNT = 8
 
+# Too many requests are in progress, or the instance is about to end.
+Refusal = Literal["too-many-requests", "stopping"]
+
 
 class CallerRequest:
     """A complete request; ``headers`` have waitress's names: upper case with underscores.
 
-    ``is_over_limit`` is true when too many requests were in progress on arrival. ``monitor``
-    detects that the caller disconnects and starts the reading of pipelined requests.
+    ``refusal`` is the reason for which the server accepts no request at the moment, ``None`` if it
+    does. ``monitor`` detects that the caller disconnects and starts the reading of pipelined
+    requests.
     """
 
     __slots__ = (
         "arrived_ms",
         "body",
         "headers",
-        "is_over_limit",
         "method",
         "monitor",
         "path",
+        "refusal",
         "target",
     )
 
@@ -54,7 +59,7 @@
         headers: dict[str, str],
         body: bytes,
         arrived_ms: float,
-        is_over_limit: bool,
+        refusal: Refusal | None,
         monitor: DisconnectMonitor,
     ) -> None:
         self.method = method
@@ -63,7 +68,7 @@
         self.headers = headers
         self.body = body
         self.arrived_ms = arrived_ms
-        self.is_over_limit = is_over_limit
+        self.refusal = refusal
         self.monitor = monitor
 
     def get_header(self, name: str) -> str:
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -27,6 +27,7 @@
 from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.caller import DisconnectMonitor
+from coltsfootrill.proxy.caller import Refusal
 from coltsfootrill.proxy.outcome import OUTCOME_HEADER
 from coltsfootrill.proxy.outcome import REASON_HEADER
 from coltsfootrill.proxy.outcome import Answer
@@ -68,6 +69,7 @@
         self._thread: threading.Thread | None = None
         self._is_draining = False
         self._is_accepting = True
+        self._is_refusing = False
 
     def start(self, host: str, port: int, *, listener: socket.socket | None = None) -> None:
         """Listen on an address and serve in threads; raise ``ListenError`` if that fails.
@@ -102,7 +104,8 @@
         """Stop accepting, finish requests in progress and return how many were aborted.
 
         Idle connections stay open for ``idle_ms``, because a request may be in transit on them.
-        Requests still in progress after ``limit_ms`` are aborted.
+        A request that arrives later, on a connection with others, is refused: it may not end in
+        time. Requests still in progress after ``limit_ms`` are aborted.
         """
         self.announce_close()
         self._is_accepting = False
@@ -114,6 +117,7 @@
             if elapsed_ms >= limit_ms:
                 break
             if elapsed_ms >= idle_ms:
+                self._is_refusing = True
                 self._close_idle()
             self._clock.sleep_ms(DRAIN_CHECK_MS)
         aborted_count = self.count_in_progress()
@@ -227,10 +231,10 @@
         # A request that the parser rejected may have no method.
         method = "" if parsed.error is not None else parsed.command.upper()
         with self._lock:
-            is_over_limit = self._in_progress >= self._requests_max
+            refusal = self._find_refusal()
             self._in_progress += 1
         try:
-            answer = self._answer(parsed, monitor, arrived_ms, is_over_limit)
+            answer = self._answer(parsed, monitor, arrived_ms, refusal)
             try:
                 return connection.answer(
                     turn,
@@ -243,6 +247,12 @@
             with self._lock:
                 self._in_progress -= 1
 
+    def _find_refusal(self) -> Refusal | None:
+        """Return why no further request is accepted now, ``None`` if one is."""
+        if self._is_refusing:
+            return "stopping"
+        return "too-many-requests" if self._in_progress >= self._requests_max else None
+
     def _submit_next_read(self, connection: CallerConnection) -> None:
         """Submit a task that reads the next request of a connection."""
         connection.retain()
@@ -260,7 +270,11 @@
         return limits
 
     def _answer(
-        self, parsed: Any, monitor: DisconnectMonitor, arrived_ms: float, is_over_limit: bool
+        self,
+        parsed: Any,
+        monitor: DisconnectMonitor,
+        arrived_ms: float,
+        refusal: Refusal | None,
     ) -> Answer:
         if parsed.error is not None:
             status = f"{parsed.error.code} {parsed.error.reason}"
@@ -273,7 +287,7 @@
             headers=parsed.headers,
             body=body,
             arrived_ms=arrived_ms,
-            is_over_limit=is_over_limit,
+            refusal=refusal,
             monitor=monitor,
         )
         return self._handle(request)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -450,4 +450,11 @@
         "if False:",
         "testing/proxy/test_connection.py::TestAnswersCutOff",
     ),
+    Mutant(
+        "a request that comes late in a stop is refused, not passed on",
+        "proxy/server.py",
+        "                self._is_refusing = True\n",
+        "",
+        "testing/proxy/test_stop.py::TestLateRequests",
+    ),
 ]
