Refuse requests that still wait for an upstream at the end of a stop

Callers saw: a connection closed without an answer, though the request had not been passed on. Cause: a request in the queue of a service ended with its connection when stop_ms was over. Ruled out: requests at an upstream (those are cut only after stop_ms; their outcome is unknown). Change: 150 ms before the end, whoever waits for an upstream or for a manifest is told to stop waiting, which refuses the request as not-run; the check is named for what it asks (should_stop_waiting). Before and after: the new test saw two requests cut, now one, and a 503 for the other; one mutant seen. Conclusion: found while looking for the report of late requests; what is cut now was at an upstream.

--- a/src/coltsfootrill/dispatch/client.py
+++ b/src/coltsfootrill/dispatch/client.py
@@ -94,12 +94,12 @@
         port.handle(REPLY_TOPIC, self.handle_reply)
 
     def acquire(
-        self, request: AcquireRequest, *, has_caller_left: Callable[[], bool]
+        self, request: AcquireRequest, *, should_stop_waiting: Callable[[], bool]
     ) -> Grant | Denied | None:
         """Return the grant for one attempt, or the dispatcher's refusal.
 
-        Returns ``None`` when this instance has to choose the upstream itself. ``has_caller_left``
-        returns whether the caller has disconnected; the request is then withdrawn.
+        Returns ``None`` when this instance has to choose the upstream itself. The request is
+        withdrawn once ``should_stop_waiting`` returns true.
         """
         dispatcher = self._find_dispatcher(request.service)
         if dispatcher is None:
@@ -110,7 +110,7 @@
             self._pending_by_token[token] = pending
         try:
             request = msgspec.structs.replace(request, token=token)
-            reply = self._await_reply(dispatcher, pending, request, has_caller_left)
+            reply = self._await_reply(dispatcher, pending, request, should_stop_waiting)
         finally:
             with self._lock:
                 del self._pending_by_token[token]
@@ -177,7 +177,7 @@
         dispatcher: InstanceRecord,
         pending: _PendingRequest,
         request: AcquireRequest,
-        has_caller_left: Callable[[], bool],
+        should_stop_waiting: Callable[[], bool],
     ) -> DispatchReply | None:
         """Return the final reply, ``None`` if the dispatcher stops replying."""
         start_ms = self._clock.now_ms()
@@ -189,7 +189,7 @@
             sends += 1
             until_ms = start_ms + waited_ms + self._timeout_ms
             while (now_ms := self._clock.now_ms()) < until_ms:
-                if now_ms >= end_ms or has_caller_left():
+                if now_ms >= end_ms or should_stop_waiting():
                     return self._withdraw(dispatcher, request.token)
                 reply = self._wait_for_reply(pending, min(until_ms - now_ms, WAIT_POLL_INTERVAL_MS))
                 if isinstance(reply, Granted | Denied):
--- a/src/coltsfootrill/dispatch/remote_acquire.py
+++ b/src/coltsfootrill/dispatch/remote_acquire.py
@@ -48,7 +48,7 @@
             if not is_worthwhile and not self._pool.has_rate_limits():
                 return None
             request = make_acquire_request(self._pool, demand, now_ms=self._clock.now_ms())
-        result = self._client.acquire(request, has_caller_left=demand.has_caller_left)
+        result = self._client.acquire(request, should_stop_waiting=demand.should_stop_waiting)
         if not isinstance(result, Grant):
             return result
         with self._lock:
--- a/src/coltsfootrill/proxy/admission_controller.py
+++ b/src/coltsfootrill/proxy/admission_controller.py
@@ -90,14 +90,14 @@
         times: RequestTimes,
         *,
         exclude: frozenset[str],
-        has_caller_left: Callable[[], bool],
+        should_stop_waiting: Callable[[], bool],
     ) -> Claim:
         """Return an upstream for one attempt.
 
         Raises ``NotRunError`` if none becomes available in time.
         """
         demand = AttemptDemand(
-            service, kind, times, exclude=exclude, has_caller_left=has_caller_left
+            service, kind, times, exclude=exclude, should_stop_waiting=should_stop_waiting
         )
         claim = self._acquire_remotely(demand)
         if claim is not None:
@@ -113,7 +113,7 @@
             self._grants.admit(attempt, now_ms)
             if attempt.is_settled:
                 return self._get_claim(attempt)
-        return self._wait(service, attempt, woken, has_caller_left)
+        return self._wait(service, attempt, woken, should_stop_waiting)
 
     def _acquire_remotely(self, demand: AttemptDemand) -> Claim | None:
         """Acquire an upstream from the dispatcher; raise ``NotRunError`` if it refuses.
@@ -327,7 +327,7 @@
         service: Service,
         attempt: PendingAttempt,
         woken: threading.Event,
-        has_caller_left: Callable[[], bool],
+        should_stop_waiting: Callable[[], bool],
     ) -> Claim:
         waiter = attempt.waiter
         while True:
@@ -341,7 +341,7 @@
                     self._grants.grant_waiting_throttled(now_ms)
                 if attempt.is_settled:
                     return self._get_claim(attempt)
-                if waiter.should_give_up(now_ms) or has_caller_left():
+                if waiter.should_give_up(now_ms) or should_stop_waiting():
                     self._grants.pending.remove(attempt)
                     raise self._make_refusal(attempt.kind, "deadline")
 
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -218,7 +218,7 @@
         table = self._manifests.current or self._first_manifest.wait(
             arrived_ms=request.arrived_ms,
             timeout_ms=parse_deadline_ms(request.get_header(self._dialect.deadline)),
-            has_caller_left=request.monitor.has_caller_left,
+            should_stop_waiting=request.monitor.should_stop_waiting,
         )
         if table is None:
             raise NotRunError(
--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -80,14 +80,22 @@
     """Detects that a caller disconnects or sends more while one of its requests is processed.
 
     ``read_next`` starts the reading of the next request in another thread; it is called at most
-    once. With ``None`` further bytes are not polled for.
+    once. With ``None`` further bytes are not polled for. ``is_ending`` returns whether the server
+    is about to close all connections.
     """
 
-    __slots__ = ("_read_next", "_sock")
+    __slots__ = ("_is_ending", "_read_next", "_sock")
 
-    def __init__(self, sock: socket.socket, read_next: Callable[[], None] | None) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        read_next: Callable[[], None] | None,
+        *,
+        is_ending: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._sock = sock
         self._read_next = read_next
+        self._is_ending = is_ending
 
     def fileno(self) -> int:
         """Return the descriptor to poll."""
@@ -107,8 +115,13 @@
             read_next()
         return False
 
-    def has_caller_left(self) -> bool:
-        """Return whether the caller has closed its end."""
+    def should_stop_waiting(self) -> bool:
+        """Return whether a request that has no upstream yet should be refused now.
+
+        Its caller has closed its end, or the server is about to close the connection.
+        """
+        if self._is_ending():
+            return True
         poller = select.poll()
         poller.register(self._sock, self.events)
         return any(self.handle_event(event) for _, event in poller.poll(0))
--- a/src/coltsfootrill/proxy/first_manifest.py
+++ b/src/coltsfootrill/proxy/first_manifest.py
@@ -32,7 +32,11 @@
         self._started_ms = clock.now_ms()
 
     def wait(
-        self, *, arrived_ms: float, timeout_ms: float | None, has_caller_left: Callable[[], bool]
+        self,
+        *,
+        arrived_ms: float,
+        timeout_ms: float | None,
+        should_stop_waiting: Callable[[], bool],
     ) -> RoutingTable | None:
         """Return the manifest in force, ``None`` if there is none within the time to wait.
 
@@ -40,7 +44,7 @@
         """
         table = self._manifests.current
         end_ms = self._get_end_ms(arrived_ms, timeout_ms)
-        while table is None and not has_caller_left():
+        while table is None and not should_stop_waiting():
             left_ms = end_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return None
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -125,7 +125,7 @@
             self._kind,
             self._request.times,
             exclude=frozenset(self._tried),
-            has_caller_left=self._request.monitor.has_caller_left,
+            should_stop_waiting=self._request.monitor.should_stop_waiting,
         )
         idle_max_ms = self._pools.get_idle_max_ms(is_idempotent=self._kind.idempotent)
         if claim.load.id in self._tried:
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -27,12 +27,12 @@
 class AttemptDemand:
     """Describes one attempt that needs an upstream, preferably outside ``exclude``.
 
-    ``has_caller_left`` returns whether the caller has disconnected. ``second_within_ms`` is set for
-    a second attempt, which does not wait for an upstream and is useful only if it ends within that
-    time.
+    ``should_stop_waiting`` returns whether to refuse the attempt if it still has no upstream.
+    ``second_within_ms`` is set for a second attempt, which does not wait for an upstream and is
+    useful only if it ends within that time.
     """
 
-    __slots__ = ("exclude", "has_caller_left", "kind", "second_within_ms", "service", "times")
+    __slots__ = ("exclude", "should_stop_waiting", "kind", "second_within_ms", "service", "times")
 
     def __init__(
         self,
@@ -41,14 +41,14 @@
         times: RequestTimes,
         *,
         exclude: frozenset[str],
-        has_caller_left: Callable[[], bool] = lambda: False,
+        should_stop_waiting: Callable[[], bool] = lambda: False,
         second_within_ms: float | None = None,
     ) -> None:
         self.service = service
         self.kind = kind
         self.times = times
         self.exclude = exclude
-        self.has_caller_left = has_caller_left
+        self.should_stop_waiting = should_stop_waiting
         self.second_within_ms = second_within_ms
 
 
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -36,6 +36,8 @@
 
 ACCEPT_POLL_MS = 200.0
 DRAIN_CHECK_MS = 20.0
+# Requests that still wait for an upstream at the end of a stop have this time to be refused.
+REFUSAL_GRACE_MS = 150.0
 
 
 class ListenError(ColtsfootrillError):
@@ -70,6 +72,7 @@
         self._is_draining = False
         self._is_accepting = True
         self._is_refusing = False
+        self._is_ending = False
 
     def start(self, host: str, port: int, *, listener: socket.socket | None = None) -> None:
         """Listen on an address and serve in threads; raise ``ListenError`` if that fails.
@@ -105,7 +108,8 @@
 
         Idle connections stay open for ``idle_ms``, because a request may be in transit on them.
         A request that arrives later, on a connection with others, is refused: it may not end in
-        time. Requests still in progress after ``limit_ms`` are aborted.
+        time. Shortly before ``limit_ms`` requests that still wait for an upstream are refused, and
+        after it those still in progress are aborted.
         """
         self.announce_close()
         self._is_accepting = False
@@ -116,6 +120,7 @@
             elapsed_ms = self._clock.now_ms() - start_ms
             if elapsed_ms >= limit_ms:
                 break
+            self._is_ending = elapsed_ms >= limit_ms - REFUSAL_GRACE_MS
             if elapsed_ms >= idle_ms:
                 self._is_refusing = True
                 self._close_idle()
@@ -209,7 +214,11 @@
             return False
         handover = _ReadHandover(connection, self._submit_next_read)
         may_read_on = not _wants_close(parsed) and connection.may_read_on()
-        monitor = DisconnectMonitor(connection.sock, handover.hand_over if may_read_on else None)
+        monitor = DisconnectMonitor(
+            connection.sock,
+            handover.hand_over if may_read_on else None,
+            is_ending=lambda: self._is_ending,
+        )
         try:
             if may_read_on and connection.has_unparsed_bytes():
                 monitor.handle_event(select.POLLIN)
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -72,7 +72,7 @@
 
     def acquire(self, **changes: object) -> Grant | Denied | None:
         return self.client.acquire(
-            make_acquire_request(0, **changes), has_caller_left=lambda: False
+            make_acquire_request(0, **changes), should_stop_waiting=lambda: False
         )
 
 
@@ -99,7 +99,7 @@
 
     def test_the_dispatcher_itself_chooses_locally(self, harness: DispatchHarness) -> None:
         client = harness.make_client(FIRST)
-        assert client.acquire(make_acquire_request(0), has_caller_left=lambda: False) is None
+        assert client.acquire(make_acquire_request(0), should_stop_waiting=lambda: False) is None
 
     def test_a_denial_is_returned(self, harness: DispatchHarness) -> None:
         harness.start(FIRST)
@@ -124,7 +124,8 @@
         for _ in range(3):
             harness.acquire()
         assert isinstance(
-            harness.client.acquire(make_acquire_request(0), has_caller_left=lambda: True), Denied
+            harness.client.acquire(make_acquire_request(0), should_stop_waiting=lambda: True),
+            Denied,
         )
         waiting: list[int] = []
         controller.read_pool(lambda pool, now_ms: waiting.append(len(pool.queue)))
@@ -166,7 +167,8 @@
     def test_a_grant_for_a_disconnected_caller_is_released(self, harness: DispatchHarness) -> None:
         controller = harness.start(FIRST)
         assert isinstance(
-            harness.client.acquire(make_acquire_request(0), has_caller_left=lambda: True), Denied
+            harness.client.acquire(make_acquire_request(0), should_stop_waiting=lambda: True),
+            Denied,
         )
         assert _count_in_flight(controller) == 0
 
@@ -176,7 +178,10 @@
         port = MemoryPort(harness.network, FIRST.address)
 
         def time_out(
-            dispatcher: object, pending: object, request: AcquireRequest, has_caller_left: object
+            dispatcher: object,
+            pending: object,
+            request: AcquireRequest,
+            should_stop_waiting: object,
         ) -> None:
             port.send(REPLY_TOPIC, encode(Granted(request.token, "u0")), OWN.address)
 
@@ -231,7 +236,7 @@
             service.kinds[0],
             RequestTimes(arrived_ms=now_ms, deadline_ms=now_ms + 2_000),
             exclude=frozenset(),
-            has_caller_left=lambda: False,
+            should_stop_waiting=lambda: False,
         )
 
     def test_an_attempt_is_counted_on_both_instances_until_it_ends(
@@ -282,7 +287,7 @@
                 service.kinds[0],
                 RequestTimes(arrived_ms=now_ms, deadline_ms=now_ms + 8),
                 exclude=frozenset(),
-                has_caller_left=lambda: False,
+                should_stop_waiting=lambda: False,
             )
         assert (caught.value.reason, caught.value.outcome) == ("overloaded", "not-run")
         assert caught.value.retry_after_s
@@ -324,7 +329,7 @@
             make_service().kinds[0],
             times,
             exclude=frozenset(),
-            has_caller_left=lambda: False,
+            should_stop_waiting=lambda: False,
         )
         assert claim.grant is not None
         assert _count_in_flight(remote) == 1
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -341,7 +341,7 @@
     Mutant(
         "a request waits for the first manifest of a starting instance",
         "proxy/first_manifest.py",
-        "        while table is None and not has_caller_left():\n",
+        "        while table is None and not should_stop_waiting():\n",
         "        while False:\n",
         "testing/proxy/test_first_manifest.py::TestRestartOfAWholeFleet",
     ),
@@ -457,4 +457,11 @@
         "",
         "testing/proxy/test_stop.py::TestLateRequests",
     ),
+    Mutant(
+        "a request that still waits at the end of a stop is refused",
+        "proxy/server.py",
+        "            self._is_ending = elapsed_ms >= limit_ms - REFUSAL_GRACE_MS\n",
+        "",
+        "testing/proxy/test_stop.py::TestEndOfStop",
+    ),
 ]
--- a/testing/proxy/test_first_manifest.py
+++ b/testing/proxy/test_first_manifest.py
@@ -35,13 +35,13 @@
         clock: Clock,
         *,
         timeout_ms: float = TIMEOUT_MS,
-        has_caller_left: Callable[[], bool] = _has_not_left,
+        should_stop_waiting: Callable[[], bool] = _has_not_left,
     ) -> Future[RoutingTable | None]:
         return executor.submit(
             wait.wait,
             arrived_ms=clock.now_ms(),
             timeout_ms=timeout_ms,
-            has_caller_left=has_caller_left,
+            should_stop_waiting=should_stop_waiting,
         )
 
     def test_requests_before_the_first_manifest_are_resolved_with_it(self) -> None:
@@ -69,7 +69,7 @@
         wait = FirstManifestWait(manifests, clock=clock)
         clock.advance(START_PERIOD_MS)
         before_ms = clock.now_ms()
-        result = wait.wait(arrived_ms=before_ms, timeout_ms=1e9, has_caller_left=_has_not_left)
+        result = wait.wait(arrived_ms=before_ms, timeout_ms=1e9, should_stop_waiting=_has_not_left)
         assert result is None
 
     def test_wait_ends_when_the_caller_leaves(self) -> None:
@@ -77,7 +77,7 @@
         wait = FirstManifestWait(ManifestHolder(collect_schemes(load_plugins())), clock=clock)
         has_left = threading.Event()
         with ThreadPoolExecutor(1) as executor:
-            call = self._submit(executor, wait, clock, has_caller_left=has_left.is_set)
+            call = self._submit(executor, wait, clock, should_stop_waiting=has_left.is_set)
             assert not call.done()
             has_left.set()
             assert call.result() is None
--- a/testing/proxy/test_stop.py
+++ b/testing/proxy/test_stop.py
@@ -75,6 +75,8 @@
             wait_until(lambda: len(stopping.upstream.heads) == 1)
             stopped = stopping.stop(limit_ms=LONG_MS)
             sock.sendall(REQUEST)
+            # It has been read once it waits for its turn to be answered.
+            wait_until(lambda: stopping.instance.server.count_in_progress() == 2)
             stopping.release.set()
             first, _, second = read_all(sock).partition(b"done")
         assert first.startswith(b"HTTP/1.1 200 OK")
@@ -83,3 +85,21 @@
         assert b"Retry-After" in second
         assert len(stopping.upstream.heads) == 1
         assert stopped.result() == 0
+
+
+class TestEndOfStop:
+    # Guards against a request that was never passed on and gets no answer at the end of a stop.
+    def test_a_request_that_still_waits_for_an_upstream_is_refused(
+        self, stopping: StoppingInstance
+    ) -> None:
+        with stopping.connect() as running, stopping.connect() as waiting:
+            running.sendall(REQUEST)
+            wait_until(lambda: len(stopping.upstream.heads) == 1)
+            waiting.sendall(REQUEST)
+            wait_until(lambda: stopping.instance.server.count_in_progress() == 2)
+            stopped = stopping.stop(limit_ms=SHORT_MS)
+            reply = read_all(waiting)
+            assert stopped.result() == 1
+        assert reply.startswith(b"HTTP/1.1 503 ")
+        assert b"not-run" in reply
+        assert len(stopping.upstream.heads) == 1
