Give requests the whole grace period of a planned stop

Callers saw: where a process may run 10 s after SIGTERM, as on the large fleet, a request still at an upstream was cut after 5.4 s. Cause: the time for requests at a stop was fixed to what suits a grace period of 6 s. Ruled out: the other waits of a stop (notice, idle connections), which do not depend on that period.

--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -29,6 +29,9 @@
 IDLE_REFRESH_INTERVAL_MS = 200.0
 # At the interpreter's default of 5 ms, one busy thread would delay all requests by that long.
 SWITCH_INTERVAL_S = 0.0005
+MS_PER_SECOND = 1_000.0
+# The part of the grace period in which the rest of the process stops.
+PROCESS_STOP_MS = 600.0
 
 
 class Gateway:
@@ -93,7 +96,7 @@
         # The platform's load balancer keeps sending callers until it notices the failed check.
         self._clock.sleep_ms(settings.get("callers", "notice_ms"))
         return self._caller_server.stop(
-            idle_ms=settings.get("callers", "idle_ms"), limit_ms=settings.get("callers", "stop_ms")
+            idle_ms=settings.get("callers", "idle_ms"), limit_ms=get_stop_limit_ms(settings)
         )
 
     def count_in_progress(self) -> int:
@@ -121,6 +124,15 @@
 _DEFAULT_LIMITS = CallerLimits()
 
 
+def get_stop_limit_ms(settings: Settings) -> float:
+    """Return how long requests in progress may take once no more callers are accepted."""
+    grace_ms: float = settings.get("callers", "grace_s") * MS_PER_SECOND
+    if grace_ms == 0:
+        return float(settings.get("callers", "stop_ms"))
+    notice_ms: float = settings.get("callers", "notice_ms")
+    return max(0.0, grace_ms - notice_ms - PROCESS_STOP_MS)
+
+
 def make_random(seed: int) -> Random:
     """Return a random number generator; seed 0 means a seed from the operating system."""
     return Random(seed) if seed else Random(SystemRandom().getrandbits(64))
--- a/src/coltsfootrill/settings_catalog.py
+++ b/src/coltsfootrill/settings_catalog.py
@@ -189,7 +189,14 @@
             0,
             86_400_000,
             stop_ms,
-            "Maximum time for requests to finish at a stop.",
+            "Maximum time for requests to finish at a stop; unused if grace_s is set.",
+        ),
+        _non_negative(
+            section,
+            "grace_s",
+            "0",
+            "Time in seconds from SIGTERM to SIGKILL, of which a stop uses all that requests need;"
+            " 0 if unknown.",
         ),
     )
 
