Move attempts, and the making of loads, into modules of their own

Ruled out: a change of behaviour; names and moves only, and one function for stated rates in place of two. Change: proxy/attempt.py, balancer/upstream_record.py; record_stated_rate stands beside the claim.

--- a/src/coltsfootrill/balancer/claim.py
+++ b/src/coltsfootrill/balancer/claim.py
@@ -87,3 +87,14 @@
         self.kind_id = kind_id
         self.started_ms = started_ms
         self.typical_ms = typical_ms
+
+
+def record_stated_rate(claim: Claim, now_ms: float, *, is_success: bool) -> None:
+    """Record the rate that the upstream states on the answer to an attempt.
+
+    An answer that is no success lifts no rate: an upstream that fails may leave it out.
+    """
+    if is_success or claim.stated_per_s is not None:
+        claim.load.rate_limit.record_answer(
+            claim.stated_per_s, started_ms=claim.started_ms, now_ms=now_ms
+        )
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -17,6 +17,7 @@
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.claim import Result
 from coltsfootrill.balancer.claim import SlotRequirement
+from coltsfootrill.balancer.claim import record_stated_rate
 from coltsfootrill.balancer.ejection import eject_outliers
 from coltsfootrill.balancer.latency import KindLatency
 from coltsfootrill.balancer.load import PACE_HALF_LIFE_MS
@@ -39,6 +40,8 @@
 from coltsfootrill.balancer.rate_limit import RateLimit
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.balancer.retry import RetryBudget
+from coltsfootrill.balancer.upstream_record import is_same_upstream
+from coltsfootrill.balancer.upstream_record import make_load
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.manifest.table import may_serve
@@ -121,9 +124,9 @@
         }
         for upstream_id, record in wanted.items():
             load = self.by_id.get(upstream_id)
-            if load is None or not _is_same(load, record):
+            if load is None or not is_same_upstream(load, record):
                 self._retire(load)
-                self.by_id[upstream_id] = self._make_load(record, now_ms)
+                self.by_id[upstream_id] = make_load(record, self._make_rate_limit(), now_ms)
         for upstream_id in [known for known in self.by_id if known not in wanted]:
             self._retire(self.by_id.pop(upstream_id))
         self._retiring = [load for load in self._retiring if load.in_flight]
@@ -336,9 +339,7 @@
     def end_answered(self, claim: Claim, report: LoadReport | None, now_ms: float) -> None:
         """Record a complete answer without a server error."""
         claim.load.answered_at_ms = now_ms
-        claim.load.rate_limit.record_answer(
-            claim.stated_per_s, started_ms=claim.started_ms, now_ms=now_ms
-        )
+        record_stated_rate(claim, now_ms, is_success=True)
         if report is not None:
             record_report(claim.load, report, now_ms=now_ms)
             self._update_margin(report)
@@ -365,7 +366,7 @@
         service did so, pauses would leave callers with no upstream at all.
         """
         record_end(claim.load, token=claim.token)
-        _record_stated_rate(claim, now_ms)
+        record_stated_rate(claim, now_ms, is_success=False)
         if report is not None:
             record_report(claim.load, report, now_ms=now_ms)
             self._update_margin(report)
@@ -377,7 +378,7 @@
     def end_failed(self, claim: Claim, now_ms: float) -> None:
         """Record a refused connection, a broken answer or a server error."""
         record_end(claim.load, token=claim.token, now_ms=now_ms)
-        _record_stated_rate(claim, now_ms)
+        record_stated_rate(claim, now_ms, is_success=False)
         record_error(claim.load, now_ms=now_ms)
 
     def end_misdirected(self, claim: Claim) -> None:
@@ -400,31 +401,9 @@
         else:
             self.margin = max(0.0, self.margin - MARGIN_STEP_DOWN)
 
-    def _make_load(self, record: UpstreamRecord, now_ms: float) -> UpstreamLoad:
-        announcement = record.announcement
-        return UpstreamLoad(
-            id=announcement.id,
-            incarnation=announcement.incarnation,
-            address=announcement.address,
-            zone=announcement.zone,
-            slots=announcement.slots,
-            now_ms=now_ms,
-            rate_limit=RateLimit(share=self._rate_share, random=self.random),
-        )
+    def _make_rate_limit(self) -> RateLimit:
+        return RateLimit(share=self._rate_share, random=self.random)
 
     def _retire(self, load: UpstreamLoad | None) -> None:
         if load is not None and load.in_flight:
             self._retiring.append(load)
-
-
-def _is_same(load: UpstreamLoad, record: UpstreamRecord) -> bool:
-    announcement = record.announcement
-    return load.incarnation == announcement.incarnation and load.address == announcement.address
-
-
-def _record_stated_rate(claim: Claim, now_ms: float) -> None:
-    """Record the rate on an answer that is no success; without a rate it proves nothing."""
-    if claim.stated_per_s is not None:
-        claim.load.rate_limit.record_answer(
-            claim.stated_per_s, started_ms=claim.started_ms, now_ms=now_ms
-        )
--- /dev/null
+++ b/src/coltsfootrill/balancer/upstream_record.py
@@ -0,0 +1,27 @@
+"""Loads made from the directory's records of upstreams."""
+
+from __future__ import annotations
+
+from coltsfootrill.balancer.load import UpstreamLoad
+from coltsfootrill.balancer.rate_limit import RateLimit
+from coltsfootrill.registry.directory import UpstreamRecord
+
+
+def make_load(record: UpstreamRecord, rate_limit: RateLimit, now_ms: float) -> UpstreamLoad:
+    """Return the load of an upstream about which only its announcement is known."""
+    announcement = record.announcement
+    return UpstreamLoad(
+        id=announcement.id,
+        incarnation=announcement.incarnation,
+        address=announcement.address,
+        zone=announcement.zone,
+        slots=announcement.slots,
+        now_ms=now_ms,
+        rate_limit=rate_limit,
+    )
+
+
+def is_same_upstream(load: UpstreamLoad, record: UpstreamRecord) -> bool:
+    """Return whether ``load`` is that of the start and the address in ``record``."""
+    announcement = record.announcement
+    return load.incarnation == announcement.incarnation and load.address == announcement.address
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -8,7 +8,6 @@
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.retry import AttemptHistory
-from coltsfootrill.balancer.retry import FailureKind
 from coltsfootrill.clock import Clock
 from coltsfootrill.events.catalog import Attempt as AttemptEvent
 from coltsfootrill.manifest.model import Service
@@ -18,9 +17,10 @@
 from coltsfootrill.proxy.answer import AnswerEcho
 from coltsfootrill.proxy.answer import ReadError
 from coltsfootrill.proxy.answer import UpstreamAnswer
+from coltsfootrill.proxy.attempt import AttemptFailure
+from coltsfootrill.proxy.attempt import AttemptInProgress
 from coltsfootrill.proxy.connection import ConnectError
 from coltsfootrill.proxy.connection import SendError
-from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.connection import encode_head
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
@@ -42,29 +42,6 @@
 SEND_MARGIN_MS = 1.0
 
 
-class _Attempt:
-    """Holds one attempt in progress."""
-
-    __slots__ = ("claim", "connection", "sent_ms", "was_idle")
-
-    def __init__(self, claim: Claim, connection: UpstreamConnection, sent_ms: float) -> None:
-        self.claim = claim
-        self.connection = connection
-        self.was_idle = not connection.is_fresh
-        self.sent_ms = sent_ms
-
-
-class _Failure:
-    """Describes a failed attempt, with the answer to forward if no retry follows."""
-
-    __slots__ = ("answer", "kind", "message")
-
-    def __init__(self, kind: FailureKind, message: str, answer: Answer | None = None) -> None:
-        self.kind = kind
-        self.message = message
-        self.answer = answer
-
-
 class RequestForwarder:
     """Makes the attempts of one request. Used by a single thread."""
 
@@ -92,13 +69,13 @@
         self._metrics = metrics
         self._history = AttemptHistory(is_retried=request.is_retried)
         self._tried: set[str] = set()
-        self._in_progress: list[_Attempt] = []
+        self._in_progress: list[AttemptInProgress] = []
         self.attempts: list[AttemptEvent] = []
 
     def run(self) -> Answer:
         """Return the answer; raise ``ProxyError`` if there is none."""
         self._controller.earn_retry_budget()
-        failure: _Failure | None = None
+        failure: AttemptFailure | None = None
         try:
             while True:
                 result = self._try_once()
@@ -118,7 +95,7 @@
         finally:
             self._cancel_in_progress()
 
-    def _try_once(self) -> Answer | _Failure:
+    def _try_once(self) -> Answer | AttemptFailure:
         """Make one attempt, and a second one in parallel if allowed."""
         claim = self._controller.acquire(
             self._service,
@@ -136,7 +113,7 @@
             return failure
         return self._wait_for_answer()
 
-    def _send_attempt(self, claim: Claim, *, idle_max_ms: float) -> _Failure | None:
+    def _send_attempt(self, claim: Claim, *, idle_max_ms: float) -> AttemptFailure | None:
         """Send the request to the upstream of ``claim``; return the failure, if any.
 
         ``idle_max_ms`` is how long a connection from the pool may have been idle; 0 opens a fresh
@@ -154,7 +131,7 @@
             connection = connection or pool.open(left_ms)
         except ConnectError as error:
             self._end_failed(claim, "refused")
-            return _Failure("refused", str(error))
+            return AttemptFailure("refused", str(error))
         self._history.possibly_run += 1
         self._history.sends += 1
         try:
@@ -168,8 +145,8 @@
                 self._pools.record_reuse_failure()
             connection.close()
             self._end_failed(claim, "lost")
-            return _Failure("lost", str(error))
-        attempt = _Attempt(claim, connection, self._clock.now_ms())
+            return AttemptFailure("lost", str(error))
+        attempt = AttemptInProgress(claim, connection, self._clock.now_ms())
         connection.expect(self._request.method, self._echo)
         self._in_progress.append(attempt)
         return None
@@ -193,9 +170,9 @@
         """Return the headers that replace any that the caller sent."""
         return frozenset((self._dialect.deadline.lower(), self._dialect.upstream_id.lower()))
 
-    def _wait_for_answer(self) -> Answer | _Failure:
+    def _wait_for_answer(self) -> Answer | AttemptFailure:
         """Return the first valid answer of the attempts in progress, or the last failure."""
-        failure = _Failure("lost", "no attempt was answered")
+        failure = AttemptFailure("lost", "no attempt was answered")
         first = self._in_progress[0]
         second_at_ms = get_second_attempt_at_ms(
             self._controller,
@@ -247,7 +224,7 @@
         self._count_extra("silent" if is_silent else "hedge")
         self._send_attempt(claim, idle_max_ms=0.0 if is_silent else math.inf)
 
-    def _poll(self, timeout_ms: float) -> list[_Attempt]:
+    def _poll(self, timeout_ms: float) -> list[AttemptInProgress]:
         """Return the attempts that have data to read within ``timeout_ms``.
 
         Raises ``UnknownOutcomeError`` as soon as the caller has disconnected.
@@ -255,7 +232,7 @@
         poller = select.poll()
         monitor = self._request.monitor
         poller.register(monitor.fileno(), monitor.events)
-        by_fileno: dict[int, _Attempt] = {}
+        by_fileno: dict[int, AttemptInProgress] = {}
         for attempt in self._in_progress:
             by_fileno[attempt.connection.fileno()] = attempt
             poller.register(attempt.connection.fileno(), select.POLLIN)
@@ -270,7 +247,7 @@
                 )
         return [by_fileno[fileno] for fileno, _ in events if fileno in by_fileno]
 
-    def _read_answer(self, attempt: _Attempt) -> Answer | _Failure | None:
+    def _read_answer(self, attempt: AttemptInProgress) -> Answer | AttemptFailure | None:
         """Read available data of one attempt and classify its answer once complete.
 
         Returns ``None`` while the answer is incomplete.
@@ -287,7 +264,7 @@
             if attempt.was_idle:
                 self._pools.record_reuse_failure()
             self._end_failed(claim, "lost")
-            return _Failure("lost", str(error))
+            return AttemptFailure("lost", str(error))
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
         if self._dialect.rate_limit:
             claim.stated_per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
@@ -298,28 +275,30 @@
             self._give_back(attempt)
         return result
 
-    def _give_back(self, attempt: _Attempt) -> None:
+    def _give_back(self, attempt: AttemptInProgress) -> None:
         self._pools.get(attempt.claim.load.address).give_back(attempt.connection)
 
     def _classify_answer(
         self, claim: Claim, answer: UpstreamAnswer, report: LoadReport | None
-    ) -> Answer | _Failure:
+    ) -> Answer | AttemptFailure:
         dialect = self._dialect
         if answer.status in dialect.not_run_statuses:
             self._record_attempt(claim, "misdirected")
             self._controller.end(claim, "misdirected")
             self._history.possibly_run -= 1
-            return _Failure("misdirected", f"upstream {claim.load.id} is no longer at its address")
+            return AttemptFailure(
+                "misdirected", f"upstream {claim.load.id} is no longer at its address"
+            )
         if answer.get_header(dialect.not_run):
             self._record_attempt(claim, "shed")
             self._controller.end(claim, "shed", report)
             self._history.possibly_run -= 1
-            return _Failure("shed", f"upstream {claim.load.id} had no capacity")
+            return AttemptFailure("shed", f"upstream {claim.load.id} had no capacity")
         is_genuine = not dialect.signature or bool(answer.get_header(dialect.signature))
         is_encoded = bool(dialect.signature) and answer.get_header("Content-Encoding") is not None
         if answer.status < 300 and (not is_genuine or is_encoded):
             self._end_failed(claim, "not-genuine")
-            return _Failure(
+            return AttemptFailure(
                 "lost",
                 f"the answer from upstream {claim.load.id} is not genuine: unsigned or encoded",
             )
@@ -335,8 +314,10 @@
             is_misleading = answer.status in dialect.implied_not_run_statuses
             message = f"upstream {claim.load.id} failed with status {answer.status}"
             if self._kind.idempotent:
-                return _Failure("failed-answer", message, None if is_misleading else forwarded)
-            return _Failure("lost", message) if is_misleading else forwarded
+                return AttemptFailure(
+                    "failed-answer", message, None if is_misleading else forwarded
+                )
+            return AttemptFailure("lost", message) if is_misleading else forwarded
         ended_ms = self._clock.now_ms()
         forwarded.add_sent_callback(lambda: self._end_answered(claim, report, ended_ms))
         return forwarded
@@ -345,7 +326,7 @@
         self._controller.end_answered(claim, report, ended_ms)
         self._record_attempt(claim, "answered")
 
-    def _finish_failed(self, failure: _Failure) -> Answer:
+    def _finish_failed(self, failure: AttemptFailure) -> Answer:
         if failure.answer is not None:
             return failure.answer
         if not self._history.may_have_run:
@@ -366,7 +347,7 @@
             return UnknownOutcomeError("504 Gateway Timeout", "deadline", message)
         return NotRunError("503 Service Unavailable", "deadline", message, retry_after_s=1)
 
-    def _discard_idle(self, attempt: _Attempt) -> None:
+    def _discard_idle(self, attempt: AttemptInProgress) -> None:
         """Close the idle connections to a silent upstream, and bar those in use from reuse."""
         discarded = self._pools.get(attempt.claim.load.address).discard_idle()
         self._metrics.discarded_connections.inc(discarded + 1)
