Keep an instance's share of stated rates when it hears of no other

Upstreams could see: the stated rate as many times over as there are instances, once all hubs are lost for 4.5 s. Cause: an instance without any other in its list took the whole rate, as if it were alone. At the moment of the loss, while the ranking was still cached, its refresh ended with a division by zero, and with it the ejections and expiries that the same task applies. Ruled out: a single instance, which has the whole rate still; the list itself, which is empty rightly. Change: the share stays as it was last until there is a list again. Before and after: the new test failed in both cases (ZeroDivisionError, and 1.0 five times), now passes; one mutant seen; tests of dispatch pass.

--- a/src/coltsfootrill/dispatch/client.py
+++ b/src/coltsfootrill/dispatch/client.py
@@ -91,6 +91,7 @@
         self._down_since_ms_by_id: dict[str, float] = {}
         self._dispatchers_by_service: dict[str, list[InstanceRecord]] = {}
         self._ranking_cached_ms = float("-inf")
+        self._rate_share_by_service: dict[str, float] = {}
         port.handle(REPLY_TOPIC, self.handle_reply)
 
     def acquire(
@@ -134,12 +135,16 @@
     def get_rate_share(self, service_id: str) -> float:
         """Return the part of the rates stated by the upstreams of a service that is this one's.
 
-        The dispatcher that all others should use has the whole rate.
+        The dispatcher that all others should use has the whole rate. An instance that no longer
+        hears of the others keeps its share: they are as many as before.
         """
+        instances = self._list_instances()
         dispatchers = self._list_dispatchers(service_id, self._clock.now_ms())
-        if not dispatchers or dispatchers[0].id == self._own.id:
-            return WHOLE_SHARE
-        return FALLBACK_SHARE / len(self._list_instances())
+        if instances and dispatchers:
+            is_first = dispatchers[0].id == self._own.id
+            share = WHOLE_SHARE if is_first else FALLBACK_SHARE / len(instances)
+            self._rate_share_by_service[service_id] = share
+        return self._rate_share_by_service.get(service_id, WHOLE_SHARE)
 
     def release(
         self,
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -9,6 +9,7 @@
 from coltsfootrill.balancer.rate_limit import FALLBACK_SHARE
 from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.clock import Clock
+from coltsfootrill.dispatch.client import RANKING_TTL_MS
 from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.dispatch.messages import REPLY_TOPIC
 from coltsfootrill.dispatch.messages import REQUEST_TOPIC
@@ -48,13 +49,14 @@
         self.clock = Clock()
         self.events: list[Event] = []
         self.controllers: dict[str, AdmissionController] = {}
+        self.instances = RECORDS
         self.client = self.make_client(OWN)
 
     def make_client(self, own: InstanceRecord) -> DispatchClient:
         return DispatchClient(
             own,
             port=MemoryPort(self.network, own.address),  # type: ignore[arg-type]
-            list_instances=lambda: RECORDS,
+            list_instances=lambda: self.instances,
             clock=self.clock,
             timeout_ms=10.0,
             work_min_ms=90.0,
@@ -312,6 +314,17 @@
         assert sorted(shares)[-1] == WHOLE_SHARE
         assert sum(shares) < WHOLE_SHARE + FALLBACK_SHARE
 
+    # Guards against a fleet in which each instance takes itself for the only one.
+    @pytest.mark.parametrize("after_ms", [0.0, 2 * RANKING_TTL_MS])
+    def test_an_instance_that_hears_of_no_other_any_more_keeps_its_share(
+        self, harness: DispatchHarness, after_ms: float
+    ) -> None:
+        clients = [harness.make_client(record) for record in RECORDS]
+        before = [client.get_rate_share("work") for client in clients]
+        harness.instances = []
+        harness.clock.sleep_ms(after_ms)
+        assert [client.get_rate_share("work") for client in clients] == before
+
     def test_short_work_goes_to_the_dispatcher_while_an_upstream_states_a_rate(
         self, harness: DispatchHarness
     ) -> None:
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -464,4 +464,11 @@
         "",
         "testing/proxy/test_stop.py::TestEndOfStop",
     ),
+    Mutant(
+        "an instance that hears of no other takes no whole rate",
+        "dispatch/client.py",
+        "return self._rate_share_by_service.get(service_id, WHOLE_SHARE)\n",
+        "return self._rate_share_by_service.pop(service_id, WHOLE_SHARE)\n",
+        "testing/dispatch/test_client.py::TestStatedRate",
+    ),
 ]
