--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -266,8 +266,7 @@
             self._end_failed(claim, "lost")
             return AttemptFailure("lost", str(error))
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
-        if self._dialect.rate_limit:
-            claim.stated_per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
+        claim.stated_per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
         result = self._classify_answer(claim, answer, report)
         if isinstance(result, Answer):
             result.add_sent_callback(lambda: self._give_back(attempt))
--- a/src/coltsfootrill/proxy/headers.py
+++ b/src/coltsfootrill/proxy/headers.py
@@ -92,8 +92,10 @@
 
 def parse_rate_limit(value: str | None) -> float | None:
     """Return the rate in requests a second; ``None`` if absent or not a number of at least 0."""
+    if not value:
+        return None
     try:
-        per_s = float(value or "")
+        per_s = float(value)
     except ValueError:
         return None
     return per_s if math.isfinite(per_s) and per_s >= 0 else None
--- a/src/coltsfootrill/proxy/load_poller.py
+++ b/src/coltsfootrill/proxy/load_poller.py
@@ -216,9 +216,7 @@
         self._metrics.probes.labels("good" if answer.status < 300 else "bad").inc()
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
         answered_by = answer.get_header(self._dialect.answered_by)
-        per_s = None
-        if self._dialect.rate_limit:
-            per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
+        per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
         is_useful = report is not None or per_s is not None
         if is_useful and answered_by in (None, upstream_id):
             self._report_cache.record(upstream_id, report, per_s)
--- a/testing/proxy/fakes.py
+++ b/testing/proxy/fakes.py
@@ -54,6 +54,14 @@
             sock.close()
 
 
+def read_all(sock: socket.socket) -> bytes:
+    """Return all bytes until the other end closes."""
+    data = b""
+    while part := sock.recv(65_536):
+        data += part
+    return data
+
+
 def _read_head(sock: socket.socket) -> bytes:
     data = b""
     while b"\r\n\r\n" not in data:
--- a/testing/proxy/test_pipelining.py
+++ b/testing/proxy/test_pipelining.py
@@ -10,6 +10,7 @@
 
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import encode
+from testing.proxy.fakes import read_all
 from testing.proxy.instance import Instance
 
 
@@ -35,13 +36,6 @@
     return f"GET /x/{number} HTTP/1.1\r\nhost: a\r\n{extra}\r\n".encode()
 
 
-def _read_all(sock: socket.socket) -> bytes:
-    data = b""
-    while part := sock.recv(65_536):
-        data += part
-    return data
-
-
 def _list_bodies(data: bytes) -> list[bytes]:
     return [part.rsplit(b"\r\n", 1)[-1] for part in data.split(b"HTTP/1.1 200 OK")[1:]]
 
@@ -61,7 +55,7 @@
                 sock.sendall(_request(number))
                 time.sleep(0.02)
             sock.sendall(_request(5, "connection: close\r\n"))
-            data = _read_all(sock)
+            data = read_all(sock)
             assert time.monotonic() - started_s < 0.75
         assert _list_bodies(data) == [f"/x/{number}".encode() for number in range(6)]
 
@@ -70,7 +64,7 @@
             sock.sendall(_request(0) + _request(1) + _request(2))
             time.sleep(0.1)
             instance.server.announce_close()
-            data = _read_all(sock)
+            data = read_all(sock)
         assert _list_bodies(data) == [b"/x/0", b"/x/1", b"/x/2"]
         assert data.lower().count(b"connection: close") == 1
 
--- a/testing/proxy/test_stop.py
+++ b/testing/proxy/test_stop.py
@@ -13,6 +13,7 @@
 from testing.processes import wait_until
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import encode
+from testing.proxy.fakes import read_all
 from testing.proxy.instance import Instance
 
 REQUEST = b"POST /once HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n"
@@ -58,13 +59,6 @@
     made.close()
 
 
-def read_all(sock: socket.socket) -> bytes:
-    data = b""
-    while part := sock.recv(65_536):
-        data += part
-    return data
-
-
 class TestLateRequests:
     # Guards against a request that is passed on so late in a stop that it is cut without an answer.
     def test_a_request_after_idle_connections_are_closed_is_refused(
