Ask hubs for a manifest again soon after its fetch has failed

Callers could be handled by an older manifest after the time that an operator may count on. Cause: the reply that reports a newer manifest also moves the follower's position. If the fetch that follows fails, as on a connection that has just gone silent, the next poll of each hub is held for 2.5 s although the follower is behind. Ruled out: that another hub makes up for it; its report came during the fetch, and its position had moved as well. Change: while a manifest that a hub has reported is not in force, polls of that hub are held for 250 ms only. Before: the new test finds polls held for 2.5 s (with the condition taken away it fails). After: it passes.

--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -29,6 +29,8 @@
 
 HOLD_MS = 2_500
 HUB_HOLD_MS = 1_500
+# While a manifest that a hub has reported is not in force here: a failed fetch has to be repeated.
+BEHIND_HOLD_MS = 250
 CALL_SLACK_MS = 900.0
 RETRY_PAUSE_MS = 100.0
 # Hubs start at the same time as their followers, so the first reply may take longer.
@@ -132,6 +134,7 @@
         """Poll one hub until it is no longer to be followed."""
         boot = 0
         position = 0
+        reported_version = 0
         lost_since_ms: float | None = None
         start_ms = self._clock.now_ms()
         while not self._stopping.is_set() and address in self._list_wanted():
@@ -142,7 +145,7 @@
                 is_hub=identity.is_hub,
                 boot=boot,
                 position=position,
-                hold_ms=HUB_HOLD_MS if identity.is_hub else HOLD_MS,
+                hold_ms=_choose_hold_ms(identity, reported_version),
             )
             try:
                 reply = self._call(address, request)
@@ -158,6 +161,7 @@
                 lost_since_ms = None
             boot = reply.boot
             position = reply.position
+            reported_version = reply.manifest_version
             self._view.apply(address, reply)
             self._update_replicas(reply)
             self._on_reply(address, reply)
@@ -179,6 +183,13 @@
         return reply
 
 
+def _choose_hold_ms(identity: Identity, reported_version: int) -> int:
+    """Return how long a hub that has reported the manifest ``reported_version`` may hold a poll."""
+    if identity.record.manifest_version < reported_version:
+        return BEHIND_HOLD_MS
+    return HUB_HOLD_MS if identity.is_hub else HOLD_MS
+
+
 def order_hubs(hubs: list[str], *, own_address: str, random: Random) -> list[str]:
     """Return hubs in the order to call them: this instance first, the others at random."""
     others = [hub for hub in hubs if hub != own_address]
--- a/testing/membership/test_following.py
+++ b/testing/membership/test_following.py
@@ -12,12 +12,15 @@
 import pytest
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.membership.following import BEHIND_HOLD_MS
 from coltsfootrill.membership.following import FOLLOW
+from coltsfootrill.membership.following import HOLD_MS
 from coltsfootrill.membership.following import HubFollowing
 from coltsfootrill.membership.following import Identity
 from coltsfootrill.membership.following import order_hubs
 from coltsfootrill.membership.hub import Hub
 from coltsfootrill.membership.messages import FollowReply
+from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.registry.announcement import Announcement
@@ -123,6 +126,31 @@
                 late.close()
 
 
+class TestManifestThatIsNotInForceYet:
+    """The pattern: a hub reports a newer manifest, and the fetch that follows fails."""
+
+    REPORTED_VERSION = 5
+
+    # Guards against a manifest in force too late: after a failed fetch, nobody reported it again.
+    def test_the_hub_is_asked_again_soon_until_the_manifest_is_in_force(self) -> None:
+        address = _find_address(40)
+        polls: list[FollowRequest] = []
+        server = RpcServer(ThreadPoolExecutor(4))
+        server.add(FOLLOW, lambda poll: (polls.append(poll), self._make_reply(address))[1])
+        server.start(address)
+        follower = Member(_find_address(41), [address], voters=[])
+        follower.following.update_tasks()
+        wait_until(lambda: len(polls) >= 3, within_s=10)
+        follower.close()
+        server.stop(grace_ms=0)
+        assert polls[0].hold_ms == HOLD_MS
+        assert {poll.hold_ms for poll in polls[1:]} == {BEHIND_HOLD_MS}
+
+    def _make_reply(self, address: str) -> FollowReply:
+        version = self.REPORTED_VERSION
+        return FollowReply(1, 1, True, True, version, 1, [], [], [address], True, [], [], [], [])
+
+
 class TestClosedConnections:
     """The pattern: all connections to a voting instance are lost at the same moment."""
 
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -24,6 +24,7 @@
 DISPATCH_SERVER = "testing/dispatch/test_server.py::Test"
 DISPATCH_CLIENT = "testing/dispatch/test_client.py::Test"
 HUB = "testing/membership/test_hub.py::Test"
+FOLLOWING = "testing/membership/test_following.py::Test"
 NODE = "testing/roles/test_node.py::Test"
 REGISTER = "testing/control/test_register.py::Test"
 REQUESTS = "testing/features/test_requests.py::test_"
@@ -111,6 +112,13 @@
         "            return\n",
         FEATURES + "silent_connections_between_instances_are_replaced",
     ),
+    Mutant(
+        "a hub is asked again soon after the fetch of a manifest has failed",
+        "membership/following.py",
+        "    if identity.record.manifest_version < reported_version:\n",
+        "    if False:\n",
+        FOLLOWING + "ManifestThatIsNotInForceYet",
+    ),
     Mutant(
         "one call without a reply is enough to replace a silent channel",
         "rpc.py",
