Check connections between instances with a ping while a call waits on them

Callers could reach an upstream that had announced leaving, or be handled by an older manifest, just after connections between instances had gone silent. Cause: a long poll has no reply to expect for 2.5 s. Its silence was noticed 3.4 s after its start, and the poll repeated after 0.1 s more; an instance counts as connected again 3 s after a loss. Ruled out: shorter polls; they notice it as soon, but wake Python code at both ends each time. Change: HTTP/2 pings after 1.2 s without data, answered within 0.9 s, also for the pings that measure bandwidth, as gRPC sends no other ping while one is unanswered. Servers accept them. Options of clients and servers are separate now. Before: the new test of a waiting call ends with its own timeout of 20 s. After: it ends as unavailable, after 2.2 s.

--- a/src/coltsfootrill/rpc.py
+++ b/src/coltsfootrill/rpc.py
@@ -21,20 +21,34 @@
 # Compressing a smaller message takes more time than it saves on a link of low bandwidth.
 COMPRESSED_MIN_BYTES = 1_024
 CONNECT_TIMEOUT_MS = 300
+# A connection on which nothing arrives for this long is checked with a ping while a call waits, and
+# is lost if a ping is not answered in time.
+KEEPALIVE_AFTER_MS = 1_200
+KEEPALIVE_TIMEOUT_MS = 900
+_UNLIMITED = 0
 _FAILURES_BEFORE_RECONNECT = 2
 _TIMED_OUT = grpc.StatusCode.DEADLINE_EXCEEDED
 _OPTIONS = (
     ("grpc.max_receive_message_length", MESSAGE_MAX_BYTES),
     ("grpc.max_send_message_length", MESSAGE_MAX_BYTES),
-    ("grpc.enable_http_proxy", 0),
     ("grpc.so_reuseport", 0),
+)
+_CLIENT_OPTIONS = (
+    *_OPTIONS,
+    ("grpc.enable_http_proxy", 0),
     ("grpc.use_local_subchannel_pool", 1),
     # Also the time after which an attempt to connect is given up. A host that has just lost power
     # does not answer, and the kernel sends the opening packet again only after a second.
     ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.keepalive_time_ms", KEEPALIVE_AFTER_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    # gRPC measures the bandwidth with pings as well, and sends no other while one is unanswered.
+    ("grpc.http2.ping_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.http2.max_pings_without_data", _UNLIMITED),
 )
+_SERVER_OPTIONS = (*_OPTIONS, ("grpc.http2.max_ping_strikes", _UNLIMITED))
 
 
 class RpcError(ColtsfootrillError):
@@ -138,8 +152,8 @@
 
     def _open(self) -> Any:
         if self._credentials is None:
-            return grpc.insecure_channel(self._address, options=_OPTIONS)
-        return grpc.secure_channel(self._address, self._credentials, options=_OPTIONS)
+            return grpc.insecure_channel(self._address, options=_CLIENT_OPTIONS)
+        return grpc.secure_channel(self._address, self._credentials, options=_CLIENT_OPTIONS)
 
     def _record_reply(self) -> None:
         with self._lock:
@@ -169,7 +183,7 @@
     def __init__(self, executor: Executor, *, counter: ByteCounter | None = None) -> None:
         self._handlers: dict[str, grpc.RpcMethodHandler] = {}
         self._counter = counter or ByteCounter()
-        self._server = grpc.server(executor, options=_OPTIONS)
+        self._server = grpc.server(executor, options=_SERVER_OPTIONS)
         self.port = 0
 
     def add(self, method: Method, handle: Callable[[Any], Any]) -> None:
--- a/testing/membership/test_following.py
+++ b/testing/membership/test_following.py
@@ -15,6 +15,7 @@
 from coltsfootrill.membership.following import BEHIND_HOLD_MS
 from coltsfootrill.membership.following import FOLLOW
 from coltsfootrill.membership.following import HOLD_MS
+from coltsfootrill.membership.following import RETRY_PAUSE_MS
 from coltsfootrill.membership.following import HubFollowing
 from coltsfootrill.membership.following import Identity
 from coltsfootrill.membership.following import order_hubs
@@ -26,6 +27,9 @@
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import UpstreamState
 from coltsfootrill.registry.announcement import split_address
+from coltsfootrill.rpc import CONNECT_TIMEOUT_MS
+from coltsfootrill.rpc import KEEPALIVE_AFTER_MS
+from coltsfootrill.rpc import KEEPALIVE_TIMEOUT_MS
 from coltsfootrill.rpc import RpcServer
 from testing.processes import wait_until
 from testing.records import make_usable_record
@@ -151,6 +155,18 @@
         return FollowReply(1, 1, True, True, version, 1, [], [], [address], True, [], [], [], [])
 
 
+class TestSilentConnections:
+    # An instance that was cut off must know again by then what others have acknowledged.
+    CONNECTED_AGAIN_AFTER_MS = 3_000
+
+    # Guards against a leaving upstream heard too late: the time until a silent poll ended was the
+    # sum of constants in several modules, and exceeded what instances have.
+    def test_a_silent_connection_is_replaced_while_the_instance_counts_as_cut_off(self) -> None:
+        until_repeated_ms = KEEPALIVE_AFTER_MS + KEEPALIVE_TIMEOUT_MS + RETRY_PAUSE_MS
+        until_in_force_ms = until_repeated_ms + CONNECT_TIMEOUT_MS + BEHIND_HOLD_MS
+        assert until_in_force_ms < self.CONNECTED_AGAIN_AFTER_MS
+
+
 class TestClosedConnections:
     """The pattern: all connections to a voting instance are lost at the same moment."""
 
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -119,6 +119,13 @@
         "    if False:\n",
         FOLLOWING + "ManifestThatIsNotInForceYet",
     ),
+    Mutant(
+        "a call that waits on a silent connection ends soon",
+        "rpc.py",
+        '    ("grpc.keepalive_time_ms", KEEPALIVE_AFTER_MS),\n',
+        "",
+        "testing/test_rpc.py::TestSilentConnection",
+    ),
     Mutant(
         "one call without a reply is enough to replace a silent channel",
         "rpc.py",
--- a/testing/test_rpc.py
+++ b/testing/test_rpc.py
@@ -15,6 +15,7 @@
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import ManifestReply
 from coltsfootrill.membership.messages import ManifestRequest
+from coltsfootrill.rpc import KEEPALIVE_AFTER_MS
 from coltsfootrill.rpc import RpcClient
 from coltsfootrill.rpc import RpcError
 from coltsfootrill.rpc import RpcServer
@@ -105,6 +106,24 @@
         assert isinstance(error, RpcError)
         assert "cancelled" in str(error)
 
+    # Guards against a leaving upstream heard too late: a poll lasted until its own timeout.
+    def test_a_call_that_waits_ends_before_its_timeout(
+        self, server: SilentServer, client: RpcClient
+    ) -> None:
+        server.relay.cut_existing()
+        with pytest.raises(RpcError, match="unavailable"):
+            client.call(FOLLOW, POLL, timeout_ms=LONG_TIMEOUT_MS)
+        reply = client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
+        assert reply.version == 1
+
+    def test_a_call_that_waits_on_a_working_connection_is_not_disturbed(
+        self, server: SilentServer, client: RpcClient
+    ) -> None:
+        released_after_s = 4 * KEEPALIVE_AFTER_MS / 1_000
+        threading.Timer(released_after_s, server.release.set).start()
+        client.call(FOLLOW, POLL, timeout_ms=LONG_TIMEOUT_MS)
+        assert server.relay.accepted_count == 1
+
     def test_a_slow_call_keeps_a_connection_on_which_others_are_answered(
         self, server: SilentServer, client: RpcClient
     ) -> None:
