Send no new requests to an upstream that states on an answer that it is leaving

Callers' requests could reach an upstream long after it had stated on its answers that it was leaving: nothing read the header, only announcements counted, which may be late or lost. Ruled out: a pause without an end mark; the upstream would be used again when the pause is over. Change: the answer marks that incarnation as leaving in the directory, where it stays final; a later heartbeat or list of a hub does not bring it back, and its next start is not concerned. Health checks count too, and instances share it with their load reports, so that a dispatcher does not grant it any longer. Conclusion: holds on each instance by its own answers, connected or not; the sharing is best effort.

--- a/src/coltsfootrill/balancer/claim.py
+++ b/src/coltsfootrill/balancer/claim.py
@@ -49,7 +49,8 @@
     ``pace`` is the upstream's pace and ``occupancy`` the requests known to be there, this one
     included, both at the start. ``report_age_ms`` is the age of the load report at that time.
     ``grant`` is set if another instance chose the upstream. ``stated_per_s`` is the rate of
-    requests that the upstream states on its answer, ``None`` if it states none.
+    requests that the upstream states on its answer, ``None`` if it states none, and
+    ``states_leaving`` whether it states there that it is leaving.
     """
 
     __slots__ = (
@@ -61,6 +62,7 @@
         "report_age_ms",
         "started_ms",
         "stated_per_s",
+        "states_leaving",
         "token",
         "typical_ms",
     )
@@ -79,6 +81,7 @@
     ) -> None:
         self.grant: Grant | None = None
         self.stated_per_s: float | None = None
+        self.states_leaving = False
         self.report_age_ms = report_age_ms
         self.pace = pace
         self.occupancy = occupancy
--- a/src/coltsfootrill/balancer/load_report_cache.py
+++ b/src/coltsfootrill/balancer/load_report_cache.py
@@ -9,12 +9,13 @@
 
 
 class ReportEntry:
-    """What an upstream stated ``age_ms`` ago: its load, its rate of requests, or both.
+    """What an upstream stated ``age_ms`` ago: its load, its rate of requests, that it is leaving.
 
-    ``per_s`` is the rate in requests a second; either is ``None`` if it was not stated.
+    ``per_s`` is the rate in requests a second, and ``leaving_incarnation`` the incarnation that is
+    leaving; each is ``None`` if it was not stated.
     """
 
-    __slots__ = ("age_ms", "per_s", "report", "upstream_id")
+    __slots__ = ("age_ms", "leaving_incarnation", "per_s", "report", "upstream_id")
 
     def __init__(
         self,
@@ -23,7 +24,9 @@
         *,
         age_ms: float,
         per_s: float | None = None,
+        leaving_incarnation: int | None = None,
     ) -> None:
+        self.leaving_incarnation = leaving_incarnation
         self.upstream_id = upstream_id
         self.report = report
         self.age_ms = age_ms
@@ -41,16 +44,24 @@
         self._report_by_id: dict[str, _StoredReport] = {}
 
     def record(
-        self, upstream_id: str, report: LoadReport | None, per_s: float | None = None
+        self,
+        upstream_id: str,
+        report: LoadReport | None,
+        per_s: float | None = None,
+        leaving_incarnation: int | None = None,
     ) -> None:
-        """Store what an upstream has just stated: its load, its rate of requests, or both."""
+        """Store what an upstream has just stated."""
         with self._lock:
             known = self._report_by_id.get(upstream_id)
             if known is not None:
                 # A health check states no rate.
                 report = report or known.report
                 per_s = known.per_s if per_s is None else per_s
-            self._report_by_id[upstream_id] = _StoredReport(report, per_s, self._clock.now_ms())
+                if leaving_incarnation is None:
+                    leaving_incarnation = known.leaving_incarnation
+            self._report_by_id[upstream_id] = _StoredReport(
+                report, per_s, leaving_incarnation, at_ms=self._clock.now_ms()
+            )
 
     def take(self) -> list[ReportEntry]:
         """Return the stored reports and remove them."""
@@ -60,7 +71,11 @@
             self._report_by_id = {}
         return [
             ReportEntry(
-                upstream_id, stored.report, age_ms=now_ms - stored.at_ms, per_s=stored.per_s
+                upstream_id,
+                stored.report,
+                age_ms=now_ms - stored.at_ms,
+                per_s=stored.per_s,
+                leaving_incarnation=stored.leaving_incarnation,
             )
             for upstream_id, stored in taken.items()
         ]
@@ -69,9 +84,17 @@
 class _StoredReport:
     """What an upstream stated at ``at_ms``."""
 
-    __slots__ = ("at_ms", "per_s", "report")
+    __slots__ = ("at_ms", "leaving_incarnation", "per_s", "report")
 
-    def __init__(self, report: LoadReport | None, per_s: float | None, at_ms: float) -> None:
+    def __init__(
+        self,
+        report: LoadReport | None,
+        per_s: float | None,
+        leaving_incarnation: int | None,
+        *,
+        at_ms: float,
+    ) -> None:
+        self.leaving_incarnation = leaving_incarnation
         self.report = report
         self.per_s = per_s
         self.at_ms = at_ms
--- a/src/coltsfootrill/membership/fleet.py
+++ b/src/coltsfootrill/membership/fleet.py
@@ -116,6 +116,13 @@
         """
         self._confirmations.append(Confirmation(upstream_id, incarnation, sent_ms))
 
+    def record_leaving(self, upstream_id: str, incarnation: int) -> None:
+        """Use an upstream no more, whose answer stated that it is leaving, and notify the peers."""
+        with self._changed:
+            if self.directory.mark_leaving(upstream_id, incarnation):
+                self.directory.by_id[upstream_id].origin = self._own.id
+                self._changed.notify_all()
+
     def list_usable(self) -> list[UpstreamRecord]:
         """Return the upstreams that may get new work now, without waiting for the lock."""
         return self.directory.list_usable(self._clock.now_ms())
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -214,10 +214,7 @@
             if other.incarnation > announcement.incarnation:
                 return True
             if announcement.state != "leaving":
-                left = msgspec.structs.replace(other, state="leaving")
-                self._directory.merge(
-                    left, origin=self._own.id, last_confirmed_ms=record.last_confirmed_ms
-                )
+                self._directory.mark_leaving(other.id, other.incarnation)
         return False
 
     def _record_follower(self, request: FollowRequest, now_ms: float) -> None:
--- a/src/coltsfootrill/membership/load_changes.py
+++ b/src/coltsfootrill/membership/load_changes.py
@@ -64,7 +64,7 @@
 def _differs(before: LoadEntry, after: LoadEntry) -> bool:
     if (before.in_flight, before.slots) != (after.in_flight, after.slots):
         return True
-    if before.per_s != after.per_s:
+    if before.per_s != after.per_s or before.leaving_incarnation != after.leaving_incarnation:
         return True
     if before.pace is None or after.pace is None:
         return before.pace is not after.pace
--- a/src/coltsfootrill/membership/load_gossip.py
+++ b/src/coltsfootrill/membership/load_gossip.py
@@ -37,6 +37,8 @@
 HOPS_TO_ZONE = 1
 HOPS_TO_COLLECTOR = 2
 
+# Stands for a load that was not stated.
+_NO_LOAD = LoadReport(in_flight=0, slots=0, state="")
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(LoadGossip)
 
@@ -176,18 +178,29 @@
 
 
 def _pack(entry: ReportEntry) -> LoadEntry:
-    report = entry.report
-    age_ms = int(entry.age_ms)
-    if report is None:
-        return LoadEntry(entry.upstream_id, 0, 0, None, age_ms, entry.per_s)
-    pace = None if report.pace is None else int(report.pace * PACE_SCALE)
-    return LoadEntry(entry.upstream_id, report.in_flight, report.slots, pace, age_ms, entry.per_s)
+    report = entry.report or _NO_LOAD
+    return LoadEntry(
+        entry.upstream_id,
+        report.in_flight,
+        report.slots,
+        None if report.pace is None else int(report.pace * PACE_SCALE),
+        int(entry.age_ms),
+        entry.per_s,
+        entry.leaving_incarnation,
+    )
 
 
 def _unpack(entry: LoadEntry) -> ReportEntry:
-    age_ms = max(0, entry.age_ms)
-    if entry.slots < 1:
-        return ReportEntry(entry.upstream_id, None, age_ms=age_ms, per_s=entry.per_s)
-    pace = None if entry.pace is None else entry.pace / PACE_SCALE
-    report = LoadReport(in_flight=entry.in_flight, slots=entry.slots, state="serving", pace=pace)
-    return ReportEntry(entry.upstream_id, report, age_ms=age_ms, per_s=entry.per_s)
+    report: LoadReport | None = None
+    if entry.slots >= 1:
+        pace = None if entry.pace is None else entry.pace / PACE_SCALE
+        report = LoadReport(
+            in_flight=entry.in_flight, slots=entry.slots, state="serving", pace=pace
+        )
+    return ReportEntry(
+        entry.upstream_id,
+        report,
+        age_ms=max(0, entry.age_ms),
+        per_s=entry.per_s,
+        leaving_incarnation=entry.leaving_incarnation,
+    )
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -137,7 +137,8 @@
 class LoadEntry(msgspec.Struct, frozen=True, array_like=True):
     """Load of one upstream; ``pace`` is multiplied by ``PACE_SCALE``, ``None`` if not reported.
 
-    ``slots`` is 0 without a load. ``per_s`` is the rate of requests that the upstream states.
+    ``slots`` is 0 without a load. ``per_s`` is the rate of requests that the upstream states, and
+    ``leaving_incarnation`` the incarnation of which it states that it is leaving.
     """
 
     upstream_id: str
@@ -146,6 +147,7 @@
     pace: int | None
     age_ms: int
     per_s: float | None = None
+    leaving_incarnation: int | None = None
 
 
 class LoadGossip(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/membership/view.py
+++ b/src/coltsfootrill/membership/view.py
@@ -91,6 +91,12 @@
     def confirm(self, upstream_id: str, incarnation: int, sent_ms: float) -> None:
         """Do nothing: the hubs, not the answers of upstreams, determine which ones are live."""
 
+    def record_leaving(self, upstream_id: str, incarnation: int) -> None:
+        """Use an upstream no more, whose answer stated that this incarnation of it is leaving."""
+        with self._lock:
+            if self._directory.mark_leaving(upstream_id, incarnation):
+                self._update(self._clock.now_ms())
+
     def has_current_hub(self) -> bool:
         """Return whether a hub whose state a majority confirmed is responsive."""
         with self._lock:
--- a/src/coltsfootrill/proxy/admission_controller.py
+++ b/src/coltsfootrill/proxy/admission_controller.py
@@ -60,8 +60,8 @@
         fleet: UpstreamSource,
         clock: Clock,
         dispatch: DispatchClient | None = None,
-        on_report: Callable[[str, LoadReport | None, float | None], None] = (
-            lambda upstream_id, report, per_s: None
+        on_report: Callable[[str, LoadReport | None, float | None, int | None], None] = (
+            lambda upstream_id, report, per_s, leaving_incarnation: None
         ),
         on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
@@ -273,8 +273,12 @@
 
     def _share_result(self, claim: Claim, result: Result, report: LoadReport | None) -> None:
         """Pass on what the upstream stated, and the result to the instance that chose it."""
-        if report is not None or claim.stated_per_s is not None:
-            self._on_report(claim.load.id, report, claim.stated_per_s)
+        leaving_incarnation: int | None = None
+        if claim.states_leaving:
+            leaving_incarnation = claim.load.incarnation
+            self._fleet.record_leaving(claim.load.id, leaving_incarnation)
+        if report is not None or claim.stated_per_s is not None or claim.states_leaving:
+            self._on_report(claim.load.id, report, claim.stated_per_s, leaving_incarnation)
         if self._remote_acquirer is not None:
             self._remote_acquirer.release(claim, result, report)
 
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -172,8 +172,11 @@
         return any(has_requests)
 
     def apply_reports(self, reports: Sequence[ReportEntry]) -> None:
-        """Apply load reports received from other instances or probes."""
+        """Apply what upstreams stated to other instances or to probes."""
         now_ms = self._clock.now_ms()
+        for entry in reports:
+            if entry.leaving_incarnation is not None:
+                self._fleet.record_leaving(entry.upstream_id, entry.leaving_incarnation)
         for controller in list(self.controllers_by_service.values()):
             controller.apply_reports(reports, now_ms)
 
--- a/src/coltsfootrill/proxy/dialect.py
+++ b/src/coltsfootrill/proxy/dialect.py
@@ -21,7 +21,8 @@
     is on every genuine answer of an upstream. ``not_run`` marks an explicit refusal, as the
     statuses in ``not_run_statuses`` do. ``load`` states the upstream's load, and ``answered_by`` is
     the id of the upstream that answers a health check. ``rate_limit`` states, on an answer, how
-    many requests a second the upstream takes from all instances together. Callers interpret an
+    many requests a second the upstream takes from all instances together, and ``leaving`` that it
+    is leaving. Callers interpret an
     answer with one of the ``implied_not_run_statuses`` as a guarantee that the request was not and
     will not be run.
     ``has_fractional_retry_after`` states that callers accept fractional seconds in
@@ -33,6 +34,7 @@
         "deadline",
         "has_fractional_retry_after",
         "implied_not_run_statuses",
+        "leaving",
         "load",
         "name",
         "not_run",
@@ -57,6 +59,7 @@
         answered_by: str = "",
         signature: str = "",
         rate_limit: str = "",
+        leaving: str = "",
         not_run_statuses: frozenset[int] = frozenset(),
         implied_not_run_statuses: frozenset[int] = frozenset(),
         has_fractional_retry_after: bool = False,
@@ -72,6 +75,7 @@
         self.answered_by = answered_by
         self.signature = signature
         self.rate_limit = rate_limit
+        self.leaving = leaving
         self.not_run_statuses = not_run_statuses
         self.implied_not_run_statuses = implied_not_run_statuses
 
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -28,6 +28,7 @@
 from coltsfootrill.proxy.headers import RETRIED_HEADER
 from coltsfootrill.proxy.headers import list_answer_headers
 from coltsfootrill.proxy.headers import list_request_headers
+from coltsfootrill.proxy.headers import parse_leaving
 from coltsfootrill.proxy.headers import parse_rate_limit
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
@@ -266,7 +267,10 @@
             self._end_failed(claim, "lost")
             return AttemptFailure("lost", str(error))
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
-        claim.stated_per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
+        if answer.status not in self._dialect.not_run_statuses:
+            # With one of these statuses, another upstream at the address has answered.
+            claim.stated_per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
+            claim.states_leaving = parse_leaving(answer.get_header(self._dialect.leaving))
         result = self._classify_answer(claim, answer, report)
         if isinstance(result, Answer):
             result.add_sent_callback(lambda: self._give_back(attempt))
--- a/src/coltsfootrill/proxy/headers.py
+++ b/src/coltsfootrill/proxy/headers.py
@@ -16,6 +16,7 @@
 DEPTH_HEADER = "Coltsfootrill-Depth"
 LOAD_HEADER = "Upstream-Load"
 SHED_HEADER = "Upstream-Shed"
+LEAVING_VALUE = "1"
 DEPTH_MAX = 32
 
 _HOP_BY_HOP = frozenset(
@@ -101,6 +102,11 @@
     return per_s if math.isfinite(per_s) and per_s >= 0 else None
 
 
+def parse_leaving(value: str | None) -> bool:
+    """Return whether an upstream states that it is leaving."""
+    return value is not None and value.strip() == LEAVING_VALUE
+
+
 def parse_load(value: str | None) -> LoadReport | None:
     """Return the load in ``in_flight=N;slots=N;state=S``; ``None`` if malformed."""
     if not value:
--- a/src/coltsfootrill/proxy/load_poller.py
+++ b/src/coltsfootrill/proxy/load_poller.py
@@ -22,6 +22,7 @@
 from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.connection import encode_head
 from coltsfootrill.proxy.dialect import Dialect
+from coltsfootrill.proxy.headers import parse_leaving
 from coltsfootrill.proxy.headers import parse_rate_limit
 from coltsfootrill.registry.directory import UpstreamRecord
 
@@ -217,9 +218,11 @@
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
         answered_by = answer.get_header(self._dialect.answered_by)
         per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
-        is_useful = report is not None or per_s is not None
+        is_leaving = parse_leaving(answer.get_header(self._dialect.leaving))
+        is_useful = report is not None or per_s is not None or is_leaving
         if is_useful and answered_by in (None, upstream_id):
-            self._report_cache.record(upstream_id, report, per_s)
+            incarnation = upstream.announcement.incarnation if is_leaving else None
+            self._report_cache.record(upstream_id, report, per_s, incarnation)
 
     def _record_failure(self, state: _PollState) -> None:
         self._metrics.probes.labels("failed").inc()
--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import Literal
 
+import msgspec
+
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import UpstreamState
 
@@ -212,6 +214,16 @@
                 record.renewed_at = self.position
         return True
 
+    def mark_leaving(self, upstream_id: str, incarnation: int) -> bool:
+        """Mark an upstream as leaving that has not announced it; return whether that is news."""
+        record = self.by_id.get(upstream_id)
+        if record is None or record.announcement.incarnation != incarnation or record.is_leaving:
+            return False
+        before = record.announcement
+        record.announcement = msgspec.structs.replace(before, state="leaving")
+        self._mark_changed(record, before=before.state)
+        return True
+
     def list_usable(self, now_ms: float) -> list[UpstreamRecord]:
         """Return the records of all upstreams that may get new work now.
 
--- a/src/coltsfootrill/registry/source.py
+++ b/src/coltsfootrill/registry/source.py
@@ -22,3 +22,6 @@
 
     def confirm(self, upstream_id: str, incarnation: int, sent_ms: float) -> None:
         """Extend the lease of an upstream that answered a request sent at ``sent_ms``."""
+
+    def record_leaving(self, upstream_id: str, incarnation: int) -> None:
+        """Use an upstream no more, whose answer stated that this incarnation of it is leaving."""
--- a/testing/dispatch/memory.py
+++ b/testing/dispatch/memory.py
@@ -63,6 +63,9 @@
     def confirm(self, upstream_id: str, incarnation: int, sent_ms: float) -> None:
         return
 
+    def record_leaving(self, upstream_id: str, incarnation: int) -> None:
+        return
+
 
 def make_service(**changes: Any) -> Service:
     fields = {"names": ["web:a/x/"], "idempotent": True, "deadline_ms": 3_000, "target_ms": 400}
--- a/testing/membership/test_load_gossip.py
+++ b/testing/membership/test_load_gossip.py
@@ -104,6 +104,17 @@
         assert seen[0].report is not None
         assert seen[1].report is None
 
+    def test_a_leaving_upstream_arrives_with_its_incarnation(self) -> None:
+        port = _find_port()
+        fleet = [_record(number, "z1", port=port) for number in (9, 10)]
+        seen: list[ReportEntry] = []
+        exchanges = [_open_exchange(record, fleet, seen.extend) for record in fleet]
+        entry = ReportEntry("u1", None, age_ms=0, leaving_incarnation=2**52)
+        exchanges[0].send([entry], crosses_zones=False)
+        wait_until(lambda: len(seen) == 1)
+        assert seen[0].leaving_incarnation == 2**52
+        assert seen[0].report is None
+
     def test_loads_of_many_upstreams_with_long_identifiers_all_arrive(self) -> None:
         port = _find_port()
         fleet = [_record(number, "z1", port=port) for number in (7, 8)]
--- a/testing/membership/test_roster.py
+++ b/testing/membership/test_roster.py
@@ -16,6 +16,7 @@
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.view import HubView
 from testing.membership.test_hub import announce
+from testing.records import make_usable_record
 
 FLEET_COUNT = 140
 
@@ -146,3 +147,28 @@
         reply = fleet.follow()
         assert reply.is_whole
         assert len(fleet.list_known()) == FLEET_COUNT - 5
+
+
+class TestUpstreamThatStatesThatItIsLeaving:
+    """An instance heard it on an answer; the hubs have not."""
+
+    def test_hubs_that_list_it_do_not_bring_it_back(self) -> None:
+        fleet = Fleet()
+        serving = make_usable_record("u1").announcement
+        fleet.hub.merge(serving, age_ms=0)
+        fleet.follow()
+        fleet.view.record_leaving("u1", serving.incarnation)
+        assert fleet.view.list_usable() == []
+        fleet.position = 0
+        fleet.hub.merge(msgspec.structs.replace(serving, sequence=2), age_ms=0)
+        fleet.follow()
+        assert fleet.view.list_usable() == []
+
+    def test_another_incarnation_is_not_concerned(self) -> None:
+        fleet = Fleet()
+        serving = make_usable_record("u1").announcement
+        fleet.hub.merge(msgspec.structs.replace(serving, incarnation=2), age_ms=0)
+        fleet.follow()
+        fleet.view.record_leaving("u1", 1)
+        fleet.view.record_leaving("u9", 1)
+        assert [record.announcement.id for record in fleet.view.list_usable()] == ["u1"]
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -24,6 +24,7 @@
 DISPATCH_SERVER = "testing/dispatch/test_server.py::Test"
 DISPATCH_CLIENT = "testing/dispatch/test_client.py::Test"
 HUB = "testing/membership/test_hub.py::Test"
+LEAVING = "testing/proxy/test_leaving.py::Test"
 FOLLOWING = "testing/membership/test_following.py::Test"
 NODE = "testing/roles/test_node.py::Test"
 REGISTER = "testing/control/test_register.py::Test"
@@ -112,6 +113,13 @@
         "            return\n",
         FEATURES + "silent_connections_between_instances_are_replaced",
     ),
+    Mutant(
+        "no new work after an answer that states leaving",
+        "proxy/admission_controller.py",
+        "            self._fleet.record_leaving(claim.load.id, leaving_incarnation)\n",
+        "",
+        LEAVING + "StatedLeaving",
+    ),
     Mutant(
         "a hub is asked again soon after the fetch of a manifest has failed",
         "membership/following.py",
--- a/testing/proxy/test_load_poller.py
+++ b/testing/proxy/test_load_poller.py
@@ -142,6 +142,12 @@
         assert fake.connections == 1
         assert len(fake.heads) > 2
 
+    def test_an_upstream_that_is_leaving_is_reported(self, polling: PollerFixture) -> None:
+        polling.serve("u1", answer(b"", extra="server-leaving: 1\r\n"))
+        polling.wait_rounds(5)
+        (entry,) = polling.report_cache.take()
+        assert (entry.upstream_id, entry.leaving_incarnation) == ("u1", 1)
+
     def test_silent_upstream_does_not_delay_the_others(self, polling: PollerFixture) -> None:
         polling.serve("u1", stay_silent())
         polling.serve("u2", _load("0,0,3,100", "u2"))
