Refuse a request during which three upstreams crashed and that none answered

Callers of the same service lost their answers or were refused, because one request crashed upstream after upstream. Cause: each attempt and each return of the request was judged alone. Errors are counted by upstream, retries by service; nobody knew what the same request had done before, at this or at another instance. Ruled out: second attempts as the only cause, upstreams also crash one at a time. Change: a connection that ends without a byte of an answer makes the request a suspect, by the digest of its content. Three starts of upstreams, and no answer to anyone, refuse it on all instances; an answer clears it. Suspects are not hedged.

--- /dev/null
+++ b/src/coltsfootrill/balancer/crash_guard.py
@@ -0,0 +1,97 @@
+"""Refuses requests that crash every upstream, on all instances that handle them."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from coltsfootrill.balancer.crash_suspects import Crash
+from coltsfootrill.balancer.crash_suspects import CrashSuspects
+from coltsfootrill.balancer.crash_suspects import Suspect
+from coltsfootrill.clock import Clock
+
+
+class SuspectNews:
+    """What happened to one request: upstreams crashed, or it ``is_answered``."""
+
+    __slots__ = ("crashes", "digest", "is_answered")
+
+    def __init__(
+        self, digest: bytes, crashes: Sequence[Crash] = (), *, is_answered: bool = False
+    ) -> None:
+        self.digest = digest
+        self.crashes = crashes
+        self.is_answered = is_answered
+
+
+class CrashGuard:
+    """The requests during which upstreams crashed, here or on other instances. Thread-safe.
+
+    ``take_news`` returns what this instance saw since the last call, for the other instances.
+    ``on_refused`` is called with the lock held, once for each request that is refused from then on.
+    """
+
+    __slots__ = ("_clock", "_lock", "_news", "_on_refused", "_suspects")
+
+    def __init__(
+        self, clock: Clock, *, on_refused: Callable[[Suspect], None] = lambda suspect: None
+    ) -> None:
+        self._clock = clock
+        self._on_refused = on_refused
+        self._lock = threading.Lock()
+        self._suspects = CrashSuspects()
+        self._news: list[SuspectNews] = []
+
+    @property
+    def has_suspects(self) -> bool:
+        """Return whether there are any, which saves the digest of most requests."""
+        return bool(self._suspects.by_digest)
+
+    def is_suspect(self, digest: bytes) -> bool:
+        """Return whether any upstream crashed during the request."""
+        with self._lock:
+            return self._suspects.is_suspect(digest)
+
+    def is_refused(self, digest: bytes) -> bool:
+        """Return whether the request must not be sent to any upstream."""
+        with self._lock:
+            return self._suspects.is_refused(digest)
+
+    def record_crash(self, digest: bytes, upstream_id: str, incarnation: int) -> None:
+        """Record that an upstream ended the connection of a request without an answer."""
+        crash = Crash(upstream_id, incarnation)
+        with self._lock:
+            self._news.append(SuspectNews(digest, [crash]))
+            if self._suspects.record_crash(digest, crash, self._clock.now_ms()):
+                self._on_refused(self._suspects.by_digest[digest])
+
+    def record_answer(self, digest: bytes) -> None:
+        """Record that an upstream answered the request."""
+        with self._lock:
+            if self._suspects.record_answer(digest, self._clock.now_ms()):
+                self._news.append(SuspectNews(digest, is_answered=True))
+
+    def merge(self, news: SuspectNews) -> None:
+        """Apply what another instance saw."""
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            if news.is_answered:
+                self._suspects.record_answer(news.digest, now_ms)
+            elif self._suspects.merge(news.digest, news.crashes, now_ms):
+                self._on_refused(self._suspects.by_digest[news.digest])
+
+    def take_news(self) -> list[SuspectNews]:
+        """Return what this instance saw since the last call."""
+        with self._lock:
+            news, self._news = self._news, []
+            return news
+
+    def list_refused(self) -> list[SuspectNews]:
+        """Return the requests that are refused, with their crashes."""
+        with self._lock:
+            self._suspects.remove_expired(self._clock.now_ms())
+            return [
+                SuspectNews(suspect.digest, list(suspect.crash_by_key.values()))
+                for suspect in self._suspects.list_refused()
+            ]
--- /dev/null
+++ b/src/coltsfootrill/balancer/crash_suspects.py
@@ -0,0 +1,117 @@
+"""Requests during which upstreams crashed, and the refusal of those that crash every upstream.
+
+A request may crash each upstream that begins to run it. Callers and retries then send it from
+upstream to upstream. Which of the requests in progress was the cause shows only when one of them
+crashes other upstreams too, while the rest are answered at their next attempt.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+# A request is refused once this many upstreams have crashed during it and none has answered it.
+CRASHES_MAX_COUNT = 3
+KEPT_MS = 600_000.0
+# A crash that another instance reports late does not count against a request answered since.
+ANSWERED_KEPT_MS = 10_000.0
+SUSPECTS_MAX_COUNT = 10_000
+
+
+class Crash:
+    """One start of an upstream that ended while it was to answer a request."""
+
+    __slots__ = ("incarnation", "upstream_id")
+
+    def __init__(self, upstream_id: str, incarnation: int) -> None:
+        self.upstream_id = upstream_id
+        self.incarnation = incarnation
+
+
+class Suspect:
+    """The crashes during one request. ``digest`` identifies the request; see ``ProxyRequest``.
+
+    ``crash_by_key`` holds them by upstream and incarnation, ``last_ms`` is when the last one was
+    recorded.
+    """
+
+    __slots__ = ("crash_by_key", "digest", "last_ms")
+
+    def __init__(self, digest: bytes, now_ms: float) -> None:
+        self.digest = digest
+        self.crash_by_key: dict[tuple[str, int], Crash] = {}
+        self.last_ms = now_ms
+
+    @property
+    def is_refused(self) -> bool:
+        """Return whether so many upstreams crashed that the request must be the cause."""
+        return len(self.crash_by_key) >= CRASHES_MAX_COUNT
+
+
+class CrashSuspects:
+    """Suspects by digest, the latest crash last. Not thread-safe: the owner holds a lock.
+
+    Crashes of the last ``KEPT_MS`` count. An answer to the request shows that it was not the cause.
+    """
+
+    __slots__ = ("_answered_ms_by_digest", "by_digest")
+
+    def __init__(self) -> None:
+        self.by_digest: OrderedDict[bytes, Suspect] = OrderedDict()
+        self._answered_ms_by_digest: OrderedDict[bytes, float] = OrderedDict()
+
+    def record_crash(self, digest: bytes, crash: Crash, now_ms: float) -> bool:
+        """Record a crash seen by this instance; return whether the request is refused from now."""
+        self._answered_ms_by_digest.pop(digest, None)
+        return self._add(digest, [crash], now_ms)
+
+    def merge(self, digest: bytes, crashes: Iterable[Crash], now_ms: float) -> bool:
+        """Record crashes that another instance reports; return as ``record_crash`` does."""
+        answered_ms = self._answered_ms_by_digest.get(digest)
+        if answered_ms is not None and now_ms - answered_ms < ANSWERED_KEPT_MS:
+            return False
+        return self._add(digest, crashes, now_ms)
+
+    def record_answer(self, digest: bytes, now_ms: float) -> bool:
+        """Record an answer to a request; return whether it had been a suspect."""
+        if self.by_digest.pop(digest, None) is None:
+            return False
+        self._answered_ms_by_digest[digest] = now_ms
+        while len(self._answered_ms_by_digest) > SUSPECTS_MAX_COUNT:
+            self._answered_ms_by_digest.popitem(last=False)
+        return True
+
+    def is_suspect(self, digest: bytes) -> bool:
+        """Return whether any upstream crashed during the request."""
+        return digest in self.by_digest
+
+    def is_refused(self, digest: bytes) -> bool:
+        """Return whether the request must not be sent to any upstream."""
+        suspect = self.by_digest.get(digest)
+        return suspect is not None and suspect.is_refused
+
+    def list_refused(self) -> list[Suspect]:
+        """Return the requests that are refused."""
+        return [suspect for suspect in self.by_digest.values() if suspect.is_refused]
+
+    def remove_expired(self, now_ms: float) -> None:
+        """Drop suspects whose last crash is older than ``KEPT_MS``."""
+        while self.by_digest:
+            oldest = next(iter(self.by_digest.values()))
+            if now_ms - oldest.last_ms < KEPT_MS:
+                return
+            del self.by_digest[oldest.digest]
+
+    def _add(self, digest: bytes, crashes: Iterable[Crash], now_ms: float) -> bool:
+        suspect = self.by_digest.setdefault(digest, Suspect(digest, now_ms))
+        was_refused = suspect.is_refused
+        known_count = len(suspect.crash_by_key)
+        for crash in crashes:
+            if not suspect.is_refused:
+                suspect.crash_by_key.setdefault((crash.upstream_id, crash.incarnation), crash)
+        if len(suspect.crash_by_key) > known_count:
+            suspect.last_ms = now_ms
+            self.by_digest.move_to_end(digest)
+        while len(self.by_digest) > SUSPECTS_MAX_COUNT:
+            self.by_digest.popitem(last=False)
+        return suspect.is_refused and not was_refused
--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -94,6 +94,16 @@
     per_s: float | None = None
 
 
+class CrashingRequest(Event, kw_only=True, tag="crashing-request"):
+    """A request is refused from now on: each of ``upstreams`` crashed during it, none answered it.
+
+    ``digest`` identifies the request by its method, target, caller and body.
+    """
+
+    digest: str
+    upstreams: list[str]
+
+
 class InstancesChanged(Event, kw_only=True, tag="instances-changed"):
     """The set of known instances in the fleet changed; ``count`` is its new size."""
 
@@ -243,6 +253,7 @@
     | UpstreamEjected
     | UpstreamReadmitted
     | UpstreamRateLimited
+    | CrashingRequest
     | InstancesChanged
     | RetriesExhausted
     | RetriesAvailable
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -156,3 +156,24 @@
     sender: str
     hops: int
     entries: list[LoadEntry]
+
+
+class CrashEntry(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that crashed during a request, by its identifier and incarnation."""
+
+    upstream_id: str
+    incarnation: int
+
+
+class SuspectEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A request, by its digest: the upstreams that crashed during it, or that it was answered."""
+
+    digest: bytes
+    crashes: list[CrashEntry]
+    is_answered: bool
+
+
+class SuspectGossip(msgspec.Struct, frozen=True, array_like=True):
+    """What one instance saw of requests during which upstreams crashed."""
+
+    entries: list[SuspectEntry]
--- /dev/null
+++ b/src/coltsfootrill/membership/suspect_gossip.py
@@ -0,0 +1,93 @@
+"""Gossip of requests during which upstreams crashed, over UDP datagrams.
+
+Each instance sends what it saw to all others at once. A datagram may be lost, and an instance that
+starts knows nothing, so the requests that are refused are sent again periodically by a few
+instances.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import msgspec
+
+from coltsfootrill.balancer.crash_guard import CrashGuard
+from coltsfootrill.balancer.crash_guard import SuspectNews
+from coltsfootrill.balancer.crash_suspects import Crash
+from coltsfootrill.clock import Clock
+from coltsfootrill.membership.datagrams import DatagramPort
+from coltsfootrill.membership.messages import CrashEntry
+from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.messages import SuspectEntry
+from coltsfootrill.membership.messages import SuspectGossip
+from coltsfootrill.membership.relay_topology import rank
+
+TOPIC = b"S"
+ENTRIES_MAX_COUNT = 50
+REPEAT_INTERVAL_MS = 1_000.0
+REPEATERS_COUNT = 2
+_RANK_KEY = "suspects"
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(SuspectGossip)
+
+
+class SuspectGossipExchange:
+    """Sends the news of ``guard`` to the other instances, and applies theirs."""
+
+    __slots__ = ("_clock", "_guard", "_list_instances", "_own", "_port", "_repeated_ms")
+
+    def __init__(
+        self,
+        own: InstanceRecord,
+        *,
+        port: DatagramPort,
+        list_instances: Callable[[], list[InstanceRecord]],
+        guard: CrashGuard,
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._list_instances = list_instances
+        self._guard = guard
+        self._clock = clock
+        self._port = port
+        self._repeated_ms = clock.now_ms()
+        port.handle(TOPIC, self.receive)
+
+    def send(self) -> None:
+        """Send what this instance saw; to be called often."""
+        news = self._guard.take_news()
+        now_ms = self._clock.now_ms()
+        if now_ms - self._repeated_ms >= REPEAT_INTERVAL_MS:
+            self._repeated_ms = now_ms
+            refused = self._guard.list_refused()
+            if refused and self._is_repeater():
+                news += refused
+        if news:
+            self._send_to_all(news)
+
+    def receive(self, payload: bytes, sender: str) -> None:
+        """Handle one datagram; raise ``msgspec.MsgspecError`` if it cannot be decoded."""
+        for entry in _decoder.decode(payload).entries:
+            crashes = [Crash(crash.upstream_id, crash.incarnation) for crash in entry.crashes]
+            self._guard.merge(SuspectNews(entry.digest, crashes, is_answered=entry.is_answered))
+
+    def _is_repeater(self) -> bool:
+        ranked = sorted(
+            self._list_instances(), key=lambda record: rank(_RANK_KEY, record.id), reverse=True
+        )
+        return self._own.id in [record.id for record in ranked[:REPEATERS_COUNT]]
+
+    def _send_to_all(self, news: Sequence[SuspectNews]) -> None:
+        entries = [_pack(one) for one in news]
+        others = [record for record in self._list_instances() if record.id != self._own.id]
+        for start in range(0, len(entries), ENTRIES_MAX_COUNT):
+            data = _encoder.encode(SuspectGossip(entries[start : start + ENTRIES_MAX_COUNT]))
+            for record in others:
+                self._port.send(TOPIC, data, record.address)
+
+
+def _pack(news: SuspectNews) -> SuspectEntry:
+    crashes = [CrashEntry(crash.upstream_id, crash.incarnation) for crash in news.crashes]
+    return SuspectEntry(news.digest, crashes, news.is_answered)
--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -29,6 +29,10 @@
     """No complete, well-formed answer arrived before the deadline."""
 
 
+class EndedWithoutAnswerError(ReadError):
+    """The upstream ended the connection before any byte of an answer, as when it crashes."""
+
+
 class UpstreamAnswer:
     """A complete answer of an upstream; header names are as the upstream sent them."""
 
@@ -250,6 +254,11 @@
         """Return how long the upstream keeps an idle connection open, ``None`` if not stated."""
         return self._collector.keep_alive_ms
 
+    @property
+    def has_received(self) -> bool:
+        """Return whether any byte has arrived since the request was sent."""
+        return self._received_bytes > 0
+
     def feed(self, data: bytes) -> UpstreamAnswer | None:
         """Parse bytes; return the answer once it is complete. Raises ``ReadError``."""
         try:
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -8,6 +8,8 @@
 from random import Random
 
 from coltsfootrill.balancer.choice import ChoicePolicy
+from coltsfootrill.balancer.crash_guard import CrashGuard
+from coltsfootrill.balancer.crash_suspects import Suspect
 from coltsfootrill.balancer.load_report_cache import LoadReportCache
 from coltsfootrill.balancer.load_report_cache import ReportEntry
 from coltsfootrill.balancer.pool import ServicePool
@@ -16,6 +18,7 @@
 from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.events.catalog import Admission
 from coltsfootrill.events.catalog import Attempt
+from coltsfootrill.events.catalog import CrashingRequest
 from coltsfootrill.events.catalog import Event
 from coltsfootrill.events.catalog import RequestEnded
 from coltsfootrill.manifest.holder import ManifestHolder
@@ -122,6 +125,7 @@
         self.controllers_by_service: dict[str, AdmissionController] = {}
         self.pools = ConnectionPools(clock, once_idle_max_ms=once_idle_max_ms)
         self.reports = LoadReportCache(clock)
+        self.crash_guard = CrashGuard(clock, on_refused=self._record_crashing)
 
     def handle(self, request: CallerRequest) -> Answer:
         """Return the answer to one request."""
@@ -276,6 +280,7 @@
             pools=self.pools,
             clock=self._clock,
             metrics=self._metrics,
+            guard=self.crash_guard,
             dialect=self._dialect,
             service=service,
         )
@@ -302,6 +307,10 @@
             )
         return min(stated_ms, kind.deadline_ms)
 
+    def _record_crashing(self, suspect: Suspect) -> None:
+        upstreams = [crash.upstream_id for crash in suspect.crash_by_key.values()]
+        self._on_event(CrashingRequest(digest=suspect.digest.hex(), upstreams=upstreams))
+
     def _record_end(self, record: _RequestRecord, answer: Answer) -> None:
         service_id = "" if record.service is None else record.service.id
         self._metrics.count_request(service_id, answer.outcome, answer.reason)
--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -13,6 +13,7 @@
 from coltsfootrill.proxy.answer import AnswerEcho
 from coltsfootrill.proxy.answer import AnswerReader
 from coltsfootrill.proxy.answer import ConnectionLayerError
+from coltsfootrill.proxy.answer import EndedWithoutAnswerError
 from coltsfootrill.proxy.answer import ReadError
 from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.outcome import Header
@@ -25,6 +26,7 @@
 # An upstream may close an idle connection this much earlier than its Keep-Alive header states.
 IDLE_MARGIN_MS = 800.0
 IDLE_MAX_COUNT = 8
+_CLOSED_EARLY = "the upstream closed the connection before the answer was complete"
 
 
 class ConnectError(ConnectionLayerError):
@@ -147,11 +149,11 @@
         except BlockingIOError:
             return None
         except OSError as error:
-            raise ReadError(f"{type(error).__name__}: {error}") from error
+            raise _make_end_error(reader, f"{type(error).__name__}: {error}") from error
         answer = reader.feed(data) if data else reader.feed_end()
         if answer is None:
             if not data:
-                raise ReadError("the upstream closed the connection before the answer was complete")
+                raise _make_end_error(reader, _CLOSED_EARLY)
             return None
         self._release_reader()
         self.is_reusable = reader.is_reusable
@@ -171,6 +173,10 @@
             reader.release()
 
 
+def _make_end_error(reader: AnswerReader, message: str) -> ReadError:
+    return ReadError(message) if reader.has_received else EndedWithoutAnswerError(message)
+
+
 def has_pending_data(sock: socket.socket) -> bool:
     """Return whether bytes or an end of stream can be read from ``sock`` without blocking."""
     # Unlike select, poll accepts descriptors above 1,023.
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -6,6 +6,7 @@
 import select
 
 from coltsfootrill.balancer.claim import Claim
+from coltsfootrill.balancer.crash_guard import CrashGuard
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.retry import AttemptHistory
 from coltsfootrill.clock import Clock
@@ -15,6 +16,7 @@
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.proxy.admission_controller import AdmissionController
 from coltsfootrill.proxy.answer import AnswerEcho
+from coltsfootrill.proxy.answer import EndedWithoutAnswerError
 from coltsfootrill.proxy.answer import ReadError
 from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.attempt import AttemptFailure
@@ -41,6 +43,7 @@
 from coltsfootrill.proxy.second_attempt import get_target_left_ms
 
 SEND_MARGIN_MS = 1.0
+CRASHING_RETRY_AFTER_S = 60.0
 
 
 class RequestForwarder:
@@ -55,9 +58,11 @@
         pools: ConnectionPools,
         clock: Clock,
         metrics: Metrics,
+        guard: CrashGuard,
         dialect: Dialect = NATIVE_DIALECT,
         service: Service | None = None,
     ) -> None:
+        self._guard = guard
         self._request = request
         self._service = service or route.service
         self._dialect = dialect
@@ -98,6 +103,7 @@
 
     def _try_once(self) -> Answer | AttemptFailure:
         """Make one attempt, and a second one in parallel if allowed."""
+        self._check_not_refused()
         claim = self._controller.acquire(
             self._service,
             self._kind,
@@ -114,6 +120,19 @@
             return failure
         return self._wait_for_answer()
 
+    def _check_not_refused(self) -> None:
+        """Raise ``NotRunError`` if the request crashes the upstreams that run it."""
+        if self._guard.has_suspects and self._guard.is_refused(self._request.get_digest()):
+            raise NotRunError(
+                "503 Service Unavailable",
+                "crashes-upstreams",
+                "upstreams crash when they run this request; it is sent to none for some minutes",
+                retry_after_s=CRASHING_RETRY_AFTER_S,
+            )
+
+    def _is_suspect(self) -> bool:
+        return self._guard.has_suspects and self._guard.is_suspect(self._request.get_digest())
+
     def _send_attempt(self, claim: Claim, *, idle_max_ms: float) -> AttemptFailure | None:
         """Send the request to the upstream of ``claim``; return the failure, if any.
 
@@ -198,6 +217,9 @@
         return failure
 
     def _start_second(self) -> None:
+        if self._is_suspect():
+            # It may crash a second upstream while the first is not lost yet.
+            return
         attempt = self._in_progress[0]
         is_silent = attempt.was_idle and (
             self._clock.now_ms() - attempt.sent_ms
@@ -264,6 +286,10 @@
             attempt.connection.close()
             if attempt.was_idle:
                 self._pools.record_reuse_failure()
+            if isinstance(error, EndedWithoutAnswerError):
+                self._guard.record_crash(
+                    self._request.get_digest(), claim.load.id, claim.load.incarnation
+                )
             self._end_failed(claim, "lost")
             return AttemptFailure("lost", str(error))
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
@@ -297,6 +323,8 @@
             self._controller.end(claim, "shed", report)
             self._history.possibly_run -= 1
             return AttemptFailure("shed", f"upstream {claim.load.id} had no capacity")
+        if self._is_suspect():
+            self._guard.record_answer(self._request.get_digest())
         is_genuine = not dialect.signature or bool(answer.get_header(dialect.signature))
         is_encoded = bool(dialect.signature) and answer.get_header("Content-Encoding") is not None
         if answer.status < 300 and (not is_genuine or is_encoded):
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Callable
 from collections.abc import Mapping
 
@@ -9,6 +10,10 @@
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.caller import DisconnectMonitor
 
+DIGEST_BYTES = 16
+# What a caller sends with each of its requests to the same service.
+_CALLER_HEADERS = ("HOST", "AUTHORIZATION", "COOKIE")
+
 
 class RequestTimes:
     """Holds the arrival time and the deadline of a request, as clock readings in milliseconds.
@@ -56,6 +61,7 @@
     """Holds a complete request of a caller. ``headers`` have waitress's upper-case names."""
 
     __slots__ = (
+        "_digest",
         "body",
         "depth",
         "headers",
@@ -86,3 +92,15 @@
         self.depth = depth
         self.is_retried = is_retried
         self.monitor = monitor
+        self._digest: bytes | None = None
+
+    def get_digest(self) -> bytes:
+        """Return what identifies the request when its caller sends it again, in another attempt."""
+        if self._digest is None:
+            state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+            callers = [self.headers.get(name, "") for name in _CALLER_HEADERS]
+            for part in (self.method, self.target, *callers):
+                state.update(part.encode("latin-1", "replace") + b"\n")
+            state.update(self.body)
+            self._digest = state.digest()
+        return self._digest
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -34,6 +34,7 @@
 from coltsfootrill.membership.datagrams import DatagramPort
 from coltsfootrill.membership.load_gossip import LoadGossipExchange
 from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.suspect_gossip import SuspectGossipExchange
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.operators.http import HttpApp
@@ -232,11 +233,19 @@
             on_reports=self.gateway.app.apply_reports,
             clock=self._clock,
         )
+        suspects = SuspectGossipExchange(
+            self._own_record,
+            port=self._datagram_port,
+            list_instances=self.view.list_instances,
+            guard=self.gateway.app.crash_guard,
+            clock=self._clock,
+        )
         rounds = itertools.count()
 
         def exchange_reports() -> None:
             reports = self.gateway.app.reports.take()
             self.gateway.app.apply_reports(reports)
+            suspects.send()
             gossip.send(reports, crosses_zones=next(rounds) % CROSS_ZONE_INTERVAL_ROUNDS == 0)
 
         poller = LoadPoller(
--- /dev/null
+++ b/testing/balancer/test_crash_suspects.py
@@ -0,0 +1,100 @@
+"""The pattern: one request crashes each upstream that runs it, and others run there meanwhile."""
+
+from __future__ import annotations
+
+from random import Random
+
+from coltsfootrill.balancer.crash_suspects import ANSWERED_KEPT_MS
+from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
+from coltsfootrill.balancer.crash_suspects import KEPT_MS
+from coltsfootrill.balancer.crash_suspects import SUSPECTS_MAX_COUNT
+from coltsfootrill.balancer.crash_suspects import Crash
+from coltsfootrill.balancer.crash_suspects import CrashSuspects
+
+DEADLY = b"deadly"
+NOW_MS = 1_000_000.0
+
+
+def crash_upstreams(suspects: CrashSuspects, digest: bytes, count: int) -> list[bool]:
+    return [suspects.record_crash(digest, Crash(f"u{n}", 1), NOW_MS) for n in range(count)]
+
+
+class TestRefusal:
+    def test_a_request_is_refused_after_three_crashes(self) -> None:
+        suspects = CrashSuspects()
+        assert crash_upstreams(suspects, DEADLY, CRASHES_MAX_COUNT) == [False, False, True]
+        assert suspects.is_refused(DEADLY)
+
+    def test_one_crash_that_several_instances_report_counts_once(self) -> None:
+        suspects = CrashSuspects()
+        for _ in range(10):
+            suspects.record_crash(DEADLY, Crash("u1", 1), NOW_MS)
+            suspects.merge(DEADLY, [Crash("u1", 1)], NOW_MS)
+        assert not suspects.is_refused(DEADLY)
+
+    def test_an_upstream_that_crashes_after_each_start_counts_each_time(self) -> None:
+        suspects = CrashSuspects()
+        for incarnation in range(CRASHES_MAX_COUNT):
+            suspects.record_crash(DEADLY, Crash("u1", incarnation), NOW_MS)
+        assert suspects.is_refused(DEADLY)
+
+    def test_crashes_that_instances_saw_apart_add_up(self) -> None:
+        suspects = CrashSuspects()
+        suspects.record_crash(DEADLY, Crash("u1", 1), NOW_MS)
+        assert not suspects.merge(DEADLY, [Crash("u2", 1)], NOW_MS)
+        assert suspects.merge(DEADLY, [Crash("u3", 1)], NOW_MS)
+
+    def test_a_request_is_given_another_chance_after_some_minutes(self) -> None:
+        suspects = CrashSuspects()
+        crash_upstreams(suspects, DEADLY, CRASHES_MAX_COUNT)
+        suspects.remove_expired(NOW_MS + KEPT_MS - 1)
+        assert suspects.is_refused(DEADLY)
+        suspects.remove_expired(NOW_MS + KEPT_MS)
+        assert not suspects.is_refused(DEADLY)
+
+
+class TestAnswer:
+    def test_a_request_that_is_answered_was_not_the_cause(self) -> None:
+        suspects = CrashSuspects()
+        crash_upstreams(suspects, DEADLY, CRASHES_MAX_COUNT - 1)
+        assert suspects.record_answer(DEADLY, NOW_MS)
+        crash_upstreams(suspects, DEADLY, CRASHES_MAX_COUNT - 1)
+        assert not suspects.is_refused(DEADLY)
+
+    def test_a_late_report_does_not_count_after_an_answer(self) -> None:
+        suspects = CrashSuspects()
+        crash_upstreams(suspects, DEADLY, 1)
+        suspects.record_answer(DEADLY, NOW_MS)
+        late = [Crash(f"u{n}", 1) for n in range(CRASHES_MAX_COUNT)]
+        assert not suspects.merge(DEADLY, late, NOW_MS + ANSWERED_KEPT_MS - 1)
+        assert suspects.merge(DEADLY, late, NOW_MS + ANSWERED_KEPT_MS)
+
+    def test_bystanders_are_hardly_ever_refused(self) -> None:
+        random = Random(1)
+        upstreams_count, slots, bystanders_count, rounds_count = 14, 3, 400, 20
+        suspects = CrashSuspects()
+        bystanders = [f"b{n}".encode() for n in range(bystanders_count)]
+        for round_number in range(rounds_count):
+            crashed = Crash(f"u{random.randrange(upstreams_count)}", round_number)
+            lost = random.sample(bystanders, slots - 1)
+            for digest in lost:
+                suspects.record_crash(digest, crashed, NOW_MS)
+            # The others are answered, and so are nearly all of the lost ones, elsewhere.
+            for digest in bystanders:
+                if digest not in lost or random.random() > 1 / upstreams_count:
+                    suspects.record_answer(digest, NOW_MS)
+        assert suspects.list_refused() == []
+
+
+class TestBounds:
+    def test_the_oldest_suspects_are_dropped_beyond_a_number(self) -> None:
+        suspects = CrashSuspects()
+        for number in range(SUSPECTS_MAX_COUNT + 10):
+            suspects.record_crash(b"%d" % number, Crash("u1", 1), NOW_MS)
+        assert len(suspects.by_digest) == SUSPECTS_MAX_COUNT
+        assert not suspects.is_suspect(b"0")
+
+    def test_a_refused_request_keeps_no_more_crashes(self) -> None:
+        suspects = CrashSuspects()
+        suspects.merge(DEADLY, [Crash(f"u{n}", 1) for n in range(1_000)], NOW_MS)
+        assert len(suspects.by_digest[DEADLY].crash_by_key) == CRASHES_MAX_COUNT
--- /dev/null
+++ b/testing/membership/test_suspect_gossip.py
@@ -0,0 +1,103 @@
+"""News of requests that crash upstreams reach all instances, although datagrams are lost."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from coltsfootrill.balancer.crash_guard import CrashGuard
+from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
+from coltsfootrill.clock import ManualClock
+from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.suspect_gossip import REPEAT_INTERVAL_MS
+from coltsfootrill.membership.suspect_gossip import SuspectGossipExchange
+from testing.dispatch.memory import MemoryNetwork
+from testing.dispatch.memory import MemoryPort
+
+FLEET_COUNT = 5
+DEADLY = b"deadly"
+
+
+class Member:
+    """One instance: its guard and its exchange."""
+
+    def __init__(self, number: int, fleet: Fleet) -> None:
+        record = InstanceRecord(f"n{number}", 1, f"10.0.0.{number}:1", "z1", False, 0)
+        fleet.records.append(record)
+        self.guard = CrashGuard(fleet.clock)
+        self.exchange = SuspectGossipExchange(
+            record,
+            port=MemoryPort(fleet.network, record.address),
+            list_instances=lambda: fleet.records,
+            guard=self.guard,
+            clock=fleet.clock,
+        )
+
+
+class Fleet:
+    """Instances that exchange what they saw."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(1_000)
+        self.network = MemoryNetwork()
+        self.records: list[InstanceRecord] = []
+        self.members = [Member(number, self) for number in range(FLEET_COUNT)]
+
+    def send(self) -> None:
+        for member in self.members:
+            member.exchange.send()
+
+    def count_refusing(self) -> int:
+        return sum(member.guard.is_refused(DEADLY) for member in self.members)
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    return Fleet()
+
+
+def crash(fleet: Fleet) -> None:
+    """Let each of the first instances see one crash."""
+    for number in range(CRASHES_MAX_COUNT):
+        fleet.members[number].guard.record_crash(DEADLY, f"u{number}", 1)
+
+
+class TestSuspects:
+    def test_crashes_that_instances_saw_apart_add_up_on_all(self, fleet: Fleet) -> None:
+        crash(fleet)
+        assert fleet.count_refusing() == 0
+        fleet.send()
+        assert fleet.count_refusing() == FLEET_COUNT
+
+    def test_an_instance_that_starts_later_is_told(self, fleet: Fleet) -> None:
+        crash(fleet)
+        fleet.send()
+        fleet.members.append(Member(FLEET_COUNT, fleet))
+        fleet.send()
+        assert fleet.count_refusing() == FLEET_COUNT
+        fleet.clock.advance(REPEAT_INTERVAL_MS)
+        fleet.send()
+        assert fleet.count_refusing() == FLEET_COUNT + 1
+
+    def test_news_that_were_lost_are_repeated(self, fleet: Fleet) -> None:
+        deaf = fleet.records[-1].address
+        fleet.network.is_lost = lambda source, target, data: target == deaf
+        crash(fleet)
+        fleet.send()
+        assert fleet.count_refusing() == FLEET_COUNT - 1
+        fleet.network.is_lost = lambda source, target, data: False
+        fleet.clock.advance(REPEAT_INTERVAL_MS)
+        fleet.send()
+        assert fleet.count_refusing() == FLEET_COUNT
+
+    def test_an_answer_ends_the_suspicion_on_all(self, fleet: Fleet) -> None:
+        fleet.members[0].guard.record_crash(DEADLY, "u0", 1)
+        fleet.send()
+        fleet.members[1].guard.record_answer(DEADLY)
+        fleet.send()
+        assert not any(member.guard.has_suspects for member in fleet.members)
+
+    def test_bytes_that_are_no_news_change_nothing(self, fleet: Fleet) -> None:
+        with pytest.raises(msgspec.MsgspecError):
+            fleet.members[0].exchange.receive(b"\x91\xc1", "10.0.0.9:1")
+        assert not fleet.members[0].guard.has_suspects
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -120,6 +120,20 @@
         "",
         LEAVING + "StatedLeaving",
     ),
+    Mutant(
+        "a request that crashed three upstreams reaches no other",
+        "proxy/forward.py",
+        "        self._check_not_refused()\n        claim",
+        "        claim",
+        "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
+    ),
+    Mutant(
+        "requests that are refused for crashes are told again to all instances",
+        "membership/suspect_gossip.py",
+        "                news += refused\n",
+        "                pass\n",
+        "testing/membership/test_suspect_gossip.py::TestSuspects",
+    ),
     Mutant(
         "a hub is asked again soon after the fetch of a manifest has failed",
         "membership/following.py",
@@ -187,7 +201,7 @@
     Mutant(
         "a truncated response is rejected",
         "proxy/connection.py",
-        'raise ReadError("the upstream closed the connection before the answer was complete")',
+        "raise _make_end_error(reader, _CLOSED_EARLY)",
         "reader_end = b'\\r\\n\\r\\n' + b' ' * 64; return reader_end",
         CONNECTION + "WholeAnswers",
     ),
--- /dev/null
+++ b/testing/proxy/test_crash_guard.py
@@ -0,0 +1,133 @@
+"""Requests that crash each upstream that begins to run them, and return again and again."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
+from coltsfootrill.events.catalog import CrashingRequest
+from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.instance import Instance
+from testing.proxy.instance import Reply
+from testing.proxy.test_dialect import reply_with
+
+UPSTREAMS_COUNT = 8
+RETURNS_COUNT = 12
+DEADLY = "/x/deadly"
+# Not idempotent, so each call is one attempt.
+ONCE = "/once/deadly"
+HARMLESS = "/x/harmless"
+
+
+class Service:
+    """Upstreams that end the connection, as in a crash, when they begin to run a deadly request."""
+
+    def __init__(self) -> None:
+        self.instance = Instance(dialect=coltsfootrill_dialect())
+        self.is_deadly = True
+        self.deadly_count = 0
+        self.upstreams = [ScriptedUpstream(self._answer) for _ in range(UPSTREAMS_COUNT)]
+        for number, upstream in enumerate(self.upstreams):
+            self.instance.announce(f"u{number}", upstream.address)
+
+    def _answer(self, sock: socket.socket, head: bytes, number: int) -> bool:
+        if b"/deadly" in head.split(b"\r\n")[0]:
+            self.deadly_count += 1
+            if self.is_deadly:
+                return False
+        return reply_with()(sock, head, number)
+
+    def call(self, path: str, **headers: str) -> Reply:
+        return self.instance.call(path, X_Attempt_Id="q1", **headers)
+
+    def close(self) -> None:
+        self.instance.close()
+        for upstream in self.upstreams:
+            upstream.close()
+
+
+@pytest.fixture
+def service() -> Iterator[Service]:
+    made = Service()
+    yield made
+    made.close()
+
+
+class TestDeadlyRequest:
+    # Guards against one request that crashes upstream after upstream, each time it returns.
+    def test_it_reaches_no_upstream_after_three_crashes(self, service: Service) -> None:
+        replies = [service.call(DEADLY) for _ in range(RETURNS_COUNT)]
+        assert service.deadly_count == CRASHES_MAX_COUNT
+        last = replies[-1]
+        assert (last.status, last.outcome, last.reason) == (503, "not-run", "crashes-upstreams")
+        assert float(last.headers["Retry-After"]) > 0
+
+    def test_a_request_that_may_have_run_is_not_called_not_run(self, service: Service) -> None:
+        replies = [service.call(DEADLY) for _ in range(RETURNS_COUNT)]
+        outcomes = [reply.outcome for reply in replies]
+        refused_from = outcomes.index("not-run")
+        assert set(outcomes[:refused_from]) == {"unknown"}
+        assert set(outcomes[refused_from:]) == {"not-run"}
+
+    def test_other_requests_are_answered(self, service: Service) -> None:
+        for _ in range(RETURNS_COUNT):
+            service.call(DEADLY)
+            assert service.call(HARMLESS).status == 200
+
+    def test_the_same_path_of_another_caller_is_another_request(self, service: Service) -> None:
+        for _ in range(RETURNS_COUNT):
+            service.call(DEADLY, Authorization="Bearer one")
+        service.is_deadly = False
+        assert service.call(DEADLY, Authorization="Bearer one").status == 503
+        assert service.call(DEADLY, Authorization="Bearer two").status == 200
+
+    def test_the_same_path_with_another_body_is_another_request(self, service: Service) -> None:
+        instance = service.instance
+        for _ in range(RETURNS_COUNT):
+            instance.call(DEADLY, method="POST", body=b"one", X_Attempt_Id="q1")
+        service.is_deadly = False
+        assert instance.call(DEADLY, method="POST", body=b"one", X_Attempt_Id="q1").status == 503
+        assert instance.call(DEADLY, method="POST", body=b"two", X_Attempt_Id="q1").status == 200
+
+    def test_it_is_logged_once(self, service: Service) -> None:
+        for _ in range(RETURNS_COUNT):
+            service.call(DEADLY)
+        events = [one for one in service.instance.events if isinstance(one, CrashingRequest)]
+        assert len(events) == 1
+        assert len(events[0].upstreams) == CRASHES_MAX_COUNT
+
+    def test_one_that_another_instance_saw_is_refused(self, service: Service) -> None:
+        other = Service()
+        for _ in range(RETURNS_COUNT):
+            other.call(DEADLY)
+        # The host, which is part of the request, names the port of the instance.
+        host = f"127.0.0.1:{other.instance.server.port}"
+        for news in other.instance.app.crash_guard.take_news():
+            service.instance.app.crash_guard.merge(news)
+        other.close()
+        assert service.call(DEADLY, Host=host).status == 503
+        assert service.call(DEADLY).status == 502
+
+
+class TestUpstreamThatCrashesByItself:
+    def test_requests_that_are_answered_elsewhere_stay_allowed(self, service: Service) -> None:
+        for _ in range(RETURNS_COUNT):
+            service.is_deadly = True
+            service.call(ONCE)
+            service.is_deadly = False
+            assert service.call(ONCE).status == 200
+
+    def test_an_answer_cut_off_midway_is_no_crash(self, service: Service) -> None:
+        def cut_off(sock: socket.socket, head: bytes, number: int) -> bool:
+            sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf")
+            return False
+
+        for upstream in service.upstreams:
+            upstream._script = cut_off
+        for _ in range(RETURNS_COUNT):
+            service.call(HARMLESS)
+        assert not service.instance.app.crash_guard.has_suspects
