Refuse heartbeats that could not be passed on to other instances

Cause: the platform's heartbeat was checked less strictly than the message in which hubs pass it on. Ruled out: deep nesting, figures beyond a double and ports out of range; these were refused already. Change: the heartbeat has the types of the announcement, names and identifiers included; deregistrations have them too. Conclusion: fixed at the only place where such entries come in.

--- a/src/coltsfootrill/platform/interface.py
+++ b/src/coltsfootrill/platform/interface.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Annotated
 from typing import Literal
 
 import msgspec
@@ -11,14 +12,19 @@
 from coltsfootrill.control.proposer import UnknownResultError
 from coltsfootrill.hookspecs import hookimpl
 from coltsfootrill.manifest.codec import InvalidManifestError
+from coltsfootrill.manifest.model import Identifier
 from coltsfootrill.operators.http import HttpApp
 from coltsfootrill.operators.http import HttpReply
 from coltsfootrill.operators.http import HttpRequest
 from coltsfootrill.operators.interface import ControlInterface
 from coltsfootrill.operators.interface import ControlOperations
 from coltsfootrill.platform.desired_state import parse_version
+from coltsfootrill.registry.announcement import COLD_MAX_MS
+from coltsfootrill.registry.announcement import AddressText
 from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.announcement import Count
 from coltsfootrill.registry.announcement import InvalidAnnouncementError
+from coltsfootrill.registry.announcement import SlotCount
 from coltsfootrill.registry.announcement import UpstreamState
 from coltsfootrill.registry.announcement import split_address
 
@@ -29,7 +35,6 @@
 READY_PATH = "/readiness"
 BASE_VERSION_HEADER = "X-Base-Version"
 OPERATOR = "platform"
-_SLOTS_MAX = 10_000
 _STATUS_BY_RESULT = {
     "accepted": "200 OK",
     "conflict": "412 Precondition Failed",
@@ -44,9 +49,9 @@
     ``concurrency`` is the number of slots. ``version`` is accepted but not used.
     """
 
-    service: str
-    zone: str
-    concurrency: int
+    service: Identifier
+    zone: Identifier
+    concurrency: SlotCount
     version: str = ""
 
 
@@ -57,8 +62,8 @@
     """
 
     state: Literal["ready", "draining"]
-    sequence: int
-    cold_remaining_ms: float = 0
+    sequence: Count
+    cold_remaining_ms: Annotated[float, msgspec.Meta(le=COLD_MAX_MS)] = 0
 
 
 class _Heartbeat(msgspec.Struct, frozen=True, rename="camel"):
@@ -68,16 +73,16 @@
     incarnation.
     """
 
-    address: str
+    address: AddressText
     server_info: _ServerInfo
     status: _Status
-    born: int = 0
+    born: Count = 0
 
 
 class _Deregistration(msgspec.Struct, frozen=True):
     """``born`` is the incarnation that leaves, as in ``_Heartbeat``."""
 
-    born: int | None = None
+    born: Count | None = None
 
 
 class _HeartbeatReply(msgspec.Struct, frozen=True, rename="camel", omit_defaults=True):
@@ -87,29 +92,19 @@
 
 
 def decode_heartbeat(upstream_id: str, raw: bytes) -> Announcement:
-    """Return the heartbeat as an announcement; raise ``InvalidAnnouncementError`` if invalid."""
+    """Return the heartbeat as an announcement; raise ``InvalidAnnouncementError`` if invalid.
+
+    What is accepted here is passed on to all instances, so each figure and name is checked.
+    """
     try:
+        known_id = msgspec.convert(upstream_id, Identifier)
         heartbeat = msgspec.json.decode(raw, type=_Heartbeat)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidAnnouncementError(str(error)) from error
     info = heartbeat.server_info
     split_address(heartbeat.address)
-    if not upstream_id or not info.service or not info.zone:
-        raise InvalidAnnouncementError(
-            f"id {upstream_id!r}, service {info.service!r} and zone {info.zone!r} must not be empty"
-        )
-    if (
-        not 1 <= info.concurrency <= _SLOTS_MAX
-        or heartbeat.status.sequence < 0
-        or heartbeat.born < 0
-    ):
-        raise InvalidAnnouncementError(
-            f"concurrency {info.concurrency}, sequence {heartbeat.status.sequence} or born"
-            f" {heartbeat.born} is out of range; concurrency must be 1 to {_SLOTS_MAX}, and the"
-            " others at least 0"
-        )
     return Announcement(
-        id=upstream_id,
+        id=known_id,
         incarnation=heartbeat.born,
         sequence=heartbeat.status.sequence,
         address=heartbeat.address,
--- a/src/coltsfootrill/registry/announcement.py
+++ b/src/coltsfootrill/registry/announcement.py
@@ -14,6 +14,10 @@
 SIZE_MAX_BYTES = 16 * 1024
 PORT_MAX = 65_535
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+AddressText = Annotated[str, msgspec.Meta(min_length=3, max_length=64)]
+SlotCount = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+COLD_MAX_MS = 3_600_000
 UpstreamState = Literal["starting", "serving", "leaving"]
 
 
@@ -30,15 +34,15 @@
     """
 
     id: Identifier
-    incarnation: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-    sequence: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-    address: Annotated[str, msgspec.Meta(min_length=3, max_length=64)]
+    incarnation: Count
+    sequence: Count
+    address: AddressText
     zone: Identifier
     services: Annotated[list[Identifier], msgspec.Meta(min_length=1, max_length=64)]
-    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    slots: SlotCount
     state: UpstreamState
-    sent_at_ms: Annotated[int, msgspec.Meta(ge=0, le=2**53)] = 0
-    cold_ms: Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = 0
+    sent_at_ms: Count = 0
+    cold_ms: Annotated[int, msgspec.Meta(ge=0, le=COLD_MAX_MS)] = 0
 
 
 _decoder = msgspec.json.Decoder(Announcement)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -134,6 +134,13 @@
         "                pass\n",
         "testing/membership/test_suspect_gossip.py::TestSuspects",
     ),
+    Mutant(
+        "an odd heartbeat does not keep instances from following the hubs",
+        "platform/interface.py",
+        "    sequence: Count\n",
+        "    sequence: int\n",
+        "testing/platform/test_interface.py::TestOddHeartbeats",
+    ),
     Mutant(
         "a hub is asked again soon after the fetch of a manifest has failed",
         "membership/following.py",
--- a/testing/platform/test_interface.py
+++ b/testing/platform/test_interface.py
@@ -4,6 +4,7 @@
 import json
 from typing import Any
 
+import msgspec
 import pytest
 
 from coltsfootrill.control.proposer import NoQuorumError
@@ -11,6 +12,7 @@
 from coltsfootrill.control.submission import SubmitAnswer
 from coltsfootrill.manifest.codec import ManifestValueError
 from coltsfootrill.manifest.codec import make_manifest_error
+from coltsfootrill.membership.messages import SharedUpstream
 from coltsfootrill.operators.http import HttpApp
 from coltsfootrill.platform.interface import add_control_routes
 from coltsfootrill.platform.interface import add_ready_routes
@@ -82,6 +84,74 @@
     return json.dumps(fields | changes).encode()
 
 
+def make_server_info(**changes: Any) -> dict[str, Any]:
+    return {"service": "desk", "zone": "z1", "concurrency": 3} | changes
+
+
+def nest(depth: int) -> bytes:
+    """Return a heartbeat with a field that is nested ``depth`` levels deep."""
+    return encode_heartbeat()[:-1] + b',"x":' + b"[" * depth + b"]" * depth + b"}"
+
+
+# Each can be read as JSON of the right types, but not be passed on to other instances.
+ODD_HEARTBEATS = {
+    "long start": encode_heartbeat(
+        status={"state": "ready", "sequence": 1, "coldRemainingMs": 1e9}
+    ),
+    "endless start": encode_heartbeat(
+        status={"state": "ready", "sequence": 1, "coldRemainingMs": 1e300}
+    ),
+    "large sequence": encode_heartbeat(status={"state": "ready", "sequence": 2**60}),
+    "huge sequence": encode_heartbeat(status={"state": "ready", "sequence": 2**70}),
+    "large start time": encode_heartbeat(born=2**62),
+    "long address": encode_heartbeat(address=f"[fe80::1%{'a' * 100}]:80"),
+    "port out of range": encode_heartbeat(address="10.0.0.9:70000"),
+    "odd zone": encode_heartbeat(serverInfo=make_server_info(zone="Zone A")),
+    "long service": encode_heartbeat(serverInfo=make_server_info(service="s" * 5_000)),
+    "many slots": encode_heartbeat(serverInfo=make_server_info(concurrency=10_001)),
+    "deeply nested": nest(100_000),
+}
+
+
+class TestOddHeartbeats:
+    # Guards against one odd entry after which instances no longer follow the hubs.
+    @pytest.mark.parametrize("raw", ODD_HEARTBEATS.values(), ids=ODD_HEARTBEATS.keys())
+    def test_it_is_refused(self, raw: bytes) -> None:
+        port = ControlPort()
+        assert port.call("POST", "/Instances.Heartbeat/i-1", raw)[0] == "400"
+        assert port.operations.announced == []
+
+    @pytest.mark.parametrize("upstream_id", ["I 1", "a" * 100, "\xfc"])
+    def test_one_of_an_odd_identifier_is_refused(self, upstream_id: str) -> None:
+        with pytest.raises(InvalidAnnouncementError):
+            decode_heartbeat(upstream_id, encode_heartbeat())
+
+    @pytest.mark.parametrize("born", [2**60, 2**70])
+    def test_a_deregistration_with_an_odd_start_time_is_refused(self, born: int) -> None:
+        port = ControlPort()
+        body = json.dumps({"born": born}).encode()
+        assert port.call("POST", "/Instances.Deregister/i-1", body)[0] == "400"
+        assert port.operations.left == []
+
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            encode_heartbeat(),
+            encode_heartbeat(born=2**53),
+            encode_heartbeat(
+                status={"state": "ready", "sequence": 2**53, "coldRemainingMs": 3.6e6}
+            ),
+            encode_heartbeat(status={"state": "ready", "sequence": 0, "coldRemainingMs": -1e300}),
+            encode_heartbeat(serverInfo=make_server_info(concurrency=10_000, zone="z" * 64)),
+        ],
+        ids=lambda raw: repr(raw[-60:]),
+    )
+    def test_what_is_accepted_can_be_passed_on(self, raw: bytes) -> None:
+        announcement = decode_heartbeat("i-1", raw)
+        shared = SharedUpstream(announcement, "n1", 0)
+        assert msgspec.msgpack.decode(msgspec.msgpack.encode(shared), type=SharedUpstream) == shared
+
+
 class TestHeartbeats:
     def test_a_heartbeat_is_decoded_as_an_announcement(self) -> None:
         announcement = decode_heartbeat("i-1", encode_heartbeat())
