Send an upstream no requests in the time for which it declines them

Upstreams that turn requests away with 503 and Retry-After got further requests of the same instance after a pause of at most 0.16 s, and callers' requests came back refused. Ruled out: sharing it with other instances; the upstream speaks of this instance only, so a dispatcher that it declines still grants it to others, and an instance that it declines does not use a grant of it. Change: no request and no poll goes there until the end of the stated time, at most an hour. If every upstream of the service declines beyond the deadline, the request is refused at once, with the time that is left as Retry-After. Before: with the line that records it taken away two of the new tests fail. After: they pass.

--- a/src/coltsfootrill/balancer/claim.py
+++ b/src/coltsfootrill/balancer/claim.py
@@ -48,12 +48,14 @@
 
     ``pace`` is the upstream's pace and ``occupancy`` the requests known to be there, this one
     included, both at the start. ``report_age_ms`` is the age of the load report at that time.
-    ``grant`` is set if another instance chose the upstream. ``stated_per_s`` is the rate of
-    requests that the upstream states on its answer, ``None`` if it states none, and
-    ``states_leaving`` whether it states there that it is leaving.
+    ``grant`` is set if another instance chose the upstream. The last three are stated by the
+    upstream on its answer: ``stated_per_s`` is the rate of requests that it takes, ``None`` if not
+    stated, ``states_leaving`` is true if it is leaving, and ``declined_for_ms`` is for how long it
+    wants no other request of this instance.
     """
 
     __slots__ = (
+        "declined_for_ms",
         "grant",
         "kind_id",
         "load",
@@ -82,6 +84,7 @@
         self.grant: Grant | None = None
         self.stated_per_s: float | None = None
         self.states_leaving = False
+        self.declined_for_ms = 0.0
         self.report_age_ms = report_age_ms
         self.pace = pace
         self.occupancy = occupancy
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -178,9 +178,14 @@
         no other. With ``needs_free_slot`` only upstreams that are expected to have a free slot are
         used. ``requirement`` restricts the upstreams for a request with a target, if the policy can
         estimate latencies. ``origin`` is the instance that will send the request, by default this
-        one.
+        one. An upstream that declines requests of this instance may be chosen for another one.
         """
-        available = [load for load in self.by_id.values() if is_available(load, now_ms)]
+        available = [
+            load
+            for load in self.by_id.values()
+            if is_available(load, now_ms)
+            and (origin is not None or now_ms >= load.declined_until_ms)
+        ]
         typical_ms = self.get_latency(kind.id).typical_ms
         if needs_free_slot:
             available = [
@@ -209,10 +214,10 @@
     def start_at(self, upstream_id: str, kind: Kind, now_ms: float) -> Claim | None:
         """Count a request as in flight where another instance has sent it.
 
-        Return ``None`` if this instance does not consider that upstream usable.
+        Return ``None`` if this instance may not send it there.
         """
         load = self.by_id.get(upstream_id)
-        if load is None or load.is_replaced:
+        if load is None or load.is_replaced or now_ms < load.declined_until_ms:
             return None
         self._turn += 1
         return self._start(load, kind, now_ms)
@@ -286,7 +291,15 @@
 
     def list_blocked(self, now_ms: float) -> list[str]:
         """Return the upstreams to which this instance sends no new work."""
-        return [load.id for load in self.by_id.values() if is_blocked(load, now_ms)]
+        return [
+            load.id
+            for load in self.by_id.values()
+            if is_blocked(load, now_ms) or now_ms < load.declined_until_ms
+        ]
+
+    def get_declined_until_ms(self) -> float:
+        """Return until when every upstream declines the requests of this instance."""
+        return min((load.declined_until_ms for load in self.by_id.values()), default=0.0)
 
     def has_free_slot(self, now_ms: float) -> bool:
         """Return whether some upstream is available and known to have a free slot."""
@@ -295,7 +308,9 @@
     def count_with_free_slot(self, now_ms: float) -> int:
         """Return how many upstreams are available and known to have a free slot."""
         return sum(
-            is_available(load, now_ms) and self._has_free_slot(load, now_ms, is_spare=False)
+            is_available(load, now_ms)
+            and now_ms >= load.declined_until_ms
+            and self._has_free_slot(load, now_ms, is_spare=False)
             for load in self.by_id.values()
         )
 
@@ -325,6 +340,8 @@
 
     def end(self, claim: Claim, result: Result, report: LoadReport | None, now_ms: float) -> None:
         """Record the end of an attempt by its result."""
+        if claim.declined_for_ms:
+            claim.load.declined_until_ms = now_ms + claim.declined_for_ms
         if result == "answered":
             self.end_answered(claim, report, now_ms)
         elif result == "shed":
--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -191,8 +191,9 @@
     """State of a service when a request was refused for lack of an upstream.
 
     Of ``upstreams`` upstreams, ``ejected`` received no new requests, ``rate_limited`` had no
-    request left at the rate that they state, and ``with_room`` had a free slot according to their
-    last load reports, the newest of which was ``report_age_ms`` old.
+    request left at the rate that they state, ``declined`` wanted none of this instance, and
+    ``with_room`` had a free slot according to their last load reports, the newest of which was
+    ``report_age_ms`` old.
     ``waiting`` requests were queued, and the typical latency of the service was ``usual_ms``.
     """
 
@@ -203,6 +204,7 @@
     usual_ms: float
     report_age_ms: float
     rate_limited: int = 0
+    declined: int = 0
 
 
 class RequestEnded(Event, kw_only=True, tag="request-ended"):
--- a/src/coltsfootrill/proxy/admission_controller.py
+++ b/src/coltsfootrill/proxy/admission_controller.py
@@ -40,10 +40,12 @@
 SECOND_ATTEMPT_TIMEOUT_MS = 10_000.0
 CONFIRM_INTERVAL_MS = 300.0
 RETRY_AFTER_S = 0.5
+MS_PER_SECOND = 1_000.0
 RETRY_AFTER_FREE_SLOT_S = 0.04
 _MESSAGE_BY_REFUSAL = {
     "no-upstream": "no upstream of this service is serving",
     "overloaded": "the queue is too long for the deadline of this request",
+    "declined": "every upstream of this service wants no request before the deadline",
     "queue-full": "the queue of this service is full of more urgent requests",
     "deadline": "no upstream was free in time",
     "no-room": "no upstream has a free slot for a second attempt",
@@ -351,12 +353,14 @@
 
     def _make_refusal(self, kind: Kind, reason: str) -> NotRunError:
         """Return the error for a request that has no upstream. Called with the lock held."""
+        now_ms = self._clock.now_ms()
+        declined_ms = max(0.0, self._pool.get_declined_until_ms() - now_ms)
         return NotRunError(
             "503 Service Unavailable",
             reason,
             _MESSAGE_BY_REFUSAL[reason],
-            retry_after_s=self._spread_retry_after_s(),
-            admission=describe_admission(self._pool, kind.id, self._clock.now_ms()),
+            retry_after_s=declined_ms / MS_PER_SECOND + self._spread_retry_after_s(),
+            admission=describe_admission(self._pool, kind.id, now_ms),
         )
 
     def _spread_retry_after_s(self) -> float:
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -4,6 +4,7 @@
 
 import math
 import select
+from http import HTTPStatus
 
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.crash_guard import CrashGuard
@@ -32,6 +33,7 @@
 from coltsfootrill.proxy.headers import list_request_headers
 from coltsfootrill.proxy.headers import parse_leaving
 from coltsfootrill.proxy.headers import parse_rate_limit
+from coltsfootrill.proxy.headers import parse_retry_after_ms
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.outcome import ProxyError
@@ -296,6 +298,8 @@
         if answer.status not in self._dialect.not_run_statuses:
             # With one of these statuses, another upstream at the address has answered.
             claim.stated_per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
+            if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+                claim.declined_for_ms = parse_retry_after_ms(answer.get_header("Retry-After"))
             claim.states_leaving = parse_leaving(answer.get_header(self._dialect.leaving))
         result = self._classify_answer(claim, answer, report)
         if isinstance(result, Answer):
--- a/src/coltsfootrill/proxy/grant_queue.py
+++ b/src/coltsfootrill/proxy/grant_queue.py
@@ -101,6 +101,10 @@
         """Enqueue an attempt; return the reason for refusing it, "" if it was enqueued."""
         if not self._pool.by_id:
             return "no-upstream"
+        typical_ms = self._pool.get_latency(attempt.kind.id).typical_ms
+        latest_ms = attempt.waiter.deadline_ms - typical_ms
+        if attempt.origin is None and self._pool.get_declined_until_ms() > latest_ms:
+            return "declined"
         if not self._pool.can_still_answer(attempt.kind, attempt.waiter, now_ms):
             return "overloaded"
         return "" if self.pending.add(attempt, now_ms) else "queue-full"
--- a/src/coltsfootrill/proxy/headers.py
+++ b/src/coltsfootrill/proxy/headers.py
@@ -17,6 +17,8 @@
 LOAD_HEADER = "Upstream-Load"
 SHED_HEADER = "Upstream-Shed"
 LEAVING_VALUE = "1"
+MS_PER_SECOND = 1_000.0
+RETRY_AFTER_MAX_MS = 3_600_000.0
 DEPTH_MAX = 32
 
 _HOP_BY_HOP = frozenset(
@@ -102,6 +104,18 @@
     return per_s if math.isfinite(per_s) and per_s >= 0 else None
 
 
+def parse_retry_after_ms(value: str | None) -> float:
+    """Return for how many milliseconds an upstream wants no request; 0 if it states no number.
+
+    A longer time than ``RETRY_AFTER_MAX_MS`` is shortened to it.
+    """
+    try:
+        after_ms = float(value or 0) * MS_PER_SECOND
+    except ValueError:
+        return 0.0
+    return min(after_ms, RETRY_AFTER_MAX_MS) if after_ms > 0 else 0.0
+
+
 def parse_leaving(value: str | None) -> bool:
     """Return whether an upstream states that it is leaving."""
     return value is not None and value.strip() == LEAVING_VALUE
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -6,6 +6,7 @@
 
 from coltsfootrill.balancer.claim import Grant
 from coltsfootrill.balancer.load_report_cache import ReportEntry
+from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.rate_limit import FALLBACK_SHARE
 from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.clock import Clock
@@ -251,6 +252,35 @@
         controller.end_answered(claim, None, harness.clock.now_ms())  # type: ignore[arg-type]
         assert (_count_in_flight(controller), _count_in_flight(dispatcher)) == (0, 0)
 
+    def test_an_upstream_that_declines_this_instance_is_not_used_if_granted(
+        self, harness: DispatchHarness
+    ) -> None:
+        dispatcher = harness.start(FIRST)
+        controller = make_controller(Upstreams(1), clock=harness.clock, dispatch=harness.client)
+        self._decline(controller)
+        with pytest.raises(NotRunError) as raised:
+            self._acquire(controller)
+        assert raised.value.reason == "declined"
+        assert _count_in_flight(dispatcher) == 0
+
+    def test_an_upstream_that_declines_the_dispatcher_is_granted_to_others(
+        self, harness: DispatchHarness
+    ) -> None:
+        dispatcher = harness.start(FIRST)
+        self._decline(dispatcher)
+        controller = make_controller(Upstreams(1), clock=harness.clock, dispatch=harness.client)
+        claim = self._acquire(controller)
+        assert claim.grant.dispatcher == FIRST.id  # type: ignore[attr-defined]
+
+    def _decline(self, controller: AdmissionController) -> None:
+        controller.refresh(make_service())
+
+        def decline(pool: ServicePool, now_ms: float) -> None:
+            for load in pool.by_id.values():
+                load.declined_until_ms = now_ms + 60_000
+
+        controller.read_pool(decline)
+
     def test_a_granted_upstream_that_is_not_usable_locally_is_released(
         self, harness: DispatchHarness
     ) -> None:
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -141,6 +141,13 @@
         "    sequence: int\n",
         "testing/platform/test_interface.py::TestOddHeartbeats",
     ),
+    Mutant(
+        "an upstream gets no requests of an instance in the time that it declines them",
+        "balancer/pool.py",
+        "            claim.load.declined_until_ms = now_ms + claim.declined_for_ms\n",
+        "            pass\n",
+        "testing/proxy/test_declined.py::TestDecliningUpstream",
+    ),
     Mutant(
         "a hub is asked again soon after the fetch of a manifest has failed",
         "membership/following.py",
--- /dev/null
+++ b/testing/proxy/test_declined.py
@@ -0,0 +1,111 @@
+"""Upstreams that turn a request away and state for how long they want none of this instance."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from coltsfootrill.events.catalog import RequestEnded
+from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from coltsfootrill.proxy.headers import RETRY_AFTER_MAX_MS
+from coltsfootrill.proxy.headers import parse_retry_after_ms
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.instance import Instance
+from testing.proxy.instance import Reply
+from testing.proxy.test_dialect import NOT_RUN
+from testing.proxy.test_dialect import SIGNATURE
+from testing.proxy.test_dialect import reply_with
+
+CALLS_COUNT = 12
+# Longer than any test, and than the deadline of a request.
+LONG_S = 60
+SHORT_S = 0.2
+# An answer with a load renews the upstream's lease.
+LOAD = "x-server-load: 1,0,3\r\n"
+
+
+class Decliner:
+    """An upstream that declines its first request for ``seconds``, and answers later ones."""
+
+    def __init__(self, instance: Instance, upstream_id: str, seconds: float) -> None:
+        self._seconds = seconds
+        self.upstream = ScriptedUpstream(self._answer)
+        instance.announce(upstream_id, self.upstream.address)
+
+    def _answer(self, sock: socket.socket, head: bytes, number: int) -> bool:
+        if number > 1:
+            return reply_with(extra=SIGNATURE + LOAD)(sock, head, number)
+        extra = NOT_RUN + LOAD + f"retry-after: {self._seconds}\r\n"
+        return reply_with(status="503 Service Unavailable", extra=extra)(sock, head, number)
+
+    @property
+    def count(self) -> int:
+        return len(self.upstream.heads)
+
+
+@pytest.fixture
+def instance() -> Iterator[Instance]:
+    made = Instance(dialect=coltsfootrill_dialect())
+    yield made
+    made.close()
+
+
+def call(instance: Instance) -> Reply:
+    return instance.call(X_Attempt_Id="q1")
+
+
+class TestDecliningUpstream:
+    # Guards against requests to an upstream that has just asked for a pause.
+    def test_it_gets_no_request_in_the_stated_time(self, instance: Instance) -> None:
+        decliner = Decliner(instance, "u1", LONG_S)
+        call(instance)
+        other = ScriptedUpstream(reply_with(extra=SIGNATURE + LOAD))
+        instance.announce("u2", other.address)
+        replies = [call(instance) for _ in range(CALLS_COUNT)]
+        assert {reply.status for reply in replies} == {200}
+        assert decliner.count == 1
+        other.close()
+
+    def test_requests_wait_for_a_time_within_their_deadline(self, instance: Instance) -> None:
+        decliner = Decliner(instance, "u1", SHORT_S)
+        call(instance)
+        assert call(instance).status == 200
+        assert decliner.count > 1
+
+    def test_requests_are_refused_at_once_if_all_decline_for_longer(
+        self, instance: Instance
+    ) -> None:
+        decliners = [Decliner(instance, f"u{number}", LONG_S) for number in range(2)]
+        while not all(decliner.count for decliner in decliners):
+            call(instance)
+        reply = call(instance)
+        assert (reply.status, reply.outcome, reply.reason) == (503, "not-run", "declined")
+        assert float(reply.headers["Retry-After"]) > LONG_S / 2
+        assert [decliner.count for decliner in decliners] == [1, 1]
+        ended = [event for event in instance.events if isinstance(event, RequestEnded)]
+        assert ended[-1].admission is not None
+        assert ended[-1].admission.declined == len(decliners)
+
+
+class TestHeader:
+    @pytest.mark.parametrize(
+        ("value", "after_ms"),
+        [
+            (None, 0),
+            ("", 0),
+            ("soon", 0),
+            ("-1", 0),
+            ("nan", 0),
+            ("Fri, 31 Dec 1999 23:59:59 GMT", 0),
+            ("0.25", 250),
+            ("3", 3_000),
+            ("inf", RETRY_AFTER_MAX_MS),
+            ("1e300", RETRY_AFTER_MAX_MS),
+        ],
+    )
+    def test_only_a_positive_number_of_seconds_counts(
+        self, value: str | None, after_ms: float
+    ) -> None:
+        assert parse_retry_after_ms(value) == after_ms
--- a/testing/proxy/test_load_poller.py
+++ b/testing/proxy/test_load_poller.py
@@ -148,6 +148,12 @@
         (entry,) = polling.report_cache.take()
         assert (entry.upstream_id, entry.leaving_incarnation) == ("u1", 1)
 
+    def test_an_upstream_that_wants_no_request_is_not_polled(self, polling: PollerFixture) -> None:
+        declining = answer(b"", status="503 Service Unavailable", extra="retry-after: 60\r\n")
+        fake = polling.serve("u1", declining)
+        polling.wait_rounds(5)
+        assert len(fake.heads) == 1
+
     def test_silent_upstream_does_not_delay_the_others(self, polling: PollerFixture) -> None:
         polling.serve("u1", stay_silent())
         polling.serve("u2", _load("0,0,3,100", "u2"))
