Test that changes are accepted after the disk of each voter was full in turn

Cause: none found here for running replicas; each resumes voting 0.5 s after its disk has room. Change: the test only. Conclusion: cannot happen to running replicas as reported.

--- a/testing/control/test_recovery.py
+++ b/testing/control/test_recovery.py
@@ -64,6 +64,24 @@
         assert not acceptor.prepare(Prepare(1, Ballot(89, "c"))).is_granted
         assert acceptor.inspect(Inspect("b", Ballot(0, ""))).state is not None
 
+    # Guards against changes refused for good after the disks of all voters were full in turn.
+    def test_changes_are_accepted_after_each_disk_was_full_in_turn(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "first")
+        version = 1
+        for name in "abc":
+            cluster.disks[name].is_full = True
+            for proposer in "abc":
+                version += 1
+                answer = cluster.submit(proposer, version, f"m{version}", timeout_ms=8_000)
+                assert answer.result == "accepted"
+            cluster.disks[name].is_full = False
+        for proposer in "abc":
+            version += 1
+            answer = cluster.submit(proposer, version, f"m{version}", timeout_ms=8_000)
+            assert answer.result == "accepted"
+            assert cluster.read("b").manifest == f"m{version}".encode()
+
     def test_two_full_disks_at_the_same_time_lose_no_manifest(self) -> None:
         cluster = Cluster()
         cluster.submit("a", 1, "one")
