Let a replica vote once its data folder can be created

Cause: the folder was created outside the recovery; its failure was final, unlike that of any later write. Change: creating the folder is part of loading the state, and is tried again like any write. Tests count it as a write. Before: the new test fails, the replica still cannot vote. After: it passes.

--- a/src/coltsfootrill/control/acceptor.py
+++ b/src/coltsfootrill/control/acceptor.py
@@ -62,15 +62,8 @@
 
     @classmethod
     def from_folder(cls, folder: Path, *, files: FileLayer, clock: Clock | None = None) -> Acceptor:
-        """Return the acceptor stored in ``folder``; create the folder if it is missing."""
+        """Return the acceptor stored in ``folder``, which is created if it is missing."""
         acceptor = cls(folder, files=files, clock=clock)
-        try:
-            folder.mkdir(parents=True, exist_ok=True)
-        except OSError as error:
-            acceptor.fault = (
-                f"cannot create the data folder {folder}: {error}; make it writable and restart"
-            )
-            return acceptor
         acceptor.load()
         return acceptor
 
@@ -186,6 +179,10 @@
             raise CannotVoteError(self.fault) from error
 
     def _load(self) -> None:
+        try:
+            self._files.make_folder(self._folder)
+        except OSError as error:
+            raise StorageError(f"cannot create the data folder {self._folder}: {error}") from error
         key = read_record(self._files, self._folder / "key.rec")
         promised = read_record(self._files, self._folder / "promised.rec")
         accepted = read_record(self._files, self._folder / "accepted.rec")
--- a/src/coltsfootrill/control/files.py
+++ b/src/coltsfootrill/control/files.py
@@ -27,6 +27,10 @@
 
     __slots__ = ()
 
+    def make_folder(self, folder: Path) -> None:
+        """Create a folder and its parents, unless they exist."""
+        folder.mkdir(parents=True, exist_ok=True)
+
     def write(self, path: Path, data: bytes) -> None:
         """Write a file and sync it."""
         with open(path, "wb") as file:
--- a/testing/control/disk.py
+++ b/testing/control/disk.py
@@ -28,9 +28,11 @@
         self.is_full = False
         self.step_count = 0
 
+    def make_folder(self, folder: Path) -> None:
+        self._check_space()
+
     def write(self, path: Path, data: bytes) -> None:
-        if self.is_full:
-            raise OSError(errno.ENOSPC, "no space left on device")
+        self._check_space()
         self.visible[path] = data[: self._random.randrange(len(data) + 1)]
         self._step()
         self.visible[path] = data
@@ -66,6 +68,10 @@
         data[self._random.randrange(len(data))] ^= 1 << self._random.randrange(8)
         self.visible[path] = bytes(data)
 
+    def _check_space(self) -> None:
+        if self.is_full:
+            raise OSError(errno.ENOSPC, "no space left on device")
+
     def _step(self) -> None:
         self.step_count += 1
         if self.steps_before_crash is not None:
--- a/testing/control/test_recovery.py
+++ b/testing/control/test_recovery.py
@@ -52,6 +52,20 @@
         assert promise.state is not None
         assert promise.state.manifest == b"one"
 
+    # Guards against changes refused for good after a replica lost its disk while it was full.
+    def test_replica_whose_folder_could_not_be_created_votes_once_it_can(
+        self, tmp_path: Path
+    ) -> None:
+        clock = ManualClock(1_000)
+        blocker = tmp_path / "data"
+        blocker.touch()
+        acceptor = Acceptor.from_folder(blocker / "a", files=FileLayer(), clock=clock)
+        with pytest.raises(CannotVoteError):
+            acceptor.inspect(Inspect("b", Ballot(0, "")))
+        blocker.unlink()
+        clock.advance(RECOVERY_RETRY_MS)
+        assert acceptor.prepare(Prepare(1, Ballot(90, "b"))).is_granted
+
     def test_promises_made_before_the_disk_was_full_still_hold(self) -> None:
         clock = ManualClock(1_000)
         acceptor, disk = _load_acceptor(clock)
