Move what upstreams state, the check of one request and the slot margin into modules of their own

Ruled out: a change of behaviour; the tests are as before, except for two that read the margin from its new class and a mutant whose text moved. Change: read_statements and get_declined_ms, RequestGuard and SlotMargin; the pool lists what this instance may use in one place.

--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -40,6 +40,7 @@
 from coltsfootrill.balancer.rate_limit import RateLimit
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.balancer.retry import RetryBudget
+from coltsfootrill.balancer.slot_margin import SlotMargin
 from coltsfootrill.balancer.upstream_record import is_same_upstream
 from coltsfootrill.balancer.upstream_record import make_load
 from coltsfootrill.manifest.model import Kind
@@ -50,11 +51,6 @@
 REPORT_HALF_LIFE_MS = 300.0
 # A request counted in a report may have ended since then.
 SLOT_TOLERANCE = 0.25
-# Requests that other instances start become visible only with the next report. Spare capacity is
-# therefore what remains beyond a margin of slots, which grows while more than one report in five
-# shows requests waiting.
-MARGIN_STEP_UP = 0.02
-MARGIN_STEP_DOWN = 0.005
 # Targets leave room for a slow attempt, so most answers take less than half of the target. Without
 # an expected latency, the first requests after a restart would all appear to be slow.
 EXPECTED_SHARE_OF_TARGET = 0.4
@@ -98,7 +94,7 @@
         self.queue = AdmissionQueue(queue_limit)
         self.retry_budget: AttemptBudget = budget or RetryBudget(service.retry_share)
         self.saturation = SaturationEstimate()
-        self.margin = 0.0
+        self.margin = SlotMargin()
         self._policy = policy
         self.random = random
         self.origin = Origin(zone)
@@ -180,12 +176,10 @@
         estimate latencies. ``origin`` is the instance that will send the request, by default this
         one. An upstream that declines requests of this instance may be chosen for another one.
         """
-        available = [
-            load
-            for load in self.by_id.values()
-            if is_available(load, now_ms)
-            and (origin is not None or now_ms >= load.declined_until_ms)
-        ]
+        if origin is None:
+            available = self._list_available(now_ms)
+        else:
+            available = [load for load in self.by_id.values() if is_available(load, now_ms)]
         typical_ms = self.get_latency(kind.id).typical_ms
         if needs_free_slot:
             available = [
@@ -286,7 +280,7 @@
     def _has_free_slot(self, load: UpstreamLoad, now_ms: float, *, is_spare: bool) -> bool:
         known = count_known(load, now_ms, half_life_ms=REPORT_HALF_LIFE_MS)
         if is_spare:
-            return known + self.margin < 1 - SLOT_TOLERANCE
+            return known + self.margin.slots < 1 - SLOT_TOLERANCE
         return known < self.saturation.get_cap(load.slots) - SLOT_TOLERANCE
 
     def list_blocked(self, now_ms: float) -> list[str]:
@@ -308,18 +302,24 @@
     def count_with_free_slot(self, now_ms: float) -> int:
         """Return how many upstreams are available and known to have a free slot."""
         return sum(
-            is_available(load, now_ms)
-            and now_ms >= load.declined_until_ms
-            and self._has_free_slot(load, now_ms, is_spare=False)
-            for load in self.by_id.values()
+            self._has_free_slot(load, now_ms, is_spare=False)
+            for load in self._list_available(now_ms)
         )
 
+    def _list_available(self, now_ms: float) -> list[UpstreamLoad]:
+        """Return the upstreams to which this instance may send a request now."""
+        return [
+            load
+            for load in self.by_id.values()
+            if now_ms >= load.declined_until_ms and is_available(load, now_ms)
+        ]
+
     def apply_report(self, upstream_id: str, report: LoadReport, now_ms: float) -> None:
         """Record a load report that did not come with an own answer, if it is newer."""
         load = self.by_id.get(upstream_id)
         if load is not None and now_ms > load.reported_at_ms:
             record_report(load, report, now_ms=now_ms)
-            self._update_margin(report)
+            self.margin.update(report)
 
     def apply_shared_rate(self, upstream_id: str, per_s: float, stated_ms: float) -> None:
         """Record the rate that an upstream stated to another instance at ``stated_ms``."""
@@ -359,7 +359,7 @@
         record_stated_rate(claim, now_ms, is_success=True)
         if report is not None:
             record_report(claim.load, report, now_ms=now_ms)
-            self._update_margin(report)
+            self.margin.update(report)
         if record_end(claim.load, token=claim.token, now_ms=now_ms) is None:
             return
         latency_ms = now_ms - claim.started_ms
@@ -386,7 +386,7 @@
         record_stated_rate(claim, now_ms, is_success=False)
         if report is not None:
             record_report(claim.load, report, now_ms=now_ms)
-            self._update_margin(report)
+            self.margin.update(report)
         if report is not None and report.in_flight < report.slots:
             record_error(claim.load, now_ms=now_ms)
         else:
@@ -411,13 +411,6 @@
             typical_ms = claim.typical_ms * claim.pace
             record_straggle(claim.load, waited_ms=waited_ms, typical_ms=typical_ms)
 
-    def _update_margin(self, report: LoadReport) -> None:
-        """Raise the margin if the upstream has requests waiting, otherwise lower it."""
-        if report.in_flight > report.slots:
-            self.margin = min(float(report.slots), self.margin + MARGIN_STEP_UP)
-        else:
-            self.margin = max(0.0, self.margin - MARGIN_STEP_DOWN)
-
     def _make_rate_limit(self) -> RateLimit:
         return RateLimit(share=self._rate_share, random=self.random)
 
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -4,7 +4,6 @@
 
 import math
 import select
-from http import HTTPStatus
 
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.crash_guard import CrashGuard
@@ -31,21 +30,19 @@
 from coltsfootrill.proxy.headers import RETRIED_HEADER
 from coltsfootrill.proxy.headers import list_answer_headers
 from coltsfootrill.proxy.headers import list_request_headers
-from coltsfootrill.proxy.headers import parse_leaving
-from coltsfootrill.proxy.headers import parse_rate_limit
-from coltsfootrill.proxy.headers import parse_retry_after_ms
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.outcome import ProxyError
 from coltsfootrill.proxy.outcome import UnknownOutcomeError
 from coltsfootrill.proxy.pools import ConnectionPools
 from coltsfootrill.proxy.request import ProxyRequest
+from coltsfootrill.proxy.request_guard import RequestGuard
 from coltsfootrill.proxy.second_attempt import get_second_attempt_at_ms
 from coltsfootrill.proxy.second_attempt import get_silence_timeout_ms
 from coltsfootrill.proxy.second_attempt import get_target_left_ms
+from coltsfootrill.proxy.statements import read_statements
 
 SEND_MARGIN_MS = 1.0
-CRASHING_RETRY_AFTER_S = 60.0
 
 
 class RequestForwarder:
@@ -64,7 +61,7 @@
         dialect: Dialect = NATIVE_DIALECT,
         service: Service | None = None,
     ) -> None:
-        self._guard = guard
+        self._guard = RequestGuard(guard, request)
         self._request = request
         self._service = service or route.service
         self._dialect = dialect
@@ -105,7 +102,7 @@
 
     def _try_once(self) -> Answer | AttemptFailure:
         """Make one attempt, and a second one in parallel if allowed."""
-        self._check_not_refused()
+        self._guard.check()
         claim = self._controller.acquire(
             self._service,
             self._kind,
@@ -122,19 +119,6 @@
             return failure
         return self._wait_for_answer()
 
-    def _check_not_refused(self) -> None:
-        """Raise ``NotRunError`` if the request crashes the upstreams that run it."""
-        if self._guard.has_suspects and self._guard.is_refused(self._request.get_digest()):
-            raise NotRunError(
-                "503 Service Unavailable",
-                "crashes-upstreams",
-                "upstreams crash when they run this request; it is sent to none for some minutes",
-                retry_after_s=CRASHING_RETRY_AFTER_S,
-            )
-
-    def _is_suspect(self) -> bool:
-        return self._guard.has_suspects and self._guard.is_suspect(self._request.get_digest())
-
     def _send_attempt(self, claim: Claim, *, idle_max_ms: float) -> AttemptFailure | None:
         """Send the request to the upstream of ``claim``; return the failure, if any.
 
@@ -219,7 +203,7 @@
         return failure
 
     def _start_second(self) -> None:
-        if self._is_suspect():
+        if self._guard.is_suspect():
             # It may crash a second upstream while the first is not lost yet.
             return
         attempt = self._in_progress[0]
@@ -289,18 +273,11 @@
             if attempt.was_idle:
                 self._pools.record_reuse_failure()
             if isinstance(error, EndedWithoutAnswerError):
-                self._guard.record_crash(
-                    self._request.get_digest(), claim.load.id, claim.load.incarnation
-                )
+                self._guard.record_crash(claim)
             self._end_failed(claim, "lost")
             return AttemptFailure("lost", str(error))
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
-        if answer.status not in self._dialect.not_run_statuses:
-            # With one of these statuses, another upstream at the address has answered.
-            claim.stated_per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
-            if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
-                claim.declined_for_ms = parse_retry_after_ms(answer.get_header("Retry-After"))
-            claim.states_leaving = parse_leaving(answer.get_header(self._dialect.leaving))
+        read_statements(claim, answer, self._dialect)
         result = self._classify_answer(claim, answer, report)
         if isinstance(result, Answer):
             result.add_sent_callback(lambda: self._give_back(attempt))
@@ -327,8 +304,7 @@
             self._controller.end(claim, "shed", report)
             self._history.possibly_run -= 1
             return AttemptFailure("shed", f"upstream {claim.load.id} had no capacity")
-        if self._is_suspect():
-            self._guard.record_answer(self._request.get_digest())
+        self._guard.record_answer()
         is_genuine = not dialect.signature or bool(answer.get_header(dialect.signature))
         is_encoded = bool(dialect.signature) and answer.get_header("Content-Encoding") is not None
         if answer.status < 300 and (not is_genuine or is_encoded):
--- a/src/coltsfootrill/proxy/load_poller.py
+++ b/src/coltsfootrill/proxy/load_poller.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 from functools import partial
-from http import HTTPStatus
 
 from coltsfootrill.balancer.load_report_cache import LoadReportCache
 from coltsfootrill.clock import Clock
@@ -25,7 +24,7 @@
 from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.headers import parse_leaving
 from coltsfootrill.proxy.headers import parse_rate_limit
-from coltsfootrill.proxy.headers import parse_retry_after_ms
+from coltsfootrill.proxy.statements import get_declined_ms
 from coltsfootrill.registry.directory import UpstreamRecord
 
 CONNECT_TIMEOUT_MS = 100.0
@@ -216,9 +215,7 @@
             return
         if not connection.is_reusable:
             self._close(state)
-        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            declined_for_ms = parse_retry_after_ms(answer.get_header("Retry-After"))
-            state.paused_until_ms = self._clock.now_ms() + declined_for_ms
+        state.paused_until_ms = self._clock.now_ms() + get_declined_ms(answer)
         self._metrics.probes.labels("good" if answer.status < 300 else "bad").inc()
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
         answered_by = answer.get_header(self._dialect.answered_by)
--- a/testing/balancer/test_overload.py
+++ b/testing/balancer/test_overload.py
@@ -138,11 +138,11 @@
         for step in range(20):
             fleet.report_all(5, at_ms=NOW_MS - 100 + step)
         fleet.report_all(0)
-        assert fleet.pool.margin > 1
+        assert fleet.pool.margin.slots > 1
         assert not fleet.may_start(SlotRequirement(is_spare=True))
         for step in range(200):
             fleet.report_all(0, at_ms=NOW_MS + step)
-        assert fleet.pool.margin == 0
+        assert fleet.pool.margin.slots == 0
 
     def test_an_old_report_of_a_saturated_upstream_loses_its_weight(self) -> None:
         fleet = Fleet()
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -123,7 +123,7 @@
     Mutant(
         "a request that crashed three upstreams reaches no other",
         "proxy/forward.py",
-        "        self._check_not_refused()\n        claim",
+        "        self._guard.check()\n        claim",
         "        claim",
         "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
     ),
