Bound the news of crashes that nobody takes, and let refusals end in every role

An entry instance would have kept one entry for each crash during a request for as long as it runs, and refused a crashing request for good: only nodes take the news and drop what has expired, once a second. Cause: both were left to the exchange between nodes, which entry instances do not have. Found by reading the change. Ruled out: nodes, which took and expired them. Change: the news hold the latest 1,000 entries, expiry is checked where a request is, and suspects expire with each crash. Before: the two changed tests fail (news grow, a refusal without expiry stays). After: they pass. Conclusion: bounded in every role.

--- a/src/coltsfootrill/balancer/crash_guard.py
+++ b/src/coltsfootrill/balancer/crash_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections import deque
 from collections.abc import Callable
 from collections.abc import Sequence
 
@@ -11,6 +12,8 @@
 from coltsfootrill.balancer.crash_suspects import Suspect
 from coltsfootrill.clock import Clock
 
+NEWS_MAX_COUNT = 1_000
+
 
 class SuspectNews:
     """What happened to one request: upstreams crashed, or it ``is_answered``."""
@@ -28,7 +31,8 @@
 class CrashGuard:
     """The requests during which upstreams crashed, here or on other instances. Thread-safe.
 
-    ``take_news`` returns what this instance saw since the last call, for the other instances.
+    ``take_news`` returns what this instance saw since the last call, for the other instances. Only
+    the latest ``NEWS_MAX_COUNT`` are kept, since not every role has anyone to tell.
     ``on_refused`` is called with the lock held, once for each request that is refused from then on.
     """
 
@@ -41,7 +45,7 @@
         self._on_refused = on_refused
         self._lock = threading.Lock()
         self._suspects = CrashSuspects()
-        self._news: list[SuspectNews] = []
+        self._news: deque[SuspectNews] = deque(maxlen=NEWS_MAX_COUNT)
 
     @property
     def has_suspects(self) -> bool:
@@ -56,7 +60,7 @@
     def is_refused(self, digest: bytes) -> bool:
         """Return whether the request must not be sent to any upstream."""
         with self._lock:
-            return self._suspects.is_refused(digest)
+            return self._suspects.is_refused(digest, self._clock.now_ms())
 
     def record_crash(self, digest: bytes, upstream_id: str, incarnation: int) -> None:
         """Record that an upstream ended the connection of a request without an answer."""
@@ -84,7 +88,8 @@
     def take_news(self) -> list[SuspectNews]:
         """Return what this instance saw since the last call."""
         with self._lock:
-            news, self._news = self._news, []
+            news = list(self._news)
+            self._news.clear()
             return news
 
     def list_refused(self) -> list[SuspectNews]:
--- a/src/coltsfootrill/balancer/crash_suspects.py
+++ b/src/coltsfootrill/balancer/crash_suspects.py
@@ -85,10 +85,10 @@
         """Return whether any upstream crashed during the request."""
         return digest in self.by_digest
 
-    def is_refused(self, digest: bytes) -> bool:
+    def is_refused(self, digest: bytes, now_ms: float) -> bool:
         """Return whether the request must not be sent to any upstream."""
         suspect = self.by_digest.get(digest)
-        return suspect is not None and suspect.is_refused
+        return suspect is not None and suspect.is_refused and now_ms - suspect.last_ms < KEPT_MS
 
     def list_refused(self) -> list[Suspect]:
         """Return the requests that are refused."""
@@ -103,6 +103,7 @@
             del self.by_digest[oldest.digest]
 
     def _add(self, digest: bytes, crashes: Iterable[Crash], now_ms: float) -> bool:
+        self.remove_expired(now_ms)
         suspect = self.by_digest.setdefault(digest, Suspect(digest, now_ms))
         was_refused = suspect.is_refused
         known_count = len(suspect.crash_by_key)
--- a/testing/balancer/test_crash_suspects.py
+++ b/testing/balancer/test_crash_suspects.py
@@ -4,12 +4,15 @@
 
 from random import Random
 
+from coltsfootrill.balancer.crash_guard import NEWS_MAX_COUNT
+from coltsfootrill.balancer.crash_guard import CrashGuard
 from coltsfootrill.balancer.crash_suspects import ANSWERED_KEPT_MS
 from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
 from coltsfootrill.balancer.crash_suspects import KEPT_MS
 from coltsfootrill.balancer.crash_suspects import SUSPECTS_MAX_COUNT
 from coltsfootrill.balancer.crash_suspects import Crash
 from coltsfootrill.balancer.crash_suspects import CrashSuspects
+from coltsfootrill.clock import ManualClock
 
 DEADLY = b"deadly"
 NOW_MS = 1_000_000.0
@@ -23,20 +26,20 @@
     def test_a_request_is_refused_after_three_crashes(self) -> None:
         suspects = CrashSuspects()
         assert crash_upstreams(suspects, DEADLY, CRASHES_MAX_COUNT) == [False, False, True]
-        assert suspects.is_refused(DEADLY)
+        assert suspects.is_refused(DEADLY, NOW_MS)
 
     def test_one_crash_that_several_instances_report_counts_once(self) -> None:
         suspects = CrashSuspects()
         for _ in range(10):
             suspects.record_crash(DEADLY, Crash("u1", 1), NOW_MS)
             suspects.merge(DEADLY, [Crash("u1", 1)], NOW_MS)
-        assert not suspects.is_refused(DEADLY)
+        assert not suspects.is_refused(DEADLY, NOW_MS)
 
     def test_an_upstream_that_crashes_after_each_start_counts_each_time(self) -> None:
         suspects = CrashSuspects()
         for incarnation in range(CRASHES_MAX_COUNT):
             suspects.record_crash(DEADLY, Crash("u1", incarnation), NOW_MS)
-        assert suspects.is_refused(DEADLY)
+        assert suspects.is_refused(DEADLY, NOW_MS)
 
     def test_crashes_that_instances_saw_apart_add_up(self) -> None:
         suspects = CrashSuspects()
@@ -47,10 +50,10 @@
     def test_a_request_is_given_another_chance_after_some_minutes(self) -> None:
         suspects = CrashSuspects()
         crash_upstreams(suspects, DEADLY, CRASHES_MAX_COUNT)
-        suspects.remove_expired(NOW_MS + KEPT_MS - 1)
-        assert suspects.is_refused(DEADLY)
-        suspects.remove_expired(NOW_MS + KEPT_MS)
-        assert not suspects.is_refused(DEADLY)
+        assert suspects.is_refused(DEADLY, NOW_MS + KEPT_MS - 1)
+        assert not suspects.is_refused(DEADLY, NOW_MS + KEPT_MS)
+        suspects.record_crash(b"other", Crash("u1", 1), NOW_MS + KEPT_MS)
+        assert not suspects.is_suspect(DEADLY)
 
 
 class TestAnswer:
@@ -59,7 +62,7 @@
         crash_upstreams(suspects, DEADLY, CRASHES_MAX_COUNT - 1)
         assert suspects.record_answer(DEADLY, NOW_MS)
         crash_upstreams(suspects, DEADLY, CRASHES_MAX_COUNT - 1)
-        assert not suspects.is_refused(DEADLY)
+        assert not suspects.is_refused(DEADLY, NOW_MS)
 
     def test_a_late_report_does_not_count_after_an_answer(self) -> None:
         suspects = CrashSuspects()
@@ -94,6 +97,13 @@
         assert len(suspects.by_digest) == SUSPECTS_MAX_COUNT
         assert not suspects.is_suspect(b"0")
 
+    def test_news_that_nobody_takes_are_bounded(self) -> None:
+        guard = CrashGuard(ManualClock(NOW_MS))
+        for number in range(NEWS_MAX_COUNT + 10):
+            guard.record_crash(b"%d" % number, "u1", 1)
+        assert len(guard.take_news()) == NEWS_MAX_COUNT
+        assert guard.take_news() == []
+
     def test_a_refused_request_keeps_no_more_crashes(self) -> None:
         suspects = CrashSuspects()
         suspects.merge(DEADLY, [Crash(f"u{n}", 1) for n in range(1_000)], NOW_MS)
