Count no upstream as declining before it did, on any clock

Requests could have been refused as declined in the first seconds after a host's start. Cause: an upstream that never declined had the end 0, which is later than a deadline minus the usual work while the steady clock is near 0. Found by reading the change. Ruled out: hosts that have run for longer than their slowest work; there the deadline is always later. Change: the end is minus infinity until an upstream declines. Before: the new test finds 0. After: it passes.

--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -161,7 +161,7 @@
         self.successes = 0
         self.consecutive_sheds = 0
         self.paused_until_ms = 0.0
-        self.declined_until_ms = 0.0
+        self.declined_until_ms = float("-inf")
         self.ejected_until_ms = 0.0
         self.ejection_count = 0
         self.outlier_score = OutlierScore(by_errors=0.0, by_latency=0.0)
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -292,8 +292,12 @@
         ]
 
     def get_declined_until_ms(self) -> float:
-        """Return until when every upstream declines the requests of this instance."""
-        return min((load.declined_until_ms for load in self.by_id.values()), default=0.0)
+        """Return until when every upstream declines the requests of this instance.
+
+        Minus infinity if any upstream has not declined one.
+        """
+        ends_ms = [load.declined_until_ms for load in self.by_id.values()]
+        return min(ends_ms, default=float("-inf"))
 
     def has_free_slot(self, now_ms: float) -> bool:
         """Return whether some upstream is available and known to have a free slot."""
--- a/testing/proxy/test_declined.py
+++ b/testing/proxy/test_declined.py
@@ -7,10 +7,15 @@
 
 import pytest
 
+from coltsfootrill.clock import ManualClock
 from coltsfootrill.events.catalog import RequestEnded
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
 from coltsfootrill.proxy.headers import RETRY_AFTER_MAX_MS
 from coltsfootrill.proxy.headers import parse_retry_after_ms
+from coltsfootrill.proxy.request import RequestTimes
+from testing.dispatch.memory import Upstreams
+from testing.dispatch.memory import make_controller
+from testing.dispatch.memory import make_service
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.instance import Instance
 from testing.proxy.instance import Reply
@@ -89,6 +94,24 @@
         assert ended[-1].admission.declined == len(decliners)
 
 
+class TestEarlyDeadlines:
+    # Guards against refusals on a host that has just started, whose clock is near 0.
+    def test_nothing_is_declined_before_an_upstream_did(self) -> None:
+        clock = ManualClock(1)
+        controller = make_controller(Upstreams(2), clock=clock, typical_ms=5_000)
+        claim = controller.acquire(
+            make_service(),
+            make_service().kinds[0],
+            RequestTimes(arrived_ms=1, deadline_ms=3_001),
+            exclude=frozenset(),
+            should_stop_waiting=lambda: True,
+        )
+        ends_ms: list[float] = []
+        controller.read_pool(lambda pool, now_ms: ends_ms.append(pool.get_declined_until_ms()))
+        assert claim is not None
+        assert ends_ms == [float("-inf")]
+
+
 class TestHeader:
     @pytest.mark.parametrize(
         ("value", "after_ms"),
