Let the test of a waiting call not depend on a ping that is under way

Cause: the mutant without keepalive pings passed once: the ping that measures bandwidth was unanswered when the connection went silent, and its timeout ended the call. Ruled out: that the keepalive is not needed; the same mutant fails when the measurement has ended. Change: the test waits for that before it cuts the connection. Its assertions are as before. Before: the mutant passed. Conclusion: the test now shows the ping that matters.

--- a/testing/test_rpc.py
+++ b/testing/test_rpc.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
@@ -23,6 +24,7 @@
 
 LONG_TIMEOUT_MS = 20_000.0
 SHORT_TIMEOUT_MS = 500.0
+MEASURED_WITHIN_S = 0.3
 POLL = FollowRequest(InstanceRecord("n1", 1, "127.0.0.1:1", "z1", False, 1), False, False, 0, 0, 0)
 # More pending connections than the kernel queues for a backlog of 0.
 PENDING_COUNT = 4
@@ -110,6 +112,8 @@
     def test_a_call_that_waits_ends_before_its_timeout(
         self, server: SilentServer, client: RpcClient
     ) -> None:
+        # A ping that measures the bandwidth, still unanswered, would reveal the loss as well.
+        time.sleep(MEASURED_WITHIN_S)
         server.relay.cut_existing()
         with pytest.raises(RpcError, match="unavailable"):
             client.call(FOLLOW, POLL, timeout_ms=LONG_TIMEOUT_MS)
