Let repeated reports not prolong the refusal of a crashing request

A refused request would have stayed refused for as long as instances keep starting, instead of for ten minutes. Cause: an instance that was told of crashes counted them from the moment it heard, and repeated them after those who told it had let the refusal end. Found by reading the change. Ruled out: instances that all heard at once; their refusals end together. Change: reports carry the age of the last crash, as load reports and leases do. Before: the new test fails, an instance that joined after five minutes brings the refusal back. After: it passes. Conclusion: ten minutes after the last crash it ends everywhere.

--- a/src/coltsfootrill/balancer/crash_guard.py
+++ b/src/coltsfootrill/balancer/crash_guard.py
@@ -16,13 +16,22 @@
 
 
 class SuspectNews:
-    """What happened to one request: upstreams crashed, or it ``is_answered``."""
+    """What happened to one request: upstreams crashed, or it ``is_answered``.
 
-    __slots__ = ("crashes", "digest", "is_answered")
+    ``age_ms`` is the time since the last of the crashes.
+    """
+
+    __slots__ = ("age_ms", "crashes", "digest", "is_answered")
 
     def __init__(
-        self, digest: bytes, crashes: Sequence[Crash] = (), *, is_answered: bool = False
+        self,
+        digest: bytes,
+        crashes: Sequence[Crash] = (),
+        *,
+        age_ms: float = 0.0,
+        is_answered: bool = False,
     ) -> None:
+        self.age_ms = age_ms
         self.digest = digest
         self.crashes = crashes
         self.is_answered = is_answered
@@ -82,7 +91,7 @@
             now_ms = self._clock.now_ms()
             if news.is_answered:
                 self._suspects.record_answer(news.digest, now_ms)
-            elif self._suspects.merge(news.digest, news.crashes, now_ms):
+            elif self._suspects.merge(news.digest, news.crashes, now_ms, age_ms=news.age_ms):
                 self._on_refused(self._suspects.by_digest[news.digest])
 
     def take_news(self) -> list[SuspectNews]:
@@ -95,8 +104,13 @@
     def list_refused(self) -> list[SuspectNews]:
         """Return the requests that are refused, with their crashes."""
         with self._lock:
-            self._suspects.remove_expired(self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            self._suspects.remove_expired(now_ms)
             return [
-                SuspectNews(suspect.digest, list(suspect.crash_by_key.values()))
-                for suspect in self._suspects.list_refused()
+                SuspectNews(
+                    suspect.digest,
+                    list(suspect.crash_by_key.values()),
+                    age_ms=now_ms - suspect.last_ms,
+                )
+                for suspect in self._suspects.list_refused(now_ms)
             ]
--- a/src/coltsfootrill/balancer/crash_suspects.py
+++ b/src/coltsfootrill/balancer/crash_suspects.py
@@ -49,7 +49,7 @@
 
 
 class CrashSuspects:
-    """Suspects by digest, the latest crash last. Not thread-safe: the owner holds a lock.
+    """Suspects by digest, the latest recorded last. Not thread-safe: the owner holds a lock.
 
     Crashes of the last ``KEPT_MS`` count. An answer to the request shows that it was not the cause.
     """
@@ -65,12 +65,19 @@
         self._answered_ms_by_digest.pop(digest, None)
         return self._add(digest, [crash], now_ms)
 
-    def merge(self, digest: bytes, crashes: Iterable[Crash], now_ms: float) -> bool:
-        """Record crashes that another instance reports; return as ``record_crash`` does."""
+    def merge(
+        self, digest: bytes, crashes: Iterable[Crash], now_ms: float, *, age_ms: float = 0.0
+    ) -> bool:
+        """Record crashes that another instance reports; return as ``record_crash`` does.
+
+        The last of them was ``age_ms`` ago, so that reports do not prolong a refusal.
+        """
         answered_ms = self._answered_ms_by_digest.get(digest)
         if answered_ms is not None and now_ms - answered_ms < ANSWERED_KEPT_MS:
             return False
-        return self._add(digest, crashes, now_ms)
+        if age_ms >= KEPT_MS:
+            return False
+        return self._add(digest, crashes, now_ms - age_ms)
 
     def record_answer(self, digest: bytes, now_ms: float) -> bool:
         """Record an answer to a request; return whether it had been a suspect."""
@@ -90,9 +97,13 @@
         suspect = self.by_digest.get(digest)
         return suspect is not None and suspect.is_refused and now_ms - suspect.last_ms < KEPT_MS
 
-    def list_refused(self) -> list[Suspect]:
+    def list_refused(self, now_ms: float) -> list[Suspect]:
         """Return the requests that are refused."""
-        return [suspect for suspect in self.by_digest.values() if suspect.is_refused]
+        return [
+            suspect
+            for suspect in self.by_digest.values()
+            if self.is_refused(suspect.digest, now_ms)
+        ]
 
     def remove_expired(self, now_ms: float) -> None:
         """Drop suspects whose last crash is older than ``KEPT_MS``."""
@@ -102,16 +113,16 @@
                 return
             del self.by_digest[oldest.digest]
 
-    def _add(self, digest: bytes, crashes: Iterable[Crash], now_ms: float) -> bool:
-        self.remove_expired(now_ms)
-        suspect = self.by_digest.setdefault(digest, Suspect(digest, now_ms))
+    def _add(self, digest: bytes, crashes: Iterable[Crash], at_ms: float) -> bool:
+        self.remove_expired(at_ms)
+        suspect = self.by_digest.setdefault(digest, Suspect(digest, at_ms))
         was_refused = suspect.is_refused
         known_count = len(suspect.crash_by_key)
         for crash in crashes:
             if not suspect.is_refused:
                 suspect.crash_by_key.setdefault((crash.upstream_id, crash.incarnation), crash)
         if len(suspect.crash_by_key) > known_count:
-            suspect.last_ms = now_ms
+            suspect.last_ms = max(suspect.last_ms, at_ms)
             self.by_digest.move_to_end(digest)
         while len(self.by_digest) > SUSPECTS_MAX_COUNT:
             self.by_digest.popitem(last=False)
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -166,10 +166,14 @@
 
 
 class SuspectEntry(msgspec.Struct, frozen=True, array_like=True):
-    """A request, by its digest: the upstreams that crashed during it, or that it was answered."""
+    """A request, by its digest: the upstreams that crashed during it, or that it was answered.
+
+    ``age_ms`` is the time since the last crash.
+    """
 
     digest: bytes
     crashes: list[CrashEntry]
+    age_ms: int
     is_answered: bool
 
 
--- a/src/coltsfootrill/membership/suspect_gossip.py
+++ b/src/coltsfootrill/membership/suspect_gossip.py
@@ -71,7 +71,10 @@
         """Handle one datagram; raise ``msgspec.MsgspecError`` if it cannot be decoded."""
         for entry in _decoder.decode(payload).entries:
             crashes = [Crash(crash.upstream_id, crash.incarnation) for crash in entry.crashes]
-            self._guard.merge(SuspectNews(entry.digest, crashes, is_answered=entry.is_answered))
+            news = SuspectNews(
+                entry.digest, crashes, age_ms=max(0, entry.age_ms), is_answered=entry.is_answered
+            )
+            self._guard.merge(news)
 
     def _is_repeater(self) -> bool:
         ranked = sorted(
@@ -90,4 +93,4 @@
 
 def _pack(news: SuspectNews) -> SuspectEntry:
     crashes = [CrashEntry(crash.upstream_id, crash.incarnation) for crash in news.crashes]
-    return SuspectEntry(news.digest, crashes, news.is_answered)
+    return SuspectEntry(news.digest, crashes, int(news.age_ms), news.is_answered)
--- a/testing/balancer/test_crash_suspects.py
+++ b/testing/balancer/test_crash_suspects.py
@@ -86,7 +86,7 @@
             for digest in bystanders:
                 if digest not in lost or random.random() > 1 / upstreams_count:
                     suspects.record_answer(digest, NOW_MS)
-        assert suspects.list_refused() == []
+        assert suspects.list_refused(NOW_MS) == []
 
 
 class TestBounds:
--- a/testing/membership/test_suspect_gossip.py
+++ b/testing/membership/test_suspect_gossip.py
@@ -7,6 +7,7 @@
 
 from coltsfootrill.balancer.crash_guard import CrashGuard
 from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
+from coltsfootrill.balancer.crash_suspects import KEPT_MS
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.suspect_gossip import REPEAT_INTERVAL_MS
@@ -79,6 +80,17 @@
         fleet.send()
         assert fleet.count_refusing() == FLEET_COUNT + 1
 
+    def test_repetitions_do_not_prolong_a_refusal(self, fleet: Fleet) -> None:
+        crash(fleet)
+        fleet.send()
+        fleet.clock.advance(KEPT_MS / 2)
+        fleet.members.append(Member(FLEET_COUNT, fleet))
+        fleet.send()
+        assert fleet.count_refusing() == FLEET_COUNT + 1
+        fleet.clock.advance(KEPT_MS / 2)
+        fleet.send()
+        assert fleet.count_refusing() == 0
+
     def test_news_that_were_lost_are_repeated(self, fleet: Fleet) -> None:
         deaf = fleet.records[-1].address
         fleet.network.is_lost = lambda source, target, data: target == deaf
