Share the fixture of an instance with the platform's dialect

Cause: each was written beside the one before it. Ruled out: a change of what is tested; assertions are untouched. Change: the fixture stands in the folder's conftest; modules that need other settings keep their own. Conclusion: less to read.

--- a/testing/proxy/test_declined.py
+++ b/testing/proxy/test_declined.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Iterator
 
 import pytest
 
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.events.catalog import RequestEnded
-from coltsfootrill.platform.dialect import coltsfootrill_dialect
 from coltsfootrill.proxy.headers import RETRY_AFTER_MAX_MS
 from coltsfootrill.proxy.headers import parse_retry_after_ms
 from coltsfootrill.proxy.request import RequestTimes
@@ -50,13 +48,6 @@
         return len(self.upstream.heads)
 
 
-@pytest.fixture
-def instance() -> Iterator[Instance]:
-    made = Instance(dialect=coltsfootrill_dialect())
-    yield made
-    made.close()
-
-
 def call(instance: Instance) -> Reply:
     return instance.call(X_Attempt_Id="q1")
 
--- a/testing/proxy/test_leaving.py
+++ b/testing/proxy/test_leaving.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
 import pytest
 
-from coltsfootrill.platform.dialect import coltsfootrill_dialect
 from coltsfootrill.proxy.headers import parse_leaving
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.instance import Instance
@@ -21,13 +18,6 @@
 CALLS_COUNT = 12
 
 
-@pytest.fixture
-def instance() -> Iterator[Instance]:
-    made = Instance(dialect=coltsfootrill_dialect())
-    yield made
-    made.close()
-
-
 def call(instance: Instance) -> Reply:
     return instance.call(X_Attempt_Id="q1")
 
--- a/testing/proxy/test_rate_limit.py
+++ b/testing/proxy/test_rate_limit.py
@@ -9,7 +9,6 @@
 import pytest
 
 from coltsfootrill.events.catalog import UpstreamRateLimited
-from coltsfootrill.platform.dialect import coltsfootrill_dialect
 from coltsfootrill.proxy.headers import parse_rate_limit
 from testing.balancer.test_rate_limit import WINDOW_MS
 from testing.balancer.test_rate_limit import count_allowed
@@ -56,13 +55,6 @@
         self._upstream.close()
 
 
-@pytest.fixture
-def instance() -> Iterator[Instance]:
-    made = Instance(dialect=coltsfootrill_dialect())
-    yield made
-    made.close()
-
-
 @pytest.fixture
 def upstream(instance: Instance) -> Iterator[NeedyUpstream]:
     started = NeedyUpstream(instance)
