Keep the longest of the times for which an upstream declines requests

An upstream that had asked for a pause of five seconds got requests again after one, if a request that was in flight came back with the shorter time. Cause: each refusal replaced the end of the pause. Found by reading the change again. Ruled out: polls, of which none is sent while the pause lasts. Change: the later end stays. The mutant follows the text. Before: the new test fails, the pause ends at the shorter time. After: it passes. Conclusion: each stated time is kept.

--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -345,7 +345,8 @@
     def end(self, claim: Claim, result: Result, report: LoadReport | None, now_ms: float) -> None:
         """Record the end of an attempt by its result."""
         if claim.declined_for_ms:
-            claim.load.declined_until_ms = now_ms + claim.declined_for_ms
+            until_ms = now_ms + claim.declined_for_ms
+            claim.load.declined_until_ms = max(claim.load.declined_until_ms, until_ms)
         if result == "answered":
             self.end_answered(claim, report, now_ms)
         elif result == "shed":
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -144,7 +144,7 @@
     Mutant(
         "an upstream gets no requests of an instance in the time that it declines them",
         "balancer/pool.py",
-        "            claim.load.declined_until_ms = now_ms + claim.declined_for_ms\n",
+        "            claim.load.declined_until_ms = max(claim.load.declined_until_ms, until_ms)\n",
         "            pass\n",
         "testing/proxy/test_declined.py::TestDecliningUpstream",
     ),
--- a/testing/proxy/test_declined.py
+++ b/testing/proxy/test_declined.py
@@ -85,6 +85,31 @@
         assert ended[-1].admission.declined == len(decliners)
 
 
+class TestSeveralRefusals:
+    # Guards against requests in a stated time that a later, shorter one has cut off.
+    def test_a_shorter_time_does_not_end_a_longer_one(self) -> None:
+        clock = ManualClock(1_000)
+        controller = make_controller(Upstreams(1), clock=clock)
+        kind = make_service().kinds[0]
+        claims = [controller.try_acquire(make_service(), kind, exclude=frozenset())]
+        claims.append(
+            controller.acquire(
+                make_service(),
+                kind,
+                RequestTimes(arrived_ms=1_000, deadline_ms=4_000),
+                exclude=frozenset(),
+                should_stop_waiting=lambda: True,
+            )
+        )
+        for claim, declined_for_ms in zip(claims, (5_000, 1_000), strict=True):
+            assert claim is not None
+            claim.declined_for_ms = declined_for_ms
+            controller.end(claim, "shed")
+        ends_ms: list[float] = []
+        controller.read_pool(lambda pool, now_ms: ends_ms.append(pool.get_declined_until_ms()))
+        assert ends_ms == [6_000]
+
+
 class TestEarlyDeadlines:
     # Guards against refusals on a host that has just started, whose clock is near 0.
     def test_nothing_is_declined_before_an_upstream_did(self) -> None:
