Take the milliseconds of a second from the module that has them

Cause: it was written beside each use. Ruled out: the roles, which define it as before and import nothing from there. Change: two imports in place of two definitions. Conclusion: behaviour as before.

--- a/src/coltsfootrill/proxy/admission_controller.py
+++ b/src/coltsfootrill/proxy/admission_controller.py
@@ -13,6 +13,7 @@
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.load_report_cache import ReportEntry
 from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.rate_limit import MS_PER_SECOND
 from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.balancer.retry import AttemptHistory
 from coltsfootrill.balancer.retry import FailureKind
@@ -40,7 +41,6 @@
 SECOND_ATTEMPT_TIMEOUT_MS = 10_000.0
 CONFIRM_INTERVAL_MS = 300.0
 RETRY_AFTER_S = 0.5
-MS_PER_SECOND = 1_000.0
 RETRY_AFTER_FREE_SLOT_S = 0.04
 _MESSAGE_BY_REFUSAL = {
     "no-upstream": "no upstream of this service is serving",
--- a/src/coltsfootrill/proxy/headers.py
+++ b/src/coltsfootrill/proxy/headers.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from coltsfootrill.balancer.load import LoadReport
+from coltsfootrill.balancer.rate_limit import MS_PER_SECOND
 from coltsfootrill.proxy.outcome import Header
 
 DEADLINE_HEADER = "Coltsfootrill-Deadline-Ms"
@@ -17,7 +18,6 @@
 LOAD_HEADER = "Upstream-Load"
 SHED_HEADER = "Upstream-Shed"
 LEAVING_VALUE = "1"
-MS_PER_SECOND = 1_000.0
 RETRY_AFTER_MAX_MS = 3_600_000.0
 DEPTH_MAX = 32
 
