Prove that silent channels are replaced with a test that needs it

Cause: since a connection that goes silent is also noticed by a ping, and gRPC then connects again by itself. The scenario of silent connections between instances therefore passes without the replacement, and its mutant proved nothing. Ruled out: that the replacement is not needed; without it a call with a short timeout is repeated on the silent connection until the ping is due, as the test of the first call without a reply shows. Change: the mutant is judged by the tests of silent connections of the calls themselves. The scenario stays as it is. Before: the mutant passed ("PASSES without the mechanism"). After: it fails without the mechanism and passes with it. Conclusion: the mutant is as strict as it was before pings were added.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -111,7 +111,7 @@
         "            if not is_silent and self._failures < _FAILURES_BEFORE_RECONNECT:\n"
         "                return\n",
         "            return\n",
-        FEATURES + "silent_connections_between_instances_are_replaced",
+        "testing/test_rpc.py::TestSilentConnection",
     ),
     Mutant(
         "no new work after an answer that states leaving",
