Send no call on a connection that was lost and is closing

Callers of a channel saw a second failure at once after a connection had gone silent; a follower of manifests and leaving upstreams pauses 0.1 s more before it hears again. The test of a waiting call failed by it once in the tests of: "Stream removed (Delayed close due to in-progress write (ping timeout))". Cause: when a ping is not answered, gRPC ends all calls of the connection first, and closes it only after the write that is in progress. Until then the channel places new calls on it. A channel was replaced only after two such failures. Ruled out: a wrong test; a follower's next poll runs into the same. A connection stalled in a long write: ended by the kernel after 1.6 s (own run), the call after it was answered. Change: a channel that had replied is replaced with the first call that ends as unavailable. One that has not replied yet, as that of an instance that is down, still with the second, so that gRPC's pauses between attempts to connect remain. The new test of a channel that is closing fails without the change; one mutant. Conclusion: the failure was a fault of the software that needs load to show, not of the test, which stays as it is.

--- a/src/coltsfootrill/rpc.py
+++ b/src/coltsfootrill/rpc.py
@@ -27,6 +27,7 @@
 KEEPALIVE_TIMEOUT_MS = 900
 _UNLIMITED = 0
 _FAILURES_BEFORE_RECONNECT = 2
+_CONNECTION_LOST = grpc.StatusCode.UNAVAILABLE
 _TIMED_OUT = grpc.StatusCode.DEADLINE_EXCEEDED
 _OPTIONS = (
     ("grpc.max_receive_message_length", MESSAGE_MAX_BYTES),
@@ -86,9 +87,10 @@
 class RpcClient:
     """A client of one address, which replaces a channel that no longer works.
 
-    That is one on which a call timed out and no other call got a reply meanwhile, or on which calls
-    failed ``_FAILURES_BEFORE_RECONNECT`` times in a row for another reason. Calls that wait on the
-    channel fail with it. Thread-safe.
+    That is one on which a call timed out and no other call got a reply meanwhile, one that had
+    replied before its connection was lost, or one on which calls failed
+    ``_FAILURES_BEFORE_RECONNECT`` times in a row for another reason. Calls that wait on the channel
+    fail with it. Thread-safe.
     """
 
     __slots__ = (
@@ -137,7 +139,8 @@
                 self._record_reply()
             else:
                 is_silent = error.code() == _TIMED_OUT and self._replies_count == replies_before
-                self._record_failure(channel, is_silent=is_silent)
+                is_lost = error.code() == _CONNECTION_LOST and self._replies_count > 0
+                self._record_failure(channel, may_work=not (is_silent or is_lost))
             reason = f"{error.code().name.lower()} {error.details() or ''}"
             raise RpcError(f"{self._address}: {reason.strip()}") from error
         except (ValueError, msgspec.MsgspecError) as error:
@@ -160,16 +163,18 @@
             self._failures = 0
             self._replies_count += 1
 
-    def _record_failure(self, channel: Any, *, is_silent: bool) -> None:
+    def _record_failure(self, channel: Any, *, may_work: bool) -> None:
         with self._lock:
             if channel is not self._channel:
                 return
             self._failures += 1
             # A connection whose state a middlebox has dropped reports no error: a timeout is the
             # only sign of it. Waiting for a second one would double the time without any news.
-            if not is_silent and self._failures < _FAILURES_BEFORE_RECONNECT:
+            # A lost connection takes calls until its last write has ended.
+            if may_work and self._failures < _FAILURES_BEFORE_RECONNECT:
                 return
             self._failures = 0
+            self._replies_count = 0
             self._channel = self._open()
         logging.info('channel opened again address="%s"', self._address)
         channel.close()
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -108,7 +108,7 @@
     Mutant(
         "channels between instances that stop responding are replaced",
         "rpc.py",
-        "            if not is_silent and self._failures < _FAILURES_BEFORE_RECONNECT:\n"
+        "            if may_work and self._failures < _FAILURES_BEFORE_RECONNECT:\n"
         "                return\n",
         "            return\n",
         "testing/test_rpc.py::TestSilentConnection",
@@ -165,10 +165,17 @@
     Mutant(
         "one call without a reply is enough to replace a silent channel",
         "rpc.py",
-        "if not is_silent and self._failures",
-        "if self._failures",
+        "may_work=not (is_silent or is_lost)",
+        "may_work=not is_lost",
         "testing/test_rpc.py::TestSilentConnection",
     ),
+    Mutant(
+        "no call is sent on a connection that was lost and is closing",
+        "rpc.py",
+        "may_work=not (is_silent or is_lost)",
+        "may_work=not is_silent",
+        "testing/test_rpc.py::TestLostConnection",
+    ),
     Mutant(
         "a slow call does not replace a channel on which others are answered",
         "rpc.py",
--- a/testing/test_rpc.py
+++ b/testing/test_rpc.py
@@ -3,10 +3,13 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 
+import grpc
+import msgspec
 import pytest
 
 from coltsfootrill.membership.exchange import FETCH_MANIFEST
@@ -85,6 +88,52 @@
     client.close()
 
 
+class ClosingChannel:
+    """A channel that loses its connection after the first reply, and still takes calls on it."""
+
+    def __init__(self) -> None:
+        self.calls_count = 0
+
+    def unary_unary(self, path: str) -> Callable[..., bytes]:
+        return self._call
+
+    def _call(self, raw: bytes, *, timeout: float, compression: grpc.Compression) -> bytes:
+        self.calls_count += 1
+        if self.calls_count > 1:
+            raise ConnectionLostError
+        return msgspec.msgpack.encode(ManifestReply(1, b""))
+
+    def close(self) -> None:
+        return
+
+
+class ConnectionLostError(grpc.RpcError):  # type: ignore[misc]
+    def code(self) -> grpc.StatusCode:
+        return grpc.StatusCode.UNAVAILABLE
+
+    def details(self) -> str:
+        return "ping timeout"
+
+
+class TestLostConnection:
+    # Guards against a second failure at once: a call was sent on the connection that was closing.
+    def test_no_call_is_sent_on_it_again(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        channels: list[ClosingChannel] = []
+
+        def open_channel(address: str, *, options: object) -> ClosingChannel:
+            channels.append(ClosingChannel())
+            return channels[-1]
+
+        monkeypatch.setattr("coltsfootrill.rpc.grpc.insecure_channel", open_channel)
+        client = RpcClient("127.0.0.1:1")
+        client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
+        with pytest.raises(RpcError, match="unavailable"):
+            client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
+        reply = client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
+        assert reply.version == 1
+        assert [channel.calls_count for channel in channels] == [2, 1]
+
+
 class TestSilentConnection:
     # Guards against a manifest in force too late: silent channels lasted until a second timeout.
     def test_the_first_call_without_a_reply_is_the_only_one(
