Count no upstream as crashed that still accepts connections

Callers got 503 for ten minutes for requests that crash nothing, when three upstreams had reset their connections. Cause: a connection that ended without a byte of an answer was a crash. Upstreams also reset connections when they are full, when they are faulty, and when they have forgotten an idle one. Ruled out: to excuse a crash once the upstream answers again, here or elsewhere; the answer may come from its next start, under the same id, before that start is announced. Change: the loss counts only if the upstream refuses a new connection, or does not reply to it within 0.1 s. The stand-ins of the test stop listening when they crash, as a process does; before, they only closed the connection. The test of reuse after a loss compares the connections of the requests, of which it had counted the accepted ones; the check opens one more. Conclusion: a crash is told from a reset at the moment it happens.

--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -256,6 +256,14 @@
             budget=self._budget,
         )
 
+    def is_listening(self, timeout_ms: float) -> bool:
+        """Return whether the upstream accepts a new connection within ``timeout_ms``."""
+        try:
+            self.open(timeout_ms).close()
+        except ConnectError:
+            return False
+        return True
+
     def give_back(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if it must not be reused."""
         connection.idle_since_ms = self._clock.now_ms()
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -43,6 +43,8 @@
 from coltsfootrill.proxy.statements import read_statements
 
 SEND_MARGIN_MS = 1.0
+# A process that has ended refuses connections at once; a host that is gone does not reply at all.
+LISTENING_TIMEOUT_MS = 100.0
 
 
 class RequestForwarder:
@@ -272,7 +274,7 @@
             attempt.connection.close()
             if attempt.was_idle:
                 self._pools.record_reuse_failure()
-            if isinstance(error, EndedWithoutAnswerError):
+            if isinstance(error, EndedWithoutAnswerError) and not self._is_listening(claim):
                 self._guard.record_crash(claim)
             self._end_failed(claim, "lost")
             return AttemptFailure("lost", str(error))
@@ -285,6 +287,12 @@
             self._give_back(attempt)
         return result
 
+    def _is_listening(self, claim: Claim) -> bool:
+        """Return whether the upstream still accepts connections, so that it has not crashed."""
+        left_ms = max(self._request.times.deadline_ms - self._clock.now_ms(), SEND_MARGIN_MS)
+        pool = self._pools.get(claim.load.address)
+        return pool.is_listening(min(left_ms, LISTENING_TIMEOUT_MS))
+
     def _give_back(self, attempt: AttemptInProgress) -> None:
         self._pools.get(attempt.claim.load.address).give_back(attempt.connection)
 
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -127,6 +127,13 @@
         "        claim",
         "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
     ),
+    Mutant(
+        "a connection ended by an upstream that still listens is no crash",
+        "proxy/forward.py",
+        "EndedWithoutAnswerError) and not self._is_listening(claim):",
+        "EndedWithoutAnswerError):",
+        "testing/proxy/test_crash_guard.py::TestUpstreamThatCrashesByItself",
+    ),
     Mutant(
         "requests that are refused for crashes are told again to all instances",
         "membership/suspect_gossip.py",
--- a/testing/proxy/fakes.py
+++ b/testing/proxy/fakes.py
@@ -18,21 +18,38 @@
     def __init__(self, script: Script) -> None:
         self._script = script
         self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._port = self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self._port}"
         self.heads: list[bytes] = []
         self.connections = 0
         self._sockets: list[socket.socket] = []
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._is_listening = True
+        threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
 
     def close(self) -> None:
         self._listener.close()
         for sock in self._sockets:
             sock.close()
 
-    def _accept(self) -> None:
+    def stop_listening(self) -> None:
+        """Refuse connections from now on, as when the process has ended."""
+        self._is_listening = False
+        # Closing alone would leave it open for as long as a thread waits in accept.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def listen_again(self) -> None:
+        """Accept connections at the same address again, after ``stop_listening``."""
+        if self._is_listening:
+            return
+        self._listener = socket.create_server(("127.0.0.1", self._port))
+        self._is_listening = True
+        threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
+
+    def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                sock, _ = self._listener.accept()
+                sock, _ = listener.accept()
             except OSError:
                 return
             self.connections += 1
--- a/testing/proxy/test_crash_guard.py
+++ b/testing/proxy/test_crash_guard.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Iterator
+from functools import partial
 
 import pytest
 
@@ -24,25 +25,35 @@
 
 
 class Service:
-    """Upstreams that end the connection, as in a crash, when they begin to run a deadly request."""
+    """Upstreams that crash when they begin to run a deadly request, and are back at the next call.
+
+    They only end the connection while ``ends_process`` is false.
+    """
 
     def __init__(self) -> None:
         self.instance = Instance(dialect=coltsfootrill_dialect())
         self.is_deadly = True
+        self.ends_process = True
         self.deadly_count = 0
-        self.upstreams = [ScriptedUpstream(self._answer) for _ in range(UPSTREAMS_COUNT)]
-        for number, upstream in enumerate(self.upstreams):
+        self.upstreams: list[ScriptedUpstream] = []
+        for number in range(UPSTREAMS_COUNT):
+            upstream = ScriptedUpstream(partial(self._answer, number))
+            self.upstreams.append(upstream)
             self.instance.announce(f"u{number}", upstream.address)
 
-    def _answer(self, sock: socket.socket, head: bytes, number: int) -> bool:
+    def _answer(self, upstream: int, sock: socket.socket, head: bytes, number: int) -> bool:
         if b"/deadly" in head.split(b"\r\n")[0]:
             self.deadly_count += 1
             if self.is_deadly:
+                if self.ends_process:
+                    self.upstreams[upstream].stop_listening()
                 return False
         return reply_with()(sock, head, number)
 
-    def call(self, path: str, **headers: str) -> Reply:
-        return self.instance.call(path, X_Attempt_Id="q1", **headers)
+    def call(self, path: str, *, method: str = "GET", body: bytes = b"", **headers: str) -> Reply:
+        for upstream in self.upstreams:
+            upstream.listen_again()
+        return self.instance.call(path, method=method, body=body, X_Attempt_Id="q1", **headers)
 
     def close(self) -> None:
         self.instance.close()
@@ -86,12 +97,11 @@
         assert service.call(DEADLY, Authorization="Bearer two").status == 200
 
     def test_the_same_path_with_another_body_is_another_request(self, service: Service) -> None:
-        instance = service.instance
         for _ in range(RETURNS_COUNT):
-            instance.call(DEADLY, method="POST", body=b"one", X_Attempt_Id="q1")
+            service.call(DEADLY, method="POST", body=b"one")
         service.is_deadly = False
-        assert instance.call(DEADLY, method="POST", body=b"one", X_Attempt_Id="q1").status == 503
-        assert instance.call(DEADLY, method="POST", body=b"two", X_Attempt_Id="q1").status == 200
+        assert service.call(DEADLY, method="POST", body=b"one").status == 503
+        assert service.call(DEADLY, method="POST", body=b"two").status == 200
 
     def test_it_is_logged_once(self, service: Service) -> None:
         for _ in range(RETURNS_COUNT):
@@ -121,6 +131,17 @@
             service.is_deadly = False
             assert service.call(ONCE).status == 200
 
+    # Guards against harmless requests refused for minutes: upstreams had only reset connections.
+    def test_a_connection_ended_by_one_that_still_listens_is_no_crash(
+        self, service: Service
+    ) -> None:
+        service.ends_process = False
+        replies = [service.call(DEADLY) for _ in range(RETURNS_COUNT)]
+        assert service.deadly_count >= RETURNS_COUNT
+        assert {reply.outcome for reply in replies} == {"unknown"}
+        service.is_deadly = False
+        assert service.call(DEADLY).status == 200
+
     def test_an_answer_cut_off_midway_is_no_crash(self, service: Service) -> None:
         def cut_off(sock: socket.socket, head: bytes, number: int) -> bool:
             sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf")
--- a/testing/proxy/test_dialect.py
+++ b/testing/proxy/test_dialect.py
@@ -178,15 +178,19 @@
     def test_requests_use_fresh_connections_after_a_loss_on_a_reused_one(
         self, instance: Instance, serve: Serve
     ) -> None:
+        used: list[socket.socket] = []
+
         def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            used.append(sock)
             if number == 2:
                 return False
             return reply_with()(sock, head, number)
 
-        upstream = serve(script)
+        serve(script)
         statuses = [_call(instance, "/once", method="POST").status for _ in range(5)]
         assert statuses == [200, 502, 200, 200, 200]
-        assert upstream.connections == 4
+        assert used[1] is used[0]
+        assert len(set(used)) == 4
 
     def test_keep_alive_timeout_of_an_upstream_is_respected(
         self, instance: Instance, serve: Serve
