Ask another hub for a manifest when the first one hangs

Callers could be handled by an older manifest for up to 1.75 s more, if the hub that a node fetched a new one from stopped replying at that moment, as when it is frozen or slowed. Cause: one fetch ran at a time, and reports of other hubs during it were dropped until it timed out after 1.5 s. Evidence: by design and by a test, in which one hub hangs and the next is asked 0.5 s later. Ruled out: to fetch from all hubs that report, since nodes with slow links would carry a large manifest three times; more than one fetch while a node has no manifest, as it serves nobody then and hubs are busiest at a start. Change: from 0.5 s on a second fetch may run beside the first one, never a third. Before: two of the four new tests fail (no second hub is asked). After: all pass; two mutants fail as they should. Conclusion: a single hub no longer decides when a node hears of a manifest.

--- a/src/coltsfootrill/roles/manifest_sync.py
+++ b/src/coltsfootrill/roles/manifest_sync.py
@@ -20,12 +20,24 @@
 from coltsfootrill.rpc import RpcError
 
 FETCH_TIMEOUT_MS = 1_500.0
+# A fetch that takes longer may hang, so one from another hub may start beside it.
+FETCH_ALONE_MS = 500.0
+FETCHES_MAX_COUNT = 2
 
 
 class ManifestSync:
     """Updates a node's manifest when a hub reports a newer version. Thread-safe."""
 
-    __slots__ = ("_clock", "_fetch_lock", "_get_client", "_log", "_manifests", "_own_id")
+    __slots__ = (
+        "_clock",
+        "_fetches_count",
+        "_get_client",
+        "_last_start_ms",
+        "_lock",
+        "_log",
+        "_manifests",
+        "_own_id",
+    )
 
     def __init__(
         self,
@@ -41,14 +53,15 @@
         self._own_id = own_id
         self._get_client = get_client
         self._log = log
-        self._fetch_lock = threading.Lock()
+        self._lock = threading.Lock()
+        self._fetches_count = 0
+        self._last_start_ms = float("-inf")
 
     def fetch_if_newer(self, version: int, address: str) -> None:
         """Fetch the manifest of the hub at an address if it has a newer version."""
         if version <= self._manifests.version:
             return
-        # Several hubs report a new manifest at the same time; one fetch is enough.
-        if not self._fetch_lock.acquire(blocking=False):
+        if not self._begin_fetch():
             return
         start_ms = self._clock.now_ms()
         error = ""
@@ -60,7 +73,7 @@
             # The next reply of a hub reports the version again.
             error = str(rpc_error)
         finally:
-            self._fetch_lock.release()
+            self._end_fetch()
         took_ms = round(self._clock.now_ms() - start_ms, 1)
         self._log.emit(ManifestFetched(hub=address, version=version, took_ms=took_ms, error=error))
 
@@ -70,6 +83,25 @@
         if error is not None:
             self._log.emit(DependencyLost(dependency="manifest", reason=str(error.exceptions[0])))
 
+    def _begin_fetch(self) -> bool:
+        """Return whether a fetch may start: hubs report a manifest together, and one is enough."""
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            if self._fetches_count:
+                # Without a manifest an instance serves nobody, so it can wait for the first hub.
+                may_hang = now_ms - self._last_start_ms >= FETCH_ALONE_MS
+                if not may_hang or self._manifests.version == 0:
+                    return False
+            if self._fetches_count >= FETCHES_MAX_COUNT:
+                return False
+            self._fetches_count += 1
+            self._last_start_ms = now_ms
+            return True
+
+    def _end_fetch(self) -> None:
+        with self._lock:
+            self._fetches_count -= 1
+
     def _fetch(self, address: str) -> bytes:
         client = self._get_client(address)
         known_version = self._manifests.version
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -176,6 +176,20 @@
         "may_work=not is_lost",
         "testing/test_rpc.py::TestSilentConnection",
     ),
+    Mutant(
+        "a hub that hangs does not keep the manifest of another from being fetched",
+        "roles/manifest_sync.py",
+        "may_hang = now_ms - self._last_start_ms >= FETCH_ALONE_MS\n",
+        "may_hang = False\n",
+        "testing/roles/test_manifest_sync.py::TestFetchThatHangs",
+    ),
+    Mutant(
+        "a new manifest is fetched from one hub as long as that does not hang",
+        "roles/manifest_sync.py",
+        "may_hang = now_ms - self._last_start_ms >= FETCH_ALONE_MS\n",
+        "may_hang = True\n",
+        "testing/roles/test_manifest_sync.py::TestFetchThatHangs",
+    ),
     Mutant(
         "no call is sent on a connection that was lost and is closing",
         "rpc.py",
--- /dev/null
+++ b/testing/roles/test_manifest_sync.py
@@ -0,0 +1,111 @@
+"""Which hub a node fetches a manifest from, and when a second one is asked."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from coltsfootrill.clock import ManualClock
+from coltsfootrill.events.log import EventLog
+from coltsfootrill.manifest.holder import ManifestHolder
+from coltsfootrill.membership.messages import ManifestReply
+from coltsfootrill.plugins import collect_schemes
+from coltsfootrill.plugins import load_plugins
+from coltsfootrill.roles.manifest_sync import FETCH_ALONE_MS
+from coltsfootrill.roles.manifest_sync import ManifestSync
+from testing.proxy.instance import make_manifest
+
+DEADLINE_MS = 1_500
+
+
+class Hub:
+    """A client of a hub that has manifest 2. It hangs until ``release`` while ``hangs`` is true."""
+
+    def __init__(self) -> None:
+        self.hangs = False
+        self.calls_count = 0
+        self.called = threading.Event()
+        self.release = threading.Event()
+
+    def call(self, method: object, request: object, *, timeout_ms: float) -> ManifestReply:
+        self.calls_count += 1
+        self.called.set()
+        if self.hangs:
+            self.release.wait()
+        return ManifestReply(2, make_manifest(2, DEADLINE_MS))
+
+
+class Node:
+    """The sync of a node that has manifest 1, and its three hubs by address."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.hub_by_address = {address: Hub() for address in ("h1", "h2", "h3")}
+        self.manifests = ManifestHolder(collect_schemes(load_plugins()))
+        self.manifests.adopt(make_manifest(1, DEADLINE_MS))
+        self._threads: list[threading.Thread] = []
+        self.sync = ManifestSync(
+            self.manifests,
+            own_id="n1",
+            get_client=self._get_client,
+            clock=self.clock,
+            log=EventLog("n1", clock=self.clock),
+        )
+
+    def _get_client(self, address: str) -> Any:
+        return self.hub_by_address[address]
+
+    def start_fetch_that_hangs(self, address: str) -> None:
+        hub = self.hub_by_address[address]
+        hub.hangs = True
+        thread = threading.Thread(target=self.sync.fetch_if_newer, args=(2, address))
+        thread.start()
+        self._threads.append(thread)
+        hub.called.wait()
+
+    def count_calls(self) -> list[int]:
+        return [hub.calls_count for hub in self.hub_by_address.values()]
+
+    def close(self) -> None:
+        for hub in self.hub_by_address.values():
+            hub.release.set()
+        for thread in self._threads:
+            thread.join()
+
+
+@pytest.fixture
+def node() -> Iterator[Node]:
+    made = Node()
+    yield made
+    made.close()
+
+
+class TestFetchThatHangs:
+    # Guards against a manifest in force too late: a hub that hung kept others from being asked.
+    def test_another_hub_is_asked_beside_it(self, node: Node) -> None:
+        node.start_fetch_that_hangs("h1")
+        node.clock.advance(FETCH_ALONE_MS)
+        node.sync.fetch_if_newer(2, "h2")
+        assert node.manifests.version == 2
+
+    def test_no_other_hub_is_asked_at_first(self, node: Node) -> None:
+        node.start_fetch_that_hangs("h1")
+        node.clock.advance(FETCH_ALONE_MS - 1)
+        node.sync.fetch_if_newer(2, "h2")
+        assert node.count_calls() == [1, 0, 0]
+
+    def test_no_third_hub_is_asked(self, node: Node) -> None:
+        for address in ("h1", "h2"):
+            node.start_fetch_that_hangs(address)
+            node.clock.advance(FETCH_ALONE_MS)
+        node.sync.fetch_if_newer(2, "h3")
+        assert node.count_calls() == [1, 1, 0]
+
+    def test_a_later_report_is_fetched_once_it_has_ended(self, node: Node) -> None:
+        node.start_fetch_that_hangs("h1")
+        node.close()
+        node.sync.fetch_if_newer(3, "h2")
+        assert node.count_calls() == [1, 1, 0]
