Move the choice of an upstream with a free slot into a module of its own

Ruled out: to split the ends of attempts off instead; they change every part of the state, the choice only reads it. Change: slot_choice.py applies the policy to the upstreams that suit a request; the pool owns the saturation and the margin that it reads. No statement changed beside names and receivers. The tests of balancer, proxy, dispatch, roles and the mutants' module pass; the mutant of large zones fails as before. Conclusion: a move without a change of behaviour.

--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -40,6 +40,8 @@
 from coltsfootrill.balancer.rate_limit import RateLimit
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.balancer.retry import RetryBudget
+from coltsfootrill.balancer.slot_choice import REPORT_HALF_LIFE_MS
+from coltsfootrill.balancer.slot_choice import SlotChoice
 from coltsfootrill.balancer.slot_margin import SlotMargin
 from coltsfootrill.balancer.upstream_record import is_same_upstream
 from coltsfootrill.balancer.upstream_record import make_load
@@ -48,23 +50,18 @@
 from coltsfootrill.manifest.table import may_serve
 from coltsfootrill.registry.directory import UpstreamRecord
 
-REPORT_HALF_LIFE_MS = 300.0
-# A request counted in a report may have ended since then.
-SLOT_TOLERANCE = 0.25
 # Targets leave room for a slow attempt, so most answers take less than half of the target. Without
 # an expected latency, the first requests after a restart would all appear to be slow.
 EXPECTED_SHARE_OF_TARGET = 0.4
-# With fewer upstreams in a zone, a burst there would fill them while others are idle.
-NEAR_MIN_COUNT = 8
 
 
 class ServicePool:
     """State of one service on this instance. ``by_id`` holds the usable upstreams."""
 
     __slots__ = (
-        "_policy",
         "_rate_share",
         "_retiring",
+        "_slot_choice",
         "_turn",
         "by_id",
         "has_recent_requests",
@@ -95,7 +92,7 @@
         self.retry_budget: AttemptBudget = budget or RetryBudget(service.retry_share)
         self.saturation = SaturationEstimate()
         self.margin = SlotMargin()
-        self._policy = policy
+        self._slot_choice = SlotChoice(policy, saturation=self.saturation, margin=self.margin)
         self.random = random
         self.origin = Origin(zone)
         self._turn = 0
@@ -197,9 +194,7 @@
             turn=self._turn,
         )
         wanted = requirement if kind.target_ms is not None else None
-        load = self._choose_near(preferred, context, wanted) or self._choose(
-            preferred, context, wanted
-        )
+        load = self._slot_choice.choose(preferred, context, wanted)
         if load is None:
             return None
         load.rate_limit.record_request(now_ms)
@@ -233,56 +228,6 @@
             report_age_ms=now_ms - load.reported_at_ms,
         )
 
-    def _choose(
-        self,
-        loads: list[UpstreamLoad],
-        context: ChoiceContext,
-        requirement: SlotRequirement | None,
-    ) -> UpstreamLoad | None:
-        suitable = self._list_suitable(loads, context, requirement)
-        return self._policy.choose(suitable, context) if suitable else None
-
-    def _choose_near(
-        self,
-        loads: list[UpstreamLoad],
-        context: ChoiceContext,
-        requirement: SlotRequirement | None,
-    ) -> UpstreamLoad | None:
-        """Choose in the zone of the origin, if many upstreams there share the load."""
-        if self._policy.choose_near is None:
-            return None
-        near = [load for load in loads if load.zone == context.origin.zone]
-        if not NEAR_MIN_COUNT <= len(near) < len(loads):
-            return None
-        suitable = self._list_suitable(near, context, requirement)
-        return self._policy.choose_near(suitable, context) if suitable else None
-
-    def _list_suitable(
-        self,
-        loads: list[UpstreamLoad],
-        context: ChoiceContext,
-        requirement: SlotRequirement | None,
-    ) -> list[UpstreamLoad]:
-        """Return the upstreams with a free slot that are expected to answer in time.
-
-        Without ``requirement``, all of them are suitable.
-        """
-        expect = self._policy.expect
-        if expect is None or requirement is None:
-            return loads
-        suitable: list[UpstreamLoad] = []
-        for load in loads:
-            has_free_slot = self._has_free_slot(load, context.now_ms, is_spare=requirement.is_spare)
-            if has_free_slot and expect(load, context) <= requirement.within_ms:
-                suitable.append(load)
-        return suitable
-
-    def _has_free_slot(self, load: UpstreamLoad, now_ms: float, *, is_spare: bool) -> bool:
-        known = count_known(load, now_ms, half_life_ms=REPORT_HALF_LIFE_MS)
-        if is_spare:
-            return known + self.margin.slots < 1 - SLOT_TOLERANCE
-        return known < self.saturation.get_cap(load.slots) - SLOT_TOLERANCE
-
     def list_blocked(self, now_ms: float) -> list[str]:
         """Return the upstreams to which this instance sends no new work."""
         return [
@@ -306,7 +251,7 @@
     def count_with_free_slot(self, now_ms: float) -> int:
         """Return how many upstreams are available and known to have a free slot."""
         return sum(
-            self._has_free_slot(load, now_ms, is_spare=False)
+            self._slot_choice.has_free_slot(load, now_ms, is_spare=False)
             for load in self._list_available(now_ms)
         )
 
--- a/testing/balancer/test_near_choice.py
+++ b/testing/balancer/test_near_choice.py
@@ -10,8 +10,8 @@
 from coltsfootrill.balancer import reported_load
 from coltsfootrill.balancer.choice import Origin
 from coltsfootrill.balancer.load import LoadReport
-from coltsfootrill.balancer.pool import NEAR_MIN_COUNT
 from coltsfootrill.balancer.pool import ServicePool
+from coltsfootrill.balancer.slot_choice import NEAR_MIN_COUNT
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
 from testing.records import make_usable_record
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -482,7 +482,7 @@
     ),
     Mutant(
         "requests stay in a zone with many upstreams while it has room",
-        "balancer/pool.py",
+        "balancer/slot_choice.py",
         "        if not NEAR_MIN_COUNT <= len(near) < len(loads):\n",
         "        if True:\n",
         BALANCER + "near_choice.py::TestLargeZone",
