Poll the attempts of a request in the module of attempts

Ruled out: to leave it; waiting on descriptors needs none of the forwarder's state but the attempts and the caller's monitor. Change: the method is a function of attempt.py, with both as parameters. Its statements are the same. The tests of balancer, proxy, dispatch and roles pass; the mutant of callers that have gone fails as before. Conclusion: a move without a change of behaviour.

--- a/src/coltsfootrill/proxy/attempt.py
+++ b/src/coltsfootrill/proxy/attempt.py
@@ -1,11 +1,16 @@
-"""One attempt of a request at an upstream: in progress, or failed."""
+"""Attempts of a request at upstreams: in progress, or failed."""
 
 from __future__ import annotations
 
+import select
+from collections.abc import Iterable
+
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.retry import FailureKind
+from coltsfootrill.proxy.caller import DisconnectMonitor
 from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.outcome import Answer
+from coltsfootrill.proxy.outcome import UnknownOutcomeError
 
 
 class AttemptInProgress:
@@ -29,3 +34,28 @@
         self.kind = kind
         self.message = message
         self.answer = answer
+
+
+def poll_attempts(
+    attempts: Iterable[AttemptInProgress], monitor: DisconnectMonitor, timeout_ms: float
+) -> list[AttemptInProgress]:
+    """Return the attempts that have data to read within ``timeout_ms``.
+
+    Raises ``UnknownOutcomeError`` as soon as the caller has disconnected.
+    """
+    poller = select.poll()
+    poller.register(monitor.fileno(), monitor.events)
+    by_fileno: dict[int, AttemptInProgress] = {}
+    for attempt in attempts:
+        by_fileno[attempt.connection.fileno()] = attempt
+        poller.register(attempt.connection.fileno(), select.POLLIN)
+    # poll takes whole milliseconds; rounding up avoids a busy loop just before the end.
+    events = poller.poll(int(max(0.0, timeout_ms)) + 1)
+    for fileno, event in events:
+        if fileno not in by_fileno and monitor.handle_event(event):
+            raise UnknownOutcomeError(
+                "499 Client Closed Request",
+                "caller-gone",
+                "the caller disconnected before an answer",
+            )
+    return [by_fileno[fileno] for fileno, _ in events if fileno in by_fileno]
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import select
 
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.crash_guard import CrashGuard
@@ -21,6 +20,7 @@
 from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.attempt import AttemptFailure
 from coltsfootrill.proxy.attempt import AttemptInProgress
+from coltsfootrill.proxy.attempt import poll_attempts
 from coltsfootrill.proxy.connection import ConnectError
 from coltsfootrill.proxy.connection import SendError
 from coltsfootrill.proxy.connection import encode_head
@@ -197,7 +197,8 @@
                 second_at_ms = self._request.times.deadline_ms
                 self._start_second()
             until_ms = min(self._request.times.deadline_ms, second_at_ms)
-            for attempt in self._poll(until_ms - now_ms):
+            ready = poll_attempts(self._in_progress, self._request.monitor, until_ms - now_ms)
+            for attempt in ready:
                 result = self._read_answer(attempt)
                 if isinstance(result, Answer):
                     return result
@@ -235,29 +236,6 @@
         self._count_extra("silent" if is_silent else "hedge")
         self._send_attempt(claim, idle_max_ms=0.0 if is_silent else math.inf)
 
-    def _poll(self, timeout_ms: float) -> list[AttemptInProgress]:
-        """Return the attempts that have data to read within ``timeout_ms``.
-
-        Raises ``UnknownOutcomeError`` as soon as the caller has disconnected.
-        """
-        poller = select.poll()
-        monitor = self._request.monitor
-        poller.register(monitor.fileno(), monitor.events)
-        by_fileno: dict[int, AttemptInProgress] = {}
-        for attempt in self._in_progress:
-            by_fileno[attempt.connection.fileno()] = attempt
-            poller.register(attempt.connection.fileno(), select.POLLIN)
-        # poll takes whole milliseconds; rounding up avoids a busy loop just before the end.
-        events = poller.poll(int(max(0.0, timeout_ms)) + 1)
-        for fileno, event in events:
-            if fileno not in by_fileno and monitor.handle_event(event):
-                raise UnknownOutcomeError(
-                    "499 Client Closed Request",
-                    "caller-gone",
-                    "the caller disconnected before an answer",
-                )
-        return [by_fileno[fileno] for fileno, _ in events if fileno in by_fileno]
-
     def _read_answer(self, attempt: AttemptInProgress) -> Answer | AttemptFailure | None:
         """Read available data of one attempt and classify its answer once complete.
 
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -313,7 +313,7 @@
     ),
     Mutant(
         "requests of a disconnected caller are cancelled at the upstream",
-        "proxy/forward.py",
+        "proxy/attempt.py",
         "poller.register(monitor.fileno(), monitor.events)",
         "pass",
         OUTCOMES + "Callers",
