Keep the time for which an upstream declines requests when its lease ends

An upstream that had declined requests with 503 and Retry-After got requests of the same instance within that time, if it was off the list for a moment, as when its heartbeats come seconds late. Cause: the time was part of the load, which is made anew when an upstream is listed again. Evidence: the new test, in which an upstream declines, is not listed, and is listed again with the same start. Ruled out: to keep the whole load; its reports and latencies are old by then, and the polls need the times as well. Change: DeclineTimes holds the times by start of an upstream, one object for all services of an instance. Before: the new test gets a claim within the stated time. After: none, while the next start of the upstream gets requests at once. Conclusion: nothing that an upstream asks for a time depends on its lease any more, but for the rate of requests, which every answer states again.

--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -91,7 +91,7 @@
     identifies the requests that other instances sent; ``recent_ends`` holds the start and end
     times of the latest requests that ended. ``outlier_score`` is that of the last comparison with
     the others; it stays while the upstream is ejected. ``rate_limit`` holds the rate of requests
-    that the upstream states. Until ``declined_until_ms`` it wants no requests of this instance.
+    that the upstream states.
     """
 
     __slots__ = (
@@ -99,7 +99,6 @@
         "answered_at_ms",
         "confirmed_at_ms",
         "consecutive_sheds",
-        "declined_until_ms",
         "ejected_until_ms",
         "ejection_count",
         "errors",
@@ -161,7 +160,6 @@
         self.successes = 0
         self.consecutive_sheds = 0
         self.paused_until_ms = 0.0
-        self.declined_until_ms = float("-inf")
         self.ejected_until_ms = 0.0
         self.ejection_count = 0
         self.outlier_score = OutlierScore(by_errors=0.0, by_latency=0.0)
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -18,6 +18,7 @@
 from coltsfootrill.balancer.claim import Result
 from coltsfootrill.balancer.claim import SlotRequirement
 from coltsfootrill.balancer.claim import record_stated_rate
+from coltsfootrill.balancer.declines import DeclineTimes
 from coltsfootrill.balancer.ejection import eject_outliers
 from coltsfootrill.balancer.latency import KindLatency
 from coltsfootrill.balancer.load import PACE_HALF_LIFE_MS
@@ -64,6 +65,7 @@
         "_slot_choice",
         "_turn",
         "by_id",
+        "declines",
         "has_recent_requests",
         "latency_by_kind",
         "margin",
@@ -84,7 +86,9 @@
         zone: str,
         queue_limit: int,
         budget: AttemptBudget | None = None,
+        declines: DeclineTimes | None = None,
     ) -> None:
+        self.declines = declines or DeclineTimes()
         self.service_id = service.id
         self.by_id: dict[str, UpstreamLoad] = {}
         self.latency_by_kind: dict[str, KindLatency] = {}
@@ -206,7 +210,7 @@
         Return ``None`` if this instance may not send it there.
         """
         load = self.by_id.get(upstream_id)
-        if load is None or load.is_replaced or now_ms < load.declined_until_ms:
+        if load is None or load.is_replaced or self.is_declining(load, now_ms):
             return None
         self._turn += 1
         return self._start(load, kind, now_ms)
@@ -233,15 +237,21 @@
         return [
             load.id
             for load in self.by_id.values()
-            if is_blocked(load, now_ms) or now_ms < load.declined_until_ms
+            if is_blocked(load, now_ms) or self.is_declining(load, now_ms)
         ]
 
+    def is_declining(self, load: UpstreamLoad, now_ms: float) -> bool:
+        """Return whether an upstream wants no requests of this instance."""
+        return self.declines.is_declining(load.id, load.incarnation, now_ms)
+
     def get_declined_until_ms(self) -> float:
         """Return until when every upstream declines the requests of this instance.
 
         Minus infinity if any upstream has not declined one.
         """
-        ends_ms = [load.declined_until_ms for load in self.by_id.values()]
+        ends_ms = [
+            self.declines.get_until_ms(load.id, load.incarnation) for load in self.by_id.values()
+        ]
         return min(ends_ms, default=float("-inf"))
 
     def has_free_slot(self, now_ms: float) -> bool:
@@ -260,7 +270,7 @@
         return [
             load
             for load in self.by_id.values()
-            if now_ms >= load.declined_until_ms and is_available(load, now_ms)
+            if not self.is_declining(load, now_ms) and is_available(load, now_ms)
         ]
 
     def apply_report(self, upstream_id: str, report: LoadReport, now_ms: float) -> None:
@@ -289,9 +299,8 @@
 
     def end(self, claim: Claim, result: Result, report: LoadReport | None, now_ms: float) -> None:
         """Record the end of an attempt by its result."""
-        if claim.declined_for_ms:
-            until_ms = now_ms + claim.declined_for_ms
-            claim.load.declined_until_ms = max(claim.load.declined_until_ms, until_ms)
+        load = claim.load
+        self.declines.record(load.id, load.incarnation, for_ms=claim.declined_for_ms, now_ms=now_ms)
         if result == "answered":
             self.end_answered(claim, report, now_ms)
         elif result == "shed":
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -10,6 +10,7 @@
 from coltsfootrill.balancer.choice import ChoicePolicy
 from coltsfootrill.balancer.crash_guard import CrashGuard
 from coltsfootrill.balancer.crash_suspects import Suspect
+from coltsfootrill.balancer.declines import DeclineTimes
 from coltsfootrill.balancer.load_report_cache import LoadReportCache
 from coltsfootrill.balancer.load_report_cache import ReportEntry
 from coltsfootrill.balancer.pool import ServicePool
@@ -125,6 +126,7 @@
         self.controllers_by_service: dict[str, AdmissionController] = {}
         self.pools = ConnectionPools(clock, once_idle_max_ms=once_idle_max_ms)
         self.reports = LoadReportCache(clock)
+        self.declines = DeclineTimes()
         self.crash_guard = CrashGuard(clock, on_refused=self._record_crashing)
 
     def handle(self, request: CallerRequest) -> Answer:
@@ -204,6 +206,7 @@
             zone=self._zone,
             queue_limit=self._queue_limit,
             budget=None if self._make_budget is None else self._make_budget(),
+            declines=self.declines,
         )
         return AdmissionController(
             pool,
--- a/src/coltsfootrill/proxy/pool_event_log.py
+++ b/src/coltsfootrill/proxy/pool_event_log.py
@@ -122,7 +122,7 @@
         upstreams=len(loads),
         ejected=sum(now_ms < load.ejected_until_ms for load in loads),
         rate_limited=sum(not load.rate_limit.allows_request(now_ms) for load in loads),
-        declined=sum(now_ms < load.declined_until_ms for load in loads),
+        declined=sum(pool.is_declining(load, now_ms) for load in loads),
         with_room=pool.count_with_free_slot(now_ms),
         waiting=len(pool.queue),
         usual_ms=round(pool.get_latency(kind_id).typical_ms, 1),
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -277,7 +277,7 @@
 
         def decline(pool: ServicePool, now_ms: float) -> None:
             for load in pool.by_id.values():
-                load.declined_until_ms = now_ms + 60_000
+                pool.declines.record(load.id, load.incarnation, for_ms=60_000, now_ms=now_ms)
 
         controller.read_pool(decline)
 
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -151,8 +151,8 @@
     Mutant(
         "an upstream gets no requests of an instance in the time that it declines them",
         "balancer/pool.py",
-        "            claim.load.declined_until_ms = max(claim.load.declined_until_ms, until_ms)\n",
-        "            pass\n",
+        "load.id, load.incarnation, for_ms=claim.declined_for_ms, now_ms=now_ms",
+        "load.id, load.incarnation, for_ms=0, now_ms=now_ms",
         "testing/proxy/test_declined.py::TestDecliningUpstream",
     ),
     Mutant(
--- a/testing/proxy/test_declined.py
+++ b/testing/proxy/test_declined.py
@@ -4,13 +4,16 @@
 
 import socket
 
+import msgspec
 import pytest
 
+from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.events.catalog import RequestEnded
 from coltsfootrill.proxy.headers import RETRY_AFTER_MAX_MS
 from coltsfootrill.proxy.headers import parse_retry_after_ms
 from coltsfootrill.proxy.request import RequestTimes
+from coltsfootrill.registry.directory import UpstreamRecord
 from testing.dispatch.memory import Upstreams
 from testing.dispatch.memory import make_controller
 from testing.dispatch.memory import make_service
@@ -110,6 +113,36 @@
         assert ends_ms == [6_000]
 
 
+class TestReturningUpstream:
+    """An upstream that is not listed for a while, as when its heartbeats are late."""
+
+    def _return(self, incarnation: int) -> Claim | None:
+        upstreams = Upstreams(1)
+        controller = make_controller(upstreams, clock=ManualClock(1_000))
+        kind = make_service().kinds[0]
+        claim = controller.try_acquire(make_service(), kind, exclude=frozenset())
+        assert claim is not None
+        claim.declined_for_ms = 5_000
+        controller.end(claim, "shed")
+        (record,) = upstreams.records
+        announcement = msgspec.structs.replace(record.announcement, incarnation=incarnation)
+        returned = UpstreamRecord(announcement, origin="", last_confirmed_ms=1_000)
+        for records in ([], [returned]):
+            upstreams.records = records
+            upstreams.generation += 1
+            controller.refresh(make_service())
+        return controller.try_acquire(make_service(), kind, exclude=frozenset())
+
+    # Guards against requests in a stated time that was forgotten when a lease ended.
+    def test_it_still_declines_requests(self) -> None:
+        incarnation = Upstreams(1).records[0].announcement.incarnation
+        assert self._return(incarnation) is None
+
+    def test_its_next_start_does_not(self) -> None:
+        incarnation = Upstreams(1).records[0].announcement.incarnation
+        assert self._return(incarnation + 1) is not None
+
+
 class TestEarlyDeadlines:
     # Guards against refusals on a host that has just started, whose clock is near 0.
     def test_nothing_is_declined_before_an_upstream_did(self) -> None:
