Send no polls or probes to an upstream in the time for which it declines requests

An upstream that had turned a request away with 503 and Retry-After was still polled for its load by that instance, several times a second, and probed while ejected, though it wants nothing from the instance. Cause: polls obeyed only what a poll was answered, requests only what a request was answered, and probes neither. Evidence: with the new check taken away, the new test of a poll after a declined request finds polls in five rounds. Ruled out: to excuse polls as cheap; they wait for a slot like any request at some upstreams. Change: requests, polls and probes read and write the same DeclineTimes. A poll that another upstream at the address has declined has no effect. Before, without the check, the test of polls fails; nothing wrote what a poll was answered for requests. After: all pass.

--- a/src/coltsfootrill/proxy/load_poller.py
+++ b/src/coltsfootrill/proxy/load_poller.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 from functools import partial
 
+from coltsfootrill.balancer.declines import DeclineTimes
 from coltsfootrill.balancer.load_report_cache import LoadReportCache
 from coltsfootrill.clock import Clock
 from coltsfootrill.manifest.table import RoutingTable
@@ -109,6 +110,7 @@
         list_instances: Callable[[], list[InstanceRecord]],
         list_upstreams: Callable[[], list[UpstreamRecord]],
         report_cache: LoadReportCache,
+        declines: DeclineTimes,
         on_round: Callable[[], None],
         clock: Clock,
         metrics: Metrics,
@@ -120,6 +122,7 @@
         self._list_instances = list_instances
         self._list_upstreams = list_upstreams
         self._report_cache = report_cache
+        self._declines = declines
         self._on_round = on_round
         self._clock = clock
         self._metrics = metrics
@@ -169,6 +172,8 @@
         service = table.services_by_id.get(announcement.services[0])
         if service is None or now_ms < state.paused_until_ms:
             return None
+        if self._declines.is_declining(announcement.id, announcement.incarnation, now_ms):
+            return None
         path = service.health_path or table.manifest.measuring.path
         head = encode_head("GET", path, [("host", announcement.address)], 0)
         try:
@@ -215,16 +220,20 @@
             return
         if not connection.is_reusable:
             self._close(state)
-        state.paused_until_ms = self._clock.now_ms() + get_declined_ms(answer)
         self._metrics.probes.labels("good" if answer.status < 300 else "bad").inc()
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
         answered_by = answer.get_header(self._dialect.answered_by)
         per_s = parse_rate_limit(answer.get_header(self._dialect.rate_limit))
         is_leaving = parse_leaving(answer.get_header(self._dialect.leaving))
-        is_useful = report is not None or per_s is not None or is_leaving
-        if is_useful and answered_by in (None, upstream_id):
-            incarnation = upstream.announcement.incarnation if is_leaving else None
-            self._report_cache.record(upstream_id, report, per_s, incarnation)
+        if answered_by not in (None, upstream_id):
+            return
+        incarnation = upstream.announcement.incarnation
+        self._declines.record(
+            upstream_id, incarnation, for_ms=get_declined_ms(answer), now_ms=self._clock.now_ms()
+        )
+        if report is not None or per_s is not None or is_leaving:
+            leaving_incarnation = incarnation if is_leaving else None
+            self._report_cache.record(upstream_id, report, per_s, leaving_incarnation)
 
     def _record_failure(self, state: _PollState) -> None:
         self._metrics.probes.labels("failed").inc()
--- a/src/coltsfootrill/proxy/prober.py
+++ b/src/coltsfootrill/proxy/prober.py
@@ -25,6 +25,7 @@
 from coltsfootrill.proxy.app import ProxyApp
 from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.connection import encode_head
+from coltsfootrill.proxy.statements import get_declined_ms
 
 INTERVAL_MS = 200.0
 PROBE_TIMEOUT_MS = 500.0
@@ -92,7 +93,7 @@
                 pool: ServicePool, now_ms: float, controller: AdmissionController = controller
             ) -> None:
                 for load in pool.by_id.values():
-                    if load.needs_probe:
+                    if load.needs_probe and not pool.is_declining(load, now_ms):
                         found.append((controller, load, now_ms < load.ejected_until_ms))
                         load.needs_probe = now_ms < load.ejected_until_ms
 
@@ -103,7 +104,7 @@
         self, controller: AdmissionController, load: UpstreamLoad, limits: ProbeLimits
     ) -> None:
         start_ms = self._clock.now_ms()
-        is_good = self._is_healthy(load.address, limits.path, start_ms + PROBE_TIMEOUT_MS)
+        is_good = self._is_healthy(load, limits.path, start_ms + PROBE_TIMEOUT_MS)
         elapsed_ms = self._clock.now_ms() - start_ms
         self._metrics.probes.labels("good" if is_good else "bad").inc()
         self._metrics.probe_seconds.inc(elapsed_ms / 1000)
@@ -115,18 +116,25 @@
 
         controller.read_pool(apply_result)
 
-    def _is_healthy(self, address: str, path: str, deadline_ms: float) -> bool:
-        head = encode_head("GET", path, [("host", address)], 0)
+    def _is_healthy(self, load: UpstreamLoad, path: str, deadline_ms: float) -> bool:
+        head = encode_head("GET", path, [("host", load.address)], 0)
         try:
             connection = UpstreamConnection.open(
-                address, clock=self._clock, timeout_ms=PROBE_TIMEOUT_MS, epoch=0
+                load.address, clock=self._clock, timeout_ms=PROBE_TIMEOUT_MS, epoch=0
             )
         except ConnectionLayerError:
             return False
         try:
             connection.send(head, b"", deadline_ms=deadline_ms)
-            return connection.read("GET", deadline_ms=deadline_ms).status < 400
+            answer = connection.read("GET", deadline_ms=deadline_ms)
         except ConnectionLayerError:
             return False
         finally:
             connection.close()
+        self._app.declines.record(
+            load.id,
+            load.incarnation,
+            for_ms=get_declined_ms(answer),
+            now_ms=self._clock.now_ms(),
+        )
+        return answer.status < 400
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -256,6 +256,7 @@
             list_instances=self.view.list_instances,
             list_upstreams=self.view.list_usable,
             report_cache=self.gateway.app.reports,
+            declines=self.gateway.app.declines,
             on_round=exchange_reports,
             clock=self._clock,
             metrics=self.metrics,
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -176,6 +176,13 @@
         "may_work=not is_lost",
         "testing/test_rpc.py::TestSilentConnection",
     ),
+    Mutant(
+        "an upstream that declined a request of an instance is not polled by it",
+        "proxy/load_poller.py",
+        "if self._declines.is_declining(announcement.id, announcement.incarnation, now_ms):",
+        "if False:",
+        "testing/proxy/test_load_poller.py::TestPolling",
+    ),
     Mutant(
         "a hub that hangs does not keep the manifest of another from being fetched",
         "roles/manifest_sync.py",
--- a/testing/proxy/test_load_poller.py
+++ b/testing/proxy/test_load_poller.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from coltsfootrill.balancer.declines import DeclineTimes
 from coltsfootrill.balancer.load_report_cache import LoadReportCache
 from coltsfootrill.clock import Clock
 from coltsfootrill.manifest.table import RoutingTable
@@ -89,6 +90,7 @@
         self._open: list[ScriptedUpstream] = []
         self._rounds = threading.Semaphore(0)
         self.report_cache = LoadReportCache(Clock())
+        self.declines = DeclineTimes()
         self.poller = LoadPoller(
             FLEET[0],
             interval_ms=20,
@@ -97,6 +99,7 @@
             list_instances=lambda: FLEET[:1],
             list_upstreams=lambda: self.upstreams,
             report_cache=self.report_cache,
+            declines=self.declines,
             on_round=self._rounds.release,
             clock=Clock(),
             metrics=Metrics(),
@@ -154,6 +157,31 @@
         polling.wait_rounds(5)
         assert len(fake.heads) == 1
 
+    # Guards against polls of an upstream that has turned a request of this instance away.
+    def test_an_upstream_that_declined_a_request_is_not_polled(
+        self, polling: PollerFixture
+    ) -> None:
+        polling.declines.record("u1", 1, for_ms=60_000, now_ms=Clock().now_ms())
+        fake = polling.serve("u1", _load("0,0,3,100", "u1"))
+        polling.wait_rounds(5)
+        assert not fake.heads
+
+    def test_an_upstream_that_declined_a_poll_gets_no_requests(
+        self, polling: PollerFixture
+    ) -> None:
+        extra = "retry-after: 60\r\nx-instance-identifier: u1\r\n"
+        polling.serve("u1", answer(b"", status="503 Service Unavailable", extra=extra))
+        polling.wait_rounds(5)
+        assert polling.declines.is_declining("u1", 1, Clock().now_ms())
+
+    def test_a_poll_that_another_upstream_declined_has_no_effect(
+        self, polling: PollerFixture
+    ) -> None:
+        extra = "retry-after: 60\r\nx-instance-identifier: u9\r\n"
+        polling.serve("u1", answer(b"", status="503 Service Unavailable", extra=extra))
+        polling.wait_rounds(5)
+        assert not polling.declines.is_declining("u1", 1, Clock().now_ms())
+
     def test_silent_upstream_does_not_delay_the_others(self, polling: PollerFixture) -> None:
         polling.serve("u1", stay_silent())
         polling.serve("u2", _load("0,0,3,100", "u2"))
