--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -10,7 +10,9 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
+import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -41,13 +43,16 @@
 
     def __init__(self, folder: Path) -> None:
         self._file = open(folder / "record.txt", "w", encoding="utf-8")
+        self._lock = threading.Lock()
         self._start_s = time.monotonic()
 
     def write(self, text: str) -> None:
-        line = f"{time.monotonic() - self._start_s:8.3f}  {text}"
-        print(line, flush=True)
-        self._file.write(line + "\n")
-        self._file.flush()
+        with self._lock:
+            line = f"{time.monotonic() - self._start_s:8.3f}  {text}\n"
+            sys.stdout.write(line)
+            sys.stdout.flush()
+            self._file.write(line)
+            self._file.flush()
 
 
 def find_free_ports(host: str) -> dict[str, int]:
