review: show that SIGHUP ends a process that is starting

The settings change and SIGHUP is sent 0.1 s after the start, before the handler is installed; the process ends instead of reading its settings again.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -104,8 +104,11 @@
         self.settings = fleet.folder / f"{name}.ini"
         self.process: subprocess.Popen[bytes] | None = None
 
-    def write_settings(self, *, bootstrap: bool) -> None:
+    def write_settings(self, *, bootstrap: bool, turn_seeds: bool = False) -> None:
         ports = self.fleet.ports
+        seeds = self.fleet.seeds
+        if turn_seeds:
+            seeds = [*seeds[1:], *seeds[:1]]
         fields = {
             "nodeName": self.name,
             "zone": self.zone,
@@ -117,7 +120,7 @@
             "listen.controlPlane": f"{self.host}:{ports['interface']}",
             "listen.frontend": f"{self.host}:{ports['callers']}",
             "internalPortRange.0": str(ports["fleet"]),
-            "seeds": ",".join(self.fleet.seeds),
+            "seeds": ",".join(seeds),
             "faultTolerance.machines": str(self.fleet.losses),
             "bounds.graceS": "6",
             "bounds.retryBudgetRatio": "0.2",
