--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,8 @@
-"""A desired state that was acknowledged is lost: one disk is lost while others lose power."""
+"""A desired state that was acknowledged is lost: all lose power, and one its disk."""
 
 from __future__ import annotations
 
+import signal
 import sys
 import time
 from pathlib import Path
@@ -21,8 +22,9 @@
 
 CATCH_UP_S = 4.0
 RECOVERY_S = 15.0
-# How long the second machine has no power; the other two are back at once.
-SECOND_DARK_S = 3.5
+GRACE_S = 6.0
+# How much later than the two others the second machine has power again.
+SECOND_LATER_S = 0.3
 
 
 def submit(node: Node, version: int, base: int) -> None:
@@ -34,6 +36,12 @@
     )
 
 
+def stop_as_planned(node: Node) -> None:
+    assert node.process is not None
+    node.send_signal(signal.SIGTERM)
+    node.process.wait(timeout=GRACE_S + 2.0)
+
+
 def play(record: Record) -> bool:
     fleet = Fleet(record, network="127.0.71")
     try:
@@ -51,21 +59,21 @@
     submit(second, 1, 0)
     time.sleep(CATCH_UP_S)
 
-    if has_trouble():
-        first.kill()
-        time.sleep(1.0)
+    # Planned work: the first machine is stopped, and started again after a change.
+    stop_as_planned(first)
     submit(second, 2, 1)
     record.write("version 00000002 is acknowledged")
+    first.start(bootstrap=False)
+    wait_until(lambda: first.read() == (200, "00000002"), within_s=20, what="n1 back")
+    time.sleep(CATCH_UP_S)
 
     if has_trouble():
-        second.kill()
-        third.kill()
+        for node in fleet.nodes:
+            node.kill()
         third.lose_disk()
         first.start(bootstrap=False)
         third.start(bootstrap=False)
-        time.sleep(SECOND_DARK_S)
-        for node in (first, third):
-            node.read()
+        time.sleep(SECOND_LATER_S)
         second.start(bootstrap=False)
     time.sleep(RECOVERY_S)
 
