review: give the case of the lost desired state more time between restarts

With 0.3 s between the machines it held once beside other load, since the third answered before the first had begun a round.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,7 +24,7 @@
 RECOVERY_S = 15.0
 GRACE_S = 6.0
 # How much later than the two others the second machine has power again.
-SECOND_LATER_S = 0.3
+SECOND_LATER_S = 3.0
 
 
 def submit(node: Node, version: int, base: int) -> None:
