control: let the model know proposers without the keys of the replicas

A proposer that has restarted knows the replicas of the settings and none of their keys. The model began every round with the keys, so it could not show what such a proposer does.

Rounds may now begin without keys, the first change records them, a reader may store a chosen state, and two rules are new. Without 'unknown-keys-need-all', which is what the program does today, the model finds a confirmed state lost in the new case of the first change, with two rounds and one lost disk. With it, but with keys adopted from any acceptor ('only-chosen-keys-are-adopted' left out), it finds another loss: a first change that was outbid can be accepted late, by the lost disk, with keys that no majority has. So keys need the same care as a changed replica set: both rules are needed.

--- a/testing/control/test_register_model.py
+++ b/testing/control/test_register_model.py
@@ -29,6 +29,18 @@
     "lower version": ((_submit(2, "a"), _submit(1, "b"), READ), {}),
     "replacement between submission and read": ((_submit(1, "a"), REPLACE, READ), {}),
     "replacement before submission and read": ((REPLACE, _submit(1, "a"), READ), {}),
+    "forgotten keys at the first change": (
+        (_submit(1, "a"), READ),
+        {"losses": 1, "forgets_keys": True, "learns": True},
+    ),
+    "forgotten keys after two changes": (
+        (_submit(1, "a"), _submit(2, "b"), READ),
+        {"losses": 1, "loss_after_round": 1, "forgets_keys": True},
+    ),
+    "chosen states stored by readers": (
+        (_submit(1, "a"), _submit(2, "b"), READ),
+        {"learns": True},
+    ),
     "lost disk right after a replacement": (
         (_submit(1, "a"), REPLACE, READ),
         {"losses": 1, "loss_after_round": 1},
@@ -41,6 +53,8 @@
     "newer-set-must-promise": "replacement before submission and read",
     "key-of-lost-disk-does-not-vote": "concurrent submissions and a lost disk",
     "lower-version-refused": "lower version",
+    "only-chosen-keys-are-adopted": "forgotten keys after two changes",
+    "unknown-keys-need-all": "forgotten keys at the first change",
     "only-chosen-sets-are-adopted": "replacement between submission and read",
     "majorities-of-both-sets": "replacement between submission and read",
     "majority-accepts": "concurrent and repeated submissions",
