control: keep a lost disk from voting for a replica that has restarted

Cause: the keys of the replicas were recorded by the first change without a new epoch. A replica begins with the replicas of the settings, whose keys are empty, and took the set on its disk only if its epoch was higher. So until a replica had been replaced, each restart forgot the keys, and an empty key matched any disk: the lost disk and a replica that had missed the change were a majority. The keys in the state that the round found were not checked against its promises either.

The set of the settings is now epoch 0 and has no keys; the first change begins epoch 1, as any other change of the set. In a set without keys no reply counts towards a majority: all replicas must have promised, and all keys come from these promises. Whoever makes the first change records in a second round that its keys are chosen, and only such keys are adopted, from the own disk or from any reply. A state names the replicas of the chosen epoch as long as its own set is not known to be chosen, so that a restart amid a replacement knows whom to ask. An adopted set no longer brings the rest of its state with it: that part need not be chosen.

Related paths: a replacement that an operator asks for, and the audit record of an invalid manifest, used the set of the settings after a restart too; a replacement now ends before the next one begins.

--- a/src/coltsfootrill/control/acceptor.py
+++ b/src/coltsfootrill/control/acceptor.py
@@ -100,11 +100,7 @@
             self._check_can_vote()
             is_granted = request.ballot >= self._promised
             if is_granted:
-                record = _AcceptedRecord(request.ballot, request.state)
-                self._write("accepted.rec", msgspec.msgpack.encode(record))
-                self._promised = max(self._promised, request.ballot)
-                self._accepted = request.ballot
-                self._state = request.state
+                self._store(request.ballot, request.state)
             return Accepted(self.key, is_granted, self._promised)
 
     def inspect(self, request: Inspect) -> Inspection:
@@ -125,6 +121,13 @@
         with self._lock:
             return AcceptedState(self._accepted, self._state)
 
+    def _store(self, ballot: Ballot, state: ControlState) -> None:
+        record = _AcceptedRecord(ballot, state)
+        self._write("accepted.rec", msgspec.msgpack.encode(record))
+        self._promised = max(self._promised, ballot)
+        self._accepted = ballot
+        self._state = state
+
     def _get_state_unless_known(self, known: Ballot) -> ControlState | None:
         """Return the accepted state, or ``None`` if its ballot is ``known``: the sender has it."""
         return None if self._accepted == known else self._state
--- a/src/coltsfootrill/control/messages.py
+++ b/src/coltsfootrill/control/messages.py
@@ -14,13 +14,16 @@
 
 ZERO_BALLOT = Ballot(0, "")
 
+# The epoch of the replica set in the settings, whose keys are unknown.
+INITIAL_EPOCH = 0
+
 
 class Replica(msgspec.Struct, frozen=True, array_like=True):
     """A voting replica.
 
     ``key`` is the random identity of its data folder. A replica that lost its disk returns with
     another key, and its votes do not count until it has been admitted again. The key is empty
-    until the first change, which records the keys of all replicas.
+    in the initial replica set: the first change records the keys of all replicas.
     """
 
     address: str
@@ -51,8 +54,9 @@
     """The replicated value: everything that the control replicas must agree on.
 
     ``replicas`` maps identifiers to the voting replicas of ``epoch``. ``chosen_epoch`` is the
-    epoch that was known to be chosen when this state was proposed. ``history`` and ``audit`` hold
-    the newest entries only; ``audit_count`` counts all audit records ever written.
+    epoch that was known to be chosen when this state was proposed; if it is another, ``previous``
+    holds its voting replicas. ``history`` and ``audit`` hold the newest entries only;
+    ``audit_count`` counts all audit records ever written.
     """
 
     epoch: int
@@ -64,12 +68,18 @@
     history: list[AcceptedVersion]
     audit: list[AuditRecord]
     audit_count: int
+    previous: dict[str, Replica] = {}
 
     @property
     def is_replica_set_chosen(self) -> bool:
         """Return whether the replica set is valid without a check with the previous set."""
         return self.chosen_epoch == self.epoch
 
+    @property
+    def chosen_replicas(self) -> dict[str, Replica]:
+        """Return the voting replicas of ``chosen_epoch``; empty if a former release wrote it."""
+        return self.replicas if self.is_replica_set_chosen else self.previous
+
 
 class AcceptedState:
     """A state and the ballot under which it was accepted; each ballot has at most one state."""
--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -3,7 +3,8 @@
 The register holds one value, the whole ``ControlState``. A change runs one Paxos round: a
 majority promises a ballot and returns the states it accepted, the change is applied to the newest
 of these, and a majority accepts the result. A change of the replica set needs majorities of both
-the old and the new set, so that every later round sees it.
+the old and the new set, so that every later round sees it. While the keys of the replicas are
+unknown, all of them must promise: a majority could include one that lost its disk.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from absl import logging
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.control.messages import INITIAL_EPOCH
 from coltsfootrill.control.messages import ZERO_BALLOT
 from coltsfootrill.control.messages import Accept
 from coltsfootrill.control.messages import Accepted
@@ -120,14 +122,18 @@
         was_sent = False
         attempt = 0
         while self._clock.now_ms() < deadline_ms:
+            self._adopt_own()
             prepared = self._prepare()
             if prepared is not None:
                 ballot, state, replica_sets = prepared
                 new_state, result = apply(state)
-                new_state = msgspec.structs.replace(new_state, chosen_epoch=self.known.epoch)
-                if self._has_all_keys(new_state):
+                new_state = self._add_chosen_set(new_state)
+                # Only the set that follows the chosen one is proposed, never the one after that.
+                if new_state.epoch <= self.known.epoch + 1:
                     if self._accept(ballot, new_state, replica_sets):
                         self.known = new_state
+                        if new_state.chosen_epoch == INITIAL_EPOCH:
+                            self._record_first_keys(deadline_ms)
                         return result
                     was_sent = True
             self._back_off(attempt, deadline_ms)
@@ -148,14 +154,50 @@
         if not self.known.is_replica_set_chosen:
             self.change(lambda state: (state, None), deadline_ms=deadline_ms)
 
+    def _record_first_keys(self, deadline_ms: float) -> None:
+        """Record that the keys are chosen: until then, a restarted replica needs all the others.
+
+        The change that recorded the keys is durable, whether or not this succeeds.
+        """
+        try:
+            self.record_chosen_epoch(deadline_ms=deadline_ms)
+        except (NoQuorumError, UnknownResultError) as error:
+            logging.warning('keys of the replicas not yet recorded as chosen error="%s"', error)
+
     def adopt_if_chosen(self, state: ControlState) -> None:
-        """Adopt a state held by any acceptor if its replica set is newer and known to be chosen."""
-        if state.is_replica_set_chosen and state.epoch > self.known.epoch:
-            self.known = state
-            self._known_ballot = ZERO_BALLOT
+        """Adopt the chosen replica set of a state that any acceptor holds, if it is newer.
+
+        The rest of that state is not adopted, because it is not necessarily chosen.
+        """
+        if state.chosen_epoch <= self.known.epoch or not state.chosen_replicas:
+            return
+        self.known = msgspec.structs.replace(
+            self.known,
+            epoch=state.chosen_epoch,
+            chosen_epoch=state.chosen_epoch,
+            replicas=state.chosen_replicas,
+            previous={},
+        )
+        self._known_ballot = ZERO_BALLOT
+
+    def _adopt_own(self) -> None:
+        """After a restart, adopt the replica set that this replica has stored, with its keys."""
+        own = self._get_accepted().state
+        if own is not None:
+            self.adopt_if_chosen(own)
+
+    def _add_chosen_set(self, state: ControlState) -> ControlState:
+        """Return ``state`` with the replica set that this proposer knows to be chosen."""
+        is_chosen = state.epoch == self.known.epoch
+        return msgspec.structs.replace(
+            state,
+            chosen_epoch=self.known.epoch,
+            previous={} if is_chosen else self.known.replicas,
+        )
 
     def read(self, *, deadline_ms: float) -> ControlState:
         """Return the current state as confirmed by a majority; raise ``NoQuorumError``."""
+        self._adopt_own()
         for attempt in range(MAJORITY_READ_ATTEMPTS):
             if self._try_majority_read():
                 return self.known
@@ -186,6 +228,7 @@
         inspect_all()
         ballot = self._get_agreed_ballot(votes)
         if ballot == ZERO_BALLOT:
+            self._adopt_newer_set(votes, local)
             return False
         state = self._find_chosen_state(votes, ballot, local)
         if state.replicas != self.known.replicas:
@@ -236,13 +279,36 @@
             lambda: votes.has_majority(lambda promise: promise.is_granted),
         )
         self._round = max([self._round, *(p.promised.round for p in votes.by_address.values())])
+        if self.known.epoch == INITIAL_EPOCH:
+            return self._prepare_initial(ballot, votes, local)
         if not votes.has_majority(lambda promise: promise.is_granted):
             self._adopt_newer_set(votes, local)
             return None
         newest = self._find_newest(votes, local)
-        if newest.replicas != self.known.replicas and newest.epoch > self.known.epoch:
+        if newest.epoch > self.known.epoch:
             return self._prepare_joint(ballot, newest, votes, local)
-        return ballot, self._fill_in_keys(newest, votes), [newest.replicas]
+        return ballot, newest, [newest.replicas]
+
+    def _prepare_initial(
+        self, ballot: Ballot, votes: Votes[Promise], local: AcceptedState
+    ) -> tuple[Ballot, ControlState, list[dict[str, Replica]]] | None:
+        """Return what ``_prepare`` does, for promises of the initial set, whose keys are unknown.
+
+        All replicas must have promised, unless a reply has a chosen set, which is then adopted for
+        the next attempt. Keys that are not known to be chosen are no reason to trust a majority:
+        those of another first change, before a disk was lost, may have been chosen instead.
+        """
+        self._adopt_newer_set(votes, local)
+        is_initial = self.known.epoch == INITIAL_EPOCH
+        if not is_initial or not votes.are_all_selected(lambda promise: promise.is_granted):
+            return None
+        newest = self._find_newest(votes, local)
+        if newest.epoch == INITIAL_EPOCH:
+            newest = _record_keys(newest, votes)
+        votes.replica_sets = [newest.replicas]
+        if not votes.has_majority(lambda promise: promise.is_granted):
+            return None
+        return ballot, newest, [newest.replicas]
 
     def _prepare_joint(
         self, ballot: Ballot, newest: ControlState, votes: Votes[Promise], local: AcceptedState
@@ -262,15 +328,16 @@
             return None
         latest = self._find_newest(votes, local)
         if latest.epoch > newest.epoch:
-            self.known = newest
-            self._known_ballot = ZERO_BALLOT
+            self.adopt_if_chosen(latest)
             return None
         return ballot, latest, [self.known.replicas, newest.replicas]
 
-    def _adopt_newer_set(self, votes: Votes[Promise], local: AcceptedState) -> None:
+    def _adopt_newer_set(
+        self, votes: Votes[Promise] | Votes[Inspection], local: AcceptedState
+    ) -> None:
         """Adopt a newer replica set from any reply: the set called may have been replaced."""
-        for promise in votes.by_address.values():
-            state = _get_state(promise, local)
+        for reply in votes.by_address.values():
+            state = _get_state(reply, local)
             if state is not None:
                 self.adopt_if_chosen(state)
 
@@ -286,20 +353,6 @@
                 newest_ballot = promise.accepted
         return newest
 
-    def _fill_in_keys(self, state: ControlState, votes: Votes[Promise]) -> ControlState:
-        """Return ``state`` with keys filled in for replicas that have none yet; see ``Replica``."""
-        if all(replica.key for replica in state.replicas.values()):
-            return state
-        replicas = {
-            replica_id: _with_key(replica, votes.by_address.get(replica.address))
-            for replica_id, replica in state.replicas.items()
-        }
-        return msgspec.structs.replace(state, replicas=replicas)
-
-    def _has_all_keys(self, state: ControlState) -> bool:
-        """Return whether the keys of all replicas are known, which the first change requires."""
-        return all(replica.key for replica in state.replicas.values())
-
     def _accept(
         self, ballot: Ballot, state: ControlState, replica_sets: list[dict[str, Replica]]
     ) -> bool:
@@ -323,11 +376,7 @@
     def _gather(
         self, votes: Votes[Reply], call: Callable[[str], Reply], has_enough: Callable[[], bool]
     ) -> None:
-        """Call all replicas that have not replied yet, until ``has_enough`` or the timeout.
-
-        While the key of any replica is unknown, waits for all of them: the first change records the
-        keys of all replicas.
-        """
+        """Call all replicas that have not replied yet, until ``has_enough`` or the timeout."""
         addresses = {
             replica.address for replicas in votes.replica_sets for replica in replicas.values()
         }
@@ -344,10 +393,7 @@
             )
             return
         timeout_at_ms = self._clock.now_ms() + CALL_TIMEOUT_MS
-        needs_all = not all(
-            replica.key for replicas in votes.replica_sets for replica in replicas.values()
-        )
-        while pending and (needs_all or not has_enough()):
+        while pending and not has_enough():
             left_ms = timeout_at_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return
@@ -360,12 +406,15 @@
         self._clock.sleep_ms(min(pause_ms, max(0.0, deadline_ms - self._clock.now_ms())))
 
 
-def _with_key(replica: Replica, promise: Promise | None) -> Replica:
-    if replica.key or promise is None:
-        return replica
-    return Replica(replica.address, promise.key)
+def _record_keys(state: ControlState, votes: Votes[Promise]) -> ControlState:
+    """Return the initial state in the first epoch, with the keys from the promises."""
+    replicas = {
+        replica_id: Replica(replica.address, votes.by_address[replica.address].key)
+        for replica_id, replica in state.replicas.items()
+    }
+    return msgspec.structs.replace(state, epoch=INITIAL_EPOCH + 1, replicas=replicas)
 
 
-def _get_state(promise: Promise, local: AcceptedState) -> ControlState | None:
+def _get_state(reply: Promise | Inspection, local: AcceptedState) -> ControlState | None:
     """Return the state that a replica accepted; it omits one that the caller holds already."""
-    return local.state if promise.accepted == local.ballot else promise.state
+    return local.state if reply.accepted == local.ballot else reply.state
--- a/src/coltsfootrill/control/repair.py
+++ b/src/coltsfootrill/control/repair.py
@@ -74,11 +74,13 @@
 
     def _check_replicas(self) -> None:
         state = self._replica.read_recent(STATE_MAX_AGE_MS)
-        if state.audit_count == 0 or not self._replica.is_member(state):
+        if not self._replica.is_member(state):
             return
         if not state.is_replica_set_chosen:
             # Until this is recorded, the loss of one more replica of the old set stops all changes.
             self._replica.complete_replacement()
+        if state.audit_count == 0:
+            return
         faults = self._replica.find_faults(state)
         now_ms = self._clock.now_ms()
         self._faulty_since_ms = {
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -13,6 +13,7 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.messages import INITIAL_EPOCH
 from coltsfootrill.control.messages import ZERO_BALLOT
 from coltsfootrill.control.messages import Accept
 from coltsfootrill.control.messages import Accepted
@@ -166,6 +167,7 @@
         its vote confirms that sync. Raises ``ReplacementError`` when it does not reply,
         ``NoQuorumError`` and ``UnknownResultError`` as ``submit`` does.
         """
+        self._check_admitted()
         try:
             inspection = self._inspect(address)
         except ColtsfootrillError as error:
@@ -178,6 +180,11 @@
         wall_ms = self._clock.wall_ms()
         deadline_ms = self._clock.now_ms() + SUBMIT_TIMEOUT_MS
         with self._register_lock:
+            self._restore_replica_set()
+            state = self._register.read(deadline_ms=deadline_ms)
+            if not state.is_replica_set_chosen:
+                # One change of the replica set ends before the next one begins.
+                self._register.record_chosen_epoch(deadline_ms=deadline_ms)
             answer = self._register.change(
                 lambda state: replace_replica(state, change, wall_ms=wall_ms),
                 deadline_ms=deadline_ms,
@@ -284,6 +291,7 @@
     def _record_invalid(self, digest: str, operator: str, wall_ms: int, deadline_ms: float) -> None:
         try:
             with self._register_lock:
+                self._restore_replica_set()
                 self._register.change(
                     lambda state: refuse_invalid(
                         state, digest=digest, operator=operator, wall_ms=wall_ms
@@ -333,4 +341,4 @@
 
 def _make_initial_state(replicas: Mapping[str, str]) -> ControlState:
     members = {replica_id: Replica(address, "") for replica_id, address in replicas.items()}
-    return ControlState(1, 1, members, 0, "", b"", [], [], 0)
+    return ControlState(INITIAL_EPOCH, INITIAL_EPOCH, members, 0, "", b"", [], [], 0)
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -9,11 +9,16 @@
 from random import Random
 from typing import Any
 
+import msgspec
+
 from coltsfootrill.clock import Clock
 from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.messages import INITIAL_EPOCH
 from coltsfootrill.control.messages import ZERO_BALLOT
+from coltsfootrill.control.messages import Ballot
 from coltsfootrill.control.messages import ControlState
 from coltsfootrill.control.messages import Inspect
+from coltsfootrill.control.messages import Prepare
 from coltsfootrill.control.messages import Replica
 from coltsfootrill.control.proposer import CALL_TIMEOUT_MS
 from coltsfootrill.control.proposer import PeerCalls
@@ -35,7 +40,8 @@
 
     ``cut`` holds pairs of proposer and address that cannot communicate. Calls to ``silent``
     replicas time out. Accept messages to ``delay_accepts_at`` are stored in ``delayed_accepts``
-    instead of being delivered. ``states_sent`` counts replies to another replica that contain a
+    instead of being delivered. Replicas in ``outbid_at`` refuse each prepare, because they have
+    just promised a higher ballot. ``states_sent`` counts replies to another replica that contain a
     state.
     """
 
@@ -60,8 +66,9 @@
         self.silent: set[str] = set()
         self.calls_by_address: Counter[str] = Counter()
         self.delay_accepts_at: set[str] = set()
+        self.outbid_at: set[str] = set()
         members = {name: Replica(name, "") for name in names}
-        self.initial = ControlState(1, 1, members, 0, "", b"", [], [], 0)
+        self.initial = ControlState(INITIAL_EPOCH, INITIAL_EPOCH, members, 0, "", b"", [], [], 0)
         self.registers = {name: self._make_register(name) for name in names + spares}
 
     def submit(
@@ -102,6 +109,22 @@
         """Restart the proposer of a replica, which then knows only the initial replica set."""
         self.registers[at] = self._make_register(at)
 
+    def restart_all(self) -> None:
+        """Restart the acceptor and the proposer of each replica."""
+        for name in self.acceptors:
+            self.restart(name)
+            self.restart_proposer(name)
+
+    def make_first_state(self, content: str, *, version: int) -> ControlState:
+        """Return the state of a first change, with the present keys of the initial replicas."""
+        members = {name: Replica(name, self.acceptors[name].key) for name in self.initial.replicas}
+        first = msgspec.structs.replace(
+            self.initial, epoch=1, replicas=members, previous=self.initial.replicas
+        )
+        return msgspec.structs.replace(
+            first, version=version, digest=content, manifest=content.encode()
+        )
+
     def adopt_if_chosen(self, at: str) -> None:
         """Offer a restarted proposer the state of each acceptor that is up."""
         for name, acceptor in self.acceptors.items():
@@ -148,6 +171,9 @@
         if method == "accept" and address in self.delay_accepts_at:
             self.delayed_accepts.append(lambda: self.acceptors[address].accept(request))
             raise RpcError(f"{address}: deadline_exceeded")
+        if method == "prepare" and address in self.outbid_at:
+            higher = Ballot(request.ballot.round + 1, "")
+            self.acceptors[address].prepare(Prepare(request.epoch, higher))
         try:
             reply = getattr(self.acceptors[address], method)(request)
         except SimulatedCrashError as error:
--- a/testing/control/test_register.py
+++ b/testing/control/test_register.py
@@ -203,6 +203,74 @@
         }
 
 
+class TestForgottenKeys:
+    """A restarted proposer does not count the vote of a replica that lost its disk."""
+
+    # Guards against an accepted manifest overwritten after a loss of all power and of one disk.
+    def test_lost_disk_does_not_vote_for_a_restarted_proposer(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.down = {"a"}
+        cluster.submit("b", 2, "two")
+        cluster.down = set()
+        cluster.restart_all()
+        cluster.lose_disk("c")
+        cluster.down = {"b"}
+        with pytest.raises(NoQuorumError):
+            cluster.read("a", timeout_ms=300)
+        cluster.down = set()
+        assert [cluster.read(at).version for at in "ab"] == [2, 2]
+
+    # Guards against a first manifest overwritten by a replica that missed it.
+    def test_lost_disk_does_not_vote_for_a_proposer_that_never_knew_the_keys(self) -> None:
+        cluster = Cluster()
+        cluster.delay_accepts_at = {"a"}
+        cluster.submit("b", 1, "one")
+        cluster.delay_accepts_at = set()
+        cluster.restart_all()
+        cluster.lose_disk("c")
+        cluster.outbid_at = {"b"}
+        with pytest.raises((NoQuorumError, UnknownResultError)):
+            cluster.read("a", timeout_ms=300)
+        cluster.outbid_at = set()
+        assert [cluster.read(at).version for at in "ab"] == [1, 1]
+
+    # Guards against trust in the keys of a first change that was not chosen. Here c accepted it
+    # late, after its disk was lost, and the change that a and the lost disk had accepted counts.
+    def test_keys_that_are_not_known_to_be_chosen_are_not_trusted(self) -> None:
+        cluster = Cluster()
+        chosen = cluster.make_first_state("chosen", version=2)
+        cluster.acceptors["a"].accept(Accept(Ballot(2, "b"), chosen))
+        cluster.lose_disk("c")
+        late = cluster.make_first_state("late", version=1)
+        cluster.acceptors["c"].accept(Accept(Ballot(1, "a"), late))
+        cluster.down = {"a"}
+        with pytest.raises(NoQuorumError):
+            cluster.submit("b", 3, "three", timeout_ms=300)
+        cluster.down = set()
+        assert cluster.read("b").version == 2
+
+    def test_replica_set_of_an_unfinished_replacement_is_restored_with_its_keys(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.down = {"c"}
+        cluster.replace_without_record("a", "c", "d")
+        wait_until(lambda: cluster.acceptors["d"].get_state() is not None)
+        cluster.restart_all()
+        assert cluster.submit("b", 2, "two").result == "accepted"
+        assert sorted(cluster.read("b").replicas) == ["a", "b", "d"]
+
+    # Guards against a manifest in force on some instances although no majority accepted it.
+    def test_adopted_replica_set_brings_no_manifest_with_it(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        state = cluster.read("a")
+        cluster.restart_proposer("b")
+        cluster.registers["b"].adopt_if_chosen(state)
+        known = cluster.registers["b"].known
+        assert (known.replicas, known.version) == (state.replicas, 0)
+
+
 class TestRepair:
     def test_a_second_loss_right_after_a_repair_loses_nothing(self) -> None:
         cluster = Cluster()
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -367,6 +367,20 @@
         "        for replica_id, fault in {}.items():\n",
         NODE + "PowerLoss",
     ),
+    Mutant(
+        "a lost disk does not vote for a proposer that does not know the keys",
+        "control/proposer.py",
+        "not is_initial or not votes.are_all_selected(lambda promise: promise.is_granted)",
+        "not is_initial",
+        REGISTER + "ForgottenKeys",
+    ),
+    Mutant(
+        "an adopted replica set brings no manifest with it",
+        "control/proposer.py",
+        "        self.known = msgspec.structs.replace(\n            self.known,\n",
+        "        self.known = msgspec.structs.replace(\n            state,\n",
+        REGISTER + "ForgottenKeys",
+    ),
     Mutant(
         "a replica is not sent a state that its own disk holds",
         "control/proposer.py",
@@ -483,8 +497,8 @@
     Mutant(
         "a proposer of a replaced set finds the new one in the replies",
         "control/proposer.py",
-        "            self._adopt_newer_set(votes, local)\n",
-        "",
+        "        if state.chosen_epoch <= self.known.epoch or not state.chosen_replicas:\n",
+        "        if True:\n",
         REGISTER + "Repair",
     ),
     Mutant(
