control: store a state that was read on a replica that missed it

A majority read wrote nothing. A replica that was down during a change served the new version to operators, but had the old one on its disk until the next change, however long that took: the change stayed on the smallest majority of disks although all replicas were back.

The reader now stores the state under the ballot that it was chosen with, whatever it has promised meanwhile: whoever holds that promise finds the state at the majority. With a full disk the read is answered all the same, with a line in the log.

Ruled out: a round for each such read, which would outbid changes in progress.

Two tests compared disks before the last replica had stored the change, which a change doesn't wait for; they now wait for it, and expect what they did.

--- a/src/coltsfootrill/control/acceptor.py
+++ b/src/coltsfootrill/control/acceptor.py
@@ -103,6 +103,17 @@
                 self._store(request.ballot, request.state)
             return Accepted(self.key, is_granted, self._promised)
 
+    def learn(self, ballot: Ballot, state: ControlState) -> None:
+        """Store a state that a majority accepted under ``ballot``, unless a newer one is stored.
+
+        A higher promise is no obstacle: whoever it was made to finds that state at the majority.
+        Raises ``CannotVoteError`` when the replica does not vote.
+        """
+        with self._lock:
+            self._check_can_vote()
+            if ballot > self._accepted:
+                self._store(ballot, state)
+
     def inspect(self, request: Inspect) -> Inspection:
         """Return the state accepted last.
 
--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -78,7 +78,8 @@
     """The proposer of one replica.
 
     ``initial`` is the state before any change. ``get_accepted`` returns the state that the
-    replica's own acceptor holds, so that the other acceptors need not send it.
+    replica's own acceptor holds, so that the other acceptors need not send it; ``learn`` makes that
+    acceptor store a chosen state.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         *,
         calls: PeerCalls,
         get_accepted: Callable[[], AcceptedState],
+        learn: Callable[[Ballot, ControlState], None],
         executor: Executor,
         clock: Clock,
         random: Random,
@@ -95,6 +97,7 @@
         self._replica_id = replica_id
         self._calls = calls
         self._get_accepted = get_accepted
+        self._learn = learn
         self._executor = executor
         self._clock = clock
         self._random = random
@@ -200,6 +203,7 @@
         self._adopt_own()
         for attempt in range(MAJORITY_READ_ATTEMPTS):
             if self._try_majority_read():
+                self._store_chosen()
                 return self.known
             if self._clock.now_ms() >= deadline_ms:
                 break
@@ -212,6 +216,23 @@
         except UnknownResultError as error:
             raise NoQuorumError(str(error)) from error
 
+    def _store_chosen(self) -> None:
+        """Store the state that was read if this replica missed it, so that it is on one disk more.
+
+        The change that the replica missed may otherwise be on the smallest majority of disks until
+        the next change.
+        """
+        if self._get_accepted().ballot >= self._known_ballot:
+            return
+        try:
+            self._learn(self._known_ballot, self.known)
+        except ColtsfootrillError as error:
+            logging.log_every_n_seconds(
+                logging.WARNING, 'chosen state not stored on this replica error="%s"', 60, error
+            )
+            return
+        logging.info('chosen state stored on this replica version="%d"', self.known.version)
+
     def _try_majority_read(self) -> bool:
         """Read without writing; return whether a majority accepted the same ballot."""
         votes: Votes[Inspection] = Votes([self.known.replicas])
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -113,6 +113,7 @@
                 prepare=self._call_prepare, accept=self._call_accept, inspect=self._call_inspect
             ),
             get_accepted=acceptor.get_accepted,
+            learn=acceptor.learn,
             executor=self._executor,
             clock=clock,
             random=random,
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -31,6 +31,7 @@
 from coltsfootrill.rpc import RpcError
 from testing.control.disk import Disk
 from testing.control.disk import SimulatedCrashError
+from testing.processes import wait_until
 
 FOLDER = Path("/data")
 
@@ -105,6 +106,11 @@
     def read(self, at: str, *, timeout_ms: float = 3_000) -> ControlState:
         return self.registers[at].read(deadline_ms=self.clock.now_ms() + timeout_ms)
 
+    def wait_until_stored_everywhere(self) -> None:
+        """Wait until the initial replicas have stored the same state: the last one may be late."""
+        names = self.initial.replicas
+        wait_until(lambda: len({self.acceptors[at].get_accepted().ballot for at in names}) == 1)
+
     def restart_proposer(self, at: str) -> None:
         """Restart the proposer of a replica, which then knows only the initial replica set."""
         self.registers[at] = self._make_register(at)
@@ -156,6 +162,7 @@
                 inspect=lambda address, request: self._call(name, address, "inspect", request),
             ),
             get_accepted=lambda: self.acceptors[name].get_accepted(),
+            learn=lambda ballot, state: self.acceptors[name].learn(ballot, state),
             executor=self.executor,
             clock=self.clock,
             random=self.random,
--- a/testing/control/test_register.py
+++ b/testing/control/test_register.py
@@ -63,9 +63,7 @@
         cluster = Cluster()
         for version in range(1, 4):
             assert cluster.submit("abc"[version % 3], version, f"v{version}").result == "accepted"
-            wait_until(
-                lambda: len({cluster.acceptors[at].get_accepted().ballot for at in "abc"}) == 1
-            )
+            cluster.wait_until_stored_everywhere()
             assert [cluster.read(at).version for at in "abc"] == [version] * 3
         assert cluster.states_sent == 0
 
@@ -125,6 +123,7 @@
     def test_a_read_without_a_change_writes_nothing(self) -> None:
         cluster = Cluster()
         cluster.submit("a", 1, "one")
+        cluster.wait_until_stored_everywhere()
         steps = {name: cluster.disks[name].step_count for name in "abc"}
         for at in "abc":
             cluster.read(at)
@@ -271,6 +270,49 @@
         assert (known.replicas, known.version) == (state.replicas, 0)
 
 
+class TestMissedChanges:
+    # Guards against a change on the smallest majority of disks long after all replicas are back.
+    def test_reading_replica_stores_the_change_that_it_missed(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.down = {"a"}
+        cluster.submit("b", 2, "two")
+        cluster.down = set()
+        assert cluster.read("a").version == 2
+        cluster.restart("a")
+        stored = cluster.acceptors["a"].get_state()
+        assert stored is not None
+        assert stored.version == 2
+
+    def test_reading_replica_with_a_full_disk_still_reads(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        cluster.down = {"a"}
+        cluster.submit("b", 2, "two")
+        cluster.down = set()
+        cluster.disks["a"].is_full = True
+        assert cluster.read("a").version == 2
+
+    def test_learned_state_keeps_a_higher_promise(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        state = cluster.read("a")
+        acceptor = cluster.acceptors["d"]
+        acceptor.prepare(Prepare(1, Ballot(9, "a")))
+        acceptor.learn(Ballot(5, "a"), state)
+        assert acceptor.get_accepted().ballot == Ballot(5, "a")
+        assert not acceptor.accept(Accept(Ballot(8, "a"), state)).is_granted
+
+    def test_learned_state_replaces_no_newer_one(self) -> None:
+        cluster = Cluster()
+        cluster.submit("a", 1, "one")
+        newer = cluster.read("a")
+        acceptor = cluster.acceptors["d"]
+        acceptor.accept(Accept(Ballot(9, "a"), newer))
+        acceptor.learn(Ballot(5, "a"), cluster.initial)
+        assert acceptor.get_state() == newer
+
+
 class TestRepair:
     def test_a_second_loss_right_after_a_repair_loses_nothing(self) -> None:
         cluster = Cluster()
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -381,6 +381,13 @@
         "        self.known = msgspec.structs.replace(\n            state,\n",
         REGISTER + "ForgottenKeys",
     ),
+    Mutant(
+        "a replica stores a change that it missed when it reads",
+        "control/proposer.py",
+        "                self._store_chosen()\n",
+        "",
+        REGISTER + "MissedChanges",
+    ),
     Mutant(
         "a replica is not sent a state that its own disk holds",
         "control/proposer.py",
