proxy: keep an incomplete answer in small blocks

Operators of similar systems reported a faulty upstream whose bytes, in a head or a body without end, filled the memory of the instance that had called it. The bytes of incomplete answers are bounded here, but not what their buffers take. 60 faulty upstreams and 240 requests at a time took a node to 487 MB with bodies without end, and to 516 MB where their health reply was endless as well; the smallest instances have 200 MB, so the node would have been killed, and the requests of others with it. Heads without end took 102 MB, invalid chunks 75.

Cause, one of two: a body grew in one buffer of up to 8 MB. Freed buffers of that size teach the C allocator to take the next ones from the arenas of the threads, which keep them. With MALLOC_MMAP_THRESHOLD_ set, one upstream took the node to 89 MB in place of 248 MB.

--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -8,6 +8,7 @@
 import httptools
 
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.proxy.block_buffer import BlockBuffer
 from coltsfootrill.proxy.outcome import Header
 from coltsfootrill.proxy.receive_budget import INCOMPLETE_MAX_BYTES
 from coltsfootrill.proxy.receive_budget import ReceiveBudget
@@ -112,7 +113,7 @@
         """Reset the state for the next answer."""
         self._reason = b""
         self._headers: list[Header] = []
-        self._body = bytearray()
+        self._body = BlockBuffer()
         self.lengths: set[str] = set()
         self.has_chunks = False
         self.has_head = False
@@ -164,7 +165,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Store part of the body; raise ``ReadError`` if it grows too large."""
-        self._body += data
+        self._body.append(data)
         if len(self._body) > ANSWER_MAX_BYTES:
             raise ReadError(f"the body of the answer exceeds {ANSWER_MAX_BYTES} bytes")
 
@@ -192,7 +193,7 @@
                 status=self.status,
                 reason=self._reason.decode("latin-1"),
                 headers=self._headers,
-                body=bytes(self._body),
+                body=self._body.to_bytes(),
             )
         )
         self.on_message_begin()
--- a/testing/nodes.py
+++ b/testing/nodes.py
@@ -38,7 +38,7 @@
         self._has_disk = has_disk or number <= 3
         self._seeds = seeds
         self._number = number
-        self._process: subprocess.Popen[bytes] | None = None
+        self.process: subprocess.Popen[bytes] | None = None
 
     def start(self, *, is_first_start: bool, seeds: list[str] | None = None) -> None:
         ports = self.ports
@@ -59,19 +59,19 @@
         )
         arguments = [sys.executable, "-m", "coltsfootrill", "node", "--settings", str(self._path)]
         with open(self._log, "ab") as log:
-            self._process = subprocess.Popen(arguments, stdout=log, stderr=log)
+            self.process = subprocess.Popen(arguments, stdout=log, stderr=log)
 
     def send_signal(self, signal_number: signal.Signals) -> None:
-        assert self._process is not None
-        self._process.send_signal(signal_number)
+        assert self.process is not None
+        self.process.send_signal(signal_number)
 
     def end(self, signal_number: signal.Signals = signal.SIGKILL) -> int:
-        assert self._process is not None
-        self._process.send_signal(signal_number)
-        return self._process.wait(timeout=20)
+        assert self.process is not None
+        self.process.send_signal(signal_number)
+        return self.process.wait(timeout=20)
 
     def is_alive(self) -> bool:
-        return self._process is not None and self._process.poll() is None
+        return self.process is not None and self.process.poll() is None
 
     def read_log(self) -> str:
         return self._log.read_text()
