Limit the arenas of the C allocator to two

The other cause of the memory that endless answers take: the GNU C library gives threads up to eight arenas a core, and each keeps what its threads have freed. 240 requests at a time that each receive some hundred kilobytes fill dozens of them one after another. The threads of the program allocate in turn, so two arenas are enough; a number in the environment takes precedence.

--- a/deploy/run.py
+++ b/deploy/run.py
@@ -19,12 +19,12 @@
 
 listener = open_from_settings(Path(os.environ[SETTINGS_VARIABLE]))
 
-from coltsfootrill.log import set_up_log  # noqa: E402
+from coltsfootrill.process import set_up_process  # noqa: E402
 from coltsfootrill.roles.node import NodeRole  # noqa: E402
 from coltsfootrill.settings import InvalidSettingsError  # noqa: E402
 
 if __name__ == "__main__":
-    set_up_log()
+    set_up_process()
     try:
         role = NodeRole.from_file(Path(os.environ[SETTINGS_VARIABLE]), listener=listener)
     except InvalidSettingsError as error:
--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -13,13 +13,13 @@
 
 from coltsfootrill import __version__
 from coltsfootrill.errors import ColtsfootrillError
-from coltsfootrill.log import set_up_log
 from coltsfootrill.operators import commands
 from coltsfootrill.operators.client import CallError
 from coltsfootrill.operators.client import OperatorClient
 from coltsfootrill.operators.exit_codes import ExitCode
 from coltsfootrill.operators.explain import explain_request
 from coltsfootrill.operators.output import print_error
+from coltsfootrill.process import set_up_process
 from coltsfootrill.roles.control import ControlRole
 from coltsfootrill.roles.entry import EntryRole
 from coltsfootrill.roles.node import NodeRole
@@ -66,7 +66,7 @@
 @app.command
 def entry(*, settings: SettingsFile) -> int:
     """Run an entry instance until SIGTERM, then stop it gracefully."""
-    set_up_log()
+    set_up_process()
     return EntryRole.from_settings(Settings.from_file(settings, ENTRY_SETTINGS)).run()
 
 
@@ -76,14 +76,14 @@
 
     Only a node with a folder for persistent state can be a control replica.
     """
-    set_up_log()
+    set_up_process()
     return NodeRole.from_file(settings).run()
 
 
 @app.command
 def control(*, settings: SettingsFile) -> int:
     """Run a control replica until SIGTERM."""
-    set_up_log()
+    set_up_process()
     return ControlRole.from_settings(Settings.from_file(settings, CONTROL_SETTINGS)).run()
 
 
