proxy: bound the memory of callers' bodies, and hold each once

Cause: nothing bounded the bytes of all requests.

Without room the answer is 503 with Retry-After at once, reason no-room-for-body; what the caller still sends is discarded for two seconds, so that it can read that. Small bodies need no room. A large body has a minute to arrive. Sizes of chunks and trailers are bounded; waitress kept up to 64 MiB of them.

--- a/src/coltsfootrill/metrics.py
+++ b/src/coltsfootrill/metrics.py
@@ -93,6 +93,11 @@
         self.upstreams = Gauge(
             "coltsfootrill_upstreams", "Upstreams that may get new work.", registry=registry
         )
+        self.body_free_bytes = Gauge(
+            "coltsfootrill_body_free_bytes",
+            "Bytes of memory that are free for large bodies of callers.",
+            registry=registry,
+        )
         self.peer_bytes = Gauge(
             "coltsfootrill_peer_bytes",
             "Bytes of messages exchanged with peers since the start.",
--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -12,23 +12,28 @@
 import struct
 import threading
 from collections.abc import Callable
-from typing import Any
 from typing import Literal
 
-import waitress.parser
 from waitress.adjustments import Adjustments
 
+from coltsfootrill.clock import Clock
 from coltsfootrill.manifest.model import CallerLimits
+from coltsfootrill.proxy.block_buffer import BlockBuffer
+from coltsfootrill.proxy.body_budget import BodyBudget
+from coltsfootrill.proxy.body_budget import BodyReservation
 from coltsfootrill.proxy.connection import send_all
+from coltsfootrill.proxy.request_parser import RequestParser
 
 RECEIVE_BYTES = 64 * 1024
 WRITE_TIMEOUT_MS = 30_000.0
 LINGER_MS = 500.0
-LINGER_READS_MAX_COUNT = 256
+LINGER_MAX_MS = 2_000.0
+# Meanwhile the body has memory that others cannot have.
+LARGE_BODY_TIMEOUT_MS = 60_000.0
 PIPELINED_REQUESTS_MAX_COUNT = 8
 
-# Too many requests are in progress, or the instance is about to end.
-Refusal = Literal["too-many-requests", "stopping"]
+# Too many requests are in progress, the instance is about to end, or it has no room for the body.
+Refusal = Literal["too-many-requests", "stopping", "no-room-for-body"]
 
 
 class CallerRequest:
@@ -57,7 +62,7 @@
         target: str,
         path: str,
         headers: dict[str, str],
-        body: bytes,
+        body: BlockBuffer,
         arrived_ms: float,
         refusal: Refusal | None,
         monitor: DisconnectMonitor,
@@ -127,23 +132,6 @@
         return any(self.handle_event(event) for _, event in poller.poll(0))
 
 
-class _Parser(waitress.parser.HTTPRequestParser):  # type: ignore[misc]
-    """Rejects requests with ambiguous framing, which would allow request smuggling."""
-
-    def parse_header(self, header_plus: bytes) -> None:
-        head = header_plus.lower()
-        has_chunks = b"\ntransfer-encoding:" in head
-        if has_chunks and b"\ncontent-length:" in head:
-            raise waitress.parser.ParsingError(
-                "both Content-Length and Transfer-Encoding are given; only one is accepted"
-            )
-        if head.count(b"\nhost:") > 1 or head.count(b"\ncontent-length:") > 1:
-            raise waitress.parser.ParsingError("Host or Content-Length is given more than once")
-        super().parse_header(header_plus)
-        if has_chunks and self.version != "1.1":
-            raise waitress.parser.ParsingError("Transfer-Encoding requires HTTP/1.1")
-
-
 class CallerConnection:
     """A caller's connection with its pipelined requests.
 
@@ -153,6 +141,7 @@
     """
 
     __slots__ = (
+        "_clock",
         "_closed_after",
         "_is_receiving",
         "_next_turn",
@@ -164,8 +153,9 @@
         "sock",
     )
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, clock: Clock) -> None:
         self.sock = sock
+        self._clock = clock
         self._unparsed = b""
         self._timeout_ms = 0.0
         self._is_receiving = False
@@ -180,12 +170,29 @@
         """Return whether a request is being received or is not yet answered."""
         return self._is_receiving or self._next_turn > self._sent_turn
 
-    def receive(self, adjustments: Adjustments, limits: CallerLimits) -> Any:
-        """Return the next request as parsed by waitress, ``None`` at the end of the stream.
+    def receive(
+        self, adjustments: Adjustments, limits: CallerLimits, budget: BodyBudget
+    ) -> RequestParser | None:
+        """Return the next request once it is parsed, ``None`` at the end of the stream.
 
-        Raises ``OSError`` when no bytes arrive within the timeout of ``limits``.
+        The caller of this method closes the request, which frees its share of ``budget``. Raises
+        ``OSError`` when no bytes arrive within the timeout of ``limits``, or when a large body
+        takes longer than ``LARGE_BODY_TIMEOUT_MS``.
         """
-        parser = _Parser(adjustments)
+        reservation = BodyReservation(budget)
+        parser = None
+        try:
+            parser = self._receive(adjustments, limits, reservation)
+        finally:
+            if parser is None:
+                reservation.release()
+        return parser
+
+    def _receive(
+        self, adjustments: Adjustments, limits: CallerLimits, reservation: BodyReservation
+    ) -> RequestParser | None:
+        parser = RequestParser(adjustments, reservation)
+        until_ms: float | None = None
         data = self._unparsed
         self._unparsed = b""
         while not parser.completed:
@@ -201,10 +208,14 @@
             consumed = parser.received(data)
             data = data[consumed:]
             if parser.empty:
-                parser = _Parser(adjustments)
+                parser = RequestParser(adjustments, reservation)
             if parser.expect_continue and parser.headers_finished and not parser.completed:
                 parser.expect_continue = False
                 self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if reservation.is_held and not parser.completed:
+                until_ms = until_ms or self._clock.now_ms() + LARGE_BODY_TIMEOUT_MS
+                if self._clock.now_ms() > until_ms:
+                    raise TimeoutError("a large body takes too long")
         self._unparsed = data
         return parser
 
@@ -287,9 +298,10 @@
         """
         self.sock.shutdown(socket.SHUT_WR)
         self.sock.settimeout(LINGER_MS / 1000)
-        for _ in range(LINGER_READS_MAX_COUNT):
-            if not self.sock.recv(RECEIVE_BYTES):
-                return
+        buffer = bytearray(RECEIVE_BYTES)
+        until_ms = self._clock.now_ms() + LINGER_MAX_MS
+        while self.sock.recv_into(buffer) and self._clock.now_ms() < until_ms:
+            pass
 
     def _set_timeout(self, timeout_ms: float) -> None:
         """Set the kernel's receive timeout, which needs no system call before each receive."""
--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -105,12 +105,21 @@
         """Return whether neither bytes nor an end of stream arrived since the last answer."""
         return not has_pending_data(self._sock)
 
-    def send(self, head: bytes, body: bytes, *, deadline_ms: float) -> None:
-        """Send a request; raise ``SendError`` if it cannot be sent completely by the deadline."""
+    def send(
+        self, head: bytes, body: Iterable[bytes | bytearray] = (), *, deadline_ms: float
+    ) -> None:
+        """Send a request; raise ``SendError`` if it cannot be sent completely by the deadline.
+
+        ``body`` consists of blocks, which are not copied except for the first one.
+        """
         self.is_reusable = False
-        remaining_ms = max(deadline_ms - self._clock.now_ms(), 1.0)
+        blocks = iter(body)
+        part: bytes | bytearray | None = head + next(blocks, b"")
         try:
-            send_all(self._sock, head + body if body else head, timeout_ms=remaining_ms)
+            while part is not None:
+                remaining_ms = max(deadline_ms - self._clock.now_ms(), 1.0)
+                send_all(self._sock, part, timeout_ms=remaining_ms)
+                part = next(blocks, None)
         except OSError as error:
             raise SendError(f"the request was not sent completely: {error}") from error
 
@@ -185,7 +194,7 @@
     return bool(poller.poll(0))
 
 
-def send_all(sock: socket.socket, data: bytes, *, timeout_ms: float) -> None:
+def send_all(sock: socket.socket, data: bytes | bytearray, *, timeout_ms: float) -> None:
     """Send ``data``; raise ``OSError`` when that fails or takes longer than ``timeout_ms``.
 
     The socket must be in blocking mode. Nearly always the data fits into its send buffer, so the
@@ -198,7 +207,7 @@
     if sent == len(data):
         return
     sock.settimeout(timeout_ms / 1000)
-    sock.sendall(data[sent:])
+    sock.sendall(memoryview(data)[sent:])
     sock.settimeout(None)
 
 
--- a/src/coltsfootrill/proxy/load_poller.py
+++ b/src/coltsfootrill/proxy/load_poller.py
@@ -185,7 +185,7 @@
                     timeout_ms=CONNECT_TIMEOUT_MS,
                     epoch=0,
                 )
-            state.connection.send(head, b"", deadline_ms=now_ms + READ_TIMEOUT_MS)
+            state.connection.send(head, deadline_ms=now_ms + READ_TIMEOUT_MS)
         except ConnectionLayerError:
             self._record_failure(state)
             return None
--- a/src/coltsfootrill/proxy/prober.py
+++ b/src/coltsfootrill/proxy/prober.py
@@ -125,7 +125,7 @@
         except ConnectionLayerError:
             return False
         try:
-            connection.send(head, b"", deadline_ms=deadline_ms)
+            connection.send(head, deadline_ms=deadline_ms)
             answer = connection.read("GET", deadline_ms=deadline_ms)
         except ConnectionLayerError:
             return False
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -8,6 +8,7 @@
 
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
+from coltsfootrill.proxy.block_buffer import BlockBuffer
 from coltsfootrill.proxy.caller import DisconnectMonitor
 
 DIGEST_BYTES = 16
@@ -78,7 +79,7 @@
         method: str,
         target: str,
         headers: Mapping[str, str],
-        body: bytes,
+        body: BlockBuffer,
         times: RequestTimes,
         depth: int,
         is_retried: bool,
@@ -101,6 +102,7 @@
             callers = [self.headers.get(name, "") for name in _CALLER_HEADERS]
             for part in (self.method, self.target, *callers):
                 state.update(part.encode("latin-1", "replace") + b"\n")
-            state.update(self.body)
+            for block in self.body:
+                state.update(block)
             self._digest = state.digest()
         return self._digest
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -15,7 +15,6 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from email.utils import formatdate
-from typing import Any
 
 from absl import logging
 from waitress.adjustments import Adjustments
@@ -24,6 +23,7 @@
 from coltsfootrill.early_listener import open_listener
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.manifest.model import CallerLimits
+from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.caller import DisconnectMonitor
@@ -33,6 +33,7 @@
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.outcome import make_error_answer
+from coltsfootrill.proxy.request_parser import RequestParser
 
 ACCEPT_POLL_MS = 200.0
 DRAIN_CHECK_MS = 20.0
@@ -54,8 +55,10 @@
         clock: Clock,
         requests_max: int,
         connections_max: int,
+        body_budget: BodyBudget,
         get_limits: Callable[[], CallerLimits] = CallerLimits,
     ) -> None:
+        self._body_budget = body_budget
         self._get_limits = get_limits
         self._limits = CallerLimits()
         self._handle = handle
@@ -167,7 +170,7 @@
     def _start_task(self, sock: socket.socket) -> None:
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = CallerConnection(sock)
+        connection = CallerConnection(sock, self._clock)
         with self._lock:
             is_at_limit = len(self._connections) >= self._connections_max
             if not is_at_limit:
@@ -205,9 +208,16 @@
     def _serve_one(self, connection: CallerConnection) -> bool:
         """Receive and answer a request; return whether this thread also reads the next one."""
         limits = self._update_limits()
-        parsed = connection.receive(self._adjustments, limits)
+        parsed = connection.receive(self._adjustments, limits, self._body_budget)
         if parsed is None:
             return False
+        try:
+            return self._serve_received(connection, parsed)
+        finally:
+            parsed.close()
+
+    def _serve_received(self, connection: CallerConnection, parsed: RequestParser) -> bool:
+        """Answer a request; return whether this thread also reads the next one."""
         arrived_ms = self._clock.now_ms()
         turn = connection.take_turn()
         if turn is None:
@@ -225,12 +235,11 @@
             is_last = self._process(parsed, connection, turn, monitor, arrived_ms)
         finally:
             connection.release()
-            parsed.close()
         return not is_last and not handover.is_handed_over
 
     def _process(
         self,
-        parsed: Any,
+        parsed: RequestParser,
         connection: CallerConnection,
         turn: int,
         monitor: DisconnectMonitor,
@@ -242,6 +251,8 @@
         with self._lock:
             refusal = self._find_refusal()
             self._in_progress += 1
+        if parsed.is_body_refused:
+            refusal = "no-room-for-body"
         try:
             answer = self._answer(parsed, monitor, arrived_ms, refusal)
             try:
@@ -280,7 +291,7 @@
 
     def _answer(
         self,
-        parsed: Any,
+        parsed: RequestParser,
         monitor: DisconnectMonitor,
         arrived_ms: float,
         refusal: Refusal | None,
@@ -288,13 +299,12 @@
         if parsed.error is not None:
             status = f"{parsed.error.code} {parsed.error.reason}"
             return make_error_answer(NotRunError(status, "bad-request", str(parsed.error.body)))
-        body = b"" if parsed.body_rcv is None else parsed.get_body_stream().read()
         request = CallerRequest(
             method=parsed.command.upper(),
             target=parsed.request_uri,
             path=parsed.path,
             headers=parsed.headers,
-            body=body,
+            body=parsed.body,
             arrived_ms=arrived_ms,
             refusal=refusal,
             monitor=monitor,
@@ -346,7 +356,7 @@
     return head + answer.body if has_length and method != "HEAD" else head
 
 
-def _wants_close(parsed: Any) -> bool:
+def _wants_close(parsed: RequestParser) -> bool:
     return bool(parsed.error is not None or parsed.connection_close or parsed.version != "1.1")
 
 
--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -17,6 +17,7 @@
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.proxy.app import ProxyApp
+from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.server import CallerServer
@@ -74,12 +75,15 @@
             on_ended=on_ended,
             on_event=on_event,
         )
+        body_budget = BodyBudget.from_memory_mb(settings.get("callers", "memory_mb"))
+        metrics.body_free_bytes.set_function(lambda: body_budget.free_bytes)
         self._caller_server = CallerServer(
             self.app.handle,
             clock=clock,
             requests_max=settings.get("callers", "requests"),
             connections_max=settings.get("callers", "connections"),
             get_limits=self._get_limits,
+            body_budget=body_budget,
         )
 
     def start(self, *, listener: socket.socket | None = None) -> None:
--- a/src/coltsfootrill/settings.py
+++ b/src/coltsfootrill/settings.py
@@ -5,6 +5,7 @@
 import configparser
 import ipaddress
 import math
+import os
 import re
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -65,11 +66,12 @@
     """A key of a section: its parser, the values that it accepts, and its meaning.
 
     ``accepted`` is shown in errors; ``meaning`` in the reference of settings. A setting whose
-    ``default`` is ``None`` is required. ``parse`` raises ``ValueError`` or ``OSError`` for a value
-    that is not accepted.
+    ``default`` is ``None`` is required. ``variable`` is an environment variable that takes
+    precedence over the default. ``parse`` raises ``ValueError`` or ``OSError`` for a value that is
+    not accepted.
     """
 
-    __slots__ = ("accepted", "default", "key", "meaning", "parse", "section")
+    __slots__ = ("accepted", "default", "key", "meaning", "parse", "section", "variable")
 
     def __init__(
         self,
@@ -80,7 +82,9 @@
         accepted: str,
         meaning: str,
         default: str | None = None,
+        variable: str = "",
     ) -> None:
+        self.variable = variable
         self.section = section
         self.key = key
         self.parse = parse
@@ -248,7 +252,7 @@
             value = parser.get(setting.section, setting.key, fallback=None)
             if not (value or "").strip() and setting.default is not None:
                 # Files made from a template contain empty values where the value is not known.
-                value = setting.default
+                value = os.environ.get(setting.variable) or setting.default
             try:
                 by_key[setting.section, setting.key] = _parse_value(setting, value)
             except SettingError as error:
--- a/src/coltsfootrill/settings_catalog.py
+++ b/src/coltsfootrill/settings_catalog.py
@@ -156,6 +156,17 @@
             "Maximum number of connections from callers.",
         ),
         _integer(section, "requests", 4, 5_000, 256, "Maximum number of requests in progress."),
+        Setting(
+            section,
+            "memory_mb",
+            make_integer_parser(64, 1_000_000),
+            accepted="a whole number from 64 to 1000000",
+            meaning=(
+                "Memory of the instance in MB, which bounds the bodies held of callers' requests."
+            ),
+            default="200",
+            variable="COLTSFOOTRILL_MEMORY_MB",
+        ),
         _integer(
             section, "queue", 1, 10_000, 64, "Maximum number of queued requests for each service."
         ),
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -388,6 +388,20 @@
         "",
         REGISTER + "MissedChanges",
     ),
+    Mutant(
+        "large bodies of callers share a bound",
+        "proxy/body_budget.py",
+        "            if count > self._free_bytes:\n",
+        "            if False:\n",
+        "testing/proxy/test_bodies.py::TestRefusal",
+    ),
+    Mutant(
+        "a body gives back its room when its request ends",
+        "proxy/request_parser.py",
+        "        self.body_rcv = None\n        self._reservation.release()\n",
+        "        self.body_rcv = None\n",
+        "testing/proxy/test_bodies.py::TestFreeing",
+    ),
     Mutant(
         "an incomplete answer is kept in small blocks",
         "proxy/block_buffer.py",
--- a/testing/proxy/instance.py
+++ b/testing/proxy/instance.py
@@ -20,6 +20,7 @@
 from coltsfootrill.plugins import find_policy
 from coltsfootrill.plugins import load_plugins
 from coltsfootrill.proxy.app import ProxyApp
+from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.server import CallerServer
@@ -48,6 +49,7 @@
         requests: int = 64,
         dialect: Dialect = NATIVE_DIALECT,
         once_idle_max_ms: float = 0.0,
+        body_bytes: int = 16 * 1024 * 1024,
     ) -> None:
         clock = Clock()
         plugins = load_plugins()
@@ -70,8 +72,13 @@
             on_ended=self.events.append,
             on_event=self.events.append,
         )
+        self.body_budget = BodyBudget(body_bytes)
         self.server = CallerServer(
-            self.app.handle, clock=clock, requests_max=requests, connections_max=200
+            self.app.handle,
+            clock=clock,
+            requests_max=requests,
+            connections_max=200,
+            body_budget=self.body_budget,
         )
         self.server.start("127.0.0.1", 0)
         self._is_stopped = threading.Event()
--- /dev/null
+++ b/testing/proxy/test_bodies.py
@@ -0,0 +1,214 @@
+"""Callers' bodies: what an instance holds of them is bounded, and freed when the request ends."""
+
+from __future__ import annotations
+
+import hashlib
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from coltsfootrill.proxy import caller
+from coltsfootrill.proxy.body_budget import MB
+from coltsfootrill.proxy.body_budget import SMALL_BODY_MAX_BYTES
+from coltsfootrill.proxy.body_budget import BodyBudget
+from coltsfootrill.proxy.body_budget import BodyReservation
+from testing.processes import wait_until
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.fakes import encode
+from testing.proxy.instance import Instance
+
+BODY_BYTES = 4 * MB
+LARGE = b"x" * (3 * MB)
+HEAD = b"POST /once HTTP/1.1\r\nHost: a\r\n"
+
+
+class ReadingUpstream:
+    """Reads each body to its end and answers with its digest, once ``may_answer`` is set."""
+
+    def __init__(self) -> None:
+        self.may_answer = threading.Event()
+        self.may_answer.set()
+        self.upstream = ScriptedUpstream(self._serve)
+        self.received = 0
+
+    def _serve(self, sock: socket.socket, head: bytes, number: int) -> bool:
+        fields, _, rest = head.partition(b"\r\n\r\n")
+        length = 0
+        for line in fields.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                length = int(line.partition(b":")[2])
+        digest = hashlib.sha256(rest)
+        read = len(rest)
+        while read < length:
+            part = sock.recv(65_536)
+            if not part:
+                return False
+            digest.update(part)
+            read += len(part)
+        self.received += 1
+        self.may_answer.wait(5)
+        sock.sendall(encode(digest.hexdigest().encode()))
+        return True
+
+
+@pytest.fixture
+def instance() -> Iterator[Instance]:
+    made = Instance(deadline_ms=10_000, body_bytes=BODY_BYTES)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def reading(instance: Instance) -> Iterator[ReadingUpstream]:
+    made = ReadingUpstream()
+    instance.announce("u1", made.upstream.address)
+    yield made
+    made.may_answer.set()
+    made.upstream.close()
+
+
+def _encode_chunks(body: bytes, size: int = 100_000) -> bytes:
+    parts = [body[start : start + size] for start in range(0, len(body), size)]
+    return b"".join(f"{len(part):x}\r\n".encode() + part + b"\r\n" for part in parts)
+
+
+def _connect(instance: Instance) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", instance.server.port), timeout=10)
+
+
+def _wait_until_free(instance: Instance) -> None:
+    wait_until(lambda: instance.body_budget.free_bytes == BODY_BYTES)
+
+
+class TestForwarding:
+    def test_large_body_arrives_unchanged_and_is_freed(
+        self, instance: Instance, reading: ReadingUpstream
+    ) -> None:
+        digest = hashlib.sha256(LARGE).hexdigest().encode()
+        assert instance.call("/once", method="POST", body=LARGE).body == digest
+        _wait_until_free(instance)
+
+    def test_large_body_in_chunks_arrives_unchanged_and_is_freed(
+        self, instance: Instance, reading: ReadingUpstream
+    ) -> None:
+        chunks = _encode_chunks(LARGE) + b"0\r\n\r\n"
+        reply = instance.send_raw(
+            HEAD + b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+        )
+        assert reply.endswith(hashlib.sha256(LARGE).hexdigest().encode())
+        _wait_until_free(instance)
+
+
+class TestRefusal:
+    # Guards against an instance that is killed for its memory, and the requests of others with it.
+    def test_second_large_body_is_refused_before_it_is_sent_and_small_ones_are_served(
+        self, instance: Instance, reading: ReadingUpstream
+    ) -> None:
+        reading.may_answer.clear()
+        first = _connect(instance)
+        first.sendall(HEAD + f"Content-Length: {len(LARGE)}\r\n\r\n".encode() + LARGE)
+        wait_until(lambda: reading.received == 1)
+        with _connect(instance) as second:
+            second.sendall(HEAD + f"Content-Length: {len(LARGE)}\r\n\r\n".encode())
+            refusal = second.recv(65_536)
+        assert refusal.startswith(b"HTTP/1.1 503 ")
+        assert b"not-run" in refusal and b"no-room-for-body" in refusal
+        assert b"Retry-After" in refusal and b"Connection: close" in refusal
+        reading.may_answer.set()
+        small = b"s" * SMALL_BODY_MAX_BYTES
+        assert instance.call("/once", method="POST", body=small).status == 200
+        assert first.recv(65_536).startswith(b"HTTP/1.1 200 ")
+        first.close()
+        _wait_until_free(instance)
+        assert reading.received == 2
+
+    def test_body_in_chunks_is_refused_when_it_outgrows_the_room(
+        self, instance: Instance, reading: ReadingUpstream
+    ) -> None:
+        with _connect(instance) as sock:
+            sock.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+            sock.sendall(_encode_chunks(b"x" * 6 * MB))
+            assert b"no-room-for-body" in sock.recv(65_536)
+        _wait_until_free(instance)
+        assert reading.received == 0
+
+    def test_answer_reaches_a_caller_that_sends_its_whole_body_first(
+        self, instance: Instance, reading: ReadingUpstream
+    ) -> None:
+        body = b"x" * (7 * MB)
+        assert instance.call("/once", method="POST", body=body).status == 503
+
+    def test_endless_trailer_is_refused(self, instance: Instance) -> None:
+        with _connect(instance) as sock:
+            sock.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n")
+            sock.sendall(b"x-a: " + b"a" * 40_000)
+            assert sock.recv(65_536).startswith(b"HTTP/1.1 400 ")
+
+
+class TestFreeing:
+    @pytest.mark.parametrize(
+        "part",
+        [
+            pytest.param(b"", id="nothing"),
+            pytest.param(b"x" * MB, id="part"),
+        ],
+    )
+    def test_body_that_is_cut_gives_back_its_room(self, instance: Instance, part: bytes) -> None:
+        with _connect(instance) as sock:
+            sock.sendall(HEAD + f"Content-Length: {len(LARGE)}\r\n\r\n".encode() + part)
+            wait_until(lambda: instance.body_budget.free_bytes == BODY_BYTES - len(LARGE))
+        _wait_until_free(instance)
+
+    def test_cut_body_in_chunks_gives_back_its_room(self, instance: Instance) -> None:
+        with _connect(instance) as sock:
+            sock.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+            sock.sendall(_encode_chunks(LARGE))
+            wait_until(lambda: instance.body_budget.free_bytes < BODY_BYTES)
+        _wait_until_free(instance)
+
+    def test_body_that_trickles_gives_back_its_room(
+        self, instance: Instance, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(caller, "LARGE_BODY_TIMEOUT_MS", 300.0)
+        with _connect(instance) as sock:
+            sock.sendall(HEAD + f"Content-Length: {len(LARGE)}\r\n\r\n".encode())
+            wait_until(lambda: instance.body_budget.free_bytes < BODY_BYTES)
+            with pytest.raises(OSError):
+                for _ in range(200):
+                    sock.sendall(b"x")
+                    threading.Event().wait(0.02)
+        _wait_until_free(instance)
+
+    def test_body_of_a_request_without_an_upstream_gives_back_its_room(
+        self, instance: Instance
+    ) -> None:
+        assert instance.call("/nowhere", method="POST", body=LARGE).status == 404
+        _wait_until_free(instance)
+
+
+class TestBodyBudget:
+    def test_bound_is_worked_out_from_the_memory(self) -> None:
+        assert BodyBudget.from_memory_mb(200).free_bytes == 72 * MB
+        assert BodyBudget.from_memory_mb(300).free_bytes == 172 * MB
+        assert BodyBudget.from_memory_mb(64).free_bytes == 8 * MB
+
+    def test_small_body_needs_no_room(self) -> None:
+        assert BodyReservation(BodyBudget(0)).extend_to(SMALL_BODY_MAX_BYTES)
+
+    def test_reservation_grows_and_is_freed_once(self) -> None:
+        budget = BodyBudget(3 * MB)
+        reservation = BodyReservation(budget)
+        assert reservation.extend_to(MB) and reservation.extend_to(2 * MB)
+        assert budget.free_bytes == MB
+        reservation.release()
+        reservation.release()
+        assert budget.free_bytes == 3 * MB
+
+    def test_of_two_bodies_that_grow_together_one_is_not_refused(self) -> None:
+        budget = BodyBudget(4 * MB)
+        first, second = BodyReservation(budget), BodyReservation(budget)
+        assert first.extend_to(2 * MB) and second.extend_to(2 * MB)
+        assert not first.extend_to(3 * MB)
+        assert second.extend_to(4 * MB)
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -13,6 +13,7 @@
 import pytest
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.outcome import Answer
@@ -43,7 +44,9 @@
 
 
 def _start(handler: Handler) -> tuple[CallerServer, socket.socket]:
-    server = CallerServer(handler, clock=Clock(), requests_max=8, connections_max=8)
+    server = CallerServer(
+        handler, clock=Clock(), requests_max=8, connections_max=8, body_budget=BodyBudget(0)
+    )
     server.start("127.0.0.1", 0)
     caller = socket.create_connection(("127.0.0.1", server.port))
     wait_until(lambda: bool(server._connections))
@@ -97,14 +100,14 @@
 class TestCloseIfIdle:
     def test_idle_connection_accepts_no_request_after_close(self) -> None:
         ours, theirs = socket.socketpair()
-        connection = CallerConnection(ours)
+        connection = CallerConnection(ours, Clock())
         assert connection.close_if_idle()
         assert connection.take_turn() is None
         theirs.close()
 
     def test_connection_with_a_request_stays_open(self) -> None:
         ours, theirs = socket.socketpair()
-        connection = CallerConnection(ours)
+        connection = CallerConnection(ours, Clock())
         turn = connection.take_turn()
         assert turn is not None
         assert not connection.close_if_idle()
--- a/testing/roles/test_node_memory.py
+++ b/testing/roles/test_node_memory.py
@@ -1,20 +1,26 @@
-"""Memory of a node process while upstreams send more than a small instance can hold."""
+"""Memory of a node process while upstreams or callers send more than a small instance holds."""
 
 from __future__ import annotations
 
+import contextlib
+import http.client
 import json
 import re
 import socket
+import threading
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
 
+from testing.platform.test_desired_state import encode_state
+from testing.platform.test_desired_state import route
 from testing.processes import wait_until
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import encode
+from testing.proxy.test_dialect import reply_with
 from testing.roles.test_node import Fleet
 from testing.roles.test_node import send_request
 
@@ -28,6 +34,9 @@
 BLOCK = b"a" * BLOCK_BYTES
 CHUNK = f"{BLOCK_BYTES:x}\r\n".encode() + BLOCK + b"\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\n"
+UPLOADS_COUNT = 20
+UPLOAD_BYTES = 60 * 1024 * 1024
+CALLERS_COUNT = 40
 
 
 def read_peak_mb(fleet: Fleet) -> float:
@@ -99,3 +108,93 @@
                 upstream.close()
         fleet.announce_upstream(1)
         fleet.wait_until_served()
+
+
+class Upstream:
+    """Reads each body to its end, and answers."""
+
+    def __init__(self) -> None:
+        self.upstream = ScriptedUpstream(self._serve)
+
+    def _serve(self, sock: socket.socket, head: bytes, number: int) -> bool:
+        fields, _, rest = head.partition(b"\r\n\r\n")
+        found = re.search(rb"content-length: (\d+)", fields, re.IGNORECASE)
+        left_bytes = (int(found[1]) if found else 0) - len(rest)
+        buffer = bytearray(BLOCK_BYTES)
+        while left_bytes > 0:
+            received_bytes = sock.recv_into(buffer)
+            if not received_bytes:
+                return False
+            left_bytes -= received_bytes
+        return reply_with()(sock, fields, number)
+
+
+class Uploads:
+    """Callers that upload large bodies to the first node, and others with small requests beside."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._node = fleet.nodes[0]
+        self._has_ended = threading.Event()
+        self.small_statuses: list[int] = []
+
+    def run(self, *, is_chunked: bool) -> set[tuple[int, str]]:
+        """Return the statuses and reasons of all uploads, which begin at the same time."""
+        with ThreadPoolExecutor(UPLOADS_COUNT + CALLERS_COUNT) as executor:
+            callers = [executor.submit(self._call_until_ended) for _ in range(CALLERS_COUNT)]
+            uploads = [
+                executor.submit(self._upload, is_chunked=is_chunked) for _ in range(UPLOADS_COUNT)
+            ]
+            results = {upload.result() for upload in uploads}
+            self._has_ended.set()
+            for caller in callers:
+                caller.result()
+        return results
+
+    def _upload(self, *, is_chunked: bool) -> tuple[int, str]:
+        body = (BLOCK for _ in range(UPLOAD_BYTES // BLOCK_BYTES))
+        headers = {"Host": "a.example", "X-Attempt-Id": "u1"}
+        if not is_chunked:
+            headers["Content-Length"] = str(UPLOAD_BYTES)
+        with contextlib.closing(self._connect()) as connection:
+            # A caller that is refused may not have sent its whole body yet.
+            with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+                connection.request("POST", "/x/1", body, headers, encode_chunked=is_chunked)
+            response = connection.getresponse()
+            if response.status == 503:
+                assert response.headers["Retry-After"]
+                assert response.headers["Coltsfootrill-Outcome"] == "not-run"
+            response.read()
+            return response.status, response.headers["Coltsfootrill-Reason"] or ""
+
+    def _call_until_ended(self) -> None:
+        with contextlib.closing(self._connect()) as connection:
+            while not self._has_ended.is_set():
+                connection.request(
+                    "GET", "/x/1", headers={"Host": "a.example", "X-Attempt-Id": "q1"}
+                )
+                response = connection.getresponse()
+                response.read()
+                self.small_statuses.append(response.status)
+
+    def _connect(self) -> http.client.HTTPConnection:
+        return http.client.HTTPConnection(self._node.host, self._node.ports["callers"], timeout=30)
+
+
+class TestUploads:
+    # Guards against a node that is killed for the bodies that it holds, each of them allowed.
+    @pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunks"])
+    def test_memory_stays_bounded_and_each_request_is_answered(
+        self, fleet: Fleet, is_chunked: bool
+    ) -> None:
+        raw = encode_state(route(timeoutMs=20_000), version="00000002")
+        wait_until(lambda: fleet.nodes[0].submit(raw, 0) == 200, within_s=20)
+        sound = Upstream()
+        try:
+            announce(fleet, "i-sound", sound.upstream.address)
+            wait_until(lambda: send_request(fleet.nodes[0]) == 200, within_s=20)
+            uploads = Uploads(fleet)
+            assert uploads.run(is_chunked=is_chunked) == {(200, ""), (503, "no-room-for-body")}
+            assert set(uploads.small_statuses) <= {200, 503}
+            assert read_peak_mb(fleet) < MEMORY_MAX_MB
+        finally:
+            sound.upstream.close()
--- a/testing/test_early_listener.py
+++ b/testing/test_early_listener.py
@@ -9,6 +9,7 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.early_listener import open_from_settings
+from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.server import CallerServer
 
@@ -35,6 +36,7 @@
                 clock=Clock(),
                 requests_max=4,
                 connections_max=4,
+                body_budget=BodyBudget(0),
             )
             server.start(*address, listener=listener)
             with caller.makefile("rb") as stream:
