Keep every thread from blocking on a log that is not read

Cause: structured events had a queue and a thread of their own, but lines of absl were written to standard error by the thread that logs. On a full pipe it blocks for good and holds the lock of the handler; the threads that follow the hubs log when they replace a connection, and wait for that lock one by one.

One class now queues lines for both, bounded, with a thread that waits for room in steps and gives up while the process ends. Standard error is replaced by a stream into such a queue, which serves absl, uncaught exceptions and warnings. Pipes are opened a second time without blocking, with flags of their own, for what writes to the descriptor itself: faulthandler, and the library of calls between instances. Sockets, which can't be opened again, get the flag. Dropped lines are counted in a metric and said in one line once there is room.

Ruled out: a pipe of our own before the log, which a thread would have to drain that others can keep from running.

--- a/src/coltsfootrill/metrics.py
+++ b/src/coltsfootrill/metrics.py
@@ -98,6 +98,11 @@
             "Bytes of memory that are free for large bodies of callers.",
             registry=registry,
         )
+        self.dropped_lines = Gauge(
+            "coltsfootrill_dropped_lines",
+            "Log lines dropped since the start, because the log was not read in time.",
+            registry=registry,
+        )
         self.peer_bytes = Gauge(
             "coltsfootrill_peer_bytes",
             "Bytes of messages exchanged with peers since the start.",
--- a/src/coltsfootrill/roles/control.py
+++ b/src/coltsfootrill/roles/control.py
@@ -27,6 +27,7 @@
 from coltsfootrill.operators.http import HttpServer
 from coltsfootrill.plugins import collect_schemes
 from coltsfootrill.plugins import load_plugins
+from coltsfootrill.process import error_lines
 from coltsfootrill.roles.signals import install_stop_event
 from coltsfootrill.settings import InvalidSettingsError
 from coltsfootrill.settings import SettingError
@@ -44,6 +45,7 @@
     def __init__(self, replica: ControlReplica, settings: Settings, metrics: Metrics) -> None:
         self._replica = replica
         self._metrics = metrics
+        metrics.dropped_lines.set_function(lambda: error_lines.dropped_total)
         self._repair_task = ReplicaRepairTask(
             replica,
             list_spares=lambda: settings.get("control", "spares"),
--- a/src/coltsfootrill/roles/entry.py
+++ b/src/coltsfootrill/roles/entry.py
@@ -25,6 +25,7 @@
 from coltsfootrill.plugins import collect_schemes
 from coltsfootrill.plugins import find_policy
 from coltsfootrill.plugins import load_plugins
+from coltsfootrill.process import error_lines
 from coltsfootrill.proxy.prober import Prober
 from coltsfootrill.registry.directory import StateChange
 from coltsfootrill.roles.entry_http import EntryHandlers
@@ -48,6 +49,7 @@
         self._settings = settings
         self._clock = Clock()
         self.metrics = Metrics()
+        self.metrics.dropped_lines.set_function(lambda: error_lines.dropped_total)
         self._id = settings.get("instance", "id")
         plugins = load_plugins()
         policy = find_policy(plugins, settings.get("balancer", "policy"))
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -48,6 +48,7 @@
 from coltsfootrill.plugins import find_manifest_format
 from coltsfootrill.plugins import find_policy
 from coltsfootrill.plugins import load_plugins
+from coltsfootrill.process import error_lines
 from coltsfootrill.proxy.load_poller import LoadPoller
 from coltsfootrill.registry.directory import StateChange
 from coltsfootrill.roles.gateway import SWITCH_INTERVAL_S
@@ -92,6 +93,9 @@
         self._id = settings.get("instance", "id")
         self.metrics = Metrics()
         self.log = EventLog(self._id, clock=self._clock)
+        self.metrics.dropped_lines.set_function(
+            lambda: self.log.dropped_total + error_lines.dropped_total
+        )
         requests = RequestLog(self.log, clock=self._clock)
         plugins = load_plugins()
         random = make_random(settings.get("balancer", "seed"))
--- a/testing/events/test_log.py
+++ b/testing/events/test_log.py
@@ -3,9 +3,9 @@
 import json
 import os
 
+from coltsfootrill import output
 from coltsfootrill.clock import Clock
 from coltsfootrill.clock import ManualClock
-from coltsfootrill.events import log as log_module
 from coltsfootrill.events.catalog import Attempt
 from coltsfootrill.events.catalog import DependencyLost
 from coltsfootrill.events.catalog import RequestEnded
@@ -52,7 +52,7 @@
         reader, writer = os.pipe()
         log = EventLog("n1", clock=Clock(), descriptor=writer)
         log.start()
-        for _ in range(log_module.QUEUE_MAX_COUNT * 2):
+        for _ in range(output.QUEUE_MAX_COUNT * 2):
             log.emit(DependencyLost(dependency="x" * 50, reason="y"))
         assert log.dropped > 0
         os.close(reader)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -402,6 +402,20 @@
         "        self.body_rcv = None\n",
         "testing/proxy/test_bodies.py::TestFreeing",
     ),
+    Mutant(
+        "nothing that writes to a log which is not read blocks",
+        "process.py",
+        "        unblock(descriptor)\n",
+        "        pass\n",
+        "testing/test_output.py::TestSetUpProcess",
+    ),
+    Mutant(
+        "lines for standard error wait in a queue",
+        "process.py",
+        "    sys.stderr = LineStream(error_lines, STDERR)\n",
+        "",
+        "testing/test_output.py::TestSetUpProcess",
+    ),
     Mutant(
         "an incomplete answer is kept in small blocks",
         "proxy/block_buffer.py",
--- a/testing/nodes.py
+++ b/testing/nodes.py
@@ -40,7 +40,10 @@
         self._number = number
         self.process: subprocess.Popen[bytes] | None = None
 
-    def start(self, *, is_first_start: bool, seeds: list[str] | None = None) -> None:
+    def start(
+        self, *, is_first_start: bool, seeds: list[str] | None = None, log: int | None = None
+    ) -> None:
+        """Start the process; ``log`` is a descriptor for its output, by default a file."""
         ports = self.ports
         self._path.write_text(
             f"[instance]\nid = n{self._number}\nzone = z{self._number}\n"
@@ -58,8 +61,9 @@
             "[tls]\nplain = true\n"
         )
         arguments = [sys.executable, "-m", "coltsfootrill", "node", "--settings", str(self._path)]
-        with open(self._log, "ab") as log:
-            self.process = subprocess.Popen(arguments, stdout=log, stderr=log)
+        with open(self._log, "ab") as file:
+            output = file.fileno() if log is None else log
+            self.process = subprocess.Popen(arguments, stdout=output, stderr=output)
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         assert self.process is not None
