Remember SIGHUP from the first line of a process on

Cause: the handler was installed in NodeRole.run, after all imports and after the settings had been read; by default SIGHUP ends a process.

deploy/run.py and the commands that run a role now handle signals before they import anything else. SIGHUP is remembered, several as one, and leads to one more reading once the node runs; a broken file then keeps the old settings, as before. SIGTERM ends a process that is starting with code 0; files are replaced whole, so nothing is half written. The request to read is a plain flag: an Event has a lock, which the handler could find held by the thread that it interrupts. Entry and control roles read their settings once, so SIGHUP has no effect there; it ended them before.

--- a/deploy/run.py
+++ b/deploy/run.py
@@ -1,19 +1,25 @@
 """Start a node from a checkout, with the settings file that the platform has written.
 
-This does not import ``coltsfootrill.cli``, which would double the start-up time. The callers' port
-opens before the other imports: see ``coltsfootrill.early_listener``.
+This does not import ``coltsfootrill.cli``, which would double the start-up time. Signals are handled
+and the callers' port opens before the other imports: see ``coltsfootrill.early_signals`` and
+``coltsfootrill.early_listener``.
 """
 
 from __future__ import annotations
 
 import os
 import sys
-from pathlib import Path
 
 SETTINGS_VARIABLE = "COLTSFOOTRILL_SETTINGS"
 EXIT_INVALID_SETTINGS = 2
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "src"))
+
+from coltsfootrill.early_signals import handle_early_signals  # noqa: E402
+
+handle_early_signals()
+
+from pathlib import Path  # noqa: E402
 
 from coltsfootrill.early_listener import open_from_settings  # noqa: E402
 
--- a/src/coltsfootrill/__main__.py
+++ b/src/coltsfootrill/__main__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from coltsfootrill.cli import main
+from coltsfootrill.start import main
 
 if __name__ == "__main__":
     main()
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -19,6 +19,7 @@
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.dispatch.server import DispatchServer
+from coltsfootrill.early_signals import reload_request
 from coltsfootrill.events.catalog import DependencyLost
 from coltsfootrill.events.catalog import InstancesChanged
 from coltsfootrill.events.catalog import ManifestAdopted
@@ -55,7 +56,6 @@
 from coltsfootrill.roles.gateway import Gateway
 from coltsfootrill.roles.gateway import make_random
 from coltsfootrill.roles.node_control import NodeControl
-from coltsfootrill.roles.signals import install_reload_event
 from coltsfootrill.roles.signals import install_stop_event
 from coltsfootrill.rpc import RpcServer
 from coltsfootrill.settings import InvalidSettingsError
@@ -167,14 +167,12 @@
     def run(self, stop: threading.Event | None = None) -> int:
         """Serve until SIGTERM or SIGINT, then stop gracefully; return the exit code."""
         stop = stop or install_stop_event()
-        reload = install_reload_event()
         sys.setswitchinterval(SWITCH_INTERVAL_S)
         self._start()
         last_check_ms = self._clock.now_ms()
         while not stop.wait(HOUSEKEEPING_INTERVAL_MS / MS_PER_SECOND):
             self._run_housekeeping()
-            if reload.is_set():
-                reload.clear()
+            if reload_request.take():
                 self._reload("signal")
             elif self._clock.now_ms() - last_check_ms > SETTINGS_CHECK_INTERVAL_MS:
                 last_check_ms = self._clock.now_ms()
--- a/src/coltsfootrill/roles/signals.py
+++ b/src/coltsfootrill/roles/signals.py
@@ -1,4 +1,4 @@
-"""Events for the signals that stop a process or reload its settings."""
+"""The event that the signals which stop a process set."""
 
 from __future__ import annotations
 
@@ -17,10 +17,3 @@
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
     return stop
-
-
-def install_reload_event() -> threading.Event:
-    """Return an event that SIGHUP sets to request a reload of the settings."""
-    reload = threading.Event()
-    signal.signal(signal.SIGHUP, lambda signal_number, frame: reload.set())
-    return reload
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -416,6 +416,13 @@
         "",
         "testing/test_output.py::TestSetUpProcess",
     ),
+    Mutant(
+        "a change of the settings while a process starts does not end it",
+        "early_signals.py",
+        "    signal.signal(signal.SIGHUP, _request_reload)\n",
+        "",
+        "testing/test_early_signals.py::TestStart",
+    ),
     Mutant(
         "an incomplete answer is kept in small blocks",
         "proxy/block_buffer.py",
