control: move the calls to replicas out of the proposer

PeerCalls and the collection of replies, which need no state of the register, are a module of their own; the function that moves replies comes from votes.py, which now only counts.

--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -10,10 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from concurrent.futures import FIRST_COMPLETED
 from concurrent.futures import Executor
-from concurrent.futures import Future
-from concurrent.futures import wait
 from random import Random
 from typing import TypeVar
 
@@ -21,6 +18,8 @@
 from absl import logging
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.control.calls import PeerCalls
+from coltsfootrill.control.calls import ReplyCollector
 from coltsfootrill.control.messages import INITIAL_EPOCH
 from coltsfootrill.control.messages import ZERO_BALLOT
 from coltsfootrill.control.messages import Accept
@@ -33,12 +32,9 @@
 from coltsfootrill.control.messages import Prepare
 from coltsfootrill.control.messages import Promise
 from coltsfootrill.control.messages import Replica
-from coltsfootrill.control.votes import Reply
 from coltsfootrill.control.votes import Votes
-from coltsfootrill.control.votes import collect_replies
 from coltsfootrill.errors import ColtsfootrillError
 
-CALL_TIMEOUT_MS = 1_000.0
 BACKOFF_MS = 20.0
 BACKOFF_MAX_MS = 400.0
 # A change of a large manifest takes about 200 ms. A read that starts a round with a higher ballot
@@ -57,23 +53,6 @@
     """A state was sent to acceptors, but no majority confirmed it; it may still be chosen."""
 
 
-class PeerCalls:
-    """Calls to the acceptor at an address; each raises ``ColtsfootrillError`` on failure."""
-
-    __slots__ = ("accept", "inspect", "prepare")
-
-    def __init__(
-        self,
-        *,
-        prepare: Callable[[str, Prepare], Promise],
-        accept: Callable[[str, Accept], Accepted],
-        inspect: Callable[[str, Inspect], Inspection],
-    ) -> None:
-        self.prepare = prepare
-        self.accept = accept
-        self.inspect = inspect
-
-
 class Register:
     """The proposer of one replica.
 
@@ -98,7 +77,7 @@
         self._calls = calls
         self._get_accepted = get_accepted
         self._learn = learn
-        self._executor = executor
+        self._collector = ReplyCollector(executor, clock)
         self._clock = clock
         self._random = random
         self._round = 0
@@ -240,7 +219,7 @@
         request = Inspect(self._replica_id, local.ballot)
 
         def inspect_all() -> None:
-            self._gather(
+            self._collector.collect(
                 votes,
                 lambda address: self._calls.inspect(address, request),
                 lambda: self._get_agreed_ballot(votes) != ZERO_BALLOT,
@@ -294,7 +273,7 @@
         local = self._get_newest_accepted()
         request = Prepare(self.known.epoch, ballot, local.ballot)
         votes: Votes[Promise] = Votes([self.known.replicas])
-        self._gather(
+        self._collector.collect(
             votes,
             lambda address: self._calls.prepare(address, request),
             lambda: votes.has_majority(lambda promise: promise.is_granted),
@@ -340,7 +319,7 @@
         """
         request = Prepare(newest.epoch, ballot, local.ballot)
         votes.replica_sets.append(newest.replicas)
-        self._gather(
+        self._collector.collect(
             votes,
             lambda address: self._calls.prepare(address, request),
             lambda: votes.has_majority(lambda promise: promise.is_granted),
@@ -383,7 +362,7 @@
             sets.append(state.replicas)
         votes: Votes[Accepted] = Votes(sets)
         request = Accept(ballot, state)
-        self._gather(
+        self._collector.collect(
             votes,
             lambda address: self._calls.accept(address, request),
             lambda: votes.has_majority(lambda reply: reply.is_granted),
@@ -394,33 +373,6 @@
         self._known_ballot = ballot
         return True
 
-    def _gather(
-        self, votes: Votes[Reply], call: Callable[[str], Reply], has_enough: Callable[[], bool]
-    ) -> None:
-        """Call all replicas that have not replied yet, until ``has_enough`` or the timeout."""
-        addresses = {
-            replica.address for replicas in votes.replica_sets for replica in replicas.values()
-        }
-        addresses -= votes.by_address.keys()
-        try:
-            pending: dict[Future[Reply], str] = {
-                self._executor.submit(call, address): address for address in sorted(addresses)
-            }
-        except RuntimeError as error:
-            # The executor is shut down because the replica is stopping. Replicas that were called
-            # already are treated as if they had not replied.
-            logging.warning(
-                'call to replicas failed because this replica is stopping error="%s"', error
-            )
-            return
-        timeout_at_ms = self._clock.now_ms() + CALL_TIMEOUT_MS
-        while pending and not has_enough():
-            left_ms = timeout_at_ms - self._clock.now_ms()
-            if left_ms <= 0:
-                return
-            done, _ = wait(pending, timeout=left_ms / 1000, return_when=FIRST_COMPLETED)
-            collect_replies(done, pending, votes)
-
     def _back_off(self, attempt: int, deadline_ms: float) -> None:
         # Exponential backoff with jitter, so that two proposers stop interrupting each other.
         pause_ms = min(BACKOFF_MAX_MS, BACKOFF_MS * 2 ** min(attempt, 10)) * self._random.random()
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -13,6 +13,8 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.calls import CALL_TIMEOUT_MS
+from coltsfootrill.control.calls import PeerCalls
 from coltsfootrill.control.messages import INITIAL_EPOCH
 from coltsfootrill.control.messages import ZERO_BALLOT
 from coltsfootrill.control.messages import Accept
@@ -25,9 +27,7 @@
 from coltsfootrill.control.messages import ReadReply
 from coltsfootrill.control.messages import ReadRequest
 from coltsfootrill.control.messages import Replica
-from coltsfootrill.control.proposer import CALL_TIMEOUT_MS
 from coltsfootrill.control.proposer import NoQuorumError
-from coltsfootrill.control.proposer import PeerCalls
 from coltsfootrill.control.proposer import Register
 from coltsfootrill.control.proposer import UnknownResultError
 from coltsfootrill.control.replacement import FaultKind
--- a/src/coltsfootrill/control/votes.py
+++ b/src/coltsfootrill/control/votes.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Iterable
-from concurrent.futures import Future
 from typing import Generic
 from typing import TypeVar
 
@@ -12,7 +10,6 @@
 from coltsfootrill.control.messages import Inspection
 from coltsfootrill.control.messages import Promise
 from coltsfootrill.control.messages import Replica
-from coltsfootrill.errors import ColtsfootrillError
 
 Reply = TypeVar("Reply", Promise, Accepted, Inspection)
 
@@ -49,15 +46,3 @@
             if reply is not None and reply.key == replica.key:
                 count += select(reply)
         return 2 * count > len(replicas)
-
-
-def collect_replies(
-    done: Iterable[Future[Reply]], pending: dict[Future[Reply], str], votes: Votes[Reply]
-) -> None:
-    """Move the calls that are ``done`` from ``pending`` to ``votes``, without those that failed."""
-    for future in done:
-        address = pending.pop(future)
-        try:
-            votes.by_address[address] = future.result()
-        except ColtsfootrillError:
-            continue
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -13,6 +13,8 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.control.acceptor import Acceptor
+from coltsfootrill.control.calls import CALL_TIMEOUT_MS
+from coltsfootrill.control.calls import PeerCalls
 from coltsfootrill.control.messages import INITIAL_EPOCH
 from coltsfootrill.control.messages import ZERO_BALLOT
 from coltsfootrill.control.messages import Ballot
@@ -20,8 +22,6 @@
 from coltsfootrill.control.messages import Inspect
 from coltsfootrill.control.messages import Prepare
 from coltsfootrill.control.messages import Replica
-from coltsfootrill.control.proposer import CALL_TIMEOUT_MS
-from coltsfootrill.control.proposer import PeerCalls
 from coltsfootrill.control.proposer import Register
 from coltsfootrill.control.replacement import ReplaceAnswer
 from coltsfootrill.control.replacement import ReplicaChange
