Announce the upstream of the upload test for as long as it runs

Cause: the test announced its upstream once, and a lease ends after some seconds. Shown by a pause of 9 s before the uploads: refused as 'no-upstream', with the same test. Ruled out: other load (12 passes beside seven busy processes).

The upstream now announces itself each 0.5 s. The test expects what it did.

--- a/testing/roles/test_node_memory.py
+++ b/testing/roles/test_node_memory.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import http.client
+import itertools
 import json
 import re
 import socket
@@ -37,6 +38,7 @@
 UPLOADS_COUNT = 20
 UPLOAD_BYTES = 60 * 1024 * 1024
 CALLERS_COUNT = 40
+HEARTBEAT_INTERVAL_S = 0.5
 
 
 def read_peak_mb(fleet: Fleet) -> float:
@@ -63,9 +65,9 @@
     return script
 
 
-def announce(fleet: Fleet, upstream_id: str, address: str) -> None:
+def announce(fleet: Fleet, upstream_id: str, address: str, sequence: int = 1) -> None:
     info = {"service": "desk", "version": "v1", "zone": "z1", "concurrency": SLOTS}
-    status = {"state": "ready", "sequence": 1, "coldRemainingMs": 0}
+    status = {"state": "ready", "sequence": sequence, "coldRemainingMs": 0}
     body = {"address": address, "serverInfo": info, "status": status, "born": 1}
     raw = json.dumps(body).encode()
     path = f"/Instances.Heartbeat/{upstream_id}"
@@ -111,10 +113,24 @@
 
 
 class Upstream:
-    """Reads each body to its end, and answers."""
+    """Reads each body to its end, and answers; announces itself until it is closed."""
 
-    def __init__(self) -> None:
-        self.upstream = ScriptedUpstream(self._serve)
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._upstream = ScriptedUpstream(self._serve)
+        self._is_closed = threading.Event()
+        self._thread = threading.Thread(target=self._announce, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        self._is_closed.set()
+        self._thread.join()
+        self._upstream.close()
+
+    def _announce(self) -> None:
+        sequence = itertools.count(1)
+        while not self._is_closed.wait(HEARTBEAT_INTERVAL_S):
+            announce(self._fleet, "i-sound", self._upstream.address, next(sequence))
 
     def _serve(self, sock: socket.socket, head: bytes, number: int) -> bool:
         fields, _, rest = head.partition(b"\r\n\r\n")
@@ -188,13 +204,12 @@
     ) -> None:
         raw = encode_state(route(timeoutMs=20_000), version="00000002")
         wait_until(lambda: fleet.nodes[0].submit(raw, 0) == 200, within_s=20)
-        sound = Upstream()
+        sound = Upstream(fleet)
         try:
-            announce(fleet, "i-sound", sound.upstream.address)
             wait_until(lambda: send_request(fleet.nodes[0]) == 200, within_s=20)
             uploads = Uploads(fleet)
             assert uploads.run(is_chunked=is_chunked) == {(200, ""), (503, "no-room-for-body")}
             assert set(uploads.small_statuses) <= {200, 503}
             assert read_peak_mb(fleet) < MEMORY_MAX_MB
         finally:
-            sound.upstream.close()
+            sound.close()
