deploy: name the folder of the sources without dots

Cause: since signals are handled first, deploy/run.py named the sources as 'deploy/../src'; modules before process.py were found so, that one was not. Why the platform finds some files by such a path is not known; on the machine itself all are. The path is worked out without dots, as it was before.

--- a/deploy/run.py
+++ b/deploy/run.py
@@ -13,7 +13,8 @@
 SETTINGS_VARIABLE = "COLTSFOOTRILL_SETTINGS"
 EXIT_INVALID_SETTINGS = 2
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "src"))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "src"))
 
 from coltsfootrill.early_signals import handle_early_signals  # noqa: E402
 
