testing: share the fixture of four nodes among the tests of the role

The tests of memory and of the unread log had copied the fixture of test_node. No assertion is changed.

--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -7,12 +7,9 @@
 import socket
 import subprocess
 import time
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
-import pytest
-
 from coltsfootrill.control.acceptor import Acceptor
 from coltsfootrill.control.files import FileLayer
 from testing.nodes import Node
@@ -103,13 +100,6 @@
             wait_until(lambda node=node: send_request(node) == 200, within_s=within_s)  # type: ignore[misc]
 
 
-@pytest.fixture
-def fleet(tmp_path: Path) -> Iterator[Fleet]:
-    started = Fleet(tmp_path)
-    yield started
-    started.close()
-
-
 class TestEndToEnd:
     def test_all_nodes_serve_what_was_submitted_to_one(self, fleet: Fleet) -> None:
         raw = fleet.submit_manifest(2, 0)
--- a/testing/roles/test_node_log.py
+++ b/testing/roles/test_node_log.py
@@ -5,10 +5,6 @@
 import os
 import signal
 import time
-from collections.abc import Iterator
-from pathlib import Path
-
-import pytest
 
 from testing.platform.test_desired_state import encode_state
 from testing.platform.test_desired_state import route
@@ -22,13 +18,6 @@
 CATCH_UP_S = 4.0
 
 
-@pytest.fixture
-def fleet(tmp_path: Path) -> Iterator[Fleet]:
-    started = Fleet(tmp_path)
-    yield started
-    started.close()
-
-
 class TestUnreadLog:
     # Guards against a node that keeps an outdated manifest and says that it is ready.
     def test_node_follows_changes_and_ends_in_time(self, fleet: Fleet) -> None:
--- a/testing/roles/test_node_memory.py
+++ b/testing/roles/test_node_memory.py
@@ -9,7 +9,6 @@
 import re
 import socket
 import threading
-from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -74,13 +73,6 @@
     wait_until(lambda: fleet.nodes[0].call("interface", "POST", path, raw)[0] == 200, within_s=20)
 
 
-@pytest.fixture
-def fleet(tmp_path: Path) -> Iterator[Fleet]:
-    started = Fleet(tmp_path)
-    yield started
-    started.close()
-
-
 class TestEndlessAnswers:
     # Guards against an instance that keeps what faulty upstreams send until its memory ends.
     @pytest.mark.parametrize(
