Show that a request that ran is refused, or run again, where upstreams restart at one address

What callers see: an order is answered 503 with outcome not-run though an upstream has run it, or it runs twice. Cause as far as it is shown: an upstream that has restarted is listed under both ids at one address. The refusal of the attempt for the former id, written once more, is taken for the answer to the attempt for the new one, since both go over the kept connection of that address and carry the same request id.

--- a/testing/proxy/test_dialect.py
+++ b/testing/proxy/test_dialect.py
@@ -22,7 +22,7 @@
 NOT_RUN = "x-not-executed: 1\r\n"
 
 
-def _get_id(head: bytes) -> str:
+def get_request_id(head: bytes) -> str:
     for line in head.decode().split("\r\n"):
         name, _, value = line.partition(": ")
         if name.lower() == "x-attempt-id":
@@ -34,7 +34,7 @@
     body: bytes = b"hello", *, status: str = "200 OK", extra: str = SIGNATURE, before: bytes = b""
 ) -> Script:
     def script(sock: socket.socket, head: bytes, number: int) -> bool:
-        echo = f"x-attempt-id: {_get_id(head)}\r\n"
+        echo = f"x-attempt-id: {get_request_id(head)}\r\n"
         sock.sendall(before + encode(body, status=status, extra=extra + echo))
         return True
 
@@ -239,17 +239,17 @@
 class RefusingUpstream:
     """Refuses its first request, and again where it answers the next one on that connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, refuse: Script) -> None:
         self.run_count = 0
+        self._refuse = refuse
         self._refused_on: socket.socket | None = None
 
     def answer(self, sock: socket.socket, head: bytes, number: int) -> bool:
-        refuse = reply_with(status="429 Too Many Requests", extra=NOT_RUN)
         if number == 1:
             self._refused_on = sock
-            return refuse(sock, head, number)
+            return self._refuse(sock, head, number)
         if sock is self._refused_on:
-            refuse(sock, head, number)
+            self._refuse(sock, head, number)
         self.run_count += 1
         return reply_with()(sock, head, number)
 
@@ -259,8 +259,18 @@
     def test_a_refusal_that_is_written_again_is_no_answer_to_the_next_attempt(
         self, instance: Instance, serve: Serve
     ) -> None:
-        upstream = RefusingUpstream()
+        upstream = RefusingUpstream(reply_with(status="429 Too Many Requests", extra=NOT_RUN))
         serve(upstream.answer)
         reply = _call(instance, "/once", method="POST")
         assert (reply.status, reply.outcome) == (200, "answered")
         assert upstream.run_count == 1
+
+    # Guards against a request that has run being refused, when an upstream restarts under a new id.
+    def test_a_refusal_for_the_former_id_at_an_address_is_no_answer_to_the_attempt_at_the_new_one(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        upstream = RefusingUpstream(reply_with(status="421 Misdirected Request", extra=""))
+        instance.announce("u2", serve(upstream.answer, "u1").address)
+        reply = _call(instance, "/once", method="POST")
+        assert (reply.status, reply.outcome) == (200, "answered")
+        assert upstream.run_count == 1
