Send no attempt over a connection that an earlier one of its request has used

What callers saw: an order was answered 503 with outcome not-run though an upstream had run it (REFUSED), or it ran twice (TWICE). An upstream that restarts at its address is listed under both ids until the lease of the former ends. The refusal of the first attempt, which a faulty upstream writes once more, late, was taken for the answer to the second on the same connection, which then ran. Change: a request keeps the connections that its attempts have used, and takes none of them again; the comparison of upstream ids is gone. An upstream that refused may be tried again over another kept connection. Applies to second attempts too. The mutant drops the record of used connections. Conclusion: what makes an answer ambiguous is the connection, so that is what is compared.

--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.proxy.answer import NO_ECHO
@@ -238,19 +239,24 @@
         self._lock = threading.Lock()
         self._epoch = 0
 
-    def take_idle(self, *, idle_max_ms: float = math.inf) -> UpstreamConnection | None:
+    def take_idle(
+        self, *, idle_max_ms: float = math.inf, exclude: Sequence[UpstreamConnection] = ()
+    ) -> UpstreamConnection | None:
         """Remove and return the most recently used idle connection, ``None`` if none is usable.
 
-        Connections that have been idle for longer than ``idle_max_ms`` stay in the pool.
+        Those in ``exclude``, and those idle for longer than ``idle_max_ms``, stay in the pool.
         """
         while True:
             with self._lock:
-                if not self._idle:
+                connection = next(
+                    (idle for idle in reversed(self._idle) if idle not in exclude), None
+                )
+                if connection is None:
                     return None
-                age_ms = self._clock.now_ms() - self._idle[-1].idle_since_ms
+                age_ms = self._clock.now_ms() - connection.idle_since_ms
                 if age_ms > idle_max_ms:
                     return None
-                connection = self._idle.pop()
+                self._idle.remove(connection)
             if age_ms < connection.idle_max_ms and connection.has_no_pending_data():
                 return connection
             connection.close()
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -23,6 +23,7 @@
 from coltsfootrill.proxy.attempt import poll_attempts
 from coltsfootrill.proxy.connection import ConnectError
 from coltsfootrill.proxy.connection import SendError
+from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.connection import encode_head
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
@@ -76,6 +77,8 @@
         self._metrics = metrics
         self._history = AttemptHistory(is_retried=request.is_retried)
         self._tried: set[str] = set()
+        # Attempts share an id, so on one connection their answers can't be told apart.
+        self._used: list[UpstreamConnection] = []
         self._in_progress: list[AttemptInProgress] = []
         self.attempts: list[AttemptEvent] = []
 
@@ -113,9 +116,6 @@
             should_stop_waiting=self._request.monitor.should_stop_waiting,
         )
         idle_max_ms = self._pools.get_idle_max_ms(is_idempotent=self._kind.idempotent)
-        if claim.load.id in self._tried:
-            # On the connection of the earlier attempt, its answer could be taken for this one's.
-            idle_max_ms = 0.0
         failure = self._send_attempt(claim, idle_max_ms=idle_max_ms)
         if failure is not None:
             return failure
@@ -135,11 +135,14 @@
             raise self._make_deadline_error()
         pool = self._pools.get(claim.load.address)
         try:
-            connection = pool.take_idle(idle_max_ms=idle_max_ms) if idle_max_ms else None
+            connection = (
+                pool.take_idle(idle_max_ms=idle_max_ms, exclude=self._used) if idle_max_ms else None
+            )
             connection = connection or pool.open(left_ms)
         except ConnectError as error:
             self._end_failed(claim, "refused")
             return AttemptFailure("refused", str(error))
+        self._used.append(connection)
         self._history.possibly_run += 1
         self._history.sends += 1
         try:
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -602,8 +602,8 @@
     Mutant(
         "a refusal that is written again answers no later attempt",
         "proxy/forward.py",
-        "            idle_max_ms = 0.0\n        failure",
-        "            pass\n        failure",
+        "        self._used.append(connection)\n",
+        "",
         "testing/proxy/test_dialect.py::TestRepeatedRefusals",
     ),
     Mutant(
