Accept an answer without an id only as the first on its connection

What callers could see: an order is answered 503 with outcome not-run though the upstream runs it. Cause: an answer without an id was accepted on a fresh connection as long as no answer to another request had been skipped before; what arrived with such an answer in one piece was still taken as the first. Ruled out: the same in two pieces, where the skipped answer was already counted. Change: the place among the answers that arrived together counts as well. Conclusion: only the first answer on a connection can do without an id.

--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -62,16 +62,16 @@
         self.header = header
         self.value = value
 
-    def matches(self, answer: UpstreamAnswer, *, is_fresh: bool) -> bool:
+    def matches(self, answer: UpstreamAnswer, *, is_first: bool) -> bool:
         """Return whether the answer belongs to the request.
 
-        An answer without an id is accepted only on a fresh connection: on a reused one it could
-        belong to an earlier request.
+        An answer without an id is accepted only as the first one on its connection: a later one
+        could belong to another request.
         """
         if not self.header or not self.value:
             return True
         stated = answer.get_header(self.header)
-        return is_fresh if stated is None else stated == self.value
+        return is_first if stated is None else stated == self.value
 
 
 NO_ECHO = AnswerEcho()
@@ -319,7 +319,8 @@
     def _take_matching(self) -> UpstreamAnswer | None:
         messages = self._collector.messages
         for index, answer in enumerate(messages):
-            if self._echo.matches(answer, is_fresh=self._is_fresh and not self.has_surplus):
+            is_first = self._is_fresh and not self.has_surplus and index == 0
+            if self._echo.matches(answer, is_first=is_first):
                 is_alone = len(messages) == 1 and self._collector.is_between_messages
                 self.has_surplus = self.has_surplus or index > 0 or not is_alone
                 return answer
--- a/testing/proxy/test_dialect.py
+++ b/testing/proxy/test_dialect.py
@@ -155,6 +155,16 @@
         reply = _call(instance, "/once", method="POST")
         assert (reply.outcome, upstream.connections) == ("unknown", 1)
 
+    # Guards against a request that has run being refused for an answer that names no request.
+    def test_answer_without_an_id_is_not_accepted_behind_the_answer_to_another_request(
+        self, instance: Instance, serve: Serve
+    ) -> None:
+        other = encode(b"other", extra=SIGNATURE + "x-attempt-id: q0\r\n")
+        nameless = encode(b"", status="503 Full", extra=NOT_RUN)
+        upstream = serve(reply_with(before=other + nameless))
+        reply = _call(instance, "/once", method="POST")
+        assert (reply.status, len(upstream.heads)) == (200, 1)
+
     def test_answer_without_a_length_ends_when_the_connection_closes(
         self, instance: Instance, serve: Serve
     ) -> None:
