Record the connection of each attempt, and count the answers that no request waited for

Cause: of a refused request that ran, logs told neither which connection its attempts had used, nor that answers had been skipped there or written twice. Ruled out: lines for each skipped answer (an upstream in trouble sends many); counting by address (operators know services); counting on the connections of probes and load polls, which carry no requests. Change: attempts state `connection` (a number within the process), `earlier_requests` on it, `skipped` answers and `surplus`; the counter coltsfootrill_unsolicited_answers has the causes other-request, nameless, surplus and idle. One more system call, a peek, and only on an idle connection that is about to be closed. The event is made in proxy/attempt.py. take_idle takes none for an idle time of 0, which its caller checked before. Conclusion: a shared connection, skipped answers and surplus bytes show in the line of a refused request.

--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -175,6 +175,11 @@
     ``occupancy``, which includes this request, and ``pace`` are the state of the upstream when it
     was chosen, from a load report that was ``report_age_ms`` old. ``chosen_by`` is the instance
     that chose the upstream, empty if it was the logging one.
+
+    ``connection`` numbers the connection that it was sent on, within one run of the process; 0 if
+    it was not sent. ``earlier_requests`` were sent on it before, none on a fresh one. ``skipped``
+    answers that do not name the request arrived instead of its answer, or before it; ``surplus``
+    states that bytes arrived together with the answer, behind it.
     """
 
     upstream: str
@@ -185,6 +190,10 @@
     pace: float = 1.0
     report_age_ms: float = 0
     chosen_by: str = ""
+    connection: int = 0
+    earlier_requests: int = 0
+    skipped: int = 0
+    surplus: bool = False
 
 
 class Admission(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/coltsfootrill/metrics.py
+++ b/src/coltsfootrill/metrics.py
@@ -50,6 +50,12 @@
             "Idle connections closed because another one to the same upstream went silent.",
             registry=registry,
         )
+        self.unsolicited_answers = Counter(
+            "coltsfootrill_unsolicited_answers",
+            "Answers of upstreams that no request waited for, by cause.",
+            ("service", "cause"),
+            registry=registry,
+        )
         self.announcements = Counter(
             "coltsfootrill_announcements",
             "Announcements received, by result.",
--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -12,6 +12,9 @@
 from coltsfootrill.proxy.outcome import Header
 from coltsfootrill.proxy.receive_budget import INCOMPLETE_MAX_BYTES
 from coltsfootrill.proxy.receive_budget import ReceiveBudget
+from coltsfootrill.proxy.unsolicited import CountByCause
+from coltsfootrill.proxy.unsolicited import UnsolicitedCause
+from coltsfootrill.proxy.unsolicited import count_skipped
 
 ANSWER_MAX_BYTES = 8 * 1024 * 1024
 HEAD_MAX_BYTES = 64 * 1024
@@ -73,6 +76,10 @@
         stated = answer.get_header(self.header)
         return is_first if stated is None else stated == self.value
 
+    def get_skip_cause(self, answer: UpstreamAnswer) -> UnsolicitedCause:
+        """Return why an answer that does not match is skipped."""
+        return "nameless" if answer.get_header(self.header) is None else "other-request"
+
 
 NO_ECHO = AnswerEcho()
 
@@ -203,8 +210,9 @@
     """Parses bytes of a connection until the answer to a request is complete.
 
     Answers that belong to another request are skipped. ``has_surplus`` is then true, and the
-    connection must not be reused. The parser passes on a header only once it is complete, and
-    chunk extensions never, so the received bytes are bounded here as well.
+    connection must not be reused; ``unsolicited_by_cause`` counts them. The parser passes on a
+    header only once it is complete, and chunk extensions never, so the received bytes are bounded
+    here as well.
     """
 
     __slots__ = (
@@ -216,8 +224,8 @@
         "_is_head_request",
         "_parser",
         "_received_bytes",
-        "_skipped_count",
         "has_surplus",
+        "unsolicited_by_cause",
     )
 
     def __init__(
@@ -235,9 +243,9 @@
         self._collector = _MessageCollector(self._get_status, is_head_request=self._is_head_request)
         self._parser = httptools.HttpResponseParser(self._collector)
         self._received_bytes = 0
-        self._skipped_count = 0
         self._bytes_without_head = 0
         self.has_surplus = False
+        self.unsolicited_by_cause: CountByCause = {}
 
     @property
     def is_reusable(self) -> bool:
@@ -270,7 +278,7 @@
                 raise ReadError(
                     f"the answer is not valid HTTP: {error.__context__ or error}"
                 ) from error
-            self.has_surplus = True
+            self._record_surplus()
             return answer
         skipped_count = len(self._collector.messages)
         answer = self._take_matching()
@@ -280,9 +288,9 @@
 
     def _check_progress(self, received_bytes: int, skipped_count: int) -> None:
         """Count what arrived without completing the answer; raise ``ReadError`` beyond a limit."""
-        self._skipped_count += skipped_count
-        if self._skipped_count > SKIPPED_ANSWERS_MAX_COUNT:
-            raise ReadError(f"{self._skipped_count} answers to other requests arrived instead")
+        total_count = count_skipped(self.unsolicited_by_cause)
+        if total_count > SKIPPED_ANSWERS_MAX_COUNT:
+            raise ReadError(f"{total_count} answers to other requests arrived instead")
         self._received_bytes += received_bytes
         self._budget.add(received_bytes)
         if self._received_bytes > RECEIVED_MAX_BYTES:
@@ -321,14 +329,22 @@
         for index, answer in enumerate(messages):
             is_first = self._is_fresh and not self.has_surplus and index == 0
             if self._echo.matches(answer, is_first=is_first):
-                is_alone = len(messages) == 1 and self._collector.is_between_messages
-                self.has_surplus = self.has_surplus or index > 0 or not is_alone
+                if index + 1 < len(messages) or not self._collector.is_between_messages:
+                    self._record_surplus()
                 return answer
-        if messages:
-            self.has_surplus = True
-            messages.clear()
+            self._record_skipped(answer)
+        messages.clear()
         return None
 
+    def _record_skipped(self, answer: UpstreamAnswer) -> None:
+        self.has_surplus = True
+        cause = self._echo.get_skip_cause(answer)
+        self.unsolicited_by_cause[cause] = self.unsolicited_by_cause.get(cause, 0) + 1
+
+    def _record_surplus(self) -> None:
+        self.has_surplus = True
+        self.unsolicited_by_cause["surplus"] = 1
+
     def _get_status(self) -> int:
         return int(self._parser.get_status_code())
 
--- a/src/coltsfootrill/proxy/attempt.py
+++ b/src/coltsfootrill/proxy/attempt.py
@@ -7,10 +7,12 @@
 
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.retry import FailureKind
+from coltsfootrill.events.catalog import Attempt as AttemptEvent
 from coltsfootrill.proxy.caller import DisconnectMonitor
 from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import UnknownOutcomeError
+from coltsfootrill.proxy.unsolicited import count_skipped
 
 
 class AttemptInProgress:
@@ -59,3 +61,38 @@
                 "the caller disconnected before an answer",
             )
     return [by_fileno[fileno] for fileno, _ in events if fileno in by_fileno]
+
+
+def make_attempt_event(
+    claim: Claim,
+    result: str,
+    connection: UpstreamConnection | None,
+    *,
+    arrived_ms: float,
+    now_ms: float,
+) -> AttemptEvent:
+    """Return the event for an attempt that has ended, of a request that arrived at ``arrived_ms``.
+
+    ``connection`` is the one that the attempt was sent on, ``None`` if it was not sent.
+    """
+    number = earlier_count = skipped_count = 0
+    has_surplus = False
+    if connection is not None:
+        number = connection.number
+        earlier_count = connection.sent_count - 1
+        skipped_count = count_skipped(connection.unsolicited_by_cause)
+        has_surplus = "surplus" in connection.unsolicited_by_cause
+    return AttemptEvent(
+        upstream=claim.load.id,
+        after_ms=round(claim.started_ms - arrived_ms, 1),
+        took_ms=round(now_ms - claim.started_ms, 1),
+        result=result,
+        occupancy=round(claim.occupancy, 1),
+        pace=round(claim.pace, 2),
+        report_age_ms=round(claim.report_age_ms, 1),
+        chosen_by="" if claim.grant is None else claim.grant.dispatcher,
+        connection=number,
+        earlier_requests=earlier_count,
+        skipped=skipped_count,
+        surplus=has_surplus,
+    )
--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import select
 import socket
 import threading
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 
@@ -19,6 +21,7 @@
 from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.outcome import Header
 from coltsfootrill.proxy.receive_budget import ReceiveBudget
+from coltsfootrill.proxy.unsolicited import CountByCause
 from coltsfootrill.registry.announcement import split_address
 
 RECEIVE_BYTES = 64 * 1024
@@ -29,6 +32,8 @@
 IDLE_MAX_COUNT = 8
 _CLOSED_EARLY = "the upstream closed the connection before the answer was complete"
 
+_numbers = itertools.count(1)
+
 
 class ConnectError(ConnectionLayerError):
     """The connection could not be established, so no byte of the request was sent."""
@@ -42,7 +47,9 @@
     """A connection to an upstream; ``idle_since_ms`` is a time of the clock.
 
     ``epoch`` is the epoch of the pool when the connection was opened. ``is_fresh`` is true until
-    the first answer has been read.
+    the first answer has been read. ``number`` is unique within the process, ``sent_count`` the
+    number of requests sent so far, and ``unsolicited_by_cause`` counts what arrived during the last
+    one and does not belong to it.
     """
 
     __slots__ = (
@@ -55,6 +62,9 @@
         "idle_since_ms",
         "is_fresh",
         "is_reusable",
+        "number",
+        "sent_count",
+        "unsolicited_by_cause",
     )
 
     def __init__(
@@ -74,6 +84,9 @@
         self.idle_max_ms = IDLE_MAX_MS
         self.is_fresh = True
         self.is_reusable = False
+        self.number = next(_numbers)
+        self.sent_count = 0
+        self.unsolicited_by_cause: CountByCause = {}
 
     @classmethod
     def open(
@@ -106,6 +119,13 @@
         """Return whether neither bytes nor an end of stream arrived since the last answer."""
         return not has_pending_data(self._sock)
 
+    def has_unsolicited_bytes(self) -> bool:
+        """Return whether bytes, not only an end of stream, arrived since the last answer."""
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def send(
         self, head: bytes, body: Iterable[bytes | bytearray] = (), *, deadline_ms: float
     ) -> None:
@@ -114,6 +134,7 @@
         ``body`` consists of blocks, which are not copied except for the first one.
         """
         self.is_reusable = False
+        self.sent_count += 1
         blocks = iter(body)
         part: bytes | bytearray | None = head + next(blocks, b"")
         try:
@@ -180,6 +201,7 @@
     def _release_reader(self) -> None:
         reader, self._reader = self._reader, None
         if reader is not None:
+            self.unsolicited_by_cause = reader.unsolicited_by_cause
             reader.release()
 
 
@@ -240,12 +262,20 @@
         self._epoch = 0
 
     def take_idle(
-        self, *, idle_max_ms: float = math.inf, exclude: Sequence[UpstreamConnection] = ()
+        self,
+        *,
+        idle_max_ms: float = math.inf,
+        exclude: Sequence[UpstreamConnection] = (),
+        on_unsolicited: Callable[[], None] = lambda: None,
     ) -> UpstreamConnection | None:
         """Remove and return the most recently used idle connection, ``None`` if none is usable.
 
-        Those in ``exclude``, and those idle for longer than ``idle_max_ms``, stay in the pool.
+        Those in ``exclude``, and those idle for longer than ``idle_max_ms``, stay in the pool; if
+        that is 0, all do. ``on_unsolicited`` is called for each one that is closed after bytes had
+        arrived on it while it was idle.
         """
+        if not idle_max_ms:
+            return None
         while True:
             with self._lock:
                 connection = next(
@@ -259,6 +289,8 @@
                 self._idle.remove(connection)
             if age_ms < connection.idle_max_ms and connection.has_no_pending_data():
                 return connection
+            if connection.has_unsolicited_bytes():
+                on_unsolicited()
             connection.close()
 
     def open(self, timeout_ms: float) -> UpstreamConnection:
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -20,6 +20,7 @@
 from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.attempt import AttemptFailure
 from coltsfootrill.proxy.attempt import AttemptInProgress
+from coltsfootrill.proxy.attempt import make_attempt_event
 from coltsfootrill.proxy.attempt import poll_attempts
 from coltsfootrill.proxy.connection import ConnectError
 from coltsfootrill.proxy.connection import SendError
@@ -42,6 +43,7 @@
 from coltsfootrill.proxy.second_attempt import get_silence_timeout_ms
 from coltsfootrill.proxy.second_attempt import get_target_left_ms
 from coltsfootrill.proxy.statements import read_statements
+from coltsfootrill.proxy.unsolicited import UnsolicitedCause
 
 SEND_MARGIN_MS = 1.0
 # A process that has ended refuses connections at once; a host that is gone does not reply at all.
@@ -135,10 +137,11 @@
             raise self._make_deadline_error()
         pool = self._pools.get(claim.load.address)
         try:
-            connection = (
-                pool.take_idle(idle_max_ms=idle_max_ms, exclude=self._used) if idle_max_ms else None
-            )
-            connection = connection or pool.open(left_ms)
+            connection = pool.take_idle(
+                idle_max_ms=idle_max_ms,
+                exclude=self._used,
+                on_unsolicited=lambda: self._count_unsolicited("idle"),
+            ) or pool.open(left_ms)
         except ConnectError as error:
             self._end_failed(claim, "refused")
             return AttemptFailure("refused", str(error))
@@ -155,7 +158,7 @@
             if not connection.is_fresh:
                 self._pools.record_reuse_failure()
             connection.close()
-            self._end_failed(claim, "lost")
+            self._end_failed(claim, "lost", connection)
             return AttemptFailure("lost", str(error))
         attempt = AttemptInProgress(claim, connection, self._clock.now_ms())
         connection.expect(self._request.method, self._echo)
@@ -257,11 +260,11 @@
                 self._pools.record_reuse_failure()
             if isinstance(error, EndedWithoutAnswerError) and not self._is_listening(claim):
                 self._guard.record_crash(claim)
-            self._end_failed(claim, "lost")
+            self._end_failed(claim, "lost", attempt.connection)
             return AttemptFailure("lost", str(error))
         report = self._dialect.parse_load(answer.get_header(self._dialect.load))
         read_statements(claim, answer, self._dialect)
-        result = self._classify_answer(claim, answer, report)
+        result = self._classify_answer(attempt, answer, report)
         if isinstance(result, Answer):
             result.add_sent_callback(lambda: self._give_back(attempt))
         else:
@@ -278,18 +281,19 @@
         self._pools.get(attempt.claim.load.address).give_back(attempt.connection)
 
     def _classify_answer(
-        self, claim: Claim, answer: UpstreamAnswer, report: LoadReport | None
+        self, attempt: AttemptInProgress, answer: UpstreamAnswer, report: LoadReport | None
     ) -> Answer | AttemptFailure:
+        claim, connection = attempt.claim, attempt.connection
         dialect = self._dialect
         if answer.status in dialect.not_run_statuses:
-            self._record_attempt(claim, "misdirected")
+            self._record_attempt(claim, "misdirected", connection)
             self._controller.end(claim, "misdirected")
             self._history.possibly_run -= 1
             return AttemptFailure(
                 "misdirected", f"upstream {claim.load.id} is no longer at its address"
             )
         if answer.get_header(dialect.not_run):
-            self._record_attempt(claim, "shed")
+            self._record_attempt(claim, "shed", connection)
             self._controller.end(claim, "shed", report)
             self._history.possibly_run -= 1
             return AttemptFailure("shed", f"upstream {claim.load.id} had no capacity")
@@ -297,7 +301,7 @@
         is_genuine = not dialect.signature or bool(answer.get_header(dialect.signature))
         is_encoded = bool(dialect.signature) and answer.get_header("Content-Encoding") is not None
         if answer.status < 300 and (not is_genuine or is_encoded):
-            self._end_failed(claim, "not-genuine")
+            self._end_failed(claim, "not-genuine", connection)
             return AttemptFailure(
                 "lost",
                 f"the answer from upstream {claim.load.id} is not genuine: unsigned or encoded",
@@ -309,7 +313,7 @@
             outcome="answered",
         )
         if answer.status >= 500 or answer.status in dialect.implied_not_run_statuses:
-            self._end_failed(claim, "server-error")
+            self._end_failed(claim, "server-error", connection)
             # Callers would interpret such a status as a guarantee that nothing was run.
             is_misleading = answer.status in dialect.implied_not_run_statuses
             message = f"upstream {claim.load.id} failed with status {answer.status}"
@@ -319,12 +323,14 @@
                 )
             return AttemptFailure("lost", message) if is_misleading else forwarded
         ended_ms = self._clock.now_ms()
-        forwarded.add_sent_callback(lambda: self._end_answered(claim, report, ended_ms))
+        forwarded.add_sent_callback(lambda: self._end_answered(attempt, report, ended_ms))
         return forwarded
 
-    def _end_answered(self, claim: Claim, report: LoadReport | None, ended_ms: float) -> None:
-        self._controller.end_answered(claim, report, ended_ms)
-        self._record_attempt(claim, "answered")
+    def _end_answered(
+        self, attempt: AttemptInProgress, report: LoadReport | None, ended_ms: float
+    ) -> None:
+        self._controller.end_answered(attempt.claim, report, ended_ms)
+        self._record_attempt(attempt.claim, "answered", attempt.connection)
 
     def _finish_failed(self, failure: AttemptFailure) -> Answer:
         if failure.answer is not None:
@@ -359,28 +365,30 @@
             attempt.connection.close()
             is_slow = now_ms >= self._request.times.deadline_ms or len(self._tried) > 1
             self._controller.end(attempt.claim, "straggled" if is_slow else "abandoned")
-            self._record_attempt(attempt.claim, "cancelled")
+            self._record_attempt(attempt.claim, "cancelled", attempt.connection)
         self._in_progress.clear()
 
-    def _end_failed(self, claim: Claim, result: str) -> None:
-        self._record_attempt(claim, result)
+    def _end_failed(
+        self, claim: Claim, result: str, connection: UpstreamConnection | None = None
+    ) -> None:
+        self._record_attempt(claim, result, connection)
         self._controller.end(claim, "failed")
 
-    def _record_attempt(self, claim: Claim, result: str) -> None:
+    def _record_attempt(
+        self, claim: Claim, result: str, connection: UpstreamConnection | None
+    ) -> None:
         self._metrics.count_attempt(self._service.id, result)
+        if connection is not None:
+            for cause, count in connection.unsolicited_by_cause.items():
+                self._count_unsolicited(cause, count)
+        arrived_ms = self._request.times.arrived_ms
         now_ms = self._clock.now_ms()
         self.attempts.append(
-            AttemptEvent(
-                upstream=claim.load.id,
-                after_ms=round(claim.started_ms - self._request.times.arrived_ms, 1),
-                took_ms=round(now_ms - claim.started_ms, 1),
-                result=result,
-                occupancy=round(claim.occupancy, 1),
-                pace=round(claim.pace, 2),
-                report_age_ms=round(claim.report_age_ms, 1),
-                chosen_by="" if claim.grant is None else claim.grant.dispatcher,
-            )
+            make_attempt_event(claim, result, connection, arrived_ms=arrived_ms, now_ms=now_ms)
         )
 
+    def _count_unsolicited(self, cause: UnsolicitedCause, count: int = 1) -> None:
+        self._metrics.unsolicited_answers.labels(self._service.id, cause).inc(count)
+
     def _count_extra(self, cause: str) -> None:
         self._metrics.extra_attempts.labels(self._service.id, cause).inc()
--- a/testing/proxy/test_connection.py
+++ b/testing/proxy/test_connection.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.clock import ManualClock
 from coltsfootrill.proxy.answer import ANSWER_MAX_BYTES
 from coltsfootrill.proxy.answer import RECEIVED_MAX_BYTES
 from coltsfootrill.proxy.answer import AnswerEcho
@@ -313,6 +314,17 @@
         time.sleep(0.05)
         assert pool.take_idle() is None
 
+    def test_connection_that_has_just_been_used_is_not_taken_for_an_idle_time_of_0(
+        self, serve: Serve
+    ) -> None:
+        pool = ConnectionPool(serve(answer()).address, clock=ManualClock())
+        used = pool.open(1_000)
+        used.send(HEAD, b"", deadline_ms=1_000)
+        used.read("GET", deadline_ms=1_000)
+        pool.give_back(used)
+        assert pool.take_idle(idle_max_ms=0.0) is None
+        assert pool.take_idle(idle_max_ms=1.0) is used
+
     def test_discard_idle_prevents_reuse_of_all_earlier_connections(self, serve: Serve) -> None:
         upstream = serve(answer())
         pool = ConnectionPool(upstream.address, clock=Clock())
