Explain which evidence a refusal rests on, and what puts it in doubt

Cause: `explain` said of each refusal after attempts that it was not run, also where an attempt had ended without evidence. Ruled out: a field of its own for the evidence: `result` tells the status (misdirected), the not-run header (shed) and a connection that was refused; a request without attempts was not sent. Conclusion: `explain` no longer vouches for a refusal that an attempt gives no evidence for.

--- a/src/coltsfootrill/events/explanation.py
+++ b/src/coltsfootrill/events/explanation.py
@@ -21,6 +21,9 @@
 from coltsfootrill.events.catalog import UpstreamChanged
 from coltsfootrill.events.catalog import UpstreamEjected
 from coltsfootrill.events.catalog import UpstreamReadmitted
+from coltsfootrill.events.evidence import describe_doubts
+from coltsfootrill.events.evidence import describe_evidence
+from coltsfootrill.events.evidence import has_evidence
 from coltsfootrill.events.reader import LoggedEvent
 
 # Requests that ended within this time before or after a request are compared with it; the
@@ -104,7 +107,7 @@
         state_events=state_events,
         upstreams=upstreams,
         service_outcomes=service_outcomes,
-        conclusion=_describe_cause(request, state_events),
+        conclusion=_describe_conclusion(request, state_events),
     )
 
 
@@ -159,6 +162,12 @@
     )
 
 
+def _describe_conclusion(request: RequestEnded, state_events: Sequence[LoggedEvent]) -> str:
+    cause = _describe_cause(request, state_events)
+    doubts = describe_doubts(request.attempts)
+    return f"{cause} {doubts}" if doubts else cause
+
+
 def _describe_cause(request: RequestEnded, state_events: Sequence[LoggedEvent]) -> str:
     if request.outcome == "answered":
         return _describe_answered(request)
@@ -202,7 +211,7 @@
 def _describe_sent(request: RequestEnded, last: Attempt) -> str:
     where = f"{last.upstream} (attempt {len(request.attempts)})"
     if request.outcome == "not-run":
-        return f"Every upstream that was tried refused the request, {where} last; it was not run."
+        return _describe_refused(request, where)
     if request.reason == "deadline":
         if last.took_ms >= TIME_USED_UP_SHARE * request.deadline_ms:
             return f"{where} did not answer within the deadline; the request may have run there."
@@ -216,3 +225,15 @@
             "The request may have run, so it was not sent again."
         )
     return f"{where} ended with {last.result}: {request.message or request.reason}."
+
+
+def _describe_refused(request: RequestEnded, where: str) -> str:
+    evidence = describe_evidence(request.attempts)
+    if not has_evidence(request.attempts):
+        return (
+            f"Refused as not run, but not every attempt shows that ({evidence}); it may have run."
+        )
+    return (
+        f"Every upstream that was tried refused the request, {where} last; it was not run "
+        f"({evidence})."
+    )
--- a/testing/events/test_explanation.py
+++ b/testing/events/test_explanation.py
@@ -41,10 +41,27 @@
     return _line(at_ms, "request-ended", fields + more, instance)
 
 
-def _attempt(upstream: str, took_ms: float, result: str, after_ms: float = 0.1) -> str:
+def _attempt(
+    upstream: str, took_ms: float, result: str, after_ms: float = 0.1, more: str = ""
+) -> str:
     return (
-        f'{{"upstream":"{upstream}","after_ms":{after_ms},"took_ms":{took_ms},"result":"{result}"}}'
+        f'{{"upstream":"{upstream}","after_ms":{after_ms},"took_ms":{took_ms},'
+        f'"result":"{result}"{more}}}'
+    )
+
+
+def _explain_refused(*attempts: str) -> str:
+    """Return the conclusion for a request that was refused as not run after these attempts."""
+    line = _ended(
+        1000,
+        "q1",
+        status="503",
+        outcome="not-run",
+        reason="shed",
+        took_ms=6,
+        attempts=",".join(attempts),
     )
+    return _explain("q1", line).conclusion
 
 
 class TestRefusals:
@@ -87,6 +104,27 @@
             assert part in explanation.conclusion
         assert explanation.service_outcomes == {"overloaded": 1}
 
+    def test_a_refusal_by_upstreams_states_the_evidence_of_each_attempt(self) -> None:
+        conclusion = _explain_refused(
+            _attempt("u1", 2.0, "misdirected"), _attempt("u2", 3.0, "shed")
+        )
+        assert "it was not run" in conclusion
+        assert "attempt 1 at u1: the status says so" in conclusion
+        assert "attempt 2 at u2: the not-run header says so" in conclusion
+
+    def test_a_refusal_after_an_attempt_without_evidence_is_not_taken_for_true(self) -> None:
+        conclusion = _explain_refused(_attempt("u1", 2.0, "lost"), _attempt("u2", 3.0, "shed"))
+        assert "it was not run" not in conclusion
+        assert "attempt 1 at u1: none, it ended with lost" in conclusion
+
+    def test_attempts_over_one_connection_and_skipped_answers_are_named(self) -> None:
+        conclusion = _explain_refused(
+            _attempt("u1", 2.0, "misdirected", more=',"connection":7'),
+            _attempt("u2", 3.0, "shed", more=',"connection":7,"earlier_requests":1,"skipped":1'),
+        )
+        assert "Attempts 1 and 2 went over connection 7" in conclusion
+        assert "request, 1, were skipped on connection 7 to u2 (attempt 2)" in conclusion
+
 
 class TestLostConnections:
     def test_the_upstream_its_state_events_and_other_attempts_are_found(self) -> None:
--- a/testing/operators/test_explain.py
+++ b/testing/operators/test_explain.py
@@ -36,6 +36,14 @@
         ):
             assert part in result.stdout
 
+    def test_connections_and_skipped_answers_of_attempts_are_printed(self) -> None:
+        more = '"result":"lost","connection":41,"earlier_requests":3,"skipped":2,"surplus":true'
+        lines = _run("q1", text=ENDED.replace('"result":"lost"', more)).stdout.splitlines()
+        names = lines[lines.index("attempts") + 1].split()
+        values = lines[lines.index("attempts") + 2].split()
+        assert names[-4:] == ["connection", "earlier_requests", "skipped", "surplus"]
+        assert values[-4:] == ["41", "3", "2", "True"]
+
     def test_standard_input_is_read_without_files(self) -> None:
         assert "manifest 3" in _run("q1", text=ENDED).stdout
 
