Send no request over a connection whose last request has the same id, or where it has none

What callers could see: an order is answered 503 with outcome not-run though an upstream has run it, where callers repeat an id or send none. Ruled out: requests with ids of their own (held before). Change: a connection knows the id of its last request. A request with the same one, or with none where upstreams echo ids, takes another connection. An older request on it is covered too: its copy arrives at the next one, which skips it and ends the connection. Where a deployment has no ids nothing changes. Tests of kept connections sent one id for all requests; they give each its own now, as callers do, and assert what they did.

--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -9,7 +9,6 @@
 import threading
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Sequence
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.proxy.answer import NO_ECHO
@@ -47,7 +46,8 @@
     """A connection to an upstream; ``idle_since_ms`` is a time of the clock.
 
     ``epoch`` is the epoch of the pool when the connection was opened. ``is_fresh`` is true until
-    the first answer has been read. ``number`` is unique within the process, ``sent_count`` the
+    the first answer has been read. ``last_request_id`` is that of the request sent last, empty if
+    it has none or none was sent. ``number`` is unique within the process, ``sent_count`` the
     number of requests sent so far, and ``unsolicited_by_cause`` counts what arrived during the last
     one and does not belong to it.
     """
@@ -62,6 +62,7 @@
         "idle_since_ms",
         "is_fresh",
         "is_reusable",
+        "last_request_id",
         "number",
         "sent_count",
         "unsolicited_by_cause",
@@ -84,6 +85,7 @@
         self.idle_max_ms = IDLE_MAX_MS
         self.is_fresh = True
         self.is_reusable = False
+        self.last_request_id = ""
         self.number = next(_numbers)
         self.sent_count = 0
         self.unsolicited_by_cause: CountByCause = {}
@@ -166,6 +168,7 @@
 
     def expect(self, method: str, echo: AnswerEcho) -> None:
         """Prepare to read the answer to a request that has been sent."""
+        self.last_request_id = echo.value
         self._reader = AnswerReader(method, echo, is_fresh=self.is_fresh, budget=self._budget)
 
     def read_available(self) -> UpstreamAnswer | None:
@@ -265,13 +268,13 @@
         self,
         *,
         idle_max_ms: float = math.inf,
-        exclude: Sequence[UpstreamConnection] = (),
+        is_excluded: Callable[[UpstreamConnection], bool] = lambda connection: False,
         on_unsolicited: Callable[[], None] = lambda: None,
     ) -> UpstreamConnection | None:
         """Remove and return the most recently used idle connection, ``None`` if none is usable.
 
-        Those in ``exclude``, and those idle for longer than ``idle_max_ms``, stay in the pool; if
-        that is 0, all do. ``on_unsolicited`` is called for each one that is closed after bytes had
+        Excluded ones, and those idle for longer than ``idle_max_ms``, stay in the pool; if that is
+        0, all do. ``on_unsolicited`` is called for each one that is closed after bytes had
         arrived on it while it was idle.
         """
         if not idle_max_ms:
@@ -279,7 +282,7 @@
         while True:
             with self._lock:
                 connection = next(
-                    (idle for idle in reversed(self._idle) if idle not in exclude), None
+                    (idle for idle in reversed(self._idle) if not is_excluded(idle)), None
                 )
                 if connection is None:
                     return None
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -79,7 +79,6 @@
         self._metrics = metrics
         self._history = AttemptHistory(is_retried=request.is_retried)
         self._tried: set[str] = set()
-        # Attempts share an id, so on one connection their answers can't be told apart.
         self._used: list[UpstreamConnection] = []
         self._in_progress: list[AttemptInProgress] = []
         self.attempts: list[AttemptEvent] = []
@@ -139,7 +138,7 @@
         try:
             connection = pool.take_idle(
                 idle_max_ms=idle_max_ms,
-                exclude=self._used,
+                is_excluded=self._is_ambiguous,
                 on_unsolicited=lambda: self._count_unsolicited("idle"),
             ) or pool.open(left_ms)
         except ConnectError as error:
@@ -165,6 +164,18 @@
         self._in_progress.append(attempt)
         return None
 
+    def _is_ambiguous(self, connection: UpstreamConnection) -> bool:
+        """Return whether an earlier request on a connection could be answered in place of this.
+
+        Attempts of one request share its id, and so may requests of callers that repeat or omit it.
+        """
+        if connection in self._used:
+            return True
+        return bool(self._dialect.request_id) and self._echo.value in (
+            "",
+            connection.last_request_id,
+        )
+
     def _make_head(self, claim: Claim) -> bytes:
         request = self._request
         headers = list(list_request_headers(request.headers, self._overwritten_headers))
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -599,6 +599,20 @@
         "now_ms - self._checked_ms",
         "testing/balancer/test_rate_limit.py::TestStatedRate",
     ),
+    Mutant(
+        "a refusal that is written again answers no request with the same id",
+        "proxy/forward.py",
+        "            connection.last_request_id,\n",
+        "",
+        "testing/proxy/test_dialect.py::TestRepeatedRefusals",
+    ),
+    Mutant(
+        "a refusal that is written again answers no request without an id",
+        "proxy/forward.py",
+        '            "",\n            connection',
+        "            connection",
+        "testing/proxy/test_dialect.py::TestRepeatedRefusals",
+    ),
     Mutant(
         "a refusal that is written again answers no later attempt",
         "proxy/forward.py",
--- a/testing/proxy/instance.py
+++ b/testing/proxy/instance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import itertools
 import json
 import socket
 import threading
@@ -26,6 +27,13 @@
 from coltsfootrill.proxy.server import CallerServer
 from coltsfootrill.registry.announcement import Announcement
 
+_request_numbers = itertools.count(1)
+
+
+def make_request_id() -> str:
+    """Return an id for the next attempt of a caller; each has one of its own."""
+    return f"q{next(_request_numbers)}"
+
 
 class Reply:
     """Holds the response that a caller received."""
