End each turn of a caller's connection, also one whose answer is not sent

What callers saw: after some 50 callers that pipelined and left, a node answered 503 to everybody until it was restarted, and its process did not end. Cause: answers are sent in turns. When sending one failed, the next turn returned early without saying that it had ended, and all later turns waited for it without a bound, with their threads, places, bodies and connection. Ruled out: a leak on a disconnect that is noticed while the first request runs (it is cancelled; the test for it passed before). Change: a turn ends in whatever way the sending is left. An answer that cannot be encoded counts as a failure too: until now the answers after it were sent, and a caller read them in place of the missing one.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -256,20 +256,22 @@
         ``encode`` receives whether the connection closes after this answer. The connection closes
         only after the last request that was read, so that no request read is left unanswered.
         """
-        with self._turns:
-            self._turns.wait_for(lambda: self._sent_turn >= turn - 1)
-            if self._closed_after is not None:
-                return True
-            is_last = wants_close() and self._next_turn == turn
-            if is_last:
-                self._closed_after = turn
         try:
+            with self._turns:
+                self._turns.wait_for(lambda: self._sent_turn >= turn - 1)
+                if self._closed_after is not None:
+                    return True
+                is_last = wants_close() and self._next_turn == turn
+                if is_last:
+                    self._closed_after = turn
             send_all(self.sock, encode(is_last), timeout_ms=WRITE_TIMEOUT_MS)
-        except OSError:
+        except Exception:
             with self._turns:
+                # Nothing more may be sent: it could be taken for the answer that was not.
                 self._closed_after = turn
             raise
         finally:
+            # Also without an answer, since all later turns wait for this one.
             with self._turns:
                 self._sent_turn = turn
                 self._turns.notify_all()
--- a/testing/proxy/test_pipelining.py
+++ b/testing/proxy/test_pipelining.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import socket
+import struct
 import time
 from collections.abc import Iterator
 
 import pytest
 
+from testing.processes import wait_until
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import encode
 from testing.proxy.fakes import read_all
@@ -76,3 +78,14 @@
         while instance.server.count_in_progress() and time.monotonic() < deadline_s:
             time.sleep(0.01)
         assert instance.server.count_in_progress() == 0
+
+    # Guards against requests that stay in progress for good once their caller has left.
+    def test_requests_of_callers_that_leave_with_a_reset_all_end(self, instance: Instance) -> None:
+        for _ in range(3):
+            with socket.create_connection(("127.0.0.1", instance.server.port), timeout=5) as sock:
+                sock.sendall(b"".join(_request(0) for _ in range(8)))
+                wait_until(lambda: instance.server.count_in_progress() >= 4)
+                # On close the kernel drops what is unsent and resets the connection.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            wait_until(lambda: instance.server.count_in_progress() == 0)
+        assert instance.call("/x/1").status == 200
