Make a turn an object that ends once and frees everything by the same end

What callers saw: a request whose handling raises an exception got no answer, nor did the requests after it; they waited in the node for good. Cause: a turn was a number. Its end, its place among the requests in progress and its body were freed at three places, and an exception before the answer passed over the first. Ruled out: a share of the connection that is never freed; each thread that serves it frees its own as its last step. Change: the turn is a context manager whose end frees the place, the body and the order; each of these also if another fails. An answer that cannot be sent keeps the later ones from being sent, not the earlier ones. A handler that raises is answered 500 with outcome unknown, in its turn, and logged. No wait is without a bound: a turn that waits, without any answer before it being sent, for the longest possible deadline and the time of a write is given up, with a line in the log, and ends the connection. A stop ends all waits. Answers that were not sent are logged once for each connection. Tests of turns end them by `with`, as the server does; they assert as much. Conclusion: a turn cannot be taken without being ended.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from typing import Literal
 
+from absl import logging
 from waitress.adjustments import Adjustments
 
 from coltsfootrill.clock import Clock
@@ -23,6 +24,8 @@
 from coltsfootrill.proxy.body_budget import BodyReservation
 from coltsfootrill.proxy.connection import send_all
 from coltsfootrill.proxy.request_parser import RequestParser
+from coltsfootrill.proxy.turns import Turn
+from coltsfootrill.proxy.turns import TurnOrder
 
 RECEIVE_BYTES = 64 * 1024
 WRITE_TIMEOUT_MS = 30_000.0
@@ -31,6 +34,8 @@
 # Meanwhile the body has memory that others cannot have.
 LARGE_BODY_TIMEOUT_MS = 60_000.0
 PIPELINED_REQUESTS_MAX_COUNT = 8
+# The longest deadline that a manifest may state, and the time to write an answer.
+TURN_WAIT_MAX_MS = 3_600_000.0 + WRITE_TIMEOUT_MS
 
 # Too many requests are in progress, the instance is about to end, or it has no room for the body.
 Refusal = Literal["too-many-requests", "stopping", "no-room-for-body"]
@@ -135,21 +140,18 @@
 class CallerConnection:
     """A caller's connection with its pipelined requests.
 
-    ``is_busy`` is true from the first byte of a request until all requests read are answered.
-    Each request gets a sequence number, its turn, when it has been read. Answers are sent in the
-    order of turns.
+    ``is_busy`` is true from the first byte of a request until the turns of all requests read have
+    ended.
     """
 
     __slots__ = (
         "_clock",
-        "_closed_after",
         "_is_receiving",
-        "_next_turn",
-        "_sent_turn",
+        "_order",
         "_timeout_ms",
-        "_turns",
         "_unparsed",
         "_users",
+        "_users_lock",
         "sock",
     )
 
@@ -159,16 +161,24 @@
         self._unparsed = b""
         self._timeout_ms = 0.0
         self._is_receiving = False
-        self._turns = threading.Condition()
-        self._next_turn = 0
-        self._sent_turn = 0
-        self._closed_after: int | None = None
+        self._order = TurnOrder()
+        self._users_lock = threading.Lock()
         self._users = 1
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is being received or is not yet answered."""
-        return self._is_receiving or self._next_turn > self._sent_turn
+        """Return whether a request is being received or its turn has not ended."""
+        return self._is_receiving or self._order.is_busy
+
+    @property
+    def unsent_count(self) -> int:
+        """Return how many turns have ended without their answer being sent."""
+        return self._order.unsent_count
+
+    @property
+    def failure(self) -> str:
+        """Return why answers were not sent, empty if they were."""
+        return self._order.failure
 
     def receive(
         self, adjustments: Adjustments, limits: CallerLimits, budget: BodyBudget
@@ -219,77 +229,78 @@
         self._unparsed = data
         return parser
 
-    def take_turn(self) -> int | None:
+    def take_turn(self) -> Turn | None:
         """Return the turn of the request just read; ``None`` if it is not to be processed."""
-        with self._turns:
-            self._is_receiving = bool(self._unparsed)
-            if self._closed_after is not None:
-                return None
-            self._next_turn += 1
-            self._users += 1
-            return self._next_turn
+        turn = self._order.take()
+        self._is_receiving = bool(self._unparsed)
+        if turn is not None:
+            turn.free_at_end(self._shut_down_if_over)
+        return turn
 
     def close_if_idle(self) -> bool:
         """Stop accepting requests unless one is in progress; return whether the connection is idle.
 
         A request whose bytes arrive at the same moment gets no turn, so it is never processed.
         """
-        with self._turns:
-            if self.is_busy:
-                return False
-            self._closed_after = self._next_turn
-            return True
+        return not self._is_receiving and self._order.close_if_idle()
 
     def may_read_on(self) -> bool:
         """Return whether another request may be read before those in progress are answered."""
-        return self._next_turn - self._sent_turn < PIPELINED_REQUESTS_MAX_COUNT
+        return self._order.unended_count < PIPELINED_REQUESTS_MAX_COUNT
 
     def has_unparsed_bytes(self) -> bool:
         """Return whether part of the next request has been read already."""
         return bool(self._unparsed)
 
     def answer(
-        self, turn: int, encode: Callable[[bool], bytes], *, wants_close: Callable[[], bool]
+        self,
+        turn: Turn,
+        encode: Callable[[bool], bytes],
+        *,
+        wants_close: Callable[[], bool],
+        wait_max_ms: float = TURN_WAIT_MAX_MS,
     ) -> bool:
         """Send the answer of a turn once all before it are sent; return whether it was the last.
 
         ``encode`` receives whether the connection closes after this answer. The connection closes
         only after the last request that was read, so that no request read is left unanswered.
+        Nothing more is sent after an answer that could not be, or that would have to wait for
+        ``wait_max_ms`` without any before it being sent.
         """
         try:
-            with self._turns:
-                self._turns.wait_for(lambda: self._sent_turn >= turn - 1)
-                if self._closed_after is not None:
-                    return True
-                is_last = wants_close() and self._next_turn == turn
-                if is_last:
-                    self._closed_after = turn
+            if not self._order.wait_to_send(turn, timeout_ms=wait_max_ms):
+                return True
+            is_last = wants_close() and self._order.close_if_newest(turn)
             send_all(self.sock, encode(is_last), timeout_ms=WRITE_TIMEOUT_MS)
-        except Exception:
-            with self._turns:
-                # Nothing more may be sent: it could be taken for the answer that was not.
-                self._closed_after = turn
+        except OSError as error:
+            if isinstance(error, TimeoutError):
+                logging.error('turn given up number=%d error="%s"', turn.number, error)
+            self.abort(f"{type(error).__name__}: {error}")
             raise
-        finally:
-            # Also without an answer, since all later turns wait for this one.
-            with self._turns:
-                self._sent_turn = turn
-                self._turns.notify_all()
-        if is_last:
-            # Another thread may still block in a receive and keep the socket open. The shutdown
-            # makes the caller see the end of the stream at once.
-            self.sock.shutdown(socket.SHUT_WR)
-        return is_last
+        except Exception as error:
+            self._order.fail(f"{type(error).__name__}: {error}")
+            raise
+        self._order.record_sent(turn)
+        return self._shut_down_if_over()
+
+    def abort(self, cause: str) -> None:
+        """Send and receive nothing more, and end all waits."""
+        self._order.fail(cause)
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The caller has already closed the connection.
+            pass
 
     def release(self) -> bool:
         """Decrement the count of threads using the connection; return whether it reached zero."""
-        with self._turns:
+        with self._users_lock:
             self._users -= 1
             return self._users == 0
 
     def retain(self) -> None:
         """Increment the count of threads using the connection."""
-        with self._turns:
+        with self._users_lock:
             self._users += 1
 
     def linger(self) -> None:
@@ -305,6 +316,21 @@
         while self.sock.recv_into(buffer) and self._clock.now_ms() < until_ms:
             pass
 
+    def _shut_down_if_over(self) -> bool:
+        """Shut down sending once the last answer that may be is sent; return whether it is.
+
+        Another thread may still block in a receive and keep the socket open. The shutdown makes
+        the caller see the end of the stream at once.
+        """
+        if not self._order.is_over:
+            return False
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The caller has already closed the connection.
+            pass
+        return True
+
     def _set_timeout(self, timeout_ms: float) -> None:
         """Set the kernel's receive timeout, which needs no system call before each receive."""
         if timeout_ms == self._timeout_ms:
--- a/src/coltsfootrill/proxy/outcome.py
+++ b/src/coltsfootrill/proxy/outcome.py
@@ -5,6 +5,7 @@
 import json
 import math
 from collections.abc import Callable
+from email.utils import formatdate
 from typing import Literal
 
 from coltsfootrill.errors import ColtsfootrillError
@@ -119,3 +120,21 @@
         outcome=error.outcome,
         reason=error.reason,
     )
+
+
+def encode_answer(answer: Answer, method: str, *, is_closing: bool) -> bytes:
+    """Return an answer as bytes for the caller, head and body together."""
+    lines = [f"HTTP/1.1 {answer.status}"]
+    lines.extend(f"{name}: {value}" for name, value in answer.headers)
+    lines.append(f"{OUTCOME_HEADER}: {answer.outcome}")
+    if answer.reason:
+        lines.append(f"{REASON_HEADER}: {answer.reason}")
+    if not any(name.lower() == "date" for name, _ in answer.headers):
+        lines.append(f"Date: {formatdate(usegmt=True)}")
+    if is_closing:
+        lines.append("Connection: close")
+    has_length = not answer.status.startswith(("204", "304"))
+    if has_length and method != "HEAD":
+        lines.append(f"Content-Length: {len(answer.body)}")
+    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+    return head + answer.body if has_length and method != "HEAD" else head
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -14,7 +14,6 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from email.utils import formatdate
 
 from absl import logging
 from waitress.adjustments import Adjustments
@@ -28,12 +27,14 @@
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.caller import DisconnectMonitor
 from coltsfootrill.proxy.caller import Refusal
-from coltsfootrill.proxy.outcome import OUTCOME_HEADER
-from coltsfootrill.proxy.outcome import REASON_HEADER
+from coltsfootrill.proxy.in_progress import RequestsInProgress
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
+from coltsfootrill.proxy.outcome import UnknownOutcomeError
+from coltsfootrill.proxy.outcome import encode_answer
 from coltsfootrill.proxy.outcome import make_error_answer
 from coltsfootrill.proxy.request_parser import RequestParser
+from coltsfootrill.proxy.turns import Turn
 
 ACCEPT_POLL_MS = 200.0
 DRAIN_CHECK_MS = 20.0
@@ -63,13 +64,12 @@
         self._limits = CallerLimits()
         self._handle = handle
         self._clock = clock
-        self._requests_max = requests_max
         self._connections_max = connections_max
         self._executor = ThreadPoolExecutor(connections_max, thread_name_prefix="caller")
         self._adjustments = _make_adjustments(self._limits)
         self._lock = threading.Lock()
         self._connections: set[CallerConnection] = set()
-        self._in_progress = 0
+        self.in_progress = RequestsInProgress(requests_max)
         self._listener: socket.socket | None = None
         self._thread: threading.Thread | None = None
         self._is_draining = False
@@ -100,7 +100,7 @@
 
     def count_in_progress(self) -> int:
         """Return the number of requests that arrived completely and are not yet answered."""
-        return self._in_progress
+        return len(self.in_progress)
 
     def announce_close(self) -> None:
         """Send ``Connection: close`` with all further answers, but keep accepting connections."""
@@ -132,14 +132,14 @@
         with self._lock:
             open_connections = list(self._connections)
         for connection in open_connections:
-            _shut_down(connection.sock)
+            connection.abort("the instance has stopped")
         self._executor.shutdown(wait=aborted_count == 0)
         return aborted_count
 
     def _is_finished(self) -> bool:
         with self._lock:
             # A request is in progress until the callbacks of its answer have run.
-            return not self._in_progress and not self._connections
+            return not self.in_progress and not self._connections
 
     def _close_idle(self) -> None:
         """Close the idle connections; a request that arrives on one later is not processed."""
@@ -147,7 +147,7 @@
             connections = list(self._connections)
         for connection in connections:
             if connection.close_if_idle():
-                _shut_down(connection.sock)
+                connection.abort("the instance is stopping")
 
     def _accept(self, listener: socket.socket) -> None:
         while self._is_accepting:
@@ -186,7 +186,7 @@
             while self._serve_one(connection):
                 pass
         except OSError:
-            # The caller disconnected or timed out; its requests have already been cancelled.
+            # The caller disconnected or timed out. ``_release`` logs the answers that it lost.
             pass
         except Exception:
             logging.exception("unhandled exception in a request; this is a bug in coltsfootrill")
@@ -198,6 +198,10 @@
             return
         with self._lock:
             self._connections.discard(connection)
+        if connection.unsent_count:
+            logging.warning(
+                'answers not sent count=%d cause="%s"', connection.unsent_count, connection.failure
+            )
         try:
             connection.linger()
         except OSError:
@@ -211,17 +215,18 @@
         parsed = connection.receive(self._adjustments, limits, self._body_budget)
         if parsed is None:
             return False
-        try:
-            return self._serve_received(connection, parsed)
-        finally:
+        turn = connection.take_turn()
+        if turn is None:
             parsed.close()
+            return False
+        with turn:
+            turn.free_at_end(parsed.close)
+            return self._serve_turn(connection, parsed, turn)
 
-    def _serve_received(self, connection: CallerConnection, parsed: RequestParser) -> bool:
+    def _serve_turn(self, connection: CallerConnection, parsed: RequestParser, turn: Turn) -> bool:
         """Answer a request; return whether this thread also reads the next one."""
         arrived_ms = self._clock.now_ms()
-        turn = connection.take_turn()
-        if turn is None:
-            return False
+        refusal = self._find_refusal(parsed, has_place=self.in_progress.add(turn))
         handover = _ReadHandover(connection, self._submit_next_read)
         may_read_on = not _wants_close(parsed) and connection.may_read_on()
         monitor = DisconnectMonitor(
@@ -229,49 +234,28 @@
             handover.hand_over if may_read_on else None,
             is_ending=lambda: self._is_ending,
         )
-        try:
-            if may_read_on and connection.has_unparsed_bytes():
-                monitor.handle_event(select.POLLIN)
-            is_last = self._process(parsed, connection, turn, monitor, arrived_ms)
-        finally:
-            connection.release()
-        return not is_last and not handover.is_handed_over
-
-    def _process(
-        self,
-        parsed: RequestParser,
-        connection: CallerConnection,
-        turn: int,
-        monitor: DisconnectMonitor,
-        arrived_ms: float,
-    ) -> bool:
-        """Answer a request; return whether the connection closes after it."""
+        if may_read_on and connection.has_unparsed_bytes():
+            monitor.handle_event(select.POLLIN)
+        answer = self._answer(parsed, monitor, arrived_ms, refusal)
         # A request that the parser rejected may have no method.
         method = "" if parsed.error is not None else parsed.command.upper()
-        with self._lock:
-            refusal = self._find_refusal()
-            self._in_progress += 1
-        if parsed.is_body_refused:
-            refusal = "no-room-for-body"
         try:
-            answer = self._answer(parsed, monitor, arrived_ms, refusal)
-            try:
-                return connection.answer(
-                    turn,
-                    lambda is_last: encode_answer(answer, method, is_closing=is_last),
-                    wants_close=lambda: self._is_draining or _wants_close(parsed),
-                )
-            finally:
-                answer.run_sent_callbacks()
+            is_last = connection.answer(
+                turn,
+                lambda is_last: encode_answer(answer, method, is_closing=is_last),
+                wants_close=lambda: self._is_draining or _wants_close(parsed),
+            )
         finally:
-            with self._lock:
-                self._in_progress -= 1
+            answer.run_sent_callbacks()
+        return not is_last and not handover.is_handed_over
 
-    def _find_refusal(self) -> Refusal | None:
-        """Return why no further request is accepted now, ``None`` if one is."""
+    def _find_refusal(self, parsed: RequestParser, *, has_place: bool) -> Refusal | None:
+        """Return why a request is not accepted, ``None`` if it is."""
+        if parsed.is_body_refused:
+            return "no-room-for-body"
         if self._is_refusing:
             return "stopping"
-        return "too-many-requests" if self._in_progress >= self._requests_max else None
+        return None if has_place else "too-many-requests"
 
     def _submit_next_read(self, connection: CallerConnection) -> None:
         """Submit a task that reads the next request of a connection."""
@@ -309,7 +293,16 @@
             refusal=refusal,
             monitor=monitor,
         )
-        return self._handle(request)
+        try:
+            return self._handle(request)
+        except Exception as error:
+            logging.exception("unhandled exception in a request; this is a bug in coltsfootrill")
+            # It is not known how far the request got.
+            return make_error_answer(
+                UnknownOutcomeError(
+                    "500 Internal Server Error", "internal-error", type(error).__name__
+                )
+            )
 
 
 class _ReadHandover:
@@ -338,24 +331,6 @@
     )
 
 
-def encode_answer(answer: Answer, method: str, *, is_closing: bool) -> bytes:
-    """Return an answer as bytes for the caller, head and body together."""
-    lines = [f"HTTP/1.1 {answer.status}"]
-    lines.extend(f"{name}: {value}" for name, value in answer.headers)
-    lines.append(f"{OUTCOME_HEADER}: {answer.outcome}")
-    if answer.reason:
-        lines.append(f"{REASON_HEADER}: {answer.reason}")
-    if not any(name.lower() == "date" for name, _ in answer.headers):
-        lines.append(f"Date: {formatdate(usegmt=True)}")
-    if is_closing:
-        lines.append("Connection: close")
-    has_length = not answer.status.startswith(("204", "304"))
-    if has_length and method != "HEAD":
-        lines.append(f"Content-Length: {len(answer.body)}")
-    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
-    return head + answer.body if has_length and method != "HEAD" else head
-
-
 def _wants_close(parsed: RequestParser) -> bool:
     return bool(parsed.error is not None or parsed.connection_close or parsed.version != "1.1")
 
@@ -365,11 +340,3 @@
         return listener.accept()[0]
     except OSError:
         return None
-
-
-def _shut_down(sock: socket.socket) -> None:
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        # The connection was closed in the meantime.
-        return
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -52,7 +52,7 @@
     Mutant(
         "a planned stop of an entry instance cuts no request",
         "proxy/server.py",
-        "            return not self._in_progress and not self._connections\n",
+        "            return not self.in_progress and not self._connections\n",
         "            return True\n",
         FEATURES + "a_planned_stop_of_an_entry_instance_interrupts_no_request",
     ),
--- a/testing/proxy/test_caller.py
+++ b/testing/proxy/test_caller.py
@@ -22,24 +22,36 @@
 
     def __init__(self) -> None:
         ours, self.caller = socket.socketpair()
+        self.caller.settimeout(END_WITHIN_S)
         self.connection = CallerConnection(ours, Clock())
         turns = [self.connection.take_turn() for _ in range(TURN_COUNT)]
         self.turns = [turn for turn in turns if turn is not None]
         assert len(self.turns) == TURN_COUNT
         self.errors: list[Exception] = []
 
-    def answer(self, index: int, encode: Callable[[bool], bytes]) -> threading.Thread:
-        """Answer a turn in a thread of its own."""
+    def answer(
+        self, index: int, encode: Callable[[bool], bytes], *, wait_max_ms: float = 60_000.0
+    ) -> threading.Thread:
+        """Answer and end a turn in a thread of its own."""
+        turn = self.turns[index]
 
         def run() -> None:
             try:
-                self.connection.answer(self.turns[index], encode, wants_close=lambda: False)
+                with turn:
+                    self.connection.answer(
+                        turn, encode, wants_close=lambda: False, wait_max_ms=wait_max_ms
+                    )
             except Exception as error:
                 self.errors.append(error)
 
-        thread = threading.Thread(target=run, daemon=True)
-        thread.start()
-        return thread
+        return _start(run)
+
+    def read_all(self) -> bytes:
+        """Return what the caller reads until the end of the stream."""
+        data = b""
+        while part := self.caller.recv(65_536):
+            data += part
+        return data
 
     def close(self) -> None:
         self.caller.close()
@@ -53,6 +65,12 @@
     made.close()
 
 
+def _start(run: Callable[[], object]) -> threading.Thread:
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    return thread
+
+
 def _count_running(threads: list[threading.Thread]) -> int:
     for thread in threads:
         thread.join(END_WITHIN_S)
@@ -81,6 +99,43 @@
         threads.append(pair.answer(1, _raise))
         assert _count_running(threads) == 0
         assert [str(error) for error in pair.errors] == ["this answer cannot be encoded"]
-        pair.connection.sock.shutdown(socket.SHUT_WR)
-        assert pair.caller.recv(100) == b"<0>"
-        assert pair.caller.recv(100) == b""
+        assert pair.read_all() == b"<0>"
+        assert not pair.connection.is_busy
+
+    # Guards against a turn that ends by an exception and for which others wait.
+    def test_a_turn_that_ends_without_an_answer_ends_all_later_ones(self, pair: Pair) -> None:
+        later = [pair.answer(index, _encode_target(index)) for index in (3, 2)]
+        pair.turns[1].end()
+        assert _count_running(later) == 0
+        assert _count_running([pair.answer(0, _encode_target(0))]) == 0
+        assert pair.read_all() == b"<0>"
+        assert pair.connection.take_turn() is None
+
+    # Guards against waits without a bound.
+    def test_a_turn_is_given_up_when_none_before_it_is_sent_in_time(self, pair: Pair) -> None:
+        later = [pair.answer(index, _encode_target(index), wait_max_ms=50) for index in (1, 2, 3)]
+        assert _count_running(later) == 0
+        assert pair.read_all() == b""
+        assert _count_running([pair.answer(0, _encode_target(0))]) == 0
+        assert pair.read_all() == b""
+        assert not pair.connection.is_busy
+
+    # Guards against a stop that leaves threads which wait for their turn.
+    def test_all_waits_end_when_the_connection_is_aborted(self, pair: Pair) -> None:
+        threads = [pair.answer(index, _encode_target(index)) for index in (3, 2, 1)]
+        pair.connection.abort("the instance has stopped")
+        assert _count_running(threads) == 0
+        assert pair.read_all() == b""
+
+
+class TestFreeAtEnd:
+    def test_everything_is_freed_once_also_if_freeing_fails(self, pair: Pair) -> None:
+        freed: list[str] = []
+        turn = pair.turns[0]
+        turn.free_at_end(lambda: freed.append("body"))
+        turn.free_at_end(lambda: 1 // 0)
+        turn.free_at_end(lambda: freed.append("place"))
+        with pytest.raises(KeyError), turn:
+            raise KeyError
+        turn.end()
+        assert freed == ["body", "place"]
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -114,3 +114,28 @@
         connection.answer(turn, lambda is_last: b"whole", wants_close=lambda: True)
         assert theirs.recv(10) == b"whole"
         theirs.close()
+
+
+class TestFailedRequests:
+    # Guards against a request whose handler fails, for whose answer later requests wait for good.
+    def test_a_request_whose_handler_fails_is_answered_in_its_turn(self) -> None:
+        def handle(request: CallerRequest) -> Answer:
+            if request.path == "/fails":
+                raise ValueError("this request fails")
+            return Answer(status="200 OK", headers=[], body=b"done", outcome="answered")
+
+        server = CallerServer(
+            handle, clock=Clock(), requests_max=8, connections_max=8, body_budget=BodyBudget(0)
+        )
+        server.start("127.0.0.1", 0)
+        paths = ["/x", "/fails", "/x", "/fails", "/x"]
+        with socket.create_connection(("127.0.0.1", server.port)) as caller:
+            for path in paths:
+                caller.sendall(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+            caller.shutdown(socket.SHUT_WR)
+            data = _read_all(caller)
+        statuses = [part[:3] for part in data.split(b"HTTP/1.1 ")[1:]]
+        assert statuses == [b"200", b"500", b"200", b"500", b"200"]
+        assert data.count(b"Coltsfootrill-Outcome: unknown") == 2
+        wait_until(lambda: server.count_in_progress() == 0)
+        assert server.stop(idle_ms=0, limit_ms=2_000) == 0
