Let one thread at a time write to a caller's connection, interim answers included

What callers saw: `100 Continue` for a later request in the middle of, or before, the answer to an earlier one. A caller takes it for part of that answer, or for another request than its own. Cause: the thread that reads wrote it at once, whatever another thread was writing. Also, an answer that doesn't fit into the buffers of the connection set a timeout on the socket, which the thread that reads next got too. Ruled out: two final answers at once; the order of turns keeps them apart. Change: the thread that reads asks for a body once all requests before are answered; until it takes the next turn nobody else writes. If that takes longer than the receive timeout the request is read without asking, as HTTP allows. Answers are sent with poll and leave the socket as it is.

--- a/src/coltsfootrill/manifest/model.py
+++ b/src/coltsfootrill/manifest/model.py
@@ -8,11 +8,13 @@
 import msgspec
 
 SCHEMA_VERSION = 1
+# The longest deadline that a manifest may state.
+DEADLINE_MAX_MS = 3_600_000
 
 Identifier = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,63}$")]
 UpstreamPattern = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9*?._-]{1,64}$")]
 NameText = Annotated[str, msgspec.Meta(min_length=3, max_length=300)]
-DeadlineMs = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+DeadlineMs = Annotated[int, msgspec.Meta(ge=1, le=DEADLINE_MAX_MS)]
 LatestMs = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
 AttemptCount = Annotated[int, msgspec.Meta(ge=0, le=5)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import select
 import socket
 import struct
@@ -18,11 +19,11 @@
 from waitress.adjustments import Adjustments
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.manifest.model import DEADLINE_MAX_MS
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.proxy.block_buffer import BlockBuffer
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.body_budget import BodyReservation
-from coltsfootrill.proxy.connection import send_all
 from coltsfootrill.proxy.request_parser import RequestParser
 from coltsfootrill.proxy.turns import Turn
 from coltsfootrill.proxy.turns import TurnOrder
@@ -34,8 +35,8 @@
 # Meanwhile the body has memory that others cannot have.
 LARGE_BODY_TIMEOUT_MS = 60_000.0
 PIPELINED_REQUESTS_MAX_COUNT = 8
-# The longest deadline that a manifest may state, and the time to write an answer.
-TURN_WAIT_MAX_MS = 3_600_000.0 + WRITE_TIMEOUT_MS
+TURN_WAIT_MAX_MS = DEADLINE_MAX_MS + WRITE_TIMEOUT_MS
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 # Too many requests are in progress, the instance is about to end, or it has no room for the body.
 Refusal = Literal["too-many-requests", "stopping", "no-room-for-body"]
@@ -141,7 +142,8 @@
     """A caller's connection with its pipelined requests.
 
     ``is_busy`` is true from the first byte of a request until the turns of all requests read have
-    ended.
+    ended. One thread at a time reads. One at a time writes: the one whose turn it is, or the one
+    that reads while there are no turns to answer.
     """
 
     __slots__ = (
@@ -221,7 +223,8 @@
                 parser = RequestParser(adjustments, reservation)
             if parser.expect_continue and parser.headers_finished and not parser.completed:
                 parser.expect_continue = False
-                self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+                if not self._send_continue(limits.receive_timeout_ms):
+                    return None
             if reservation.is_held and not parser.completed:
                 until_ms = until_ms or self._clock.now_ms() + LARGE_BODY_TIMEOUT_MS
                 if self._clock.now_ms() > until_ms:
@@ -229,6 +232,20 @@
         self._unparsed = data
         return parser
 
+    def _send_continue(self, timeout_ms: float) -> bool:
+        """Ask for the body of a request; return whether the connection takes more requests.
+
+        An interim answer belongs to the first request without an answer, so all requests before
+        are answered first. Without it, as after ``timeout_ms``, callers send the body nevertheless.
+        """
+        try:
+            if not self._order.wait_until_all_sent(timeout_ms=timeout_ms):
+                return False
+        except TimeoutError:
+            return True
+        self._send(CONTINUE)
+        return True
+
     def take_turn(self) -> Turn | None:
         """Return the turn of the request just read; ``None`` if it is not to be processed."""
         turn = self._order.take()
@@ -271,7 +288,7 @@
             if not self._order.wait_to_send(turn, timeout_ms=wait_max_ms):
                 return True
             is_last = wants_close() and self._order.close_if_newest(turn)
-            send_all(self.sock, encode(is_last), timeout_ms=WRITE_TIMEOUT_MS)
+            self._send(encode(is_last))
         except OSError as error:
             if isinstance(error, TimeoutError):
                 logging.error('turn given up number=%d error="%s"', turn.number, error)
@@ -331,6 +348,26 @@
             pass
         return True
 
+    def _send(self, data: bytes) -> None:
+        """Send ``data``; raise ``OSError`` if that fails or takes too long.
+
+        The socket stays in blocking mode, since another thread may be receiving from it.
+        """
+        rest = memoryview(data)
+        until_ms = self._clock.now_ms() + WRITE_TIMEOUT_MS
+        while rest:
+            try:
+                rest = rest[self.sock.send(rest, socket.MSG_DONTWAIT) :]
+            except BlockingIOError:
+                self._wait_until_writable(until_ms)
+
+    def _wait_until_writable(self, until_ms: float) -> None:
+        poller = select.poll()
+        poller.register(self.sock, select.POLLOUT)
+        remaining_ms = until_ms - self._clock.now_ms()
+        if remaining_ms <= 0 or not poller.poll(math.ceil(remaining_ms)):
+            raise TimeoutError("the caller did not read the answer in time")
+
     def _set_timeout(self, timeout_ms: float) -> None:
         """Set the kernel's receive timeout, which needs no system call before each receive."""
         if timeout_ms == self._timeout_ms:
--- a/src/coltsfootrill/proxy/turns.py
+++ b/src/coltsfootrill/proxy/turns.py
@@ -74,6 +74,14 @@
         finally:
             turn.is_waiting = False
 
+    def wait_until_all_sent(self, *, timeout_ms: float) -> bool:
+        """Wait until all turns taken have been sent; return whether more may be sent.
+
+        Raises ``TimeoutError`` when none of them is sent for ``timeout_ms``. Only the thread that
+        takes the turns calls this, so no answer is written until it takes the next one.
+        """
+        return self._wait_for_sent(self._taken_count, timeout_ms=timeout_ms)
+
     def close_if_newest(self, turn: Turn) -> bool:
         """Take no more turns if this one is the newest; return whether it is."""
         with self._changed:
--- a/testing/proxy/test_caller.py
+++ b/testing/proxy/test_caller.py
@@ -8,13 +8,20 @@
 from collections.abc import Iterator
 
 import pytest
+from waitress.adjustments import Adjustments
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.manifest.model import CallerLimits
+from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.caller import CallerConnection
+from testing.processes import wait_until
 
 TURN_COUNT = 4
 # Nothing that these turns wait for takes any time.
 END_WITHIN_S = 5.0
+LARGE_BYTES = 6 * 1024 * 1024
+EXPECTING = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class Pair:
@@ -46,6 +53,11 @@
 
         return _start(run)
 
+    def receive(self) -> threading.Thread:
+        """Read a request in a thread of its own."""
+        budget = BodyBudget(0)
+        return _start(lambda: self.connection.receive(Adjustments(), CallerLimits(), budget))
+
     def read_all(self) -> bytes:
         """Return what the caller reads until the end of the stream."""
         data = b""
@@ -139,3 +151,47 @@
             raise KeyError
         turn.end()
         assert freed == ["body", "place"]
+
+
+class TestContinue:
+    # Guards against a caller that takes 100 Continue for part of an earlier answer, or for another
+    # request than its own.
+    def test_it_is_sent_after_the_answers_to_all_requests_before(self, pair: Pair) -> None:
+        pair.caller.sendall(EXPECTING)
+        reader = pair.receive()
+        large = b"<0>" + b"." * LARGE_BYTES
+        threads = [pair.answer(0, lambda is_last: large)]
+        threads += [pair.answer(index, _encode_target(index)) for index in (1, 2, 3)]
+        expected = large + b"<1><2><3>" + CONTINUE
+        data = b""
+        while len(data) < len(expected):
+            data += pair.caller.recv(65_536)
+        assert data == expected
+        pair.caller.sendall(b"body")
+        assert _count_running([*threads, reader]) == 0
+
+    def test_it_is_not_sent_after_the_last_answer(self, pair: Pair) -> None:
+        pair.caller.sendall(EXPECTING)
+        reader = pair.receive()
+        for turn in pair.turns:
+            with turn:
+                pair.connection.answer(turn, lambda is_last: b"!", wants_close=lambda: True)
+        assert pair.read_all() == b"!!!!"
+        assert _count_running([reader]) == 0
+
+
+class TestSending:
+    # Guards against a thread that reads the next request and fails because another one writes.
+    def test_a_slow_answer_does_not_disturb_the_thread_that_reads(self, pair: Pair) -> None:
+        large = b"." * LARGE_BYTES
+        writer = pair.answer(0, lambda is_last: large)
+        wait_until(lambda: bool(pair.caller.recv(1, socket.MSG_PEEK)))
+        reader = pair.receive()
+        pair.caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert _count_running([reader]) == 0
+        assert pair.connection.sock.gettimeout() is None
+        assert pair.connection.take_turn() is not None
+        received = 0
+        while received < LARGE_BYTES:
+            received += len(pair.caller.recv(65_536))
+        assert _count_running([writer]) == 0
