Refuse connections over the limit with an answer and a log line

What callers saw: a connection over the limit was closed without a word; the log had no line of it. Cause: `CallerServer._start_task` closed the socket and returned. Ruled out: a refusal of something that has run; nothing is read of such a connection, and the answer says not-run. Change: 503 with outcome not-run, reason too-many-connections, Retry-After and Connection: close is sent if the kernel takes it at once, and a line is logged. Conclusion: callers and engineers see the limit.

--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -40,6 +40,15 @@
 DRAIN_CHECK_MS = 20.0
 # Requests that still wait for an upstream at the end of a stop have this time to be refused.
 REFUSAL_GRACE_MS = 150.0
+# Nothing has been read of a connection that is closed with this answer.
+_TOO_MANY_ANSWER = make_error_answer(
+    NotRunError(
+        "503 Service Unavailable",
+        "too-many-connections",
+        "this instance has too many connections of callers",
+        retry_after_s=1.0,
+    )
+)
 
 
 class ListenError(ColtsfootrillError):
@@ -168,17 +177,29 @@
         listener.close()
 
     def _start_task(self, sock: socket.socket) -> None:
+        """Serve a connection, or close it if there are too many."""
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(sock, self._clock)
-        with self._lock:
-            is_at_limit = len(self._connections) >= self._connections_max
-            if not is_at_limit:
-                self._connections.add(connection)
-        if is_at_limit:
-            sock.close()
+        if self._add_connection(connection):
+            self._executor.submit(self._serve, connection)
             return
-        self._executor.submit(self._serve, connection)
+        logging.warning(
+            "connection closed: too many are open connections=%d", self._connections_max
+        )
+        try:
+            sock.send(encode_answer(_TOO_MANY_ANSWER, "", is_closing=True), socket.MSG_DONTWAIT)
+        except OSError as error:
+            logging.warning('refusal of a connection not sent error="%s"', error)
+        sock.close()
+
+    def _add_connection(self, connection: CallerConnection) -> bool:
+        """Add a connection; return whether there was room for it."""
+        with self._lock:
+            if len(self._connections) >= self._connections_max:
+                return False
+            self._connections.add(connection)
+            return True
 
     def _serve(self, connection: CallerConnection) -> None:
         """Read and answer requests until another thread reads the next one or either end closes."""
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -139,3 +139,28 @@
         assert data.count(b"Coltsfootrill-Outcome: unknown") == 2
         wait_until(lambda: server.count_in_progress() == 0)
         assert server.stop(idle_ms=0, limit_ms=2_000) == 0
+
+
+class TestTooManyConnections:
+    # Guards against connections that are closed without a trace in the log.
+    def test_a_connection_over_the_limit_is_refused_and_logged(
+        self, handler: Handler, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        server = CallerServer(
+            handler, clock=Clock(), requests_max=8, connections_max=1, body_budget=BodyBudget(0)
+        )
+        server.start("127.0.0.1", 0)
+        with socket.create_connection(("127.0.0.1", server.port)) as first:
+            wait_until(lambda: bool(server._connections))
+            with socket.create_connection(("127.0.0.1", server.port)) as second:
+                reply = _read_all(second)
+            assert reply.startswith(b"HTTP/1.1 503 ")
+            assert b"Coltsfootrill-Outcome: not-run" in reply
+            assert b"Connection: close" in reply
+            assert "too many are open" in caplog.text
+            handler.may_end.set()
+            first.sendall(REQUEST)
+            first.shutdown(socket.SHUT_WR)
+            assert b"done" in _read_all(first)
+        assert handler.count == 1
+        server.stop(idle_ms=0, limit_ms=2_000)
