End the process at its stop whatever a request does

What operators saw: a node with a request that never returned went on after SIGTERM until it was killed. Cause: requests ran in a ThreadPoolExecutor, whose threads the interpreter joins when it exits. `stop` also waited for them, and for the thread that accepts, without a bound. Ruled out: requests that are counted as finished and lose their log line: one is in progress until its callbacks have run. Change: threads of callers are daemons of a pool of their own. `stop` waits for them until its limit, or 100 ms beyond, and logs how many still run. A task that can't get a thread closes its connection with a log line; by reading, the pool of the standard library raised in the thread that accepts, which then ended, and kept the task, to run it later. That was not run on the old pool. Conclusion: the end of the process depends on no request.

--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -13,7 +13,6 @@
 import socket
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 
 from absl import logging
 from waitress.adjustments import Adjustments
@@ -35,11 +34,16 @@
 from coltsfootrill.proxy.outcome import make_error_answer
 from coltsfootrill.proxy.request_parser import RequestParser
 from coltsfootrill.proxy.turns import Turn
+from coltsfootrill.proxy.worker_threads import WorkerThreads
 
 ACCEPT_POLL_MS = 200.0
+ACCEPT_END_MS = 2 * ACCEPT_POLL_MS
 DRAIN_CHECK_MS = 20.0
 # Requests that still wait for an upstream at the end of a stop have this time to be refused.
 REFUSAL_GRACE_MS = 150.0
+# Threads whose requests were aborted have this time to end before the process does.
+THREADS_END_MS = 100.0
+MS_PER_SECOND = 1_000.0
 # Nothing has been read of a connection that is closed with this answer.
 _TOO_MANY_ANSWER = make_error_answer(
     NotRunError(
@@ -74,7 +78,7 @@
         self._handle = handle
         self._clock = clock
         self._connections_max = connections_max
-        self._executor = ThreadPoolExecutor(connections_max, thread_name_prefix="caller")
+        self._workers = WorkerThreads(connections_max, name="caller", clock=clock)
         self._adjustments = _make_adjustments(self._limits)
         self._lock = threading.Lock()
         self._connections: set[CallerConnection] = set()
@@ -126,7 +130,7 @@
         self.announce_close()
         self._is_accepting = False
         if self._thread is not None:
-            self._thread.join()
+            self._thread.join(ACCEPT_END_MS / MS_PER_SECOND)
         start_ms = self._clock.now_ms()
         while not self._is_finished():
             elapsed_ms = self._clock.now_ms() - start_ms
@@ -142,7 +146,10 @@
             open_connections = list(self._connections)
         for connection in open_connections:
             connection.abort("the instance has stopped")
-        self._executor.shutdown(wait=aborted_count == 0)
+        remaining_ms = limit_ms - (self._clock.now_ms() - start_ms)
+        running_count = self._workers.close(timeout_ms=max(remaining_ms, THREADS_END_MS))
+        if running_count:
+            logging.error("threads of callers still run count=%d", running_count)
         return aborted_count
 
     def _is_finished(self) -> bool:
@@ -178,19 +185,22 @@
 
     def _start_task(self, sock: socket.socket) -> None:
         """Serve a connection, or close it if there are too many."""
-        sock.settimeout(None)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(sock, self._clock)
-        if self._add_connection(connection):
-            self._executor.submit(self._serve, connection)
-            return
-        logging.warning(
-            "connection closed: too many are open connections=%d", self._connections_max
-        )
         try:
+            sock.settimeout(None)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._add_connection(connection):
+                self._workers.submit(lambda: self._serve(connection))
+                return
+            logging.warning(
+                "connection closed: too many are open connections=%d", self._connections_max
+            )
             sock.send(encode_answer(_TOO_MANY_ANSWER, "", is_closing=True), socket.MSG_DONTWAIT)
-        except OSError as error:
-            logging.warning('refusal of a connection not sent error="%s"', error)
+        except (OSError, RuntimeError) as error:
+            # The caller has left, or no thread can be started.
+            logging.error('connection closed error="%s"', error)
+            with self._lock:
+                self._connections.discard(connection)
         sock.close()
 
     def _add_connection(self, connection: CallerConnection) -> bool:
@@ -282,9 +292,11 @@
         """Submit a task that reads the next request of a connection."""
         connection.retain()
         try:
-            self._executor.submit(self._serve, connection)
-        except RuntimeError:
-            # The server has stopped, so further requests on the connection are not read.
+            self._workers.submit(lambda: self._serve(connection))
+        except RuntimeError as error:
+            # The server has stopped, or no thread can be started. The connection closes once the
+            # requests that were read are answered.
+            logging.warning('further requests of a connection are not read error="%s"', error)
             connection.release()
 
     def _update_limits(self) -> CallerLimits:
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -18,6 +18,7 @@
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.server import CallerServer
+from coltsfootrill.proxy.worker_threads import WorkerThreads
 from testing.processes import wait_until
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
@@ -164,3 +165,27 @@
             assert b"done" in _read_all(first)
         assert handler.count == 1
         server.stop(idle_ms=0, limit_ms=2_000)
+
+
+class TestNoThread:
+    # Guards against a listener that ends, or a connection that is kept, when no thread can start.
+    def test_a_connection_without_a_thread_is_closed_and_later_ones_are_served(
+        self, handler: Handler, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        server, served = _start(handler)
+
+        def refuse() -> None:
+            raise RuntimeError("can't start new thread")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(WorkerThreads, "_start_thread", lambda workers: refuse())
+            with socket.create_connection(("127.0.0.1", server.port)) as refused:
+                assert _read_all(refused) == b""
+        assert "can't start new thread" in caplog.text
+        handler.may_end.set()
+        with socket.create_connection(("127.0.0.1", server.port)) as later:
+            later.sendall(REQUEST)
+            later.shutdown(socket.SHUT_WR)
+            assert b"done" in _read_all(later)
+        served.close()
+        server.stop(idle_ms=0, limit_ms=2_000)
