Show requests that do not end, and say that a node is not ready when they hold all places

What operators saw: nothing, until a node refused everybody; `GET /readiness` went on to answer 200. Cause: no metric had the requests in progress, and readiness didn't ask whether any are accepted. Ruled out: to be not ready whenever requests are refused; under a high load all nodes would say so at once. Change: gauges of requests in progress, of answers that wait for earlier ones and of the age of the oldest request. An instance is not ready while it has no place and has given none away for the longest deadline in force and the time of a write, in which every request ends. A turn waits no longer than that for the one before it. A manifest that shortens its longest deadline shortens this for requests that began under the one before. The check of the entry role is the same line and has no test of its own. Conclusion: a leak is seen while it grows, and a node that it fills gets no more callers.

--- a/src/coltsfootrill/manifest/table.py
+++ b/src/coltsfootrill/manifest/table.py
@@ -12,6 +12,7 @@
 from coltsfootrill.manifest.codec import decode_manifest
 from coltsfootrill.manifest.codec import digest_manifest
 from coltsfootrill.manifest.codec import make_manifest_error
+from coltsfootrill.manifest.model import DEADLINE_MAX_MS
 from coltsfootrill.manifest.model import SCHEMA_VERSION
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Manifest
@@ -60,11 +61,15 @@
 
 
 class RoutingTable:
-    """Routes of one manifest. ``routes_by_name`` maps a scheme prefix and a name to a route."""
+    """Routes of one manifest. ``routes_by_name`` maps a scheme prefix and a name to a route.
+
+    ``deadline_max_ms`` is the longest deadline of all kinds.
+    """
 
     __slots__ = (
         "__weakref__",
         "_schemes",
+        "deadline_max_ms",
         "digest",
         "manifest",
         "routes_by_name",
@@ -83,6 +88,10 @@
         self.digest = digest
         self.routes_by_name = routes_by_name
         self.services_by_id = {service.id: service for service in manifest.services}
+        self.deadline_max_ms = max(
+            (kind.deadline_ms for service in manifest.services for kind in service.kinds),
+            default=DEADLINE_MAX_MS,
+        )
         self._schemes = schemes
 
     @classmethod
--- a/src/coltsfootrill/metrics.py
+++ b/src/coltsfootrill/metrics.py
@@ -98,6 +98,21 @@
             "Bytes of memory that are free for large bodies of callers.",
             registry=registry,
         )
+        self.requests_in_progress = Gauge(
+            "coltsfootrill_requests_in_progress",
+            "Requests that were read from callers and have not ended.",
+            registry=registry,
+        )
+        self.turns_waiting = Gauge(
+            "coltsfootrill_turns_waiting",
+            "Requests in progress whose answers wait until earlier answers are sent.",
+            registry=registry,
+        )
+        self.oldest_request_seconds = Gauge(
+            "coltsfootrill_oldest_request_seconds",
+            "Age of the oldest request in progress.",
+            registry=registry,
+        )
         self.dropped_lines = Gauge(
             "coltsfootrill_dropped_lines",
             "Log lines dropped since the start, because the log was not read in time.",
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -20,8 +20,10 @@
 from coltsfootrill.clock import Clock
 from coltsfootrill.early_listener import open_listener
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.manifest.model import DEADLINE_MAX_MS
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.proxy.body_budget import BodyBudget
+from coltsfootrill.proxy.caller import WRITE_TIMEOUT_MS
 from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.caller import DisconnectMonitor
@@ -71,9 +73,11 @@
         connections_max: int,
         body_budget: BodyBudget,
         get_limits: Callable[[], CallerLimits] = CallerLimits,
+        get_deadline_max_ms: Callable[[], float] = lambda: DEADLINE_MAX_MS,
     ) -> None:
         self._body_budget = body_budget
         self._get_limits = get_limits
+        self._get_deadline_max_ms = get_deadline_max_ms
         self._limits = CallerLimits()
         self._handle = handle
         self._clock = clock
@@ -82,7 +86,7 @@
         self._adjustments = _make_adjustments(self._limits)
         self._lock = threading.Lock()
         self._connections: set[CallerConnection] = set()
-        self.in_progress = RequestsInProgress(requests_max)
+        self.in_progress = RequestsInProgress(requests_max, clock)
         self._listener: socket.socket | None = None
         self._thread: threading.Thread | None = None
         self._is_draining = False
@@ -115,6 +119,10 @@
         """Return the number of requests that arrived completely and are not yet answered."""
         return len(self.in_progress)
 
+    def refuses_all(self) -> bool:
+        """Return whether every request is refused because earlier ones do not end in time."""
+        return self.in_progress.is_full_since(self._get_request_max_ms())
+
     def announce_close(self) -> None:
         """Send ``Connection: close`` with all further answers, but keep accepting connections."""
         self._is_draining = True
@@ -275,6 +283,7 @@
                 turn,
                 lambda is_last: encode_answer(answer, method, is_closing=is_last),
                 wants_close=lambda: self._is_draining or _wants_close(parsed),
+                wait_max_ms=self._get_request_max_ms(),
             )
         finally:
             answer.run_sent_callbacks()
@@ -299,6 +308,10 @@
             logging.warning('further requests of a connection are not read error="%s"', error)
             connection.release()
 
+    def _get_request_max_ms(self) -> float:
+        """Return the time in which each request ends: its deadline, and the sending."""
+        return self._get_deadline_max_ms() + WRITE_TIMEOUT_MS
+
     def _update_limits(self) -> CallerLimits:
         limits = self._get_limits()
         if limits is not self._limits:
--- a/src/coltsfootrill/roles/entry.py
+++ b/src/coltsfootrill/roles/entry.py
@@ -113,6 +113,7 @@
         """Return whether the platform's load balancer should send callers to this instance."""
         return (
             not self.gateway.is_stopping
+            and not self.gateway.refuses_all()
             and self.manifests.current is not None
             and not self.fleet.is_isolated()
             and self._has_contacted_peers()
--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -14,6 +14,7 @@
 from coltsfootrill.events.catalog import Event
 from coltsfootrill.events.catalog import RequestEnded
 from coltsfootrill.manifest.holder import ManifestHolder
+from coltsfootrill.manifest.model import DEADLINE_MAX_MS
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.proxy.app import ProxyApp
@@ -83,8 +84,15 @@
             requests_max=settings.get("callers", "requests"),
             connections_max=settings.get("callers", "connections"),
             get_limits=self._get_limits,
+            get_deadline_max_ms=self._get_deadline_max_ms,
             body_budget=body_budget,
         )
+        requests = self._caller_server.in_progress
+        metrics.requests_in_progress.set_function(lambda: len(requests))
+        metrics.turns_waiting.set_function(requests.count_waiting)
+        metrics.oldest_request_seconds.set_function(
+            lambda: requests.get_oldest_age_ms() / MS_PER_SECOND
+        )
 
     def start(self, *, listener: socket.socket | None = None) -> None:
         """Accept callers on the configured address, or on a socket that listens there already."""
@@ -107,6 +115,10 @@
         """Return the number of callers' requests in progress."""
         return self._caller_server.count_in_progress()
 
+    def refuses_all(self) -> bool:
+        """Return whether every request is refused because earlier ones do not end in time."""
+        return self._caller_server.refuses_all()
+
     def close_idle_connections(self) -> None:
         """Close idle connections to upstreams that are no longer usable."""
         usable = self._source.list_usable()
@@ -116,6 +128,10 @@
         table = self._manifests.current
         return _DEFAULT_LIMITS if table is None else table.manifest.limits
 
+    def _get_deadline_max_ms(self) -> float:
+        table = self._manifests.current
+        return DEADLINE_MAX_MS if table is None else table.deadline_max_ms
+
     def _refresh_controllers(self) -> None:
         """Refresh the admission controllers until the process exits, also in a graceful stop."""
         interval_ms = IDLE_REFRESH_INTERVAL_MS
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -188,6 +188,7 @@
         """Return whether the platform's load balancer should send callers to this node."""
         return (
             not self.gateway.is_stopping
+            and not self.gateway.refuses_all()
             and self.manifests.current is not None
             and bool(self.view.list_usable())
         )
