--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -32,6 +32,7 @@
 OUTCOMES = "testing/proxy/test_outcomes.py::Test"
 CONNECTION = "testing/proxy/test_connection.py::Test"
 DIRECTORY = "testing/registry/test_directory.py::Test"
+CALLER = "testing/proxy/test_caller.py::Test"
 BALANCER = "testing/balancer/test_"
 
 MUTANTS = [
@@ -634,4 +635,95 @@
         "return self._rate_share_by_service.pop(service_id, WHOLE_SHARE)\n",
         "testing/dispatch/test_client.py::TestStatedRate",
     ),
+    Mutant(
+        "a turn whose answer is not sent keeps no later one waiting",
+        "proxy/turns.py",
+        "                self._forbid_after(turn.number - 1)\n",
+        "                pass\n",
+        CALLER + "FailedTurns",
+    ),
+    Mutant(
+        "nothing is sent after an answer that could not be",
+        "proxy/turns.py",
+        "            return self._may_send(count + 1)\n",
+        "            return True\n",
+        CALLER + "FailedTurns",
+    ),
+    Mutant(
+        "a turn waits no longer than its bound",
+        "proxy/turns.py",
+        "before, timeout_ms / 1000\n",
+        "before, 1e6\n",
+        CALLER + "FailedTurns",
+    ),
+    Mutant(
+        "all waits for a turn end with the connection",
+        "proxy/caller.py",
+        "        self._order.fail(cause)\n",
+        "",
+        CALLER + "FailedTurns",
+    ),
+    Mutant(
+        "the end of a turn frees everything, whatever fails",
+        "proxy/turns.py",
+        '            except Exception:\n                logging.exception("a turn',
+        '            except OSError:\n                logging.exception("a turn',
+        CALLER + "FreeAtEnd",
+    ),
+    Mutant(
+        "a request whose handler fails is answered in its turn",
+        "proxy/server.py",
+        "            return self._handle(request)\n        except Exception as error:\n",
+        "            return self._handle(request)\n        except OSError as error:\n",
+        "testing/proxy/test_server.py::TestFailedRequests",
+    ),
+    Mutant(
+        "100 Continue is sent after the answers to all requests before",
+        "proxy/caller.py",
+        "            if not self._order.wait_until_all_sent(timeout_ms=timeout_ms):\n",
+        "            if False:\n",
+        CALLER + "Continue",
+    ),
+    Mutant(
+        "a thread that writes does not disturb the one that reads",
+        "proxy/caller.py",
+        "        rest = memoryview(data)\n",
+        "        self.sock.settimeout(WRITE_TIMEOUT_MS / 1000)\n        rest = memoryview(data)\n",
+        CALLER + "Sending",
+    ),
+    Mutant(
+        "a connection over the limit is refused and logged",
+        "proxy/server.py",
+        "if self._add_connection(connection):",
+        "if self._add_connection(connection) or True:",
+        "testing/proxy/test_server.py::TestTooManyConnections",
+    ),
+    Mutant(
+        "a connection that gets no thread is closed, and later ones are served",
+        "proxy/server.py",
+        "        except (OSError, RuntimeError) as error:\n",
+        "        except OSError as error:\n",
+        "testing/proxy/test_server.py::TestNoThread",
+    ),
+    Mutant(
+        "a request that never ends does not keep the process from ending",
+        "proxy/worker_threads.py",
+        "daemon=True",
+        "daemon=False",
+        "testing/proxy/test_worker_threads.py::TestProcessEnd",
+    ),
+    Mutant(
+        "an instance that refuses everything because requests do not end says so",
+        "proxy/in_progress.py",
+        "            return is_full and self._clock",
+        "            return False and self._clock",
+        "testing/roles/test_gateway.py::TestRequestsThatDoNotEnd",
+    ),
+    Mutant(
+        "a node that refuses everything because requests do not end is not ready",
+        "roles/node.py",
+        "            and not self.gateway.refuses_all()\n",
+        "",
+        "testing/roles/test_gateway.py::TestReadiness",
+    ),
 ]
