--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -13,8 +13,6 @@
 import socket
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
-from email.utils import formatdate
 
 from absl import logging
 from waitress.adjustments import Adjustments
@@ -22,23 +20,41 @@
 from coltsfootrill.clock import Clock
 from coltsfootrill.early_listener import open_listener
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.manifest.model import DEADLINE_MAX_MS
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.proxy.body_budget import BodyBudget
+from coltsfootrill.proxy.caller import WRITE_TIMEOUT_MS
 from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.caller import DisconnectMonitor
 from coltsfootrill.proxy.caller import Refusal
-from coltsfootrill.proxy.outcome import OUTCOME_HEADER
-from coltsfootrill.proxy.outcome import REASON_HEADER
+from coltsfootrill.proxy.in_progress import RequestsInProgress
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
+from coltsfootrill.proxy.outcome import UnknownOutcomeError
+from coltsfootrill.proxy.outcome import encode_answer
 from coltsfootrill.proxy.outcome import make_error_answer
 from coltsfootrill.proxy.request_parser import RequestParser
+from coltsfootrill.proxy.turns import Turn
+from coltsfootrill.proxy.worker_threads import WorkerThreads
 
 ACCEPT_POLL_MS = 200.0
+ACCEPT_END_MS = 2 * ACCEPT_POLL_MS
 DRAIN_CHECK_MS = 20.0
 # Requests that still wait for an upstream at the end of a stop have this time to be refused.
 REFUSAL_GRACE_MS = 150.0
+# Threads whose requests were aborted have this time to end before the process does.
+THREADS_END_MS = 100.0
+MS_PER_SECOND = 1_000.0
+# Nothing has been read of a connection that is closed with this answer.
+_TOO_MANY_ANSWER = make_error_answer(
+    NotRunError(
+        "503 Service Unavailable",
+        "too-many-connections",
+        "this instance has too many connections of callers",
+        retry_after_s=1.0,
+    )
+)
 
 
 class ListenError(ColtsfootrillError):
@@ -57,19 +73,20 @@
         connections_max: int,
         body_budget: BodyBudget,
         get_limits: Callable[[], CallerLimits] = CallerLimits,
+        get_deadline_max_ms: Callable[[], float] = lambda: DEADLINE_MAX_MS,
     ) -> None:
         self._body_budget = body_budget
         self._get_limits = get_limits
+        self._get_deadline_max_ms = get_deadline_max_ms
         self._limits = CallerLimits()
         self._handle = handle
         self._clock = clock
-        self._requests_max = requests_max
         self._connections_max = connections_max
-        self._executor = ThreadPoolExecutor(connections_max, thread_name_prefix="caller")
+        self._workers = WorkerThreads(connections_max, name="caller", clock=clock)
         self._adjustments = _make_adjustments(self._limits)
         self._lock = threading.Lock()
         self._connections: set[CallerConnection] = set()
-        self._in_progress = 0
+        self.in_progress = RequestsInProgress(requests_max, clock)
         self._listener: socket.socket | None = None
         self._thread: threading.Thread | None = None
         self._is_draining = False
@@ -100,7 +117,11 @@
 
     def count_in_progress(self) -> int:
         """Return the number of requests that arrived completely and are not yet answered."""
-        return self._in_progress
+        return len(self.in_progress)
+
+    def refuses_all(self) -> bool:
+        """Return whether every request is refused because earlier ones do not end in time."""
+        return self.in_progress.is_full_since(self._get_request_max_ms())
 
     def announce_close(self) -> None:
         """Send ``Connection: close`` with all further answers, but keep accepting connections."""
@@ -117,7 +138,7 @@
         self.announce_close()
         self._is_accepting = False
         if self._thread is not None:
-            self._thread.join()
+            self._thread.join(ACCEPT_END_MS / MS_PER_SECOND)
         start_ms = self._clock.now_ms()
         while not self._is_finished():
             elapsed_ms = self._clock.now_ms() - start_ms
@@ -132,14 +153,17 @@
         with self._lock:
             open_connections = list(self._connections)
         for connection in open_connections:
-            _shut_down(connection.sock)
-        self._executor.shutdown(wait=aborted_count == 0)
+            connection.abort("the instance has stopped")
+        remaining_ms = limit_ms - (self._clock.now_ms() - start_ms)
+        running_count = self._workers.close(timeout_ms=max(remaining_ms, THREADS_END_MS))
+        if running_count:
+            logging.error("threads of callers still run count=%d", running_count)
         return aborted_count
 
     def _is_finished(self) -> bool:
         with self._lock:
             # A request is in progress until the callbacks of its answer have run.
-            return not self._in_progress and not self._connections
+            return not self.in_progress and not self._connections
 
     def _close_idle(self) -> None:
         """Close the idle connections; a request that arrives on one later is not processed."""
@@ -147,7 +171,7 @@
             connections = list(self._connections)
         for connection in connections:
             if connection.close_if_idle():
-                _shut_down(connection.sock)
+                connection.abort("the instance is stopping")
 
     def _accept(self, listener: socket.socket) -> None:
         while self._is_accepting:
@@ -168,17 +192,32 @@
         listener.close()
 
     def _start_task(self, sock: socket.socket) -> None:
-        sock.settimeout(None)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        """Serve a connection, or close it if there are too many."""
         connection = CallerConnection(sock, self._clock)
+        try:
+            sock.settimeout(None)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._add_connection(connection):
+                self._workers.submit(lambda: self._serve(connection))
+                return
+            logging.warning(
+                "connection closed: too many are open connections=%d", self._connections_max
+            )
+            sock.send(encode_answer(_TOO_MANY_ANSWER, "", is_closing=True), socket.MSG_DONTWAIT)
+        except (OSError, RuntimeError) as error:
+            # The caller has left, or no thread can be started.
+            logging.error('connection closed error="%s"', error)
+            with self._lock:
+                self._connections.discard(connection)
+        sock.close()
+
+    def _add_connection(self, connection: CallerConnection) -> bool:
+        """Add a connection; return whether there was room for it."""
         with self._lock:
-            is_at_limit = len(self._connections) >= self._connections_max
-            if not is_at_limit:
-                self._connections.add(connection)
-        if is_at_limit:
-            sock.close()
-            return
-        self._executor.submit(self._serve, connection)
+            if len(self._connections) >= self._connections_max:
+                return False
+            self._connections.add(connection)
+            return True
 
     def _serve(self, connection: CallerConnection) -> None:
         """Read and answer requests until another thread reads the next one or either end closes."""
@@ -186,7 +225,7 @@
             while self._serve_one(connection):
                 pass
         except OSError:
-            # The caller disconnected or timed out; its requests have already been cancelled.
+            # The caller disconnected or timed out. ``_release`` logs the answers that it lost.
             pass
         except Exception:
             logging.exception("unhandled exception in a request; this is a bug in coltsfootrill")
@@ -198,6 +237,10 @@
             return
         with self._lock:
             self._connections.discard(connection)
+        if connection.unsent_count:
+            logging.warning(
+                'answers not sent count=%d cause="%s"', connection.unsent_count, connection.failure
+            )
         try:
             connection.linger()
         except OSError:
@@ -211,17 +254,18 @@
         parsed = connection.receive(self._adjustments, limits, self._body_budget)
         if parsed is None:
             return False
-        try:
-            return self._serve_received(connection, parsed)
-        finally:
+        turn = connection.take_turn()
+        if turn is None:
             parsed.close()
+            return False
+        with turn:
+            turn.free_at_end(parsed.close)
+            return self._serve_turn(connection, parsed, turn)
 
-    def _serve_received(self, connection: CallerConnection, parsed: RequestParser) -> bool:
+    def _serve_turn(self, connection: CallerConnection, parsed: RequestParser, turn: Turn) -> bool:
         """Answer a request; return whether this thread also reads the next one."""
         arrived_ms = self._clock.now_ms()
-        turn = connection.take_turn()
-        if turn is None:
-            return False
+        refusal = self._find_refusal(parsed, has_place=self.in_progress.add(turn))
         handover = _ReadHandover(connection, self._submit_next_read)
         may_read_on = not _wants_close(parsed) and connection.may_read_on()
         monitor = DisconnectMonitor(
@@ -229,59 +273,45 @@
             handover.hand_over if may_read_on else None,
             is_ending=lambda: self._is_ending,
         )
-        try:
-            if may_read_on and connection.has_unparsed_bytes():
-                monitor.handle_event(select.POLLIN)
-            is_last = self._process(parsed, connection, turn, monitor, arrived_ms)
-        finally:
-            connection.release()
-        return not is_last and not handover.is_handed_over
-
-    def _process(
-        self,
-        parsed: RequestParser,
-        connection: CallerConnection,
-        turn: int,
-        monitor: DisconnectMonitor,
-        arrived_ms: float,
-    ) -> bool:
-        """Answer a request; return whether the connection closes after it."""
+        if may_read_on and connection.has_unparsed_bytes():
+            monitor.handle_event(select.POLLIN)
+        answer = self._answer(parsed, monitor, arrived_ms, refusal)
         # A request that the parser rejected may have no method.
         method = "" if parsed.error is not None else parsed.command.upper()
-        with self._lock:
-            refusal = self._find_refusal()
-            self._in_progress += 1
-        if parsed.is_body_refused:
-            refusal = "no-room-for-body"
         try:
-            answer = self._answer(parsed, monitor, arrived_ms, refusal)
-            try:
-                return connection.answer(
-                    turn,
-                    lambda is_last: encode_answer(answer, method, is_closing=is_last),
-                    wants_close=lambda: self._is_draining or _wants_close(parsed),
-                )
-            finally:
-                answer.run_sent_callbacks()
+            is_last = connection.answer(
+                turn,
+                lambda is_last: encode_answer(answer, method, is_closing=is_last),
+                wants_close=lambda: self._is_draining or _wants_close(parsed),
+                wait_max_ms=self._get_request_max_ms(),
+            )
         finally:
-            with self._lock:
-                self._in_progress -= 1
+            answer.run_sent_callbacks()
+        return not is_last and not handover.is_handed_over
 
-    def _find_refusal(self) -> Refusal | None:
-        """Return why no further request is accepted now, ``None`` if one is."""
+    def _find_refusal(self, parsed: RequestParser, *, has_place: bool) -> Refusal | None:
+        """Return why a request is not accepted, ``None`` if it is."""
+        if parsed.is_body_refused:
+            return "no-room-for-body"
         if self._is_refusing:
             return "stopping"
-        return "too-many-requests" if self._in_progress >= self._requests_max else None
+        return None if has_place else "too-many-requests"
 
     def _submit_next_read(self, connection: CallerConnection) -> None:
         """Submit a task that reads the next request of a connection."""
         connection.retain()
         try:
-            self._executor.submit(self._serve, connection)
-        except RuntimeError:
-            # The server has stopped, so further requests on the connection are not read.
+            self._workers.submit(lambda: self._serve(connection))
+        except RuntimeError as error:
+            # The server has stopped, or no thread can be started. The connection closes once the
+            # requests that were read are answered.
+            logging.warning('further requests of a connection are not read error="%s"', error)
             connection.release()
 
+    def _get_request_max_ms(self) -> float:
+        """Return the time in which each request ends: its deadline, and the sending."""
+        return self._get_deadline_max_ms() + WRITE_TIMEOUT_MS
+
     def _update_limits(self) -> CallerLimits:
         limits = self._get_limits()
         if limits is not self._limits:
@@ -309,7 +339,16 @@
             refusal=refusal,
             monitor=monitor,
         )
-        return self._handle(request)
+        try:
+            return self._handle(request)
+        except Exception as error:
+            logging.exception("unhandled exception in a request; this is a bug in coltsfootrill")
+            # It is not known how far the request got.
+            return make_error_answer(
+                UnknownOutcomeError(
+                    "500 Internal Server Error", "internal-error", type(error).__name__
+                )
+            )
 
 
 class _ReadHandover:
@@ -338,24 +377,6 @@
     )
 
 
-def encode_answer(answer: Answer, method: str, *, is_closing: bool) -> bytes:
-    """Return an answer as bytes for the caller, head and body together."""
-    lines = [f"HTTP/1.1 {answer.status}"]
-    lines.extend(f"{name}: {value}" for name, value in answer.headers)
-    lines.append(f"{OUTCOME_HEADER}: {answer.outcome}")
-    if answer.reason:
-        lines.append(f"{REASON_HEADER}: {answer.reason}")
-    if not any(name.lower() == "date" for name, _ in answer.headers):
-        lines.append(f"Date: {formatdate(usegmt=True)}")
-    if is_closing:
-        lines.append("Connection: close")
-    has_length = not answer.status.startswith(("204", "304"))
-    if has_length and method != "HEAD":
-        lines.append(f"Content-Length: {len(answer.body)}")
-    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
-    return head + answer.body if has_length and method != "HEAD" else head
-
-
 def _wants_close(parsed: RequestParser) -> bool:
     return bool(parsed.error is not None or parsed.connection_close or parsed.version != "1.1")
 
@@ -365,11 +386,3 @@
         return listener.accept()[0]
     except OSError:
         return None
-
-
-def _shut_down(sock: socket.socket) -> None:
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        # The connection was closed in the meantime.
-        return
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -18,6 +18,7 @@
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.server import CallerServer
+from coltsfootrill.proxy.worker_threads import WorkerThreads
 from testing.processes import wait_until
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
@@ -114,3 +115,77 @@
         connection.answer(turn, lambda is_last: b"whole", wants_close=lambda: True)
         assert theirs.recv(10) == b"whole"
         theirs.close()
+
+
+class TestFailedRequests:
+    # Guards against a request whose handler fails, for whose answer later requests wait for good.
+    def test_a_request_whose_handler_fails_is_answered_in_its_turn(self) -> None:
+        def handle(request: CallerRequest) -> Answer:
+            if request.path == "/fails":
+                raise ValueError("this request fails")
+            return Answer(status="200 OK", headers=[], body=b"done", outcome="answered")
+
+        server = CallerServer(
+            handle, clock=Clock(), requests_max=8, connections_max=8, body_budget=BodyBudget(0)
+        )
+        server.start("127.0.0.1", 0)
+        paths = ["/x", "/fails", "/x", "/fails", "/x"]
+        with socket.create_connection(("127.0.0.1", server.port)) as caller:
+            for path in paths:
+                caller.sendall(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+            caller.shutdown(socket.SHUT_WR)
+            data = _read_all(caller)
+        statuses = [part[:3] for part in data.split(b"HTTP/1.1 ")[1:]]
+        assert statuses == [b"200", b"500", b"200", b"500", b"200"]
+        assert data.count(b"Coltsfootrill-Outcome: unknown") == 2
+        wait_until(lambda: server.count_in_progress() == 0)
+        assert server.stop(idle_ms=0, limit_ms=2_000) == 0
+
+
+class TestTooManyConnections:
+    # Guards against connections that are closed without a trace in the log.
+    def test_a_connection_over_the_limit_is_refused_and_logged(
+        self, handler: Handler, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        server = CallerServer(
+            handler, clock=Clock(), requests_max=8, connections_max=1, body_budget=BodyBudget(0)
+        )
+        server.start("127.0.0.1", 0)
+        with socket.create_connection(("127.0.0.1", server.port)) as first:
+            wait_until(lambda: bool(server._connections))
+            with socket.create_connection(("127.0.0.1", server.port)) as second:
+                reply = _read_all(second)
+            assert reply.startswith(b"HTTP/1.1 503 ")
+            assert b"Coltsfootrill-Outcome: not-run" in reply
+            assert b"Connection: close" in reply
+            assert "too many are open" in caplog.text
+            handler.may_end.set()
+            first.sendall(REQUEST)
+            first.shutdown(socket.SHUT_WR)
+            assert b"done" in _read_all(first)
+        assert handler.count == 1
+        server.stop(idle_ms=0, limit_ms=2_000)
+
+
+class TestNoThread:
+    # Guards against a listener that ends, or a connection that is kept, when no thread can start.
+    def test_a_connection_without_a_thread_is_closed_and_later_ones_are_served(
+        self, handler: Handler, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        server, served = _start(handler)
+
+        def refuse() -> None:
+            raise RuntimeError("can't start new thread")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(WorkerThreads, "_start_thread", lambda workers: refuse())
+            with socket.create_connection(("127.0.0.1", server.port)) as refused:
+                assert _read_all(refused) == b""
+        assert "can't start new thread" in caplog.text
+        handler.may_end.set()
+        with socket.create_connection(("127.0.0.1", server.port)) as later:
+            later.sendall(REQUEST)
+            later.shutdown(socket.SHUT_WR)
+            assert b"done" in _read_all(later)
+        served.close()
+        server.stop(idle_ms=0, limit_ms=2_000)
