Recognise a request that crashes upstreams by all its headers

Cause: the digest names the caller by host, Authorization and Cookie only. Where callers carry none of them, requests that upstreams tell apart by another header have one digest: an answer to one caller cleared the others' crashes, and one caller's crashes refused the others. Ruled out: requests that are alike in all that upstreams get. Upstreams can't tell these apart either. Change: a request has a second digest, its variant, of the content and all forwarded headers but those of each attempt. A variant is refused by itself. The content is refused only once it crashed upstreams in more than one variant, as when a header changes with each return. Messages have new last fields; an answer reported without them, by an earlier version, clears the variants too. With a header that changes at each call it is sent 3 times, or 4 at most where a call has several attempts. Two mutants are killed. Conclusion: what upstreams can tell apart must be told apart here; a header that changes costs one more send.

--- a/src/coltsfootrill/balancer/crash_guard.py
+++ b/src/coltsfootrill/balancer/crash_guard.py
@@ -18,10 +18,11 @@
 class SuspectNews:
     """What happened to one request: upstreams crashed, or it ``is_answered``.
 
-    ``age_ms`` is the time since the last of the crashes.
+    ``age_ms`` is the time since the last of the crashes. ``variant`` is the variant that was
+    answered, if ``digest`` is of the content.
     """
 
-    __slots__ = ("age_ms", "crashes", "digest", "is_answered")
+    __slots__ = ("age_ms", "crashes", "digest", "is_answered", "variant")
 
     def __init__(
         self,
@@ -30,7 +31,9 @@
         *,
         age_ms: float = 0.0,
         is_answered: bool = False,
+        variant: bytes = b"",
     ) -> None:
+        self.variant = variant
         self.age_ms = age_ms
         self.digest = digest
         self.crashes = crashes
@@ -71,26 +74,28 @@
         with self._lock:
             return self._suspects.is_refused(digest, self._clock.now_ms())
 
-    def record_crash(self, digest: bytes, upstream_id: str, incarnation: int) -> None:
+    def record_crash(
+        self, digest: bytes, upstream_id: str, incarnation: int, *, variant: bytes = b""
+    ) -> None:
         """Record that an upstream ended the connection of a request without an answer."""
-        crash = Crash(upstream_id, incarnation)
+        crash = Crash(upstream_id, incarnation, variant)
         with self._lock:
             self._news.append(SuspectNews(digest, [crash]))
             if self._suspects.record_crash(digest, crash, self._clock.now_ms()):
                 self._on_refused(self._suspects.by_digest[digest])
 
-    def record_answer(self, digest: bytes) -> None:
+    def record_answer(self, digest: bytes, *, variant: bytes = b"") -> None:
         """Record that an upstream answered the request."""
         with self._lock:
             if self._suspects.record_answer(digest, self._clock.now_ms()):
-                self._news.append(SuspectNews(digest, is_answered=True))
+                self._news.append(SuspectNews(digest, is_answered=True, variant=variant))
 
     def merge(self, news: SuspectNews) -> None:
         """Apply what another instance saw."""
         with self._lock:
             now_ms = self._clock.now_ms()
             if news.is_answered:
-                self._suspects.record_answer(news.digest, now_ms)
+                self._merge_answer(news, now_ms)
             elif self._suspects.merge(news.digest, news.crashes, now_ms, age_ms=news.age_ms):
                 self._on_refused(self._suspects.by_digest[news.digest])
 
@@ -114,3 +119,11 @@
                 )
                 for suspect in self._suspects.list_refused(now_ms)
             ]
+
+    def _merge_answer(self, news: SuspectNews, now_ms: float) -> None:
+        suspect = self._suspects.by_digest.get(news.digest)
+        if suspect is not None and not news.variant:
+            # Instances of an earlier version do not tell which variant was answered.
+            for crash in suspect.crash_by_key.values():
+                self._suspects.record_answer(crash.variant, now_ms)
+        self._suspects.record_answer(news.digest, now_ms)
--- a/src/coltsfootrill/balancer/crash_suspects.py
+++ b/src/coltsfootrill/balancer/crash_suspects.py
@@ -3,6 +3,12 @@
 A request may crash each upstream that begins to run it. Callers and retries then send it from
 upstream to upstream. Which of the requests in progress was the cause shows only when one of them
 crashes other upstreams too, while the rest are answered at their next attempt.
+
+Two digests identify a request. One is of its content, which stays the same each time it returns.
+The other, its variant, is of all its headers too, by which upstreams can tell callers apart. A
+request is refused by its variant, so that the answers to another caller do not clear it, and its
+crashes do not count against another caller. It is refused by its content only if that crashed
+upstreams in more than one variant: then its headers change each time, or more callers send it.
 """
 
 from __future__ import annotations
@@ -19,17 +25,21 @@
 
 
 class Crash:
-    """One start of an upstream that ended while it was to answer a request."""
+    """One start of an upstream that ended while it was to answer a request.
+
+    ``variant`` is the variant of the request, empty if it is unknown or is the digest itself.
+    """
 
-    __slots__ = ("incarnation", "upstream_id")
+    __slots__ = ("incarnation", "upstream_id", "variant")
 
-    def __init__(self, upstream_id: str, incarnation: int) -> None:
+    def __init__(self, upstream_id: str, incarnation: int, variant: bytes = b"") -> None:
         self.upstream_id = upstream_id
         self.incarnation = incarnation
+        self.variant = variant
 
 
 class Suspect:
-    """The crashes during one request. ``digest`` identifies the request; see ``ProxyRequest``.
+    """The crashes during one request. ``digest`` is of its content or its variant.
 
     ``crash_by_key`` holds them by upstream and incarnation, ``last_ms`` is when the last one was
     recorded.
@@ -45,7 +55,18 @@
     @property
     def is_refused(self) -> bool:
         """Return whether so many upstreams crashed that the request must be the cause."""
-        return len(self.crash_by_key) >= CRASHES_MAX_COUNT
+        if len(self.crash_by_key) < CRASHES_MAX_COUNT:
+            return False
+        variants = {crash.variant for crash in self.crash_by_key.values()}
+        return len(variants) > 1 or b"" in variants
+
+    def add(self, crash: Crash) -> None:
+        """Add a crash, unless it is known or no longer changes anything."""
+        is_enough = len(self.crash_by_key) >= CRASHES_MAX_COUNT
+        variants = {known.variant for known in self.crash_by_key.values()}
+        if self.is_refused or (is_enough and crash.variant in variants):
+            return
+        self.crash_by_key.setdefault((crash.upstream_id, crash.incarnation), crash)
 
 
 class CrashSuspects:
@@ -119,8 +140,7 @@
         was_refused = suspect.is_refused
         known_count = len(suspect.crash_by_key)
         for crash in crashes:
-            if not suspect.is_refused:
-                suspect.crash_by_key.setdefault((crash.upstream_id, crash.incarnation), crash)
+            suspect.add(crash)
         if len(suspect.crash_by_key) > known_count:
             suspect.last_ms = max(suspect.last_ms, at_ms)
             self.by_digest.move_to_end(digest)
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -159,22 +159,28 @@
 
 
 class CrashEntry(msgspec.Struct, frozen=True, array_like=True):
-    """An upstream that crashed during a request, by its identifier and incarnation."""
+    """An upstream that crashed during a request, by its identifier and incarnation.
+
+    ``variant`` is the digest of the request with all its headers, empty if it is unknown.
+    """
 
     upstream_id: str
     incarnation: int
+    variant: bytes = b""
 
 
 class SuspectEntry(msgspec.Struct, frozen=True, array_like=True):
     """A request, by its digest: the upstreams that crashed during it, or that it was answered.
 
-    ``age_ms`` is the time since the last crash.
+    ``age_ms`` is the time since the last crash. ``variant`` is the variant that was answered,
+    empty if it is unknown or is the digest itself.
     """
 
     digest: bytes
     crashes: list[CrashEntry]
     age_ms: int
     is_answered: bool
+    variant: bytes = b""
 
 
 class SuspectGossip(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/membership/suspect_gossip.py
+++ b/src/coltsfootrill/membership/suspect_gossip.py
@@ -70,9 +70,16 @@
     def receive(self, payload: bytes, sender: str) -> None:
         """Handle one datagram; raise ``msgspec.MsgspecError`` if it cannot be decoded."""
         for entry in _decoder.decode(payload).entries:
-            crashes = [Crash(crash.upstream_id, crash.incarnation) for crash in entry.crashes]
+            crashes = [
+                Crash(crash.upstream_id, crash.incarnation, crash.variant)
+                for crash in entry.crashes
+            ]
             news = SuspectNews(
-                entry.digest, crashes, age_ms=max(0, entry.age_ms), is_answered=entry.is_answered
+                entry.digest,
+                crashes,
+                age_ms=max(0, entry.age_ms),
+                is_answered=entry.is_answered,
+                variant=entry.variant,
             )
             self._guard.merge(news)
 
@@ -92,5 +99,7 @@
 
 
 def _pack(news: SuspectNews) -> SuspectEntry:
-    crashes = [CrashEntry(crash.upstream_id, crash.incarnation) for crash in news.crashes]
-    return SuspectEntry(news.digest, crashes, int(news.age_ms), news.is_answered)
+    crashes = [
+        CrashEntry(crash.upstream_id, crash.incarnation, crash.variant) for crash in news.crashes
+    ]
+    return SuspectEntry(news.digest, crashes, int(news.age_ms), news.is_answered, news.variant)
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -64,10 +64,12 @@
         dialect: Dialect = NATIVE_DIALECT,
         service: Service | None = None,
     ) -> None:
-        self._guard = RequestGuard(guard, request)
         self._request = request
         self._service = service or route.service
         self._dialect = dialect
+        self._guard = RequestGuard(
+            guard, request, self._overwritten_headers | {dialect.request_id.lower()}
+        )
         request_id = request.headers.get(dialect.request_id.upper().replace("-", "_"), "")
         self._echo = AnswerEcho(dialect.request_id, request_id)
         self._kind = route.kind
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -10,6 +10,7 @@
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.block_buffer import BlockBuffer
 from coltsfootrill.proxy.caller import DisconnectMonitor
+from coltsfootrill.proxy.headers import list_request_headers
 
 DIGEST_BYTES = 16
 # What a caller sends with each of its requests to the same service.
@@ -63,6 +64,7 @@
 
     __slots__ = (
         "_digest",
+        "_variant",
         "body",
         "depth",
         "headers",
@@ -94,6 +96,7 @@
         self.is_retried = is_retried
         self.monitor = monitor
         self._digest: bytes | None = None
+        self._variant: bytes | None = None
 
     def get_digest(self) -> bytes:
         """Return what identifies the request when its caller sends it again, in another attempt."""
@@ -106,3 +109,15 @@
                 state.update(block)
             self._digest = state.digest()
         return self._digest
+
+    def get_variant(self, attempt_headers: frozenset[str]) -> bytes:
+        """Return what identifies the request with all headers by which upstreams can tell it apart.
+
+        ``attempt_headers`` are the lower-case names of those that change with each attempt.
+        """
+        if self._variant is None:
+            state = hashlib.blake2b(self.get_digest(), digest_size=DIGEST_BYTES)
+            for name, value in sorted(list_request_headers(self.headers, attempt_headers)):
+                state.update(f"{name}:{value}\n".encode("latin-1", "replace"))
+            self._variant = state.digest()
+        return self._variant
--- a/src/coltsfootrill/proxy/request_guard.py
+++ b/src/coltsfootrill/proxy/request_guard.py
@@ -11,17 +11,23 @@
 
 
 class RequestGuard:
-    """The view of ``CrashGuard`` on one request, whose digest is computed only when needed."""
+    """The view of ``CrashGuard`` on one request, whose digests are computed only when needed.
 
-    __slots__ = ("_guard", "_request")
+    ``attempt_headers`` are the lower-case names of headers that change with each attempt.
+    """
 
-    def __init__(self, guard: CrashGuard, request: ProxyRequest) -> None:
+    __slots__ = ("_attempt_headers", "_guard", "_request")
+
+    def __init__(
+        self, guard: CrashGuard, request: ProxyRequest, attempt_headers: frozenset[str]
+    ) -> None:
         self._guard = guard
         self._request = request
+        self._attempt_headers = attempt_headers
 
     def check(self) -> None:
         """Raise ``NotRunError`` if the request crashes the upstreams that run it."""
-        if self._guard.has_suspects and self._guard.is_refused(self._request.get_digest()):
+        if self._guard.has_suspects and any(map(self._guard.is_refused, self._list_digests())):
             raise NotRunError(
                 "503 Service Unavailable",
                 "crashes-upstreams",
@@ -31,13 +37,23 @@
 
     def is_suspect(self) -> bool:
         """Return whether any upstream crashed during the request and none has answered it."""
-        return self._guard.has_suspects and self._guard.is_suspect(self._request.get_digest())
+        return self._guard.has_suspects and any(map(self._guard.is_suspect, self._list_digests()))
 
     def record_crash(self, claim: Claim) -> None:
         """Record that the upstream of ``claim`` ended the connection without an answer."""
-        self._guard.record_crash(self._request.get_digest(), claim.load.id, claim.load.incarnation)
+        content, variant = self._list_digests()
+        upstream_id, incarnation = claim.load.id, claim.load.incarnation
+        self._guard.record_crash(variant, upstream_id, incarnation)
+        self._guard.record_crash(content, upstream_id, incarnation, variant=variant)
 
     def record_answer(self) -> None:
         """Record that an upstream answered."""
         if self.is_suspect():
-            self._guard.record_answer(self._request.get_digest())
+            content, variant = self._list_digests()
+            self._guard.record_answer(variant)
+            self._guard.record_answer(content, variant=variant)
+
+    def _list_digests(self) -> tuple[bytes, bytes]:
+        """Return the digests of the content and of the variant."""
+        request = self._request
+        return request.get_digest(), request.get_variant(self._attempt_headers)
--- a/testing/balancer/test_crash_suspects.py
+++ b/testing/balancer/test_crash_suspects.py
@@ -6,6 +6,7 @@
 
 from coltsfootrill.balancer.crash_guard import NEWS_MAX_COUNT
 from coltsfootrill.balancer.crash_guard import CrashGuard
+from coltsfootrill.balancer.crash_guard import SuspectNews
 from coltsfootrill.balancer.crash_suspects import ANSWERED_KEPT_MS
 from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
 from coltsfootrill.balancer.crash_suspects import KEPT_MS
@@ -56,6 +57,35 @@
         assert not suspects.is_suspect(DEADLY)
 
 
+class TestVariants:
+    """The digest is of a content that callers send with different headers."""
+
+    def test_crashes_of_one_variant_do_not_count_against_the_others(self) -> None:
+        suspects = CrashSuspects()
+        for number in range(10 * CRASHES_MAX_COUNT):
+            suspects.record_crash(DEADLY, Crash(f"u{number}", 1, b"one"), NOW_MS)
+        assert not suspects.is_refused(DEADLY, NOW_MS)
+        assert len(suspects.by_digest[DEADLY].crash_by_key) == CRASHES_MAX_COUNT
+
+    def test_a_content_that_crashes_upstreams_in_several_variants_is_refused(self) -> None:
+        suspects = CrashSuspects()
+        for number in range(CRASHES_MAX_COUNT):
+            suspects.record_crash(DEADLY, Crash(f"u{number}", 1, b"one"), NOW_MS)
+        assert suspects.record_crash(DEADLY, Crash("u9", 1, b"two"), NOW_MS)
+        assert suspects.is_refused(DEADLY, NOW_MS)
+
+    def test_an_answer_that_an_earlier_version_reports_clears_the_variants(self) -> None:
+        guard = CrashGuard(ManualClock(NOW_MS))
+        for number in range(CRASHES_MAX_COUNT):
+            guard.record_crash(b"variant", f"u{number}", 1)
+            guard.record_crash(DEADLY, f"u{number}", 1, variant=b"variant")
+        guard.merge(SuspectNews(DEADLY, is_answered=True, variant=b"other"))
+        assert guard.is_refused(b"variant")
+        guard.record_crash(DEADLY, "u0", 1, variant=b"variant")
+        guard.merge(SuspectNews(DEADLY, is_answered=True))
+        assert not guard.is_refused(b"variant")
+
+
 class TestAnswer:
     def test_a_request_that_is_answered_was_not_the_cause(self) -> None:
         suspects = CrashSuspects()
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -127,6 +127,20 @@
         "        claim",
         "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
     ),
+    Mutant(
+        "answers to another caller do not clear a request that crashes upstreams",
+        "proxy/request.py",
+        "            state = hashlib.blake2b(self.get_digest(), digest_size=DIGEST_BYTES)\n",
+        "            return self.get_digest()\n",
+        "testing/proxy/test_crash_guard.py::TestCallersWithoutCredentials",
+    ),
+    Mutant(
+        "crashes of one caller's request do not count against the same request of another caller",
+        "balancer/crash_suspects.py",
+        '        return len(variants) > 1 or b"" in variants\n',
+        "        return True\n",
+        "testing/proxy/test_crash_guard.py::TestCallersWithoutCredentials",
+    ),
     Mutant(
         "a connection ended by an upstream that still listens is no crash",
         "proxy/forward.py",
--- a/testing/proxy/test_crash_guard.py
+++ b/testing/proxy/test_crash_guard.py
@@ -22,6 +22,8 @@
 # Not idempotent, so each call is one attempt.
 ONCE = "/once/deadly"
 HARMLESS = "/x/harmless"
+# A header that a deadly request of ``Service`` lacks.
+HARMLESS_HEADER = {"X_Customer": "harmless"}
 
 
 class Service:
@@ -42,7 +44,7 @@
             self.instance.announce(f"u{number}", upstream.address)
 
     def _answer(self, upstream: int, sock: socket.socket, head: bytes, number: int) -> bool:
-        if b"/deadly" in head.split(b"\r\n")[0]:
+        if b"/deadly" in head.split(b"\r\n")[0] and b"x-customer: harmless" not in head.lower():
             self.deadly_count += 1
             if self.is_deadly:
                 if self.ends_process:
@@ -123,6 +125,36 @@
         assert service.call(DEADLY).status == 502
 
 
+class TestCallersWithoutCredentials:
+    """The pattern: callers send the same request, and a header of one of them makes it deadly."""
+
+    # Guards against a deadly request that was sent on and on: answers to other callers cleared it.
+    def test_answers_to_another_caller_do_not_clear_it(self, service: Service) -> None:
+        for _ in range(RETURNS_COUNT):
+            service.call(ONCE, X_Customer="deadly")
+            service.call(ONCE, **HARMLESS_HEADER)
+        assert service.deadly_count == CRASHES_MAX_COUNT
+
+    # Guards against harmless requests refused for minutes: another caller's had crashed upstreams.
+    def test_it_is_refused_for_its_own_caller_only(self, service: Service) -> None:
+        for _ in range(RETURNS_COUNT):
+            service.call(DEADLY, X_Customer="deadly")
+        assert service.call(DEADLY, **HARMLESS_HEADER).status == 200
+        assert service.call(DEADLY, X_Customer="deadly").status == 503
+
+    def test_it_is_recognised_although_headers_change_each_time(self, service: Service) -> None:
+        for number in range(RETURNS_COUNT):
+            service.call(ONCE, X_Trace=str(number))
+        assert service.deadly_count == CRASHES_MAX_COUNT
+
+    def test_it_is_sent_once_more_where_headers_change_with_each_call_only(
+        self, service: Service
+    ) -> None:
+        for number in range(RETURNS_COUNT):
+            service.call(DEADLY, X_Trace=str(number))
+        assert service.deadly_count <= CRASHES_MAX_COUNT + 1
+
+
 class TestUpstreamThatCrashesByItself:
     def test_requests_that_are_answered_elsewhere_stay_allowed(self, service: Service) -> None:
         for _ in range(RETURNS_COUNT):
