Clear no request that crashes upstreams by an answer to which it was not run

Cause: any answer without the header of a refusal cleared the request, also 408, 429 and 503, by which upstreams of the platform state that they have not run it, and unsigned ones, which no upstream gave. Ruled out: refusals with the header X-Not-Executed and status 421, which are handled before. Change: such answers clear nobody. A failure with another status still does, since its upstream ran the request and lives. The mutant is killed. Conclusion: only an answer to a run shows that a run doesn't crash.

--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -295,8 +295,11 @@
             self._controller.end(claim, "shed", report)
             self._history.possibly_run -= 1
             return AttemptFailure("shed", f"upstream {claim.load.id} had no capacity")
-        self._guard.record_answer()
         is_genuine = not dialect.signature or bool(answer.get_header(dialect.signature))
+        if answer.status not in dialect.implied_not_run_statuses and (
+            is_genuine or answer.status >= 300
+        ):
+            self._guard.record_answer()
         is_encoded = bool(dialect.signature) and answer.get_header("Content-Encoding") is not None
         if answer.status < 300 and (not is_genuine or is_encoded):
             self._end_failed(claim, "not-genuine")
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -141,6 +141,13 @@
         "        return True\n",
         "testing/proxy/test_crash_guard.py::TestCallersWithoutCredentials",
     ),
+    Mutant(
+        "a refusal for lack of room does not clear a request that crashes upstreams",
+        "proxy/forward.py",
+        "        if answer.status not in dialect.implied_not_run_statuses and (\n",
+        "        if (\n",
+        "testing/proxy/test_crash_guard.py::TestAnswerWithoutARun",
+    ),
     Mutant(
         "a connection ended by an upstream that still listens is no crash",
         "proxy/forward.py",
--- a/testing/proxy/test_crash_guard.py
+++ b/testing/proxy/test_crash_guard.py
@@ -11,6 +11,7 @@
 from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
 from coltsfootrill.events.catalog import CrashingRequest
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.instance import Instance
 from testing.proxy.instance import Reply
@@ -29,7 +30,8 @@
 class Service:
     """Upstreams that crash when they begin to run a deadly request, and are back at the next call.
 
-    They only end the connection while ``ends_process`` is false.
+    They only end the connection while ``ends_process`` is false, and follow ``script`` if there is
+    one.
     """
 
     def __init__(self) -> None:
@@ -37,6 +39,7 @@
         self.is_deadly = True
         self.ends_process = True
         self.deadly_count = 0
+        self.script: Script | None = None
         self.upstreams: list[ScriptedUpstream] = []
         for number in range(UPSTREAMS_COUNT):
             upstream = ScriptedUpstream(partial(self._answer, number))
@@ -44,6 +47,8 @@
             self.instance.announce(f"u{number}", upstream.address)
 
     def _answer(self, upstream: int, sock: socket.socket, head: bytes, number: int) -> bool:
+        if self.script is not None:
+            return self.script(sock, head, number)
         if b"/deadly" in head.split(b"\r\n")[0] and b"x-customer: harmless" not in head.lower():
             self.deadly_count += 1
             if self.is_deadly:
@@ -155,6 +160,29 @@
         assert service.deadly_count <= CRASHES_MAX_COUNT + 1
 
 
+class TestAnswerWithoutARun:
+    """The pattern: upstreams also answer a deadly request without running it."""
+
+    # Guards against a deadly request that was sent on and on: refusals for lack of room cleared it.
+    @pytest.mark.parametrize("status", [429, 503])
+    def test_a_refusal_does_not_clear_a_deadly_request(self, service: Service, status: int) -> None:
+        for _ in range(RETURNS_COUNT):
+            service.script = None
+            service.call(ONCE)
+            service.script = reply_with(status=f"{status} Busy")
+            service.call(ONCE)
+        assert service.deadly_count == CRASHES_MAX_COUNT
+
+    # Guards against the same after an answer that no upstream signed.
+    def test_an_unsigned_answer_does_not_clear_it(self, service: Service) -> None:
+        for _ in range(RETURNS_COUNT):
+            service.script = None
+            service.call(ONCE)
+            service.script = reply_with(extra="")
+            service.call(ONCE)
+        assert service.deadly_count == CRASHES_MAX_COUNT
+
+
 class TestUpstreamThatCrashesByItself:
     def test_requests_that_are_answered_elsewhere_stay_allowed(self, service: Service) -> None:
         for _ in range(RETURNS_COUNT):
