Check again before sending whether a request crashes upstreams

What callers could see: a request is sent to one more upstream after it has crashed three (BUDGET). Cause: it was checked before it waited for an upstream, not after; the news of its third crash may arrive meanwhile. Ruled out: second attempts, which suspects don't get. Change: the check is repeated once the upstream is acquired; a refused request gives it back and is answered not-run. The mutant of the first check survived, since the second one made up for it: it now drops both, and the first one has a test and a mutant of its own, that a refused request waits for no upstream. Conclusion: a check is worth what it was at the moment of sending.

--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -117,6 +117,12 @@
             exclude=frozenset(self._tried),
             should_stop_waiting=self._request.monitor.should_stop_waiting,
         )
+        try:
+            # It may have crashed other upstreams while it waited for this one.
+            self._guard.check()
+        except NotRunError:
+            self._controller.end(claim, "abandoned")
+            raise
         idle_max_ms = self._pools.get_idle_max_ms(is_idempotent=self._kind.idempotent)
         failure = self._send_attempt(claim, idle_max_ms=idle_max_ms)
         if failure is not None:
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -122,6 +122,13 @@
     ),
     Mutant(
         "a request that crashed three upstreams reaches no other",
+        "proxy/request_guard.py",
+        "any(map(self._guard.is_refused, self._list_digests())):",
+        "False:",
+        "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
+    ),
+    Mutant(
+        "a refused request waits for no upstream",
         "proxy/forward.py",
         "        self._guard.check()\n        claim",
         "        claim",
@@ -148,6 +155,13 @@
         "        if (\n",
         "testing/proxy/test_crash_guard.py::TestAnswerWithoutARun",
     ),
+    Mutant(
+        "a request that crashed three upstreams while it waited is not sent",
+        "proxy/forward.py",
+        "            self._guard.check()\n        except",
+        "            pass\n        except",
+        "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
+    ),
     Mutant(
         "a connection ended by an upstream that still listens is no crash",
         "proxy/forward.py",
--- a/testing/proxy/test_crash_guard.py
+++ b/testing/proxy/test_crash_guard.py
@@ -5,12 +5,17 @@
 import socket
 from collections.abc import Iterator
 from functools import partial
+from typing import Any
 
 import pytest
 
+from coltsfootrill.balancer.claim import Claim
+from coltsfootrill.balancer.crash_guard import SuspectNews
 from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
+from coltsfootrill.balancer.crash_suspects import Crash
 from coltsfootrill.events.catalog import CrashingRequest
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from coltsfootrill.proxy.admission_controller import AdmissionController
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.instance import Instance
@@ -84,6 +89,44 @@
         assert (last.status, last.outcome, last.reason) == (503, "not-run", "crashes-upstreams")
         assert float(last.headers["Retry-After"]) > 0
 
+    # Guards against refused requests that keep upstreams and queues from others.
+    def test_a_refused_one_waits_for_no_upstream(
+        self, service: Service, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        for _ in range(CRASHES_MAX_COUNT):
+            service.call(ONCE)
+
+        def fail(*args: Any, **options: Any) -> Claim:
+            raise AssertionError("it waits for an upstream")
+
+        monkeypatch.setattr(AdmissionController, "acquire", fail)
+        assert service.call(ONCE).reason == "crashes-upstreams"
+
+    # Guards against a request sent after its third crash, since it had been checked before a wait.
+    def test_one_that_crashes_upstreams_elsewhere_while_it_waits_is_not_sent(
+        self, service: Service, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        guard = service.instance.app.crash_guard
+        for _ in range(CRASHES_MAX_COUNT - 1):
+            service.call(ONCE)
+        seen = guard.take_news()
+        acquire = AdmissionController.acquire
+
+        def acquire_after_another_crash(
+            controller: AdmissionController, *args: Any, **options: Any
+        ) -> Claim:
+            claim = acquire(controller, *args, **options)
+            for news in seen:
+                crash = Crash("elsewhere", 1, news.crashes[0].variant)
+                guard.merge(SuspectNews(news.digest, [crash]))
+            return claim
+
+        monkeypatch.setattr(AdmissionController, "acquire", acquire_after_another_crash)
+        reply = service.call(ONCE)
+        assert (reply.outcome, reply.reason) == ("not-run", "crashes-upstreams")
+        assert service.deadly_count == CRASHES_MAX_COUNT - 1
+        assert not any(service.instance.app.count_in_flight().values())
+
     def test_a_request_that_may_have_run_is_not_called_not_run(self, service: Service) -> None:
         replies = [service.call(DEADLY) for _ in range(RETURNS_COUNT)]
         outcomes = [reply.outcome for reply in replies]
