Try a refused request once more after a minute

Cause: whatever runs at each of three crashes looks like their cause until it is answered, and nobody answers what is refused. Ruled out as remedies: a shorter refusal, at whose end each instance would send it; excusing bystanders by the crashes that a refused request explains, since the bystander may be refused first and the cause excused. Change: a minute after the third crash the first instance to get the request sends it once, and tells all others at that moment, so that no other does. An answer clears it everywhere; otherwise the rest of the ten minutes runs on without a second trial. Before and after, one run each, with the minute set to nothing: three returns of a harmless request after three crashes got 503 each, now 200 each. A deadly one is sent 4 times in all; of five instances that hear each other, one tries it. Three mutants are killed. Not covered: instances that get the request within the 0.1 s until they are told may try it too, each once. A trial whose upstream does not accept a connection is spent.

--- a/src/coltsfootrill/balancer/crash_guard.py
+++ b/src/coltsfootrill/balancer/crash_guard.py
@@ -19,10 +19,11 @@
     """What happened to one request: upstreams crashed, or it ``is_answered``.
 
     ``age_ms`` is the time since the last of the crashes. ``variant`` is the variant that was
-    answered, if ``digest`` is of the content.
+    answered, if ``digest`` is of the content. ``is_tried`` is whether the request has been sent
+    once more since it is refused.
     """
 
-    __slots__ = ("age_ms", "crashes", "digest", "is_answered", "variant")
+    __slots__ = ("age_ms", "crashes", "digest", "is_answered", "is_tried", "variant")
 
     def __init__(
         self,
@@ -32,7 +33,9 @@
         age_ms: float = 0.0,
         is_answered: bool = False,
         variant: bytes = b"",
+        is_tried: bool = False,
     ) -> None:
+        self.is_tried = is_tried
         self.variant = variant
         self.age_ms = age_ms
         self.digest = digest
@@ -74,6 +77,22 @@
         with self._lock:
             return self._suspects.is_refused(digest, self._clock.now_ms())
 
+    def is_trial_due(self, digest: bytes) -> bool:
+        """Return whether a refused request may be sent once, to show whether it is the cause."""
+        with self._lock:
+            return self._suspects.is_trial_due(digest, self._clock.now_ms())
+
+    def begin_trial(self, digest: bytes) -> bool:
+        """Return whether this instance is to send a refused request once, and tell the others."""
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            if not self._suspects.is_trial_due(digest, now_ms):
+                return False
+            suspect = self._suspects.by_digest[digest]
+            suspect.is_tried = True
+            self._news.append(_make_news(suspect, now_ms))
+            return True
+
     def record_crash(
         self, digest: bytes, upstream_id: str, incarnation: int, *, variant: bytes = b""
     ) -> None:
@@ -96,7 +115,9 @@
             now_ms = self._clock.now_ms()
             if news.is_answered:
                 self._merge_answer(news, now_ms)
-            elif self._suspects.merge(news.digest, news.crashes, now_ms, age_ms=news.age_ms):
+            elif self._suspects.merge(
+                news.digest, news.crashes, now_ms, age_ms=news.age_ms, is_tried=news.is_tried
+            ):
                 self._on_refused(self._suspects.by_digest[news.digest])
 
     def take_news(self) -> list[SuspectNews]:
@@ -111,14 +132,7 @@
         with self._lock:
             now_ms = self._clock.now_ms()
             self._suspects.remove_expired(now_ms)
-            return [
-                SuspectNews(
-                    suspect.digest,
-                    list(suspect.crash_by_key.values()),
-                    age_ms=now_ms - suspect.last_ms,
-                )
-                for suspect in self._suspects.list_refused(now_ms)
-            ]
+            return [_make_news(suspect, now_ms) for suspect in self._suspects.list_refused(now_ms)]
 
     def _merge_answer(self, news: SuspectNews, now_ms: float) -> None:
         suspect = self._suspects.by_digest.get(news.digest)
@@ -127,3 +141,12 @@
             for crash in suspect.crash_by_key.values():
                 self._suspects.record_answer(crash.variant, now_ms)
         self._suspects.record_answer(news.digest, now_ms)
+
+
+def _make_news(suspect: Suspect, now_ms: float) -> SuspectNews:
+    return SuspectNews(
+        suspect.digest,
+        list(suspect.crash_by_key.values()),
+        age_ms=now_ms - suspect.last_ms,
+        is_tried=suspect.is_tried,
+    )
--- a/src/coltsfootrill/balancer/crash_suspects.py
+++ b/src/coltsfootrill/balancer/crash_suspects.py
@@ -19,6 +19,8 @@
 # A request is refused once this many upstreams have crashed during it and none has answered it.
 CRASHES_MAX_COUNT = 3
 KEPT_MS = 600_000.0
+# A refused request is tried once more after this time, since other requests may have caused it all.
+TRIAL_AFTER_MS = 60_000.0
 # A crash that another instance reports late does not count against a request answered since.
 ANSWERED_KEPT_MS = 10_000.0
 SUSPECTS_MAX_COUNT = 10_000
@@ -42,15 +44,16 @@
     """The crashes during one request. ``digest`` is of its content or its variant.
 
     ``crash_by_key`` holds them by upstream and incarnation, ``last_ms`` is when the last one was
-    recorded.
+    recorded. ``is_tried`` is whether any instance has sent it since it is refused.
     """
 
-    __slots__ = ("crash_by_key", "digest", "last_ms")
+    __slots__ = ("crash_by_key", "digest", "is_tried", "last_ms")
 
     def __init__(self, digest: bytes, now_ms: float) -> None:
         self.digest = digest
         self.crash_by_key: dict[tuple[str, int], Crash] = {}
         self.last_ms = now_ms
+        self.is_tried = False
 
     @property
     def is_refused(self) -> bool:
@@ -87,18 +90,28 @@
         return self._add(digest, [crash], now_ms)
 
     def merge(
-        self, digest: bytes, crashes: Iterable[Crash], now_ms: float, *, age_ms: float = 0.0
+        self,
+        digest: bytes,
+        crashes: Iterable[Crash],
+        now_ms: float,
+        *,
+        age_ms: float = 0.0,
+        is_tried: bool = False,
     ) -> bool:
         """Record crashes that another instance reports; return as ``record_crash`` does.
 
-        The last of them was ``age_ms`` ago, so that reports do not prolong a refusal.
+        The last of them was ``age_ms`` ago, so that reports do not prolong a refusal. ``is_tried``
+        is whether an instance has tried the request since.
         """
         answered_ms = self._answered_ms_by_digest.get(digest)
         if answered_ms is not None and now_ms - answered_ms < ANSWERED_KEPT_MS:
             return False
         if age_ms >= KEPT_MS:
             return False
-        return self._add(digest, crashes, now_ms - age_ms)
+        is_refused_now = self._add(digest, crashes, now_ms - age_ms)
+        if is_tried and digest in self.by_digest:
+            self.by_digest[digest].is_tried = True
+        return is_refused_now
 
     def record_answer(self, digest: bytes, now_ms: float) -> bool:
         """Record an answer to a request; return whether it had been a suspect."""
@@ -118,6 +131,13 @@
         suspect = self.by_digest.get(digest)
         return suspect is not None and suspect.is_refused and now_ms - suspect.last_ms < KEPT_MS
 
+    def is_trial_due(self, digest: bytes, now_ms: float) -> bool:
+        """Return whether a refused request may be sent once, to show whether it is the cause."""
+        suspect = self.by_digest.get(digest)
+        if suspect is None or suspect.is_tried:
+            return False
+        return now_ms - suspect.last_ms >= TRIAL_AFTER_MS
+
     def list_refused(self, now_ms: float) -> list[Suspect]:
         """Return the requests that are refused."""
         return [
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -173,7 +173,8 @@
     """A request, by its digest: the upstreams that crashed during it, or that it was answered.
 
     ``age_ms`` is the time since the last crash. ``variant`` is the variant that was answered,
-    empty if it is unknown or is the digest itself.
+    empty if it is unknown or is the digest itself. ``is_tried`` means that the request has been
+    sent once more since it is refused.
     """
 
     digest: bytes
@@ -181,6 +182,7 @@
     age_ms: int
     is_answered: bool
     variant: bytes = b""
+    is_tried: bool = False
 
 
 class SuspectGossip(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/membership/suspect_gossip.py
+++ b/src/coltsfootrill/membership/suspect_gossip.py
@@ -80,6 +80,7 @@
                 age_ms=max(0, entry.age_ms),
                 is_answered=entry.is_answered,
                 variant=entry.variant,
+                is_tried=entry.is_tried,
             )
             self._guard.merge(news)
 
@@ -102,4 +103,6 @@
     crashes = [
         CrashEntry(crash.upstream_id, crash.incarnation, crash.variant) for crash in news.crashes
     ]
-    return SuspectEntry(news.digest, crashes, int(news.age_ms), news.is_answered, news.variant)
+    return SuspectEntry(
+        news.digest, crashes, int(news.age_ms), news.is_answered, news.variant, news.is_tried
+    )
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -119,7 +119,7 @@
         )
         try:
             # It may have crashed other upstreams while it waited for this one.
-            self._guard.check()
+            self._guard.begin()
         except NotRunError:
             self._controller.end(claim, "abandoned")
             raise
--- a/src/coltsfootrill/proxy/request_guard.py
+++ b/src/coltsfootrill/proxy/request_guard.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.crash_guard import CrashGuard
 from coltsfootrill.proxy.outcome import NotRunError
@@ -27,7 +29,17 @@
 
     def check(self) -> None:
         """Raise ``NotRunError`` if the request crashes the upstreams that run it."""
-        if self._guard.has_suspects and any(map(self._guard.is_refused, self._list_digests())):
+        self._check(self._guard.is_trial_due)
+
+    def begin(self) -> None:
+        """Check again, directly before the request is sent; if it is refused, begin its trial."""
+        self._check(self._guard.begin_trial)
+
+    def _check(self, may_try: Callable[[bytes], bool]) -> None:
+        if not self._guard.has_suspects:
+            return
+        refused = [digest for digest in self._list_digests() if self._guard.is_refused(digest)]
+        if not all(map(may_try, refused)):
             raise NotRunError(
                 "503 Service Unavailable",
                 "crashes-upstreams",
--- a/testing/balancer/test_crash_suspects.py
+++ b/testing/balancer/test_crash_suspects.py
@@ -11,6 +11,7 @@
 from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
 from coltsfootrill.balancer.crash_suspects import KEPT_MS
 from coltsfootrill.balancer.crash_suspects import SUSPECTS_MAX_COUNT
+from coltsfootrill.balancer.crash_suspects import TRIAL_AFTER_MS
 from coltsfootrill.balancer.crash_suspects import Crash
 from coltsfootrill.balancer.crash_suspects import CrashSuspects
 from coltsfootrill.clock import ManualClock
@@ -23,6 +24,13 @@
     return [suspects.record_crash(digest, Crash(f"u{n}", 1), NOW_MS) for n in range(count)]
 
 
+def make_refusing_guard(clock: ManualClock) -> CrashGuard:
+    guard = CrashGuard(clock)
+    for number in range(CRASHES_MAX_COUNT):
+        guard.record_crash(DEADLY, f"u{number}", 1)
+    return guard
+
+
 class TestRefusal:
     def test_a_request_is_refused_after_three_crashes(self) -> None:
         suspects = CrashSuspects()
@@ -57,6 +65,47 @@
         assert not suspects.is_suspect(DEADLY)
 
 
+class TestTrial:
+    """The pattern: three upstreams crashed during a harmless request, for another reason."""
+
+    # Guards against a harmless request refused for ten minutes, since another crashed upstreams.
+    def test_a_refused_request_is_tried_once_after_a_minute(self) -> None:
+        clock = ManualClock(NOW_MS)
+        guard = make_refusing_guard(clock)
+        clock.advance(TRIAL_AFTER_MS - 1)
+        assert not guard.begin_trial(DEADLY)
+        clock.advance(1)
+        assert guard.is_trial_due(DEADLY)
+        assert guard.begin_trial(DEADLY)
+        guard.record_answer(DEADLY)
+        assert not guard.is_refused(DEADLY)
+
+    def test_one_that_crashes_another_upstream_then_stays_refused(self) -> None:
+        clock = ManualClock(NOW_MS)
+        guard = make_refusing_guard(clock)
+        clock.advance(TRIAL_AFTER_MS)
+        assert guard.begin_trial(DEADLY)
+        guard.record_crash(DEADLY, "u9", 1)
+        clock.advance(KEPT_MS - TRIAL_AFTER_MS - 1)
+        assert guard.is_refused(DEADLY)
+        assert not guard.begin_trial(DEADLY)
+
+    def test_an_instance_that_heard_of_a_trial_makes_none(self) -> None:
+        clock = ManualClock(NOW_MS)
+        first = make_refusing_guard(clock)
+        second = make_refusing_guard(clock)
+        late = CrashGuard(clock)
+        first.take_news()
+        clock.advance(TRIAL_AFTER_MS)
+        assert first.begin_trial(DEADLY)
+        for news in first.take_news():
+            second.merge(news)
+            late.merge(news)
+        assert not second.begin_trial(DEADLY)
+        assert late.is_refused(DEADLY)
+        assert not late.begin_trial(DEADLY)
+
+
 class TestVariants:
     """The digest is of a content that callers send with different headers."""
 
--- a/testing/membership/test_suspect_gossip.py
+++ b/testing/membership/test_suspect_gossip.py
@@ -8,6 +8,7 @@
 from coltsfootrill.balancer.crash_guard import CrashGuard
 from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
 from coltsfootrill.balancer.crash_suspects import KEPT_MS
+from coltsfootrill.balancer.crash_suspects import TRIAL_AFTER_MS
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.suspect_gossip import REPEAT_INTERVAL_MS
@@ -102,6 +103,16 @@
         fleet.send()
         assert fleet.count_refusing() == FLEET_COUNT
 
+    def test_only_one_instance_tries_a_refused_request(self, fleet: Fleet) -> None:
+        crash(fleet)
+        fleet.send()
+        fleet.clock.advance(TRIAL_AFTER_MS)
+        tried = 0
+        for member in fleet.members:
+            tried += member.guard.begin_trial(DEADLY)
+            fleet.send()
+        assert tried == 1
+
     def test_an_answer_ends_the_suspicion_on_all(self, fleet: Fleet) -> None:
         fleet.members[0].guard.record_crash(DEADLY, "u0", 1)
         fleet.send()
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -123,8 +123,8 @@
     Mutant(
         "a request that crashed three upstreams reaches no other",
         "proxy/request_guard.py",
-        "any(map(self._guard.is_refused, self._list_digests())):",
-        "False:",
+        "        if not all(map(may_try, refused)):",
+        "        if False:",
         "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
     ),
     Mutant(
@@ -148,6 +148,27 @@
         "        return True\n",
         "testing/proxy/test_crash_guard.py::TestCallersWithoutCredentials",
     ),
+    Mutant(
+        "a harmless request during which others crashed upstreams is tried again after a minute",
+        "balancer/crash_suspects.py",
+        "        return now_ms - suspect.last_ms >= TRIAL_AFTER_MS\n",
+        "        return False\n",
+        "testing/proxy/test_crash_guard.py::TestTrial",
+    ),
+    Mutant(
+        "a refused request is tried only once",
+        "balancer/crash_guard.py",
+        "            suspect.is_tried = True\n",
+        "",
+        "testing/proxy/test_crash_guard.py::TestTrial",
+    ),
+    Mutant(
+        "only one instance tries a refused request",
+        "membership/suspect_gossip.py",
+        "                is_tried=entry.is_tried,\n",
+        "",
+        "testing/membership/test_suspect_gossip.py::TestSuspects",
+    ),
     Mutant(
         "a refusal for lack of room does not clear a request that crashes upstreams",
         "proxy/forward.py",
@@ -158,7 +179,7 @@
     Mutant(
         "a request that crashed three upstreams while it waited is not sent",
         "proxy/forward.py",
-        "            self._guard.check()\n        except",
+        "            self._guard.begin()\n        except",
         "            pass\n        except",
         "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
     ),
--- a/testing/proxy/test_crash_guard.py
+++ b/testing/proxy/test_crash_guard.py
@@ -203,6 +203,26 @@
         assert service.deadly_count <= CRASHES_MAX_COUNT + 1
 
 
+class TestTrial:
+    """The pattern: other requests crash the upstreams that run a harmless one."""
+
+    @pytest.fixture(autouse=True)
+    def _make_trials_due_at_once(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr("coltsfootrill.balancer.crash_suspects.TRIAL_AFTER_MS", 0.0)
+
+    # Guards against a harmless request refused for ten minutes, since another crashed upstreams.
+    def test_a_harmless_request_is_allowed_after_its_trial(self, service: Service) -> None:
+        for _ in range(CRASHES_MAX_COUNT):
+            service.call(ONCE)
+        service.is_deadly = False
+        assert [service.call(ONCE).status for _ in range(3)] == [200] * 3
+
+    def test_a_deadly_request_is_tried_only_once(self, service: Service) -> None:
+        replies = [service.call(DEADLY) for _ in range(RETURNS_COUNT)]
+        assert service.deadly_count == CRASHES_MAX_COUNT + 1
+        assert replies[-1].reason == "crashes-upstreams"
+
+
 class TestAnswerWithoutARun:
     """The pattern: upstreams also answer a deadly request without running it."""
 
