Let all instances take turns in repeating which requests are refused

Cause: two instances, the same ones always, repeated the refusals. If both had restarted they knew nothing and nobody told them; if both were cut off, nobody told the instances that started. Ruled out: one of them restarting alone, whom the other tells. Change: three of the instances repeat each second, and all take turns by their place in the list and a count of their own. Three instead of two, as the counts of instances are not synchronised. Before and after, one run each, five instances: after all but one had lost their memory, in three of five cases that one alone refused the request five turns later; with both repeaters cut off, an instance that started was not told in six turns. Now all are told within these turns in each of the 5 and 10 cases. The mutant is killed. Conclusion: what all know should not hang on two.

--- a/src/coltsfootrill/membership/suspect_gossip.py
+++ b/src/coltsfootrill/membership/suspect_gossip.py
@@ -2,7 +2,7 @@
 
 Each instance sends what it saw to all others at once. A datagram may be lost, and an instance that
 starts knows nothing, so the requests that are refused are sent again periodically by a few
-instances.
+instances. These take turns, since any of them may be cut off, or may have lost its memory.
 """
 
 from __future__ import annotations
@@ -21,13 +21,11 @@
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.messages import SuspectGossip
-from coltsfootrill.membership.relay_topology import rank
 
 TOPIC = b"S"
 ENTRIES_MAX_COUNT = 50
 REPEAT_INTERVAL_MS = 1_000.0
-REPEATERS_COUNT = 2
-_RANK_KEY = "suspects"
+REPEATERS_COUNT = 3
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(SuspectGossip)
@@ -36,7 +34,7 @@
 class SuspectGossipExchange:
     """Sends the news of ``guard`` to the other instances, and applies theirs."""
 
-    __slots__ = ("_clock", "_guard", "_list_instances", "_own", "_port", "_repeated_ms")
+    __slots__ = ("_clock", "_guard", "_list_instances", "_own", "_port", "_repeated_ms", "_turn")
 
     def __init__(
         self,
@@ -53,6 +51,8 @@
         self._clock = clock
         self._port = port
         self._repeated_ms = clock.now_ms()
+        # Instances that start together begin at different turns.
+        self._turn = own.boot
         port.handle(TOPIC, self.receive)
 
     def send(self) -> None:
@@ -61,6 +61,7 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._repeated_ms >= REPEAT_INTERVAL_MS:
             self._repeated_ms = now_ms
+            self._turn += 1
             refused = self._guard.list_refused()
             if refused and self._is_repeater():
                 news += refused
@@ -85,10 +86,11 @@
             self._guard.merge(news)
 
     def _is_repeater(self) -> bool:
-        ranked = sorted(
-            self._list_instances(), key=lambda record: rank(_RANK_KEY, record.id), reverse=True
-        )
-        return self._own.id in [record.id for record in ranked[:REPEATERS_COUNT]]
+        """Return whether it is the turn of this instance, as in a few of as many as there are."""
+        ids = sorted(record.id for record in self._list_instances())
+        if self._own.id not in ids:
+            return False
+        return (ids.index(self._own.id) + self._turn) % len(ids) < REPEATERS_COUNT
 
     def _send_to_all(self, news: Sequence[SuspectNews]) -> None:
         entries = [_pack(one) for one in news]
--- a/testing/membership/test_suspect_gossip.py
+++ b/testing/membership/test_suspect_gossip.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import combinations
+
 import msgspec
 import pytest
 
@@ -12,6 +14,7 @@
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.suspect_gossip import REPEAT_INTERVAL_MS
+from coltsfootrill.membership.suspect_gossip import REPEATERS_COUNT
 from coltsfootrill.membership.suspect_gossip import SuspectGossipExchange
 from testing.dispatch.memory import MemoryNetwork
 from testing.dispatch.memory import MemoryPort
@@ -23,9 +26,9 @@
 class Member:
     """One instance: its guard and its exchange."""
 
-    def __init__(self, number: int, fleet: Fleet) -> None:
-        record = InstanceRecord(f"n{number}", 1, f"10.0.0.{number}:1", "z1", False, 0)
-        fleet.records.append(record)
+    def __init__(self, number: int, fleet: Fleet, *, boot: int = 1) -> None:
+        record = InstanceRecord(f"n{number}", boot, f"10.0.0.{number}:1", "z1", False, 0)
+        fleet.records[number:] = [record, *fleet.records[number + 1 :]]
         self.guard = CrashGuard(fleet.clock)
         self.exchange = SuspectGossipExchange(
             record,
@@ -45,6 +48,10 @@
         self.records: list[InstanceRecord] = []
         self.members = [Member(number, self) for number in range(FLEET_COUNT)]
 
+    def restart(self, number: int) -> None:
+        """Start an instance again, which has lost its memory."""
+        self.members[number] = Member(number, self, boot=2 + number)
+
     def send(self) -> None:
         for member in self.members:
             member.exchange.send()
@@ -92,6 +99,53 @@
         fleet.send()
         assert fleet.count_refusing() == 0
 
+    # Guards against a deadly request sent on and on: the two that repeat refusals had restarted.
+    @pytest.mark.parametrize("survivor", range(FLEET_COUNT))
+    def test_all_but_one_are_told_again_after_they_lost_their_memory(
+        self, fleet: Fleet, survivor: int
+    ) -> None:
+        crash(fleet)
+        fleet.send()
+        for number in set(range(FLEET_COUNT)) - {survivor}:
+            fleet.restart(number)
+        assert fleet.count_refusing() == 1
+        for _ in range(FLEET_COUNT):
+            fleet.clock.advance(REPEAT_INTERVAL_MS)
+            fleet.send()
+        assert fleet.count_refusing() == FLEET_COUNT
+
+    # Guards against the same while any two instances are cut off and still listed.
+    @pytest.mark.parametrize("cut", list(combinations(range(FLEET_COUNT), 2)))
+    def test_an_instance_that_starts_is_told_although_others_are_cut_off(
+        self, fleet: Fleet, cut: tuple[int, int]
+    ) -> None:
+        crash(fleet)
+        fleet.send()
+        cut_addresses = {fleet.records[number].address for number in cut}
+        fleet.network.is_lost = lambda source, target, data: bool({source, target} & cut_addresses)
+        fleet.members.append(Member(FLEET_COUNT, fleet))
+        for _ in range(FLEET_COUNT + 1):
+            fleet.clock.advance(REPEAT_INTERVAL_MS)
+            fleet.send()
+        assert fleet.count_refusing() == FLEET_COUNT + 1
+
+    # Guards against more datagrams the larger the fleet.
+    def test_a_few_instances_repeat_each_time(self, fleet: Fleet) -> None:
+        crash(fleet)
+        fleet.send()
+        senders: list[set[str]] = []
+
+        def note_sender(source: str, target: str, data: bytes) -> bool:
+            senders[-1].add(source)
+            return False
+
+        fleet.network.is_lost = note_sender
+        for _ in range(FLEET_COUNT):
+            senders.append(set())
+            fleet.clock.advance(REPEAT_INTERVAL_MS)
+            fleet.send()
+        assert [len(each) for each in senders] == [REPEATERS_COUNT] * FLEET_COUNT
+
     def test_news_that_were_lost_are_repeated(self, fleet: Fleet) -> None:
         deaf = fleet.records[-1].address
         fleet.network.is_lost = lambda source, target, data: target == deaf
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -197,6 +197,13 @@
         "                pass\n",
         "testing/membership/test_suspect_gossip.py::TestSuspects",
     ),
+    Mutant(
+        "all instances take turns in telling again what is refused",
+        "membership/suspect_gossip.py",
+        "            self._turn += 1\n",
+        "",
+        "testing/membership/test_suspect_gossip.py::TestSuspects",
+    ),
     Mutant(
         "an odd heartbeat does not keep instances from following the hubs",
         "platform/interface.py",
