Tell an instance that starts which requests are refused, with its first upstreams

Cause: it was told by datagram only, up to a second after it started, later where datagrams are lost. Ruled out: a call of its own to other nodes at the start. It would be one more thing to wait for, and the hubs' whole reply, which brings the first upstreams, is reliable already. Change: a hub's whole reply lists the latest 200 refused requests, and an instance applies them before the upstreams. Earlier versions ignore the new last field of the reply, and their replies have an empty list; a test decodes both. In the mutant that applies the list last, one upstream is known before it. Not covered: a voter that restarts knows upstreams from its disk, and may send in the moment before another hub has replied. Conclusion: an instance without a disk knows what it must not send before it can send anything.

--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -15,6 +15,7 @@
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import LeaveRequest
+from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.rpc import Method
@@ -54,9 +55,11 @@
     A hub always follows the seeds too, so the seeds can return the addresses of the voting
     replicas: seeds may be instances without a disk that start at the same time as all others.
     ``on_reply`` is called with the address of the hub and each reply, after the view has applied
-    it. ``on_lost`` is called with the address and the reason when a hub stops replying, or has
-    not replied within ``first_reply_ms`` of the first call. ``on_regained`` is called with the
-    address and the time without replies in milliseconds when the hub replies again.
+    it. ``on_refused`` is called before that with the requests that crash upstreams, so that an
+    instance that starts knows them before it knows any upstream. ``on_lost`` is called with the
+    address and the reason when a hub stops replying, or has not replied within ``first_reply_ms``
+    of the first call. ``on_regained`` is called with the address and the time without replies in
+    milliseconds when the hub replies again.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         identify: Callable[[], Identity],
         answer_locally: Callable[[FollowRequest], FollowReply],
         on_reply: Callable[[str, FollowReply], None],
+        on_refused: Callable[[list[SuspectEntry]], None] = lambda entries: None,
         on_lost: Callable[[str, str], None] = lambda address, reason: None,
         on_regained: Callable[[str, float], None] = lambda address, lost_for_ms: None,
         clock: Clock,
@@ -81,6 +85,7 @@
         self._identify = identify
         self._answer_locally = answer_locally
         self._on_reply = on_reply
+        self._on_refused = on_refused
         self._on_lost = on_lost
         self._on_regained = on_regained
         self._clock = clock
@@ -162,6 +167,8 @@
             boot = reply.boot
             position = reply.position
             reported_version = reply.manifest_version
+            if reply.refused:
+                self._on_refused(reply.refused)
             self._view.apply(address, reply)
             self._update_replicas(reply)
             self._on_reply(address, reply)
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -16,6 +16,7 @@
 from coltsfootrill.membership.messages import LeaveRequest
 from coltsfootrill.membership.messages import Renewal
 from coltsfootrill.membership.messages import SharedUpstream
+from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.roster import Roster
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.registry.announcement import Announcement
@@ -32,13 +33,15 @@
 # Changes of the followers are not urgent, unless a voting replica starts or stops following.
 INSTANCE_CHANGE_DELAY_MS = 500.0
 HOLD_MAX_MS = 5_000
+REFUSED_MAX_COUNT = 200
 
 
 class Hub:
     """Thread-safe owner of the announcements made to the voting replicas.
 
     ``share`` sends the announcement of a leaving upstream to the other replicas and returns
-    whether a majority of the replicas, this one included, has it.
+    whether a majority of the replicas, this one included, has it. ``list_refused`` returns the
+    requests that crash upstreams, the latest last.
     """
 
     def __init__(
@@ -50,7 +53,9 @@
         share: Callable[[Announcement], bool],
         get_manifest_version: Callable[[], int],
         snapshot: UpstreamSnapshot | None = None,
+        list_refused: Callable[[], list[SuspectEntry]] = list,
     ) -> None:
+        self._list_refused = list_refused
         self._snapshot = snapshot
         self._own = own
         self._boot = boot
@@ -291,4 +296,5 @@
             silent=self._live.list_silent(position) if position else [],
             instances=self._roster.list_changed(position),
             departed_instances=self._roster.list_departed(position) if position else [],
+            refused=[] if position else self._list_refused()[-REFUSED_MAX_COUNT:],
         )
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -80,6 +80,33 @@
     hold_ms: int
 
 
+class CrashEntry(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that crashed during a request, by its identifier and incarnation.
+
+    ``variant`` is the digest of the request with all its headers, empty if it is unknown.
+    """
+
+    upstream_id: str
+    incarnation: int
+    variant: bytes = b""
+
+
+class SuspectEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A request, by its digest: the upstreams that crashed during it, or that it was answered.
+
+    ``age_ms`` is the time since the last crash. ``variant`` is the variant that was answered,
+    empty if it is unknown or is the digest itself. ``is_tried`` means that the request has been
+    sent once more since it is refused.
+    """
+
+    digest: bytes
+    crashes: list[CrashEntry]
+    age_ms: int
+    is_answered: bool
+    variant: bytes = b""
+    is_tried: bool = False
+
+
 class FollowReply(msgspec.Struct, frozen=True, array_like=True):
     """State of a hub up to ``position``; ages are in milliseconds at the time of the reply.
 
@@ -88,7 +115,8 @@
     ``replicas`` are the addresses of the voting replicas. The remaining fields contain the
     changes since the requested position, or the whole state if ``is_whole``: ``live`` upstreams
     became live, ``silent`` ones stopped announcing themselves, ``instances`` started to follow
-    the hub or changed, and ``departed_instances`` stopped following it.
+    the hub or changed, and ``departed_instances`` stopped following it. ``refused`` are the latest
+    requests that crash upstreams, if ``is_whole``.
     """
 
     boot: int
@@ -105,6 +133,7 @@
     silent: list[str]
     instances: list[InstanceRecord]
     departed_instances: list[str]
+    refused: list[SuspectEntry] = []
 
 
 class AnnounceReply(msgspec.Struct, frozen=True, array_like=True):
@@ -158,33 +187,6 @@
     entries: list[LoadEntry]
 
 
-class CrashEntry(msgspec.Struct, frozen=True, array_like=True):
-    """An upstream that crashed during a request, by its identifier and incarnation.
-
-    ``variant`` is the digest of the request with all its headers, empty if it is unknown.
-    """
-
-    upstream_id: str
-    incarnation: int
-    variant: bytes = b""
-
-
-class SuspectEntry(msgspec.Struct, frozen=True, array_like=True):
-    """A request, by its digest: the upstreams that crashed during it, or that it was answered.
-
-    ``age_ms`` is the time since the last crash. ``variant`` is the variant that was answered,
-    empty if it is unknown or is the digest itself. ``is_tried`` means that the request has been
-    sent once more since it is refused.
-    """
-
-    digest: bytes
-    crashes: list[CrashEntry]
-    age_ms: int
-    is_answered: bool
-    variant: bytes = b""
-    is_tried: bool = False
-
-
 class SuspectGossip(msgspec.Struct, frozen=True, array_like=True):
     """What one instance saw of requests during which upstreams crashed."""
 
--- a/src/coltsfootrill/membership/suspect_gossip.py
+++ b/src/coltsfootrill/membership/suspect_gossip.py
@@ -71,19 +71,7 @@
     def receive(self, payload: bytes, sender: str) -> None:
         """Handle one datagram; raise ``msgspec.MsgspecError`` if it cannot be decoded."""
         for entry in _decoder.decode(payload).entries:
-            crashes = [
-                Crash(crash.upstream_id, crash.incarnation, crash.variant)
-                for crash in entry.crashes
-            ]
-            news = SuspectNews(
-                entry.digest,
-                crashes,
-                age_ms=max(0, entry.age_ms),
-                is_answered=entry.is_answered,
-                variant=entry.variant,
-                is_tried=entry.is_tried,
-            )
-            self._guard.merge(news)
+            self._guard.merge(unpack_news(entry))
 
     def _is_repeater(self) -> bool:
         """Return whether it is the turn of this instance, as in a few of as many as there are."""
@@ -93,7 +81,7 @@
         return (ids.index(self._own.id) + self._turn) % len(ids) < REPEATERS_COUNT
 
     def _send_to_all(self, news: Sequence[SuspectNews]) -> None:
-        entries = [_pack(one) for one in news]
+        entries = [pack_news(one) for one in news]
         others = [record for record in self._list_instances() if record.id != self._own.id]
         for start in range(0, len(entries), ENTRIES_MAX_COUNT):
             data = _encoder.encode(SuspectGossip(entries[start : start + ENTRIES_MAX_COUNT]))
@@ -101,7 +89,20 @@
                 self._port.send(TOPIC, data, record.address)
 
 
-def _pack(news: SuspectNews) -> SuspectEntry:
+def unpack_news(entry: SuspectEntry) -> SuspectNews:
+    """Return the news in an entry of a message."""
+    return SuspectNews(
+        entry.digest,
+        [Crash(crash.upstream_id, crash.incarnation, crash.variant) for crash in entry.crashes],
+        age_ms=max(0, entry.age_ms),
+        is_answered=entry.is_answered,
+        variant=entry.variant,
+        is_tried=entry.is_tried,
+    )
+
+
+def pack_news(news: SuspectNews) -> SuspectEntry:
+    """Return the entry of a message for news."""
     crashes = [
         CrashEntry(crash.upstream_id, crash.incarnation, crash.variant) for crash in news.crashes
     ]
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -145,6 +145,7 @@
             manifest_format=manifest_format,
             schemes=schemes,
             view=self.view,
+            guard=self.gateway.app.crash_guard,
             server=server,
             credentials=credentials,
             clock=self._clock,
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from coltsfootrill.balancer.crash_guard import CrashGuard
 from coltsfootrill.clock import Clock
 from coltsfootrill.control.acceptor import Acceptor
 from coltsfootrill.control.bootstrap import bootstrap_replicas
@@ -42,7 +43,10 @@
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import LeaveRequest
 from coltsfootrill.membership.messages import ManifestReply
+from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
+from coltsfootrill.membership.suspect_gossip import pack_news
+from coltsfootrill.membership.suspect_gossip import unpack_news
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.naming.scheme import NamingScheme
 from coltsfootrill.registry.announcement import Announcement
@@ -77,6 +81,7 @@
         manifest_format: ManifestFormat,
         schemes: Mapping[str, NamingScheme],
         view: HubView,
+        guard: CrashGuard,
         server: RpcServer,
         credentials: Credentials,
         clock: Clock,
@@ -87,6 +92,7 @@
         self._own_record = record
         self._manifests = manifests
         self._view = view
+        self._guard = guard
         self._server = server
         self._credentials = credentials
         self._clock = clock
@@ -106,6 +112,7 @@
             share=lambda announcement: self._hub_client.share(announcement),
             get_manifest_version=lambda: manifests.version,
             snapshot=None if data is None else UpstreamSnapshot(data / "hub", files=FileLayer()),
+            list_refused=lambda: [pack_news(news) for news in guard.list_refused()],
         )
         self._replica = self._make_replica(manifest_format, schemes)
         self._following = HubFollowing(
@@ -115,6 +122,7 @@
             identify=self._make_identity,
             answer_locally=self.hub.answer,
             on_reply=self._handle_reply,
+            on_refused=self._merge_refused,
             on_lost=self._hub_events.record_lost,
             on_regained=self._hub_events.record_regained,
             clock=clock,
@@ -322,6 +330,10 @@
                 self.hub.record_majority_read(addresses)
                 self.hub.persist_upstreams()
 
+    def _merge_refused(self, entries: list[SuspectEntry]) -> None:
+        for entry in entries:
+            self._guard.merge(unpack_news(entry))
+
     def _handle_reply(self, address: str, reply: FollowReply) -> None:
         if address == self._own_address:
             return
--- a/testing/membership/test_following.py
+++ b/testing/membership/test_following.py
@@ -20,9 +20,11 @@
 from coltsfootrill.membership.following import Identity
 from coltsfootrill.membership.following import order_hubs
 from coltsfootrill.membership.hub import Hub
+from coltsfootrill.membership.messages import CrashEntry
 from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import UpstreamState
@@ -55,6 +57,9 @@
         self.replies: list[FollowReply] = []
         self.lost: list[str] = []
         self.regained: list[str] = []
+        self.refused: list[SuspectEntry] = []
+        # The digests heard of, each with the number of upstreams known at that time.
+        self.heard: list[tuple[bytes, int]] = []
         record = InstanceRecord(address, 1, address, "z1", False, 0)
         self.hub = Hub(
             record,
@@ -62,6 +67,7 @@
             clock=clock,
             share=lambda announcement: True,
             get_manifest_version=lambda: 0,
+            list_refused=lambda: self.refused,
         )
         is_voter = address in voters
         if is_voter:
@@ -77,12 +83,16 @@
             identify=lambda: Identity(record, is_candidate=False, is_hub=is_voter),
             answer_locally=self.hub.answer,
             on_reply=lambda hub, reply: self.replies.append(reply),
+            on_refused=self._hear,
             on_lost=lambda hub, reason: self.lost.append(hub),
             on_regained=lambda hub, lost_for_ms: self.regained.append(hub),
             clock=clock,
             first_reply_ms=200,
         )
 
+    def _hear(self, entries: list[SuspectEntry]) -> None:
+        self.heard += [(entry.digest, len(self.view.list_usable())) for entry in entries]
+
     def close(self) -> None:
         self.following.stop()
         self._server.stop(grace_ms=0)
@@ -130,6 +140,21 @@
                 late.close()
 
 
+class TestRefusedRequests:
+    # Guards against a deadly request sent by each instance that starts, until it is told.
+    def test_an_instance_that_starts_knows_them_before_any_upstream(self) -> None:
+        address = _find_address(44)
+        hub = Member(address, [], voters=[address])
+        hub.refused.append(SuspectEntry(b"deadly", [CrashEntry("u1", 1)], 0, False))
+        hub.hub.merge(_announce("serving"), age_ms=0)
+        follower = Member(_find_address(45), [address], voters=[])
+        follower.following.update_tasks()
+        wait_until(lambda: bool(follower.view.list_usable()), within_s=10)
+        for member in (hub, follower):
+            member.close()
+        assert follower.heard[0] == (b"deadly", 0)
+
+
 class TestManifestThatIsNotInForceYet:
     """The pattern: a hub reports a newer manifest, and the fetch that follows fails."""
 
--- a/testing/membership/test_hub.py
+++ b/testing/membership/test_hub.py
@@ -6,6 +6,7 @@
 
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.control.files import FileLayer
+from coltsfootrill.membership.hub import REFUSED_MAX_COUNT
 from coltsfootrill.membership.hub import SETTLED_AFTER_MS
 from coltsfootrill.membership.hub import SILENT_AFTER_MS
 from coltsfootrill.membership.hub import Hub
@@ -13,6 +14,7 @@
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import LeaveRequest
+from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.membership.view import HUB_RESPONSIVE_WITHIN_MS
 from coltsfootrill.membership.view import HubView
@@ -27,6 +29,7 @@
         self.shared: list[Announcement] = []
         self.is_shared = True
         self.snapshot: UpstreamSnapshot | None = None
+        self.refused: list[SuspectEntry] = []
         self.hub = self.make_hub(boot=1)
         self.view = HubView(clock=self.clock)
         self.hub.record_majority_read(["a", "b", "c"])
@@ -39,6 +42,7 @@
             share=self.share,
             get_manifest_version=lambda: 3,
             snapshot=self.snapshot,
+            list_refused=lambda: self.refused,
         )
 
     def share(self, announcement: Announcement) -> bool:
@@ -305,3 +309,30 @@
         assert pair.view.list_instances()
         pair.clock.advance(HUB_RESPONSIVE_WITHIN_MS)
         assert pair.view.list_instances() == []
+
+
+class TestRefusedRequests:
+    """Requests that crash upstreams are listed for instances that start."""
+
+    def test_a_whole_reply_lists_the_latest_and_others_list_none(self) -> None:
+        pair = Pair()
+        pair.refused = [
+            SuspectEntry(b"%d" % number, [], 0, False) for number in range(REFUSED_MAX_COUNT + 10)
+        ]
+        first = pair.follow()
+        assert [entry.digest for entry in first.refused] == [
+            entry.digest for entry in pair.refused[10:]
+        ]
+        assert pair.follow(position=first.position, boot=first.boot).refused == []
+
+    # Guards against a fleet that is replaced one by one: instances of both versions follow hubs.
+    def test_instances_of_an_earlier_version_understand_the_reply_and_hubs_theirs(self) -> None:
+        pair = Pair()
+        pair.refused = [SuspectEntry(b"deadly", [], 0, False)]
+        raw = msgspec.msgpack.encode(pair.follow())
+        fields = [(field.name, field.type) for field in msgspec.structs.fields(FollowReply)]
+        earlier = msgspec.defstruct("FollowReply", fields[:-1], array_like=True, frozen=True)
+        decoded = msgspec.msgpack.decode(raw, type=earlier)
+        again = msgspec.msgpack.decode(msgspec.msgpack.encode(decoded), type=FollowReply)
+        assert again.refused == []
+        assert again.position == pair.follow().position
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -165,7 +165,7 @@
     Mutant(
         "only one instance tries a refused request",
         "membership/suspect_gossip.py",
-        "                is_tried=entry.is_tried,\n",
+        "        is_tried=entry.is_tried,\n",
         "",
         "testing/membership/test_suspect_gossip.py::TestSuspects",
     ),
@@ -197,6 +197,24 @@
         "                pass\n",
         "testing/membership/test_suspect_gossip.py::TestSuspects",
     ),
+    Mutant(
+        "an instance that starts hears from its hubs what is refused",
+        "roles/node_control.py",
+        "            on_refused=self._merge_refused,\n",
+        "",
+        "testing/roles/test_node_refused.py::TestRefusedRequests",
+    ),
+    Mutant(
+        "an instance that starts knows what is refused before it knows any upstream",
+        "membership/following.py",
+        "            if reply.refused:\n"
+        "                self._on_refused(reply.refused)\n"
+        "            self._view.apply(address, reply)\n",
+        "            self._view.apply(address, reply)\n"
+        "            if reply.refused:\n"
+        "                self._on_refused(reply.refused)\n",
+        "testing/membership/test_following.py::TestRefusedRequests",
+    ),
     Mutant(
         "all instances take turns in telling again what is refused",
         "membership/suspect_gossip.py",
--- a/testing/nodes.py
+++ b/testing/nodes.py
@@ -44,6 +44,14 @@
         self, *, is_first_start: bool, seeds: list[str] | None = None, log: int | None = None
     ) -> None:
         """Start the process; ``log`` is a descriptor for its output, by default a file."""
+        path = self.write_settings(is_first_start=is_first_start, seeds=seeds)
+        arguments = [sys.executable, "-m", "coltsfootrill", "node", "--settings", str(path)]
+        with open(self._log, "ab") as file:
+            output = file.fileno() if log is None else log
+            self.process = subprocess.Popen(arguments, stdout=output, stderr=output)
+
+    def write_settings(self, *, is_first_start: bool, seeds: list[str] | None = None) -> Path:
+        """Write the settings; return their path."""
         ports = self.ports
         self._path.write_text(
             f"[instance]\nid = n{self._number}\nzone = z{self._number}\n"
@@ -60,10 +68,7 @@
             "[dispatch]\ntimeout_ms = 30\nwork_min_ms = 5\n"
             "[tls]\nplain = true\n"
         )
-        arguments = [sys.executable, "-m", "coltsfootrill", "node", "--settings", str(self._path)]
-        with open(self._log, "ab") as file:
-            output = file.fileno() if log is None else log
-            self.process = subprocess.Popen(arguments, stdout=output, stderr=output)
+        return self._path
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         assert self.process is not None
