Tell an answer again to instances that did not hear of it

What callers could see: a harmless request that has been answered is refused again on all instances. Cause: an answer was told once, by datagram. An instance that did not get it went on to repeat the refusal, and the others, who ignored such reports only for 10 s after the answer, believed it. Ruled out: the reports of later crashes, which must count. Change: a report is compared by the age of its last crash with the answer, with the same 10 s, for as long as reports are accepted. An instance that sees an earlier report repeats the answer, with its age, when it is its turn. Two mutants are killed. Conclusion: both kinds of news are repeated until all agree.

--- a/src/coltsfootrill/balancer/crash_guard.py
+++ b/src/coltsfootrill/balancer/crash_guard.py
@@ -18,9 +18,9 @@
 class SuspectNews:
     """What happened to one request: upstreams crashed, or it ``is_answered``.
 
-    ``age_ms`` is the time since the last of the crashes. ``variant`` is the variant that was
-    answered, if ``digest`` is of the content. ``is_tried`` is whether the request has been sent
-    once more since it is refused.
+    ``age_ms`` is the time since the answer, or else the last of the crashes. ``variant`` is the
+    variant that was answered, if ``digest`` is of the content. ``is_tried`` is whether the request
+    has been sent once more since it is refused.
     """
 
     __slots__ = ("age_ms", "crashes", "digest", "is_answered", "is_tried", "variant")
@@ -106,7 +106,7 @@
     def record_answer(self, digest: bytes, *, variant: bytes = b"") -> None:
         """Record that an upstream answered the request."""
         with self._lock:
-            if self._suspects.record_answer(digest, self._clock.now_ms()):
+            if self._suspects.record_answer(digest, self._clock.now_ms(), variant=variant):
                 self._news.append(SuspectNews(digest, is_answered=True, variant=variant))
 
     def merge(self, news: SuspectNews) -> None:
@@ -134,13 +134,25 @@
             self._suspects.remove_expired(now_ms)
             return [_make_news(suspect, now_ms) for suspect in self._suspects.list_refused(now_ms)]
 
+    def take_contested(self) -> list[SuspectNews]:
+        """Return the answers of which another instance has not heard, as its reports show."""
+        with self._lock:
+            now_ms = self._clock.now_ms()
+            return [
+                SuspectNews(
+                    digest, age_ms=now_ms - answer.at_ms, is_answered=True, variant=answer.variant
+                )
+                for digest, answer in self._suspects.take_contested().items()
+            ]
+
     def _merge_answer(self, news: SuspectNews, now_ms: float) -> None:
+        at_ms = now_ms - news.age_ms
         suspect = self._suspects.by_digest.get(news.digest)
         if suspect is not None and not news.variant:
             # Instances of an earlier version do not tell which variant was answered.
             for crash in suspect.crash_by_key.values():
-                self._suspects.record_answer(crash.variant, now_ms)
-        self._suspects.record_answer(news.digest, now_ms)
+                self._suspects.record_answer(crash.variant, at_ms)
+        self._suspects.record_answer(news.digest, at_ms, variant=news.variant)
 
 
 def _make_news(suspect: Suspect, now_ms: float) -> SuspectNews:
--- a/src/coltsfootrill/balancer/crash_suspects.py
+++ b/src/coltsfootrill/balancer/crash_suspects.py
@@ -72,21 +72,35 @@
         self.crash_by_key.setdefault((crash.upstream_id, crash.incarnation), crash)
 
 
+class SuspectAnswer:
+    """An answer at ``at_ms`` to a suspect, with the ``variant`` that was answered if it is known.
+
+    It ``is_contested`` if an instance that has not heard of it reports crashes before it.
+    """
+
+    __slots__ = ("at_ms", "is_contested", "variant")
+
+    def __init__(self, at_ms: float, variant: bytes) -> None:
+        self.at_ms = at_ms
+        self.variant = variant
+        self.is_contested = False
+
+
 class CrashSuspects:
     """Suspects by digest, the latest recorded last. Not thread-safe: the owner holds a lock.
 
     Crashes of the last ``KEPT_MS`` count. An answer to the request shows that it was not the cause.
     """
 
-    __slots__ = ("_answered_ms_by_digest", "by_digest")
+    __slots__ = ("_answer_by_digest", "by_digest")
 
     def __init__(self) -> None:
         self.by_digest: OrderedDict[bytes, Suspect] = OrderedDict()
-        self._answered_ms_by_digest: OrderedDict[bytes, float] = OrderedDict()
+        self._answer_by_digest: OrderedDict[bytes, SuspectAnswer] = OrderedDict()
 
     def record_crash(self, digest: bytes, crash: Crash, now_ms: float) -> bool:
         """Record a crash seen by this instance; return whether the request is refused from now."""
-        self._answered_ms_by_digest.pop(digest, None)
+        self._answer_by_digest.pop(digest, None)
         return self._add(digest, [crash], now_ms)
 
     def merge(
@@ -103,25 +117,39 @@
         The last of them was ``age_ms`` ago, so that reports do not prolong a refusal. ``is_tried``
         is whether an instance has tried the request since.
         """
-        answered_ms = self._answered_ms_by_digest.get(digest)
-        if answered_ms is not None and now_ms - answered_ms < ANSWERED_KEPT_MS:
-            return False
         if age_ms >= KEPT_MS:
             return False
+        answer = self._answer_by_digest.get(digest)
+        if answer is not None and now_ms - age_ms - answer.at_ms < ANSWERED_KEPT_MS:
+            answer.is_contested = True
+            return False
         is_refused_now = self._add(digest, crashes, now_ms - age_ms)
         if is_tried and digest in self.by_digest:
             self.by_digest[digest].is_tried = True
         return is_refused_now
 
-    def record_answer(self, digest: bytes, now_ms: float) -> bool:
-        """Record an answer to a request; return whether it had been a suspect."""
-        if self.by_digest.pop(digest, None) is None:
+    def record_answer(self, digest: bytes, at_ms: float, *, variant: bytes = b"") -> bool:
+        """Record an answer to a request; return whether it cleared a suspect."""
+        suspect = self.by_digest.get(digest)
+        if suspect is None or suspect.last_ms - at_ms >= ANSWERED_KEPT_MS:
             return False
-        self._answered_ms_by_digest[digest] = now_ms
-        while len(self._answered_ms_by_digest) > SUSPECTS_MAX_COUNT:
-            self._answered_ms_by_digest.popitem(last=False)
+        del self.by_digest[digest]
+        self._answer_by_digest[digest] = SuspectAnswer(at_ms, variant)
+        while len(self._answer_by_digest) > SUSPECTS_MAX_COUNT:
+            self._answer_by_digest.popitem(last=False)
         return True
 
+    def take_contested(self) -> dict[bytes, SuspectAnswer]:
+        """Return the answers, by digest, of which some instance has not heard, until the next."""
+        contested = {
+            digest: answer
+            for digest, answer in self._answer_by_digest.items()
+            if answer.is_contested
+        }
+        for answer in contested.values():
+            answer.is_contested = False
+        return contested
+
     def is_suspect(self, digest: bytes) -> bool:
         """Return whether any upstream crashed during the request."""
         return digest in self.by_digest
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -94,9 +94,9 @@
 class SuspectEntry(msgspec.Struct, frozen=True, array_like=True):
     """A request, by its digest: the upstreams that crashed during it, or that it was answered.
 
-    ``age_ms`` is the time since the last crash. ``variant`` is the variant that was answered,
-    empty if it is unknown or is the digest itself. ``is_tried`` means that the request has been
-    sent once more since it is refused.
+    ``age_ms`` is the time since the answer or the last crash. ``variant`` is the variant that was
+    answered, empty if it is unknown or is the digest itself. ``is_tried`` means that the request
+    has been sent once more since it is refused.
     """
 
     digest: bytes
--- a/src/coltsfootrill/membership/suspect_gossip.py
+++ b/src/coltsfootrill/membership/suspect_gossip.py
@@ -2,7 +2,8 @@
 
 Each instance sends what it saw to all others at once. A datagram may be lost, and an instance that
 starts knows nothing, so the requests that are refused are sent again periodically by a few
-instances. These take turns, since any of them may be cut off, or may have lost its memory.
+instances. These take turns, since any of them may be cut off, or may have lost its memory. So is
+an answer, as long as any instance that has not heard of it reports crashes before it.
 """
 
 from __future__ import annotations
@@ -62,9 +63,9 @@
         if now_ms - self._repeated_ms >= REPEAT_INTERVAL_MS:
             self._repeated_ms = now_ms
             self._turn += 1
-            refused = self._guard.list_refused()
-            if refused and self._is_repeater():
-                news += refused
+            if self._is_repeater():
+                news += self._guard.list_refused()
+                news += self._guard.take_contested()
         if news:
             self._send_to_all(news)
 
--- a/testing/balancer/test_crash_suspects.py
+++ b/testing/balancer/test_crash_suspects.py
@@ -151,6 +151,23 @@
         assert not suspects.merge(DEADLY, late, NOW_MS + ANSWERED_KEPT_MS - 1)
         assert suspects.merge(DEADLY, late, NOW_MS + ANSWERED_KEPT_MS)
 
+    def test_an_old_report_does_not_count_however_late_it_comes(self) -> None:
+        suspects = CrashSuspects()
+        crash_upstreams(suspects, DEADLY, CRASHES_MAX_COUNT)
+        suspects.record_answer(DEADLY, NOW_MS)
+        late_ms = NOW_MS + 10 * ANSWERED_KEPT_MS
+        crashes = [Crash(f"u{n}", 1) for n in range(CRASHES_MAX_COUNT)]
+        assert not suspects.merge(DEADLY, crashes, late_ms, age_ms=late_ms - NOW_MS)
+        assert suspects.merge(DEADLY, crashes, late_ms, age_ms=0)
+
+    def test_an_answer_does_not_clear_a_later_crash(self) -> None:
+        clock = ManualClock(NOW_MS)
+        guard = make_refusing_guard(clock)
+        guard.merge(SuspectNews(DEADLY, age_ms=ANSWERED_KEPT_MS, is_answered=True))
+        assert guard.is_refused(DEADLY)
+        guard.merge(SuspectNews(DEADLY, age_ms=ANSWERED_KEPT_MS - 1, is_answered=True))
+        assert not guard.is_refused(DEADLY)
+
     def test_bystanders_are_hardly_ever_refused(self) -> None:
         random = Random(1)
         upstreams_count, slots, bystanders_count, rounds_count = 14, 3, 400, 20
--- a/testing/membership/test_suspect_gossip.py
+++ b/testing/membership/test_suspect_gossip.py
@@ -8,6 +8,7 @@
 import pytest
 
 from coltsfootrill.balancer.crash_guard import CrashGuard
+from coltsfootrill.balancer.crash_suspects import ANSWERED_KEPT_MS
 from coltsfootrill.balancer.crash_suspects import CRASHES_MAX_COUNT
 from coltsfootrill.balancer.crash_suspects import KEPT_MS
 from coltsfootrill.balancer.crash_suspects import TRIAL_AFTER_MS
@@ -174,6 +175,25 @@
         fleet.send()
         assert not any(member.guard.has_suspects for member in fleet.members)
 
+    # Guards against a harmless request refused again on all instances: one had not heard of its
+    # answer, and repeated the refusal.
+    @pytest.mark.parametrize("deaf", range(1, FLEET_COUNT))
+    def test_an_answer_that_was_not_heard_is_repeated(self, fleet: Fleet, deaf: int) -> None:
+        crash(fleet)
+        fleet.send()
+        address = fleet.records[deaf].address
+        fleet.network.is_lost = lambda source, target, data: target == address
+        fleet.members[0].guard.record_answer(DEADLY)
+        fleet.send()
+        assert fleet.count_refusing() == 1
+        fleet.network.is_lost = lambda source, target, data: False
+        fleet.clock.advance(ANSWERED_KEPT_MS)
+        for _ in range(2 * FLEET_COUNT):
+            fleet.clock.advance(REPEAT_INTERVAL_MS)
+            fleet.send()
+        assert fleet.count_refusing() == 0
+        assert all(not member.guard.take_contested() for member in fleet.members)
+
     def test_bytes_that_are_no_news_change_nothing(self, fleet: Fleet) -> None:
         with pytest.raises(msgspec.MsgspecError):
             fleet.members[0].exchange.receive(b"\x91\xc1", "10.0.0.9:1")
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -193,8 +193,8 @@
     Mutant(
         "requests that are refused for crashes are told again to all instances",
         "membership/suspect_gossip.py",
-        "                news += refused\n",
-        "                pass\n",
+        "                news += self._guard.list_refused()\n",
+        "",
         "testing/membership/test_suspect_gossip.py::TestSuspects",
     ),
     Mutant(
@@ -215,6 +215,20 @@
         "                self._on_refused(reply.refused)\n",
         "testing/membership/test_following.py::TestRefusedRequests",
     ),
+    Mutant(
+        "an answer is told again to an instance that did not hear of it",
+        "membership/suspect_gossip.py",
+        "                news += self._guard.take_contested()\n",
+        "",
+        "testing/membership/test_suspect_gossip.py::TestSuspects",
+    ),
+    Mutant(
+        "crashes before an answer do not count, however late they are reported",
+        "balancer/crash_suspects.py",
+        "now_ms - age_ms - answer.at_ms < ANSWERED_KEPT_MS",
+        "now_ms - answer.at_ms < ANSWERED_KEPT_MS",
+        "testing/balancer/test_crash_suspects.py::TestAnswer",
+    ),
     Mutant(
         "all instances take turns in telling again what is refused",
         "membership/suspect_gossip.py",
