--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -97,7 +97,8 @@
 class CrashingRequest(Event, kw_only=True, tag="crashing-request"):
     """A request is refused from now on: each of ``upstreams`` crashed during it, none answered it.
 
-    ``digest`` identifies the request by its method, target, caller and body.
+    ``digest`` identifies the request by its method, target, caller and body, and by its other
+    headers if they are the same each time.
     """
 
     digest: str
