--- a/src/coltsfootrill/balancer/crash_suspects.py
+++ b/src/coltsfootrill/balancer/crash_suspects.py
@@ -3,6 +3,12 @@
 A request may crash each upstream that begins to run it. Callers and retries then send it from
 upstream to upstream. Which of the requests in progress was the cause shows only when one of them
 crashes other upstreams too, while the rest are answered at their next attempt.
+
+Two digests identify a request. One is of its content, which stays the same each time it returns.
+The other, its variant, is of all its headers too, by which upstreams can tell callers apart. A
+request is refused by its variant, so that the answers to another caller do not clear it, and its
+crashes do not count against another caller. It is refused by its content only if that crashed
+upstreams in more than one variant: then its headers change each time, or more callers send it.
 """
 
 from __future__ import annotations
@@ -13,39 +19,71 @@
 # A request is refused once this many upstreams have crashed during it and none has answered it.
 CRASHES_MAX_COUNT = 3
 KEPT_MS = 600_000.0
+# A refused request is tried once more after this time, since other requests may have caused it all.
+TRIAL_AFTER_MS = 60_000.0
 # A crash that another instance reports late does not count against a request answered since.
 ANSWERED_KEPT_MS = 10_000.0
 SUSPECTS_MAX_COUNT = 10_000
 
 
 class Crash:
-    """One start of an upstream that ended while it was to answer a request."""
+    """One start of an upstream that ended while it was to answer a request.
+
+    ``variant`` is the variant of the request, empty if it is unknown or is the digest itself.
+    """
 
-    __slots__ = ("incarnation", "upstream_id")
+    __slots__ = ("incarnation", "upstream_id", "variant")
 
-    def __init__(self, upstream_id: str, incarnation: int) -> None:
+    def __init__(self, upstream_id: str, incarnation: int, variant: bytes = b"") -> None:
         self.upstream_id = upstream_id
         self.incarnation = incarnation
+        self.variant = variant
 
 
 class Suspect:
-    """The crashes during one request. ``digest`` identifies the request; see ``ProxyRequest``.
+    """The crashes during one request. ``digest`` is of its content or its variant.
 
     ``crash_by_key`` holds them by upstream and incarnation, ``last_ms`` is when the last one was
-    recorded.
+    recorded. ``is_tried`` is whether any instance has sent it since it is refused.
     """
 
-    __slots__ = ("crash_by_key", "digest", "last_ms")
+    __slots__ = ("crash_by_key", "digest", "is_tried", "last_ms")
 
     def __init__(self, digest: bytes, now_ms: float) -> None:
         self.digest = digest
         self.crash_by_key: dict[tuple[str, int], Crash] = {}
         self.last_ms = now_ms
+        self.is_tried = False
 
     @property
     def is_refused(self) -> bool:
         """Return whether so many upstreams crashed that the request must be the cause."""
-        return len(self.crash_by_key) >= CRASHES_MAX_COUNT
+        if len(self.crash_by_key) < CRASHES_MAX_COUNT:
+            return False
+        variants = {crash.variant for crash in self.crash_by_key.values()}
+        return len(variants) > 1 or b"" in variants
+
+    def add(self, crash: Crash) -> None:
+        """Add a crash, unless it is known or no longer changes anything."""
+        is_enough = len(self.crash_by_key) >= CRASHES_MAX_COUNT
+        variants = {known.variant for known in self.crash_by_key.values()}
+        if self.is_refused or (is_enough and crash.variant in variants):
+            return
+        self.crash_by_key.setdefault((crash.upstream_id, crash.incarnation), crash)
+
+
+class SuspectAnswer:
+    """An answer at ``at_ms`` to a suspect, with the ``variant`` that was answered if it is known.
+
+    It ``is_contested`` if an instance that has not heard of it reports crashes before it.
+    """
+
+    __slots__ = ("at_ms", "is_contested", "variant")
+
+    def __init__(self, at_ms: float, variant: bytes) -> None:
+        self.at_ms = at_ms
+        self.variant = variant
+        self.is_contested = False
 
 
 class CrashSuspects:
@@ -54,40 +92,64 @@
     Crashes of the last ``KEPT_MS`` count. An answer to the request shows that it was not the cause.
     """
 
-    __slots__ = ("_answered_ms_by_digest", "by_digest")
+    __slots__ = ("_answer_by_digest", "by_digest")
 
     def __init__(self) -> None:
         self.by_digest: OrderedDict[bytes, Suspect] = OrderedDict()
-        self._answered_ms_by_digest: OrderedDict[bytes, float] = OrderedDict()
+        self._answer_by_digest: OrderedDict[bytes, SuspectAnswer] = OrderedDict()
 
     def record_crash(self, digest: bytes, crash: Crash, now_ms: float) -> bool:
         """Record a crash seen by this instance; return whether the request is refused from now."""
-        self._answered_ms_by_digest.pop(digest, None)
+        self._answer_by_digest.pop(digest, None)
         return self._add(digest, [crash], now_ms)
 
     def merge(
-        self, digest: bytes, crashes: Iterable[Crash], now_ms: float, *, age_ms: float = 0.0
+        self,
+        digest: bytes,
+        crashes: Iterable[Crash],
+        now_ms: float,
+        *,
+        age_ms: float = 0.0,
+        is_tried: bool = False,
     ) -> bool:
         """Record crashes that another instance reports; return as ``record_crash`` does.
 
-        The last of them was ``age_ms`` ago, so that reports do not prolong a refusal.
+        The last of them was ``age_ms`` ago, so that reports do not prolong a refusal. ``is_tried``
+        is whether an instance has tried the request since.
         """
-        answered_ms = self._answered_ms_by_digest.get(digest)
-        if answered_ms is not None and now_ms - answered_ms < ANSWERED_KEPT_MS:
-            return False
         if age_ms >= KEPT_MS:
             return False
-        return self._add(digest, crashes, now_ms - age_ms)
+        answer = self._answer_by_digest.get(digest)
+        if answer is not None and now_ms - age_ms - answer.at_ms < ANSWERED_KEPT_MS:
+            answer.is_contested = True
+            return False
+        is_refused_now = self._add(digest, crashes, now_ms - age_ms)
+        if is_tried and digest in self.by_digest:
+            self.by_digest[digest].is_tried = True
+        return is_refused_now
 
-    def record_answer(self, digest: bytes, now_ms: float) -> bool:
-        """Record an answer to a request; return whether it had been a suspect."""
-        if self.by_digest.pop(digest, None) is None:
+    def record_answer(self, digest: bytes, at_ms: float, *, variant: bytes = b"") -> bool:
+        """Record an answer to a request; return whether it cleared a suspect."""
+        suspect = self.by_digest.get(digest)
+        if suspect is None or suspect.last_ms - at_ms >= ANSWERED_KEPT_MS:
             return False
-        self._answered_ms_by_digest[digest] = now_ms
-        while len(self._answered_ms_by_digest) > SUSPECTS_MAX_COUNT:
-            self._answered_ms_by_digest.popitem(last=False)
+        del self.by_digest[digest]
+        self._answer_by_digest[digest] = SuspectAnswer(at_ms, variant)
+        while len(self._answer_by_digest) > SUSPECTS_MAX_COUNT:
+            self._answer_by_digest.popitem(last=False)
         return True
 
+    def take_contested(self) -> dict[bytes, SuspectAnswer]:
+        """Return the answers, by digest, of which some instance has not heard, until the next."""
+        contested = {
+            digest: answer
+            for digest, answer in self._answer_by_digest.items()
+            if answer.is_contested
+        }
+        for answer in contested.values():
+            answer.is_contested = False
+        return contested
+
     def is_suspect(self, digest: bytes) -> bool:
         """Return whether any upstream crashed during the request."""
         return digest in self.by_digest
@@ -97,6 +159,13 @@
         suspect = self.by_digest.get(digest)
         return suspect is not None and suspect.is_refused and now_ms - suspect.last_ms < KEPT_MS
 
+    def is_trial_due(self, digest: bytes, now_ms: float) -> bool:
+        """Return whether a refused request may be sent once, to show whether it is the cause."""
+        suspect = self.by_digest.get(digest)
+        if suspect is None or suspect.is_tried:
+            return False
+        return now_ms - suspect.last_ms >= TRIAL_AFTER_MS
+
     def list_refused(self, now_ms: float) -> list[Suspect]:
         """Return the requests that are refused."""
         return [
@@ -119,8 +188,7 @@
         was_refused = suspect.is_refused
         known_count = len(suspect.crash_by_key)
         for crash in crashes:
-            if not suspect.is_refused:
-                suspect.crash_by_key.setdefault((crash.upstream_id, crash.incarnation), crash)
+            suspect.add(crash)
         if len(suspect.crash_by_key) > known_count:
             suspect.last_ms = max(suspect.last_ms, at_ms)
             self.by_digest.move_to_end(digest)
--- a/src/coltsfootrill/membership/suspect_gossip.py
+++ b/src/coltsfootrill/membership/suspect_gossip.py
@@ -2,7 +2,8 @@
 
 Each instance sends what it saw to all others at once. A datagram may be lost, and an instance that
 starts knows nothing, so the requests that are refused are sent again periodically by a few
-instances.
+instances. These take turns, since any of them may be cut off, or may have lost its memory. So is
+an answer, as long as any instance that has not heard of it reports crashes before it.
 """
 
 from __future__ import annotations
@@ -21,13 +22,11 @@
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.messages import SuspectGossip
-from coltsfootrill.membership.relay_topology import rank
 
 TOPIC = b"S"
 ENTRIES_MAX_COUNT = 50
 REPEAT_INTERVAL_MS = 1_000.0
-REPEATERS_COUNT = 2
-_RANK_KEY = "suspects"
+REPEATERS_COUNT = 3
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(SuspectGossip)
@@ -36,7 +35,7 @@
 class SuspectGossipExchange:
     """Sends the news of ``guard`` to the other instances, and applies theirs."""
 
-    __slots__ = ("_clock", "_guard", "_list_instances", "_own", "_port", "_repeated_ms")
+    __slots__ = ("_clock", "_guard", "_list_instances", "_own", "_port", "_repeated_ms", "_turn")
 
     def __init__(
         self,
@@ -53,6 +52,8 @@
         self._clock = clock
         self._port = port
         self._repeated_ms = clock.now_ms()
+        # Instances that start together begin at different turns.
+        self._turn = own.boot
         port.handle(TOPIC, self.receive)
 
     def send(self) -> None:
@@ -61,29 +62,27 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._repeated_ms >= REPEAT_INTERVAL_MS:
             self._repeated_ms = now_ms
-            refused = self._guard.list_refused()
-            if refused and self._is_repeater():
-                news += refused
+            self._turn += 1
+            if self._is_repeater():
+                news += self._guard.list_refused()
+                news += self._guard.take_contested()
         if news:
             self._send_to_all(news)
 
     def receive(self, payload: bytes, sender: str) -> None:
         """Handle one datagram; raise ``msgspec.MsgspecError`` if it cannot be decoded."""
         for entry in _decoder.decode(payload).entries:
-            crashes = [Crash(crash.upstream_id, crash.incarnation) for crash in entry.crashes]
-            news = SuspectNews(
-                entry.digest, crashes, age_ms=max(0, entry.age_ms), is_answered=entry.is_answered
-            )
-            self._guard.merge(news)
+            self._guard.merge(unpack_news(entry))
 
     def _is_repeater(self) -> bool:
-        ranked = sorted(
-            self._list_instances(), key=lambda record: rank(_RANK_KEY, record.id), reverse=True
-        )
-        return self._own.id in [record.id for record in ranked[:REPEATERS_COUNT]]
+        """Return whether it is the turn of this instance, as in a few of as many as there are."""
+        ids = sorted(record.id for record in self._list_instances())
+        if self._own.id not in ids:
+            return False
+        return (ids.index(self._own.id) + self._turn) % len(ids) < REPEATERS_COUNT
 
     def _send_to_all(self, news: Sequence[SuspectNews]) -> None:
-        entries = [_pack(one) for one in news]
+        entries = [pack_news(one) for one in news]
         others = [record for record in self._list_instances() if record.id != self._own.id]
         for start in range(0, len(entries), ENTRIES_MAX_COUNT):
             data = _encoder.encode(SuspectGossip(entries[start : start + ENTRIES_MAX_COUNT]))
@@ -91,6 +90,23 @@
                 self._port.send(TOPIC, data, record.address)
 
 
-def _pack(news: SuspectNews) -> SuspectEntry:
-    crashes = [CrashEntry(crash.upstream_id, crash.incarnation) for crash in news.crashes]
-    return SuspectEntry(news.digest, crashes, int(news.age_ms), news.is_answered)
+def unpack_news(entry: SuspectEntry) -> SuspectNews:
+    """Return the news in an entry of a message."""
+    return SuspectNews(
+        entry.digest,
+        [Crash(crash.upstream_id, crash.incarnation, crash.variant) for crash in entry.crashes],
+        age_ms=max(0, entry.age_ms),
+        is_answered=entry.is_answered,
+        variant=entry.variant,
+        is_tried=entry.is_tried,
+    )
+
+
+def pack_news(news: SuspectNews) -> SuspectEntry:
+    """Return the entry of a message for news."""
+    crashes = [
+        CrashEntry(crash.upstream_id, crash.incarnation, crash.variant) for crash in news.crashes
+    ]
+    return SuspectEntry(
+        news.digest, crashes, int(news.age_ms), news.is_answered, news.variant, news.is_tried
+    )
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -66,10 +66,12 @@
         dialect: Dialect = NATIVE_DIALECT,
         service: Service | None = None,
     ) -> None:
-        self._guard = RequestGuard(guard, request)
         self._request = request
         self._service = service or route.service
         self._dialect = dialect
+        self._guard = RequestGuard(
+            guard, request, self._overwritten_headers | {dialect.request_id.lower()}
+        )
         request_id = request.headers.get(dialect.request_id.upper().replace("-", "_"), "")
         self._echo = AnswerEcho(dialect.request_id, request_id)
         self._kind = route.kind
@@ -116,6 +118,12 @@
             exclude=frozenset(self._tried),
             should_stop_waiting=self._request.monitor.should_stop_waiting,
         )
+        try:
+            # It may have crashed other upstreams while it waited for this one.
+            self._guard.begin()
+        except NotRunError:
+            self._controller.end(claim, "abandoned")
+            raise
         idle_max_ms = self._pools.get_idle_max_ms(is_idempotent=self._kind.idempotent)
         failure = self._send_attempt(claim, idle_max_ms=idle_max_ms)
         if failure is not None:
@@ -308,8 +316,11 @@
             self._controller.end(claim, "shed", report)
             self._history.possibly_run -= 1
             return AttemptFailure("shed", f"upstream {claim.load.id} had no capacity")
-        self._guard.record_answer()
         is_genuine = not dialect.signature or bool(answer.get_header(dialect.signature))
+        if answer.status not in dialect.implied_not_run_statuses and (
+            is_genuine or answer.status >= 300
+        ):
+            self._guard.record_answer()
         is_encoded = bool(dialect.signature) and answer.get_header("Content-Encoding") is not None
         if answer.status < 300 and (not is_genuine or is_encoded):
             self._end_failed(claim, "not-genuine", connection)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -123,11 +123,67 @@
     ),
     Mutant(
         "a request that crashed three upstreams reaches no other",
+        "proxy/request_guard.py",
+        "        if not all(map(may_try, refused)):",
+        "        if False:",
+        "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
+    ),
+    Mutant(
+        "a refused request waits for no upstream",
         "proxy/forward.py",
         "        self._guard.check()\n        claim",
         "        claim",
         "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
     ),
+    Mutant(
+        "answers to another caller do not clear a request that crashes upstreams",
+        "proxy/request.py",
+        "            state = hashlib.blake2b(self.get_digest(), digest_size=DIGEST_BYTES)\n",
+        "            return self.get_digest()\n",
+        "testing/proxy/test_crash_guard.py::TestCallersWithoutCredentials",
+    ),
+    Mutant(
+        "crashes of one caller's request do not count against the same request of another caller",
+        "balancer/crash_suspects.py",
+        '        return len(variants) > 1 or b"" in variants\n',
+        "        return True\n",
+        "testing/proxy/test_crash_guard.py::TestCallersWithoutCredentials",
+    ),
+    Mutant(
+        "a harmless request during which others crashed upstreams is tried again after a minute",
+        "balancer/crash_suspects.py",
+        "        return now_ms - suspect.last_ms >= TRIAL_AFTER_MS\n",
+        "        return False\n",
+        "testing/proxy/test_crash_guard.py::TestTrial",
+    ),
+    Mutant(
+        "a refused request is tried only once",
+        "balancer/crash_guard.py",
+        "            suspect.is_tried = True\n",
+        "",
+        "testing/proxy/test_crash_guard.py::TestTrial",
+    ),
+    Mutant(
+        "only one instance tries a refused request",
+        "membership/suspect_gossip.py",
+        "        is_tried=entry.is_tried,\n",
+        "",
+        "testing/membership/test_suspect_gossip.py::TestSuspects",
+    ),
+    Mutant(
+        "a refusal for lack of room does not clear a request that crashes upstreams",
+        "proxy/forward.py",
+        "        if answer.status not in dialect.implied_not_run_statuses and (\n",
+        "        if (\n",
+        "testing/proxy/test_crash_guard.py::TestAnswerWithoutARun",
+    ),
+    Mutant(
+        "a request that crashed three upstreams while it waited is not sent",
+        "proxy/forward.py",
+        "            self._guard.begin()\n        except",
+        "            pass\n        except",
+        "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
+    ),
     Mutant(
         "a connection ended by an upstream that still listens is no crash",
         "proxy/forward.py",
@@ -138,8 +194,47 @@
     Mutant(
         "requests that are refused for crashes are told again to all instances",
         "membership/suspect_gossip.py",
-        "                news += refused\n",
-        "                pass\n",
+        "                news += self._guard.list_refused()\n",
+        "",
+        "testing/membership/test_suspect_gossip.py::TestSuspects",
+    ),
+    Mutant(
+        "an instance that starts hears from its hubs what is refused",
+        "roles/node_control.py",
+        "            on_refused=self._merge_refused,\n",
+        "",
+        "testing/roles/test_node_refused.py::TestRefusedRequests",
+    ),
+    Mutant(
+        "an instance that starts knows what is refused before it knows any upstream",
+        "membership/following.py",
+        "            if reply.refused:\n"
+        "                self._on_refused(reply.refused)\n"
+        "            self._view.apply(address, reply)\n",
+        "            self._view.apply(address, reply)\n"
+        "            if reply.refused:\n"
+        "                self._on_refused(reply.refused)\n",
+        "testing/membership/test_following.py::TestRefusedRequests",
+    ),
+    Mutant(
+        "an answer is told again to an instance that did not hear of it",
+        "membership/suspect_gossip.py",
+        "                news += self._guard.take_contested()\n",
+        "",
+        "testing/membership/test_suspect_gossip.py::TestSuspects",
+    ),
+    Mutant(
+        "crashes before an answer do not count, however late they are reported",
+        "balancer/crash_suspects.py",
+        "now_ms - age_ms - answer.at_ms < ANSWERED_KEPT_MS",
+        "now_ms - answer.at_ms < ANSWERED_KEPT_MS",
+        "testing/balancer/test_crash_suspects.py::TestAnswer",
+    ),
+    Mutant(
+        "all instances take turns in telling again what is refused",
+        "membership/suspect_gossip.py",
+        "            self._turn += 1\n",
+        "",
         "testing/membership/test_suspect_gossip.py::TestSuspects",
     ),
     Mutant(
