proxy: encode the head of an attempt, and know the used connections, in modules of their own

Change: attempt_head.py, used_connections.py; a dialect holds the names of the headers that attempts replace. Behaviour stays as it is. Conclusion: one job a module.

--- a/src/coltsfootrill/proxy/dialect.py
+++ b/src/coltsfootrill/proxy/dialect.py
@@ -26,11 +26,13 @@
     answer with one of the ``implied_not_run_statuses`` as a guarantee that the request was not and
     will not be run.
     ``has_fractional_retry_after`` states that callers accept fractional seconds in
-    ``Retry-After``.
+    ``Retry-After``. ``replaced_headers`` are the lower-case names of the headers that each attempt
+    sets anew, and ``attempt_headers`` of all that differ between attempts.
     """
 
     __slots__ = (
         "answered_by",
+        "attempt_headers",
         "deadline",
         "has_fractional_retry_after",
         "implied_not_run_statuses",
@@ -41,6 +43,7 @@
         "not_run_statuses",
         "parse_load",
         "rate_limit",
+        "replaced_headers",
         "request_id",
         "signature",
         "upstream_id",
@@ -78,6 +81,8 @@
         self.leaving = leaving
         self.not_run_statuses = not_run_statuses
         self.implied_not_run_statuses = implied_not_run_statuses
+        self.replaced_headers = frozenset((deadline.lower(), upstream_id.lower()))
+        self.attempt_headers = self.replaced_headers | {request_id.lower()}
 
 
 NATIVE_DIALECT = Dialect(
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -22,16 +22,13 @@
 from coltsfootrill.proxy.attempt import AttemptInProgress
 from coltsfootrill.proxy.attempt import make_attempt_event
 from coltsfootrill.proxy.attempt import poll_attempts
+from coltsfootrill.proxy.attempt_head import encode_attempt_head
 from coltsfootrill.proxy.connection import ConnectError
 from coltsfootrill.proxy.connection import SendError
 from coltsfootrill.proxy.connection import UpstreamConnection
-from coltsfootrill.proxy.connection import encode_head
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
-from coltsfootrill.proxy.headers import DEPTH_HEADER
-from coltsfootrill.proxy.headers import RETRIED_HEADER
 from coltsfootrill.proxy.headers import list_answer_headers
-from coltsfootrill.proxy.headers import list_request_headers
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.outcome import ProxyError
@@ -44,6 +41,7 @@
 from coltsfootrill.proxy.second_attempt import get_target_left_ms
 from coltsfootrill.proxy.statements import read_statements
 from coltsfootrill.proxy.unsolicited import UnsolicitedCause
+from coltsfootrill.proxy.used_connections import UsedConnections
 
 SEND_MARGIN_MS = 1.0
 # A process that has ended refuses connections at once; a host that is gone does not reply at all.
@@ -69,9 +67,7 @@
         self._request = request
         self._service = service or route.service
         self._dialect = dialect
-        self._guard = RequestGuard(
-            guard, request, self._overwritten_headers | {dialect.request_id.lower()}
-        )
+        self._guard = RequestGuard(guard, request, dialect.attempt_headers)
         request_id = request.headers.get(dialect.request_id.upper().replace("-", "_"), "")
         self._echo = AnswerEcho(dialect.request_id, request_id)
         self._kind = route.kind
@@ -81,7 +77,7 @@
         self._metrics = metrics
         self._history = AttemptHistory(is_retried=request.is_retried)
         self._tried: set[str] = set()
-        self._used: list[UpstreamConnection] = []
+        self._used = UsedConnections(self._echo)
         self._in_progress: list[AttemptInProgress] = []
         self.attempts: list[AttemptEvent] = []
 
@@ -146,13 +142,13 @@
         try:
             connection = pool.take_idle(
                 idle_max_ms=idle_max_ms,
-                is_excluded=self._is_ambiguous,
+                is_excluded=self._used.is_ambiguous,
                 on_unsolicited=lambda: self._count_unsolicited("idle"),
             ) or pool.open(left_ms)
         except ConnectError as error:
             self._end_failed(claim, "refused")
             return AttemptFailure("refused", str(error))
-        self._used.append(connection)
+        self._used.add(connection)
         self._history.possibly_run += 1
         self._history.sends += 1
         try:
@@ -172,36 +168,15 @@
         self._in_progress.append(attempt)
         return None
 
-    def _is_ambiguous(self, connection: UpstreamConnection) -> bool:
-        """Return whether an earlier request on a connection could be answered in place of this.
-
-        Attempts of one request share its id, and so may requests of callers that repeat or omit it.
-        """
-        if connection in self._used:
-            return True
-        return bool(self._dialect.request_id) and self._echo.value in (
-            "",
-            connection.last_request_id,
-        )
-
     def _make_head(self, claim: Claim) -> bytes:
-        request = self._request
-        headers = list(list_request_headers(request.headers, self._overwritten_headers))
-        left_ms = request.times.deadline_ms - self._clock.now_ms()
-        dialect = self._dialect
-        headers.append((dialect.deadline, str(max(1, int(left_ms)))))
-        if dialect.upstream_id:
-            headers.append((dialect.upstream_id, claim.load.id))
-        headers.append((DEPTH_HEADER, str(request.depth + 1)))
         history = self._history
-        if history.is_retried or history.retries or self._in_progress:
-            headers.append((RETRIED_HEADER, "1"))
-        return encode_head(request.method, request.target, headers, len(request.body))
-
-    @property
-    def _overwritten_headers(self) -> frozenset[str]:
-        """Return the headers that replace any that the caller sent."""
-        return frozenset((self._dialect.deadline.lower(), self._dialect.upstream_id.lower()))
+        return encode_attempt_head(
+            self._request,
+            self._dialect,
+            upstream_id=claim.load.id,
+            left_ms=self._request.times.deadline_ms - self._clock.now_ms(),
+            is_retried=bool(history.is_retried or history.retries or self._in_progress),
+        )
 
     def _wait_for_answer(self) -> Answer | AttemptFailure:
         """Return the first valid answer of the attempts in progress, or the last failure."""
