Take no head that is cut off for the head of the answer behind it

What callers saw: an order is answered 503 with outcome not-run though an upstream has run it (REFUSED), it runs again (TWICE), or a failure reaches the caller as a success (MIXED). Cause: surplus bytes of a faulty upstream that are cut off in their status line or in a header swallow the status line of the true answer, and take over its headers, so also its id. The id was trusted although its head was of two answers. Ruled out: cuts at line ends, in header names and in bodies; they don't parse, or their id doesn't match. Change: a status line inside a reason phrase or the value of a header ends the connection; whether the request ran is then unknown. A header may still name the protocol, as Via does. Conclusion: an id speaks for one head only.

--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -23,6 +24,7 @@
 # An upstream sends few answers to earlier requests; one that keeps sending them is in trouble.
 SKIPPED_ANSWERS_MAX_COUNT = 16
 _KEEP_ALIVE_TIMEOUT = "timeout="
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 class ConnectionLayerError(ColtsfootrillError):
@@ -137,6 +139,7 @@
             raise ReadError(
                 "a header of the answer is folded over several lines, which is not accepted"
             )
+        _check_no_status_line(value)
         self.head_bytes += len(name) + len(value)
         if self.head_bytes > HEAD_MAX_BYTES:
             raise ReadError(f"the head of the answer exceeds {HEAD_MAX_BYTES} bytes")
@@ -158,6 +161,7 @@
     def on_headers_complete(self) -> None:
         """Check the status and that the length of the body is unambiguous."""
         self.has_head = True
+        _check_no_status_line(self._reason)
         self.status = self._get_status()
         if self.status < HTTPStatus.OK:
             raise ReadError(
@@ -349,6 +353,12 @@
         return int(self._parser.get_status_code())
 
 
+def _check_no_status_line(text: bytes) -> None:
+    """Raise ``ReadError`` if a part of the head is cut off and another answer follows in it."""
+    if b"HTTP/" in text and _STATUS_LINE.search(text):
+        raise ReadError("the head of the answer is cut off, and another answer follows")
+
+
 def _parse_keep_alive_ms(text: str) -> float | None:
     for part in text.lower().replace(";", ",").split(","):
         name = part.strip()
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -695,6 +695,13 @@
         "now_ms - self._checked_ms",
         "testing/balancer/test_rate_limit.py::TestStatedRate",
     ),
+    Mutant(
+        "a head that is cut off does not take the id of the answer behind it",
+        "proxy/answer.py",
+        'if b"HTTP/" in text and',
+        "if False and",
+        "testing/proxy/test_answer.py::TestCutOffAnswers",
+    ),
     Mutant(
         "a refusal that is written again answers no request with the same id",
         "proxy/used_connections.py",
