Take no trailer for a header of an answer

What callers could see: an order that an upstream ran, and failed, is sent again (TWICE) or refused (REFUSED). Cause: the parser reports trailers like headers, so the not-run header in a trailer counted. Ruled out: headers. Before and after: the new test failed (sent again), now the failure is forwarded after one run. Conclusion: only the head states something about a request.

--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -135,6 +135,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header and the framing that it states; raise ``ReadError`` if it is invalid."""
+        if self.has_head:
+            # A trailer states nothing about the request; see RFC 9110, section 6.5.1.
+            return
         if b"\n" in value or b"\r" in value:
             raise ReadError(
                 "a header of the answer is folded over several lines, which is not accepted"
--- a/testing/proxy/test_answer.py
+++ b/testing/proxy/test_answer.py
@@ -11,6 +11,7 @@
 from testing.processes import wait_until
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.instance import Instance
+from testing.proxy.test_dialect import NOT_RUN
 from testing.proxy.test_dialect import SIGNATURE
 from testing.proxy.test_dialect import get_request_id
 from testing.proxy.test_dialect import reply_with
@@ -81,3 +82,22 @@
         instance.announce("u1", server.address)
         assert instance.call("/once", method="POST", X_Attempt_Id="q1").status == 200
         server.close()
+
+
+class TestStatements:
+    # Guards against a request that has run being refused for what stands behind its answer.
+    def test_a_trailer_does_not_state_that_a_request_was_not_run(self, instance: Instance) -> None:
+        answer = (
+            "HTTP/1.1 500 Failed\r\ntransfer-encoding: chunked\r\n"
+            f"{SIGNATURE}x-attempt-id: q1\r\n\r\n0\r\n{NOT_RUN}\r\n"
+        ).encode()
+
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            sock.sendall(answer)
+            return True
+
+        server = ScriptedUpstream(script)
+        instance.announce("u1", server.address)
+        reply = instance.call("/once", method="POST", X_Attempt_Id="q1")
+        assert (reply.status, len(server.heads)) == (500, 1)
+        server.close()
