Take an answer that names two requests for that of neither

What callers could see: an order is refused, and runs, by an answer whose head names it and another request. Cause: the first id was compared alone. Ruled out: one id, however it is written. Change: all ids must be that of the request. Before and after: with the own id first the request got 503, now 502 after one send; with the other first it was 502 before. Conclusion: an ambiguous id proves nothing.

--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -57,6 +57,11 @@
         """Return the first value of a header, ``None`` when it is absent."""
         return self._by_lower_name.get(name.lower())
 
+    def get_values(self, name: str) -> list[str]:
+        """Return all values of a header, in order."""
+        lower = name.lower()
+        return [value for key, value in self.headers if key.lower() == lower]
+
 
 class AnswerEcho:
     """The answer header that echoes the request's id, and the expected id; both may be empty."""
@@ -75,8 +80,8 @@
         """
         if not self.header or not self.value:
             return True
-        stated = answer.get_header(self.header)
-        return is_first if stated is None else stated == self.value
+        stated = answer.get_values(self.header)
+        return set(stated) == {self.value} if stated else is_first
 
     def get_skip_cause(self, answer: UpstreamAnswer) -> UnsolicitedCause:
         """Return why an answer that does not match is skipped."""
--- a/testing/proxy/test_answer.py
+++ b/testing/proxy/test_answer.py
@@ -10,6 +10,7 @@
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
 from testing.processes import wait_until
 from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.fakes import encode
 from testing.proxy.instance import Instance
 from testing.proxy.test_dialect import NOT_RUN
 from testing.proxy.test_dialect import SIGNATURE
@@ -101,3 +102,20 @@
         reply = instance.call("/once", method="POST", X_Attempt_Id="q1")
         assert (reply.status, len(server.heads)) == (500, 1)
         server.close()
+
+    # Guards against an answer that names two requests being taken for that of either.
+    @pytest.mark.parametrize("ids", [("q1", "q0"), ("q0", "q1")])
+    def test_an_answer_that_names_two_requests_belongs_to_none(
+        self, instance: Instance, ids: tuple[str, str]
+    ) -> None:
+        extra = NOT_RUN + "".join(f"x-attempt-id: {request_id}\r\n" for request_id in ids)
+
+        def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            sock.sendall(encode(status="503 Full", extra=extra))
+            return False
+
+        server = ScriptedUpstream(script)
+        instance.announce("u1", server.address)
+        reply = instance.call("/once", method="POST", X_Attempt_Id="q1")
+        assert (reply.status, len(server.heads)) == (502, 1)
+        server.close()
