Keep a connection barred from reuse when the pool of its address is made anew

What callers could see: a request goes over a connection that went silent, and waits for its deadline. Cause: a pool counted its epochs from 0. While a request was in progress its upstream went off the list and came back, and the new pool took the connection as its own. Ruled out: connections that lie idle; they are closed with their pool. Change: epochs are unique in the process. Before and after: the new test took the connection, now none. From the review of the incident: the same class, a number that several owners share. Conclusion: an epoch names one pool and one span.

--- a/src/coltsfootrill/proxy/connection.py
+++ b/src/coltsfootrill/proxy/connection.py
@@ -32,6 +32,8 @@
 _CLOSED_EARLY = "the upstream closed the connection before the answer was complete"
 
 _numbers = itertools.count(1)
+# Unique for all pools, since the pool of an address may be dropped and made anew.
+_epochs = itertools.count(1)
 
 
 class ConnectError(ConnectionLayerError):
@@ -262,7 +264,7 @@
         self._clock = clock
         self._idle: list[UpstreamConnection] = []
         self._lock = threading.Lock()
-        self._epoch = 0
+        self._epoch = next(_epochs)
 
     def take_idle(
         self,
@@ -331,7 +333,7 @@
     def discard_idle(self) -> int:
         """Close idle connections and prevent reuse of those in use; return how many were idle."""
         with self._lock:
-            self._epoch += 1
+            self._epoch = next(_epochs)
             discarded = self._idle
             self._idle = []
         for connection in discarded:
--- a/testing/proxy/test_connection.py
+++ b/testing/proxy/test_connection.py
@@ -337,6 +337,18 @@
         pool.give_back(in_use)
         assert pool.take_idle() is None
 
+    # Guards against a request on a connection that went silent, once the pool was made anew.
+    def test_a_connection_barred_from_reuse_stays_so_in_a_new_pool(self, serve: Serve) -> None:
+        upstream = serve(answer())
+        pools = ConnectionPools(Clock(), once_idle_max_ms=4_000)
+        connection = pools.get(upstream.address).open(1_000)
+        connection.send(HEAD, deadline_ms=Clock().now_ms() + 1_000)
+        connection.read("GET", deadline_ms=Clock().now_ms() + 1_000)
+        pools.get(upstream.address).discard_idle()
+        pools.keep_only(set())
+        pools.get(upstream.address).give_back(connection)
+        assert pools.get(upstream.address).take_idle() is None
+
     def test_refused_connection_raises_connect_error(self) -> None:
         listener = socket.create_server(("127.0.0.1", 0))
         address = f"127.0.0.1:{listener.getsockname()[1]}"
