Poll the new start of an upstream that has moved, not the former one

What callers could see: a live upstream gets no requests, since its former start states that it is leaving. Cause: connections for polls were kept by the id of the upstream. One that starts again under its id at another address was polled where the former start still answered, and what that stated was recorded for the new incarnation. Ruled out: a new start at the same address; the connection of the former one ends. Change: the state of polling belongs to one address and incarnation. Before and after: the new test got incarnation 2 as leaving and went on polling the former start, now neither. Conclusion: what an upstream states belongs to the start that was asked.

--- a/src/coltsfootrill/proxy/load_poller.py
+++ b/src/coltsfootrill/proxy/load_poller.py
@@ -26,6 +26,7 @@
 from coltsfootrill.proxy.headers import parse_leaving
 from coltsfootrill.proxy.headers import parse_rate_limit
 from coltsfootrill.proxy.statements import get_declined_ms
+from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import UpstreamRecord
 
 CONNECT_TIMEOUT_MS = 100.0
@@ -35,11 +36,13 @@
 
 
 class _PollState:
-    """The connection to an upstream, and the time until which polling it is paused."""
+    """The connection to one start of an upstream, and the time until which polling it is paused."""
 
-    __slots__ = ("connection", "paused_until_ms")
+    __slots__ = ("address", "connection", "incarnation", "paused_until_ms")
 
-    def __init__(self) -> None:
+    def __init__(self, announcement: Announcement) -> None:
+        self.address = announcement.address
+        self.incarnation = announcement.incarnation
         self.connection: UpstreamConnection | None = None
         self.paused_until_ms = 0.0
 
@@ -167,7 +170,7 @@
     ) -> UpstreamConnection | None:
         """Send a poll to an upstream; return its connection, ``None`` if none was sent."""
         announcement = upstream.announcement
-        state = self._states_by_id.setdefault(announcement.id, _PollState())
+        state = self._get_state(announcement)
         now_ms = self._clock.now_ms()
         service = table.services_by_id.get(announcement.services[0])
         if service is None or now_ms < state.paused_until_ms:
@@ -191,6 +194,19 @@
             return None
         return state.connection
 
+    def _get_state(self, announcement: Announcement) -> _PollState:
+        """Return the state of an upstream; a former start of it is polled no more."""
+        state = self._states_by_id.get(announcement.id)
+        if state is not None:
+            if (state.address, state.incarnation) == (
+                announcement.address,
+                announcement.incarnation,
+            ):
+                return state
+            self._close(state)
+        state = self._states_by_id[announcement.id] = _PollState(announcement)
+        return state
+
     def _receive_answers(self, waiting: dict[int, UpstreamRecord]) -> None:
         poller = select.poll()
         for fileno in waiting:
--- a/testing/proxy/test_load_poller.py
+++ b/testing/proxy/test_load_poller.py
@@ -136,6 +136,26 @@
     return answer(b"", extra=extra)
 
 
+class TestRestartedUpstream:
+    # Guards against a live upstream being taken out for what its former start states.
+    def test_the_former_start_of_an_upstream_is_not_polled_in_place_of_the_new_one(
+        self, polling: PollerFixture
+    ) -> None:
+        former = polling.serve("u1", answer(b"", extra="server-leaving: 1\r\n"))
+        polling.wait_rounds(3)
+        new = polling.serve("u9", _load("0,0,3", "u1"))
+        restarted = msgspec.structs.replace(
+            polling.upstreams[0].announcement, address=new.address, incarnation=2
+        )
+        polling.upstreams = [UpstreamRecord(restarted, origin="", last_confirmed_ms=0)]
+        polling.wait_rounds(3)
+        polling.report_cache.take()
+        polled_count = len(former.heads)
+        polling.wait_rounds(5)
+        assert [entry.leaving_incarnation for entry in polling.report_cache.take()] == [None]
+        assert len(former.heads) == polled_count
+
+
 class TestPolling:
     def test_reports_are_received_over_one_reused_connection(self, polling: PollerFixture) -> None:
         fake = polling.serve("u1", _load("2,1,3,700", "u1"))
