Show that the soak reports a run that begins after the refusal

What callers could see: a request that isn't idempotent is answered 408, 421, 429 or 503 and runs later (REFUSED). Cause: the soak missed the incident of docs/incidents/refused-request-that-ran.md, so its checks were read first. Ruled out: a gap in the checks. The final check judges each attempt id over all runs that were recorded, whenever they began; no code of history.py had to change. Change: a test for each of the four statuses, with a refused request that runs after the answer and one that doesn't. Conclusion: the soak missed the incident because its upstreams never caused it, not because a check overlooked it.

--- a/testing/soak/test_history.py
+++ b/testing/soak/test_history.py
@@ -68,6 +68,18 @@
         history.check_final(is_planned_only=False)
         assert len(history.violations) == 1
 
+    # Guards against a run that begins after the refusal being overlooked.
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    def test_a_request_reported_as_not_run_is_not_executed_later(self, status: int) -> None:
+        history = History()
+        for request_id in ("q1", "q2"):
+            history.record_request(request_id, is_idempotent=False, node="n1")
+            history.record_run(_run(request_id, is_executed=False))
+            history.record_reply(request_id, _reply(status))
+        history.record_run(_run("q2"))
+        history.check_final(is_planned_only=False)
+        assert history.violations == [f"q2 was executed but reported as not run ({status})"]
+
     def test_an_answer_is_complete_and_belongs_to_its_request(self) -> None:
         history = History()
         history.record_reply("q1", _reply(200, make_body("q1")))
