Let upstreams of the soak restart at their addresses and write answers again late

What callers saw: an order answered 503 though it ran (REFUSED), or run twice (TWICE), for which the soak had no faults. Cause, of the miss: no upstream of the soak restarted at its address; a copy of an answer came in the same send only; refusals were rare; and nodes ran with once_idle_ms 0, so orders never reused a connection, unlike in deploy/node.ini (4,000). Change: a behaviour late-copy, which writes each answer and refusal again after the next request has arrived on the connection, and refuses with two requests in progress; full, which refuses with one. All upstreams of a service restart one after another at their addresses, up to five times, under a new id or the same one; a part as crashes that reset connections, the others with connections kept. once_idle_ms is 4,000. Manifests allow two or three attempts for an order. A run has only some kinds of the other unplanned faults: after a lost answer a node reuses no connection for orders for 10 s, which hides the fault (read in pools.py, not measured by itself). desk has two upstreams instead of four, so that more retries go to the same address; stock still has four.

--- a/testing/nodes.py
+++ b/testing/nodes.py
@@ -18,6 +18,7 @@
     """A node process with its own loopback address, because all nodes use the same ports.
 
     Nodes 1 to 3 have a disk, so they vote; later ones have none unless ``has_disk`` is set.
+    ``settings`` is added to the settings file.
     """
 
     def __init__(
@@ -29,6 +30,7 @@
         *,
         network: str = "127.0.2",
         has_disk: bool = False,
+        settings: str = "",
     ) -> None:
         self.host = f"{network}.{number}"
         self.ports = ports
@@ -36,6 +38,7 @@
         self._log = folder / f"node-{number}.log"
         self._path = folder / f"node-{number}.ini"
         self._has_disk = has_disk or number <= 3
+        self._settings = settings
         self._seeds = seeds
         self._number = number
         self.process: subprocess.Popen[bytes] | None = None
@@ -58,7 +61,7 @@
             f"[callers]\nlisten = {self.host}:{ports['callers']}\nnotice_ms = 300\n"
             "[balancer]\npolicy = reported-load\n[measuring]\ninterval_ms = 100\n"
             "[dispatch]\ntimeout_ms = 30\nwork_min_ms = 5\n"
-            "[tls]\nplain = true\n"
+            "[tls]\nplain = true\n" + self._settings
         )
         arguments = [sys.executable, "-m", "coltsfootrill", "node", "--settings", str(self._path)]
         with open(self._log, "ab") as file:
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -134,8 +134,11 @@
         """Submit a new version until the result is definite; return whether it was accepted."""
         base = self.version
         version = base + self._random.randint(1, 3)
-        timeout_ms = self._random.choice([900, 1000, 1100])
-        raw = encode_state(route(timeoutMs=timeout_ms), *ROUTES[1:], version=f"{version:08x}")
+        first = route(
+            timeoutMs=self._random.choice([900, 1000, 1100]),
+            maxAttempts=self._random.choice([2, 3]),
+        )
+        raw = encode_state(first, *ROUTES[1:], version=f"{version:08x}")
         for _ in range(40):
             status = self._random.choice(self._nodes).submit(raw, base)
             if status == 200:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import shutil
 import signal
 import threading
@@ -18,12 +19,32 @@
 from testing.soak.history import History
 from testing.soak.history import Reply
 from testing.soak.proxy import FaultProxy
+from testing.soak.upstreams import Behaviour
 from testing.soak.upstreams import SoakUpstream
 
 MS_PER_SECOND = 1_000.0
 NETWORK = "127.0.3"
 VOTERS_COUNT = 3
-UPSTREAMS_PER_SERVICE = 4
+# Fewer where requests aren't idempotent: more of them are tried again at the same address.
+UPSTREAMS_COUNT_BY_SERVICE = {"desk": 2, "stock": 4}
+# As deployed: requests that aren't idempotent reuse connections too.
+NODE_SETTINGS = "[upstreams]\nonce_idle_ms = 4000\n"
+BEHAVIOURS: tuple[Behaviour, ...] = (
+    "shed",
+    "full",
+    "close",
+    "hang",
+    "fail",
+    "extra-answer",
+    "late-copy",
+)
+# Of restarted upstreams: a faulty version is often seen right after its start.
+RESTARTED_BEHAVIOURS: tuple[Behaviour, ...] = ("good", "late-copy", "late-copy", "late-copy")
+# Orders go to ``desk``.
+RESTARTED_SERVICES = ("desk", "desk", "desk", "stock")
+SAME_ID_SHARE = 0.25
+CRASH_SHARE = 0.3
+RESTARTS_MAX_COUNT = 5
 CALLERS_COUNT = 8
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 15.0
@@ -32,7 +53,8 @@
 class Soak:
     """A fleet of nodes into which faults are injected.
 
-    With ``is_planned_only`` it only stops nodes gracefully and replaces upstreams.
+    With ``is_planned_only`` it only stops nodes gracefully and replaces upstreams. Otherwise
+    upstreams restart at their addresses too, and some other kinds of faults are chosen.
     """
 
     def __init__(
@@ -46,13 +68,14 @@
             f"{NETWORK}.{number}:{ports['interface']}" for number in range(1, VOTERS_COUNT + 1)
         ]
         self._nodes = [
-            Node(number, folder, ports, seeds, network=NETWORK) for number in range(1, nodes + 1)
+            Node(number, folder, ports, seeds, network=NETWORK, settings=NODE_SETTINGS)
+            for number in range(1, nodes + 1)
         ]
         self._proxies = {
             node.host: FaultProxy((node.host, ports["callers"])) for node in self._nodes
         }
         self._upstreams: list[SoakUpstream] = []
-        self._upstream_count = 0
+        self._upstream_numbers = itertools.count(1)
         self._operator = Operator(self._nodes, self.history, self._derive_random())
         self._callers = [
             Caller(self._proxies, self.history, self._derive_random()) for _ in range(CALLERS_COUNT)
@@ -66,10 +89,11 @@
         """Run for ``duration_s`` and return the violated guarantees."""
         try:
             self._start()
+            faults = self._choose_faults()
             end_s = time.monotonic() + duration_s
             while time.monotonic() < end_s:
                 time.sleep(self._random.uniform(0.1, 0.9))
-                self._inject_fault()
+                self._random.choice(faults)()
             self._end_faults_and_check()
         finally:
             self._close()
@@ -80,8 +104,8 @@
         for node in self._nodes:
             node.start(is_first_start=True)
         self._operator.submit_first(START_TIMEOUT_S)
-        for service in ("desk", "stock"):
-            for _ in range(UPSTREAMS_PER_SERVICE):
+        for service, count in UPSTREAMS_COUNT_BY_SERVICE.items():
+            for _ in range(count):
                 self._add_upstream(service)
         self._wait_until_serving()
         self._operator.start()
@@ -152,14 +176,23 @@
             proxy.close()
 
     def _add_upstream(self, service: str) -> None:
-        self._upstream_count += 1
-        name = f"i-{service}-{self._upstream_count}"
+        name = self._make_upstream_id(service)
         self._upstreams.append(
             SoakUpstream(name, service, self._nodes, self.history, self._derive_random())
         )
 
-    def _inject_fault(self) -> None:
+    def _make_upstream_id(self, service: str) -> str:
+        return f"i-{service}-{next(self._upstream_numbers)}"
+
+    def _choose_faults(self) -> list[Callable[[], None]]:
+        """Return the kinds of faults of this run; one that occurs twice is twice as frequent.
+
+        Only some of the unplanned ones are chosen, because some hide the effects of others: after
+        a lost answer, a node reuses no connection for orders for a while.
+        """
         planned: list[Callable[[], None]] = [self._stop_node, self._replace_upstream]
+        if self._is_planned_only:
+            return planned
         unplanned: list[Callable[[], None]] = [
             self._kill_node,
             self._freeze_node,
@@ -168,8 +201,8 @@
             self._disturb_upstream_link,
             self._change_upstream_behaviour,
         ]
-        fault = self._random.choice(planned if self._is_planned_only else planned + unplanned)
-        fault()
+        chosen = self._random.sample(unplanned, self._random.randint(2, len(unplanned)))
+        return [*planned, *chosen, self._restart_service, self._restart_service]
 
     def _stop_node(self) -> None:
         node = self._random.choice(self._nodes)
@@ -240,9 +273,8 @@
 
     def _replace_upstream(self) -> None:
         upstream = self._random.choice(self._upstreams)
-        service = upstream.name.split("-")[1]
         self._upstreams.remove(upstream)
-        self._add_upstream(service)
+        self._add_upstream(upstream.service)
         self.history.record_fault(f"{upstream.name} leaves")
         self._start_thread(upstream.leave)
 
@@ -272,17 +304,44 @@
 
     def _change_upstream_behaviour(self) -> None:
         upstream = self._random.choice(self._upstreams)
-        behaviour = self._random.choice(["shed", "close", "hang", "fail", "extra-answer"])
+        behaviour = self._random.choice(BEHAVIOURS)
         pause_s = self._random.uniform(0.3, 3.0)
         self.history.record_fault(f"{upstream.name}: {behaviour} {pause_s:.1f} s")
 
         def run() -> None:
-            upstream.behaviour = behaviour  # type: ignore[assignment]
+            upstream.behaviour = behaviour
             time.sleep(pause_s)
             upstream.behaviour = "good"
 
         self._start_thread(run)
 
+    def _restart_service(self) -> None:
+        """Let all upstreams of a service restart at their addresses, a few times."""
+        service = self._random.choice(RESTARTED_SERVICES)
+        running = [upstream for upstream in self._upstreams if upstream.service == service]
+        behaviour = self._random.choice(RESTARTED_BEHAVIOURS)
+        random = self._derive_random()
+
+        def run() -> None:
+            for _ in range(random.randint(1, RESTARTS_MAX_COUNT)):
+                for upstream in running:
+                    upstream.behaviour = behaviour
+                    self._restart_upstream(upstream, random)
+                time.sleep(random.uniform(0.4, 1.6))
+            for upstream in running:
+                upstream.behaviour = "good"
+
+        self._start_thread(run)
+
+    def _restart_upstream(self, upstream: SoakUpstream, random: Random) -> None:
+        former = upstream.name
+        has_same_id = random.random() < SAME_ID_SHARE
+        name = former if has_same_id else self._make_upstream_id(upstream.service)
+        is_crash = random.random() < CRASH_SHARE
+        if upstream.restart(name, is_crash=is_crash):
+            cause = "crashes" if is_crash else "restarts"
+            self.history.record_fault(f"{former} {cause}, now {name}: {upstream.behaviour}")
+
     def _start_thread(self, task: Callable[[], None]) -> None:
         thread = threading.Thread(target=task, daemon=True)
         self._threads.append(thread)
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -15,45 +15,102 @@
 from testing.soak.history import make_body
 from testing.soak.proxy import FaultProxy
 
-Behaviour = Literal["good", "shed", "close", "hang", "fail", "extra-answer"]
+Behaviour = Literal["good", "shed", "full", "close", "hang", "fail", "extra-answer", "late-copy"]
 HEARTBEAT_INTERVAL_S = 0.5
 SLOTS = 3
+# Requests are refused while this many are in progress.
+IN_FLIGHT_MAX_COUNT = 2 * SLOTS
+IN_FLIGHT_MAX_COUNT_BY_BEHAVIOUR: dict[Behaviour, int] = {"shed": 0, "full": 1, "late-copy": 2}
 WORK_TIME_S = 0.02
 HANG_TIME_S = 1.5
 SERVE_AFTER_LEAVING_S = 3.0
 HEADER_END = b"\r\n\r\n"
 
 
+class Lifetime:
+    """What identifies an upstream from its start until it ends or crashes."""
+
+    __slots__ = ("born_ms", "name")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.born_ms = time.time_ns() // 1_000_000
+
+
+class AnswerWriter:
+    """Writes the answers of one connection, and copies of them where the next answer is due."""
+
+    __slots__ = ("_copy", "_sock")
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._copy = b""
+
+    def start_next(self) -> None:
+        """Write the copy of the answer before, if any, once the next request has arrived."""
+        copy, self._copy = self._copy, b""
+        self._sock.sendall(copy)
+
+    def write(self, answer: bytes, *, is_copied: bool = False) -> None:
+        """Write an answer; with ``is_copied`` it is written again after the next request."""
+        self._sock.sendall(answer)
+        self._copy = answer if is_copied else b""
+
+
 class SoakUpstream:
     """One upstream behind a fault proxy of its own; ``behaviour`` is how it answers requests.
 
-    ``shed`` refuses requests, ``close`` closes the connection after running a request, ``hang``
-    answers after the callers' deadline, ``fail`` answers with status 500, and ``extra-answer``
-    sends each answer twice.
+    ``shed`` refuses requests, ``full`` those beyond one at a time, ``close`` closes the connection
+    after running a request, ``hang`` answers after the callers' deadline, ``fail`` answers with
+    status 500, and ``extra-answer`` sends each answer twice. ``late-copy`` refuses as ``full`` does
+    and writes each answer and refusal again where the next one on its connection is due.
     """
 
     def __init__(
         self, name: str, service: str, nodes: list[Node], history: History, random: Random
     ) -> None:
-        self.name = name
-        self._service = service
+        self.service = service
         self._nodes = nodes
         self._history = history
         self._random = random
         self.behaviour: Behaviour = "good"
-        self._born_ms = time.time_ns() // 1_000_000
+        self._lifetime = Lifetime(name)
         self._sequence = 0
         self._in_flight = 0
         self._is_leaving = False
+        self._lock = threading.Lock()
         self._closed = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.proxy = FaultProxy(("127.0.0.1", self._listener.getsockname()[1]))
         threading.Thread(target=self._accept, daemon=True).start()
         threading.Thread(target=self._run_heartbeats, daemon=True).start()
 
+    @property
+    def name(self) -> str:
+        """Return the identifier."""
+        return self._lifetime.name
+
+    def restart(self, name: str, *, is_crash: bool) -> bool:
+        """Start again at the same address under ``name``, which may be the same one.
+
+        Nothing announces the end of the former lifetime, so its lease continues for a while. A
+        crash resets all connections; otherwise, as with a process in front that stays, connections
+        are kept and requests in progress end normally. Return whether it restarted, which it
+        doesn't while it leaves.
+        """
+        with self._lock:
+            if self._is_leaving:
+                return False
+            self._lifetime = Lifetime(name)
+        if is_crash:
+            self.proxy.reset_all()
+        self._send_heartbeat("ready")
+        return True
+
     def leave(self) -> None:
         """Announce the departure until it is acknowledged, serve a little longer, then close."""
-        self._is_leaving = True
+        with self._lock:
+            self._is_leaving = True
         while not self._closed.is_set():
             if self._send_heartbeat("draining"):
                 self._history.record_departure(self.name)
@@ -75,19 +132,20 @@
     def _send_heartbeat(self, state: str) -> bool:
         """Send one heartbeat to a random node; return whether it was accepted."""
         self._sequence += 1
+        lifetime = self._lifetime
         body = {
             "address": self.proxy.address,
             "serverInfo": {
-                "service": self._service,
+                "service": self.service,
                 "version": "v1",
                 "zone": "z1",
                 "concurrency": SLOTS,
             },
             "status": {"state": state, "sequence": self._sequence, "coldRemainingMs": 0},
-            "born": self._born_ms,
+            "born": lifetime.born_ms,
         }
         node = self._random.choice(self._nodes)
-        path = f"/Instances.Heartbeat/{self.name}"
+        path = f"/Instances.Heartbeat/{lifetime.name}"
         return node.call("interface", "POST", path, json.dumps(body).encode())[0] == 200
 
     def _accept(self) -> None:
@@ -99,6 +157,7 @@
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock: socket.socket) -> None:
+        writer = AnswerWriter(sock)
         data = b""
         try:
             while True:
@@ -112,35 +171,38 @@
                 while len(data) < length:
                     data += sock.recv(65_536)
                 data = data[length:]
-                if not self._answer(sock, head):
+                writer.start_next()
+                if not self._answer(writer, head):
                     return
         except OSError:
             return
         finally:
             sock.close()
 
-    def _answer(self, sock: socket.socket, head: bytes) -> bool:
+    def _answer(self, writer: AnswerWriter, head: bytes) -> bool:
         """Answer one request; return whether to keep the connection open."""
         load = f"x-server-load: {self._in_flight},0,{SLOTS},100\r\n"
         if head.startswith(b"GET /health"):
             extra = f"x-instance-identifier: {self.name}\r\n{load}"
-            sock.sendall(_encode("200 OK", b"", extra))
+            writer.write(_encode("200 OK", b"", extra))
             return True
+        behaviour = self.behaviour
+        is_copied = behaviour == "late-copy"
         request_id = _get_header(head, b"x-attempt-id").decode()
         extra = f"x-attempt-id: {request_id}\r\n{load}"
         expected = _get_header(head, b"x-expected-instance").decode()
         if expected != self.name:
-            sock.sendall(_encode("421 Misdirected Request", b"", extra))
+            writer.write(_encode("421 Misdirected Request", b"", extra), is_copied=is_copied)
             return True
-        if self.behaviour == "shed" or self._in_flight >= 2 * SLOTS:
+        if self._in_flight >= IN_FLIGHT_MAX_COUNT_BY_BEHAVIOUR.get(behaviour, IN_FLIGHT_MAX_COUNT):
             self._history.record_run(Run(request_id, self.name, is_executed=False))
             extra += "x-not-executed: 1\r\n"
-            sock.sendall(_encode("503 Service Unavailable", b"", extra))
+            writer.write(_encode("503 Service Unavailable", b"", extra), is_copied=is_copied)
             return True
         self._history.record_run(Run(request_id, self.name, is_executed=True))
-        return self._work(sock, request_id, extra + "x-server-signature: s\r\n")
+        return self._work(writer, request_id, extra + "x-server-signature: s\r\n")
 
-    def _work(self, sock: socket.socket, request_id: str, extra: str) -> bool:
+    def _work(self, writer: AnswerWriter, request_id: str, extra: str) -> bool:
         behaviour = self.behaviour
         self._in_flight += 1
         try:
@@ -153,7 +215,9 @@
             return False
         status = "500 Internal Server Error" if behaviour == "fail" else "200 OK"
         answer = _encode(status, make_body(request_id), extra)
-        sock.sendall(answer * 2 if behaviour == "extra-answer" else answer)
+        if behaviour == "extra-answer":
+            answer *= 2
+        writer.write(answer, is_copied=behaviour == "late-copy")
         return True
 
 
