Let callers of the soak pipeline requests and leave, and check that nodes end

Cause, of the miss: each caller of the soak sent one request at a time and waited for its answer, and no check looked at the end of a node: Node.end raised TimeoutExpired in the thread of the fault, which no check saw. Ruled out: other causes of nodes that don't end. Change: two callers that pipeline four to eight safe requests and close, reset or end their direction within 100 ms; not in runs with planned operations only. A node that doesn't end within 10 s of SIGTERM is a violation, in the run and at its end, and so are requests that a node cuts at its end after all callers have stopped.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -5,6 +5,7 @@
 import http.client
 import itertools
 import json
+import socket
 import threading
 import time
 from random import Random
@@ -15,11 +16,17 @@
 from testing.soak.history import History
 from testing.soak.history import Reply
 from testing.soak.history import now_ms
+from testing.soak.proxy import LINGER_RESET
 from testing.soak.proxy import FaultProxy
 
 HOST = "a.example"
 DEADLINE_MS = 1_200
 PAUSE_MAX_S = 0.03
+LEAVING_PAUSE_MAX_S = 0.3
+LEAVE_AFTER_MAX_S = 0.1
+PIPELINED_MIN_COUNT = 4
+PIPELINED_MAX_COUNT = 8
+RECEIVE_TIMEOUT_S = 4.0
 ROUTES = [
     route(),
     route(name="r-2", pathPrefix="/y/", kind="safe", service="stock", timeoutMs=900),
@@ -30,6 +37,8 @@
 class Caller:
     """Sends requests one at a time; replaces its connection after an error and at random."""
 
+    pause_max_s = PAUSE_MAX_S
+
     def __init__(self, proxies: dict[str, FaultProxy], history: History, random: Random) -> None:
         self._proxies = proxies
         self._history = history
@@ -47,7 +56,7 @@
         self._thread.join()
 
     def _run(self) -> None:
-        while not self._stopped.wait(PAUSE_MAX_S * self._random.random()):
+        while not self._stopped.wait(self.pause_max_s * self._random.random()):
             self._send()
 
     def _send(self) -> None:
@@ -79,7 +88,9 @@
         if self._connection is None:
             self._node = self._random.choice(list(self._proxies))
             host, _, port = self._proxies[self._node].address.partition(":")
-            self._connection = http.client.HTTPConnection(host, int(port), timeout=4)
+            self._connection = http.client.HTTPConnection(
+                host, int(port), timeout=RECEIVE_TIMEOUT_S
+            )
         return self._connection
 
     def _close_connection(self) -> None:
@@ -88,6 +99,54 @@
             self._connection = None
 
 
+class LeavingCaller(Caller):
+    """Pipelines safe requests and leaves at a random moment, mostly before all are answered.
+
+    It closes or resets its connection, or ends only its own direction and reads what still comes.
+    """
+
+    pause_max_s = LEAVING_PAUSE_MAX_S
+
+    def _send(self) -> None:
+        node = self._random.choice(list(self._proxies))
+        host, _, port = self._proxies[node].address.partition(":")
+        count = self._random.randint(PIPELINED_MIN_COUNT, PIPELINED_MAX_COUNT)
+        requests = b"".join(self._encode_next(node) for _ in range(count))
+        leave = self._random.choice([_close, _reset, _end_sending])
+        leave_after_s = self._random.uniform(0.0, LEAVE_AFTER_MAX_S)
+        try:
+            with socket.create_connection((host, int(port)), timeout=RECEIVE_TIMEOUT_S) as sock:
+                sock.sendall(requests)
+                time.sleep(leave_after_s)
+                leave(sock)
+        except OSError:
+            # The node or the link has failed, or no answer came in time.
+            return
+
+    def _encode_next(self, node: str) -> bytes:
+        request_id = f"q{next(_request_ids)}"
+        self._history.record_request(request_id, is_idempotent=True, node=node)
+        return (
+            f"GET /y/{request_id} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request_id}\r\n"
+            f"X-Deadline-Milliseconds: {DEADLINE_MS}\r\n\r\n"
+        ).encode()
+
+
+def _close(sock: socket.socket) -> None:
+    sock.close()
+
+
+def _reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    sock.close()
+
+
+def _end_sending(sock: socket.socket) -> None:
+    sock.shutdown(socket.SHUT_WR)
+    while sock.recv(65_536):
+        pass
+
+
 class Operator:
     """Submits manifests to random nodes and reads them back from random nodes."""
 
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -5,6 +5,7 @@
 import itertools
 import shutil
 import signal
+import subprocess
 import threading
 import time
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from testing.nodes import Node
 from testing.nodes import find_free_ports
 from testing.soak.callers import Caller
+from testing.soak.callers import LeavingCaller
 from testing.soak.callers import Operator
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
 from testing.soak.history import History
@@ -46,15 +48,19 @@
 CRASH_SHARE = 0.3
 RESTARTS_MAX_COUNT = 5
 CALLERS_COUNT = 8
+LEAVING_CALLERS_COUNT = 2
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 15.0
+# More than ``notice_ms``, ``stop_ms`` and the stop of the rest of the process together.
+END_TIMEOUT_S = 10.0
 
 
 class Soak:
     """A fleet of nodes into which faults are injected.
 
     With ``is_planned_only`` it only stops nodes gracefully and replaces upstreams. Otherwise
-    upstreams restart at their addresses too, and some other kinds of faults are chosen.
+    upstreams restart at their addresses too, some other kinds of faults are chosen, and callers
+    leave before their requests are answered.
     """
 
     def __init__(
@@ -80,6 +86,11 @@
         self._callers = [
             Caller(self._proxies, self.history, self._derive_random()) for _ in range(CALLERS_COUNT)
         ]
+        if not is_planned_only:
+            self._callers += [
+                LeavingCaller(self._proxies, self.history, self._derive_random())
+                for _ in range(LEAVING_CALLERS_COUNT)
+            ]
         # At most one voter has a fault at a time, so that the others keep a majority.
         self._voter_lock = threading.Lock()
         self._faulted_hosts: set[str] = set()
@@ -128,6 +139,7 @@
         for caller in self._callers:
             caller.stop()
         self._check_manifest_at_all_nodes()
+        self._check_all_nodes_end()
 
     def _check_manifest_at_all_nodes(self) -> None:
         """Check that every node returns the newest acknowledged manifest or a newer one.
@@ -149,6 +161,27 @@
             elif f'"version": "{version:08x}"'.encode() in body and body != raw:
                 self.history.add_violation(f"{node.host} returns other bytes as version {version}")
 
+    def _check_all_nodes_end(self) -> None:
+        """Check that nodes end on SIGTERM, and that no request of a caller stays in progress."""
+        for node in self._nodes:
+            node.send_signal(signal.SIGTERM)
+        for node in self._nodes:
+            self._wait_until_ended(node)
+            for event in node.list_events("stopped")[-1:]:
+                if event["cut"]:
+                    self.history.add_violation(
+                        f"{node.host} still had {event['cut']} requests after all callers"
+                    )
+
+    def _wait_until_ended(self, node: Node) -> None:
+        """Wait until a node has ended after SIGTERM; kill it when that takes too long."""
+        assert node.process is not None
+        try:
+            node.process.wait(END_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.history.add_violation(f"{node.host} does not end on SIGTERM")
+            node.end()
+
     def _wait_until_serving(self) -> None:
         end_s = time.monotonic() + RECOVERY_TIMEOUT_S
         for node in self._nodes:
@@ -206,7 +239,12 @@
 
     def _stop_node(self) -> None:
         node = self._random.choice(self._nodes)
-        self._inject_node_fault(node, "SIGTERM", lambda: node.end(signal.SIGTERM))
+
+        def stop() -> None:
+            node.send_signal(signal.SIGTERM)
+            self._wait_until_ended(node)
+
+        self._inject_node_fault(node, "SIGTERM", stop)
 
     def _kill_node(self) -> None:
         node = self._random.choice(self._nodes)
