Test that no attempt shares a connection with an earlier one where requests have no ids

Cause: since the last id on a connection covers most attempts of one request as well, so the mutant without the record of used connections passed its tests. Ruled out: that the record is needless; without ids it alone tells attempts apart. Change: a test with the native dialect. Conclusion: each of the two rules has a test that needs it.

--- a/testing/proxy/test_dialect.py
+++ b/testing/proxy/test_dialect.py
@@ -13,6 +13,7 @@
 from testing.processes import wait_until
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.fakes import answer
 from testing.proxy.fakes import encode
 from testing.proxy.instance import Instance
 from testing.proxy.instance import Reply
@@ -306,3 +307,17 @@
             for request_id in ids
         ]
         assert (statuses, upstream.run_count) == ([503, 200], 1)
+
+    # Guards against a request that has run being called not run, or run again, without any ids.
+    def test_a_refusal_that_is_written_again_is_no_answer_to_the_next_attempt_without_ids(
+        self,
+    ) -> None:
+        instance = Instance(once_idle_max_ms=4_000)
+        refuse = answer(b"", status="503 Service Unavailable", extra="upstream-shed: 1\r\n")
+        upstream = RefusingUpstream(refuse)
+        server = ScriptedUpstream(upstream.answer)
+        instance.announce("u1", server.address)
+        reply = instance.call("/once", method="POST")
+        server.close()
+        instance.close()
+        assert (reply.status, upstream.run_count) == (200, 1)
