--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -353,7 +353,7 @@
     Mutant(
         "connections opened before one that stopped responding are not reused",
         "proxy/connection.py",
-        "            self._epoch += 1\n",
+        "            self._epoch = next(_epochs)\n",
         "",
         CONNECTION + "Pool",
     ),
