testing: send raw answers with the script that exists

Cause: two tests of answers wrote a script of their own that fakes.send_raw is. Change: they call it; assertions stay. Conclusion: one script.

--- a/testing/proxy/test_answer.py
+++ b/testing/proxy/test_answer.py
@@ -11,6 +11,7 @@
 from testing.processes import wait_until
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import encode
+from testing.proxy.fakes import send_raw
 from testing.proxy.instance import Instance
 from testing.proxy.test_dialect import NOT_RUN
 from testing.proxy.test_dialect import SIGNATURE
@@ -93,11 +94,7 @@
             f"{SIGNATURE}x-attempt-id: q1\r\n\r\n0\r\n{NOT_RUN}\r\n"
         ).encode()
 
-        def script(sock: socket.socket, head: bytes, number: int) -> bool:
-            sock.sendall(answer)
-            return True
-
-        server = ScriptedUpstream(script)
+        server = ScriptedUpstream(send_raw(answer, keeps_open=True))
         instance.announce("u1", server.address)
         reply = instance.call("/once", method="POST", X_Attempt_Id="q1")
         assert (reply.status, len(server.heads)) == (500, 1)
@@ -109,12 +106,7 @@
         self, instance: Instance, ids: tuple[str, str]
     ) -> None:
         extra = NOT_RUN + "".join(f"x-attempt-id: {request_id}\r\n" for request_id in ids)
-
-        def script(sock: socket.socket, head: bytes, number: int) -> bool:
-            sock.sendall(encode(status="503 Full", extra=extra))
-            return False
-
-        server = ScriptedUpstream(script)
+        server = ScriptedUpstream(send_raw(encode(status="503 Full", extra=extra)))
         instance.announce("u1", server.address)
         reply = instance.call("/once", method="POST", X_Attempt_Id="q1")
         assert (reply.status, len(server.heads)) == (502, 1)
