Let no node with a far narrower link collect the loads of its zone

Cause: a zone of more than 15 nodes has two collectors, those with the widest links. Where only one link is wide the other collector has 2 Mbit/s, and sends 2.9 MB/s: its link is always full, so it hears of manifests late while it counts as connected.

Ruled out: slow voters, whose other followers keep their connections.

Change: a link with less than half of the widest does not collect; and what a collector sends in a batch fits a quarter of its link, so a zone of any size, or one whose wide node is gone, gets fresh loads less often instead of filling a link.

Before: 64 nodes x 9 KB x 5 a second on 2 Mbit/s. After: at most 0.5 Mbit/s there; 23 of 100 Mbit/s at 64 nodes, at most 25 at 253, by the test. The test of the narrow collector fails without the rule (mutant).

--- a/src/coltsfootrill/membership/load_gossip.py
+++ b/src/coltsfootrill/membership/load_gossip.py
@@ -3,7 +3,8 @@
 A load report is outdated after a few hundred milliseconds, so a lost datagram is not sent again.
 In an availability zone with few instances, each instance sends its reports to all others. In a
 larger zone that would cost too much: each instance sends its reports to one of two collectors,
-and each collector periodically sends the merged reports to the whole zone. Between zones, one
+and each collector periodically sends the merged reports to the whole zone, or to as many instances
+in turn as fit into a share of its link. Between zones, one
 relay instance per zone receives a sender's reports and forwards them within its zone; reports that
 have not changed are sent there less often.
 ``relay_topology`` chooses the receivers.
@@ -34,6 +35,9 @@
 TOPIC = b"L"
 ENTRIES_MAX_COUNT = 200
 COLLECT_INTERVAL_MS = 200.0
+# Of its link's bandwidth, what a collector may use for its zone.
+COLLECTOR_LINK_SHARE = 0.25
+BYTES_PER_MS_AND_MBPS = 125.0
 HOPS_TO_ZONE = 1
 HOPS_TO_COLLECTOR = 2
 
@@ -62,6 +66,7 @@
         self._changed = ChangedLoads(clock)
         self._changed_in_zone = ChangedLoads(clock)
         self._collected = CollectedLoads(clock)
+        self._receivers = ReceiversInTurn(own.link_mbps)
         self._rounds = 0
         self._port = port
         port.handle(TOPIC, self.receive)
@@ -98,7 +103,9 @@
             instances = self._list_instances()
             from_own_zone = [entry for entry, hops in collected if hops >= HOPS_TO_COLLECTOR]
             every_entry = [entry for entry, _ in collected]
-            self._send_to(list_neighbours(self._own, instances), every_entry, hops=0)
+            parts = self._encode(every_entry, hops=0)
+            neighbours = list_neighbours(self._own, instances)
+            self._send_parts(self._receivers.take(neighbours, _count_bytes(parts)), parts)
             changed = self._changed_in_zone.select(from_own_zone)
             self._send_to(choose_relays(self._own, instances), changed, hops=HOPS_TO_ZONE)
 
@@ -112,15 +119,48 @@
     def _send_to(
         self, addresses: Sequence[str], entries: Sequence[LoadEntry], *, hops: int
     ) -> None:
-        if not addresses:
-            return
-        for start in range(0, len(entries), ENTRIES_MAX_COUNT):
-            part = list(entries[start : start + ENTRIES_MAX_COUNT])
-            data = _encoder.encode(LoadGossip(self._own.id, hops, part))
+        if addresses:
+            self._send_parts(addresses, self._encode(entries, hops=hops))
+
+    def _encode(self, entries: Sequence[LoadEntry], *, hops: int) -> list[bytes]:
+        """Return the datagrams that hold the entries."""
+        return [
+            _encoder.encode(
+                LoadGossip(self._own.id, hops, list(entries[start : start + ENTRIES_MAX_COUNT]))
+            )
+            for start in range(0, len(entries), ENTRIES_MAX_COUNT)
+        ]
+
+    def _send_parts(self, addresses: Sequence[str], parts: Sequence[bytes]) -> None:
+        for data in parts:
             for address in addresses:
                 self._port.send(TOPIC, data, address)
 
 
+class ReceiversInTurn:
+    """Chooses the receivers of a collector's next batch, within its share of the link.
+
+    If a batch for all would take more, each receiver gets a fresh batch less often. A bandwidth of
+    0 means that it is unknown, and every receiver is chosen.
+    """
+
+    __slots__ = ("_batch_max_bytes", "_next")
+
+    def __init__(self, link_mbps: float) -> None:
+        link_bytes_per_ms = link_mbps * BYTES_PER_MS_AND_MBPS
+        self._batch_max_bytes = COLLECTOR_LINK_SHARE * link_bytes_per_ms * COLLECT_INTERVAL_MS
+        self._next = 0
+
+    def take(self, addresses: Sequence[str], bytes_each: int) -> list[str]:
+        """Return the receivers of a batch of ``bytes_each``, at least one if there are any."""
+        count = max(1, int(self._batch_max_bytes / max(1, bytes_each)))
+        if not self._batch_max_bytes or count >= len(addresses):
+            return list(addresses)
+        start = self._next % len(addresses)
+        self._next = start + count
+        return [*addresses[start:], *addresses[:start]][:count]
+
+
 class CollectedLoads:
     """Loads that wait for the next batch, the newest of each upstream. Thread-safe."""
 
@@ -177,6 +217,10 @@
         self.made_ms = made_ms
 
 
+def _count_bytes(parts: Sequence[bytes]) -> int:
+    return sum(len(part) for part in parts)
+
+
 def _pack(entry: ReportEntry) -> LoadEntry:
     report = entry.report or _NO_LOAD
     return LoadEntry(
--- a/src/coltsfootrill/membership/relay_topology.py
+++ b/src/coltsfootrill/membership/relay_topology.py
@@ -15,6 +15,8 @@
 # A zone with more neighbours than this exchanges its load reports through collectors.
 DIRECT_MAX_COUNT = 14
 COLLECTORS_COUNT = 2
+# A collector sends to its whole zone: a link much narrower than the widest could not carry that.
+COLLECTOR_LINK_MIN_SHARE = 0.5
 DISPATCHERS_COUNT = 3
 
 
@@ -44,12 +46,16 @@
 
 
 def list_collectors(zone: str, instances: Sequence[InstanceRecord]) -> list[InstanceRecord]:
-    """Return the collectors of a zone, highest link bandwidth first; none in a small zone."""
+    """Return the collectors of a zone, highest link bandwidth first; none in a small zone.
+
+    There is only one if no other link has ``COLLECTOR_LINK_MIN_SHARE`` of its bandwidth.
+    """
     members = [record for record in instances if record.zone == zone]
     if len(members) <= DIRECT_MAX_COUNT + 1:
         return []
     members.sort(key=lambda record: (record.link_mbps, rank(zone, record.id)), reverse=True)
-    return members[:COLLECTORS_COUNT]
+    link_min_mbps = COLLECTOR_LINK_MIN_SHARE * members[0].link_mbps
+    return [record for record in members[:COLLECTORS_COUNT] if record.link_mbps >= link_min_mbps]
 
 
 def choose_collector(
--- a/testing/membership/test_load_gossip.py
+++ b/testing/membership/test_load_gossip.py
@@ -14,9 +14,11 @@
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.membership.datagrams import DatagramPort
 from coltsfootrill.membership.load_gossip import COLLECT_INTERVAL_MS
+from coltsfootrill.membership.load_gossip import COLLECTOR_LINK_SHARE
 from coltsfootrill.membership.load_gossip import HOPS_TO_COLLECTOR
 from coltsfootrill.membership.load_gossip import CollectedLoads
 from coltsfootrill.membership.load_gossip import LoadGossipExchange
+from coltsfootrill.membership.load_gossip import ReceiversInTurn
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import LoadEntry
 from coltsfootrill.membership.messages import LoadGossip
@@ -163,6 +165,17 @@
         fleet = [wide, *self.FLEET[1:]]
         assert list_collectors(wide.zone, fleet)[0].id == wide.id
 
+    # Guards against CONFIG in a large fleet: the second collector of a zone had a narrow link, and
+    # what it sent left no room on it for news of manifests.
+    def test_an_instance_with_a_far_narrower_link_is_no_collector(self) -> None:
+        wide, *others = [record for record in self.FLEET if record.zone == "z1"]
+        fleet = [
+            msgspec.structs.replace(wide, link_mbps=100.0),
+            *(msgspec.structs.replace(record, link_mbps=2.0) for record in others),
+        ]
+        assert [record.id for record in list_collectors("z1", fleet)] == [wide.id]
+        assert len(list_collectors("z1", fleet[1:])) == 2
+
     def test_a_departed_collector_is_replaced(self) -> None:
         first, second = list_collectors("z1", self.FLEET)
         left = [record for record in self.FLEET if record.id != first.id]
@@ -194,6 +207,38 @@
         wait_until(lambda: all(seen[key] for key in others if key not in collectors))
 
 
+class TestReceiversInTurn:
+    """What a collector sends must fit its link, however large its zone is."""
+
+    # The load of one upstream, of those of the largest fleet, and the nodes of its zones.
+    ENTRY_BYTES = 25
+    UPSTREAMS_COUNT = 361
+    BATCH_BYTES = ENTRY_BYTES * UPSTREAMS_COUNT
+
+    @pytest.mark.parametrize("link_mbps", [2.0, 100.0])
+    @pytest.mark.parametrize("neighbours_count", [64, 253])
+    def test_batches_stay_within_a_share_of_the_link(
+        self, link_mbps: float, neighbours_count: int
+    ) -> None:
+        neighbours = [f"n{number}" for number in range(neighbours_count)]
+        receivers = ReceiversInTurn(link_mbps)
+        chosen = receivers.take(neighbours, self.BATCH_BYTES)
+        share_bytes = COLLECTOR_LINK_SHARE * link_mbps * 125 * COLLECT_INTERVAL_MS
+        assert 0 < len(chosen) * self.BATCH_BYTES <= share_bytes
+
+    def test_each_receiver_has_its_turn(self) -> None:
+        neighbours = [f"n{number}" for number in range(64)]
+        receivers = ReceiversInTurn(10.0)
+        turns = [receivers.take(neighbours, self.BATCH_BYTES) for _ in range(64)]
+        assert {address for turn in turns for address in turn} == set(neighbours)
+        assert not set(turns[0]) & set(turns[1])
+
+    def test_without_a_known_bandwidth_all_receive_each_batch(self) -> None:
+        neighbours = [f"n{number}" for number in range(64)]
+        assert ReceiversInTurn(0).take(neighbours, self.BATCH_BYTES) == neighbours
+        assert ReceiversInTurn(0).take([], self.BATCH_BYTES) == []
+
+
 class TestCollectedLoads:
     def test_only_the_newest_load_of_an_upstream_is_sent_with_its_current_age(self) -> None:
         clock = ManualClock()
