Hold the polls of followers without threads, and give votes threads of their own

What callers saw: in a large fleet a change was in force late or not accepted, and after a loss of power nothing came back.

Votes, fetches and submissions waited behind polls; a reply was made, encoded and compressed for each follower apart.

Ruled out: slow disks and links, which the loopback runs do not have.

Change: the server runs on one event loop; a held poll waits there without a thread, and ends when its caller gives up. Methods run in a small pool, votes in one of their own. Followers with the same state get the same reply, made and packed once; followers of an earlier version get it unpacked. A hub makes one reply a millisecond at most, in random order, so what it does in a second no longer grows with the fleet, and news of the followers themselves is batched the longer, the more there are.

--- a/src/coltsfootrill/control/messages.py
+++ b/src/coltsfootrill/control/messages.py
@@ -158,6 +158,7 @@
     instance_id: str
     known_version: int
     must_be_fresh: bool
+    takes_packed: bool = False
 
 
 class ReadReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -60,6 +60,8 @@
 READ_CACHE_MS = 250.0
 _SERVER_THREADS = 32
 _CALL_THREADS = 32
+# Calls of other replicas have threads of their own: the calls of the fleet may use up all others.
+_VOTE_THREADS = 16
 
 
 class ControlReplica:
@@ -100,9 +102,10 @@
         self._server = server or RpcServer(
             ThreadPoolExecutor(_SERVER_THREADS, thread_name_prefix="control-server")
         )
-        self._server.add(PREPARE, acceptor.prepare)
-        self._server.add(ACCEPT, acceptor.accept)
-        self._server.add(INSPECT, acceptor.inspect)
+        self.vote_executor = ThreadPoolExecutor(_VOTE_THREADS, thread_name_prefix="vote")
+        self._server.add(PREPARE, acceptor.prepare, executor=self.vote_executor)
+        self._server.add(ACCEPT, acceptor.accept, executor=self.vote_executor)
+        self._server.add(INSPECT, acceptor.inspect, executor=self.vote_executor)
         self._server.add(READ, self.read_for_entry)
         self._confirmed_at_ms = float("-inf")
         self._register_lock = threading.Lock()
--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -151,6 +151,7 @@
                 boot=boot,
                 position=position,
                 hold_ms=_choose_hold_ms(identity, reported_version),
+                takes_packed=True,
             )
             try:
                 reply = self._call(address, request)
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -18,6 +18,8 @@
 from coltsfootrill.membership.messages import SharedUpstream
 from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.roster import Roster
+from coltsfootrill.membership.shared_replies import HubState
+from coltsfootrill.membership.shared_replies import SharedReplies
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import Directory
@@ -26,16 +28,21 @@
 SETTLED_AFTER_MS = 6_000.0
 SILENT_AFTER_MS = 5_000.0
 FOLLOWER_TIMEOUT_MS = 8_000.0
-# A hub delays its replies to batch changes that come close together. The delay grows with the
-# number of followers, so that replies to all of them do not use the hub's whole processing time.
-BATCH_MS = 4.0
-BATCH_PER_FOLLOWER_MS = 0.8
+# A hub delays its replies to batch changes that come close together.
+BATCH_MS = 16.0
 # Changes of the followers are not urgent, unless a voting replica starts or stops following.
+# The delay grows with the followers, since all of them hear of each change.
 INSTANCE_CHANGE_DELAY_MS = 500.0
+INSTANCE_CHANGE_DELAY_PER_FOLLOWER_MS = 4.0
 HOLD_MAX_MS = 5_000
 REFUSED_MAX_COUNT = 200
 
 
+def limit_hold_ms(request: FollowRequest) -> int:
+    """Return how long a poll may be held."""
+    return min(max(request.hold_ms, 0), HOLD_MAX_MS)
+
+
 class Hub:
     """Thread-safe owner of the announcements made to the voting replicas.
 
@@ -71,6 +78,8 @@
         self._unsent_since_ms: float | None = None
         self._started_ms = clock.now_ms()
         self._last_confirmed_ms = float("-inf")
+        self._listeners: list[Callable[[], None]] = []
+        self._shared_replies = SharedReplies()
         self._directory.position = 1
         for announcement in [] if snapshot is None else snapshot.read():
             self.merge(announcement, age_ms=SILENT_AFTER_MS)
@@ -168,24 +177,54 @@
 
     def answer(self, request: FollowRequest) -> FollowReply:
         """Return the changes for a follower, held until a change or the timeout."""
-        start_ms = self._clock.now_ms()
+        position = self.begin_poll(request)
+        end_ms = self._clock.now_ms() + limit_hold_ms(request)
         with self._changed:
-            self._record_follower(request, start_ms)
-            position = request.position if request.boot == self._boot else 0
-            if position < self._roster.pruned_up_to:
-                position = 0
-            end_ms = start_ms + min(max(request.hold_ms, 0), HOLD_MAX_MS)
             while self._notified_position <= position:
                 left_ms = end_ms - self._clock.now_ms()
                 if left_ms <= 0 or not self._changed.wait(left_ms / 1000):
                     break
-            has_changes = self._notified_position > position
-        if has_changes:
-            followers = len(self._roster.by_id)
-            self._clock.sleep_ms(max(BATCH_MS, BATCH_PER_FOLLOWER_MS * followers))
+        if self.has_changes(position):
+            self._clock.sleep_ms(BATCH_MS)
         with self._changed:
             return self._make_reply(position, is_for_hub=request.is_hub)
 
+    def begin_poll(self, request: FollowRequest) -> int:
+        """Record the follower, and return the position after which it needs the changes."""
+        with self._changed:
+            self._record_follower(request, self._clock.now_ms())
+            position = request.position if request.boot == self._boot else 0
+            return 0 if position < self._roster.pruned_up_to else position
+
+    def has_changes(self, position: int) -> bool:
+        """Return whether a follower should hear now of changes after ``position``."""
+        return self._notified_position > position
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` whenever followers should hear of a change; it must not block."""
+        self._listeners.append(listener)
+
+    def encode_reply(self, position: int, *, is_for_hub: bool) -> bytes:
+        """Return the encoded changes after ``position``, the same object for many followers.
+
+        A follower that does not vote may get a reply made a moment ago. Its next poll gets what
+        has changed since.
+        """
+        with self._changed:
+            if is_for_hub:
+                return self._encode_reply(position, is_for_hub=True)
+            state = HubState(
+                notified_position=self._notified_position,
+                is_current=self.is_current(),
+                manifest_version=self._get_manifest_version(),
+            )
+            return self._shared_replies.get(
+                position,
+                state,
+                now_ms=self._clock.now_ms(),
+                make=lambda: self._encode_reply(position, is_for_hub=False),
+            )
+
     def remove_expired(self) -> None:
         """Remove upstreams and followers whose timeout has passed, and send delayed changes."""
         with self._changed:
@@ -196,7 +235,7 @@
             for instance_id in self._roster.list_expired(now_ms - FOLLOWER_TIMEOUT_MS):
                 self._remove_follower(instance_id)
             unsent_since_ms = self._unsent_since_ms
-            if unsent_since_ms is not None and now_ms - unsent_since_ms >= INSTANCE_CHANGE_DELAY_MS:
+            if unsent_since_ms is not None and now_ms - unsent_since_ms >= self._choose_delay():
                 self._notify_followers()
 
     def list_candidates(self) -> dict[str, str]:
@@ -247,6 +286,11 @@
         if self._unsent_since_ms is None:
             self._unsent_since_ms = self._clock.now_ms()
 
+    def _choose_delay(self) -> float:
+        """Return for how many milliseconds a change of the followers may be delayed."""
+        followers = len(self._roster.by_id)
+        return max(INSTANCE_CHANGE_DELAY_MS, INSTANCE_CHANGE_DELAY_PER_FOLLOWER_MS * followers)
+
     def _list_replicas(self) -> list[str]:
         """Return the last confirmed voting replicas; if there are none, the followers that vote."""
         if self._replicas:
@@ -260,6 +304,8 @@
         self._notified_position = self._directory.position
         self._unsent_since_ms = None
         self._changed.notify_all()
+        for listener in self._listeners:
+            listener()
 
     def _update_live(self, now_ms: float) -> None:
         live = frozenset(
@@ -270,6 +316,9 @@
         if self._live.replace(live, position=self._directory.position + 1):
             self._notify_followers()
 
+    def _encode_reply(self, position: int, *, is_for_hub: bool) -> bytes:
+        return msgspec.msgpack.encode(self._make_reply(position, is_for_hub=is_for_hub))
+
     def _make_reply(self, position: int, *, is_for_hub: bool) -> FollowReply:
         now_ms = self._clock.now_ms()
         upstreams: list[SharedUpstream] = []
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -78,6 +78,7 @@
     boot: int
     position: int
     hold_ms: int
+    takes_packed: bool = False
 
 
 class CrashEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -154,6 +155,7 @@
     """Request to a peer for a manifest newer than ``known_version``."""
 
     known_version: int
+    takes_packed: bool = False
 
 
 class ManifestReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/roles/manifest_sync.py
+++ b/src/coltsfootrill/roles/manifest_sync.py
@@ -108,10 +108,14 @@
         if known_version == 0:
             # The first manifest needs a majority read: a hub that is cut off may have an old one.
             read_reply: ReadReply = client.call(
-                READ, ReadRequest(self._own_id, 0, True), timeout_ms=FETCH_TIMEOUT_MS
+                READ,
+                ReadRequest(self._own_id, 0, True, takes_packed=True),
+                timeout_ms=FETCH_TIMEOUT_MS,
             )
             return read_reply.manifest if read_reply.is_current else b""
         reply: ManifestReply = client.call(
-            FETCH_MANIFEST, ManifestRequest(known_version), timeout_ms=FETCH_TIMEOUT_MS
+            FETCH_MANIFEST,
+            ManifestRequest(known_version, takes_packed=True),
+            timeout_ms=FETCH_TIMEOUT_MS,
         )
         return reply.raw
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -22,6 +22,7 @@
 from coltsfootrill.control.replica import ControlReplica
 from coltsfootrill.control.submission import SubmitAnswer
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.event_loop import get_event_loop
 from coltsfootrill.events.catalog import ManifestSubmitted
 from coltsfootrill.events.log import EventLog
 from coltsfootrill.manifest.codec import InvalidManifestError
@@ -37,6 +38,7 @@
 from coltsfootrill.membership.following import SHARE
 from coltsfootrill.membership.following import HubFollowing
 from coltsfootrill.membership.following import Identity
+from coltsfootrill.membership.held_polls import HeldPolls
 from coltsfootrill.membership.hub import Hub
 from coltsfootrill.membership.messages import AnnounceReply
 from coltsfootrill.membership.messages import FollowReply
@@ -242,10 +244,15 @@
         return raw
 
     def _add_rpc_methods(self) -> None:
-        self._server.add(FOLLOW, self.hub.answer)
+        polls = HeldPolls(self.hub, loop=get_event_loop(), random=self._random)
+        self._server.add_held(FOLLOW, polls.answer)
         self._server.add(ANNOUNCE, self.hub.announce)
         self._server.add(LEAVE, self.hub.deregister)
-        self._server.add(SHARE, self._store_shared)
+        self._server.add(
+            SHARE,
+            self._store_shared,
+            executor=None if self._replica is None else self._replica.vote_executor,
+        )
         self._server.add(SUBMIT, self._submit_locally)
         self._server.add(
             FETCH_MANIFEST,
--- a/src/coltsfootrill/rpc.py
+++ b/src/coltsfootrill/rpc.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import threading
+import zlib
+from collections.abc import Awaitable
 from collections.abc import Callable
 from concurrent.futures import Executor
+from functools import lru_cache
+from functools import partial
 from typing import Any
 from typing import TypeVar
 
@@ -13,6 +17,8 @@
 from absl import logging
 
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.event_loop import get_event_loop
+from coltsfootrill.event_loop import submit
 
 Request = TypeVar("Request")
 Reply = TypeVar("Reply")
@@ -20,6 +26,9 @@
 MESSAGE_MAX_BYTES = 16 * 1024 * 1024
 # Compressing a smaller message takes more time than it saves on a link of low bandwidth.
 COMPRESSED_MIN_BYTES = 1_024
+# Messages are arrays, and no array of MessagePack starts with this byte.
+_PACKED_FIRST_BYTE = 0x78
+PACKED_REPLIES_MAX_COUNT = 16
 CONNECT_TIMEOUT_MS = 300
 # A connection on which nothing arrives for this long is checked with a ping while a call waits, and
 # is lost if a ping is not answered in time.
@@ -57,19 +66,47 @@
 
 
 class Method:
-    """A remote procedure: its path, and decoders for its request and reply."""
+    """A remote procedure: its path, and decoders for its request and reply.
 
-    __slots__ = ("decode_reply", "decode_request", "path")
+    A request with a true field ``takes_packed`` accepts a reply that ``pack_reply`` returned.
+    """
+
+    __slots__ = ("_decode_plain_reply", "decode_request", "path")
 
     def __init__(self, *, service: str, name: str, request: type, reply: type) -> None:
         self.path = f"/coltsfootrill.{service}/{name}"
         self.decode_request: Callable[[bytes], Any] = msgspec.msgpack.Decoder(request).decode
-        self.decode_reply: Callable[[bytes], Any] = msgspec.msgpack.Decoder(reply).decode
+        self._decode_plain_reply: Callable[[bytes], Any] = msgspec.msgpack.Decoder(reply).decode
+
+    def decode_reply(self, raw: bytes) -> Any:
+        """Decode a reply, packed or not; raise ``MsgspecError`` or ``ValueError`` if invalid."""
+        return self._decode_plain_reply(_unpack(raw) if _is_packed(raw) else raw)
+
+
+@lru_cache(maxsize=PACKED_REPLIES_MAX_COUNT)
+def pack_reply(raw: bytes) -> bytes:
+    """Compress a reply that goes to many callers; equal replies are compressed only once."""
+    return raw if len(raw) < COMPRESSED_MIN_BYTES else zlib.compress(raw)
+
+
+def _is_packed(raw: bytes) -> bool:
+    return raw[:1] == bytes([_PACKED_FIRST_BYTE])
+
+
+def _unpack(raw: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        message = decompressor.decompress(raw, MESSAGE_MAX_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"the reply cannot be decompressed: {error}") from error
+    if not decompressor.eof:
+        raise ValueError("the compressed reply is cut off or too large")
+    return message
 
 
 def choose_compression(raw: bytes) -> grpc.Compression:
-    """Return gzip for messages of at least ``COMPRESSED_MIN_BYTES``, no compression for others."""
-    if len(raw) < COMPRESSED_MIN_BYTES:
+    """Return gzip for messages of at least ``COMPRESSED_MIN_BYTES`` that are not packed."""
+    if len(raw) < COMPRESSED_MIN_BYTES or _is_packed(raw):
         return grpc.Compression.NoCompression
     return grpc.Compression.Gzip
 
@@ -181,58 +218,92 @@
 
 
 class RpcServer:
-    """A server of registered methods on one address."""
+    """A server of registered methods on one address.
+
+    ``executor`` runs the methods that have none of their own.
+    """
 
-    __slots__ = ("_counter", "_handlers", "_server", "port")
+    __slots__ = ("_counter", "_executor", "_handlers", "_server", "port")
 
     def __init__(self, executor: Executor, *, counter: ByteCounter | None = None) -> None:
         self._handlers: dict[str, grpc.RpcMethodHandler] = {}
+        self._executor = executor
         self._counter = counter or ByteCounter()
-        self._server = grpc.server(executor, options=_SERVER_OPTIONS)
+        self._server: grpc.aio.Server | None = None
         self.port = 0
 
-    def add(self, method: Method, handle: Callable[[Any], Any]) -> None:
-        """Register ``handle`` for ``method``.
+    def add(
+        self, method: Method, handle: Callable[[Any], Any], *, executor: Executor | None = None
+    ) -> None:
+        """Register ``handle`` for ``method``, to run in a thread of ``executor``.
+
+        A call that its caller has given up before it got a thread is not handled. Errors are
+        returned as by ``add_held``.
+        """
+
+        async def answer(request: Any) -> bytes:
+            return await get_event_loop().run_in_executor(
+                executor or self._executor, partial(_handle, handle, request)
+            )
 
-        A request that cannot be decoded is refused with ``INVALID_ARGUMENT`` and not handled. A
-        ``ColtsfootrillError`` from ``handle`` is returned as ``FAILED_PRECONDITION``.
+        self.add_held(method, answer)
+
+    def add_held(self, method: Method, answer: Callable[[Any], Awaitable[bytes]]) -> None:
+        """Register ``answer`` for ``method``, which waits on the event loop without a thread.
+
+        It returns the encoded reply. A request that cannot be decoded is refused with
+        ``INVALID_ARGUMENT`` and not handled. A ``ColtsfootrillError`` is returned as
+        ``FAILED_PRECONDITION``.
         """
         counter = self._counter
 
-        def serve(raw: bytes, context: grpc.ServicerContext) -> bytes:
+        async def serve(raw: bytes, context: grpc.aio.ServicerContext) -> bytes:
             counter.received += len(raw)
             try:
                 request = method.decode_request(raw)
             except msgspec.MsgspecError as error:
-                context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
             try:
-                raw_reply = msgspec.msgpack.encode(handle(request))
+                raw_reply = await answer(request)
             except ColtsfootrillError as error:
-                context.abort(grpc.StatusCode.FAILED_PRECONDITION, str(error))
+                await context.abort(grpc.StatusCode.FAILED_PRECONDITION, str(error))
             counter.sent += len(raw_reply)
-            context.set_compression(choose_compression(raw_reply))
+            if choose_compression(raw_reply) == grpc.Compression.NoCompression:
+                context.disable_next_message_compression()
             return raw_reply
 
         self._handlers[method.path] = grpc.unary_unary_rpc_method_handler(serve)
 
     def start(self, address: str, credentials: grpc.ServerCredentials | None = None) -> None:
         """Listen on ``address`` (ip:port); raise ``RpcError`` if that fails, as on a used port."""
+        submit(self._start(address, credentials)).result()
+
+    async def _start(self, address: str, credentials: grpc.ServerCredentials | None) -> None:
         handlers = self._handlers
 
         class _MethodLookup(grpc.GenericRpcHandler):  # type: ignore[misc]
             def service(self, details: Any) -> Any:
                 return handlers.get(details.method)
 
-        self._server.add_generic_rpc_handlers((_MethodLookup(),))
+        # A compression that is set for one reply has no effect here.
+        server = grpc.aio.server(options=_SERVER_OPTIONS, compression=grpc.Compression.Gzip)
+        server.add_generic_rpc_handlers((_MethodLookup(),))
         try:
             if credentials is None:
-                self.port = self._server.add_insecure_port(address)
+                self.port = server.add_insecure_port(address)
             else:
-                self.port = self._server.add_secure_port(address, credentials)
+                self.port = server.add_secure_port(address, credentials)
         except RuntimeError as error:
             raise RpcError(f"cannot listen on {address}: {error}") from error
-        self._server.start()
+        await server.start()
+        self._server = server
 
     def stop(self, grace_ms: float) -> None:
         """Stop accepting calls, and wait up to ``grace_ms`` for calls in progress to finish."""
-        self._server.stop(grace_ms / 1000).wait()
+        if self._server is not None:
+            submit(self._server.stop(grace_ms / 1000)).result()
+
+
+def _handle(handle: Callable[[Any], Any], request: Any) -> bytes:
+    raw = msgspec.msgpack.encode(handle(request))
+    return pack_reply(raw) if getattr(request, "takes_packed", False) else raw
--- a/testing/relay.py
+++ b/testing/relay.py
@@ -27,7 +27,8 @@
     ``cut`` discards all data. ``cut_sender`` discards the data of connections on which messages of
     one sender occur, in both directions. Both last until ``heal``. ``cut_existing`` discards the
     data of the connections that are open at the time, as a middlebox that lost its state does.
-    ``close_existing`` closes them. ``accepted_count`` counts connections since the start.
+    ``close_existing`` closes them. ``accepted_count`` counts connections since the start, and
+    ``reply_bytes`` the bytes that the target sent on them.
     """
 
     def __init__(self, target_port: int, *, host: str = "127.0.0.1") -> None:
@@ -41,6 +42,7 @@
         # Weak, so that a connection that has ended does not keep its descriptors.
         self._open: weakref.WeakSet[socket.socket] = weakref.WeakSet()
         self.accepted_count = 0
+        self.reply_bytes = 0
         threading.Thread(target=self._accept, daemon=True).start()
 
     def cut(self) -> None:
@@ -93,6 +95,8 @@
             while data := source.recv(65_536):
                 if is_from_caller:
                     connection.sent = (connection.sent + data)[-SENT_KEPT_BYTES:]
+                else:
+                    self.reply_bytes += len(data)
                 if self._should_forward(connection):
                     sink.sendall(data)
             if self._should_forward(connection):
--- a/testing/test_rpc.py
+++ b/testing/test_rpc.py
@@ -24,6 +24,7 @@
 from coltsfootrill.rpc import RpcClient
 from coltsfootrill.rpc import RpcError
 from coltsfootrill.rpc import RpcServer
+from coltsfootrill.rpc import pack_reply
 from testing.relay import Relay
 
 LONG_TIMEOUT_MS = 20_000.0
@@ -189,3 +190,68 @@
         assert isinstance(poll.exception(), RpcError)
         client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
         assert server.relay.accepted_count == 1
+
+
+class TestCompression:
+    # Guards against bytes between zones: the server ignored the compression set for one reply.
+    def test_a_large_reply_takes_a_fraction_of_its_size_on_the_wire(self) -> None:
+        reply = ManifestReply(7, b"route " * 10_000)
+        server = RpcServer(ThreadPoolExecutor(1))
+        server.add(FETCH_MANIFEST, lambda request: reply)
+        server.start("127.0.0.1:0")
+        relay = Relay(server.port)
+        client = RpcClient(relay.address)
+        assert client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS) == reply
+        client.close()
+        server.stop(grace_ms=0)
+        assert relay.reply_bytes < len(reply.raw) / 10
+
+
+class TestPackedReplies:
+    REPLY = ManifestReply(7, b"route " * 1_000)
+
+    def test_a_packed_reply_is_decoded(self) -> None:
+        packed = pack_reply(msgspec.msgpack.encode(self.REPLY))
+        assert len(packed) < len(self.REPLY.raw)
+        assert FETCH_MANIFEST.decode_reply(packed) == self.REPLY
+
+    def test_a_short_reply_is_not_packed(self) -> None:
+        raw = msgspec.msgpack.encode(ManifestReply(7, b""))
+        assert pack_reply(raw) == raw
+
+    def test_equal_replies_are_packed_once(self) -> None:
+        raws = [msgspec.msgpack.encode(self.REPLY) for _ in range(2)]
+        assert raws[0] is not raws[1]
+        assert pack_reply(raws[0]) is pack_reply(raws[1])
+
+    def test_a_reply_that_was_cut_off_is_an_error(self) -> None:
+        packed = pack_reply(msgspec.msgpack.encode(self.REPLY))
+        with pytest.raises(ValueError, match="cut off"):
+            FETCH_MANIFEST.decode_reply(packed[:-1])
+
+    def test_bytes_that_are_no_packed_reply_are_an_error(self) -> None:
+        with pytest.raises(ValueError, match="decompressed"):
+            FETCH_MANIFEST.decode_reply(b"x" * 100)
+
+
+class TestCallsOfReplicas:
+    # Guards against CONFIG in a large fleet: votes waited behind polls, which held all threads.
+    def test_a_method_with_threads_of_its_own_does_not_wait_for_others(self) -> None:
+        release = threading.Event()
+        server = RpcServer(ThreadPoolExecutor(1))
+        server.add(FOLLOW, lambda request: release.wait())
+        server.add(
+            FETCH_MANIFEST,
+            lambda request: ManifestReply(1, b""),
+            executor=ThreadPoolExecutor(1),
+        )
+        server.start("127.0.0.1:0")
+        client = RpcClient(f"127.0.0.1:{server.port}")
+        with ThreadPoolExecutor(1) as executor:
+            poll = executor.submit(client.call, FOLLOW, POLL, timeout_ms=SHORT_TIMEOUT_MS)
+            reply = client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
+            assert isinstance(poll.exception(), RpcError)
+        assert reply.version == 1
+        release.set()
+        client.close()
+        server.stop(grace_ms=0)
