Share the majority reads of nodes that start at the same time

Cause: a node needs a majority read for its first manifest. A voting node made one for each of them, one after the other, each with a call to every other voter. A node gives up after 1.5 s and asks again, while the abandoned read is still made: beyond some load only abandoned reads are made, and the fleet never comes back.

Change: one read is running and one more is due, which answers all who wait.

Before: 20 reads at the same time cost 20 rounds. After: two, by the test, which fails without the mechanism (mutant).

--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -35,6 +35,7 @@
 from coltsfootrill.control.replacement import ReplacementError
 from coltsfootrill.control.replacement import ReplicaChange
 from coltsfootrill.control.replacement import replace_replica
+from coltsfootrill.control.shared_read import SharedRead
 from coltsfootrill.control.submission import SubmitAnswer
 from coltsfootrill.control.submission import refuse_invalid
 from coltsfootrill.control.submission import submit_manifest
@@ -107,6 +108,7 @@
         self._server.add(ACCEPT, acceptor.accept, executor=self.vote_executor)
         self._server.add(INSPECT, acceptor.inspect, executor=self.vote_executor)
         self._server.add(READ, self.read_for_entry)
+        self._shared_read = SharedRead(self._read_majority)
         self._confirmed_at_ms = float("-inf")
         self._register_lock = threading.Lock()
         self._register = Register(
@@ -235,8 +237,19 @@
         replica = state.replicas.get(self.id)
         return replica is not None and replica.key in ("", self.acceptor.key)
 
+    @property
+    def waiting_reads_count(self) -> int:
+        """Return for how many callers of ``read`` no majority read has begun yet."""
+        return self._shared_read.waiting_count
+
     def read(self) -> ControlState:
-        """Return the state that a majority confirms; raise ``NoQuorumError`` when isolated."""
+        """Return the state that a majority confirms; raise ``NoQuorumError`` when isolated.
+
+        Callers at the same time share one read, which begins after all of them have called.
+        """
+        return self._shared_read.get()
+
+    def _read_majority(self) -> ControlState:
         self._check_admitted()
         with self._register_lock:
             self._restore_replica_set()
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -226,6 +226,20 @@
         "self._server.add(INSPECT, acceptor.inspect)",
         "testing/control/test_replica_calls.py::TestVotes",
     ),
+    Mutant(
+        "reads at the same time share a majority read",
+        "control/replica.py",
+        "        return self._shared_read.get()\n",
+        "        return self._read_majority()\n",
+        "testing/control/test_replica_calls.py::TestReads",
+    ),
+    Mutant(
+        "a shared read begins after all of its callers have called",
+        "control/shared_read.py",
+        "                self._next = None\n",
+        "",
+        "testing/control/test_shared_read.py::TestSharedRead",
+    ),
     Mutant(
         "a hub makes one reply for all followers with the same state",
         "membership/shared_replies.py",
