Merge the upstreams in a reply of another hub as one change

Cause: each upstream of a reply was merged as a change of its own. Each compared all addresses, computed all live upstreams anew and woke all followers, so the work of a voter that starts grew with the square of the upstreams.

Change: one index of addresses and one notification for a reply.

Before: 49 upstreams in a reply are 98 changes; after: two at most, by the test.

--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -4,6 +4,8 @@
 
 import threading
 from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Literal
 
 import msgspec
 
@@ -23,6 +25,8 @@
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import Directory
+from coltsfootrill.registry.directory import MergeResult
+from coltsfootrill.registry.directory import UpstreamRecord
 
 CURRENT_FOR_MS = 2_000.0
 SETTLED_AFTER_MS = 6_000.0
@@ -149,23 +153,29 @@
         """Merge an announcement that was made ``age_ms`` ago."""
         with self._changed:
             now_ms = self._clock.now_ms()
-            if self._is_superseded(announcement):
+            result = self._merge(announcement, age_ms, now_ms, self._directory.by_id.values())
+            if result == "superseded":
                 return
-            result = self._directory.merge(
-                announcement, origin=self._own.id, last_confirmed_ms=now_ms - age_ms, now_ms=now_ms
-            )
-            if result == "changed":
+            if result == "changed" or announcement.id not in self._live.ids:
                 self._update_live(now_ms)
+            if result == "changed":
                 self._notify_followers()
-            elif announcement.id not in self._live.ids:
-                self._update_live(now_ms)
 
     def merge_reply(self, reply: FollowReply) -> None:
-        """Merge the upstreams and renewals in a reply from another hub."""
-        for shared in reply.upstreams:
-            self.merge(shared.announcement, age_ms=shared.age_ms)
+        """Merge the upstreams and renewals in a reply from another hub, as one change."""
         with self._changed:
             now_ms = self._clock.now_ms()
+            records_by_address: dict[str, list[UpstreamRecord]] = {}
+            for record in self._directory.by_id.values():
+                records_by_address.setdefault(record.announcement.address, []).append(record)
+            has_changed = False
+            for shared in reply.upstreams:
+                announcement = shared.announcement
+                others = records_by_address.setdefault(announcement.address, [])
+                result = self._merge(announcement, shared.age_ms, now_ms, others)
+                has_changed |= result == "changed"
+                if result != "superseded":
+                    others.append(self._directory.by_id[announcement.id])
             for renewal in reply.renewals:
                 self._directory.renew(
                     renewal.id,
@@ -174,6 +184,10 @@
                     origin=None,
                     now_ms=now_ms,
                 )
+            if reply.upstreams:
+                self._update_live(now_ms)
+            if has_changed:
+                self._notify_followers()
 
     def answer(self, request: FollowRequest) -> FollowReply:
         """Return the changes for a follower, held until a change or the timeout."""
@@ -247,9 +261,23 @@
                 if follower.is_candidate and not follower.record.is_leaving
             }
 
-    def _is_superseded(self, announcement: Announcement) -> bool:
+    def _merge(
+        self,
+        announcement: Announcement,
+        age_ms: float,
+        now_ms: float,
+        others: Iterable[UpstreamRecord],
+    ) -> MergeResult | Literal["superseded"]:
+        """Merge an announcement; ``others`` has all records at its address, and may have more."""
+        if self._is_superseded(announcement, others):
+            return "superseded"
+        return self._directory.merge(
+            announcement, origin=self._own.id, last_confirmed_ms=now_ms - age_ms, now_ms=now_ms
+        )
+
+    def _is_superseded(self, announcement: Announcement, others: Iterable[UpstreamRecord]) -> bool:
         """Return whether a newer upstream has the address; mark older ones there as leaving."""
-        for record in self._directory.by_id.values():
+        for record in others:
             other = record.announcement
             if other.address != announcement.address or other.id == announcement.id:
                 continue
--- a/testing/membership/test_hub.py
+++ b/testing/membership/test_hub.py
@@ -198,6 +198,31 @@
         pair.follow()
         assert pair.list_usable() == ["u1"]
 
+    # Guards against RECOVER in a large fleet: each upstream of a reply was a change of its own.
+    def test_the_upstreams_in_a_reply_of_another_hub_are_one_change(self) -> None:
+        pair = Pair()
+        for number in range(1, 50):
+            pair.hub.announce(announce(f"u{number}"))
+        other = pair.make_hub(boot=2)
+        changes: list[int] = []
+        other.add_listener(lambda: changes.append(1))
+        other.merge_reply(pair.follow())
+        # One for the upstreams, and one for those that became live with them.
+        assert len(changes) <= 2
+
+    def test_a_newer_upstream_in_a_reply_takes_over_an_address(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce("u1", incarnation=1, address="10.1.0.1:80"))
+        reply = pair.follow()
+        other = pair.make_hub(boot=2)
+        other.record_majority_read(["a"])
+        other.announce(announce("u2", incarnation=2, address="10.1.0.1:80"))
+        other.merge_reply(reply)
+        pair.hub = other
+        pair.view = HubView(clock=pair.clock)
+        pair.follow()
+        assert pair.list_usable() == ["u2"]
+
     def test_a_hub_that_does_not_vote_returns_the_voting_replicas(self) -> None:
         # After a power loss of all processes the seeds may be instances without a disk.
         pair = Pair()
