Give shared announcements threads of their own, and keep the reply pace without a backlog

Found by reading the change again and by running its mutants.

Shared announcements used the threads of votes, and a slow disk of the directory could have held up votes; they have eight of their own. A reply that is made ahead of its turn no longer reserves one: with more than a thousand followers that ask every 250 ms the turns would have run ahead of the clock, and all news would have come at the end of the holds. A test on a clock fails without it.

Two tests of reads were too weak: one passed without its mechanism when the vote came before the read, one hung instead of failing.

--- a/src/coltsfootrill/membership/held_polls.py
+++ b/src/coltsfootrill/membership/held_polls.py
@@ -28,9 +28,15 @@
         self._next_ms = 0.0
 
     def reserve(self, now_ms: float, *, latest_ms: float) -> float:
-        """Return when the next reply may be made, at ``latest_ms`` at the latest; reserve that."""
-        at_ms = max(now_ms + BATCH_MS, min(self._next_ms, latest_ms))
-        self._next_ms = max(self._next_ms, at_ms) + REPLY_INTERVAL_MS
+        """Return when the next reply may be made, and reserve that time.
+
+        A reply whose turn would come after ``latest_ms`` is made then, and has no turn.
+        """
+        earliest_ms = now_ms + BATCH_MS
+        if self._next_ms > latest_ms:
+            return max(earliest_ms, latest_ms)
+        at_ms = max(earliest_ms, self._next_ms)
+        self._next_ms = at_ms + REPLY_INTERVAL_MS
         return at_ms
 
 
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
 import msgspec
@@ -69,6 +70,7 @@
 SILENT_REPLICA_GRACE_MS = 3_000.0
 REPAIR_CHECK_INTERVAL_MS = 1_000.0
 STOP_GRACE_MS = 150.0
+SHARE_THREAD_COUNT = 8
 
 
 class NodeControl:
@@ -248,11 +250,9 @@
         self._server.add_held(FOLLOW, polls.answer)
         self._server.add(ANNOUNCE, self.hub.announce)
         self._server.add(LEAVE, self.hub.deregister)
-        self._server.add(
-            SHARE,
-            self._store_shared,
-            executor=None if self._replica is None else self._replica.vote_executor,
-        )
+        # A hub that acknowledges that an upstream leaves waits for this call at the others.
+        share_executor = ThreadPoolExecutor(SHARE_THREAD_COUNT, thread_name_prefix="share")
+        self._server.add(SHARE, self._store_shared, executor=share_executor)
         self._server.add(SUBMIT, self._submit_locally)
         self._server.add(
             FETCH_MANIFEST,
--- a/testing/control/test_replica_calls.py
+++ b/testing/control/test_replica_calls.py
@@ -24,14 +24,11 @@
 from coltsfootrill.control.replica import ControlReplica
 from coltsfootrill.naming.scheme import NamingScheme
 from coltsfootrill.rpc import RpcClient
-from coltsfootrill.rpc import RpcError
 from coltsfootrill.rpc import RpcServer
 from testing.conftest import EncodeManifest
 from testing.processes import wait_until
 
 ADDRESS = "127.0.11.1:7201"
-# Nobody listens there.
-LOST_ADDRESSES = ("127.0.11.2:7201", "127.0.11.3:7201")
 CALLERS_COUNT = 20
 
 
@@ -49,60 +46,61 @@
         return self._inspect(request)
 
 
-def make_replica(
-    folder: Path, schemes: dict[str, NamingScheme], *, others: tuple[str, ...] = ()
-) -> ControlReplica:
-    """Return a replica with one thread for the calls of entry instances."""
-    replicas = {f"r{number}": address for number, address in enumerate((ADDRESS, *others))}
-    return ControlReplica(
+class BusyReplica:
+    """A replica with one thread for the calls of instances, whose reads wait for ``release``."""
+
+    def __init__(self, replica: ControlReplica) -> None:
+        self.replica = replica
+        self.inspections = CountedInspections(replica.acceptor)
+        replica.acceptor.inspect = self.inspections.inspect  # type: ignore[method-assign]
+
+
+@pytest.fixture
+def busy(
+    tmp_path: Path, schemes: dict[str, NamingScheme], encode_manifest: EncodeManifest
+) -> Iterator[BusyReplica]:
+    """Yield a replica that votes alone, with a manifest of version 7."""
+    replica = ControlReplica(
         "r0",
         address=ADDRESS,
-        replicas=replicas,
-        acceptor=Acceptor.from_folder(folder, files=FileLayer()),
+        replicas={"r0": ADDRESS},
+        acceptor=Acceptor.from_folder(tmp_path, files=FileLayer()),
         schemes=schemes,
         clock=Clock(),
         random=Random(1),
         server=RpcServer(ThreadPoolExecutor(1)),
     )
-
-
-@pytest.fixture
-def isolated(tmp_path: Path, schemes: dict[str, NamingScheme]) -> Iterator[ControlReplica]:
-    """Yield a replica whose peers are lost, so that its reads last until their timeout."""
-    replica = make_replica(tmp_path, schemes, others=LOST_ADDRESSES)
+    replica.submit(encode_manifest(7), operator="o")
     replica.start()
-    yield replica
+    busy = BusyReplica(replica)
+    yield busy
+    busy.inspections.release.set()
     replica.stop()
 
 
 class TestVotes:
     # Guards against CONFIG in a large fleet: votes waited behind the reads of instances.
-    def test_a_vote_does_not_wait_for_the_reads_of_instances(
-        self, isolated: ControlReplica
-    ) -> None:
+    def test_a_vote_does_not_wait_for_the_reads_of_instances(self, busy: BusyReplica) -> None:
         client = RpcClient(ADDRESS)
         with ThreadPoolExecutor(1) as executor:
-            read = executor.submit(
-                client.call, READ, ReadRequest("n1", 0, True), timeout_ms=READ_TIMEOUT_MS / 2
-            )
-            client.call(INSPECT, Inspect("r1", ZERO_BALLOT), timeout_ms=CALL_TIMEOUT_MS)
-            assert isinstance(read.exception(), RpcError)
+            request = ReadRequest("n1", 0, True)
+            read = executor.submit(client.call, READ, request, timeout_ms=READ_TIMEOUT_MS)
+            wait_until(lambda: busy.inspections.count == 1)
+            vote = client.call(INSPECT, Inspect("r1", ZERO_BALLOT), timeout_ms=CALL_TIMEOUT_MS)
+            busy.inspections.release.set()
+            assert (vote.state.version, read.result().version) == (7, 7)
         client.close()
 
 
 class TestReads:
     # Guards against RECOVER in a large fleet: each instance that started had a read of its own.
-    def test_reads_at_the_same_time_cost_two_rounds_at_most(
-        self, tmp_path: Path, schemes: dict[str, NamingScheme], encode_manifest: EncodeManifest
-    ) -> None:
-        replica = make_replica(tmp_path, schemes)
-        replica.submit(encode_manifest(7), operator="o")
-        inspections = CountedInspections(replica.acceptor)
-        replica.acceptor.inspect = inspections.inspect  # type: ignore[method-assign]
-        with ThreadPoolExecutor(CALLERS_COUNT) as executor:
-            request = ReadRequest("n1", 0, True)
-            reads = [executor.submit(replica.read_for_entry, request) for _ in range(CALLERS_COUNT)]
-            wait_until(lambda: replica.waiting_reads_count == CALLERS_COUNT - 1)
-            inspections.release.set()
-            assert {read.result().version for read in reads} == {7}
-        assert inspections.count == 2
+    def test_reads_at_the_same_time_cost_two_rounds_at_most(self, busy: BusyReplica) -> None:
+        executor = ThreadPoolExecutor(CALLERS_COUNT)
+        request = ReadRequest("n1", 0, True)
+        reads = [
+            executor.submit(busy.replica.read_for_entry, request) for _ in range(CALLERS_COUNT)
+        ]
+        wait_until(lambda: busy.replica.waiting_reads_count == CALLERS_COUNT - 1)
+        busy.inspections.release.set()
+        assert {read.result().version for read in reads} == {7}
+        assert busy.inspections.count == 2
--- a/testing/membership/test_held_polls.py
+++ b/testing/membership/test_held_polls.py
@@ -140,6 +140,15 @@
         times_ms = [pace.reserve(0, latest_ms=latest_ms) for _ in range(FLEET_MAX_COUNT)]
         assert max(times_ms) == latest_ms
 
+    def test_replies_that_cannot_wait_for_their_turn_delay_no_others(self) -> None:
+        pace = ReplyPace()
+        for _ in range(FLEET_MAX_COUNT):
+            pace.reserve(0, latest_ms=HOLD_MS)
+        for _ in range(FLEET_MAX_COUNT):
+            pace.reserve(0, latest_ms=HOLD_MS / 10)
+        next_ms = pace.reserve(0, latest_ms=HOLD_MS)
+        assert next_ms == BATCH_MS + REPLY_INTERVAL_MS * FLEET_MAX_COUNT
+
     def test_a_change_after_a_pause_is_told_at_once(self) -> None:
         pace = ReplyPace()
         for _ in range(FOLLOWERS_COUNT):
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -222,7 +222,7 @@
     Mutant(
         "votes do not wait for the reads of instances",
         "control/replica.py",
-        "self._server.add(INSPECT, acceptor.inspect, executor=self.vote_executor)",
+        "self._server.add(INSPECT, acceptor.inspect, executor=vote_executor)",
         "self._server.add(INSPECT, acceptor.inspect)",
         "testing/control/test_replica_calls.py::TestVotes",
     ),
@@ -257,8 +257,8 @@
     Mutant(
         "replies to followers leave time for other calls",
         "membership/held_polls.py",
-        "max(self._next_ms, at_ms) + REPLY_INTERVAL_MS",
-        "at_ms",
+        "self._next_ms = at_ms + REPLY_INTERVAL_MS",
+        "self._next_ms = at_ms",
         "testing/membership/test_held_polls.py::TestReplyPace",
     ),
     Mutant(
