Read the change again: one check for packed replies, one name, no index for nothing

Whether a reply is packed was decided in two places; one function decides it now. A second class `HubState` stood beside the one of the view; it is `UrgentState`. The index of addresses was built for each reply of another hub, most of which hold renewals only; it is built for replies with upstreams. The field `takes_packed` is explained where it stands.

Behaviour and tests are unchanged.

--- a/src/coltsfootrill/control/messages.py
+++ b/src/coltsfootrill/control/messages.py
@@ -153,6 +153,7 @@
     """A request of an entry instance for a manifest newer than ``known_version``.
 
     ``must_be_fresh`` requires a majority read that starts after the request arrived.
+    ``takes_packed`` means that the reply may be packed.
     """
 
     instance_id: str
--- a/src/coltsfootrill/membership/held_polls.py
+++ b/src/coltsfootrill/membership/held_polls.py
@@ -9,7 +9,7 @@
 from coltsfootrill.membership.hub import Hub
 from coltsfootrill.membership.hub import limit_hold_ms
 from coltsfootrill.membership.messages import FollowRequest
-from coltsfootrill.rpc import pack_reply
+from coltsfootrill.rpc import pack_if_taken
 
 MS_PER_SECOND = 1_000.0
 # Bounds the replies to followers in a second, however many follow. Between two replies the event
@@ -69,7 +69,7 @@
         if self._hub.has_changes(position):
             await self._wait_for_turn(request, end_ms)
         raw = self._hub.encode_reply(position, is_for_hub=request.is_hub)
-        return pack_reply(raw) if request.takes_packed else raw
+        return pack_if_taken(request, raw)
 
     async def _wait(self, end_ms: float) -> None:
         """Wait for a change, until ``end_ms`` at most."""
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -20,8 +20,8 @@
 from coltsfootrill.membership.messages import SharedUpstream
 from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.roster import Roster
-from coltsfootrill.membership.shared_replies import HubState
 from coltsfootrill.membership.shared_replies import SharedReplies
+from coltsfootrill.membership.shared_replies import UrgentState
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import Directory
@@ -165,17 +165,7 @@
         """Merge the upstreams and renewals in a reply from another hub, as one change."""
         with self._changed:
             now_ms = self._clock.now_ms()
-            records_by_address: dict[str, list[UpstreamRecord]] = {}
-            for record in self._directory.by_id.values():
-                records_by_address.setdefault(record.announcement.address, []).append(record)
-            has_changed = False
-            for shared in reply.upstreams:
-                announcement = shared.announcement
-                others = records_by_address.setdefault(announcement.address, [])
-                result = self._merge(announcement, shared.age_ms, now_ms, others)
-                has_changed |= result == "changed"
-                if result != "superseded":
-                    others.append(self._directory.by_id[announcement.id])
+            has_changed = bool(reply.upstreams) and self._merge_all(reply.upstreams, now_ms)
             for renewal in reply.renewals:
                 self._directory.renew(
                     renewal.id,
@@ -194,7 +184,7 @@
         position = self.begin_poll(request)
         end_ms = self._clock.now_ms() + limit_hold_ms(request)
         with self._changed:
-            while self._notified_position <= position:
+            while not self.has_changes(position):
                 left_ms = end_ms - self._clock.now_ms()
                 if left_ms <= 0 or not self._changed.wait(left_ms / 1000):
                     break
@@ -227,7 +217,7 @@
         with self._changed:
             if is_for_hub:
                 return self._encode_reply(position, is_for_hub=True)
-            state = HubState(
+            state = UrgentState(
                 notified_position=self._notified_position,
                 is_current=self.is_current(),
                 manifest_version=self._get_manifest_version(),
@@ -261,6 +251,21 @@
                 if follower.is_candidate and not follower.record.is_leaving
             }
 
+    def _merge_all(self, upstreams: list[SharedUpstream], now_ms: float) -> bool:
+        """Merge the upstreams of another hub; return whether one of them is a change."""
+        records_by_address: dict[str, list[UpstreamRecord]] = {}
+        for record in self._directory.by_id.values():
+            records_by_address.setdefault(record.announcement.address, []).append(record)
+        has_changed = False
+        for shared in upstreams:
+            announcement = shared.announcement
+            others = records_by_address.setdefault(announcement.address, [])
+            result = self._merge(announcement, shared.age_ms, now_ms, others)
+            has_changed |= result == "changed"
+            if result != "superseded":
+                others.append(self._directory.by_id[announcement.id])
+        return has_changed
+
     def _merge(
         self,
         announcement: Announcement,
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -69,7 +69,7 @@
     """Long poll for the changes of a hub after ``position`` in its boot ``boot``.
 
     ``is_candidate`` means that the sender has a disk and could vote. ``is_hub`` means that it
-    votes, and therefore needs renewals too.
+    votes, and therefore needs renewals too. ``takes_packed`` means that the reply may be packed.
     """
 
     sender: InstanceRecord
@@ -152,7 +152,10 @@
 
 
 class ManifestRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Request to a peer for a manifest newer than ``known_version``."""
+    """Request to a peer for a manifest newer than ``known_version``.
+
+    ``takes_packed`` means that the reply may be packed.
+    """
 
     known_version: int
     takes_packed: bool = False
--- a/src/coltsfootrill/membership/shared_replies.py
+++ b/src/coltsfootrill/membership/shared_replies.py
@@ -8,7 +8,7 @@
 SHARED_REPLY_MS = 200.0
 
 
-class HubState:
+class UrgentState:
     """What a reply must not be older than: any change of these is urgent."""
 
     __slots__ = ("is_current", "manifest_version", "notified_position")
@@ -18,7 +18,7 @@
         self.is_current = is_current
         self.manifest_version = manifest_version
 
-    def is_same(self, other: HubState) -> bool:
+    def is_same(self, other: UrgentState) -> bool:
         """Return whether nothing urgent has changed between the two states."""
         return (
             self.notified_position == other.notified_position
@@ -32,7 +32,7 @@
 
     __slots__ = ("made_ms", "raw", "state")
 
-    def __init__(self, raw: bytes, *, state: HubState, made_ms: float) -> None:
+    def __init__(self, raw: bytes, *, state: UrgentState, made_ms: float) -> None:
         self.raw = raw
         self.state = state
         self.made_ms = made_ms
@@ -47,7 +47,7 @@
         self._reply_by_position: dict[int, _Reply] = {}
 
     def get(
-        self, position: int, state: HubState, *, now_ms: float, make: Callable[[], bytes]
+        self, position: int, state: UrgentState, *, now_ms: float, make: Callable[[], bytes]
     ) -> bytes:
         """Return the reply for ``position``; ``make`` makes it if there is none for ``state``."""
         reply = self._reply_by_position.get(position)
--- a/src/coltsfootrill/rpc.py
+++ b/src/coltsfootrill/rpc.py
@@ -89,6 +89,11 @@
     return raw if len(raw) < COMPRESSED_MIN_BYTES else zlib.compress(raw)
 
 
+def pack_if_taken(request: Any, raw: bytes) -> bytes:
+    """Return ``raw`` packed, or as it is if the sender of ``request`` does not take it packed."""
+    return pack_reply(raw) if getattr(request, "takes_packed", False) else raw
+
+
 def _is_packed(raw: bytes) -> bool:
     return raw[:1] == bytes([_PACKED_FIRST_BYTE])
 
@@ -306,4 +311,4 @@
 
 def _handle(handle: Callable[[Any], Any], request: Any) -> bytes:
     raw = msgspec.msgpack.encode(handle(request))
-    return pack_reply(raw) if getattr(request, "takes_packed", False) else raw
+    return pack_if_taken(request, raw)
