Soak: judge callers' requests by the manifests in force, cut links between nodes, lose majorities, join nodes

Ruled out: a rig of its own, which would repeat the fleet, the callers and the checks. Change: each change adds a route and drops an old one, and a prober for each node judges what callers get while the node is in touch; a proxy for each pair of nodes (slow, silent, one-way, reset, or forgetting its open connections); faults that take the majority away, also one right after an acknowledgement that a second voter missed; nodes that join and restart with any nodes as seeds; an operator that goes to another node after a second; invalid manifests; and nodes that have a fault on purpose.

--- a/testing/nodes.py
+++ b/testing/nodes.py
@@ -8,17 +8,21 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 PORTS = ("fleet", "interface", "ready", "callers", "metrics")
+CALL_TIMEOUT_S = 8.0
+PROGRAM = ("-m", "coltsfootrill", "node", "--settings")
 
 
 class Node:
     """A node process with its own loopback address, because all nodes use the same ports.
 
     Nodes 1 to 3 have a disk, so they vote; later ones have none unless ``has_disk`` is set.
-    ``settings`` is added to the settings file.
+    ``settings`` is added to the settings file. ``program`` are the arguments of the interpreter
+    that run a node with the settings file named after them.
     """
 
     def __init__(
@@ -31,7 +35,9 @@
         network: str = "127.0.2",
         has_disk: bool = False,
         settings: str = "",
+        program: Sequence[str] = PROGRAM,
     ) -> None:
+        self._program = program
         self.host = f"{network}.{number}"
         self.ports = ports
         self.data = folder / f"data-{number}"
@@ -48,7 +54,7 @@
     ) -> None:
         """Start the process; ``log`` is a descriptor for its output, by default a file."""
         path = self.write_settings(is_first_start=is_first_start, seeds=seeds)
-        arguments = [sys.executable, "-m", "coltsfootrill", "node", "--settings", str(path)]
+        arguments = [sys.executable, *self._program, str(path)]
         with open(self._log, "ab") as file:
             output = file.fileno() if log is None else log
             self.process = subprocess.Popen(arguments, stdout=output, stderr=output)
@@ -89,9 +95,16 @@
         return self._log.read_text()
 
     def call(
-        self, port: str, method: str, path: str, body: bytes = b"", **headers: str
+        self,
+        port: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+        **headers: str,
     ) -> tuple[int, bytes]:
-        connection = http.client.HTTPConnection(self.host, self.ports[port], timeout=8)
+        connection = http.client.HTTPConnection(self.host, self.ports[port], timeout=timeout_s)
         http_headers = {name.replace("_", "-"): value for name, value in headers.items()}
         try:
             connection.request(method, path, body=body or None, headers=http_headers)
@@ -102,12 +115,13 @@
         finally:
             connection.close()
 
-    def submit(self, raw: bytes, base_version: int) -> int:
+    def submit(self, raw: bytes, base_version: int, *, timeout_s: float = CALL_TIMEOUT_S) -> int:
         path = "/Configuration.Replace"
-        return self.call("interface", "POST", path, raw, X_Base_Version=f"{base_version:08x}")[0]
+        headers = {"X_Base_Version": f"{base_version:08x}"}
+        return self.call("interface", "POST", path, raw, timeout_s=timeout_s, **headers)[0]
 
-    def read(self) -> tuple[int, bytes]:
-        return self.call("interface", "GET", "/Configuration.Read")
+    def read(self, *, timeout_s: float = CALL_TIMEOUT_S) -> tuple[int, bytes]:
+        return self.call("interface", "GET", "/Configuration.Read", timeout_s=timeout_s)
 
     def has_no_failed_task(self) -> bool:
         """Return whether the log of the process reports no failed task."""
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -1,4 +1,7 @@
-"""Command line of the soak: ``python -m testing.soak SECONDS FIRST_SEED [COUNT] [NODES]``."""
+"""Command line of the soak: ``python -m testing.soak SECONDS FIRST_SEED [COUNT] [NODES] [FAULT]``.
+
+FAULT is put into all nodes on purpose, see ``linked_node``.
+"""
 
 from __future__ import annotations
 
@@ -18,16 +21,21 @@
     first_seed = int(sys.argv[2])
     count = int(sys.argv[3]) if len(sys.argv) > 3 else 1
     nodes = int(sys.argv[4]) if len(sys.argv) > 4 else 5
+    node_fault = sys.argv[5] if len(sys.argv) > 5 else ""
     violated_seeds = 0
     for seed in range(first_seed, first_seed + count):
         is_planned_only = seed % PLANNED_ONLY_SEED_INTERVAL == 0
         with tempfile.TemporaryDirectory() as name:
-            soak = Soak(Path(name), seed, nodes=nodes, is_planned_only=is_planned_only)
+            soak = Soak(
+                Path(name), seed, nodes=nodes, is_planned_only=is_planned_only, fault=node_fault
+            )
             violations = soak.run(duration_s)
             counts = " ".join(
                 f"{key}={value}" for key, value in soak.history.count_outcomes().items()
             )
-            print(f"seed {seed}: {len(soak.history.faults)} faults, {counts}", flush=True)
+            faults_count = len(soak.history.faults)
+            changes = f"{soak.judge.acknowledged_count} changes, {soak.judge.judged_count} judged"
+            print(f"seed {seed}: {faults_count} faults, {changes}, {counts}", flush=True)
             for violation in violations:
                 print(f"  VIOLATED {violation}", flush=True)
             if violations:
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -16,6 +16,8 @@
 from testing.soak.history import History
 from testing.soak.history import Reply
 from testing.soak.history import now_ms
+from testing.soak.judge import ManifestJudge
+from testing.soak.judge import list_routes
 from testing.soak.proxy import LINGER_RESET
 from testing.soak.proxy import FaultProxy
 
@@ -27,6 +29,9 @@
 PIPELINED_MIN_COUNT = 4
 PIPELINED_MAX_COUNT = 8
 RECEIVE_TIMEOUT_S = 4.0
+FIRST_TRIES_COUNT = 40
+# An operator calls another node when one has not answered for so long.
+OPERATOR_TIMEOUT_S = 1.0
 ROUTES = [
     route(),
     route(name="r-2", pathPrefix="/y/", kind="safe", service="stock", timeoutMs=900),
@@ -148,11 +153,17 @@
 
 
 class Operator:
-    """Submits manifests to random nodes and reads them back from random nodes."""
+    """Submits manifests to random nodes and reads them back from random nodes.
 
-    def __init__(self, nodes: list[Node], history: History, random: Random) -> None:
+    ``judge`` hears which changes were acknowledged. An invalid manifest must be refused.
+    """
+
+    def __init__(
+        self, nodes: list[Node], history: History, judge: ManifestJudge, random: Random
+    ) -> None:
         self._nodes = nodes
         self._history = history
+        self._judge = judge
         self._random = random
         self.version = 0
         self._stopped = threading.Event()
@@ -161,7 +172,7 @@
     def submit_first(self, timeout_s: float) -> None:
         """Submit manifests until one is accepted; raise ``TimeoutError`` after the timeout."""
         end_s = time.monotonic() + timeout_s
-        while not self._submit_change():
+        while not self._submit_change(FIRST_TRIES_COUNT):
             if time.monotonic() > end_s:
                 raise TimeoutError(f"the first manifest was not accepted within {timeout_s} s")
             time.sleep(0.1)
@@ -184,25 +195,44 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(self._random.uniform(0.1, 0.6)):
-            if self._random.random() < 0.4:
+            choice = self._random.random()
+            if choice < 0.4:
                 self._submit_change()
+            elif choice < 0.45:
+                self._submit_invalid()
             else:
                 self.read(self._random.choice(self._nodes))
 
-    def _submit_change(self) -> bool:
-        """Submit a new version until the result is definite; return whether it was accepted."""
+    def _submit_invalid(self) -> None:
+        version = self.version + 1
+        raw = encode_state(*ROUTES, route(service="none"), version=f"{version:08x}")
+        if self._random.choice(self._nodes).submit(raw, self.version) == 200:
+            self._history.add_violation(f"version {version} is invalid but was accepted")
+
+    def _submit_change(self, tries_count: int | None = None) -> bool:
+        """Submit a new version until the result is definite; return whether it was accepted.
+
+        With ``tries_count`` it is given up after so many tries without a definite result.
+        """
         base = self.version
         version = base + self._random.randint(1, 3)
+        change = self._judge.acknowledged_count + 1
         first = route(
             timeoutMs=self._random.choice([900, 1000, 1100]),
             maxAttempts=self._random.choice([2, 3]),
         )
-        raw = encode_state(first, *ROUTES[1:], version=f"{version:08x}")
-        for _ in range(40):
-            status = self._random.choice(self._nodes).submit(raw, base)
+        added = [
+            route(name=f"n-{number}", pathPrefix=f"/n{number}/", kind="safe", service="stock")
+            for number in list_routes(change)
+        ]
+        raw = encode_state(first, *ROUTES[1:], *added, version=f"{version:08x}")
+        for _ in itertools.count() if tries_count is None else range(tries_count):
+            node = self._random.choice(self._nodes)
+            status = node.submit(raw, base, timeout_s=OPERATOR_TIMEOUT_S)
             if status == 200:
                 self.version = version
                 self._history.record_acknowledged(version, raw)
+                self._judge.record_acknowledged(change)
                 return True
             if status in (400, 409, 412, 413, 422):
                 self._history.add_violation(
--- /dev/null
+++ b/testing/soak/linked_node.py
@@ -0,0 +1,60 @@
+"""A node whose calls to other nodes pass the proxies of its links, and that may have a fault.
+
+Usage: ``linked_node.py LINKS FAULT SETTINGS``. LINKS is a file that ``NodeLinks`` wrote. FAULT is
+empty, or the name of a fault that is put in on purpose: a soak of such nodes must fail.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import grpc
+
+from coltsfootrill.membership.held_polls import HeldPolls
+from coltsfootrill.roles.manifest_sync import ManifestSync
+from coltsfootrill.start import main
+
+FETCHED_LATE_S = 3.0
+
+
+def _wake_nobody() -> None:
+    HeldPolls._request_wake = lambda self: None  # type: ignore[method-assign]
+
+
+def _fetch_late() -> None:
+    fetch = ManifestSync.fetch_if_newer
+
+    def fetch_late(self: ManifestSync, *arguments: Any) -> None:
+        time.sleep(FETCHED_LATE_S)
+        fetch(self, *arguments)
+
+    ManifestSync.fetch_if_newer = fetch_late  # type: ignore[method-assign]
+
+
+FAULT_BY_NAME: dict[str, Callable[[], None]] = {
+    "wakes-nobody": _wake_nobody,
+    "fetches-late": _fetch_late,
+}
+
+
+def use_links(path: Path) -> None:
+    """Open channels to the proxies of the links in place of the addresses that they stand for."""
+    proxy_by_address = json.loads(path.read_text())
+    open_channel = grpc.insecure_channel
+    grpc.insecure_channel = lambda address, **options: open_channel(
+        proxy_by_address.get(address, address), **options
+    )
+
+
+if __name__ == "__main__":
+    links, fault, settings = sys.argv[1:]
+    use_links(Path(links))
+    if fault:
+        FAULT_BY_NAME[fault]()
+    sys.argv[1:] = ["node", "--settings", settings]
+    main()
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -18,6 +18,7 @@
     """Forwards connections from a port of its own to ``target``, with the fault set by ``mode``.
 
     ``silent`` drops all data without closing the connection, ``one-way`` only the replies.
+    Connections that lost data stay silent for good.
     """
 
     def __init__(self, target: tuple[str, int], *, host: str = "127.0.0.1") -> None:
@@ -27,6 +28,7 @@
         self.mode: Mode = "pass"
         self._lock = threading.Lock()
         self._open_sockets: set[socket.socket] = set()
+        self._silent_before_s = 0.0
         threading.Thread(target=self._accept, daemon=True).start()
 
     def reset_all(self) -> None:
@@ -36,7 +38,13 @@
         for sock in sockets:
             _reset(sock)
 
+    def forget_all(self) -> None:
+        """Let all open connections go silent for good, as when a middlebox loses its state."""
+        self._silent_before_s = time.monotonic()
+
     def close(self) -> None:
+        # A close alone does not end the wait for the next connection.
+        self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         self.reset_all()
 
@@ -57,20 +65,24 @@
         target.settimeout(None)
         with self._lock:
             self._open_sockets |= {caller, target}
+        opened_s = time.monotonic()
         for source, sink, is_reply in ((caller, target, False), (target, caller, True)):
             threading.Thread(
-                target=self._forward, args=(source, sink, is_reply), daemon=True
+                target=self._forward, args=(source, sink, is_reply, opened_s), daemon=True
             ).start()
 
-    def _forward(self, source: socket.socket, sink: socket.socket, is_reply: bool) -> None:
+    def _forward(
+        self, source: socket.socket, sink: socket.socket, is_reply: bool, opened_s: float
+    ) -> None:
         try:
             while data := source.recv(65_536):
-                if not self._apply_mode(is_reply):
+                if opened_s < self._silent_before_s or not self._apply_mode(is_reply):
                     # Dropped bytes leave a gap, so this direction must not forward again.
                     self._read_and_discard(source)
                     return
                 sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
+            if opened_s >= self._silent_before_s:
+                sink.shutdown(socket.SHUT_WR)
         except OSError:
             for sock in (source, sink):
                 _reset(sock)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -20,6 +20,12 @@
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
 from testing.soak.history import History
 from testing.soak.history import Reply
+from testing.soak.judge import Disturbance
+from testing.soak.judge import ManifestJudge
+from testing.soak.judge import Prober
+from testing.soak.links import LINK_FAULTS
+from testing.soak.links import LinkFault
+from testing.soak.links import NodeLinks
 from testing.soak.proxy import FaultProxy
 from testing.soak.upstreams import Behaviour
 from testing.soak.upstreams import SoakUpstream
@@ -48,6 +54,12 @@
 SAME_ID_SHARE = 0.25
 CRASH_SHARE = 0.3
 RESTARTS_MAX_COUNT = 5
+LINKED_NODE = Path(__file__).with_name("linked_node.py")
+JOINS_MAX_COUNT = 2
+SEEDS_COUNT = 3
+# So long no further fault disturbs the voters: nodes are in touch again meanwhile.
+VOTERS_CALM_MIN_S = 1.5
+VOTERS_CALM_MAX_S = 6.0
 CALLERS_COUNT = 8
 LEAVING_CALLERS_COUNT = 2
 START_TIMEOUT_S = 30.0
@@ -61,29 +73,36 @@
 
     With ``is_planned_only`` it only stops nodes gracefully and replaces upstreams. Otherwise
     upstreams restart at their addresses too, some other kinds of faults are chosen, and callers
-    leave before their requests are answered.
+    leave before their requests are answered. ``fault`` names one that all nodes have on purpose,
+    see ``linked_node``; then nothing else fails.
     """
 
     def __init__(
-        self, folder: Path, seed: int, *, nodes: int = 5, is_planned_only: bool = False
+        self,
+        folder: Path,
+        seed: int,
+        *,
+        nodes: int = 5,
+        is_planned_only: bool = False,
+        fault: str = "",
     ) -> None:
         self._random = Random(seed)
         self._is_planned_only = is_planned_only
+        self._fault = fault
+        self._folder = folder
         self.history = History()
-        ports = find_free_ports(NETWORK)
-        seeds = [
-            f"{NETWORK}.{number}:{ports['interface']}" for number in range(1, VOTERS_COUNT + 1)
-        ]
-        self._nodes = [
-            Node(number, folder, ports, seeds, network=NETWORK, settings=NODE_SETTINGS)
-            for number in range(1, nodes + 1)
-        ]
-        self._proxies = {
-            node.host: FaultProxy((node.host, ports["callers"])) for node in self._nodes
-        }
+        self._ports = find_free_ports(NETWORK)
+        hosts = [f"{NETWORK}.{number}" for number in range(1, nodes + JOINS_MAX_COUNT + 1)]
+        self._links = NodeLinks(hosts, self._ports["fleet"])
+        self._voters = hosts[:VOTERS_COUNT]
+        self.judge = ManifestJudge(self.history, self._voters)
+        self._nodes = [self._make_node(number) for number in range(1, nodes + 1)]
+        self._nodes_max_count = len(hosts)
+        self._proxies = {node.host: self._make_proxy(node) for node in self._nodes}
+        self._probers = [self._make_prober(node) for node in self._nodes]
         self._upstreams: list[SoakUpstream] = []
         self._upstream_numbers = itertools.count(1)
-        self._operator = Operator(self._nodes, self.history, self._derive_random())
+        self._operator = Operator(self._nodes, self.history, self.judge, self._derive_random())
         self._callers = [
             Caller(self._proxies, self.history, self._derive_random()) for _ in range(CALLERS_COUNT)
         ]
@@ -92,7 +111,7 @@
                 LeavingCaller(self._proxies, self.history, self._derive_random())
                 for _ in range(LEAVING_CALLERS_COUNT)
             ]
-        # At most one voter has a fault at a time, so that the others keep a majority.
+        # Faults of voters and their links don't overlap, but one may take the majority away.
         self._voter_lock = threading.Lock()
         self._faulted_hosts: set[str] = set()
         self._threads: list[threading.Thread] = []
@@ -107,11 +126,41 @@
                 time.sleep(self._random.uniform(0.1, 0.9))
                 self._random.choice(faults)()
             self._end_faults_and_check()
+        except TimeoutError as error:
+            self.history.add_violation(str(error))
         finally:
             self._close()
         self.history.check_final(is_planned_only=self._is_planned_only)
         return self.history.violations
 
+    def _make_node(self, number: int) -> Node:
+        """Return a node whose seeds, unless it is started with others, are the first voters."""
+        host = f"{NETWORK}.{number}"
+        links = self._folder / f"links-{number}.json"
+        self._links.write(host, links)
+        seeds = [f"{voter}:{self._ports['interface']}" for voter in self._voters]
+        program = ("-P", str(LINKED_NODE), str(links), self._fault)
+        return Node(
+            number,
+            self._folder,
+            self._ports,
+            seeds,
+            network=NETWORK,
+            settings=NODE_SETTINGS,
+            program=program,
+        )
+
+    def _make_proxy(self, node: Node) -> FaultProxy:
+        return FaultProxy((node.host, self._ports["callers"]))
+
+    def _make_prober(self, node: Node) -> Prober:
+        return Prober(node, self.judge, self.history, self._derive_random())
+
+    def _choose_seeds(self) -> list[str]:
+        """Return seeds as a list of all nodes may name them: most do not vote."""
+        nodes = self._random.sample(self._nodes, SEEDS_COUNT)
+        return [f"{node.host}:{self._ports['interface']}" for node in nodes]
+
     def _start(self) -> None:
         for node in self._nodes:
             node.start(is_first_start=True)
@@ -121,8 +170,8 @@
                 self._add_upstream(service)
         self._wait_until_serving()
         self._operator.start()
-        for caller in self._callers:
-            caller.start()
+        for client in [*self._callers, *self._probers]:
+            client.start()
 
     def _end_faults_and_check(self) -> None:
         """End all faults, then check that all nodes serve requests and return the manifest."""
@@ -133,10 +182,9 @@
         for upstream in self._upstreams:
             upstream.behaviour = "good"
         self._operator.stop()
-        try:
-            self._wait_until_serving()
-        except TimeoutError as error:
-            self.history.add_violation(str(error))
+        for prober in self._probers:
+            prober.stop()
+        self._wait_until_serving()
         for caller in self._callers:
             caller.stop()
         self._check_manifest_at_all_nodes()
@@ -208,6 +256,7 @@
                 node.end()
         for proxy in self._proxies.values():
             proxy.close()
+        self._links.close()
 
     def _add_upstream(self, service: str) -> None:
         name = self._make_upstream_id(service)
@@ -224,6 +273,8 @@
         Half of the runs have all unplanned ones, the others some, because some hide the effects of
         others: after a lost answer, a node reuses no connection for orders for a while.
         """
+        if self._fault:
+            return [self._replace_upstream]
         planned: list[Callable[[], None]] = [self._stop_node, self._replace_upstream]
         if self._is_planned_only:
             return planned
@@ -231,6 +282,11 @@
             self._kill_node,
             self._freeze_node,
             self._lose_voter_disk,
+            self._lose_majority,
+            self._stop_voter_after_acknowledgement,
+            self._disturb_node_links,
+            self._disturb_voter_links,
+            self._join_node,
             self._disturb_caller_link,
             self._disturb_upstream_link,
             self._change_upstream_behaviour,
@@ -265,15 +321,115 @@
     def _freeze_node(self) -> None:
         node = self._random.choice(self._nodes)
         pause_s = self._random.uniform(0.3, 4.0)
+        self._inject_node_fault(
+            node,
+            f"frozen {pause_s:.1f} s",
+            lambda: self._suspend([node], pause_s),
+            restarts=False,
+        )
 
-        def suspend() -> None:
-            freeze = self.history.record_freeze(node.host)
+    def _suspend(self, nodes: list[Node], pause_s: float) -> None:
+        freezes = [self.history.record_freeze(node.host) for node in nodes]
+        for node in nodes:
             node.send_signal(signal.SIGSTOP)
-            time.sleep(pause_s)
+        time.sleep(pause_s)
+        for node in nodes:
             node.send_signal(signal.SIGCONT)
+        for freeze in freezes:
             freeze.end()
 
-        self._inject_node_fault(node, f"frozen {pause_s:.1f} s", suspend, restarts=False)
+    def _lose_majority(self) -> None:
+        """Suspend two voters or all, or kill and restart them."""
+        count = self._random.randint(VOTERS_COUNT // 2 + 1, VOTERS_COUNT)
+        voters = self._random.sample(self._nodes[:VOTERS_COUNT], count)
+        pause_s = self._random.uniform(0.2, 3.0)
+        is_killed = self._random.random() < 0.5
+        seeds = [self._choose_seeds() for _ in voters]
+
+        def lose() -> None:
+            if not is_killed:
+                self._suspend(voters, pause_s)
+                return
+            for voter in voters:
+                voter.end(signal.SIGKILL)
+            time.sleep(pause_s)
+            for voter, voter_seeds in zip(voters, seeds, strict=True):
+                voter.start(is_first_start=False, seeds=voter_seeds)
+
+        kind = "killed" if is_killed else "frozen"
+        description = f"{count} voters {kind} {pause_s:.1f} s"
+        hosts = [voter.host for voter in voters]
+        self._inject_voter_fault(description, hosts, lambda disturbance: lose())
+
+    def _stop_voter_after_acknowledgement(self) -> None:
+        """Suspend a voter as a change is acknowledged that another one, suspended, has missed."""
+        missing, stopped = self._random.sample(self._nodes[:VOTERS_COUNT], 2)
+        pause_s = self._random.uniform(0.3, 3.0)
+        stopped_s = self._random.uniform(4.0, 6.0)
+
+        def stop(disturbance: Disturbance) -> None:
+            missing.send_signal(signal.SIGSTOP)
+            time.sleep(pause_s)
+            count = self.judge.acknowledged_count
+            end_s = time.monotonic() + pause_s
+            while self.judge.acknowledged_count == count and time.monotonic() < end_s:
+                time.sleep(0.001)
+            stopped.send_signal(signal.SIGSTOP)
+            missing.send_signal(signal.SIGCONT)
+            # The other two voters run, so nodes must hear of the change while one is suspended.
+            disturbance.end()
+            time.sleep(stopped_s)
+            stopped.send_signal(signal.SIGCONT)
+
+        self._inject_voter_fault(
+            f"{stopped.host} frozen after a change that {missing.host} missed",
+            [missing.host, stopped.host],
+            stop,
+        )
+
+    def _disturb_node_links(self) -> None:
+        """Disturb the links of one node without a vote, or some of them."""
+        node = self._random.choice(self._nodes[VOTERS_COUNT:])
+        others = [other.host for other in self._nodes if other is not node]
+        some = self._random.sample(others, self._random.randint(1, len(others)))
+        pairs = self._links.list_between([node.host], some)
+        fault, pause_s = self._choose_link_fault()
+        self.history.record_fault(
+            f"links of {node.host} to {len(some)} nodes: {fault} {pause_s:.1f} s"
+        )
+        disturbance = self.judge.disturb([node.host])
+        end_excuse = self._excuse_late_departures([node])
+
+        def run() -> None:
+            self._links.disturb(pairs, fault, pause_s)
+            disturbance.end()
+            end_excuse()
+
+        self._start_thread(run)
+
+    def _disturb_voter_links(self) -> None:
+        """Disturb the links of one voter, those between two voters, or those between all nodes."""
+        hosts = [node.host for node in self._nodes]
+        first, second = self._random.sample(self._voters, 2)
+        description, some, others = self._random.choice(
+            [
+                (first, [first], hosts),
+                (f"{first} and {second}", [first], [second]),
+                ("voters", self._voters, self._voters),
+                ("all nodes", hosts, hosts),
+            ]
+        )
+        pairs = self._links.list_between(some, others)
+        fault, pause_s = self._choose_link_fault()
+        self._inject_voter_fault(
+            f"links of {description}: {fault} {pause_s:.1f} s",
+            self._voters,
+            lambda disturbance: self._links.disturb(pairs, fault, pause_s),
+        )
+
+    def _choose_link_fault(self) -> tuple[LinkFault, float]:
+        """Return a fault of links, and for how many seconds."""
+        return self._random.choice(LINK_FAULTS), self._random.uniform(0.3, 5.0)
 
     def _inject_node_fault(
         self,
@@ -297,13 +453,18 @@
         self._faulted_hosts.add(node.host)
         self.history.record_fault(f"{node.host} {description}")
         pause_s = self._random.uniform(0.0, 1.5)
+        seeds = self._choose_seeds()
+        disturbance = self.judge.disturb([node.host])
+        if is_voter:
+            settle_s = max(settle_s, self._choose_calm_s())
 
         def run() -> None:
             try:
                 inject()
                 if restarts:
                     time.sleep(pause_s)
-                    node.start(is_first_start=False)
+                    node.start(is_first_start=False, seeds=seeds)
+                disturbance.end()
                 time.sleep(settle_s)
             finally:
                 self._faulted_hosts.discard(node.host)
@@ -312,6 +473,61 @@
 
         self._start_thread(run)
 
+    def _inject_voter_fault(
+        self, description: str, hosts: list[str], inject: Callable[[Disturbance], None]
+    ) -> None:
+        """Inject a fault that disturbs voters, in a separate thread, unless one is in progress.
+
+        ``inject`` may end the disturbance itself. No other one follows for some seconds.
+        """
+        if not self._voter_lock.acquire(blocking=False):
+            return
+        calm_s = self._choose_calm_s()
+        self.history.record_fault(description)
+        disturbance = self.judge.disturb(hosts)
+
+        end_excuse = self._excuse_late_departures(self._nodes)
+
+        def run() -> None:
+            try:
+                inject(disturbance)
+                disturbance.end()
+                end_excuse()
+                time.sleep(calm_s)
+            finally:
+                self._voter_lock.release()
+
+        self._start_thread(run)
+
+    def _choose_calm_s(self) -> float:
+        return self._random.uniform(VOTERS_CALM_MIN_S, VOTERS_CALM_MAX_S)
+
+    def _join_node(self) -> None:
+        """Start a further node without a vote, whose seeds are any nodes."""
+        if len(self._nodes) == self._nodes_max_count:
+            return
+        node = self._make_node(len(self._nodes) + 1)
+        seeds = self._choose_seeds()
+        self.history.record_fault(f"{node.host} joins with the seeds {' '.join(seeds)}")
+        disturbance = self.judge.disturb([node.host])
+        node.start(is_first_start=False, seeds=seeds)
+        disturbance.end()
+        self._proxies[node.host] = self._make_proxy(node)
+        self._nodes.append(node)
+        prober = self._make_prober(node)
+        self._probers.append(prober)
+        prober.start()
+
+    def _excuse_late_departures(self, nodes: list[Node]) -> Callable[[], None]:
+        """Let nodes hear late that an upstream leaves, until the returned function is called."""
+        freezes = [self.history.record_freeze(node.host) for node in nodes]
+
+        def end() -> None:
+            for freeze in freezes:
+                freeze.end()
+
+        return end
+
     def _replace_upstream(self) -> None:
         upstream = self._random.choice(self._upstreams)
         self._upstreams.remove(upstream)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from testing.soak.linked_node import FAULT_BY_NAME
 from testing.soak.run import Soak
 
 DURATION_S = 6.0
+FAULTY_DURATION_S = 15.0
 
 
 class TestSoak:
@@ -20,3 +22,11 @@
         assert soak.run(DURATION_S) == []
         assert soak.history.count_outcomes()["200"] > 0
         assert soak.history.faults
+        assert soak.judge.acknowledged_count > 0
+
+    # Guards against a soak that overlooks a change which is not in force in time.
+    @pytest.mark.parametrize("fault", sorted(FAULT_BY_NAME))
+    def test_a_fault_put_in_on_purpose_is_found(self, tmp_path: Path, fault: str) -> None:
+        soak = Soak(tmp_path, 3, is_planned_only=True, fault=fault)
+        soak.run(FAULTY_DURATION_S)
+        assert [line for line in soak.history.violations if "was acknowledged" in line]
