Count a refusal by a server as a reply, so that it closes no connection

What callers saw: nothing directly; a node that starts polls its seeds and asks them for the first manifest on the same channel. Cause: a seed that does not vote refuses that call as unimplemented; two in a row counted as a broken connection, and closed the channel under the polls. Ruled out: the keep-alive. Evidence: the record shows up to five such refusals in 0.3 s; the new test failed with 'cancelled Channel closed!'. Change: unimplemented and invalid-argument count as replies, as failed-precondition did. After: the poll is answered on the one connection. Conclusion: refused calls disturb nobody.

--- a/src/coltsfootrill/rpc.py
+++ b/src/coltsfootrill/rpc.py
@@ -38,6 +38,14 @@
 _FAILURES_BEFORE_RECONNECT = 2
 _CONNECTION_LOST = grpc.StatusCode.UNAVAILABLE
 _TIMED_OUT = grpc.StatusCode.DEADLINE_EXCEEDED
+# With these a server replies, so the connection works.
+_REFUSALS = frozenset(
+    (
+        grpc.StatusCode.FAILED_PRECONDITION,
+        grpc.StatusCode.INVALID_ARGUMENT,
+        grpc.StatusCode.UNIMPLEMENTED,
+    )
+)
 _OPTIONS = (
     ("grpc.max_receive_message_length", MESSAGE_MAX_BYTES),
     ("grpc.max_send_message_length", MESSAGE_MAX_BYTES),
@@ -177,7 +185,7 @@
             self._counter.received += len(raw_reply)
             reply = method.decode_reply(raw_reply)
         except grpc.RpcError as error:
-            if error.code() == grpc.StatusCode.FAILED_PRECONDITION:
+            if error.code() in _REFUSALS:
                 self._record_reply()
             else:
                 is_silent = error.code() == _TIMED_OUT and self._replies_count == replies_before
--- a/testing/test_rpc.py
+++ b/testing/test_rpc.py
@@ -12,6 +12,8 @@
 import msgspec
 import pytest
 
+from coltsfootrill.control.messages import ReadRequest
+from coltsfootrill.control.replica import READ
 from coltsfootrill.membership.exchange import FETCH_MANIFEST
 from coltsfootrill.membership.following import FOLLOW
 from coltsfootrill.membership.messages import FollowReply
@@ -33,6 +35,7 @@
 POLL = FollowRequest(InstanceRecord("n1", 1, "127.0.0.1:1", "z1", False, 1), False, False, 0, 0, 0)
 # More pending connections than the kernel queues for a backlog of 0.
 PENDING_COUNT = 4
+REFUSED_COUNT = 4
 
 
 @pytest.fixture
@@ -180,6 +183,19 @@
         client.call(FOLLOW, POLL, timeout_ms=LONG_TIMEOUT_MS)
         assert server.relay.accepted_count == 1
 
+    # Guards against polls that end with a refusal: a node that starts asked hubs that serve no reads.
+    def test_a_method_that_the_server_does_not_have_ends_no_other_call(
+        self, server: SilentServer, client: RpcClient
+    ) -> None:
+        with ThreadPoolExecutor(1) as executor:
+            poll = executor.submit(client.call, FOLLOW, POLL, timeout_ms=LONG_TIMEOUT_MS)
+            for _ in range(REFUSED_COUNT):
+                with pytest.raises(RpcError, match="unimplemented"):
+                    client.call(READ, ReadRequest("n1", 0, True), timeout_ms=LONG_TIMEOUT_MS)
+            server.release.set()
+            assert poll.result().position == 1
+        assert server.relay.accepted_count == 1
+
     def test_a_slow_call_keeps_a_connection_on_which_others_are_answered(
         self, server: SilentServer, client: RpcClient
     ) -> None:
