--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -83,6 +83,14 @@
         wait_until(lambda: _votes(added), within_s=20)
         return added
 
+    def add_node(self, *, seeds: list[Node]) -> Node:
+        """Start a further node without a disk, which knows only ``seeds``."""
+        added = Node(len(self.nodes) + 1, self._folder, self._ports, self._seeds)
+        self.nodes.append(added)
+        addresses = [f"{seed.host}:{self._ports['interface']}" for seed in seeds]
+        added.start(is_first_start=False, seeds=addresses)
+        return added
+
     def submit_manifest(self, version: int, base_version: int) -> bytes:
         raw = encode_state(route(), version=f"{version:08x}")
         wait_until(
@@ -177,6 +185,25 @@
         second.start(is_first_start=False)
 
 
+class TestJoining:
+    # Guards against a node that never gets a manifest: its seeds did not vote, and no voter
+    # followed them.
+    def test_a_node_whose_seeds_do_not_vote_hears_of_changes_from_the_voters(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.submit_manifest(2, 0)
+        fleet.announce_upstream(1)
+        fleet.wait_until_served()
+        added = fleet.add_node(seeds=[fleet.nodes[3]])
+        wait_until(lambda: send_request(added) == 200, within_s=15)
+        fleet.nodes[3].end()
+        fleet.nodes.remove(fleet.nodes[3])
+        raw = encode_state(route(timeoutMs=900), version="00000003")
+        assert fleet.nodes[0].submit(raw, 2) == 200
+        wait_until(lambda: added.read() == (200, raw), within_s=2)
+        assert not [line for line in added.list_events("manifest-fetched") if "error" in line]
+
+
 class TestReplacedVoters:
     """Voters that are gone for good, while the seeds name only the first ones."""
 
