Let every node lead those that know only it to the voters

What callers saw: 503 for good from a node that joined with seeds that do not vote and that no voter follows. Cause: a hub without a vote named only voters that follow it, and voters follow the seeds of their own settings; the hints of several seeds replaced each other; and a node without a manifest asked each of them for a read that only voters serve. Class: knowledge that flows one way only. Ruled out: time (226 refused fetches in 20 s, the same later). Change: a hub names the replicas that it follows, and all that may be replicas while it is not current; hints are kept for each hub; the first manifest is fetched only from a hub that a majority has confirmed. Conclusion: any node is a seed now.

--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -52,14 +52,15 @@
 class HubFollowing:
     """Follows the voting replicas, and the seeds until a current hub has listed the replicas.
 
-    A hub always follows the seeds too, so the seeds can return the addresses of the voting
-    replicas: seeds may be instances without a disk that start at the same time as all others.
-    ``on_reply`` is called with the address of the hub and each reply, after the view has applied
-    it. ``on_refused`` is called before that with the requests that crash upstreams, so that an
-    instance that starts knows them before it knows any upstream. ``on_lost`` is called with the
-    address and the reason when a hub stops replying, or has not replied within ``first_reply_ms``
-    of the first call. ``on_regained`` is called with the address and the time without replies in
-    milliseconds when the hub replies again.
+    Seeds may be instances that do not vote: they return the addresses of the replicas that they
+    follow. A hub always follows the seeds too, so that they know it also when all start at the same
+    time. ``on_replicas`` is called with the addresses of the replicas when a current hub has listed
+    others than before. ``on_reply`` is called with the address of the hub and each reply, after the
+    view has applied it. ``on_refused`` is called before that with the requests that crash
+    upstreams, so that an instance that starts knows them before it knows any upstream. ``on_lost``
+    is called with the address and the reason when a hub stops replying, or has not replied within
+    ``first_reply_ms`` of the first call. ``on_regained`` is called with the address and the time
+    without replies in milliseconds when the hub replies again.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         identify: Callable[[], Identity],
         answer_locally: Callable[[FollowRequest], FollowReply],
         on_reply: Callable[[str, FollowReply], None],
+        on_replicas: Callable[[list[str]], None] = lambda replicas: None,
         on_refused: Callable[[list[SuspectEntry]], None] = lambda entries: None,
         on_lost: Callable[[str, str], None] = lambda address, reason: None,
         on_regained: Callable[[str, float], None] = lambda address, lost_for_ms: None,
@@ -85,6 +87,7 @@
         self._identify = identify
         self._answer_locally = answer_locally
         self._on_reply = on_reply
+        self._on_replicas = on_replicas
         self._on_refused = on_refused
         self._on_lost = on_lost
         self._on_regained = on_regained
@@ -94,7 +97,8 @@
         self._clients: dict[str, RpcClient] = {}
         self._tasks_by_address: dict[str, threading.Thread] = {}
         self._replicas: list[str] = []
-        self._hints: list[str] = []
+        # What hubs that are not current have listed, by their address.
+        self._hints_by_hub: dict[str, list[str]] = {}
         self._stopping = threading.Event()
 
     @property
@@ -132,7 +136,8 @@
         if self._view.has_current_hub() and self._replicas:
             seeds = self._seeds if self._identify().is_hub else []
             return list(dict.fromkeys([*self._replicas, *seeds]))
-        known = [*self._replicas, *self._hints, *self._seeds, self._own_address]
+        hints = [hint for listed in list(self._hints_by_hub.values()) for hint in listed]
+        known = [*self._replicas, *hints, *self._seeds, self._own_address]
         return list(dict.fromkeys(known))
 
     def _follow(self, address: str) -> None:
@@ -171,16 +176,17 @@
             if reply.refused:
                 self._on_refused(reply.refused)
             self._view.apply(address, reply)
-            self._update_replicas(reply)
+            self._update_replicas(address, reply)
             self._on_reply(address, reply)
 
-    def _update_replicas(self, reply: FollowReply) -> None:
-        if not reply.replicas:
-            return
-        if reply.is_current:
-            self._replicas = reply.replicas
-        elif reply.replicas != self._hints:
-            self._hints = reply.replicas
+    def _update_replicas(self, address: str, reply: FollowReply) -> None:
+        if reply.is_current and reply.replicas:
+            self._hints_by_hub.pop(address, None)
+            if reply.replicas != self._replicas:
+                self._replicas = reply.replicas
+                self._on_replicas(reply.replicas)
+        elif reply.replicas != self._hints_by_hub.get(address, []):
+            self._hints_by_hub[address] = reply.replicas
             self.update_tasks()
 
     def _call(self, address: str, request: FollowRequest) -> FollowReply:
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -78,6 +78,8 @@
         self._roster = Roster()
         self._live = LiveSet()
         self._replicas: list[str] = []
+        # Those that this instance follows, which need not be those that it last confirmed.
+        self._followed_replicas: list[str] = []
         self._notified_position = 1
         self._unsent_since_ms: float | None = None
         self._started_ms = clock.now_ms()
@@ -100,6 +102,16 @@
                 self._replicas = replicas
                 self._notify_followers()
 
+    def record_followed_replicas(self, replicas: list[str]) -> None:
+        """Record the addresses of the voting replicas, as a current hub has listed them.
+
+        So an instance that does not vote leads those that know only it to the replicas.
+        """
+        with self._changed:
+            if replicas != self._followed_replicas:
+                self._followed_replicas = replicas
+                self._notify_followers()
+
     def notify_manifest_change(self) -> None:
         """Notify the followers that another manifest is in force."""
         with self._changed:
@@ -325,12 +337,13 @@
         return max(INSTANCE_CHANGE_DELAY_MS, INSTANCE_CHANGE_DELAY_PER_FOLLOWER_MS * followers)
 
     def _list_replicas(self) -> list[str]:
-        """Return the last confirmed voting replicas; if there are none, the followers that vote."""
-        if self._replicas:
+        """Return the voting replicas: if not confirmed recently, all that may be some of them."""
+        if self.is_current():
             return self._replicas
-        return [
+        voting = [
             follower.record.address for follower in self._roster.by_id.values() if follower.is_hub
         ]
+        return list(dict.fromkeys([*self._followed_replicas, *self._replicas, *voting]))
 
     def _notify_followers(self) -> None:
         self._directory.position += 1
--- a/src/coltsfootrill/roles/manifest_sync.py
+++ b/src/coltsfootrill/roles/manifest_sync.py
@@ -57,10 +57,15 @@
         self._fetches_count = 0
         self._last_start_ms = float("-inf")
 
-    def fetch_if_newer(self, version: int, address: str) -> None:
-        """Fetch the manifest of the hub at an address if it has a newer version."""
+    def fetch_if_newer(self, version: int, address: str, *, serves_reads: bool = True) -> None:
+        """Fetch the manifest of the hub at an address if it has a newer version.
+
+        The first one is fetched only from a hub that serves reads: those that do not vote refuse.
+        """
         if version <= self._manifests.version:
             return
+        if self._manifests.version == 0 and not serves_reads:
+            return
         if not self._begin_fetch():
             return
         start_ms = self._clock.now_ms()
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -126,6 +126,7 @@
             identify=self._make_identity,
             answer_locally=self.hub.answer,
             on_reply=self._handle_reply,
+            on_replicas=self.hub.record_followed_replicas,
             on_refused=self._merge_refused,
             on_lost=self._hub_events.record_lost,
             on_regained=self._hub_events.record_regained,
@@ -346,7 +347,9 @@
             return
         if self._replica is not None:
             self.hub.merge_reply(reply)
-        self._manifest_sync.fetch_if_newer(reply.manifest_version, address)
+        self._manifest_sync.fetch_if_newer(
+            reply.manifest_version, address, serves_reads=reply.is_current
+        )
 
     def _store_shared(self, announcement: Announcement) -> AnnounceReply:
         self.hub.merge(announcement, age_ms=0)
--- a/testing/membership/test_following.py
+++ b/testing/membership/test_following.py
@@ -83,6 +83,7 @@
             identify=lambda: Identity(record, is_candidate=False, is_hub=is_voter),
             answer_locally=self.hub.answer,
             on_reply=lambda hub, reply: self.replies.append(reply),
+            on_replicas=self.hub.record_followed_replicas,
             on_refused=self._hear,
             on_lost=lambda hub, reason: self.lost.append(hub),
             on_regained=lambda hub, lost_for_ms: self.regained.append(hub),
@@ -124,6 +125,47 @@
         wait_until(have_all_discovered, within_s=10)
 
 
+class TestSeedsThatNoVoterFollows:
+    # Guards against a node that joins and finds no voter.
+    def test_a_chain_of_seeds_leads_to_the_voter(self) -> None:
+        voter, first, second, joining = (_find_address(number) for number in range(2, 6))
+        seeds_by_address = {voter: [], first: [voter], second: [first], joining: [second]}
+        members = [
+            Member(address, seeds, voters=[voter]) for address, seeds in seeds_by_address.items()
+        ]
+
+        def have_all_discovered() -> bool:
+            members[0].hub.record_majority_read([voter])
+            for member in members:
+                member.following.update_tasks()
+            return all(member.following.replicas == [voter] for member in members)
+
+        try:
+            wait_until(have_all_discovered, within_s=10)
+        finally:
+            for member in members:
+                member.close()
+
+    def test_an_outdated_list_of_one_seed_does_not_hide_that_of_another(self) -> None:
+        voter, gone, first, second = (_find_address(number) for number in range(2, 6))
+        seeds = [Member(address, [], voters=[]) for address in (first, second)]
+        joining = Member(_find_address(6), [first, second], voters=[])
+        voting = Member(voter, [], voters=[voter])
+        seeds[0].hub.record_followed_replicas([voter])
+        seeds[1].hub.record_followed_replicas([gone])
+
+        def has_discovered() -> bool:
+            voting.hub.record_majority_read([voter])
+            joining.following.update_tasks()
+            return joining.following.replicas == [voter]
+
+        try:
+            wait_until(has_discovered, within_s=10)
+        finally:
+            for member in [*seeds, joining, voting]:
+                member.close()
+
+
 class TestUnresponsiveHubs:
     def test_a_hub_that_never_replied_is_reported_as_lost_and_later_as_regained(self) -> None:
         address = _find_address(6)
--- a/testing/membership/test_hub.py
+++ b/testing/membership/test_hub.py
@@ -6,6 +6,7 @@
 
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.control.files import FileLayer
+from coltsfootrill.membership.hub import CURRENT_FOR_MS
 from coltsfootrill.membership.hub import REFUSED_MAX_COUNT
 from coltsfootrill.membership.hub import SETTLED_AFTER_MS
 from coltsfootrill.membership.hub import SILENT_AFTER_MS
@@ -239,6 +240,22 @@
         reply = seed.answer(FollowRequest(other, False, False, 0, 0, 0))
         assert (reply.is_current, reply.replicas) == (False, ["10.0.0.1:1"])
 
+    # Guards against a node that joins and finds no voter.
+    def test_a_hub_that_no_voter_follows_returns_the_replicas_that_it_follows(self) -> None:
+        pair = Pair()
+        pair.hub = pair.make_hub(boot=2)
+        assert pair.follow().replicas == []
+        pair.hub.record_followed_replicas(["a", "b"])
+        reply = pair.follow()
+        assert (reply.replicas, reply.is_current) == (["a", "b"], False)
+
+    def test_an_outdated_hub_returns_all_that_may_be_replicas(self) -> None:
+        pair = Pair()
+        pair.hub.record_followed_replicas(["b", "c", "d"])
+        assert pair.follow().replicas == ["a", "b", "c"]
+        pair.clock.advance(CURRENT_FOR_MS)
+        assert pair.follow().replicas == ["b", "c", "d", "a"]
+
     def test_upstreams_are_restored_after_a_power_loss_of_all_processes(
         self, tmp_path: Path
     ) -> None:
--- a/testing/roles/test_manifest_sync.py
+++ b/testing/roles/test_manifest_sync.py
@@ -9,6 +9,8 @@
 import pytest
 
 from coltsfootrill.clock import ManualClock
+from coltsfootrill.control.messages import ReadReply
+from coltsfootrill.control.replica import READ
 from coltsfootrill.events.log import EventLog
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.membership.messages import ManifestReply
@@ -16,6 +18,7 @@
 from coltsfootrill.plugins import load_plugins
 from coltsfootrill.roles.manifest_sync import FETCH_ALONE_MS
 from coltsfootrill.roles.manifest_sync import ManifestSync
+from coltsfootrill.rpc import Method
 from testing.proxy.instance import make_manifest
 
 DEADLINE_MS = 1_500
@@ -30,12 +33,15 @@
         self.called = threading.Event()
         self.release = threading.Event()
 
-    def call(self, method: object, request: object, *, timeout_ms: float) -> ManifestReply:
+    def call(
+        self, method: Method, request: object, *, timeout_ms: float
+    ) -> ManifestReply | ReadReply:
         self.calls_count += 1
         self.called.set()
         if self.hangs:
             self.release.wait()
-        return ManifestReply(2, make_manifest(2, DEADLINE_MS))
+        raw = make_manifest(2, DEADLINE_MS)
+        return ReadReply(True, 2, raw, []) if method is READ else ManifestReply(2, raw)
 
 
 class Node:
@@ -47,8 +53,15 @@
         self.manifests = ManifestHolder(collect_schemes(load_plugins()))
         self.manifests.adopt(make_manifest(1, DEADLINE_MS))
         self._threads: list[threading.Thread] = []
-        self.sync = ManifestSync(
-            self.manifests,
+        self.sync = self._make_sync(self.manifests)
+
+    def start_without_manifest(self) -> ManifestSync:
+        """Return the sync of a node that has just started."""
+        return self._make_sync(ManifestHolder(collect_schemes(load_plugins())))
+
+    def _make_sync(self, manifests: ManifestHolder) -> ManifestSync:
+        return ManifestSync(
+            manifests,
             own_id="n1",
             get_client=self._get_client,
             clock=self.clock,
@@ -83,6 +96,16 @@
     made.close()
 
 
+class TestFirstManifest:
+    # Guards against reads that hubs without a vote refuse, again and again.
+    def test_it_is_fetched_only_from_a_hub_that_serves_reads(self, node: Node) -> None:
+        sync = node.start_without_manifest()
+        sync.fetch_if_newer(2, "h1", serves_reads=False)
+        assert node.count_calls() == [0, 0, 0]
+        sync.fetch_if_newer(2, "h2", serves_reads=True)
+        assert node.count_calls() == [0, 1, 0]
+
+
 class TestFetchThatHangs:
     # Guards against a manifest in force too late: a hub that hung kept others from being asked.
     def test_another_hub_is_asked_beside_it(self, node: Node) -> None:
--- a/testing/test_rpc.py
+++ b/testing/test_rpc.py
@@ -183,7 +183,7 @@
         client.call(FOLLOW, POLL, timeout_ms=LONG_TIMEOUT_MS)
         assert server.relay.accepted_count == 1
 
-    # Guards against polls that end with a refusal: a node that starts asked hubs that serve no reads.
+    # Guards against polls that end with a refusal: a starting node asked hubs that serve no reads.
     def test_a_method_that_the_server_does_not_have_ends_no_other_call(
         self, server: SilentServer, client: RpcClient
     ) -> None:
