Tell followers at once that a hub is current again

What callers saw: changes and heartbeats answered 503 by nodes that do not vote for up to 2.5 s after the voters had their majority back. Cause: only another set of replicas, not the return of the majority, ended held polls. Ruled out: the voters themselves, which were current at once. Evidence: the new test failed before. Change: the first majority read after a time without one wakes the followers. After: the test passes. Conclusion: what followers act on wakes them.

--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -97,8 +97,9 @@
     def record_majority_read(self, replicas: list[str]) -> None:
         """Record a majority read that just succeeded, and the addresses of the voting replicas."""
         with self._changed:
+            was_current = self.is_current()
             self._last_confirmed_ms = self._clock.now_ms()
-            if replicas != self._replicas:
+            if replicas != self._replicas or not was_current:
                 self._replicas = replicas
                 self._notify_followers()
 
--- a/testing/membership/test_hub.py
+++ b/testing/membership/test_hub.py
@@ -256,6 +256,18 @@
         pair.clock.advance(CURRENT_FOR_MS)
         assert pair.follow().replicas == ["b", "c", "d", "a"]
 
+    # Guards against nodes that learn of the return of a majority only when their polls end.
+    def test_followers_hear_that_a_hub_is_current_again(self) -> None:
+        pair = Pair()
+        pair.clock.advance(CURRENT_FOR_MS)
+        position = pair.follow().position
+        assert not pair.hub.has_changes(position)
+        pair.hub.record_majority_read(["a", "b", "c"])
+        assert pair.hub.has_changes(position)
+        position = pair.follow(position=position, boot=1).position
+        pair.hub.record_majority_read(["a", "b", "c"])
+        assert not pair.hub.has_changes(position)
+
     def test_upstreams_are_restored_after_a_power_loss_of_all_processes(
         self, tmp_path: Path
     ) -> None:
