Confirm a manifest that is sent again by a read, without a round

Cause: an operator who has no answer after a second sends the same again to other nodes; each of these ran a round that writes the same state, and the rounds of several voters interrupted each other; each held the lock of its register meanwhile, so no majority read was made, and no voter was current after 2 s. Class: work that is repeated because it is slow, and makes itself slower. Ruled out: a lost majority (all three ran). The new test failed before. Change: a submission reads first, and what is in force or was is confirmed by a majority that agrees. After: the test passes. Conclusion: sending again is cheap.

--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -179,11 +179,10 @@
 
     def read(self, *, deadline_ms: float) -> ControlState:
         """Return the current state as confirmed by a majority; raise ``NoQuorumError``."""
-        self._adopt_own()
         for attempt in range(MAJORITY_READ_ATTEMPTS):
-            if self._try_majority_read():
-                self._store_chosen()
-                return self.known
+            state = self.read_without_round()
+            if state is not None:
+                return state
             if self._clock.now_ms() >= deadline_ms:
                 break
             # A round started here would interrupt a change by another proposer, which ends soon.
@@ -195,6 +194,14 @@
         except UnknownResultError as error:
             raise NoQuorumError(str(error)) from error
 
+    def read_without_round(self) -> ControlState | None:
+        """Return the current state if a majority agrees on it at this moment."""
+        self._adopt_own()
+        if not self._try_majority_read():
+            return None
+        self._store_chosen()
+        return self.known
+
     def _store_chosen(self) -> None:
         """Store the state that was read if this replica missed it, so that it is on one disk more.
 
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -149,20 +149,27 @@
         except InvalidManifestError:
             self._record_invalid(digest, operator, wall_ms, deadline_ms)
             raise
+
+        def apply(state: ControlState) -> tuple[ControlState, SubmitAnswer]:
+            return submit_manifest(
+                state,
+                version=version,
+                digest=digest,
+                manifest=raw,
+                operator=operator,
+                wall_ms=wall_ms,
+                base_version=base_version,
+            )
+
         with self._register_lock:
             self._restore_replica_set()
-            return self._register.change(
-                lambda state: submit_manifest(
-                    state,
-                    version=version,
-                    digest=digest,
-                    manifest=raw,
-                    operator=operator,
-                    wall_ms=wall_ms,
-                    base_version=base_version,
-                ),
-                deadline_ms=deadline_ms,
-            )
+            state = self._register.read_without_round()
+            if state is not None:
+                unchanged, answer = apply(state)
+                if unchanged is state:
+                    # Operators who get no answer send the same again, to several replicas.
+                    return answer
+            return self._register.change(apply, deadline_ms=deadline_ms)
 
     def replace_replica(
         self, old_id: str | None, new_id: str, address: str, *, operator: str
--- a/testing/control/test_register.py
+++ b/testing/control/test_register.py
@@ -88,8 +88,8 @@
         # Each call to a silent replica takes a second.
         assert cluster.calls_by_address["b"] <= 2
 
-    # Guards against a change that is not heard of: its voter fell silent, and the two others, one of
-    # which had missed it, waited for that voter until each of their reads had failed.
+    # Guards against a change that is not heard of: its voter fell silent, and the two others, one
+    # of which had missed it, waited for that voter until each of their reads had failed.
     def test_two_replicas_that_disagree_settle_without_the_silent_third(self) -> None:
         cluster = Cluster()
         cluster.submit("a", 1, "one")
--- a/testing/control/test_replica_calls.py
+++ b/testing/control/test_replica_calls.py
@@ -92,6 +92,21 @@
         client.close()
 
 
+class TestResubmissions:
+    # Guards against voters without a majority: orders sent again to several of them, on slow disks,
+    # were rounds that interrupted each other for many seconds.
+    def test_a_manifest_that_is_in_force_already_costs_no_round(
+        self, busy: BusyReplica, encode_manifest: EncodeManifest
+    ) -> None:
+        busy.inspections.release.set()
+        ballot = busy.replica.acceptor.get_accepted().ballot
+        answer = busy.replica.submit(encode_manifest(7), operator="o")
+        assert (answer.result, answer.version) == ("accepted", 7)
+        assert busy.replica.acceptor.get_accepted().ballot == ballot
+        assert busy.replica.submit(encode_manifest(8), operator="o").version == 8
+        assert busy.replica.acceptor.get_accepted().ballot > ballot
+
+
 class TestReads:
     # Guards against RECOVER in a large fleet: each instance that started had a read of its own.
     def test_reads_at_the_same_time_cost_two_rounds_at_most(self, busy: BusyReplica) -> None:
