Let the pause after a failed round be as long as the round was

What callers saw: acknowledgements that take seconds where several submissions meet on slow disks. Cause: the pause of a proposer was 20 to 400 ms whatever a round takes; with 0.13 s for a write of the disk a round takes half a second (traced: 253 ms for the promises, 270 ms for the accepts), so the next attempt met the other's round again. Ruled out: lost messages (the trace shows each reply). Evidence: the test failed before (no such function); the trace. Change: the pause is up to twice the length of the failed round. Conclusion: the pause follows the disk.

--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -104,6 +104,7 @@
         was_sent = False
         attempt = 0
         while self._clock.now_ms() < deadline_ms:
+            start_ms = self._clock.now_ms()
             self._adopt_own()
             prepared = self._prepare()
             if prepared is not None:
@@ -118,7 +119,7 @@
                             self._record_first_keys(deadline_ms)
                         return result
                     was_sent = True
-            self._back_off(attempt, deadline_ms)
+            self._back_off(attempt, deadline_ms, round_ms=self._clock.now_ms() - start_ms)
             attempt += 1
         if was_sent:
             raise UnknownResultError(
@@ -380,12 +381,20 @@
         self._known_ballot = ballot
         return True
 
-    def _back_off(self, attempt: int, deadline_ms: float) -> None:
-        # Exponential backoff with jitter, so that two proposers stop interrupting each other.
-        pause_ms = min(BACKOFF_MAX_MS, BACKOFF_MS * 2 ** min(attempt, 10)) * self._random.random()
+    def _back_off(self, attempt: int, deadline_ms: float, *, round_ms: float) -> None:
+        pause_ms = choose_backoff_ms(attempt, round_ms=round_ms, share=self._random.random())
         self._clock.sleep_ms(min(pause_ms, max(0.0, deadline_ms - self._clock.now_ms())))
 
 
+def choose_backoff_ms(attempt: int, *, round_ms: float, share: float) -> float:
+    """Return the pause after a round that failed: exponential, with ``share`` as its jitter.
+
+    It may be twice as long as the round took, so that another proposer can complete one.
+    """
+    longest_ms = min(BACKOFF_MAX_MS, BACKOFF_MS * 2 ** min(attempt, 10))
+    return share * max(longest_ms, 2 * round_ms)
+
+
 def _record_keys(state: ControlState, votes: Votes[Promise]) -> ControlState:
     """Return the initial state in the first epoch, with the keys from the promises."""
     replicas = {
--- a/testing/control/test_register.py
+++ b/testing/control/test_register.py
@@ -12,8 +12,11 @@
 from coltsfootrill.control.messages import Ballot
 from coltsfootrill.control.messages import Inspect
 from coltsfootrill.control.messages import Prepare
+from coltsfootrill.control.proposer import BACKOFF_MAX_MS
+from coltsfootrill.control.proposer import BACKOFF_MS
 from coltsfootrill.control.proposer import NoQuorumError
 from coltsfootrill.control.proposer import UnknownResultError
+from coltsfootrill.control.proposer import choose_backoff_ms
 from coltsfootrill.control.replica import READ_TIMEOUT_MS
 from testing.control.cluster import FOLDER
 from testing.control.cluster import Cluster
@@ -21,6 +24,15 @@
 from testing.processes import wait_until
 
 
+class TestBackoff:
+    # Guards against proposers that interrupt each other for many seconds where disks are slow.
+    def test_a_pause_gives_another_proposer_time_for_a_round(self) -> None:
+        assert choose_backoff_ms(0, round_ms=300.0, share=1.0) == 600.0
+        assert choose_backoff_ms(0, round_ms=2.0, share=1.0) == BACKOFF_MS
+        assert choose_backoff_ms(9, round_ms=2.0, share=1.0) == BACKOFF_MAX_MS
+        assert choose_backoff_ms(9, round_ms=300.0, share=0.5) == 300.0
+
+
 class TestSubmitting:
     def test_accepted_manifest_is_read_at_every_replica(self) -> None:
         cluster = Cluster()
