Acknowledge a manifest once a majority of the voters has it in force

Cause: at the acknowledgement only one voter knew that the change was chosen, and its report to the others and to all nodes waited 16 ms. When that voter fell silent, the others found out by reads of their own, every 0.6 s, or not while these failed. Class: a promise whose knowledge is in one place. Ruled out: lost wakes (each hub wakes). Change: the voter that accepts a change has the others adopt it, and acknowledges once a majority has; otherwise the result is unknown and is sent again. After: the test passes. Conclusion: a node hears of it from any voter of a majority.

--- a/src/coltsfootrill/control/messages.py
+++ b/src/coltsfootrill/control/messages.py
@@ -162,6 +162,18 @@
     takes_packed: bool = False
 
 
+class AdoptRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A manifest that a majority has accepted, to be in force before it is acknowledged."""
+
+    raw: bytes
+
+
+class AdoptReply(msgspec.Struct, frozen=True, array_like=True):
+    """The version that is in force at a replica, 0 for none."""
+
+    version: int
+
+
 class ReadReply(msgspec.Struct, frozen=True, array_like=True):
     """The reply to ``ReadRequest``.
 
--- a/src/coltsfootrill/control/proposer.py
+++ b/src/coltsfootrill/control/proposer.py
@@ -391,7 +391,7 @@
 
     It may be twice as long as the round took, so that another proposer can complete one.
     """
-    longest_ms = min(BACKOFF_MAX_MS, BACKOFF_MS * 2 ** min(attempt, 10))
+    longest_ms: float = min(BACKOFF_MAX_MS, BACKOFF_MS * 2 ** min(attempt, 10))
     return share * max(longest_ms, 2 * round_ms)
 
 
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -94,6 +94,11 @@
         """Return whether a majority confirmed this replica's state within ``CURRENT_FOR_MS``."""
         return self._clock.now_ms() - self._last_confirmed_ms < CURRENT_FOR_MS
 
+    @property
+    def replicas(self) -> list[str]:
+        """Return the addresses of the voting replicas that the last majority read confirmed."""
+        return self._replicas
+
     def record_majority_read(self, replicas: list[str]) -> None:
         """Record a majority read that just succeeded, and the addresses of the voting replicas."""
         with self._changed:
--- a/src/coltsfootrill/roles/hub_client.py
+++ b/src/coltsfootrill/roles/hub_client.py
@@ -9,6 +9,8 @@
 from random import Random
 from typing import TypeVar
 
+from coltsfootrill.control.messages import AdoptReply
+from coltsfootrill.control.messages import AdoptRequest
 from coltsfootrill.control.messages import ReadReply
 from coltsfootrill.control.messages import ReadRequest
 from coltsfootrill.control.messages import SubmitReply
@@ -27,9 +29,11 @@
 from coltsfootrill.rpc import Method
 from coltsfootrill.settings import Address
 
+ADOPT = Method(service="Control", name="Adopt", request=AdoptRequest, reply=AdoptReply)
 SUBMIT = Method(service="Control", name="Submit", request=SubmitRequest, reply=SubmitReply)
 
 HUB_CALL_TIMEOUT_MS = 400.0
+ADOPT_CALL_TIMEOUT_MS = 1_000.0
 SUBMIT_CALL_TIMEOUT_MS = 2_500.0
 READ_CALL_TIMEOUT_MS = 1_500.0
 _CALL_THREAD_COUNT = 16
@@ -64,24 +68,40 @@
 
         This node counts towards the majority if it is one of the replicas.
         """
-        replicas = self._following.replicas
+
+        def share_with(address: str) -> bool:
+            client = self._following.get_client(address)
+            reply: AnnounceReply = client.call(SHARE, announcement, timeout_ms=HUB_CALL_TIMEOUT_MS)
+            return reply.is_known
+
+        return self._reach_majority(self._following.replicas, share_with)
+
+    def put_in_force(self, version: int, raw: bytes, *, replicas: list[str]) -> bool:
+        """Let the other replicas adopt a manifest; return whether a majority has it in force.
+
+        This node, where it is in force already, counts towards the majority.
+        """
+
+        def adopt_at(address: str) -> bool:
+            client = self._following.get_client(address)
+            request = AdoptRequest(raw)
+            reply: AdoptReply = client.call(ADOPT, request, timeout_ms=ADOPT_CALL_TIMEOUT_MS)
+            return reply.version >= version
+
+        return self._reach_majority(replicas, adopt_at)
+
+    def _reach_majority(self, replicas: list[str], call: Callable[[str], bool]) -> bool:
+        """Call the other replicas at once; return whether a majority confirms, with this node."""
         others = [address for address in replicas if address != self._own_address]
         majority = len(replicas) // 2 + 1
-        acknowledged = 1 if self._own_address in replicas else 0
-        calls: list[Future[AnnounceReply]] = [
-            self._executor.submit(self._call_share, address, announcement) for address in others
-        ]
-        for call in as_completed(calls):
-            if call.exception() is None and call.result().is_known:
-                acknowledged += 1
-            if acknowledged >= majority:
+        confirmed = 1 if self._own_address in replicas else 0
+        calls: list[Future[bool]] = [self._executor.submit(call, address) for address in others]
+        for done in as_completed(calls):
+            if done.exception() is None and done.result():
+                confirmed += 1
+            if confirmed >= majority:
                 return True
-        return acknowledged >= majority
-
-    def _call_share(self, address: str, announcement: Announcement) -> AnnounceReply:
-        client = self._following.get_client(address)
-        reply: AnnounceReply = client.call(SHARE, announcement, timeout_ms=HUB_CALL_TIMEOUT_MS)
-        return reply
+        return confirmed >= majority
 
     def announce(self, method: Method, request: Announcement | LeaveRequest) -> str:
         """Send an announcement or a leave request to a hub.
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -15,6 +15,8 @@
 from coltsfootrill.control.bootstrap import bootstrap_replicas
 from coltsfootrill.control.bootstrap import read_bootstrap_replicas
 from coltsfootrill.control.files import FileLayer
+from coltsfootrill.control.messages import AdoptReply
+from coltsfootrill.control.messages import AdoptRequest
 from coltsfootrill.control.messages import SubmitReply
 from coltsfootrill.control.messages import SubmitRequest
 from coltsfootrill.control.proposer import NoQuorumError
@@ -54,6 +56,7 @@
 from coltsfootrill.naming.scheme import NamingScheme
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import split_address
+from coltsfootrill.roles.hub_client import ADOPT
 from coltsfootrill.roles.hub_client import SUBMIT
 from coltsfootrill.roles.hub_client import HubClient
 from coltsfootrill.roles.hub_client import check_acknowledged
@@ -103,6 +106,8 @@
         self._random = random
         self._log = log
         self._is_member = False
+        # The newest manifest that a majority of the replicas is known to have in force.
+        self._version_at_majority = 0
         self._stopping = threading.Event()
         self._hub_events = HubEventLog(log, clock=clock, is_stopping=self._stopping.is_set)
         self._repair_task: ReplicaRepairTask | None = None
@@ -255,6 +260,8 @@
         share_executor = ThreadPoolExecutor(SHARE_THREAD_COUNT, thread_name_prefix="share")
         self._server.add(SHARE, self._store_shared, executor=share_executor)
         self._server.add(SUBMIT, self._submit_locally)
+        # A voter that submits waits for this call at the others.
+        self._server.add(ADOPT, self._adopt_accepted, executor=share_executor)
         self._server.add(
             FETCH_MANIFEST,
             lambda request: ManifestReply(*self._manifests.read_newer(request.known_version)),
@@ -374,10 +381,35 @@
             return SubmitReply("no-quorum", 0, "", str(error))
         except UnknownResultError as error:
             return SubmitReply("unknown", 0, "", str(error))
-        if answer.result == "accepted" and answer.version > self._manifests.version:
-            self._manifest_sync.adopt(request.raw)
+        if answer.result == "accepted":
+            if answer.version > self._manifests.version:
+                self._manifest_sync.adopt(request.raw)
+            if not self._put_in_force():
+                return SubmitReply(
+                    "unknown",
+                    0,
+                    "",
+                    "no majority of the replicas has it in force yet; send it again",
+                )
         return SubmitReply(answer.result, answer.version, answer.digest, answer.message)
 
+    def _put_in_force(self) -> bool:
+        """Let a majority of the replicas adopt the manifest in force here; return whether it has.
+
+        What is acknowledged is then told to all instances although one replica is lost.
+        """
+        version, raw = self._manifests.read_newer(0)
+        if version <= self._version_at_majority:
+            return True
+        if not self._hub_client.put_in_force(version, raw, replicas=self.hub.replicas):
+            return False
+        self._version_at_majority = version
+        return True
+
+    def _adopt_accepted(self, request: AdoptRequest) -> AdoptReply:
+        self._manifest_sync.adopt(request.raw)
+        return AdoptReply(self._manifests.version)
+
 
 def _convert_submit_reply(reply: SubmitReply) -> SubmitAnswer:
     """Return ``reply`` as an answer; raise the error that its result stands for."""
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -124,6 +124,21 @@
             b"coltsfootrill_requests_total" in fleet.nodes[0].call("metrics", "GET", "/metrics")[1]
         )
 
+    # Guards against a change that nobody has heard of when the voter that acknowledged it is lost.
+    def test_a_majority_of_the_voters_has_a_manifest_in_force_once_it_is_acknowledged(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.submit_manifest(2, 0)
+        voters = fleet.nodes[:3]
+        for version in range(3, 9):
+            _submit_at(voters[version % 3], version, version - 1, prefix=f"/x{version}/")
+            headers = {"Host": "a.example", "X_Attempt_Id": f"q{version}"}
+            statuses = [
+                node.call("callers", "POST", f"/x{version}/1", b"order", **headers)[0]
+                for node in voters
+            ]
+            assert statuses.count(404) <= 1
+
     def test_no_node_forwards_to_an_upstream_after_acknowledging_that_it_drains(
         self, fleet: Fleet
     ) -> None:
@@ -301,8 +316,9 @@
         wait_until(lambda: has_logged("dependency-regained"), within_s=20)
 
 
-def _submit_at(node: Node, version: int, base_version: int) -> bytes:
-    raw = encode_state(route(timeoutMs=900 + version), version=f"{version:08x}")
+def _submit_at(node: Node, version: int, base_version: int, *, prefix: str = "/x/") -> bytes:
+    only = route(pathPrefix=prefix, timeoutMs=900 + version)
+    raw = encode_state(only, version=f"{version:08x}")
     wait_until(lambda: node.submit(raw, base_version) == 200, within_s=20)
     return raw
 
