Take no answer whose status HTTP does not have

What callers saw: on other systems, an answer with the status 000. Here a status below 200 was refused already, but 600, 700 and 999 were passed on as answers. Cause: the head was checked for interim statuses only. Ruled out: status lines that are cut off or malformed, which the parser refuses. Change: 200 to 599 are accepted. Conclusion: the system did not do the same, but something like it.

--- a/src/coltsfootrill/proxy/answer.py
+++ b/src/coltsfootrill/proxy/answer.py
@@ -17,6 +17,8 @@
 from coltsfootrill.proxy.unsolicited import UnsolicitedCause
 from coltsfootrill.proxy.unsolicited import count_skipped
 
+# HTTP defines five classes of statuses.
+STATUS_MAX = 599
 ANSWER_MAX_BYTES = 8 * 1024 * 1024
 HEAD_MAX_BYTES = 64 * 1024
 # Includes the framing of chunks, trailers, and late answers to earlier requests that are skipped.
@@ -171,9 +173,9 @@
         self.has_head = True
         _check_no_status_line(self._reason)
         self.status = self._get_status()
-        if self.status < HTTPStatus.OK:
+        if not HTTPStatus.OK <= self.status <= STATUS_MAX:
             raise ReadError(
-                f"interim answer with status {self.status}; only final answers are accepted"
+                f"status {self.status}; only final answers, 200 to {STATUS_MAX}, are accepted"
             )
         if len(self.lengths) > 1 or (self.lengths and self.has_chunks):
             raise ReadError(
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -547,6 +547,13 @@
         "        return self.known\n",
         REGISTER + "MissedChanges",
     ),
+    Mutant(
+        "a status that HTTP does not have is no answer",
+        "proxy/answer.py",
+        " <= STATUS_MAX:",
+        ":",
+        "testing/proxy/test_status.py::TestStatuses",
+    ),
     Mutant(
         "any node leads one that joins to the voters",
         "membership/hub.py",
