--- a/Makefile
+++ b/Makefile
@@ -45,10 +45,10 @@
 	$(BIN)/python scripts/slopes.py
 
 soak: $(VENV)/.ready
-	$(BIN)/python -m testing.soak 10 $(SOAK_SEED) 20
+	$(BIN)/python -m testing.soak 15 $(SOAK_SEED) 20
 
 soak-entry: $(VENV)/.ready
-	$(BIN)/python -m testing.soak.entry_fleet 600 1
+	$(BIN)/python -m testing.entry_fleet 600 1
 
 clean:
 	rm -rf $(VENV) build dist src/*.egg-info
--- a/testing/soak/entry_fleet.py
+++ b/testing/entry_fleet.py
@@ -1,6 +1,6 @@
 """A long replay of both workloads while instances are killed, suspended and stopped at random.
 
-Usage: ``python -m testing.soak.entry_fleet DURATION_S SEED [ENTRIES] [RATE]``.
+Usage: ``python -m testing.entry_fleet DURATION_S SEED [ENTRIES] [RATE]``.
 Counts the runs that violate a guarantee and exits with 1 if there is one.
 """
 
@@ -16,7 +16,7 @@
 from pathlib import Path
 from random import Random
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 PROGRAM = str(ROOT / ".venv/bin/coltsfootrill")
 BASE_PORT = 27_500
 FLEET_LIFETIME_MAX_S = 60
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -16,7 +16,9 @@
 from testing.soak.history import History
 from testing.soak.history import Reply
 from testing.soak.history import now_ms
+from testing.soak.judge import ROUTES_KEPT_COUNT
 from testing.soak.judge import ManifestJudge
+from testing.soak.judge import Probe
 from testing.soak.judge import list_routes
 from testing.soak.proxy import LINGER_RESET
 from testing.soak.proxy import FaultProxy
@@ -24,6 +26,8 @@
 HOST = "a.example"
 DEADLINE_MS = 1_200
 PAUSE_MAX_S = 0.03
+PROBE_PAUSE_MAX_S = 0.06
+PROBE_TIMEOUT_S = 1.0
 LEAVING_PAUSE_MAX_S = 0.3
 LEAVE_AFTER_MAX_S = 0.1
 PIPELINED_MIN_COUNT = 4
@@ -152,6 +156,38 @@
         pass
 
 
+class Prober(Caller):
+    """Asks one node for the routes of changes: the newest, one that is due, one that is gone."""
+
+    pause_max_s = PROBE_PAUSE_MAX_S
+
+    def __init__(self, node: Node, judge: ManifestJudge, history: History, random: Random) -> None:
+        super().__init__({}, history, random)
+        self._target = node
+        self._judge = judge
+
+    def _send(self) -> None:
+        due = self._judge.find_due(now_ms())
+        newest = self._judge.acknowledged_count
+        change = self._random.choice([newest, due, due - ROUTES_KEPT_COUNT])
+        if change > 0 and self._target.is_alive():
+            self._probe(change)
+
+    def _probe(self, change: int) -> None:
+        node, process = self._target, self._target.process
+        assert process is not None
+        request_id = f"n{next(_request_ids)}"
+        headers = {"Host": HOST, "X_Attempt_Id": request_id, "X_Deadline_Milliseconds": "300"}
+        self._history.record_request(request_id, is_idempotent=True, node=node.host)
+        sent_ms = now_ms()
+        path = f"/n{change}/{request_id}"
+        status, body = node.call("callers", "GET", path, timeout_s=PROBE_TIMEOUT_S, **headers)
+        self._history.record_reply(request_id, Reply(status, body))
+        if node.process is process:
+            probe = Probe(node.host, process.pid, change, sent_ms=sent_ms, status=status)
+            self._judge.check(probe)
+
+
 class Operator:
     """Submits manifests to random nodes and reads them back from random nodes.
 
--- a/testing/soak/judge.py
+++ b/testing/soak/judge.py
@@ -1,31 +1,23 @@
 """Checks callers' requests against the manifests in force, at nodes that are in touch.
 
 Change number ``k`` adds the route ``/nk/``, which the next ``ROUTES_KEPT_COUNT - 1`` changes keep.
-A node is in touch while it, its links to voters, and the voters are undisturbed for
-``IN_TOUCH_AFTER_MS``.
+A node is in touch while it, its links to voters, and the voters are undisturbed, and have been for
+as long as a node may be outdated after a freeze.
 """
 
 from __future__ import annotations
 
-import math
 import threading
-from collections.abc import Callable
 from collections.abc import Iterable
-from random import Random
 
-from testing.nodes import Node
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
+from testing.soak.history import Freeze
 from testing.soak.history import History
-from testing.soak.history import Reply
 from testing.soak.history import now_ms
 
-IN_TOUCH_AFTER_MS = 3_000.0
 # A node that has answered by a manifest may answer by an older one for this long.
 REGRESS_MAX_MS = 250.0
 ROUTES_KEPT_COUNT = 8
-PROBE_PAUSE_MAX_S = 0.06
-PROBE_DEADLINE_MS = 300
-PROBE_TIMEOUT_S = 1.0
 NO_ROUTE = 404
 
 
@@ -35,21 +27,25 @@
 
 
 class Disturbance:
-    """A period in which nodes or links were disturbed; call ``end`` when it is over."""
+    """A period in which nodes or links were disturbed; call ``end`` when it is over.
 
-    __slots__ = ("_ended_ms", "hosts", "started_ms")
+    Each of ``excuses`` ends with it.
+    """
+
+    __slots__ = ("_excuses", "_period", "hosts")
 
-    def __init__(self, hosts: frozenset[str]) -> None:
+    def __init__(self, hosts: set[str], excuses: list[Freeze]) -> None:
         self.hosts = hosts
-        self.started_ms = now_ms()
-        self._ended_ms = math.inf
+        self._period = Freeze()
+        self._excuses = excuses
 
     def end(self) -> None:
-        self._ended_ms = now_ms()
+        for period in (self._period, *self._excuses):
+            period.end()
 
     def is_calm(self, at_ms: float) -> bool:
         """Return whether the nodes count as undisturbed at a time."""
-        return at_ms < self.started_ms or at_ms >= self._ended_ms + IN_TOUCH_AFTER_MS
+        return not self._period.overlaps(at_ms, at_ms)
 
 
 class Probe:
@@ -93,9 +89,13 @@
         with self._lock:
             self._acknowledged_ms_by_change[change] = now_ms()
 
-    def disturb(self, hosts: Iterable[str]) -> Disturbance:
-        """Record that nodes are disturbed from now on; a disturbed voter disturbs all nodes."""
-        disturbance = Disturbance(frozenset(hosts))
+    def disturb(self, hosts: Iterable[str], *, cut_off: Iterable[str] = ()) -> Disturbance:
+        """Record that nodes are disturbed from now on; a disturbed voter disturbs all nodes.
+
+        Those that are ``cut_off`` from a majority may hear late that an upstream leaves.
+        """
+        excuses = [self._history.record_freeze(host) for host in cut_off]
+        disturbance = Disturbance(set(hosts), excuses)
         with self._lock:
             self._disturbances.append(disturbance)
         return disturbance
@@ -153,56 +153,3 @@
             and probe.sent_ms > since_ms + REGRESS_MAX_MS
         ):
             self._history.add_violation(f"{probe} after it had served change {served}")
-
-
-class Prober:
-    """Asks one node for the routes of changes: the newest, one that is due, one that is gone."""
-
-    def __init__(self, node: Node, judge: ManifestJudge, history: History, random: Random) -> None:
-        self._node = node
-        self._judge = judge
-        self._history = history
-        self._random = random
-        self._sent_count = 0
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def start(self) -> None:
-        self._thread.start()
-
-    def stop(self) -> None:
-        self._stopped.set()
-        self._thread.join()
-
-    def _run(self) -> None:
-        choices: list[Callable[[], int]] = [
-            lambda: self._judge.acknowledged_count,
-            lambda: self._judge.find_due(now_ms()),
-            lambda: self._judge.find_due(now_ms()) - ROUTES_KEPT_COUNT,
-        ]
-        while not self._stopped.wait(self._random.uniform(0.0, PROBE_PAUSE_MAX_S)):
-            change = self._random.choice(choices)()
-            if change > 0 and self._node.is_alive():
-                self._probe(change)
-
-    def _probe(self, change: int) -> None:
-        self._sent_count += 1
-        request_id = f"n{change}-{self._node.host}-{self._sent_count}"
-        self._history.record_request(request_id, is_idempotent=True, node=self._node.host)
-        process = self._node.process
-        assert process is not None
-        sent_ms = now_ms()
-        status, body = self._node.call(
-            "callers",
-            "GET",
-            f"/n{change}/{request_id}",
-            Host="a.example",
-            timeout_s=PROBE_TIMEOUT_S,
-            X_Attempt_Id=request_id,
-            X_Deadline_Milliseconds=str(PROBE_DEADLINE_MS),
-        )
-        self._history.record_reply(request_id, Reply(status, body))
-        if self._node.process is process:
-            self._judge.check(
-                Probe(self._node.host, process.pid, change, sent_ms=sent_ms, status=status)
-            )
--- a/testing/soak/linked_node.py
+++ b/testing/soak/linked_node.py
@@ -29,9 +29,9 @@
 def _fetch_late() -> None:
     fetch = ManifestSync.fetch_if_newer
 
-    def fetch_late(self: ManifestSync, *arguments: Any) -> None:
+    def fetch_late(self: ManifestSync, *arguments: Any, **options: Any) -> None:
         time.sleep(FETCHED_LATE_S)
-        fetch(self, *arguments)
+        fetch(self, *arguments, **options)
 
     ManifestSync.fetch_if_newer = fetch_late  # type: ignore[method-assign]
 
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -17,14 +17,15 @@
 from testing.soak.callers import Caller
 from testing.soak.callers import LeavingCaller
 from testing.soak.callers import Operator
+from testing.soak.callers import Prober
+from testing.soak.fleet_faults import VOTERS_COUNT
+from testing.soak.fleet_faults import FleetFaults
+from testing.soak.fleet_faults import choose_calm_s
+from testing.soak.fleet_faults import suspend
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
 from testing.soak.history import History
 from testing.soak.history import Reply
-from testing.soak.judge import Disturbance
 from testing.soak.judge import ManifestJudge
-from testing.soak.judge import Prober
-from testing.soak.links import LINK_FAULTS
-from testing.soak.links import LinkFault
 from testing.soak.links import NodeLinks
 from testing.soak.proxy import FaultProxy
 from testing.soak.upstreams import Behaviour
@@ -32,7 +33,6 @@
 
 MS_PER_SECOND = 1_000.0
 NETWORK = "127.0.3"
-VOTERS_COUNT = 3
 # Fewer where requests aren't idempotent: more of them are tried again at the same address.
 UPSTREAMS_COUNT_BY_SERVICE = {"desk": 2, "stock": 4}
 # As deployed: requests that aren't idempotent reuse connections too.
@@ -57,9 +57,6 @@
 LINKED_NODE = Path(__file__).with_name("linked_node.py")
 JOINS_MAX_COUNT = 2
 SEEDS_COUNT = 3
-# So long no further fault disturbs the voters: nodes are in touch again meanwhile.
-VOTERS_CALM_MIN_S = 1.5
-VOTERS_CALM_MAX_S = 6.0
 CALLERS_COUNT = 8
 LEAVING_CALLERS_COUNT = 2
 START_TIMEOUT_S = 30.0
@@ -111,8 +108,15 @@
                 LeavingCaller(self._proxies, self.history, self._derive_random())
                 for _ in range(LEAVING_CALLERS_COUNT)
             ]
-        # Faults of voters and their links don't overlap, but one may take the majority away.
-        self._voter_lock = threading.Lock()
+        self._fleet_faults = FleetFaults(
+            self._nodes,
+            links=self._links,
+            judge=self.judge,
+            history=self.history,
+            random=self._derive_random(),
+            choose_seeds=self._choose_seeds,
+            start_thread=self._start_thread,
+        )
         self._faulted_hosts: set[str] = set()
         self._threads: list[threading.Thread] = []
 
@@ -282,10 +286,10 @@
             self._kill_node,
             self._freeze_node,
             self._lose_voter_disk,
-            self._lose_majority,
-            self._stop_voter_after_acknowledgement,
-            self._disturb_node_links,
-            self._disturb_voter_links,
+            self._fleet_faults.lose_majority,
+            self._fleet_faults.stop_voter_after_acknowledgement,
+            self._fleet_faults.disturb_node_links,
+            self._fleet_faults.disturb_voter_links,
             self._join_node,
             self._disturb_caller_link,
             self._disturb_upstream_link,
@@ -324,113 +328,10 @@
         self._inject_node_fault(
             node,
             f"frozen {pause_s:.1f} s",
-            lambda: self._suspend([node], pause_s),
+            lambda: suspend([node], pause_s, self.history),
             restarts=False,
         )
 
-    def _suspend(self, nodes: list[Node], pause_s: float) -> None:
-        freezes = [self.history.record_freeze(node.host) for node in nodes]
-        for node in nodes:
-            node.send_signal(signal.SIGSTOP)
-        time.sleep(pause_s)
-        for node in nodes:
-            node.send_signal(signal.SIGCONT)
-        for freeze in freezes:
-            freeze.end()
-
-    def _lose_majority(self) -> None:
-        """Suspend two voters or all, or kill and restart them."""
-        count = self._random.randint(VOTERS_COUNT // 2 + 1, VOTERS_COUNT)
-        voters = self._random.sample(self._nodes[:VOTERS_COUNT], count)
-        pause_s = self._random.uniform(0.2, 3.0)
-        is_killed = self._random.random() < 0.5
-        seeds = [self._choose_seeds() for _ in voters]
-
-        def lose() -> None:
-            if not is_killed:
-                self._suspend(voters, pause_s)
-                return
-            for voter in voters:
-                voter.end(signal.SIGKILL)
-            time.sleep(pause_s)
-            for voter, voter_seeds in zip(voters, seeds, strict=True):
-                voter.start(is_first_start=False, seeds=voter_seeds)
-
-        kind = "killed" if is_killed else "frozen"
-        description = f"{count} voters {kind} {pause_s:.1f} s"
-        hosts = [voter.host for voter in voters]
-        self._inject_voter_fault(description, hosts, lambda disturbance: lose())
-
-    def _stop_voter_after_acknowledgement(self) -> None:
-        """Suspend a voter as a change is acknowledged that another one, suspended, has missed."""
-        missing, stopped = self._random.sample(self._nodes[:VOTERS_COUNT], 2)
-        pause_s = self._random.uniform(0.3, 3.0)
-        stopped_s = self._random.uniform(4.0, 6.0)
-
-        def stop(disturbance: Disturbance) -> None:
-            missing.send_signal(signal.SIGSTOP)
-            time.sleep(pause_s)
-            count = self.judge.acknowledged_count
-            end_s = time.monotonic() + pause_s
-            while self.judge.acknowledged_count == count and time.monotonic() < end_s:
-                time.sleep(0.001)
-            stopped.send_signal(signal.SIGSTOP)
-            missing.send_signal(signal.SIGCONT)
-            # The other two voters run, so nodes must hear of the change while one is suspended.
-            disturbance.end()
-            time.sleep(stopped_s)
-            stopped.send_signal(signal.SIGCONT)
-
-        self._inject_voter_fault(
-            f"{stopped.host} frozen after a change that {missing.host} missed",
-            [missing.host, stopped.host],
-            stop,
-        )
-
-    def _disturb_node_links(self) -> None:
-        """Disturb the links of one node without a vote, or some of them."""
-        node = self._random.choice(self._nodes[VOTERS_COUNT:])
-        others = [other.host for other in self._nodes if other is not node]
-        some = self._random.sample(others, self._random.randint(1, len(others)))
-        pairs = self._links.list_between([node.host], some)
-        fault, pause_s = self._choose_link_fault()
-        self.history.record_fault(
-            f"links of {node.host} to {len(some)} nodes: {fault} {pause_s:.1f} s"
-        )
-        disturbance = self.judge.disturb([node.host])
-        end_excuse = self._excuse_late_departures([node])
-
-        def run() -> None:
-            self._links.disturb(pairs, fault, pause_s)
-            disturbance.end()
-            end_excuse()
-
-        self._start_thread(run)
-
-    def _disturb_voter_links(self) -> None:
-        """Disturb the links of one voter, those between two voters, or those between all nodes."""
-        hosts = [node.host for node in self._nodes]
-        first, second = self._random.sample(self._voters, 2)
-        description, some, others = self._random.choice(
-            [
-                (first, [first], hosts),
-                (f"{first} and {second}", [first], [second]),
-                ("voters", self._voters, self._voters),
-                ("all nodes", hosts, hosts),
-            ]
-        )
-        pairs = self._links.list_between(some, others)
-        fault, pause_s = self._choose_link_fault()
-        self._inject_voter_fault(
-            f"links of {description}: {fault} {pause_s:.1f} s",
-            self._voters,
-            lambda disturbance: self._links.disturb(pairs, fault, pause_s),
-        )
-
-    def _choose_link_fault(self) -> tuple[LinkFault, float]:
-        """Return a fault of links, and for how many seconds."""
-        return self._random.choice(LINK_FAULTS), self._random.uniform(0.3, 5.0)
-
     def _inject_node_fault(
         self,
         node: Node,
@@ -447,7 +348,7 @@
         """
         is_voter = node in self._nodes[:VOTERS_COUNT]
         if node.host in self._faulted_hosts or (
-            is_voter and not self._voter_lock.acquire(blocking=False)
+            is_voter and not self._fleet_faults.voter_lock.acquire(blocking=False)
         ):
             return
         self._faulted_hosts.add(node.host)
@@ -456,7 +357,7 @@
         seeds = self._choose_seeds()
         disturbance = self.judge.disturb([node.host])
         if is_voter:
-            settle_s = max(settle_s, self._choose_calm_s())
+            settle_s = max(settle_s, choose_calm_s(self._random))
 
         def run() -> None:
             try:
@@ -469,39 +370,10 @@
             finally:
                 self._faulted_hosts.discard(node.host)
                 if is_voter:
-                    self._voter_lock.release()
+                    self._fleet_faults.voter_lock.release()
 
         self._start_thread(run)
 
-    def _inject_voter_fault(
-        self, description: str, hosts: list[str], inject: Callable[[Disturbance], None]
-    ) -> None:
-        """Inject a fault that disturbs voters, in a separate thread, unless one is in progress.
-
-        ``inject`` may end the disturbance itself. No other one follows for some seconds.
-        """
-        if not self._voter_lock.acquire(blocking=False):
-            return
-        calm_s = self._choose_calm_s()
-        self.history.record_fault(description)
-        disturbance = self.judge.disturb(hosts)
-
-        end_excuse = self._excuse_late_departures(self._nodes)
-
-        def run() -> None:
-            try:
-                inject(disturbance)
-                disturbance.end()
-                end_excuse()
-                time.sleep(calm_s)
-            finally:
-                self._voter_lock.release()
-
-        self._start_thread(run)
-
-    def _choose_calm_s(self) -> float:
-        return self._random.uniform(VOTERS_CALM_MIN_S, VOTERS_CALM_MAX_S)
-
     def _join_node(self) -> None:
         """Start a further node without a vote, whose seeds are any nodes."""
         if len(self._nodes) == self._nodes_max_count:
@@ -518,16 +390,6 @@
         self._probers.append(prober)
         prober.start()
 
-    def _excuse_late_departures(self, nodes: list[Node]) -> Callable[[], None]:
-        """Let nodes hear late that an upstream leaves, until the returned function is called."""
-        freezes = [self.history.record_freeze(node.host) for node in nodes]
-
-        def end() -> None:
-            for freeze in freezes:
-                freeze.end()
-
-        return end
-
     def _replace_upstream(self) -> None:
         upstream = self._random.choice(self._upstreams)
         self._upstreams.remove(upstream)
--- a/testing/soak/test_judge.py
+++ b/testing/soak/test_judge.py
@@ -4,10 +4,11 @@
 
 import pytest
 
+from testing.soak import history as history_module
 from testing.soak import judge as judge_module
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
+from testing.soak.history import STALE_AFTER_FREEZE_MAX_MS
 from testing.soak.history import History
-from testing.soak.judge import IN_TOUCH_AFTER_MS
 from testing.soak.judge import NO_ROUTE
 from testing.soak.judge import REGRESS_MAX_MS
 from testing.soak.judge import ROUTES_KEPT_COUNT
@@ -21,7 +22,8 @@
 @pytest.fixture
 def time(monkeypatch: pytest.MonkeyPatch) -> FakeTime:
     fake_time = FakeTime()
-    monkeypatch.setattr(judge_module, "now_ms", fake_time)
+    for module in (judge_module, history_module):
+        monkeypatch.setattr(module, "now_ms", fake_time)
     return fake_time
 
 
@@ -88,7 +90,7 @@
         assert not judged.probe(NO_ROUTE)
         assert judged.probe(NO_ROUTE, host="other")
         disturbance.end()
-        time.now_ms += IN_TOUCH_AFTER_MS - 1
+        time.now_ms += STALE_AFTER_FREEZE_MAX_MS
         assert not judged.probe(NO_ROUTE)
         time.now_ms += 1
         assert judged.probe(NO_ROUTE)
@@ -99,5 +101,5 @@
         assert not judged.probe(NO_ROUTE)
         assert judged.judge.judged_count == 0
         disturbance.end()
-        time.now_ms += IN_TOUCH_AFTER_MS
+        time.now_ms += STALE_AFTER_FREEZE_MAX_MS + 1
         assert judged.probe(NO_ROUTE)
--- a/testing/soak/test_links.py
+++ b/testing/soak/test_links.py
@@ -1,7 +1,8 @@
-"""Links between two stand-ins: each fault in one direction of calls, and what works afterwards."""
+"""Links between two stand-ins: which connections a fault takes, and what works afterwards."""
 
 from __future__ import annotations
 
+import contextlib
 import json
 import socket
 import threading
@@ -18,40 +19,33 @@
 
 
 @pytest.fixture
-def listener() -> Iterator[socket.socket]:
+def links() -> Iterator[NodeLinks]:
     with socket.create_server((HOST, 0)) as listener:
         threading.Thread(target=_echo, args=(listener,), daemon=True).start()
-        yield listener
+        made = NodeLinks([CALLER, HOST], listener.getsockname()[1])
+        yield made
+        made.close()
         listener.shutdown(socket.SHUT_RDWR)
 
 
-@pytest.fixture
-def links(listener: socket.socket) -> Iterator[NodeLinks]:
-    made = NodeLinks([CALLER, HOST], listener.getsockname()[1])
-    yield made
-    made.close()
-
-
 def _echo(listener: socket.socket) -> None:
-    while True:
-        try:
+    try:
+        while True:
             sock, _ = listener.accept()
-        except OSError:
-            return
-        threading.Thread(target=lambda sock=sock: _echo_all(sock), daemon=True).start()  # type: ignore[misc]
+            threading.Thread(target=_answer, args=(sock,), daemon=True).start()
+    except OSError:
+        return
 
 
-def _echo_all(sock: socket.socket) -> None:
-    while data := sock.recv(100):
-        sock.sendall(data)
+def _answer(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.sendall(sock.recv(100))
 
 
 def _connect(links: NodeLinks, folder: Path) -> socket.socket:
-    path = folder / "links.json"
-    links.write(CALLER, path)
-    ((address, proxy_address),) = json.loads(path.read_text()).items()
-    assert address.startswith(HOST)
-    host, _, port = proxy_address.partition(":")
+    links.write(CALLER, folder / "links.json")
+    (proxy,) = json.loads((folder / "links.json").read_text()).values()
+    host, _, port = proxy.partition(":")
     return socket.create_connection((host, int(port)), timeout=SILENT_AFTER_S)
 
 
@@ -63,31 +57,16 @@
         return False
 
 
-class TestDisturb:
-    def test_forgotten_connections_stay_silent_and_new_ones_work(
-        self, links: NodeLinks, tmp_path: Path
-    ) -> None:
-        sock = _connect(links, tmp_path)
-        assert _is_answered(sock)
-        links.disturb(links.list_between([CALLER], [HOST]), "forget", 0.0)
-        assert not _is_answered(sock)
-        assert _is_answered(_connect(links, tmp_path))
-
-    @pytest.mark.parametrize("fault", ["silent", "one-way"])
-    def test_a_link_that_lost_data_works_again_for_new_connections(
-        self, links: NodeLinks, tmp_path: Path, fault: str
-    ) -> None:
-        sock = _connect(links, tmp_path)
-        pairs = links.list_between([CALLER], [HOST])
-        disturbing = threading.Thread(target=links.disturb, args=(pairs, fault, SILENT_AFTER_S))
-        disturbing.start()
-        assert not _is_answered(sock)
-        disturbing.join()
-        assert _is_answered(_connect(links, tmp_path))
-
-    def test_only_the_links_named_fail(self, links: NodeLinks, tmp_path: Path) -> None:
-        sock = _connect(links, tmp_path)
-        links.disturb([(HOST, CALLER)], "reset", 0.0)
-        assert _is_answered(sock)
-        links.disturb([(CALLER, HOST)], "reset", 0.0)
-        assert not _is_answered(sock)
+@pytest.mark.parametrize("fault", ["silent", "one-way", "forget", "reset"])
+def test_open_connections_are_lost_and_new_ones_work(
+    links: NodeLinks, tmp_path: Path, fault: str
+) -> None:
+    others, sock = _connect(links, tmp_path), _connect(links, tmp_path)
+    links.disturb([(HOST, CALLER)], "reset", 0.0)
+    assert _is_answered(others)
+    pairs = links.list_between([CALLER], [HOST])
+    disturbing = threading.Thread(target=links.disturb, args=(pairs, fault, SILENT_AFTER_S))
+    disturbing.start()
+    assert not _is_answered(sock)
+    disturbing.join()
+    assert _is_answered(_connect(links, tmp_path))
