State the organisations, public kinds and warm-ups of a manifest

Cause: the adapter dropped the table of tenants, the column `public` and the columns of a cold start, so nothing behind it could ask for a key, keep a quota or spare a cold upstream.

Change: types for them in the manifest, checks (a name or a key that occurs twice, an empty key, a negative rate), and the settings of their bounds. Nothing acts on them yet.

Before: two organisations with one key were accepted. After: refused, without showing the key.

--- a/src/coltsfootrill/dispatch/messages.py
+++ b/src/coltsfootrill/dispatch/messages.py
@@ -30,6 +30,8 @@
     ``is_second_attempt`` marks an attempt that runs in parallel with the first one of the
     request and is granted or refused at once; ``within_ms`` bounds its expected latency.
     ``typical_ms`` is the typical latency of the kind. Upstreams in ``exclude`` must not be chosen.
+    ``organisation`` is the name of the caller's organisation, "" if it has none, and
+    ``organisation_rank`` its rank.
     """
 
     token: int
@@ -47,6 +49,8 @@
     within_ms: int | None
     typical_ms: float
     exclude: list[str]
+    organisation: str = ""
+    organisation_rank: int = 0
 
 
 class Granted(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/coltsfootrill/manifest/model.py
+++ b/src/coltsfootrill/manifest/model.py
@@ -22,6 +22,10 @@
 Version = Annotated[int, msgspec.Meta(ge=1, le=2**53)]
 Rank = Annotated[int, msgspec.Meta(ge=0, le=1_000)]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
+OrganisationName = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,64}$")]
+KeyText = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,256}$")]
+RatePerS = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
+BurstCount = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 Priority = Literal["interactive", "normal", "deferrable"]
 
 
@@ -41,7 +45,8 @@
     an answer has its full value; without ``hedge_quantile``, an idempotent request that may miss
     its target is hedged. ``attempts_max`` limits the number of upstreams that one request is sent
     to, including hedges. With ``split``, requests are distributed among the services listed there
-    instead of going to the service that contains the kind.
+    instead of going to the service that contains the kind. ``is_public`` kinds need no key of an
+    organisation.
     """
 
     id: Identifier
@@ -58,6 +63,41 @@
     split: Annotated[list[SplitPart], msgspec.Meta(max_length=64)] = msgspec.field(
         default_factory=list
     )
+    is_public: bool = False
+
+
+class WarmUp(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What an upstream of a service tolerates while it is cold.
+
+    It is cold for ``duration_ms`` after its start, and takes ``requests_per_second`` of all
+    instances together meanwhile.
+    """
+
+    duration_ms: Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
+    requests_per_second: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+
+
+class Organisation(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """One organisation whose callers use the fleet, with the keys by which it is known.
+
+    ``rank`` goes before that of the kind, 0 first. ``rate_per_s`` and ``burst`` limit its requests
+    on all instances together; a rate of 0 means no limit.
+    """
+
+    name: OrganisationName
+    keys: Annotated[list[KeyText], msgspec.Meta(max_length=1_000)]
+    rank: Rank | None = None
+    rate_per_s: RatePerS = 0
+    burst: BurstCount = 0
+
+    @property
+    def has_quota(self) -> bool:
+        """Return whether its requests are limited."""
+        return self.rate_per_s > 0
+
+    def __repr__(self) -> str:
+        """Return a text without the keys, which are secrets."""
+        return f"Organisation({self.name!r})"
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -65,7 +105,7 @@
 
     ``retry_share`` limits retries and hedges together to a share of first attempts.
     ``health_path`` is the path of the health check on the service's upstreams; without it,
-    ``ProbeLimits.path`` is used.
+    ``ProbeLimits.path`` is used. ``warm_up`` is ``None`` if its upstreams need no warm-up.
     """
 
     id: Identifier
@@ -73,6 +113,7 @@
     kinds: Annotated[list[Kind], msgspec.Meta(min_length=1, max_length=10_000)]
     retry_share: Share = 0.1
     health_path: str | None = None
+    warm_up: WarmUp | None = None
 
 
 class ProbeLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -106,6 +147,8 @@
     """A complete manifest.
 
     ``version`` increases with each change; ``schema`` is the version of the manifest format.
+    With ``organisations``, requests of kinds that are not public need a key of one of them;
+    ``None`` means that callers need no key.
     """
 
     schema: int
@@ -113,3 +156,4 @@
     services: Annotated[list[Service], msgspec.Meta(min_length=1, max_length=1000)]
     measuring: ProbeLimits = msgspec.field(default_factory=ProbeLimits)
     limits: CallerLimits = msgspec.field(default_factory=CallerLimits)
+    organisations: Annotated[list[Organisation], msgspec.Meta(max_length=10_000)] | None = None
--- a/src/coltsfootrill/manifest/table.py
+++ b/src/coltsfootrill/manifest/table.py
@@ -16,6 +16,7 @@
 from coltsfootrill.manifest.model import SCHEMA_VERSION
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Manifest
+from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.naming.scheme import InvalidNameError
 from coltsfootrill.naming.scheme import NamingScheme
@@ -258,6 +259,31 @@
                 )
             seen_kinds.add(kind.id)
             _check_kind(kind, f"{where}.kinds[{kind_index}]", problems)
+    _check_organisations(manifest.organisations or [], problems)
+
+
+def _check_organisations(
+    organisations: list[Organisation], problems: list[ManifestValueError]
+) -> None:
+    """Append a problem for each name and each key that occurs twice; keys are not shown."""
+    names: set[str] = set()
+    name_by_key: dict[str, str] = {}
+    for index, organisation in enumerate(organisations):
+        where = f"$.organisations[{index}]"
+        if organisation.name in names:
+            problems.append(
+                ManifestValueError(f"{where}.name", f"{organisation.name!r} occurs twice")
+            )
+        names.add(organisation.name)
+        for key_index, key in enumerate(organisation.keys):
+            other = name_by_key.setdefault(key, organisation.name)
+            if other != organisation.name:
+                problems.append(
+                    ManifestValueError(
+                        f"{where}.keys[{key_index}]",
+                        f"is a key of the organisation {other!r} too; a key names one organisation",
+                    )
+                )
 
 
 def _check_kind(kind: Kind, where: str, problems: list[ManifestValueError]) -> None:
--- a/src/coltsfootrill/platform/desired_state.py
+++ b/src/coltsfootrill/platform/desired_state.py
@@ -1,7 +1,7 @@
 """Decodes the platform's desired state into a manifest.
 
-Routes and services are tables: the names of the columns, and rows of values in that order. A null
-value means that the field is absent.
+Routes, services and tenants are tables: the names of the columns, and rows of values in that
+order. A null value means that the field is absent.
 """
 
 from __future__ import annotations
@@ -21,10 +21,13 @@
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Manifest
+from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.manifest.model import SplitPart
+from coltsfootrill.manifest.model import WarmUp
 
 TIMEOUT_MAX_MS = 600_000
+MS_PER_SECOND = 1_000
 ATTEMPTS_DEFAULT = 1
 _VERSION = re.compile(r"[0-9a-fA-F]{8}")
 _ANY_UPSTREAM = "*"
@@ -59,14 +62,34 @@
     service: str | None = None
     max_attempts: int | None = None
     traffic_split: list[_WeightedService] | None = None
+    public: bool = False
 
 
 class _ServiceRow(msgspec.Struct, frozen=True, rename="camel"):
-    """One service. ``max_connections`` is accepted but not used."""
+    """One service. ``max_connections`` is accepted but not used.
+
+    Its upstreams are cold for ``cold_start_s`` seconds and take ``cold_per_s`` requests a second
+    of all instances meanwhile.
+    """
 
     name: str
     health_check_path: str | None = None
     max_connections: int | None = None
+    cold_start_s: float | None = None
+    cold_per_s: float | None = None
+
+
+class _TenantRow(msgspec.Struct, frozen=True, rename="camel"):
+    """One organisation. A lower ``priority`` goes first, before that of the route.
+
+    A ``rate_per_s`` of 0 means no limit.
+    """
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float | None = None
 
 
 class _TableData(msgspec.Struct, frozen=True):
@@ -95,6 +118,7 @@
     routes: _TableData
     services: _TableData
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: _TableData | None = None
 
 
 _decoder = msgspec.json.Decoder(_DesiredState)
@@ -123,6 +147,7 @@
         first_service = _check_route(route, service_names, problems)
         if first_service is not None:
             kinds_by_service[first_service].append(_make_kind(route))
+    organisations = _list_organisations(state.tenants, problems)
     if problems:
         raise make_manifest_error(problems)
     return Manifest(
@@ -130,6 +155,7 @@
         version=version,
         services=[_make_service(service, kinds_by_service[service.name]) for service in services],
         limits=_make_limits(state.limits),
+        organisations=organisations,
     )
 
 
@@ -207,6 +233,7 @@
         attempts_max=attempts,
         target_ms=int(route.target_latency_ms) if route.target_latency_ms else None,
         split=[SplitPart(service=part.service, weight=part.weight) for part in split],
+        is_public=route.public,
     )
 
 
@@ -216,9 +243,40 @@
         upstreams=[_ANY_UPSTREAM],
         kinds=kinds,
         health_path=service.health_check_path,
+        warm_up=_make_warm_up(service),
     )
 
 
+def _make_warm_up(service: _ServiceRow) -> WarmUp | None:
+    if not service.cold_per_s or service.cold_per_s < 0:
+        return None
+    duration_ms = max(0, int((service.cold_start_s or 0) * MS_PER_SECOND))
+    return WarmUp(duration_ms=duration_ms, requests_per_second=service.cold_per_s)
+
+
+def _list_organisations(
+    table: _TableData | None, problems: list[ManifestValueError]
+) -> list[Organisation] | None:
+    """Return the organisations, ``None`` if callers need no key; append problems."""
+    if table is None:
+        return None
+    organisations: list[Organisation] = []
+    for row in _RowDecoder(_TenantRow, table, "$.tenants", problems).list_rows():
+        fields = {
+            "name": row.name,
+            "keys": row.api_keys,
+            "rank": None if row.priority is None else max(0, row.priority),
+            "rate_per_s": row.rate_per_s or 0,
+            "burst": row.burst or 0,
+        }
+        try:
+            organisations.append(msgspec.convert(fields, Organisation))
+        except msgspec.ValidationError as error:
+            # The text of the error names the field and never its value, which may be a secret.
+            problems.append(ManifestValueError(f"$.tenants.{row.name}", str(error)))
+    return organisations
+
+
 def _make_limits(limits: _Limits) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 
 from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.block_buffer import BlockBuffer
 from coltsfootrill.proxy.caller import DisconnectMonitor
@@ -36,10 +37,18 @@
 
     ``should_stop_waiting`` returns whether to refuse the attempt if it still has no upstream.
     ``second_within_ms`` is set for a second attempt, which does not wait for an upstream and is
-    useful only if it ends within that time.
+    useful only if it ends within that time. ``organisation`` is that of the caller, if any.
     """
 
-    __slots__ = ("exclude", "should_stop_waiting", "kind", "second_within_ms", "service", "times")
+    __slots__ = (
+        "exclude",
+        "kind",
+        "organisation",
+        "second_within_ms",
+        "service",
+        "should_stop_waiting",
+        "times",
+    )
 
     def __init__(
         self,
@@ -50,6 +59,7 @@
         exclude: frozenset[str],
         should_stop_waiting: Callable[[], bool] = lambda: False,
         second_within_ms: float | None = None,
+        organisation: Organisation | None = None,
     ) -> None:
         self.service = service
         self.kind = kind
@@ -57,10 +67,14 @@
         self.exclude = exclude
         self.should_stop_waiting = should_stop_waiting
         self.second_within_ms = second_within_ms
+        self.organisation = organisation
 
 
 class ProxyRequest:
-    """Holds a complete request of a caller. ``headers`` have waitress's upper-case names."""
+    """Holds a complete request of a caller. ``headers`` have waitress's upper-case names.
+
+    ``organisation`` is the one whose key the caller sent, ``None`` if callers need no key.
+    """
 
     __slots__ = (
         "_digest",
@@ -71,6 +85,7 @@
         "is_retried",
         "method",
         "monitor",
+        "organisation",
         "target",
         "times",
     )
@@ -86,7 +101,9 @@
         depth: int,
         is_retried: bool,
         monitor: DisconnectMonitor,
+        organisation: Organisation | None = None,
     ) -> None:
+        self.organisation = organisation
         self.method = method
         self.target = target
         self.headers = headers
--- a/src/coltsfootrill/settings_catalog.py
+++ b/src/coltsfootrill/settings_catalog.py
@@ -320,6 +320,32 @@
     _non_negative(
         "retries", "allowance", "0", "Extra attempts in a window beyond the share, fleet-wide."
     ),
+    _non_negative(
+        "quotas",
+        "overshoot",
+        "0.1",
+        "Requests of an organisation beyond its quota, as a share of it, that upstreams bear.",
+    ),
+    _non_negative(
+        "quotas", "slack", "20", "Requests beyond that in a window that upstreams bear, fleet-wide."
+    ),
+    Setting(
+        "quotas",
+        "window_s",
+        parse_positive,
+        accepted="a number above 0",
+        meaning="Sliding window of the quotas of organisations in seconds.",
+        default="5",
+    ),
+    _non_negative(
+        "warm_up",
+        "overshoot",
+        "1.5",
+        "Factor by which requests to a cold upstream may exceed the rate of its warm-up.",
+    ),
+    _non_negative(
+        "warm_up", "slack", "8", "Requests to a cold upstream in a second beyond that, fleet-wide."
+    ),
     *_BALANCER_SETTINGS,
     _integer(
         "measuring",
--- a/testing/platform/test_desired_state.py
+++ b/testing/platform/test_desired_state.py
@@ -122,3 +122,27 @@
     def test_a_version_that_is_not_eight_digits_is_refused(self) -> None:
         with pytest.raises(InvalidManifestError):
             decode_desired_state(encode_state(route(), version="7"))
+
+    def test_tenants_with_one_key_refuse_the_whole_state_without_showing_it(
+        self, schemes: Any
+    ) -> None:
+        tenants = {"columns": ["name", "apiKeys"], "rows": [["a", ["s3cret"]], ["b", ["s3cret"]]]}
+        manifest = decode_desired_state(encode_state(route(), tenants=tenants))
+        with pytest.raises(InvalidManifestError) as caught:
+            RoutingTable.from_manifest(manifest, "d", schemes)
+        assert "s3cret" not in str(caught.value.exceptions)
+
+    @pytest.mark.parametrize(
+        ("column", "value"),
+        [("name", ""), ("apiKeys", [""]), ("ratePerS", -1), ("burst", -1), ("ratePerS", "fast")],
+    )
+    def test_an_invalid_tenant_refuses_the_whole_state(self, column: str, value: Any) -> None:
+        fields: dict[str, Any] = {"name": "a", "apiKeys": ["k"], "ratePerS": 1, "burst": 2}
+        fields[column] = value
+        tenants = {"columns": list(fields), "rows": [list(fields.values())]}
+        with pytest.raises(InvalidManifestError):
+            decode_desired_state(encode_state(route(), tenants=tenants))
+
+
+def test_a_state_without_tenants_needs_no_keys() -> None:
+    assert decode_desired_state(encode_state(route())).organisations is None
