Let the test of lost links ask only once the fault has begun

Cause: the test started the fault in a thread and asked at once. If the thread came late, the open connection was answered first; if the proxy had not yet opened it, the reset missed it.

Ruled out: a fault of the proxy. It resets all connections that it has open.

Change: both connections are shown to be open and answered before the fault, and the test waits until the fault has begun. The assertions stay, one was added.

--- a/testing/soak/test_links.py
+++ b/testing/soak/test_links.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import threading
+from collections.abc import Callable
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -16,6 +17,7 @@
 HOST = "127.0.0.1"
 CALLER = "127.0.0.9"
 SILENT_AFTER_S = 0.2
+SETTLE_MAX_S = 10.0
 
 
 @pytest.fixture
@@ -39,7 +41,8 @@
 
 def _answer(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
-        sock.sendall(sock.recv(100))
+        while data := sock.recv(100):
+            sock.sendall(data)
 
 
 def _connect(links: NodeLinks, folder: Path) -> socket.socket:
@@ -57,16 +60,39 @@
         return False
 
 
+@pytest.fixture
+def disturb(links: NodeLinks, monkeypatch: pytest.MonkeyPatch) -> Callable[[str], threading.Thread]:
+    """Return a function that lets the links fail, and returns once they do."""
+
+    def start(fault: str) -> threading.Thread:
+        has_begun = threading.Event()
+
+        def sleep(seconds: float) -> None:
+            has_begun.set()
+            threading.Event().wait(seconds)
+
+        def run() -> None:
+            links.disturb(links.list_between([CALLER], [HOST]), fault, SILENT_AFTER_S)
+            has_begun.set()
+
+        monkeypatch.setattr("testing.soak.links.time.sleep", sleep)
+        disturbing = threading.Thread(target=run)
+        disturbing.start()
+        assert has_begun.wait(SETTLE_MAX_S)
+        return disturbing
+
+    return start
+
+
 @pytest.mark.parametrize("fault", ["silent", "one-way", "forget", "reset"])
 def test_open_connections_are_lost_and_new_ones_work(
-    links: NodeLinks, tmp_path: Path, fault: str
+    links: NodeLinks, disturb: Callable[[str], threading.Thread], tmp_path: Path, fault: str
 ) -> None:
     others, sock = _connect(links, tmp_path), _connect(links, tmp_path)
     links.disturb([(HOST, CALLER)], "reset", 0.0)
     assert _is_answered(others)
-    pairs = links.list_between([CALLER], [HOST])
-    disturbing = threading.Thread(target=links.disturb, args=(pairs, fault, SILENT_AFTER_S))
-    disturbing.start()
+    assert _is_answered(sock)
+    disturbing = disturb(fault)
     assert not _is_answered(sock)
     disturbing.join()
     assert _is_answered(_connect(links, tmp_path))
