Turn away first what costs callers least when a service has too little room

Cause: the order of waiting requests knew lateness, urgency, rank and arrival. It did not know the caller's organisation, how much work a request needs, or that its caller had been refused before; and a kind of high rank could shut out all others.

Ruled out: equal shares by organisation, weights by rank, a fixed part for the lowest, and the order by the exact estimate of work; docs/design/order-under-overload.md says why.

Change: one order for those that wait here and at the dispatcher, for what a full queue turns away and for what is refused on arrival. Demand and service are counted by kind and by organisation, decaying and bounded, without a message.

Before: in the test's bursts of a large organisation small ones lost requests to it, and the lowest kind got what the highest left.

--- a/src/coltsfootrill/balancer/admission.py
+++ b/src/coltsfootrill/balancer/admission.py
@@ -1,8 +1,12 @@
-"""The bounded admission queue of one service: order, eviction and deadline checks."""
+"""The bounded admission queue of one service: order, eviction and deadline checks.
+
+What a failure costs callers decides the order; see ``docs/design/order-under-overload.md``.
+"""
 
 from __future__ import annotations
 
 import math
+from typing import NamedTuple
 
 from coltsfootrill.manifest.model import Priority
 
@@ -16,17 +20,26 @@
     From ``urgent_at_ms`` on, a deferrable request is treated as interactive. ``target_at_ms`` is
     the time by which an answer has its full value, and ``work_ms`` the expected latency of an
     attempt. A request that can no longer meet its target is refused from ``give_up_ms`` on.
-    ``rank`` orders kinds, 0 first.
+    ``organisation_rank`` orders the callers' organisations and ``rank`` kinds, 0 first; without an
+    organisation that has a rank, both are that of the kind.
+    ``is_starved`` marks whoever is served far less often than others, ``is_above_usual`` an
+    organisation that asks for far more than it usually does, and ``is_returning`` a caller that has
+    come back after a refusal.
     """
 
     __slots__ = (
         "deadline_ms",
         "give_up_ms",
+        "is_above_usual",
+        "is_returning",
+        "is_starved",
         "order",
+        "organisation_rank",
         "priority",
         "rank",
         "target_at_ms",
         "urgent_at_ms",
+        "work_class",
         "work_ms",
     )
 
@@ -41,7 +54,17 @@
         target_at_ms: float = math.inf,
         work_ms: float = 0.0,
         give_up_ms: float = math.inf,
+        organisation_rank: int | None = None,
+        is_starved: bool = False,
+        is_above_usual: bool = False,
+        is_returning: bool = False,
     ) -> None:
+        self.organisation_rank = rank if organisation_rank is None else organisation_rank
+        self.is_starved = is_starved
+        self.is_above_usual = is_above_usual
+        self.is_returning = is_returning
+        # Work counts by its order of magnitude: small differences of an estimate change no order.
+        self.work_class = math.frexp(max(work_ms, 1.0))[1]
         self.rank = rank
         self.target_at_ms = target_at_ms
         self.work_ms = work_ms
@@ -62,8 +85,28 @@
         return self.is_late(now_ms) and now_ms >= self.give_up_ms
 
 
-def rank_waiter(waiter: Waiter, now_ms: float) -> tuple[bool, int, int, int]:
-    """Return the sort key of a waiter: lateness, urgency, rank of its kind, arrival.
+class WaiterRank(NamedTuple):
+    """The sort key of a waiter; the lowest is served first, and the highest turned away first.
+
+    A request that can still meet its target goes before one that cannot, then whoever is starved,
+    then by urgency, by the rank of the organisation and by that of the kind. Among equals, the
+    excess of an organisation goes last, and a caller that has come back goes before one that can
+    still do so. Then short work goes first, since it serves more callers in the same time.
+    """
+
+    is_late: bool
+    is_not_starved: bool
+    urgency: int
+    organisation_rank: int
+    rank: int
+    is_above_usual: bool
+    is_first_try: bool
+    work_class: int
+    arrival: int
+
+
+def rank_waiter(waiter: Waiter, now_ms: float) -> WaiterRank:
+    """Return the sort key of a waiter.
 
     Requests that can still meet a target are served newest first. Served oldest first under
     overload, each of them would start just too late to meet its target.
@@ -73,7 +116,17 @@
     if waiter.priority == "deferrable" and now_ms >= waiter.urgent_at_ms:
         urgency = URGENT_RANK
     is_newest_first = waiter.target_at_ms < math.inf and not is_late
-    return is_late, urgency, waiter.rank, -waiter.order if is_newest_first else waiter.order
+    return WaiterRank(
+        is_late=is_late,
+        is_not_starved=not waiter.is_starved,
+        urgency=urgency,
+        organisation_rank=waiter.organisation_rank,
+        rank=waiter.rank,
+        is_above_usual=waiter.is_above_usual,
+        is_first_try=not waiter.is_returning,
+        work_class=waiter.work_class,
+        arrival=-waiter.order if is_newest_first else waiter.order,
+    )
 
 
 class AdmissionQueue:
--- a/src/coltsfootrill/dispatch/messages.py
+++ b/src/coltsfootrill/dispatch/messages.py
@@ -31,7 +31,7 @@
     request and is granted or refused at once; ``within_ms`` bounds its expected latency.
     ``typical_ms`` is the typical latency of the kind. Upstreams in ``exclude`` must not be chosen.
     ``organisation`` is the name of the caller's organisation, "" if it has none, and
-    ``organisation_rank`` its rank.
+    ``organisation_rank`` its rank, if it has one.
     """
 
     token: int
@@ -50,7 +50,7 @@
     typical_ms: float
     exclude: list[str]
     organisation: str = ""
-    organisation_rank: int = 0
+    organisation_rank: int | None = None
 
 
 class Granted(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/coltsfootrill/dispatch/remote_acquire.py
+++ b/src/coltsfootrill/dispatch/remote_acquire.py
@@ -75,6 +75,7 @@
     """
     kind = demand.kind
     times = demand.times
+    organisation = demand.organisation
     within_ms: int | None = None
     if demand.second_within_ms is not None and demand.second_within_ms < math.inf:
         within_ms = int(demand.second_within_ms)
@@ -94,4 +95,6 @@
         within_ms=within_ms,
         typical_ms=round(pool.get_latency(kind.id).typical_ms, 1),
         exclude=sorted(demand.exclude.union(pool.list_blocked(now_ms))),
+        organisation="" if organisation is None else organisation.name,
+        organisation_rank=None if organisation is None else organisation.rank,
     )
--- a/src/coltsfootrill/dispatch/server.py
+++ b/src/coltsfootrill/dispatch/server.py
@@ -24,6 +24,7 @@
 from coltsfootrill.dispatch.messages import decode_request
 from coltsfootrill.dispatch.messages import encode
 from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.membership.datagrams import DatagramPort
 from coltsfootrill.proxy.admission_controller import AdmissionController
@@ -169,6 +170,7 @@
                 times,
                 exclude=frozenset(request.exclude),
                 second_within_ms=_get_second_within_ms(request),
+                organisation=_make_organisation(request),
             ),
             origin=Origin(request.zone, self._answer_times.list_recent(sender, now_ms)),
             typical_ms=request.typical_ms,
@@ -235,6 +237,13 @@
     )
 
 
+def _make_organisation(request: AcquireRequest) -> Organisation | None:
+    """Return the caller's organisation as the requesting instance described it, without keys."""
+    if not request.organisation:
+        return None
+    return Organisation(name=request.organisation, keys=[], rank=request.organisation_rank)
+
+
 def _get_second_within_ms(request: AcquireRequest) -> float | None:
     if not request.is_second_attempt:
         return None
--- a/src/coltsfootrill/proxy/admission_controller.py
+++ b/src/coltsfootrill/proxy/admission_controller.py
@@ -25,6 +25,7 @@
 from coltsfootrill.dispatch.remote_acquire import RemoteAcquirer
 from coltsfootrill.events.catalog import Event
 from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.grant_queue import GrantQueue
 from coltsfootrill.proxy.outcome import NotRunError
@@ -93,13 +94,19 @@
         *,
         exclude: frozenset[str],
         should_stop_waiting: Callable[[], bool],
+        organisation: Organisation | None = None,
     ) -> Claim:
-        """Return an upstream for one attempt.
+        """Return an upstream for one attempt of a caller of ``organisation``.
 
         Raises ``NotRunError`` if none becomes available in time.
         """
         demand = AttemptDemand(
-            service, kind, times, exclude=exclude, should_stop_waiting=should_stop_waiting
+            service,
+            kind,
+            times,
+            exclude=exclude,
+            should_stop_waiting=should_stop_waiting,
+            organisation=organisation,
         )
         claim = self._acquire_remotely(demand)
         if claim is not None:
@@ -108,10 +115,7 @@
         with self._lock:
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
-            waiter = self._grants.make_waiter(kind, times)
-            attempt = PendingAttempt(
-                waiter, kind, exclude=exclude, on_settled=lambda _: woken.set()
-            )
+            attempt = self._make_attempt(demand, now_ms, on_settled=lambda _: woken.set())
             self._grants.admit(attempt, now_ms)
             if attempt.is_settled:
                 return self._get_claim(attempt)
@@ -150,19 +154,31 @@
             now_ms = self._clock.now_ms()
             self._update_pool(demand.service, now_ms)
             self._pool.get_latency(kind.id).seed(typical_ms)
-            attempt = PendingAttempt(
-                self._grants.make_waiter(kind, demand.times),
-                kind,
-                exclude=demand.exclude,
-                on_settled=on_settled,
-                origin=origin,
-            )
+            attempt = self._make_attempt(demand, now_ms, on_settled=on_settled, origin=origin)
             if demand.second_within_ms is None:
                 self._grants.admit(attempt, now_ms)
             else:
                 self._grants.admit_second(attempt, demand.second_within_ms, now_ms)
             return attempt
 
+    def _make_attempt(
+        self,
+        demand: AttemptDemand,
+        now_ms: float,
+        *,
+        on_settled: Callable[[PendingAttempt], None],
+        origin: Origin | None = None,
+    ) -> PendingAttempt:
+        organisation = demand.organisation
+        return PendingAttempt(
+            self._grants.make_waiter(demand.kind, demand.times, organisation, now_ms),
+            demand.kind,
+            exclude=demand.exclude,
+            on_settled=on_settled,
+            origin=origin,
+            organisation="" if organisation is None else organisation.name,
+        )
+
     def end_remote(
         self, attempt: PendingAttempt, result: Result, report: LoadReport | None
     ) -> None:
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -113,6 +113,7 @@
             self._request.times,
             exclude=frozenset(self._tried),
             should_stop_waiting=self._request.monitor.should_stop_waiting,
+            organisation=self._request.organisation,
         )
         try:
             # It may have crashed other upstreams while it waited for this one.
--- a/src/coltsfootrill/proxy/grant_queue.py
+++ b/src/coltsfootrill/proxy/grant_queue.py
@@ -12,8 +12,10 @@
 from coltsfootrill.balancer.choice import Origin
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.claim import SlotRequirement
+from coltsfootrill.balancer.demand import ServiceDemand
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.manifest.model import Kind
+from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.proxy.pending import TARGET_SLACK_FACTOR
 from coltsfootrill.proxy.pending import PendingAttempt
 from coltsfootrill.proxy.pending import PendingQueue
@@ -23,6 +25,8 @@
 # A request that has missed its target waits for at most this share of its timeout. It is then
 # refused, so that the caller can decide what to do.
 LATE_WAIT_SHARE = 0.25
+# A caller that comes back sooner than any refusal asked for has not waited, so it goes before none.
+RETURN_MIN_MS = 200.0
 
 _orders = itertools.count()
 
@@ -30,15 +34,20 @@
 class GrantQueue:
     """Holds the pending attempts of one service and grants them upstreams."""
 
-    __slots__ = ("_granted_ms", "_pool", "pending")
+    __slots__ = ("_demand", "_granted_ms", "_pool", "pending")
 
     def __init__(self, pool: ServicePool) -> None:
         self._pool = pool
+        self._demand = ServiceDemand()
         self.pending = PendingQueue(pool.queue)
         self._granted_ms = float("-inf")
 
-    def make_waiter(self, kind: Kind, times: RequestTimes) -> Waiter:
-        """Return the entry that orders an attempt by urgency in the admission queue."""
+    def make_waiter(
+        self, kind: Kind, times: RequestTimes, organisation: Organisation | None, now_ms: float
+    ) -> Waiter:
+        """Return the entry that orders an attempt of an organisation in the admission queue."""
+        name = _get_name(organisation)
+        self._demand.record_asked(name, kind, now_ms)
         target_at_ms = math.inf
         give_up_ms = math.inf
         if kind.target_ms is not None:
@@ -53,6 +62,10 @@
             target_at_ms=target_at_ms,
             work_ms=self._pool.get_latency(kind.id).typical_ms,
             give_up_ms=give_up_ms,
+            organisation_rank=None if organisation is None else organisation.rank,
+            is_starved=self._demand.is_starved(name, kind, now_ms),
+            is_above_usual=self._demand.is_above_usual(name, now_ms),
+            is_returning=times.age_ms >= RETURN_MIN_MS,
         )
 
     def _try_grant(self, attempt: PendingAttempt, now_ms: float) -> bool:
@@ -69,6 +82,7 @@
         )
         if claim is None:
             return False
+        self._demand.record_served(attempt.organisation, attempt.kind, now_ms)
         self._settle(attempt, claim)
         return True
 
@@ -157,3 +171,7 @@
             return False
         self.pending.remove(attempt)
         return True
+
+
+def _get_name(organisation: Organisation | None) -> str:
+    return "" if organisation is None else organisation.name
--- a/src/coltsfootrill/proxy/pending.py
+++ b/src/coltsfootrill/proxy/pending.py
@@ -21,10 +21,19 @@
 
     ``on_settled`` is then called with the attempt, with the admission controller's lock held.
     ``refusal`` is the reason for a refusal. ``origin`` is the instance that will send the request,
-    ``None`` for this instance.
+    ``None`` for this instance. ``organisation`` is the name of the caller's, "" if it has none.
     """
 
-    __slots__ = ("claim", "exclude", "kind", "on_settled", "origin", "refusal", "waiter")
+    __slots__ = (
+        "claim",
+        "exclude",
+        "kind",
+        "on_settled",
+        "organisation",
+        "origin",
+        "refusal",
+        "waiter",
+    )
 
     def __init__(
         self,
@@ -34,7 +43,9 @@
         exclude: frozenset[str],
         on_settled: Callable[[PendingAttempt], None],
         origin: Origin | None = None,
+        organisation: str = "",
     ) -> None:
+        self.organisation = organisation
         self.waiter = waiter
         self.kind = kind
         self.exclude = exclude
