Check a manifest before it is sent: entries without effect, contradictions, changes

Cause: `manifest check` told only whether a manifest is valid. Operators could not see that a service gets no request, a part of a split has no weight, an organisation no key, or that limits contradict each other, nor what a manifest would change.

Ruled out: to ask a running instance for the manifest in force; `manifest show` prints it, and a check that contacts nobody can run in any pipeline.

Change: two lists, of findings and of differences, each in a module of its own, printed after the check with an exit code of its own for findings.

Before: a valid manifest printed one line and exit code 0.

--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -13,11 +13,13 @@
 
 from coltsfootrill import __version__
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.manifest.format import NATIVE_FORMAT
 from coltsfootrill.operators import commands
 from coltsfootrill.operators.client import CallError
 from coltsfootrill.operators.client import OperatorClient
 from coltsfootrill.operators.exit_codes import ExitCode
 from coltsfootrill.operators.explain import explain_request
+from coltsfootrill.operators.manifest_check import check_manifest as run_manifest_check
 from coltsfootrill.operators.output import print_error
 from coltsfootrill.process import set_up_process
 from coltsfootrill.roles.control import ControlRole
@@ -41,7 +43,8 @@
     help="A load balancer for servers whose load shifts within milliseconds.",
     help_epilogue=(
         "Exit codes: 0 done; 1 refused, nothing was changed; 2 invalid arguments or settings; "
-        "3 not known whether it was done, repeat the command; 4 no answer."
+        "3 not known whether it was done, repeat the command; 4 no answer; "
+        "5 valid, but with entries that have no effect or contradict each other."
     ),
 )
 settings_app = App(name="settings", help="Work with settings files.")
@@ -103,9 +106,19 @@
 
 
 @manifest_app.command(name="check")
-def check_manifest(file: Path, *, json: AsJson = False) -> int:
-    """Check a manifest without submitting it and print all problems."""
-    return commands.check_manifest(file, as_json=json)
+def check_manifest(
+    file: Path,
+    *,
+    against: Annotated[
+        Path | None, Parameter(help="File with the manifest in force, to list what differs.")
+    ] = None,
+    format: Annotated[
+        str, Parameter(help="Name of the manifest format, a plug-in.")
+    ] = NATIVE_FORMAT.name,
+    json: AsJson = False,
+) -> int:
+    """Check a manifest without submitting it: problems, entries without effect, and changes."""
+    return run_manifest_check(file, against=against, format_name=format, as_json=json)
 
 
 @manifest_app.command
--- a/src/coltsfootrill/operators/commands.py
+++ b/src/coltsfootrill/operators/commands.py
@@ -10,8 +10,6 @@
 from typing import Any
 
 from coltsfootrill.errors import ColtsfootrillError
-from coltsfootrill.manifest.codec import InvalidManifestError
-from coltsfootrill.manifest.table import RoutingTable
 from coltsfootrill.operators.client import CallError
 from coltsfootrill.operators.client import CallReply
 from coltsfootrill.operators.client import OperatorClient
@@ -19,9 +17,8 @@
 from coltsfootrill.operators.exit_codes import ExitCode
 from coltsfootrill.operators.output import print_error
 from coltsfootrill.operators.output import print_json
+from coltsfootrill.operators.output import print_problems
 from coltsfootrill.operators.output import print_table
-from coltsfootrill.plugins import collect_schemes
-from coltsfootrill.plugins import load_plugins
 from coltsfootrill.settings import Address
 from coltsfootrill.settings import parse_address
 from coltsfootrill.settings_catalog import CONTROL_SETTINGS
@@ -53,25 +50,9 @@
         raise ArgumentError(f"{text!r} is not ip:port") from error
 
 
-def check_manifest(file: Path, *, as_json: bool) -> int:
-    """Check a manifest file and print its digest, or all its problems."""
-    try:
-        table = RoutingTable.from_bytes(_read_file(file), collect_schemes(load_plugins()))
-    except InvalidManifestError as error:
-        problems = [str(problem) for problem in error.exceptions]
-        _print_problems(problems, as_json=as_json)
-        return ExitCode.REFUSED
-    summary = {"version": table.version, "digest": table.digest, "names": len(table.routes_by_name)}
-    if as_json:
-        print_json(summary)
-    else:
-        print(f"{file}: valid manifest, version {table.version}, digest {table.digest}")
-    return ExitCode.DONE
-
-
 def submit_manifest(file: Path, clients: list[OperatorClient], *, as_json: bool) -> int:
     """Submit a manifest to the first control replica that reaches a quorum."""
-    reply = _call_until_decided(clients, "/manifest", _read_file(file))
+    reply = _call_until_decided(clients, "/manifest", read_file(file))
     if isinstance(reply, ExitCode):
         return reply
     return _print_submit_reply(reply, as_json=as_json)
@@ -132,7 +113,7 @@
     if as_json:
         print_json(body)
     elif body.get("result") == "invalid":
-        _print_problems([f"{p['where']}: {p['message']}" for p in body["problems"]], as_json=False)
+        print_problems([f"{p['where']}: {p['message']}" for p in body["problems"]], as_json=False)
     elif is_accepted:
         print(f"accepted: version {body['version']}, digest {body['digest']}")
     else:
@@ -274,16 +255,9 @@
         yield reply
 
 
-def _read_file(file: Path) -> bytes:
+def read_file(file: Path) -> bytes:
+    """Return the content of a file; raise ``ArgumentError`` if it cannot be read."""
     try:
         return file.read_bytes()
     except OSError as error:
         raise ArgumentError(f"cannot read {file}: {error.strerror}") from error
-
-
-def _print_problems(problems: list[str], *, as_json: bool) -> None:
-    if as_json:
-        print_json({"result": "invalid", "problems": problems})
-        return
-    for problem in problems:
-        print_error(problem)
--- a/src/coltsfootrill/operators/output.py
+++ b/src/coltsfootrill/operators/output.py
@@ -18,6 +18,15 @@
     print(json.dumps(value, indent=2, sort_keys=True))
 
 
+def print_problems(problems: Sequence[str], *, as_json: bool) -> None:
+    """Print the problems of an invalid manifest."""
+    if as_json:
+        print_json({"result": "invalid", "problems": list(problems)})
+        return
+    for problem in problems:
+        print_error(problem)
+
+
 def print_table(header: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
     """Print rows as left-aligned columns, each as wide as its widest cell."""
     cells = [[str(cell) for cell in row] for row in [header, *rows]]
