Ask callers for the key of an organisation

Cause: a manifest may list organisations, but nothing looked at the keys of callers: any request was run, upstreams got the key, and a caller's own header could name any organisation.

Change: the routing table holds an index from the digest of each key to its organisation. A request of a kind that is not public needs exactly one key, else it is refused with 401, not run. Its key is looked up when it arrives and again before each attempt if the manifest has changed meanwhile, so that a key taken away ends for kept connections and for what waits in a queue. The organisation is sent to upstreams, the key and the caller's header of that name are not. The guard against requests that crash upstreams knows callers by organisation then. A request without a route or known key waits up to 300 ms for a newer manifest that a hub has reported.

Ruled out: to remember the organisation of a connection, which would outlive a change of keys; to wait without a report of a newer manifest, which would let invented keys hold threads.

Without organisations attempts have the same bytes as before. The error for a line that is no header no longer quotes the line, which may hold a key.

--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -242,8 +242,9 @@
 class RequestEnded(Event, kw_only=True, tag="request-ended"):
     """A request was answered, or its caller disconnected.
 
-    ``manifest`` is the manifest version that it was handled under; ``admission`` is set when it
-    was refused for lack of an upstream, ``manifest_source`` when the manifest has no route for it.
+    ``manifest`` is the manifest version that it was handled under, ``organisation`` the name of
+    the one whose key it carried, if any. ``admission`` is set when it was refused for lack of an
+    upstream, ``manifest_source`` when the manifest has no route for it or does not know its key.
     """
 
     id: str
@@ -255,6 +256,7 @@
     reason: str
     took_ms: float
     deadline_ms: float
+    organisation: str = ""
     attempts: list[Attempt] = []
     message: str = ""
     admission: Admission | None = None
--- a/src/coltsfootrill/manifest/holder.py
+++ b/src/coltsfootrill/manifest/holder.py
@@ -23,8 +23,8 @@
     """
 
     __slots__ = (
+        "_adopted",
         "_format",
-        "_has_first",
         "_live_tables",
         "_lock",
         "_on_adopt",
@@ -46,7 +46,7 @@
         self._lock = threading.Lock()
         self._raw = b""
         self._live_tables: weakref.WeakSet[RoutingTable] = weakref.WeakSet()
-        self._has_first = threading.Event()
+        self._adopted = threading.Condition(self._lock)
         self.current: RoutingTable | None = None
 
     @property
@@ -69,7 +69,7 @@
             self.current = table
             self._live_tables.add(table)
             self._on_adopt(previous, table)
-        self._has_first.set()
+            self._adopted.notify_all()
         return True
 
     def adopt_if_valid(self, raw: bytes) -> InvalidManifestError | None:
@@ -82,9 +82,14 @@
 
     def wait_for_first(self, timeout_ms: float) -> RoutingTable | None:
         """Return the table in force; wait up to ``timeout_ms`` for the first one."""
-        self._has_first.wait(timeout_ms / 1000)
+        self.wait_for_newer(0, timeout_ms)
         return self.current
 
+    def wait_for_newer(self, version: int, timeout_ms: float) -> None:
+        """Wait up to ``timeout_ms`` until a manifest newer than ``version`` is in force."""
+        with self._adopted:
+            self._adopted.wait_for(lambda: self.version > version, timeout_ms / 1000)
+
     def read_newer(self, known_version: int) -> tuple[int, bytes]:
         """Return the version in force, and its bytes if it is newer than ``known_version``.
 
--- a/src/coltsfootrill/manifest/table.py
+++ b/src/coltsfootrill/manifest/table.py
@@ -21,6 +21,7 @@
 from coltsfootrill.naming.scheme import InvalidNameError
 from coltsfootrill.naming.scheme import NamingScheme
 from coltsfootrill.naming.scheme import RequestName
+from coltsfootrill.organisations.key_index import KeyIndex
 
 
 class RouteError(ColtsfootrillError):
@@ -64,7 +65,8 @@
 class RoutingTable:
     """Routes of one manifest. ``routes_by_name`` maps a scheme prefix and a name to a route.
 
-    ``deadline_max_ms`` is the longest deadline of all kinds.
+    ``deadline_max_ms`` is the longest deadline of all kinds. ``keys`` are those of the
+    organisations, ``None`` if callers need no key.
     """
 
     __slots__ = (
@@ -72,6 +74,7 @@
         "_schemes",
         "deadline_max_ms",
         "digest",
+        "keys",
         "manifest",
         "routes_by_name",
         "services_by_id",
@@ -93,6 +96,11 @@
             (kind.deadline_ms for service in manifest.services for kind in service.kinds),
             default=DEADLINE_MAX_MS,
         )
+        self.keys = (
+            None
+            if manifest.organisations is None
+            else KeyIndex.from_organisations(manifest.organisations)
+        )
         self._schemes = schemes
 
     @classmethod
--- a/src/coltsfootrill/membership/view.py
+++ b/src/coltsfootrill/membership/view.py
@@ -162,6 +162,12 @@
             ]
         return sorted(replies, key=lambda reply: reply.age_ms)
 
+    def get_reported_version(self) -> int:
+        """Return the newest manifest version that a responsive hub has reported, 0 if none has."""
+        with self._lock:
+            responsive = self._list_responsive(self._clock.now_ms())
+            return max((state.manifest_version for state in responsive), default=0)
+
     def find_current_hub(self, zone: str) -> str | None:
         """Return the address of a current hub in an availability zone, if one is known."""
         zone_by_address = {record.address: record.zone for record in self.list_instances()}
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -17,8 +17,6 @@
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.client import DispatchClient
-from coltsfootrill.events.catalog import Admission
-from coltsfootrill.events.catalog import Attempt
 from coltsfootrill.events.catalog import CrashingRequest
 from coltsfootrill.events.catalog import Event
 from coltsfootrill.events.catalog import ManifestSource
@@ -27,15 +25,13 @@
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.manifest.table import Route
-from coltsfootrill.manifest.table import RouteError
+from coltsfootrill.manifest.table import RoutingTable
 from coltsfootrill.metrics import Metrics
-from coltsfootrill.naming.scheme import RequestName
 from coltsfootrill.proxy.admission_controller import AdmissionController
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.caller import Refusal
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
-from coltsfootrill.proxy.first_manifest import FirstManifestWait
 from coltsfootrill.proxy.forward import RequestForwarder
 from coltsfootrill.proxy.headers import DEPTH_HEADER
 from coltsfootrill.proxy.headers import DEPTH_MAX
@@ -49,6 +45,9 @@
 from coltsfootrill.proxy.pools import ConnectionPools
 from coltsfootrill.proxy.request import ProxyRequest
 from coltsfootrill.proxy.request import RequestTimes
+from coltsfootrill.proxy.request_record import RequestRecord
+from coltsfootrill.proxy.resolution import RequestResolver
+from coltsfootrill.proxy.resolution import Resolution
 from coltsfootrill.registry.source import UpstreamSource
 
 # Conditions that keep an instance from accepting any request have usually ended by then.
@@ -65,33 +64,6 @@
 }
 
 
-class _RequestRecord:
-    """Collects the details of one request for the event that reports its end."""
-
-    __slots__ = (
-        "admission",
-        "attempts",
-        "deadline_ms",
-        "manifest_source",
-        "manifest_version",
-        "message",
-        "request",
-        "route",
-        "service",
-    )
-
-    def __init__(self, request: CallerRequest) -> None:
-        self.request = request
-        self.route: Route | None = None
-        self.service: Service | None = None
-        self.attempts: list[Attempt] = []
-        self.deadline_ms = 0.0
-        self.message = ""
-        self.manifest_version = 0
-        self.manifest_source: ManifestSource | None = None
-        self.admission: Admission | None = None
-
-
 class ProxyApp:
     """Handles callers' requests and returns answers that state their outcome."""
 
@@ -111,10 +83,10 @@
         once_idle_max_ms: float = 0.0,
         dispatch: DispatchClient | None = None,
         describe_manifest: Callable[[], ManifestSource | None] = lambda: None,
+        get_reported_version: Callable[[], int] = lambda: 0,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
         on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
-        self._describe_manifest = describe_manifest
         self._on_event = on_event
         self._dispatch = dispatch
         self._dialect = dialect
@@ -129,7 +101,13 @@
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._first_manifest = FirstManifestWait(manifests, clock=clock)
+        self._resolver = RequestResolver(
+            manifests,
+            dialect=dialect,
+            clock=clock,
+            get_reported_version=get_reported_version,
+            describe_manifest=describe_manifest,
+        )
         self.controllers_by_service: dict[str, AdmissionController] = {}
         self.pools = ConnectionPools(clock, once_idle_max_ms=once_idle_max_ms)
         self.reports = LoadReportCache(clock)
@@ -138,11 +116,11 @@
 
     def handle(self, request: CallerRequest) -> Answer:
         """Return the answer to one request."""
-        record = _RequestRecord(request)
+        record = RequestRecord(request)
         try:
-            record.route = self._resolve(request, record)
-            record.service = record.route.choose_service(self._random)
-            answer = self._run(request, record, record.route, record.service)
+            resolution = self._resolve(request, record)
+            record.service = resolution.route.choose_service(self._random)
+            answer = self._run(request, record, resolution, record.service)
         except ProxyError as error:
             record.message = str(error)
             if isinstance(error, NotRunError):
@@ -224,7 +202,7 @@
             on_event=self._on_event,
         )
 
-    def _resolve(self, request: CallerRequest, record: _RequestRecord) -> Route:
+    def _resolve(self, request: CallerRequest, record: RequestRecord) -> Resolution:
         if request.refusal is not None:
             raise NotRunError(
                 "503 Service Unavailable",
@@ -232,35 +210,16 @@
                 _MESSAGE_BY_REFUSAL[request.refusal],
                 retry_after_s=_RETRY_AFTER_S_BY_REFUSAL[request.refusal],
             )
-        table = self._manifests.current or self._first_manifest.wait(
-            arrived_ms=request.arrived_ms,
-            timeout_ms=parse_deadline_ms(request.get_header(self._dialect.deadline)),
-            should_stop_waiting=request.monitor.should_stop_waiting,
-        )
-        if table is None:
-            raise NotRunError(
-                "503 Service Unavailable",
-                "no-manifest",
-                "this instance has no manifest yet; retry later",
-                retry_after_s=NOT_READY_RETRY_AFTER_S,
-            )
-        record.manifest_version = table.version
-        headers = request.headers
-        name = RequestName(
-            host=headers.get("HOST", ""),
-            path=request.path,
-            urn=headers.get("URN", ""),
-            target_path=request.target.partition("?")[0],
-        )
-        try:
-            return table.resolve(name)
-        except RouteError as error:
-            record.manifest_source = self._describe_manifest()
-            raise NotRunError("404 Not Found", "no-route", str(error)) from error
+        return self._resolver.resolve(request, record)
 
     def _run(
-        self, request: CallerRequest, record: _RequestRecord, route: Route, service: Service
+        self,
+        request: CallerRequest,
+        record: RequestRecord,
+        resolution: Resolution,
+        service: Service,
     ) -> Answer:
+        route = resolution.route
         depth = parse_depth(request.get_header(DEPTH_HEADER))
         if depth >= DEPTH_MAX:
             raise NotRunError(
@@ -283,6 +242,8 @@
             depth=depth,
             is_retried=bool(request.get_header(RETRIED_HEADER)),
             monitor=request.monitor,
+            organisation=resolution.organisation,
+            withheld_headers=self._get_withheld_headers(resolution.table),
         )
         forwarder = RequestForwarder(
             proxied,
@@ -294,11 +255,15 @@
             guard=self.crash_guard,
             dialect=self._dialect,
             service=service,
+            key_check=self._resolver.make_key_check(resolution),
         )
         record.attempts = forwarder.attempts
         record.deadline_ms = times.deadline_ms - times.arrived_ms
         return forwarder.run()
 
+    def _get_withheld_headers(self, table: RoutingTable) -> frozenset[str]:
+        return frozenset() if table.keys is None else self._dialect.withheld_headers
+
     def _get_age_ms(
         self, request: CallerRequest, route: Route, controller: AdmissionController
     ) -> float:
@@ -322,7 +287,7 @@
         upstreams = [crash.upstream_id for crash in suspect.crash_by_key.values()]
         self._on_event(CrashingRequest(digest=suspect.digest.hex(), upstreams=upstreams))
 
-    def _record_end(self, record: _RequestRecord, answer: Answer) -> None:
+    def _record_end(self, record: RequestRecord, answer: Answer) -> None:
         service_id = "" if record.service is None else record.service.id
         self._metrics.count_request(service_id, answer.outcome, answer.reason)
         took_ms = self._clock.now_ms() - record.request.arrived_ms
@@ -333,6 +298,7 @@
                 id=record.request.get_header(id_header) if id_header else "",
                 service=service_id,
                 kind="" if record.route is None else record.route.kind.id,
+                organisation="" if record.organisation is None else record.organisation.name,
                 manifest=record.manifest_version,
                 status=answer.status,
                 outcome=answer.outcome,
--- a/src/coltsfootrill/proxy/attempt_head.py
+++ b/src/coltsfootrill/proxy/attempt_head.py
@@ -24,10 +24,13 @@
 
     ``is_retried`` marks an attempt that is not the first one, here or further up the call chain.
     """
-    headers = list(list_request_headers(request.headers, dialect.replaced_headers))
+    replaced = dialect.replaced_headers | request.withheld_headers
+    headers = list(list_request_headers(request.headers, replaced))
     headers.append((dialect.deadline, str(max(LEFT_MIN_MS, int(left_ms)))))
     if dialect.upstream_id:
         headers.append((dialect.upstream_id, upstream_id))
+    if dialect.organisation and request.organisation is not None:
+        headers.append((dialect.organisation, request.organisation.name))
     headers.append((DEPTH_HEADER, str(request.depth + 1)))
     if is_retried:
         headers.append((RETRIED_HEADER, "1"))
--- a/src/coltsfootrill/proxy/dialect.py
+++ b/src/coltsfootrill/proxy/dialect.py
@@ -7,7 +7,9 @@
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.hookspecs import hookimpl
 from coltsfootrill.proxy.headers import DEADLINE_HEADER
+from coltsfootrill.proxy.headers import KEY_HEADER
 from coltsfootrill.proxy.headers import LOAD_HEADER
+from coltsfootrill.proxy.headers import ORGANISATION_HEADER
 from coltsfootrill.proxy.headers import SHED_HEADER
 from coltsfootrill.proxy.headers import parse_load
 
@@ -22,12 +24,13 @@
     statuses in ``not_run_statuses`` do. ``load`` states the upstream's load, and ``answered_by`` is
     the id of the upstream that answers a health check. ``rate_limit`` states, on an answer, how
     many requests a second the upstream takes from all instances together, and ``leaving`` that it
-    is leaving. Callers interpret an
-    answer with one of the ``implied_not_run_statuses`` as a guarantee that the request was not and
-    will not be run.
+    is leaving. ``organisation`` names, to upstreams, the organisation that holds the caller's key.
+    Callers interpret an answer with one of the ``implied_not_run_statuses`` as a guarantee that the
+    request was not and will not be run.
     ``has_fractional_retry_after`` states that callers accept fractional seconds in
     ``Retry-After``. ``replaced_headers`` are the lower-case names of the headers that each attempt
-    sets anew, and ``attempt_headers`` of all that differ between attempts.
+    sets anew, and ``attempt_headers`` of all that differ between attempts. ``withheld_headers`` are
+    those of a caller's headers that upstreams do not get if the manifest has organisations.
     """
 
     __slots__ = (
@@ -41,12 +44,14 @@
         "name",
         "not_run",
         "not_run_statuses",
+        "organisation",
         "parse_load",
         "rate_limit",
         "replaced_headers",
         "request_id",
         "signature",
         "upstream_id",
+        "withheld_headers",
     )
 
     def __init__(
@@ -63,6 +68,7 @@
         signature: str = "",
         rate_limit: str = "",
         leaving: str = "",
+        organisation: str = "",
         not_run_statuses: frozenset[int] = frozenset(),
         implied_not_run_statuses: frozenset[int] = frozenset(),
         has_fractional_retry_after: bool = False,
@@ -79,10 +85,12 @@
         self.signature = signature
         self.rate_limit = rate_limit
         self.leaving = leaving
+        self.organisation = organisation
         self.not_run_statuses = not_run_statuses
         self.implied_not_run_statuses = implied_not_run_statuses
         self.replaced_headers = frozenset((deadline.lower(), upstream_id.lower()))
         self.attempt_headers = self.replaced_headers | {request_id.lower()}
+        self.withheld_headers = frozenset((KEY_HEADER.lower(), organisation.lower()))
 
 
 NATIVE_DIALECT = Dialect(
@@ -91,6 +99,7 @@
     load=LOAD_HEADER,
     not_run=SHED_HEADER,
     parse_load=parse_load,
+    organisation=ORGANISATION_HEADER,
 )
 
 
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -23,6 +23,7 @@
 from coltsfootrill.proxy.attempt import make_attempt_event
 from coltsfootrill.proxy.attempt import poll_attempts
 from coltsfootrill.proxy.attempt_head import encode_attempt_head
+from coltsfootrill.proxy.caller_key import KeyCheck
 from coltsfootrill.proxy.connection import ConnectError
 from coltsfootrill.proxy.connection import SendError
 from coltsfootrill.proxy.connection import UpstreamConnection
@@ -63,8 +64,10 @@
         guard: CrashGuard,
         dialect: Dialect = NATIVE_DIALECT,
         service: Service | None = None,
+        key_check: KeyCheck,
     ) -> None:
         self._request = request
+        self._key_check = key_check
         self._service = service or route.service
         self._dialect = dialect
         self._guard = RequestGuard(guard, request, dialect.attempt_headers)
@@ -115,7 +118,9 @@
             should_stop_waiting=self._request.monitor.should_stop_waiting,
         )
         try:
-            # It may have crashed other upstreams while it waited for this one.
+            # Its key may have been taken away while it waited for this upstream, and it may have
+            # crashed others.
+            self._key_check.check(self._request)
             self._guard.begin()
         except NotRunError:
             self._controller.end(claim, "abandoned")
@@ -230,7 +235,7 @@
             is_allowed = self._controller.may_retry(self._history, "lost", self._kind)
         else:
             is_allowed = self._controller.may_hedge(self._history, self._kind)
-        if not is_allowed:
+        if not is_allowed or not self._key_check.is_passed(self._request):
             self._controller.end(claim, "abandoned")
             return
         self._count_extra("silent" if is_silent else "hedge")
--- a/src/coltsfootrill/proxy/headers.py
+++ b/src/coltsfootrill/proxy/headers.py
@@ -15,6 +15,8 @@
 DEADLINE_HEADER = "Coltsfootrill-Deadline-Ms"
 RETRIED_HEADER = "Coltsfootrill-Retried"
 DEPTH_HEADER = "Coltsfootrill-Depth"
+ORGANISATION_HEADER = "Coltsfootrill-Organisation"
+KEY_HEADER = "Authorization"
 LOAD_HEADER = "Upstream-Load"
 SHED_HEADER = "Upstream-Shed"
 LEAVING_VALUE = "1"
--- a/src/coltsfootrill/proxy/outcome.py
+++ b/src/coltsfootrill/proxy/outcome.py
@@ -61,6 +61,8 @@
     """
 
     outcome: Outcome = "unknown"
+    # What HTTP asks for beside the status.
+    headers: tuple[Header, ...] = ()
 
     def __init__(
         self, status: str, reason: str, message: str, *, retry_after_s: float | None = None
@@ -92,6 +94,15 @@
         self.admission = admission
 
 
+class UnauthorizedError(NotRunError):
+    """Raised when a request does not carry the key of an organisation."""
+
+    headers = (("WWW-Authenticate", "Bearer"),)
+
+    def __init__(self, reason: str, message: str) -> None:
+        super().__init__("401 Unauthorized", reason, message)
+
+
 class UnknownOutcomeError(ProxyError):
     """Raised when an upstream may or may not have run the request."""
 
@@ -107,7 +118,7 @@
     body = json.dumps(
         {"outcome": error.outcome, "reason": error.reason, "message": str(error)}
     ).encode()
-    headers: list[Header] = [("Content-Type", "application/json")]
+    headers: list[Header] = [("Content-Type", "application/json"), *error.headers]
     if error.retry_after_s is not None:
         wait_s = (
             error.retry_after_s if has_fractional_retry_after else math.ceil(error.retry_after_s)
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -14,8 +14,6 @@
 from coltsfootrill.proxy.headers import list_request_headers
 
 DIGEST_BYTES = 16
-# What a caller sends with each of its requests to the same service.
-_CALLER_HEADERS = ("HOST", "AUTHORIZATION", "COOKIE")
 
 
 class RequestTimes:
@@ -74,6 +72,7 @@
     """Holds a complete request of a caller. ``headers`` have waitress's upper-case names.
 
     ``organisation`` is the one whose key the caller sent, ``None`` if callers need no key.
+    ``withheld_headers`` are the lower-case names of the caller's headers that upstreams do not get.
     """
 
     __slots__ = (
@@ -88,6 +87,7 @@
         "organisation",
         "target",
         "times",
+        "withheld_headers",
     )
 
     def __init__(
@@ -102,8 +102,10 @@
         is_retried: bool,
         monitor: DisconnectMonitor,
         organisation: Organisation | None = None,
+        withheld_headers: frozenset[str] = frozenset(),
     ) -> None:
         self.organisation = organisation
+        self.withheld_headers = withheld_headers
         self.method = method
         self.target = target
         self.headers = headers
@@ -119,8 +121,7 @@
         """Return what identifies the request when its caller sends it again, in another attempt."""
         if self._digest is None:
             state = hashlib.blake2b(digest_size=DIGEST_BYTES)
-            callers = [self.headers.get(name, "") for name in _CALLER_HEADERS]
-            for part in (self.method, self.target, *callers):
+            for part in (self.method, self.target, *self._list_caller_marks()):
                 state.update(part.encode("latin-1", "replace") + b"\n")
             for block in self.body:
                 state.update(block)
@@ -134,7 +135,19 @@
         """
         if self._variant is None:
             state = hashlib.blake2b(self.get_digest(), digest_size=DIGEST_BYTES)
-            for name, value in sorted(list_request_headers(self.headers, attempt_headers)):
+            excluded = attempt_headers | self.withheld_headers
+            for name, value in sorted(list_request_headers(self.headers, excluded)):
                 state.update(f"{name}:{value}\n".encode("latin-1", "replace"))
             self._variant = state.digest()
         return self._variant
+
+    def _list_caller_marks(self) -> tuple[str, str, str]:
+        """Return what a caller sends with each of its requests to the same service.
+
+        The organisation stands in for a key that upstreams do not get.
+        """
+        get = self.headers.get
+        if not self.withheld_headers:
+            return get("HOST", ""), get("AUTHORIZATION", ""), get("COOKIE", "")
+        name = "" if self.organisation is None else self.organisation.name
+        return get("HOST", ""), name, get("COOKIE", "")
--- a/src/coltsfootrill/proxy/request_parser.py
+++ b/src/coltsfootrill/proxy/request_parser.py
@@ -72,7 +72,11 @@
             )
         if head.count(b"\nhost:") > 1 or head.count(b"\ncontent-length:") > 1:
             raise waitress.parser.ParsingError("Host or Content-Length is given more than once")
-        super().parse_header(header_plus)
+        try:
+            super().parse_header(header_plus)
+        except waitress.parser.ParsingError as error:
+            # Waitress quotes the line, which may hold a secret.
+            raise waitress.parser.ParsingError(str(error).partition('"')[0].rstrip()) from None
         if has_chunks and self.version != "1.1":
             raise waitress.parser.ParsingError("Transfer-Encoding requires HTTP/1.1")
         if self.body_rcv is not None:
--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -54,6 +54,7 @@
         make_budget: Callable[[], AttemptBudget] | None = None,
         dispatch: DispatchClient | None = None,
         describe_manifest: Callable[[], ManifestSource | None] = lambda: None,
+        get_reported_version: Callable[[], int] = lambda: 0,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
         on_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
@@ -76,6 +77,7 @@
             once_idle_max_ms=settings.get("upstreams", "once_idle_ms"),
             dispatch=dispatch,
             describe_manifest=describe_manifest,
+            get_reported_version=get_reported_version,
             on_ended=on_ended,
             on_event=on_event,
         )
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -134,6 +134,7 @@
             make_budget=self._make_budget,
             dispatch=self._make_dispatch_client(),
             describe_manifest=self._describe_manifest,
+            get_reported_version=self.view.get_reported_version,
             on_ended=requests.record,
             on_event=self.log.emit,
         )
--- a/testing/proxy/instance.py
+++ b/testing/proxy/instance.py
@@ -58,6 +58,7 @@
         dialect: Dialect = NATIVE_DIALECT,
         once_idle_max_ms: float = 0.0,
         body_bytes: int = 16 * 1024 * 1024,
+        reported_version: int = 0,
     ) -> None:
         clock = Clock()
         plugins = load_plugins()
@@ -77,6 +78,7 @@
             metrics=self.metrics,
             dialect=dialect,
             once_idle_max_ms=once_idle_max_ms,
+            get_reported_version=lambda: reported_version,
             on_ended=self.events.append,
             on_event=self.events.append,
         )
