Show operators the organisations, and no keys

Cause: `manifest show` printed the manifest whole, and nothing told which organisation a request was of or why it got a 401.

Change: `coltsfootrill organisations` lists name, number of keys, rank, rate and burst; `manifest show` has the number of keys in place of the keys, in a form that a submission refuses. The line of an ended request names the organisation, `explain` tells why a key was refused, and a counter by organisation has 100 labels at most, one more for the others. Texts of decoded manifests and of their refusals hold no keys.

--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -172,6 +172,13 @@
     return commands.list_upstreams(_make_clients(at, token_file, None), as_json=json)
 
 
+@app.command
+def organisations(*, at: OperatorAddress, token_file: TokenFile, json: AsJson = False) -> int:
+    """List the organisations of the accepted manifest with their limits, without their keys."""
+    client = _make_clients([at], token_file, None)[0]
+    return commands.list_organisations(client, as_json=json)
+
+
 @app.command
 def status(*, at: OperatorAddresses, token_file: TokenFile, json: AsJson = False) -> int:
     """Print the state of instances."""
--- a/src/coltsfootrill/events/explanation.py
+++ b/src/coltsfootrill/events/explanation.py
@@ -33,6 +33,12 @@
 # An attempt that lasted this share of the deadline or longer is why the deadline was missed.
 TIME_USED_UP_SHARE = 0.8
 
+_LACK_BY_REASON = {
+    "no-key": "It carried no key, and manifest {manifest} asks for one.",
+    "malformed-key": "It did not carry exactly one key, and manifest {manifest} asks for one.",
+    "unknown-key": "Manifest {manifest} has no organisation that holds its key.",
+}
+
 _INSTANCE_EVENTS = (Started, Stopping, Reloaded, ManifestAdopted, ReplicasChanged)
 _UPSTREAM_EVENTS = (UpstreamChanged, UpstreamEjected, UpstreamReadmitted)
 _RETRY_BUDGET_EVENTS = (RetriesExhausted, RetriesAvailable)
@@ -199,7 +205,12 @@
     admission = request.admission
     source = request.manifest_source
     if source is not None:
-        return f"Manifest {request.manifest} has no route for it. {describe_source(source)}"
+        return f"{_describe_lack(request)} {describe_source(source)}"
+    if request.organisation and request.reason in _LACK_BY_REASON:
+        return (
+            f"It waited with a key of {request.organisation}, which was taken away meanwhile. "
+            "Nothing was sent."
+        )
     if admission is None:
         return f"Refused before any upstream was chosen: {request.message or request.reason}."
     if admission.upstreams == 0:
@@ -212,6 +223,12 @@
     )
 
 
+def _describe_lack(request: RequestEnded) -> str:
+    """Return what the request or the manifest lacks."""
+    lack = _LACK_BY_REASON.get(request.reason, "Manifest {manifest} has no route for it.")
+    return lack.format(manifest=request.manifest)
+
+
 def _describe_sent(request: RequestEnded, last: Attempt) -> str:
     where = f"{last.upstream} (attempt {len(request.attempts)})"
     if request.outcome == "not-run":
--- a/src/coltsfootrill/manifest/table.py
+++ b/src/coltsfootrill/manifest/table.py
@@ -132,6 +132,10 @@
         """Return the version of the manifest."""
         return self.manifest.version
 
+    def list_organisation_names(self) -> list[str]:
+        """Return the names of the organisations in the order of the manifest."""
+        return [organisation.name for organisation in self.manifest.organisations or []]
+
     def resolve(self, request: RequestName) -> Route:
         """Return the route of ``request``.
 
--- a/src/coltsfootrill/metrics.py
+++ b/src/coltsfootrill/metrics.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from prometheus_client import CollectorRegistry
 from prometheus_client import Counter
 from prometheus_client import Gauge
 from prometheus_client import Histogram
 from prometheus_client import generate_latest
 
+# Further organisations of a manifest are counted together.
+ORGANISATION_LABELS_MAX_COUNT = 100
+OTHER_ORGANISATIONS = "other"
 _LATENCY_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
 
 
@@ -26,6 +31,13 @@
             ("service", "outcome", "reason"),
             registry=registry,
         )
+        self.organisation_requests = Counter(
+            "coltsfootrill_organisation_requests",
+            "Requests with the key of an organisation, answered to callers.",
+            ("organisation", "outcome"),
+            registry=registry,
+        )
+        self._labelled_organisations: frozenset[str] = frozenset()
         self.latency = Histogram(
             "coltsfootrill_request_seconds",
             "Time from the arrival of a request to its answer.",
@@ -135,6 +147,19 @@
         """Count one answer to a caller."""
         self.requests.labels(service_id, outcome, reason).inc()
 
+    def set_organisations(self, names: Sequence[str]) -> None:
+        """Set the organisations of the manifest; the first ones get labels of their own."""
+        labelled = frozenset(names[:ORGANISATION_LABELS_MAX_COUNT])
+        gone = self._labelled_organisations - labelled
+        self._labelled_organisations = labelled
+        for name in gone:
+            self.organisation_requests.remove_by_labels({"organisation": name})
+
+    def count_organisation_request(self, name: str, outcome: str) -> None:
+        """Count one answer to a caller with a key of an organisation."""
+        label = name if name in self._labelled_organisations else OTHER_ORGANISATIONS
+        self.organisation_requests.labels(label, outcome).inc()
+
     def count_attempt(self, service_id: str, result: str) -> None:
         """Count one attempt at an upstream."""
         self.attempts.labels(service_id, result).inc()
--- a/src/coltsfootrill/operators/commands.py
+++ b/src/coltsfootrill/operators/commands.py
@@ -17,6 +17,8 @@
 from coltsfootrill.operators.client import OperatorClient
 from coltsfootrill.operators.client import UnreachableError
 from coltsfootrill.operators.exit_codes import ExitCode
+from coltsfootrill.operators.organisations import hide_keys
+from coltsfootrill.operators.organisations import summarise_organisation
 from coltsfootrill.operators.output import print_error
 from coltsfootrill.operators.output import print_json
 from coltsfootrill.operators.output import print_table
@@ -146,15 +148,41 @@
 
 
 def show_manifest(client: OperatorClient) -> int:
-    """Print the accepted manifest."""
-    reply = client.call("GET", "/manifest")
-    if reply.status != 200:
-        print_error(reply.body["message"])
-        return ExitCode.NO_ANSWER if reply.status == 503 else ExitCode.REFUSED
-    print_json(reply.body)
+    """Print the accepted manifest without the keys of organisations, which are secrets."""
+    body = _fetch_manifest(client)
+    if isinstance(body, ExitCode):
+        return body
+    print_json(hide_keys(body))
+    return ExitCode.DONE
+
+
+def list_organisations(client: OperatorClient, *, as_json: bool) -> int:
+    """Print the organisations of the accepted manifest, without their keys."""
+    body = _fetch_manifest(client)
+    if isinstance(body, ExitCode):
+        return body
+    rows = [summarise_organisation(listed) for listed in body.get("organisations") or []]
+    if as_json:
+        print_json({"organisations": rows})
+        return ExitCode.DONE
+    print_table(
+        ["organisation", "keys", "rank", "rate per s", "burst"],
+        [["-" if value is None else value for value in row.values()] for row in rows],
+    )
     return ExitCode.DONE
 
 
+def _fetch_manifest(client: OperatorClient) -> dict[str, Any] | ExitCode:
+    """Return the accepted manifest, or the exit code after an error that has been printed."""
+    reply = client.call("GET", "/manifest")
+    if reply.status == HTTPStatus.OK:
+        body: dict[str, Any] = reply.body
+        return body
+    print_error(reply.body["message"])
+    is_unavailable = reply.status == HTTPStatus.SERVICE_UNAVAILABLE
+    return ExitCode.NO_ANSWER if is_unavailable else ExitCode.REFUSED
+
+
 def show_manifest_status(
     clients: list[OperatorClient], *, wait_version: int | None, timeout_s: float, as_json: bool
 ) -> int:
--- a/src/coltsfootrill/operators/explain.py
+++ b/src/coltsfootrill/operators/explain.py
@@ -70,6 +70,8 @@
     print(f"request {request.id} at {logged.instance}, ended {_format_time(logged.at_ms)}")
     print(f"  {request.status}: {request.outcome} {request.reason}".rstrip())
     print(f"  service {request.service}, kind {request.kind}, manifest {request.manifest}")
+    if request.organisation:
+        print(f"  organisation {request.organisation}")
     print(f"  took {request.took_ms:g} of {request.deadline_ms:g} ms")
     if request.attempts:
         print("attempts")
--- a/src/coltsfootrill/platform/desired_state.py
+++ b/src/coltsfootrill/platform/desired_state.py
@@ -91,6 +91,10 @@
     rate_per_s: float | None = None
     burst: float | None = None
 
+    def __repr__(self) -> str:
+        """Return a text without the keys, which are secrets."""
+        return f"_TenantRow({self.name!r})"
+
 
 class _TableData(msgspec.Struct, frozen=True):
     """A table as it is sent: column names, and one list of values per row."""
@@ -98,6 +102,10 @@
     columns: list[str]
     rows: list[list[Any]]
 
+    def __repr__(self) -> str:
+        """Return a text without the values, which may be secrets."""
+        return f"_TableData(columns={self.columns!r})"
+
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
     """Limits for callers; a limit that is absent or 0 has its default in ``CallerLimits``.
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -290,6 +290,9 @@
     def _record_end(self, record: RequestRecord, answer: Answer) -> None:
         service_id = "" if record.service is None else record.service.id
         self._metrics.count_request(service_id, answer.outcome, answer.reason)
+        organisation = "" if record.organisation is None else record.organisation.name
+        if organisation:
+            self._metrics.count_organisation_request(organisation, answer.outcome)
         took_ms = self._clock.now_ms() - record.request.arrived_ms
         self._metrics.latency.labels(service_id).observe(took_ms / 1000)
         id_header = self._dialect.request_id
@@ -298,7 +301,7 @@
                 id=record.request.get_header(id_header) if id_header else "",
                 service=service_id,
                 kind="" if record.route is None else record.route.kind.id,
-                organisation="" if record.organisation is None else record.organisation.name,
+                organisation=organisation,
                 manifest=record.manifest_version,
                 status=answer.status,
                 outcome=answer.outcome,
--- a/src/coltsfootrill/roles/entry.py
+++ b/src/coltsfootrill/roles/entry.py
@@ -236,6 +236,7 @@
     def _record_manifest(self, before: RoutingTable | None, after: RoutingTable) -> None:
         self.fleet.set_manifest_version(after.version)
         self.metrics.manifest_version.set(after.version)
+        self.metrics.set_organisations(after.list_organisation_names())
         self.audit.record(
             "manifest",
             f"version {after.version} in force",
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -357,6 +357,7 @@
     def _record_manifest(self, before: RoutingTable | None, after: RoutingTable) -> None:
         self._adopted_ms = self._clock.now_ms()
         self.metrics.manifest_version.set(after.version)
+        self.metrics.set_organisations(after.list_organisation_names())
         self.log.emit(
             ManifestAdopted(
                 version=after.version,
--- a/testing/events/test_explanation.py
+++ b/testing/events/test_explanation.py
@@ -117,6 +117,39 @@
             "h1 reported 4 12.5 ms before."
         )
 
+    def test_a_refused_key_is_explained_by_the_manifest_and_its_hubs(self) -> None:
+        source = (
+            ',"manifest_source":{"age_ms":4000,"replies":'
+            '[{"hub":"h1","age_ms":12.5,"version":4,"is_current":true}]}'
+        )
+        line = _ended(
+            1000,
+            "q1",
+            status="401",
+            outcome="not-run",
+            reason="unknown-key",
+            took_ms=0.2,
+            more=source,
+        )
+        assert _explain("q1", line).conclusion == (
+            "Manifest 3 has no organisation that holds its key. It had been in force for 4000 ms. "
+            "h1 reported 4 12.5 ms before."
+        )
+
+    def test_a_key_taken_away_from_a_waiting_request_is_explained(self) -> None:
+        line = _ended(
+            1000,
+            "q1",
+            status="401",
+            outcome="not-run",
+            reason="unknown-key",
+            took_ms=80,
+            more=',"organisation":"acme"',
+        )
+        assert _explain("q1", line).conclusion == (
+            "It waited with a key of acme, which was taken away meanwhile. Nothing was sent."
+        )
+
     def test_a_refusal_by_upstreams_states_the_evidence_of_each_attempt(self) -> None:
         conclusion = _explain_refused(
             _attempt("u1", 2.0, "misdirected"), _attempt("u2", 3.0, "shed")
--- a/testing/platform/test_desired_state.py
+++ b/testing/platform/test_desired_state.py
@@ -143,6 +143,35 @@
         with pytest.raises(InvalidManifestError):
             decode_desired_state(encode_state(route(), tenants=tenants))
 
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"apiKeys": "s3cret"},
+            {"apiKeys": ["s3cret", "s3cret key"]},
+            {"apiKeys": [["s3cret"]]},
+            {"apiKeys": ["s3cret" * 100]},
+            {"apiKeys": {"s3cret": 1}},
+            {"name": ["s3cret"]},
+            {"ratePerS": "s3cret"},
+            {"priority": "s3cret"},
+        ],
+    )
+    def test_no_refusal_shows_what_may_be_a_key(self, changes: dict[str, Any]) -> None:
+        fields: dict[str, Any] = {"name": "a", "apiKeys": ["s3cret"], "ratePerS": 1} | changes
+        tenants = {"columns": list(fields), "rows": [list(fields.values())]}
+        with pytest.raises(InvalidManifestError) as caught:
+            decode_desired_state(encode_state(route(), tenants=tenants))
+        assert "s3cret" not in str(caught.value.exceptions)
+
+
+def test_no_text_of_a_manifest_shows_a_key() -> None:
+    tenants = {"columns": ["name", "apiKeys"], "rows": [["acme", ["s3cret"]]]}
+    manifest = decode_desired_state(encode_state(route(), tenants=tenants))
+    assert manifest.organisations is not None
+    assert manifest.organisations[0].keys == ["s3cret"]
+    assert "s3cret" not in repr(manifest)
+    assert "acme" in repr(manifest)
+
 
 def test_a_state_without_tenants_needs_no_keys() -> None:
     assert decode_desired_state(encode_state(route())).organisations is None
