--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -33,6 +33,8 @@
 CONNECTION = "testing/proxy/test_connection.py::Test"
 DIRECTORY = "testing/registry/test_directory.py::Test"
 CALLER = "testing/proxy/test_caller.py::Test"
+KEYS = "testing/proxy/test_keys.py::Test"
+CALLER_KEY = "testing/proxy/test_caller_key.py::Test"
 BALANCER = "testing/balancer/test_"
 
 MUTANTS = [
@@ -961,4 +963,88 @@
         "",
         "testing/roles/test_gateway.py::TestReadiness",
     ),
+    Mutant(
+        "a request without a known key is refused",
+        "proxy/caller_key.py",
+        "    if organisation is not None or kind.is_public:\n",
+        "    if True:\n",
+        KEYS + "Keys",
+    ),
+    Mutant(
+        "a key taken away ends for what waits in a queue",
+        "proxy/forward.py",
+        "            self._key_check.check(self._request)\n",
+        "",
+        KEYS + "ChangeOfKeys",
+    ),
+    Mutant(
+        "a key that passed on names its new organisation",
+        "proxy/caller_key.py",
+        "        request.organisation = identify_caller(table, self._kind, request.headers)\n",
+        "        identify_caller(table, self._kind, request.headers)\n",
+        CALLER_KEY + "ChangeOfKeys",
+    ),
+    Mutant(
+        "a key is withheld once the manifest has organisations, also while its request waits",
+        "proxy/caller_key.py",
+        "            request.withheld_headers = self._withheld_headers\n",
+        "            pass\n",
+        CALLER_KEY + "ChangeOfKeys",
+    ),
+    Mutant(
+        "neither the key nor the caller's word for its organisation reaches an upstream",
+        "proxy/attempt_head.py",
+        "dialect.replaced_headers | request.withheld_headers",
+        "dialect.replaced_headers",
+        CALLER_KEY + "WhatUpstreamsGet",
+    ),
+    Mutant(
+        "a doubled or folded key is no key",
+        "organisations/bearer.py",
+        "    match = _CREDENTIALS.fullmatch(authorization)\n",
+        "    match = _CREDENTIALS.match(authorization)\n",
+        CALLER_KEY + "Spellings",
+    ),
+    Mutant(
+        "the guard knows a caller by its organisation, not by its key",
+        "proxy/request.py",
+        "        if not self.withheld_headers:\n",
+        "        if True:\n",
+        CALLER_KEY + "RequestsThatCrashUpstreams",
+    ),
+    Mutant(
+        "a new key waits for the manifest that a hub has reported",
+        "proxy/newer_manifest.py",
+        "            return self._wait_until(arrived_ms + wait_ms, version, should_stop_waiting)\n",
+        "            return None\n",
+        KEYS + "LateInstance",
+    ),
+    Mutant(
+        "invented keys hold few threads",
+        "proxy/newer_manifest.py",
+        "        if not self._places.acquire(blocking=False):\n",
+        "        if not self._places.acquire():\n",
+        "testing/proxy/test_newer_manifest.py::TestInventedKeys",
+    ),
+    Mutant(
+        "a refusal of a malformed head does not quote it",
+        "proxy/request_parser.py",
+        "str(error).partition('\"')[0].rstrip()",
+        "str(error)",
+        KEYS + "Reports",
+    ),
+    Mutant(
+        "the shown manifest holds no keys",
+        "operators/commands.py",
+        "    print_json(hide_keys(body))\n",
+        "    print_json(body)\n",
+        "testing/operators/test_organisations.py::TestManifestShow",
+    ),
+    Mutant(
+        "metrics have a bounded number of organisations",
+        "metrics.py",
+        "names[:ORGANISATION_LABELS_MAX_COUNT]",
+        "names",
+        "testing/test_metrics.py::TestOrganisations",
+    ),
 ]
--- a/testing/proxy/test_newer_manifest.py
+++ b/testing/proxy/test_newer_manifest.py
@@ -84,21 +84,22 @@
         assert late.clock.now_ms() - before_ms < WAIT_MAX_MS
 
 
-def test_callers_with_invented_keys_hold_few_threads() -> None:
-    late = _LateInstance(reported=2)
-    calls_count = 3 * WAITS_MAX_COUNT
-    ended = threading.Semaphore(0)
-
-    def wait() -> None:
-        late.wait()
-        ended.release()
-
-    with ThreadPoolExecutor(calls_count) as executor:
-        for _ in range(calls_count):
-            executor.submit(wait)
-        refused_at_once = 0
-        while refused_at_once < calls_count - WAITS_MAX_COUNT and ended.acquire(timeout=5):
-            refused_at_once += 1
-        late.has_left.set()
-    assert refused_at_once == calls_count - WAITS_MAX_COUNT
-    assert late.wait() is None
+class TestInventedKeys:
+    def test_callers_with_invented_keys_hold_few_threads(self) -> None:
+        late = _LateInstance(reported=2)
+        calls_count = 3 * WAITS_MAX_COUNT
+        ended = threading.Semaphore(0)
+
+        def wait() -> None:
+            late.wait()
+            ended.release()
+
+        with ThreadPoolExecutor(calls_count) as executor:
+            for _ in range(calls_count):
+                executor.submit(wait)
+            refused_at_once = 0
+            while refused_at_once < calls_count - WAITS_MAX_COUNT and ended.acquire(timeout=5):
+                refused_at_once += 1
+            late.has_left.set()
+        assert refused_at_once == calls_count - WAITS_MAX_COUNT
+        assert late.wait() is None
