--- a/src/coltsfootrill/proxy/resolution.py
+++ b/src/coltsfootrill/proxy/resolution.py
@@ -88,17 +88,25 @@
             try:
                 return _resolve(table, request, record)
             except NotRunError:
-                newer = self._newer.wait(
-                    table.version,
-                    arrived_ms=request.arrived_ms,
-                    timeout_ms=timeout_ms,
-                    should_stop_waiting=request.monitor.should_stop_waiting,
-                )
+                newer = self._wait_for_newer(table, request, timeout_ms)
                 if newer is None:
                     record.manifest_source = self._describe_manifest()
                     raise
                 table = newer
 
+    def _wait_for_newer(
+        self, table: RoutingTable, request: CallerRequest, timeout_ms: float | None
+    ) -> RoutingTable | None:
+        if table.keys is None:
+            # Without organisations a missing route is reported at once.
+            return None
+        return self._newer.wait(
+            table.version,
+            arrived_ms=request.arrived_ms,
+            timeout_ms=timeout_ms,
+            should_stop_waiting=request.monitor.should_stop_waiting,
+        )
+
     def make_key_check(self, resolution: Resolution) -> KeyCheck:
         """Return the check that goes before each attempt of a resolved request."""
         return KeyCheck(
--- a/testing/proxy/test_keys.py
+++ b/testing/proxy/test_keys.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import json
 import re
 import socket
 import threading
@@ -13,6 +14,7 @@
 
 from coltsfootrill.events.catalog import RequestEnded
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from coltsfootrill.proxy import newer_manifest
 from testing.processes import wait_until
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import answer
@@ -27,6 +29,8 @@
 
 BEARER = f"Bearer {KEY}"
 SIGNED = "X-Server-Signature: s\r\n"
+NEW_PATH = "/new"
+LONG_WAIT_MS = 10_000.0
 WITHOUT_ACME = {"acme": [], "other": [OTHER_KEY]}
 
 
@@ -51,6 +55,13 @@
     return [line for line in lines if line.lower().startswith("x-tenant")]
 
 
+def _add_route(raw: bytes) -> bytes:
+    manifest = json.loads(raw)
+    kinds = manifest["services"][0]["kinds"]
+    kinds.append(kinds[0] | {"id": "new", "names": [f"path:{NEW_PATH}"]})
+    return json.dumps(manifest).encode()
+
+
 class TestKeys:
     def test_upstreams_get_the_organisation_and_no_key(
         self, instance: Instance, upstream: ScriptedUpstream
@@ -201,18 +212,24 @@
         yield made
         made.close()
 
-    def test_a_new_key_waits_for_the_manifest_that_adds_it(
-        self, instance: Instance, upstream: ScriptedUpstream
+    @pytest.mark.parametrize("path", ["/x", NEW_PATH])
+    def test_a_new_key_or_route_waits_for_the_manifest_that_adds_it(
+        self,
+        path: str,
+        instance: Instance,
+        upstream: ScriptedUpstream,
+        monkeypatch: pytest.MonkeyPatch,
     ) -> None:
+        monkeypatch.setattr(newer_manifest, "WAIT_MAX_MS", LONG_WAIT_MS)
         statuses: list[int] = []
 
         def call() -> None:
-            statuses.append(instance.call(Authorization=BEARER).status)
+            statuses.append(instance.call(path, Authorization=BEARER).status)
 
         caller = threading.Thread(target=call)
         caller.start()
         wait_until(lambda: len(instance.server.in_progress) == 1)
-        instance.manifests.adopt(make_keyed_manifest(3))
+        instance.manifests.adopt(_add_route(make_keyed_manifest(3)))
         caller.join()
         assert statuses == [200]
         assert _list_organisations(upstream) == ["X-Tenant: acme"]
