--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -977,6 +977,13 @@
         "",
         KEYS + "ChangeOfKeys",
     ),
+    Mutant(
+        "no hedge follows once a key is taken away",
+        "proxy/forward.py",
+        "        if not is_allowed or not self._key_check.is_passed(self._request):\n",
+        "        if not is_allowed:\n",
+        KEYS + "ChangeOfKeys",
+    ),
     Mutant(
         "a key that passed on names its new organisation",
         "proxy/caller_key.py",
--- a/testing/proxy/test_keys.py
+++ b/testing/proxy/test_keys.py
@@ -178,6 +178,35 @@
         assert len(upstream.heads) == 1
         upstream.close()
 
+    @pytest.mark.parametrize(("is_taken_away", "attempts_count"), [(True, 1), (False, 2)])
+    def test_no_hedge_follows_once_the_key_is_taken_away(
+        self, instance: Instance, is_taken_away: bool, attempts_count: int
+    ) -> None:
+        stalled: list[bytes] = []
+        is_stalling = threading.Event()
+
+        def stall_later(sock: socket.socket, head: bytes, number: int) -> bool:
+            if not is_stalling.is_set():
+                sock.sendall(encode(extra=SIGNED))
+                return True
+            stalled.append(head)
+            if is_taken_away:
+                instance.manifests.adopt(make_keyed_manifest(3, WITHOUT_ACME))
+            sock.recv(1)
+            return False
+
+        upstreams = [ScriptedUpstream(stall_later) for _ in range(2)]
+        for number, made in enumerate(upstreams):
+            instance.announce(f"u{number}", made.address)
+        for _ in range(40):
+            instance.call("/hedged", Authorization=BEARER)
+        is_stalling.set()
+        instance.call("/hedged", Authorization=BEARER)
+        assert len(stalled) == attempts_count
+        assert all(b"X-Tenant: acme" in head for head in stalled)
+        for made in upstreams:
+            made.close()
+
     def test_pipelined_requests_are_checked_one_by_one(
         self, instance: Instance, upstream: ScriptedUpstream
     ) -> None:
