--- a/testing/manifest/test_table.py
+++ b/testing/manifest/test_table.py
@@ -43,6 +43,33 @@
             RoutingTable.from_bytes(raw, schemes)
 
 
+class TestOrganisations:
+    @pytest.mark.parametrize(
+        "organisations",
+        [
+            [{"name": "a", "keys": ["s3cret"]}, {"name": "b", "keys": ["s3cret"]}],
+            [{"name": "a", "keys": ["s3cret"]}, {"name": "a", "keys": ["s3cret-2"]}],
+            [{"name": "a", "keys": ["s3cret", ""]}],
+            [{"name": "a", "keys": ["s3cret key"]}],
+            [{"name": "a", "keys": "s3cret"}],
+            [{"name": "a", "keys": [["s3cret"]]}],
+            [{"name": "a", "keys": ["s3cret"], "rate_per_s": -1}],
+            [{"name": "a", "keys": ["s3cret"], "burst": "many"}],
+            [{"name": "", "keys": ["s3cret"]}],
+            [{"keys": ["s3cret"]}],
+            {"name": "a", "keys": ["s3cret"]},
+        ],
+    )
+    def test_an_invalid_organisation_refuses_the_manifest_without_showing_a_key(
+        self, organisations: Any, schemes: Any
+    ) -> None:
+        manifest = json.loads(_encode([{"id": "a", "names": ["path:/x"]}]))
+        raw = json.dumps(manifest | {"organisations": organisations}).encode()
+        with pytest.raises(InvalidManifestError) as caught:
+            RoutingTable.from_bytes(raw, schemes)
+        assert "s3cret" not in str(caught.value.exceptions)
+
+
 class TestResolving:
     def test_a_request_is_resolved_by_each_scheme(self, schemes: Any) -> None:
         names = ["path:/x", "dotted:x.example", "urn:crest:x"]
