--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -134,6 +134,7 @@
             make_budget=self._make_budget,
             dispatch=self._make_dispatch_client(),
             describe_manifest=self._describe_manifest,
+            get_reported_version=self.view.get_reported_version,
             on_ended=requests.record,
             on_event=self.log.emit,
         )
@@ -356,6 +357,7 @@
     def _record_manifest(self, before: RoutingTable | None, after: RoutingTable) -> None:
         self._adopted_ms = self._clock.now_ms()
         self.metrics.manifest_version.set(after.version)
+        self.metrics.set_organisations(after.list_organisation_names())
         self.log.emit(
             ManifestAdopted(
                 version=after.version,
