Pass on to all instances for how much longer an upstream is cold

Cause: a heartbeat that differs from the last one only in the time that the upstream stays cold counted as a renewal, which followers don't get. Instances that start got the time of the announcement, not what is left of it. Answers to health checks state it too, unread.

Ruled out: a message of its own (the announcement and the load have it already); to shorten the time by heartbeats (they may arrive seconds late).

Change: the directory keeps until when an upstream is cold. An announcement that extends that by more than half a second is a change, which wakes held polls; a hub sends what is left. The load gossip carries what a health check states, only for services with a warm-up, and sends it to other zones at once if it changed; a collector keeps it beside the newer load of an ordinary answer. Each load has one byte more.

Before: an upstream that became cold again was cold for the instance that took its heartbeat alone. After: tests on a hub and its follower, a collector, the poller.

--- a/src/coltsfootrill/balancer/load_report_cache.py
+++ b/src/coltsfootrill/balancer/load_report_cache.py
@@ -11,11 +11,12 @@
 class ReportEntry:
     """What an upstream stated ``age_ms`` ago: its load, its rate of requests, that it is leaving.
 
-    ``per_s`` is the rate in requests a second, and ``leaving_incarnation`` the incarnation that is
-    leaving; each is ``None`` if it was not stated.
+    ``per_s`` is the rate in requests a second, ``leaving_incarnation`` the incarnation that is
+    leaving, and ``cold_ms`` for how much longer the upstream was cold then; each is ``None`` if it
+    was not stated.
     """
 
-    __slots__ = ("age_ms", "leaving_incarnation", "per_s", "report", "upstream_id")
+    __slots__ = ("age_ms", "cold_ms", "leaving_incarnation", "per_s", "report", "upstream_id")
 
     def __init__(
         self,
@@ -25,7 +26,9 @@
         age_ms: float,
         per_s: float | None = None,
         leaving_incarnation: int | None = None,
+        cold_ms: float | None = None,
     ) -> None:
+        self.cold_ms = cold_ms
         self.leaving_incarnation = leaving_incarnation
         self.upstream_id = upstream_id
         self.report = report
@@ -49,6 +52,7 @@
         report: LoadReport | None,
         per_s: float | None = None,
         leaving_incarnation: int | None = None,
+        cold_ms: float | None = None,
     ) -> None:
         """Store what an upstream has just stated."""
         with self._lock:
@@ -59,8 +63,10 @@
                 per_s = known.per_s if per_s is None else per_s
                 if leaving_incarnation is None:
                     leaving_incarnation = known.leaving_incarnation
+                # An answer to a request does not state it.
+                cold_ms = known.cold_ms if cold_ms is None else cold_ms
             self._report_by_id[upstream_id] = _StoredReport(
-                report, per_s, leaving_incarnation, at_ms=self._clock.now_ms()
+                report, per_s, leaving_incarnation, cold_ms, at_ms=self._clock.now_ms()
             )
 
     def take(self) -> list[ReportEntry]:
@@ -76,6 +82,7 @@
                 age_ms=now_ms - stored.at_ms,
                 per_s=stored.per_s,
                 leaving_incarnation=stored.leaving_incarnation,
+                cold_ms=stored.cold_ms,
             )
             for upstream_id, stored in taken.items()
         ]
@@ -84,16 +91,18 @@
 class _StoredReport:
     """What an upstream stated at ``at_ms``."""
 
-    __slots__ = ("at_ms", "leaving_incarnation", "per_s", "report")
+    __slots__ = ("at_ms", "cold_ms", "leaving_incarnation", "per_s", "report")
 
     def __init__(
         self,
         report: LoadReport | None,
         per_s: float | None,
         leaving_incarnation: int | None,
+        cold_ms: float | None,
         *,
         at_ms: float,
     ) -> None:
+        self.cold_ms = cold_ms
         self.leaving_incarnation = leaving_incarnation
         self.report = report
         self.per_s = per_s
--- a/src/coltsfootrill/membership/fleet.py
+++ b/src/coltsfootrill/membership/fleet.py
@@ -244,7 +244,7 @@
             age_ms = max(0, int(now_ms - record.last_confirmed_ms) + 1)
             announcement = record.announcement
             if record.changed_at > position or position == 0:
-                upstreams.append(SharedUpstream(announcement, record.origin, age_ms))
+                upstreams.append(SharedUpstream(record.describe(), record.origin, age_ms))
             elif record.renewed_at > position:
                 renewals.append(Renewal(announcement.id, announcement.incarnation, age_ms))
         has_member_changes = now_ms - self.members.stable_since_ms < MEMBERSHIP_CHANGE_SHARED_MS
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -146,10 +146,7 @@
             return
         with self._changed:
             records = self._directory.by_id.values()
-            # Each renewal increases the sequence; clearing it avoids a write for every renewal.
-            announcements = [
-                msgspec.structs.replace(record.announcement, sequence=0) for record in records
-            ]
+            announcements = [record.describe_lasting() for record in records]
         self._snapshot.write(announcements)
 
     def deregister(self, request: LeaveRequest) -> AnnounceReply:
@@ -379,7 +376,7 @@
             age_ms = max(0, int(now_ms - record.last_confirmed_ms) + 1)
             announcement = record.announcement
             if record.changed_at > position or position == 0:
-                upstreams.append(SharedUpstream(announcement, record.origin, age_ms))
+                upstreams.append(SharedUpstream(record.describe(), record.origin, age_ms))
             elif is_for_hub and not record.is_leaving:
                 renewals.append(Renewal(announcement.id, announcement.incarnation, age_ms))
         return FollowReply(
--- a/src/coltsfootrill/membership/load_changes.py
+++ b/src/coltsfootrill/membership/load_changes.py
@@ -66,7 +66,16 @@
         return True
     if before.per_s != after.per_s or before.leaving_incarnation != after.leaving_incarnation:
         return True
+    if _has_become_cold_or_warm(before, after):
+        return True
     if before.pace is None or after.pace is None:
         return before.pace is not after.pace
     slower, faster = max(before.pace, after.pace), min(before.pace, after.pace)
     return slower > PACE_RATIO * faster
+
+
+def _has_become_cold_or_warm(before: LoadEntry, after: LoadEntry) -> bool:
+    """Return whether the time for which the upstream is cold was set anew, or has ended."""
+    before_ms = before.cold_ms or 0
+    after_ms = after.cold_ms or 0
+    return after_ms > before_ms or (before_ms > 0) != (after_ms > 0)
--- a/src/coltsfootrill/membership/load_gossip.py
+++ b/src/coltsfootrill/membership/load_gossip.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -182,7 +183,7 @@
                 made_ms = now_ms - entry.age_ms
                 if known is None or known.made_ms <= made_ms:
                     self._entry_by_id[entry.upstream_id] = _CollectedEntry(
-                        entry, hops=gossip.hops, made_ms=made_ms
+                        _keep_cold(entry, known, made_ms), hops=gossip.hops, made_ms=made_ms
                     )
         self._is_pending.set()
 
@@ -217,6 +218,17 @@
         self.made_ms = made_ms
 
 
+def _keep_cold(entry: LoadEntry, known: _CollectedEntry | None, made_ms: float) -> LoadEntry:
+    """Return an entry with what a known one states of being cold, if only that one does.
+
+    Answers to requests do not state it, and would replace that of a poll.
+    """
+    if entry.cold_ms is not None or known is None or known.entry.cold_ms is None:
+        return entry
+    cold_ms = max(0, math.ceil(known.entry.cold_ms - (made_ms - known.made_ms)))
+    return msgspec.structs.replace(entry, cold_ms=cold_ms)
+
+
 def _count_bytes(parts: Sequence[bytes]) -> int:
     return sum(len(part) for part in parts)
 
@@ -231,6 +243,7 @@
         int(entry.age_ms),
         entry.per_s,
         entry.leaving_incarnation,
+        None if entry.cold_ms is None else math.ceil(entry.cold_ms),
     )
 
 
@@ -247,4 +260,5 @@
         age_ms=max(0, entry.age_ms),
         per_s=entry.per_s,
         leaving_incarnation=entry.leaving_incarnation,
+        cold_ms=None if entry.cold_ms is None else max(0, entry.cold_ms),
     )
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -171,8 +171,9 @@
 class LoadEntry(msgspec.Struct, frozen=True, array_like=True):
     """Load of one upstream; ``pace`` is multiplied by ``PACE_SCALE``, ``None`` if not reported.
 
-    ``slots`` is 0 without a load. ``per_s`` is the rate of requests that the upstream states, and
-    ``leaving_incarnation`` the incarnation of which it states that it is leaving.
+    ``slots`` is 0 without a load. ``per_s`` is the rate of requests that the upstream states,
+    ``leaving_incarnation`` the incarnation of which it states that it is leaving, and ``cold_ms``
+    for how much longer it is cold; ``None`` if it did not state it.
     """
 
     upstream_id: str
@@ -182,6 +183,7 @@
     age_ms: int
     per_s: float | None = None
     leaving_incarnation: int | None = None
+    cold_ms: int | None = None
 
 
 class LoadGossip(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/platform/dialect.py
+++ b/src/coltsfootrill/platform/dialect.py
@@ -46,6 +46,7 @@
         signature="X-Server-Signature",
         rate_limit="Server-Limit",
         leaving="Server-Leaving",
+        cold="X-Cold-Milliseconds",
         not_run_statuses=frozenset({421}),
         implied_not_run_statuses=frozenset({408, 421, 429, 503}),
         has_fractional_retry_after=True,
--- a/src/coltsfootrill/proxy/dialect.py
+++ b/src/coltsfootrill/proxy/dialect.py
@@ -22,9 +22,9 @@
     statuses in ``not_run_statuses`` do. ``load`` states the upstream's load, and ``answered_by`` is
     the id of the upstream that answers a health check. ``rate_limit`` states, on an answer, how
     many requests a second the upstream takes from all instances together, and ``leaving`` that it
-    is leaving. Callers interpret an
-    answer with one of the ``implied_not_run_statuses`` as a guarantee that the request was not and
-    will not be run.
+    is leaving. ``cold`` states, on the answer to a health check, for how many milliseconds more the
+    upstream is cold. Callers interpret an answer with one of the ``implied_not_run_statuses`` as a
+    guarantee that the request was not and will not be run.
     ``has_fractional_retry_after`` states that callers accept fractional seconds in
     ``Retry-After``. ``replaced_headers`` are the lower-case names of the headers that each attempt
     sets anew, and ``attempt_headers`` of all that differ between attempts.
@@ -33,6 +33,7 @@
     __slots__ = (
         "answered_by",
         "attempt_headers",
+        "cold",
         "deadline",
         "has_fractional_retry_after",
         "implied_not_run_statuses",
@@ -63,6 +64,7 @@
         signature: str = "",
         rate_limit: str = "",
         leaving: str = "",
+        cold: str = "",
         not_run_statuses: frozenset[int] = frozenset(),
         implied_not_run_statuses: frozenset[int] = frozenset(),
         has_fractional_retry_after: bool = False,
@@ -79,6 +81,7 @@
         self.signature = signature
         self.rate_limit = rate_limit
         self.leaving = leaving
+        self.cold = cold
         self.not_run_statuses = not_run_statuses
         self.implied_not_run_statuses = implied_not_run_statuses
         self.replaced_headers = frozenset((deadline.lower(), upstream_id.lower()))
--- a/src/coltsfootrill/proxy/headers.py
+++ b/src/coltsfootrill/proxy/headers.py
@@ -11,6 +11,7 @@
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.rate_limit import MS_PER_SECOND
 from coltsfootrill.proxy.outcome import Header
+from coltsfootrill.registry.announcement import COLD_MAX_MS
 
 DEADLINE_HEADER = "Coltsfootrill-Deadline-Ms"
 RETRIED_HEADER = "Coltsfootrill-Retried"
@@ -104,6 +105,15 @@
     return per_s if math.isfinite(per_s) and per_s >= 0 else None
 
 
+def parse_cold_ms(value: str | None) -> float | None:
+    """Return for how many milliseconds more an upstream is cold; ``None`` if it is not stated.
+
+    A longer time than ``COLD_MAX_MS`` is shortened to it.
+    """
+    remaining_ms = parse_rate_limit(value)
+    return None if remaining_ms is None else min(remaining_ms, COLD_MAX_MS)
+
+
 def parse_retry_after_ms(value: str | None) -> float:
     """Return for how many milliseconds an upstream wants no request; 0 if it states no number.
 
--- a/src/coltsfootrill/proxy/load_poller.py
+++ b/src/coltsfootrill/proxy/load_poller.py
@@ -23,6 +23,7 @@
 from coltsfootrill.proxy.connection import UpstreamConnection
 from coltsfootrill.proxy.connection import encode_head
 from coltsfootrill.proxy.dialect import Dialect
+from coltsfootrill.proxy.headers import parse_cold_ms
 from coltsfootrill.proxy.headers import parse_leaving
 from coltsfootrill.proxy.headers import parse_rate_limit
 from coltsfootrill.proxy.statements import get_declined_ms
@@ -36,15 +37,19 @@
 
 
 class _PollState:
-    """The connection to one start of an upstream, and the time until which polling it is paused."""
+    """The connection to one start of an upstream, and the time until which polling it is paused.
 
-    __slots__ = ("address", "connection", "incarnation", "paused_until_ms")
+    ``has_warm_up`` is whether its service has a warm-up.
+    """
+
+    __slots__ = ("address", "connection", "has_warm_up", "incarnation", "paused_until_ms")
 
     def __init__(self, announcement: Announcement) -> None:
         self.address = announcement.address
         self.incarnation = announcement.incarnation
         self.connection: UpstreamConnection | None = None
         self.paused_until_ms = 0.0
+        self.has_warm_up = False
 
 
 def assign_upstreams(
@@ -177,6 +182,7 @@
             return None
         if self._declines.is_declining(announcement.id, announcement.incarnation, now_ms):
             return None
+        state.has_warm_up = service.warm_up is not None
         path = service.health_path or table.manifest.measuring.path
         head = encode_head("GET", path, [("host", announcement.address)], 0)
         try:
@@ -247,9 +253,12 @@
         self._declines.record(
             upstream_id, incarnation, for_ms=get_declined_ms(answer), now_ms=self._clock.now_ms()
         )
-        if report is not None or per_s is not None or is_leaving:
+        cold_ms: float | None = None
+        if state.has_warm_up:
+            cold_ms = parse_cold_ms(answer.get_header(self._dialect.cold))
+        if report is not None or per_s is not None or is_leaving or cold_ms is not None:
             leaving_incarnation = incarnation if is_leaving else None
-            self._report_cache.record(upstream_id, report, per_s, leaving_incarnation)
+            self._report_cache.record(upstream_id, report, per_s, leaving_incarnation, cold_ms)
 
     def _record_failure(self, state: _PollState) -> None:
         self._metrics.probes.labels("failed").inc()
--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Literal
 
 import msgspec
 
+from coltsfootrill.registry.announcement import COLD_MAX_MS
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import UpstreamState
 
@@ -23,6 +25,8 @@
 REMOVE_AFTER_MS = 60_000.0
 STEADY_OFFSET_MS = 200.0
 STEADY_COUNT = 3
+# Heartbeats take different times, so their ends of the same warm-up differ by less than this.
+COLD_TOLERANCE_MS = 500.0
 
 MergeResult = Literal["changed", "renewed", "ignored"]
 
@@ -57,12 +61,14 @@
 
     ``origin`` is the entry instance that received the announcement. ``last_confirmed_ms`` is the
     latest local time at which the upstream is known to have been serving. ``changed_at`` and
-    ``renewed_at`` are positions in the directory's own sequence of updates.
+    ``renewed_at`` are positions in the directory's own sequence of updates. ``cold_until_ms`` is
+    the latest local time until which its announcements state that it is cold.
     """
 
     __slots__ = (
         "announcement",
         "changed_at",
+        "cold_until_ms",
         "last_confirmed_ms",
         "lease_ms",
         "origin",
@@ -79,6 +85,7 @@
         lease_ms: float = LEASE_MS,
     ) -> None:
         self.announcement = announcement
+        self.cold_until_ms = get_cold_until_ms(announcement, last_confirmed_ms)
         self.lease_ms = lease_ms
         self.origin = origin
         self.last_confirmed_ms = last_confirmed_ms
@@ -97,6 +104,21 @@
             self.announcement.state == "serving" and now_ms < self.last_confirmed_ms + self.lease_ms
         )
 
+    def describe(self) -> Announcement:
+        """Return the announcement for another instance, as of ``last_confirmed_ms``.
+
+        It states for how much longer the upstream is cold from then on: the time that was announced
+        has partly passed.
+        """
+        cold_ms = math.ceil(max(0.0, self.cold_until_ms - self.last_confirmed_ms))
+        if cold_ms == self.announcement.cold_ms:
+            return self.announcement
+        return msgspec.structs.replace(self.announcement, cold_ms=min(cold_ms, COLD_MAX_MS))
+
+    def describe_lasting(self) -> Announcement:
+        """Return the announcement without what changes with each renewal."""
+        return msgspec.structs.replace(self.announcement, sequence=0, cold_ms=0)
+
 
 class StateChange:
     """A change of one upstream's state, for the audit trail."""
@@ -163,10 +185,15 @@
         if is_new_incarnation:
             record.transit = TransitTimes()
             record.last_confirmed_ms = last_confirmed_ms
+            record.cold_until_ms = float("-inf")
+        is_cold_again = _extend_cold(record, get_cold_until_ms(announcement, last_confirmed_ms))
         self._extend(record, last_confirmed_ms, last_confirmed_ms if now_ms is None else now_ms)
         if is_new_incarnation or not _describes_same(announcement, before):
             self._mark_changed(record, before=None if is_new_incarnation else before.state)
             return "changed"
+        if is_cold_again:
+            self._mark_cold(record)
+            return "changed"
         self.position += 1
         record.renewed_at = self.position
         return "renewed"
@@ -255,6 +282,13 @@
             # An ended lease was renewed: users that compare generations must see the change.
             self.generation += 1
 
+    def _mark_cold(self, record: UpstreamRecord) -> None:
+        """Pass on that an upstream is cold again; its state is as before."""
+        self.position += 1
+        self.generation += 1
+        record.changed_at = self.position
+        record.renewed_at = self.position
+
     def _mark_changed(self, record: UpstreamRecord, before: UpstreamState | None) -> None:
         self.position += 1
         self.generation += 1
@@ -269,6 +303,21 @@
         self._on_change(change)
 
 
+def get_cold_until_ms(announcement: Announcement, announced_ms: float) -> float:
+    """Return until when an announcement states that the upstream is cold, in local time."""
+    return announced_ms + announcement.cold_ms if announcement.cold_ms else float("-inf")
+
+
+def _extend_cold(record: UpstreamRecord, until_ms: float) -> bool:
+    """Extend the time for which an upstream is cold; return whether others must hear of it.
+
+    An announcement may have been on its way for long, so an earlier end is ignored.
+    """
+    before_ms = record.cold_until_ms
+    record.cold_until_ms = max(before_ms, until_ms)
+    return until_ms > before_ms + COLD_TOLERANCE_MS
+
+
 def _supersedes(new: Announcement, old: Announcement) -> bool:
     if new.incarnation != old.incarnation:
         return new.incarnation > old.incarnation
--- a/testing/membership/test_hub.py
+++ b/testing/membership/test_hub.py
@@ -15,6 +15,7 @@
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import LeaveRequest
+from coltsfootrill.membership.messages import Renewal
 from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.membership.view import HUB_RESPONSIVE_WITHIN_MS
@@ -113,6 +114,54 @@
         assert pair.list_usable() == ["u1"]
 
 
+class TestColdUpstreams:
+    """The pattern: an upstream says by heartbeat that it is cold again."""
+
+    def test_followers_hear_at_once_and_by_their_own_clocks(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce())
+        first = pair.follow()
+        generation = pair.view.generation
+        pair.hub.announce(announce(sequence=2, cold_ms=3_000))
+        assert pair.hub.has_changes(first.position)
+        until_ms = pair.clock.now_ms() + 3_000
+        pair.clock.advance(200)
+        pair.follow(position=first.position, boot=1)
+        (record,) = pair.view.list_usable()
+        # The reply rounds the age up by a millisecond, and the way adds what it took.
+        assert until_ms - 2 <= record.cold_until_ms <= until_ms + 200
+        assert pair.view.generation > generation
+
+    def test_a_heartbeat_of_the_same_warm_up_wakes_nobody(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce(cold_ms=3_000))
+        first = pair.follow()
+        pair.clock.advance(1_500)
+        pair.hub.announce(announce(sequence=2, cold_ms=1_500))
+        assert not pair.hub.has_changes(first.position)
+
+    # Guards against upstreams that are cold again for each instance that starts.
+    def test_an_instance_that_starts_later_hears_what_is_left(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce(cold_ms=3_000))
+        pair.clock.advance(2_500)
+        pair.hub.merge_reply(_renew(pair.follow()))
+        until_ms = pair.clock.now_ms() + 500
+        other = HubView(clock=pair.clock)
+        other.apply("h1", pair.follow())
+        (record,) = other.list_usable()
+        assert record.cold_until_ms <= until_ms + 2
+
+
+def _renew(reply: FollowReply) -> FollowReply:
+    """Return a reply of another hub that has just confirmed the upstreams of ``reply``."""
+    renewals = [
+        Renewal(shared.announcement.id, shared.announcement.incarnation, 0)
+        for shared in reply.upstreams
+    ]
+    return msgspec.structs.replace(reply, upstreams=[], renewals=renewals)
+
+
 class TestLateAnnouncements:
     def test_an_announcement_older_than_the_deregistration_does_not_restore_an_upstream(
         self,
--- a/testing/membership/test_load_changes.py
+++ b/testing/membership/test_load_changes.py
@@ -53,6 +53,25 @@
         assert changed.select([before]) == [before]
         assert changed.select([after]) == ([after] if is_sent else [])
 
+    @pytest.mark.parametrize(
+        ("before_ms", "after_ms", "is_sent"),
+        [
+            (None, 3_000, True),
+            (0, 3_000, True),
+            (1_000, 3_000, True),
+            (3_000, 2_900, False),
+            (100, 0, True),
+            (0, 0, False),
+            (None, 0, False),
+        ],
+    )
+    def test_an_upstream_that_becomes_cold_or_warm_is_sent_at_once(
+        self, before_ms: int | None, after_ms: int | None, is_sent: bool
+    ) -> None:
+        changed = ChangedLoads(ManualClock())
+        changed.select([LoadEntry("u1", 0, 3, None, 0, cold_ms=before_ms)])
+        assert bool(changed.select([LoadEntry("u1", 0, 3, None, 0, cold_ms=after_ms)])) == is_sent
+
     def test_small_changes_that_add_up_are_sent(self) -> None:
         changed = ChangedLoads(ManualClock())
         sent = [changed.select([_entry(pace=1.0 + 0.1 * step)]) for step in range(4)]
--- a/testing/membership/test_load_gossip.py
+++ b/testing/membership/test_load_gossip.py
@@ -117,6 +117,21 @@
         assert seen[0].leaving_incarnation == 2**52
         assert seen[0].report is None
 
+    def test_a_cold_upstream_arrives_with_the_time_that_is_left(self) -> None:
+        port = _find_port()
+        fleet = [_record(number, "z1", port=port) for number in (11, 12)]
+        seen: list[ReportEntry] = []
+        exchanges = [_open_exchange(record, fleet, seen.extend) for record in fleet]
+        entries = [
+            ReportEntry("u1", None, age_ms=12.6, cold_ms=2_500.2),
+            ReportEntry("u2", None, age_ms=0, cold_ms=0),
+            ReportEntry("u3", None, age_ms=0, per_s=1.0),
+        ]
+        exchanges[0].send(entries, crosses_zones=False)
+        wait_until(lambda: len(seen) == 3)
+        assert [entry.cold_ms for entry in seen] == [2_501, 0, None]
+        assert seen[0].age_ms == 12
+
     def test_loads_of_many_upstreams_with_long_identifiers_all_arrive(self) -> None:
         port = _find_port()
         fleet = [_record(number, "z1", port=port) for number in (7, 8)]
@@ -251,6 +266,16 @@
         assert (entry.in_flight, entry.age_ms, hops) == (2, 30, HOPS_TO_COLLECTOR)
         assert collected.take() == []
 
+    # Guards against a collector that never passes on that a busy upstream is cold.
+    def test_the_answer_to_a_request_does_not_hide_that_an_upstream_is_cold(self) -> None:
+        collected = CollectedLoads(ManualClock())
+        polled = LoadEntry("u1", 1, 3, None, 50, cold_ms=2_000)
+        answered = LoadEntry("u1", 2, 3, None, 10)
+        for entry in (polled, answered):
+            collected.record(LoadGossip("n1", HOPS_TO_COLLECTOR, [entry]))
+        ((entry, _),) = collected.take()
+        assert (entry.in_flight, entry.cold_ms) == (2, 1_960)
+
     def test_loads_are_sent_at_most_once_per_interval(self) -> None:
         clock = ManualClock()
         collected = CollectedLoads(clock)
@@ -282,6 +307,13 @@
         (entry,) = report_cache.take()
         assert (entry.per_s, entry.report is not None) == (2.5, True)
 
+    def test_an_answer_keeps_how_long_a_health_check_said_the_upstream_is_cold(self) -> None:
+        report_cache = LoadReportCache(ManualClock())
+        report_cache.record("u1", None, cold_ms=2_000.0)
+        report_cache.record("u1", LoadReport(in_flight=1, slots=3, state="serving"))
+        (entry,) = report_cache.take()
+        assert entry.cold_ms == 2_000
+
 
 def _find_port() -> int:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
--- a/testing/proxy/instance.py
+++ b/testing/proxy/instance.py
@@ -133,7 +133,9 @@
             self.app.refresh()
 
 
-def make_manifest(version: int, deadline_ms: int = 1_500) -> bytes:
+def make_manifest(
+    version: int, deadline_ms: int = 1_500, *, warm_up: dict[str, Any] | None = None
+) -> bytes:
     kinds = [
         _kind("x", True, deadline_ms, retries=2),
         _kind("hedged", True, deadline_ms, hedge_quantile=0.9),
@@ -143,6 +145,8 @@
         _kind("later", True, deadline_ms, priority="deferrable", latest_ms=deadline_ms // 2),
     ]
     service = {"id": "work", "upstreams": ["u*"], "kinds": kinds, "retry_share": 0.2}
+    if warm_up is not None:
+        service["warm_up"] = warm_up
     return json.dumps({"schema": 1, "version": version, "services": [service]}).encode()
 
 
--- a/testing/proxy/test_load_poller.py
+++ b/testing/proxy/test_load_poller.py
@@ -18,6 +18,7 @@
 from coltsfootrill.proxy.load_poller import AssignedUpstreams
 from coltsfootrill.proxy.load_poller import LoadPoller
 from coltsfootrill.proxy.load_poller import assign_upstreams
+from coltsfootrill.registry.announcement import COLD_MAX_MS
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import UpstreamRecord
 from testing.proxy.fakes import Script
@@ -86,6 +87,7 @@
     """A running poller of scripted upstreams, and the reports that it received."""
 
     def __init__(self, schemes: Any) -> None:
+        self.warm_up: dict[str, Any] | None = None
         self.upstreams: list[UpstreamRecord] = []
         self._open: list[ScriptedUpstream] = []
         self._rounds = threading.Semaphore(0)
@@ -95,7 +97,9 @@
             FLEET[0],
             interval_ms=20,
             dialect=coltsfootrill_dialect(),
-            get_table=lambda: RoutingTable.from_bytes(make_manifest(1), schemes),
+            get_table=lambda: RoutingTable.from_bytes(
+                make_manifest(1, warm_up=self.warm_up), schemes
+            ),
             list_instances=lambda: FLEET[:1],
             list_upstreams=lambda: self.upstreams,
             report_cache=self.report_cache,
@@ -171,6 +175,26 @@
         (entry,) = polling.report_cache.take()
         assert (entry.upstream_id, entry.leaving_incarnation) == ("u1", 1)
 
+    @pytest.mark.parametrize(
+        ("text", "cold_ms"), [("2500", 2_500), ("0", 0), ("1e9", COLD_MAX_MS), ("-1", None)]
+    )
+    def test_a_cold_upstream_is_reported(
+        self, polling: PollerFixture, text: str, cold_ms: float | None
+    ) -> None:
+        polling.warm_up = {"duration_ms": 3_000, "requests_per_second": 8.9}
+        extra = f"x-cold-milliseconds: {text}\r\nx-server-load: 0,0,3\r\n"
+        polling.serve("u1", answer(b"", extra=extra))
+        polling.wait_rounds(5)
+        (entry,) = polling.report_cache.take()
+        assert entry.cold_ms == cold_ms
+
+    def test_without_a_warm_up_of_the_service_nothing_is_said_of_it(
+        self, polling: PollerFixture
+    ) -> None:
+        polling.serve("u1", answer(b"", extra="x-cold-milliseconds: 2500\r\n"))
+        polling.wait_rounds(5)
+        assert polling.report_cache.take() == []
+
     def test_an_upstream_that_wants_no_request_is_not_polled(self, polling: PollerFixture) -> None:
         declining = answer(b"", status="503 Service Unavailable", extra="retry-after: 60\r\n")
         fake = polling.serve("u1", declining)
--- a/testing/registry/test_directory.py
+++ b/testing/registry/test_directory.py
@@ -9,6 +9,7 @@
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import InvalidAnnouncementError
 from coltsfootrill.registry.announcement import decode_announcement
+from coltsfootrill.registry.directory import COLD_TOLERANCE_MS
 from coltsfootrill.registry.directory import LEASE_MS
 from coltsfootrill.registry.directory import Directory
 
@@ -58,6 +59,54 @@
         assert directory.by_id["u"].announcement == announcements[4]
 
 
+class TestColdUpstreams:
+    """The pattern: an upstream becomes cold again without a restart, or its heartbeats are late."""
+
+    def merge(self, directory: Directory, sequence: int, cold_ms: int, now_ms: float) -> str:
+        announcement = _announce(sequence=sequence, cold_ms=cold_ms)
+        return directory.merge(announcement, origin="e1", last_confirmed_ms=now_ms)
+
+    # Guards against instances that go on sending, since for them nothing has changed.
+    def test_an_upstream_that_is_cold_again_is_a_change(self) -> None:
+        directory = Directory()
+        self.merge(directory, 1, 0, 0)
+        position, generation = directory.position, directory.generation
+        assert self.merge(directory, 2, 3_000, 1_500) == "changed"
+        assert directory.by_id["u"].changed_at > position
+        assert directory.generation > generation
+        assert directory.by_id["u"].cold_until_ms == 4_500
+
+    def test_the_remaining_time_of_the_same_warm_up_is_no_change(self) -> None:
+        directory = Directory()
+        self.merge(directory, 1, 3_000, 0)
+        assert self.merge(directory, 2, 1_500, 1_500 + COLD_TOLERANCE_MS - 1) == "renewed"
+        assert self.merge(directory, 3, 0, 3_000) == "renewed"
+        assert self.merge(directory, 4, 3_000, 60_000) == "changed"
+
+    def test_a_late_heartbeat_does_not_shorten_the_time(self) -> None:
+        directory = Directory()
+        self.merge(directory, 1, 3_000, 0)
+        assert self.merge(directory, 2, 0, 100) == "renewed"
+        assert directory.by_id["u"].cold_until_ms == 3_000
+
+    def test_a_new_start_has_a_time_of_its_own(self) -> None:
+        directory = Directory()
+        self.merge(directory, 1, 60_000, 0)
+        directory.merge(_announce(incarnation=2), origin="e1", last_confirmed_ms=100)
+        assert directory.by_id["u"].cold_until_ms < 100
+
+    # Guards against upstreams that are cold again for each instance that starts.
+    def test_others_are_told_the_time_that_is_left(self) -> None:
+        directory = Directory()
+        self.merge(directory, 1, 3_000, 0)
+        record = directory.by_id["u"]
+        assert record.describe() is record.announcement
+        directory.renew("u", 1, 2_000, origin=None)
+        assert record.describe().cold_ms == 1_000
+        directory.renew("u", 1, 90_000, origin=None)
+        assert record.describe().cold_ms == 0
+
+
 class TestLeases:
     def test_a_lease_ends_without_renewal(self, make_announcement: Any) -> None:
         directory = Directory()
