Limit what a cold upstream gets from all instances together

Cause: nobody bounded the sum. Each instance, and the dispatcher, saw idle upstreams and sent all their slots take; many cold ones at once took the load of a zone.

Change: the limiter of stated rates has the rate of the warm-up while the upstream is cold, with the same shares; the lower of both rates binds. The rate leaves room for two dispatchers and all others. An instance has its share before its first request, not only with the first refresh. Short work is dispatched while a quarter of a service's upstreams is cold. One line tells of all that are cold.

Before: six slots at work of 120 ms took 50 requests a second.

--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -91,7 +91,7 @@
     identifies the requests that other instances sent; ``recent_ends`` holds the start and end
     times of the latest requests that ended. ``outlier_score`` is that of the last comparison with
     the others; it stays while the upstream is ejected. ``rate_limit`` holds the rate of requests
-    that the upstream states.
+    that the upstream states, and that of its warm-up.
     """
 
     __slots__ = (
@@ -223,9 +223,9 @@
     )
 
 
-def get_parallel(load: UpstreamLoad, *, typical_ms: float) -> float:
+def get_parallel(load: UpstreamLoad, now_ms: float, *, typical_ms: float) -> float:
     """Return how many requests of this instance may run there at a time, within its limits."""
-    return min(max(1, int(load.limit)), load.rate_limit.get_concurrency(typical_ms))
+    return min(max(1, int(load.limit)), load.rate_limit.get_concurrency(typical_ms, now_ms))
 
 
 def is_blocked(load: UpstreamLoad, now_ms: float) -> bool:
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -46,6 +46,8 @@
 from coltsfootrill.balancer.slot_margin import SlotMargin
 from coltsfootrill.balancer.upstream_record import is_same_upstream
 from coltsfootrill.balancer.upstream_record import make_load
+from coltsfootrill.balancer.warm_up import WarmUpBound
+from coltsfootrill.balancer.warm_up import needs_dispatcher
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.manifest.table import may_serve
@@ -64,6 +66,8 @@
         "_retiring",
         "_slot_choice",
         "_turn",
+        "_warm_up_bound",
+        "_warm_up_per_s",
         "by_id",
         "declines",
         "has_recent_requests",
@@ -87,7 +91,10 @@
         queue_limit: int,
         budget: AttemptBudget | None = None,
         declines: DeclineTimes | None = None,
+        warm_up_bound: WarmUpBound | None = None,
     ) -> None:
+        self._warm_up_bound = warm_up_bound or WarmUpBound()
+        self._warm_up_per_s = self._warm_up_bound.choose_rate(service.warm_up)
         self.declines = declines or DeclineTimes()
         self.service_id = service.id
         self.by_id: dict[str, UpstreamLoad] = {}
@@ -113,6 +120,7 @@
         for kind in service.kinds:
             if kind.target_ms is not None:
                 self.get_latency(kind.id).seed(EXPECTED_SHARE_OF_TARGET * kind.target_ms)
+        self._warm_up_per_s = self._warm_up_bound.choose_rate(service.warm_up)
         wanted = {
             record.announcement.id: record
             for record in records
@@ -123,7 +131,10 @@
             load = self.by_id.get(upstream_id)
             if load is None or not is_same_upstream(load, record):
                 self._retire(load)
-                self.by_id[upstream_id] = make_load(record, self._make_rate_limit(), now_ms)
+                load = make_load(record, self._make_rate_limit(now_ms), now_ms)
+                self.by_id[upstream_id] = load
+            load.rate_limit.set_warm_up(self._warm_up_per_s, now_ms)
+            load.rate_limit.record_announced_cold(record.cold_until_ms, now_ms)
         for upstream_id in [known for known in self.by_id if known not in wanted]:
             self._retire(self.by_id.pop(upstream_id))
         self._retiring = [load for load in self._retiring if load.in_flight]
@@ -136,9 +147,9 @@
         for load in self.by_id.values():
             load.rate_limit.set_share(share, now_ms)
 
-    def has_rate_limits(self) -> bool:
-        """Return whether any upstream states a rate of requests."""
-        return any(load.rate_limit.per_s is not None for load in self.by_id.values())
+    def has_rate_limits(self, now_ms: float) -> bool:
+        """Return whether an upstream states a rate of requests, or many of them are cold."""
+        return needs_dispatcher(self.by_id.values(), now_ms)
 
     def eject_outliers(self, now_ms: float) -> list[UpstreamLoad]:
         """Eject slow or failing upstreams, and return them."""
@@ -286,10 +297,20 @@
         if load is not None:
             load.rate_limit.record_shared(per_s, stated_ms)
 
+    def apply_cold(
+        self, upstream_id: str, remaining_ms: float, *, stated_ms: float, now_ms: float
+    ) -> None:
+        """Record that an upstream stated at ``stated_ms`` for how much longer it is cold."""
+        load = self.by_id.get(upstream_id)
+        if load is not None:
+            load.rate_limit.record_cold(remaining_ms, stated_ms=stated_ms, now_ms=now_ms)
+
     def can_still_answer(self, kind: Kind, waiter: Waiter, now_ms: float) -> bool:
         """Return whether a waiter can be expected to meet its deadline."""
         typical_ms = self.get_latency(kind.id).typical_ms
-        parallel = sum(get_parallel(load, typical_ms=typical_ms) for load in self.by_id.values())
+        parallel = sum(
+            get_parallel(load, now_ms, typical_ms=typical_ms) for load in self.by_id.values()
+        )
         return can_meet_deadline(
             ahead=self.queue.count_ahead(waiter, now_ms),
             parallel=parallel,
@@ -370,8 +391,8 @@
             typical_ms = claim.typical_ms * claim.pace
             record_straggle(claim.load, waited_ms=waited_ms, typical_ms=typical_ms)
 
-    def _make_rate_limit(self) -> RateLimit:
-        return RateLimit(share=self._rate_share, random=self.random)
+    def _make_rate_limit(self, now_ms: float) -> RateLimit:
+        return RateLimit(share=self._rate_share, random=self.random, started_ms=now_ms)
 
     def _retire(self, load: UpstreamLoad | None) -> None:
         if load is not None and load.in_flight:
--- a/src/coltsfootrill/balancer/rate_limit.py
+++ b/src/coltsfootrill/balancer/rate_limit.py
@@ -1,8 +1,7 @@
-"""Keeps the requests to an upstream within the rate that it states on its answers.
+"""Keeps the requests to an upstream within the rate that it states, and that of its warm-up.
 
-An upstream states its rate for all instances together. The instance that chooses for the whole
-fleet has the whole rate; any other instance has a share of it, for the time in which it has to
-choose itself.
+Both rates are for all instances together. The instance that chooses for the whole fleet has the
+whole rate; any other instance has a share of it, for the time in which it has to choose itself.
 """
 
 from __future__ import annotations
@@ -20,30 +19,39 @@
 # How long a request that is allowed with a share may be left unused.
 UNUSED_MAX_MS = 1_000.0
 WHOLE_SHARE = 1.0
+# Times are whole milliseconds on their way, and a request may arrive a moment after its grant.
+COLD_MARGIN_MS = 100.0
 
 
 class RateLimit:
-    """The stated rate of one upstream, and whether it allows a request now.
+    """The rate of requests to one upstream, and whether it allows one now.
 
-    ``per_s`` is ``None`` while the upstream states no rate; every request is allowed then.
+    ``per_s`` is the rate that the upstream states, ``None`` while it states none. While it is cold,
+    ``warm_up_per_s`` binds too, if its service has a warm-up; the lower rate binds. Without either,
+    every request is allowed.
     ``share`` is the part of the rate that this instance has. With the whole rate, requests are
     spaced evenly. With a share of it, which may be less than a request in several seconds, they are
     allowed at random times: instances that begin to choose themselves at the same moment would
-    otherwise all have a request left from before.
+    otherwise all have a request left from before. Statements of being cold before ``started_ms``
+    are those of an earlier start.
     """
 
     __slots__ = (
         "_allowed_until_ms",
+        "_announced_until_ms",
         "_checked_ms",
+        "_cold_stated_ms",
+        "_cold_until_ms",
         "_lifted_ms",
         "_next_ms",
         "_random",
         "_stated_ms",
         "per_s",
         "share",
+        "warm_up_per_s",
     )
 
-    def __init__(self, *, share: float, random: Random) -> None:
+    def __init__(self, *, share: float, random: Random, started_ms: float = float("-inf")) -> None:
         self.per_s: float | None = None
         self.share = share
         self._random = random
@@ -54,15 +62,54 @@
         self._allowed_until_ms = float("-inf")
         self._stated_ms = float("-inf")
         self._lifted_ms = float("-inf")
+        self.warm_up_per_s: float | None = None
+        self._cold_until_ms = float("-inf")
+        # When the upstream last stated how long it stays cold, and the latest end it announced.
+        self._cold_stated_ms = started_ms
+        self._announced_until_ms = float("-inf")
 
     def set_share(self, share: float, now_ms: float) -> None:
         """Change the share of this instance."""
         if share == self.share:
             return
         self.share = share
-        if self.per_s is not None:
+        if self._get_per_s(now_ms) is not None:
             self._restart(now_ms)
 
+    def set_warm_up(self, per_s: float | None, now_ms: float) -> None:
+        """Set the rate that binds while the upstream is cold; ``None`` for no such limit."""
+        if per_s == self.warm_up_per_s:
+            return
+        before = self._get_per_s(now_ms)
+        self.warm_up_per_s = per_s
+        self._restart_if_lower(before, now_ms)
+
+    def record_announced_cold(self, until_ms: float, now_ms: float) -> None:
+        """Record an announcement by which the upstream is cold until ``until_ms``.
+
+        Announcements may arrive late, so one can only lengthen the time.
+        """
+        if until_ms <= self._announced_until_ms:
+            return
+        self._announced_until_ms = until_ms
+        if until_ms + COLD_MARGIN_MS > self._cold_until_ms:
+            self._set_cold_until(until_ms + COLD_MARGIN_MS, now_ms)
+
+    def record_cold(self, remaining_ms: float, *, stated_ms: float, now_ms: float) -> None:
+        """Record that at ``stated_ms`` the upstream stated to be cold for ``remaining_ms`` more.
+
+        The latest statement counts; with 0 the upstream is warm.
+        """
+        if stated_ms < self._cold_stated_ms:
+            return
+        self._cold_stated_ms = stated_ms
+        margin_ms = COLD_MARGIN_MS if remaining_ms > 0 else 0.0
+        self._set_cold_until(stated_ms + remaining_ms + margin_ms, now_ms)
+
+    def is_warming_up(self, now_ms: float) -> bool:
+        """Return whether the upstream is cold and limited for that."""
+        return self.warm_up_per_s is not None and now_ms < self._cold_until_ms
+
     def record_answer(self, per_s: float | None, *, started_ms: float, now_ms: float) -> None:
         """Record the rate that an answer states; ``None`` lifts the limit.
 
@@ -81,29 +128,43 @@
 
     def allows_request(self, now_ms: float) -> bool:
         """Return whether a request may be sent now."""
-        if self.per_s is None:
+        per_s = self._get_per_s(now_ms)
+        if per_s is None:
             return True
         if self.share == WHOLE_SHARE:
-            return now_ms >= self._next_ms - (BURST_COUNT - 1) * self._get_interval_ms()
+            return now_ms >= self._next_ms - (BURST_COUNT - 1) * self._get_interval_ms(per_s)
         if now_ms >= self._allowed_until_ms:
             elapsed_ms = min(now_ms - self._checked_ms, UNUSED_MAX_MS)
             self._checked_ms = now_ms
-            if self._random.random() * self._get_interval_ms() >= elapsed_ms:
+            if self._random.random() * self._get_interval_ms(per_s) >= elapsed_ms:
                 return False
             self._allowed_until_ms = now_ms + UNUSED_MAX_MS
         return True
 
     def record_request(self, now_ms: float) -> None:
         """Record a request that is sent now."""
-        if self.per_s is not None:
-            self._next_ms = max(self._next_ms, now_ms) + self._get_interval_ms()
+        per_s = self._get_per_s(now_ms)
+        if per_s is not None:
+            self._next_ms = max(self._next_ms, now_ms) + self._get_interval_ms(per_s)
             self._allowed_until_ms = float("-inf")
 
-    def get_concurrency(self, latency_ms: float) -> float:
+    def get_concurrency(self, latency_ms: float, now_ms: float) -> float:
         """Return how many requests of ``latency_ms`` run at a time at this rate."""
-        if self.per_s is None:
+        per_s = self._get_per_s(now_ms)
+        if per_s is None:
             return float("inf")
-        return latency_ms / self._get_interval_ms()
+        return latency_ms / self._get_interval_ms(per_s)
+
+    def _get_per_s(self, now_ms: float) -> float | None:
+        """Return the rate that binds now, ``None`` if there is none."""
+        if self.warm_up_per_s is None or now_ms >= self._cold_until_ms:
+            return self.per_s
+        return self.warm_up_per_s if self.per_s is None else min(self.per_s, self.warm_up_per_s)
+
+    def _set_cold_until(self, until_ms: float, now_ms: float) -> None:
+        before = self._get_per_s(now_ms)
+        self._cold_until_ms = until_ms
+        self._restart_if_lower(before, now_ms)
 
     def _record_rate(self, per_s: float, now_ms: float) -> None:
         is_first = self.per_s is None
@@ -112,12 +173,18 @@
         if is_first:
             self._restart(now_ms)
 
+    def _restart_if_lower(self, before_per_s: float | None, now_ms: float) -> None:
+        per_s = self._get_per_s(now_ms)
+        if per_s is not None and (before_per_s is None or per_s < before_per_s):
+            self._restart(now_ms)
+
     def _restart(self, now_ms: float) -> None:
         """Forget what was sent before; requests sent until now may already exceed the rate."""
-        self._next_ms = now_ms + BURST_COUNT * self._get_interval_ms()
+        per_s = self._get_per_s(now_ms)
+        assert per_s is not None
+        self._next_ms = now_ms + BURST_COUNT * self._get_interval_ms(per_s)
         self._checked_ms = now_ms
         self._allowed_until_ms = float("-inf")
 
-    def _get_interval_ms(self) -> float:
-        assert self.per_s is not None
-        return MS_PER_SECOND / (self.per_s * self.share)
+    def _get_interval_ms(self, per_s: float) -> float:
+        return MS_PER_SECOND / (per_s * self.share)
--- a/src/coltsfootrill/dispatch/remote_acquire.py
+++ b/src/coltsfootrill/dispatch/remote_acquire.py
@@ -39,15 +39,16 @@
         The claim is counted in the local pool. Returns ``None`` when this instance has to choose
         the upstream itself: no typical latency has been measured yet, the work is too short for a
         round trip, no dispatcher can be used, or the chosen upstream must not get new work
-        according to the local pool. While an upstream states a rate, only the dispatcher knows how
-        many requests it gets, so the first two reasons do not apply.
+        according to the local pool. While an upstream states a rate, or many are cold, only the
+        dispatcher knows how many requests they get, so the first two reasons do not apply.
         """
         with self._lock:
             latency = self._pool.get_latency(demand.kind.id)
             is_worthwhile = latency.has_samples and latency.typical_ms >= self._client.work_min_ms
-            if not is_worthwhile and not self._pool.has_rate_limits():
+            now_ms = self._clock.now_ms()
+            if not is_worthwhile and not self._pool.has_rate_limits(now_ms):
                 return None
-            request = make_acquire_request(self._pool, demand, now_ms=self._clock.now_ms())
+            request = make_acquire_request(self._pool, demand, now_ms=now_ms)
         result = self._client.acquire(request, should_stop_waiting=demand.should_stop_waiting)
         if not isinstance(result, Grant):
             return result
--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -94,6 +94,19 @@
     per_s: float | None = None
 
 
+class UpstreamsWarmingUp(Event, kw_only=True, tag="upstreams-warming-up"):
+    """``count`` upstreams of a service are cold, and limited to ``per_s`` requests a second each.
+
+    The rate is that of all instances together. ``upstreams`` names some of them. A ``count`` of 0
+    means that all are warm again, or have left.
+    """
+
+    service: str
+    count: int
+    upstreams: list[str] = []
+    per_s: float | None = None
+
+
 class CrashingRequest(Event, kw_only=True, tag="crashing-request"):
     """A request is refused from now on: each of ``upstreams`` crashed during it, none answered it.
 
@@ -288,6 +301,7 @@
     | UpstreamEjected
     | UpstreamReadmitted
     | UpstreamRateLimited
+    | UpstreamsWarmingUp
     | CrashingRequest
     | InstancesChanged
     | RetriesExhausted
--- a/src/coltsfootrill/proxy/admission_controller.py
+++ b/src/coltsfootrill/proxy/admission_controller.py
@@ -251,6 +251,10 @@
                     self._pool.apply_report(entry.upstream_id, entry.report, stated_ms)
                 if entry.per_s is not None:
                     self._pool.apply_shared_rate(entry.upstream_id, entry.per_s, stated_ms)
+                if entry.cold_ms is not None:
+                    self._pool.apply_cold(
+                        entry.upstream_id, entry.cold_ms, stated_ms=stated_ms, now_ms=now_ms
+                    )
             self._grants.grant_waiting_throttled(now_ms)
 
     def end_answered(self, claim: Claim, report: LoadReport | None, ended_ms: float) -> None:
@@ -295,17 +299,15 @@
         Called periodically, outside the request path. Return whether there are or recently were
         requests, so that the next call should follow soon.
         """
-        rate_share = (
-            WHOLE_SHARE if self._dispatch is None else self._dispatch.get_rate_share(service.id)
-        )
         with self._lock:
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
-            self._pool.set_rate_share(rate_share, now_ms)
+            self._pool.set_rate_share(self._get_rate_share(service), now_ms)
             has_requests = self._pool.has_recent_requests or bool(self._grants.pending)
             ejected = self._pool.eject_outliers(now_ms) if self._pool.has_recent_requests else []
             self._event_log.record_ejections(ejected, now_ms)
             self._event_log.record_rate_limits()
+            self._event_log.record_warm_ups(now_ms)
             self._grants.pending.refuse_expired_remote(now_ms)
             self._grants.grant_waiting_throttled(now_ms)
             return has_requests
@@ -319,9 +321,14 @@
         self._generation = generation
         self._service = service
         usable = self._fleet.list_usable()
+        # With the first upstreams come the other instances, before the first request.
+        self._pool.set_rate_share(self._get_rate_share(service), now_ms)
         self._pool.update(service, usable, now_ms)
         self._next_lease_end_ms = self._fleet.get_lease_end_ms(usable)
 
+    def _get_rate_share(self, service: Service) -> float:
+        return WHOLE_SHARE if self._dispatch is None else self._dispatch.get_rate_share(service.id)
+
     def _get_claim(self, attempt: PendingAttempt) -> Claim:
         """Return the claim of a settled attempt; raise ``NotRunError`` if it was refused."""
         if attempt.claim is None:
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -15,6 +15,7 @@
 from coltsfootrill.balancer.load_report_cache import ReportEntry
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.retry import AttemptBudget
+from coltsfootrill.balancer.warm_up import WarmUpBound
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.events.catalog import Admission
@@ -110,6 +111,7 @@
         make_budget: Callable[[], AttemptBudget] | None = None,
         once_idle_max_ms: float = 0.0,
         dispatch: DispatchClient | None = None,
+        warm_up_bound: WarmUpBound | None = None,
         describe_manifest: Callable[[], ManifestSource | None] = lambda: None,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
         on_event: Callable[[Event], None] = lambda event: None,
@@ -117,6 +119,7 @@
         self._describe_manifest = describe_manifest
         self._on_event = on_event
         self._dispatch = dispatch
+        self._warm_up_bound = warm_up_bound
         self._dialect = dialect
         self._make_budget = make_budget
         self._on_ended = on_ended
@@ -214,6 +217,7 @@
             queue_limit=self._queue_limit,
             budget=None if self._make_budget is None else self._make_budget(),
             declines=self.declines,
+            warm_up_bound=self._warm_up_bound,
         )
         return AdmissionController(
             pool,
--- a/src/coltsfootrill/proxy/pool_event_log.py
+++ b/src/coltsfootrill/proxy/pool_event_log.py
@@ -9,6 +9,7 @@
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.balancer.retry import BudgetUse
+from coltsfootrill.balancer.warm_up import list_cold
 from coltsfootrill.events.catalog import Admission
 from coltsfootrill.events.catalog import Event
 from coltsfootrill.events.catalog import RetriesAvailable
@@ -16,9 +17,13 @@
 from coltsfootrill.events.catalog import UpstreamEjected
 from coltsfootrill.events.catalog import UpstreamRateLimited
 from coltsfootrill.events.catalog import UpstreamReadmitted
+from coltsfootrill.events.catalog import UpstreamsWarmingUp
 
 # A nearly exhausted budget allows single attempts; recovery is reported only after this time.
 BUDGET_EVENT_MIN_MS = 1_000.0
+# Many upstreams of a service often become cold one after the other.
+WARM_UP_INTERVAL_MS = 1_000.0
+WARM_UP_NAMES_MAX_COUNT = 10
 
 
 class PoolEventLog:
@@ -28,13 +33,23 @@
     further attempts.
     """
 
-    __slots__ = ("_ejected_by_id", "_on_event", "_per_s_by_id", "_pool", "budget")
+    __slots__ = (
+        "_cold_ids",
+        "_ejected_by_id",
+        "_on_event",
+        "_per_s_by_id",
+        "_pool",
+        "_warm_ups_recorded_ms",
+        "budget",
+    )
 
     def __init__(self, pool: ServicePool, *, on_event: Callable[[Event], None]) -> None:
         self._pool = pool
         self._on_event = on_event
         self._ejected_by_id: dict[str, UpstreamLoad] = {}
         self._per_s_by_id: dict[str, float] = {}
+        self._cold_ids: list[str] = []
+        self._warm_ups_recorded_ms = float("-inf")
         self.budget: AttemptBudget = _LoggedBudget(pool, on_event=on_event)
 
     def record_ejections(self, ejected: Sequence[UpstreamLoad], now_ms: float) -> None:
@@ -67,6 +82,26 @@
                 )
         self._per_s_by_id = per_s_by_id
 
+    def record_warm_ups(self, now_ms: float) -> None:
+        """Emit an event if others are cold than before, one a second at most."""
+        if now_ms - self._warm_ups_recorded_ms < WARM_UP_INTERVAL_MS:
+            return
+        cold = list_cold(self._pool.by_id.values(), now_ms)
+        cold_ids = sorted(load.id for load in cold)
+        if cold_ids == self._cold_ids:
+            return
+        self._cold_ids = cold_ids
+        self._warm_ups_recorded_ms = now_ms
+        rates = [load.rate_limit.warm_up_per_s for load in cold]
+        self._on_event(
+            UpstreamsWarmingUp(
+                service=self._pool.service_id,
+                count=len(cold_ids),
+                upstreams=cold_ids[:WARM_UP_NAMES_MAX_COUNT],
+                per_s=None if not rates or rates[0] is None else round(rates[0], 2),
+            )
+        )
+
 
 def _make_ejected_event(load: UpstreamLoad, service_id: str, now_ms: float) -> UpstreamEjected:
     return UpstreamEjected(
--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -9,6 +9,7 @@
 
 from coltsfootrill.balancer.choice import ChoicePolicy
 from coltsfootrill.balancer.retry import AttemptBudget
+from coltsfootrill.balancer.warm_up import WarmUpBound
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.events.catalog import Event
@@ -53,6 +54,7 @@
         dialect: Dialect = NATIVE_DIALECT,
         make_budget: Callable[[], AttemptBudget] | None = None,
         dispatch: DispatchClient | None = None,
+        warm_up_bound: WarmUpBound | None = None,
         describe_manifest: Callable[[], ManifestSource | None] = lambda: None,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
         on_event: Callable[[Event], None] = lambda event: None,
@@ -75,6 +77,7 @@
             make_budget=make_budget,
             once_idle_max_ms=settings.get("upstreams", "once_idle_ms"),
             dispatch=dispatch,
+            warm_up_bound=warm_up_bound,
             describe_manifest=describe_manifest,
             on_ended=on_ended,
             on_event=on_event,
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -16,6 +16,7 @@
 from coltsfootrill.balancer.retry import BUDGET_USE
 from coltsfootrill.balancer.retry import WindowBudget
 from coltsfootrill.balancer.retry import share_allowance
+from coltsfootrill.balancer.warm_up import WarmUpBound
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.client import DispatchClient
 from coltsfootrill.dispatch.server import DispatchServer
@@ -133,6 +134,10 @@
             dialect=self._dialect,
             make_budget=self._make_budget,
             dispatch=self._make_dispatch_client(),
+            warm_up_bound=WarmUpBound(
+                overshoot=settings.get("warm_up", "overshoot"),
+                slack=settings.get("warm_up", "slack"),
+            ),
             describe_manifest=self._describe_manifest,
             on_ended=requests.record,
             on_event=self.log.emit,
--- a/testing/balancer/test_rate_limit.py
+++ b/testing/balancer/test_rate_limit.py
@@ -114,6 +114,6 @@
 
     def test_a_rate_bounds_how_many_requests_run_at_a_time(self) -> None:
         limit = make_limit(2.0)
-        assert limit.get_concurrency(250) == pytest.approx(0.5)
+        assert limit.get_concurrency(250, 0) == pytest.approx(0.5)
         limit.record_answer(None, started_ms=1, now_ms=2)
-        assert limit.get_concurrency(250) == math.inf
+        assert limit.get_concurrency(250, 0) == math.inf
--- a/testing/proxy/test_pool_event_log.py
+++ b/testing/proxy/test_pool_event_log.py
@@ -11,9 +11,12 @@
 from coltsfootrill.events.catalog import RetriesExhausted
 from coltsfootrill.events.catalog import UpstreamEjected
 from coltsfootrill.events.catalog import UpstreamReadmitted
+from coltsfootrill.events.catalog import UpstreamsWarmingUp
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
+from coltsfootrill.manifest.model import WarmUp
 from coltsfootrill.proxy.pool_event_log import BUDGET_EVENT_MIN_MS
+from coltsfootrill.proxy.pool_event_log import WARM_UP_NAMES_MAX_COUNT
 from coltsfootrill.proxy.pool_event_log import PoolEventLog
 from coltsfootrill.proxy.pool_event_log import describe_admission
 from testing.records import make_usable_record
@@ -21,11 +24,12 @@
 NOW_MS = 10_000.0
 
 
-def _make_pool(count: int = 3) -> ServicePool:
+def _make_pool(count: int = 3, *, warm_up: WarmUp | None = None) -> ServicePool:
     service = Service(
         id="work",
         upstreams=["u*"],
         kinds=[Kind(id="k", names=["a"], idempotent=True, deadline_ms=1_000)],
+        warm_up=warm_up,
     )
     pool = ServicePool(
         service,
@@ -40,6 +44,25 @@
     return pool
 
 
+class TestWarmUps:
+    def test_one_line_tells_of_many_cold_upstreams_and_one_of_their_end(self) -> None:
+        events: list[Event] = []
+        warm_up = WarmUp(duration_ms=3_000, requests_per_second=1.0)
+        pool = _make_pool(WARM_UP_NAMES_MAX_COUNT + 5, warm_up=warm_up)
+        event_log = PoolEventLog(pool, on_event=events.append)
+        event_log.record_warm_ups(NOW_MS)
+        assert events == []
+        for upstream_id in pool.by_id:
+            pool.apply_cold(upstream_id, 3_000, stated_ms=NOW_MS, now_ms=NOW_MS)
+            event_log.record_warm_ups(NOW_MS)
+        for after_ms in range(0, 5_000, 40):
+            event_log.record_warm_ups(NOW_MS + after_ms)
+        lines = [event for event in events if isinstance(event, UpstreamsWarmingUp)]
+        assert [line.count for line in lines] == [1, WARM_UP_NAMES_MAX_COUNT + 5, 0]
+        assert len(lines[1].upstreams) == WARM_UP_NAMES_MAX_COUNT
+        assert [line.per_s for line in lines] == [1.0, 1.0, None]
+
+
 class TestEjections:
     def test_end_of_ejection_emits_one_event(self) -> None:
         events: list[Event] = []
