Test cold upstreams at a dispatcher and an instance; take old statements that lengthen

Cause: the first test of a dispatcher that hears by gossip 0.2 s late failed: what had been stated before its pool existed was ignored, as that of an earlier start.

Change: such a statement can't shorten the time, but lengthens it.

--- a/src/coltsfootrill/balancer/rate_limit.py
+++ b/src/coltsfootrill/balancer/rate_limit.py
@@ -32,8 +32,8 @@
     ``share`` is the part of the rate that this instance has. With the whole rate, requests are
     spaced evenly. With a share of it, which may be less than a request in several seconds, they are
     allowed at random times: instances that begin to choose themselves at the same moment would
-    otherwise all have a request left from before. Statements of being cold before ``started_ms``
-    are those of an earlier start.
+    otherwise all have a request left from before. What was stated before ``started_ms`` may be of
+    an earlier start of the upstream.
     """
 
     __slots__ = (
@@ -45,6 +45,7 @@
         "_lifted_ms",
         "_next_ms",
         "_random",
+        "_started_ms",
         "_stated_ms",
         "per_s",
         "share",
@@ -65,7 +66,8 @@
         self.warm_up_per_s: float | None = None
         self._cold_until_ms = float("-inf")
         # When the upstream last stated how long it stays cold, and the latest end it announced.
-        self._cold_stated_ms = started_ms
+        self._started_ms = started_ms
+        self._cold_stated_ms = float("-inf")
         self._announced_until_ms = float("-inf")
 
     def set_share(self, share: float, now_ms: float) -> None:
@@ -98,13 +100,17 @@
     def record_cold(self, remaining_ms: float, *, stated_ms: float, now_ms: float) -> None:
         """Record that at ``stated_ms`` the upstream stated to be cold for ``remaining_ms`` more.
 
-        The latest statement counts; with 0 the upstream is warm.
+        The latest statement counts; with 0 the upstream is warm. One that may be of an earlier
+        start can only lengthen the time.
         """
         if stated_ms < self._cold_stated_ms:
             return
         self._cold_stated_ms = stated_ms
         margin_ms = COLD_MARGIN_MS if remaining_ms > 0 else 0.0
-        self._set_cold_until(stated_ms + remaining_ms + margin_ms, now_ms)
+        until_ms = stated_ms + remaining_ms + margin_ms
+        if stated_ms < self._started_ms:
+            until_ms = max(until_ms, self._cold_until_ms)
+        self._set_cold_until(until_ms, now_ms)
 
     def is_warming_up(self, now_ms: float) -> bool:
         """Return whether the upstream is cold and limited for that."""
--- a/testing/balancer/test_warm_up.py
+++ b/testing/balancer/test_warm_up.py
@@ -214,11 +214,13 @@
         limit.record_announced_cold(9_000, 250)
         assert not limit.is_warming_up(250)
 
-    def test_a_statement_of_an_earlier_start_does_not_count(self) -> None:
+    def test_what_may_be_of_an_earlier_start_shortens_nothing(self) -> None:
         limit = self.make(started_ms=1_000)
         limit.record_announced_cold(4_000, 1_000)
         limit.record_cold(0, stated_ms=990, now_ms=1_010)
         assert limit.is_warming_up(1_010)
+        limit.record_cold(5_000, stated_ms=995, now_ms=1_020)
+        assert limit.is_warming_up(5_990)
 
     def test_the_lower_of_a_stated_rate_and_a_warm_up_binds(self) -> None:
         for stated_per_s, expected_per_s in [(2.0, 2.0), (40.0, 5.0)]:
--- a/testing/dispatch/memory.py
+++ b/testing/dispatch/memory.py
@@ -12,6 +12,7 @@
 from coltsfootrill.dispatch.server import DispatchServer
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
+from coltsfootrill.manifest.model import WarmUp
 from coltsfootrill.proxy.admission_controller import AdmissionController
 from coltsfootrill.registry.directory import UpstreamRecord
 from testing.records import make_usable_record
@@ -67,10 +68,10 @@
         return
 
 
-def make_service(**changes: Any) -> Service:
+def make_service(*, warm_up: WarmUp | None = None, **changes: Any) -> Service:
     fields = {"names": ["web:a/x/"], "idempotent": True, "deadline_ms": 3_000, "target_ms": 400}
     kind = Kind(**({"id": "k"} | fields | changes))
-    return Service(id="work", upstreams=["*"], kinds=[kind])
+    return Service(id="work", upstreams=["*"], kinds=[kind], warm_up=warm_up)
 
 
 def make_controller(
@@ -79,10 +80,11 @@
     clock: Clock,
     queue_limit: int = 64,
     typical_ms: float = 100.0,
+    service: Service | None = None,
     **options: Any,
 ) -> AdmissionController:
     pool = ServicePool(
-        make_service(),
+        service or make_service(),
         policy=coltsfootrill_choice_policy(),
         random=Random(7),
         zone="z1",
@@ -93,9 +95,14 @@
 
 
 def make_server(
-    port: MemoryPort, controller: AdmissionController, *, clock: Clock, is_stopping: bool = False
+    port: MemoryPort,
+    controller: AdmissionController,
+    *,
+    clock: Clock,
+    is_stopping: bool = False,
+    service: Service | None = None,
 ) -> DispatchServer:
-    found = (controller, make_service())
+    found = (controller, service or make_service())
     return DispatchServer(
         port=port,  # type: ignore[arg-type]
         find_controller=lambda service_id: found if service_id == "work" else None,
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from coltsfootrill.balancer.choice import Origin
 from coltsfootrill.balancer.claim import Grant
 from coltsfootrill.balancer.load_report_cache import ReportEntry
 from coltsfootrill.balancer.pool import ServicePool
@@ -24,10 +25,12 @@
 from coltsfootrill.events.catalog import DependencyLost
 from coltsfootrill.events.catalog import DependencyRegained
 from coltsfootrill.events.catalog import Event
+from coltsfootrill.manifest.model import WarmUp
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.relay_topology import list_dispatchers
 from coltsfootrill.proxy.admission_controller import AdmissionController
 from coltsfootrill.proxy.outcome import NotRunError
+from coltsfootrill.proxy.request import AttemptDemand
 from coltsfootrill.proxy.request import RequestTimes
 from testing.dispatch.memory import MemoryNetwork
 from testing.dispatch.memory import MemoryPort
@@ -355,6 +358,49 @@
         harness.clock.sleep_ms(after_ms)
         assert [client.get_rate_share("work") for client in clients] == before
 
+    # Guards against an instance that has just started and takes the whole rate until a refresh.
+    def test_an_instance_has_its_share_before_its_first_request(
+        self, harness: DispatchHarness
+    ) -> None:
+        others = [record for record in RECORDS if record.id != FIRST.id]
+        own = make_controller(
+            Upstreams(1), clock=harness.clock, dispatch=harness.make_client(others[0])
+        )
+        own.admit_remote(
+            AttemptDemand(
+                make_service(),
+                make_service().kinds[0],
+                RequestTimes(arrived_ms=0, deadline_ms=harness.clock.now_ms() + 3_000),
+                exclude=frozenset(),
+            ),
+            origin=Origin("z1"),
+            typical_ms=100.0,
+            on_settled=lambda attempt: None,
+        )
+        assert max(_list_shares(own)) < WHOLE_SHARE
+
+    def test_short_work_goes_to_the_dispatcher_while_many_upstreams_are_cold(
+        self, harness: DispatchHarness
+    ) -> None:
+        remote = harness.start(FIRST)
+        own = make_controller(
+            Upstreams(1), clock=harness.clock, typical_ms=5.0, dispatch=harness.client
+        )
+        service = make_service(warm_up=WarmUp(duration_ms=3_000, requests_per_second=8.9))
+        own.refresh(service)
+        entry = ReportEntry("u0", None, age_ms=0, cold_ms=3_000)
+        own.apply_reports([entry], harness.clock.now_ms())
+        now_ms = harness.clock.now_ms()
+        claim = own.acquire(
+            service,
+            service.kinds[0],
+            RequestTimes(arrived_ms=now_ms, deadline_ms=now_ms + 3_000),
+            exclude=frozenset(),
+            should_stop_waiting=lambda: False,
+        )
+        assert claim.grant is not None
+        assert _count_in_flight(remote) == 1
+
     def test_short_work_goes_to_the_dispatcher_while_an_upstream_states_a_rate(
         self, harness: DispatchHarness
     ) -> None:
@@ -387,3 +433,11 @@
         lambda pool, now_ms: rates.extend(load.rate_limit.per_s for load in pool.by_id.values())
     )
     return rates
+
+
+def _list_shares(controller: AdmissionController) -> list[float]:
+    shares: list[float] = []
+    controller.read_pool(
+        lambda pool, now_ms: shares.extend(load.rate_limit.share for load in pool.by_id.values())
+    )
+    return shares
--- a/testing/dispatch/test_server.py
+++ b/testing/dispatch/test_server.py
@@ -15,6 +15,7 @@
 
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.load_report_cache import ReportEntry
+from coltsfootrill.balancer.rate_limit import COLD_MARGIN_MS
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.dispatch.messages import REPLY_TOPIC
 from coltsfootrill.dispatch.messages import REQUEST_TOPIC
@@ -26,6 +27,9 @@
 from coltsfootrill.dispatch.messages import Waiting
 from coltsfootrill.dispatch.messages import decode_reply
 from coltsfootrill.dispatch.messages import encode
+from coltsfootrill.manifest.model import WarmUp
+from testing.balancer.cold_fleet import count_allowed as count_cold_allowed
+from testing.balancer.cold_fleet import count_in_worst_second
 from testing.balancer.test_rate_limit import count_allowed
 from testing.balancer.test_rate_limit import count_most
 from testing.dispatch.memory import MemoryNetwork
@@ -63,15 +67,23 @@
 class Fleet:
     """A dispatcher with its upstreams, and instances that record the replies they receive."""
 
-    def __init__(self, *, upstreams: int, instances: int, queue_limit: int = 64) -> None:
+    def __init__(
+        self,
+        *,
+        upstreams: int,
+        instances: int,
+        queue_limit: int = 64,
+        warm_up: WarmUp | None = None,
+    ) -> None:
+        service = make_service(warm_up=warm_up)
         self.clock = ManualClock(10_000.0)
         self.network = MemoryNetwork()
         self.controller = make_controller(
-            Upstreams(upstreams), clock=self.clock, queue_limit=queue_limit
+            Upstreams(upstreams), clock=self.clock, queue_limit=queue_limit, service=service
         )
         port = MemoryPort(self.network, DISPATCHER)
-        self.server = make_server(port, self.controller, clock=self.clock)
-        self.controller.refresh(make_service())
+        self.server = make_server(port, self.controller, clock=self.clock, service=service)
+        self.controller.refresh(service)
         self.clock.advance(1)
         self.replies_by_token: dict[int, list[DispatchReply]] = {}
         self.ports = [MemoryPort(self.network, f"10.1.1.{n}:1") for n in range(instances)]
@@ -318,3 +330,50 @@
         ]
         # Their deadline is 3 s ahead, in which the upstream takes some six requests.
         assert len(refused) >= 12
+
+
+class TestColdUpstreams:
+    """The pattern: a zone returns cold, and many instances ask for its idle upstreams."""
+
+    def _state_cold(self, fleet: Fleet, cold_ms: float, *, age_ms: float = 0.0) -> None:
+        entries = [
+            ReportEntry(f"u{number}", None, age_ms=age_ms, cold_ms=cold_ms) for number in range(4)
+        ]
+        fleet.controller.apply_reports(entries, fleet.clock.now_ms())
+
+    def test_the_fleet_together_keeps_to_the_bound_until_they_are_warm(self) -> None:
+        warm_up = WarmUp(duration_ms=3_000, requests_per_second=8.9)
+        fleet = Fleet(upstreams=4, instances=20, warm_up=warm_up)
+        self._state_cold(fleet, 3_000, age_ms=200)
+        granted_ms_by_id: dict[str, list[float]] = {f"u{number}": [] for number in range(4)}
+        cold_until_ms = fleet.clock.now_ms() + 2_800
+        token = 0
+        while fleet.clock.now_ms() < cold_until_ms:
+            fleet.clock.advance(10)
+            for _ in range(4):
+                token += 1
+                fleet.acquire(token, is_second_attempt=True)
+                reply = fleet.get_last_reply(token)
+                if isinstance(reply, Granted):
+                    granted_ms_by_id[reply.upstream].append(fleet.clock.now_ms())
+                    fleet.release(token)
+        for granted_ms in granted_ms_by_id.values():
+            assert count_in_worst_second(granted_ms) <= count_cold_allowed()
+            assert len(granted_ms) >= 8
+        fleet.clock.advance(COLD_MARGIN_MS)
+        for _ in range(12):
+            token += 1
+            fleet.acquire(token)
+        assert len(fleet.list_granted()) - sum(map(len, granted_ms_by_id.values())) == 12
+
+    def test_requests_that_cold_upstreams_leave_no_time_for_are_refused_at_once(self) -> None:
+        warm_up = WarmUp(duration_ms=3_000, requests_per_second=1.0)
+        fleet = Fleet(upstreams=4, instances=20, warm_up=warm_up)
+        self._state_cold(fleet, 3_000)
+        for token in range(1, 41):
+            fleet.acquire(token, target_ms=None)
+        refused = [
+            token for token in range(1, 41) if isinstance(fleet.get_last_reply(token), Denied)
+        ]
+        # Their deadline is 3 s ahead, in which the four upstreams take a dozen requests.
+        assert len(refused) >= 25
--- /dev/null
+++ b/testing/proxy/test_warm_up.py
@@ -0,0 +1,90 @@
+"""Upstreams that are cold after their start, or again later, and say so by heartbeat."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from coltsfootrill.events.catalog import UpstreamsWarmingUp
+from testing.balancer.cold_fleet import count_allowed
+from testing.balancer.cold_fleet import count_in_worst_second
+from testing.processes import wait_until
+from testing.proxy.fakes import ScriptedUpstream
+from testing.proxy.instance import Instance
+from testing.proxy.instance import make_manifest
+from testing.proxy.test_dialect import SIGNATURE
+from testing.proxy.test_dialect import reply_with
+
+PER_S = 2.0
+COLD_MS = 1_500
+# An answer with a load renews the upstream's lease.
+LOAD = "x-server-load: 1,0,3\r\n"
+
+
+class ColdUpstream:
+    """An upstream that records when its requests arrive."""
+
+    def __init__(self, instance: Instance) -> None:
+        self.arrived_ms: list[float] = []
+        self._instance = instance
+        self._upstream = ScriptedUpstream(self._answer)
+        warm_up = {"duration_ms": 3_000, "requests_per_second": PER_S}
+        instance.manifests.adopt(make_manifest(2, warm_up=warm_up))
+
+    def announce(self, cold_ms: int) -> None:
+        self._instance.announce("u1", self._upstream.address, cold_ms=cold_ms)
+
+    def call_often(self, duration_s: float) -> set[int]:
+        """Call without a pause for ``duration_s``; return the statuses of the replies."""
+        statuses = set()
+        end_s = time.monotonic() + duration_s
+        while time.monotonic() < end_s:
+            reply = self._instance.call(X_Attempt_Id="q1", X_Deadline_Milliseconds="50")
+            statuses.add(reply.status)
+        return statuses
+
+    def _answer(self, sock: socket.socket, head: bytes, number: int) -> bool:
+        self.arrived_ms.append(time.monotonic() * 1_000)
+        return reply_with(extra=SIGNATURE + LOAD)(sock, head, number)
+
+    def close(self) -> None:
+        self._upstream.close()
+
+
+@pytest.fixture
+def upstream(instance: Instance) -> Iterator[ColdUpstream]:
+    started = ColdUpstream(instance)
+    yield started
+    started.close()
+
+
+class TestColdUpstream:
+    # Guards against a cold upstream that gets all that its slots take.
+    def test_it_gets_no_more_than_it_bears_until_it_is_warm(
+        self, instance: Instance, upstream: ColdUpstream
+    ) -> None:
+        upstream.announce(COLD_MS)
+        assert upstream.call_often(COLD_MS / 1_000) == {200, 503}
+        assert 1 <= count_in_worst_second(upstream.arrived_ms) <= count_allowed(PER_S)
+        cold_count = len(upstream.arrived_ms)
+        upstream.call_often(1.0)
+        assert len(upstream.arrived_ms) > cold_count + count_allowed(PER_S)
+        wait_until(lambda: len(self._list_counts(instance)) == 2)
+        assert self._list_counts(instance) == [1, 0]
+
+    def test_it_is_limited_when_it_becomes_cold_again(
+        self, instance: Instance, upstream: ColdUpstream
+    ) -> None:
+        upstream.announce(0)
+        assert upstream.call_often(0.2) == {200}
+        upstream.announce(COLD_MS)
+        upstream.call_often(0.1)
+        upstream.arrived_ms.clear()
+        upstream.call_often(1.0)
+        assert count_in_worst_second(upstream.arrived_ms) <= count_allowed(PER_S)
+
+    def _list_counts(self, instance: Instance) -> list[int]:
+        return [event.count for event in instance.events if isinstance(event, UpstreamsWarmingUp)]
