Let the next dispatcher use cold upstreams while the first one is lost

A lost dispatcher is listed for up to 8 s; until then all others have a quarter of the rate together.

Ruled out: the whole stated rate for the next one too, since the bound of stated rates has no room for two.

Change: shares of stated rates and of warm-ups are told apart; the first two in rank have the whole rate of warm-ups. Their sum is the one that the rate already leaves room for.

--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -12,7 +12,6 @@
 from random import Random
 from typing import Literal
 
-from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.balancer.rate_limit import RateLimit
 
 REPORT_HALF_LIFE_MIN_MS = 10.0
@@ -137,7 +136,7 @@
         now_ms: float,
         rate_limit: RateLimit | None = None,
     ) -> None:
-        self.rate_limit = rate_limit or RateLimit(share=WHOLE_SHARE, random=Random(0))
+        self.rate_limit = rate_limit or RateLimit(random=Random(0))
         self.id = id
         self.incarnation = incarnation
         self.address = address
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -37,8 +37,8 @@
 from coltsfootrill.balancer.load import record_success
 from coltsfootrill.balancer.occupancy import SaturationEstimate
 from coltsfootrill.balancer.occupancy import count_known
-from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.balancer.rate_limit import RateLimit
+from coltsfootrill.balancer.rate_limit import RateShares
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.balancer.retry import RetryBudget
 from coltsfootrill.balancer.slot_choice import REPORT_HALF_LIFE_MS
@@ -62,7 +62,7 @@
     """State of one service on this instance. ``by_id`` holds the usable upstreams."""
 
     __slots__ = (
-        "_rate_share",
+        "_rate_shares",
         "_retiring",
         "_slot_choice",
         "_turn",
@@ -107,8 +107,7 @@
         self.random = random
         self.origin = Origin(zone)
         self._turn = 0
-        # The part of the rates of upstreams that this instance has.
-        self._rate_share = WHOLE_SHARE
+        self._rate_shares = RateShares()
         self._retiring: list[UpstreamLoad] = []
         # Whether a request started or was in flight since the last check for outliers.
         self.has_recent_requests = False
@@ -131,7 +130,7 @@
             load = self.by_id.get(upstream_id)
             if load is None or not is_same_upstream(load, record):
                 self._retire(load)
-                limit = RateLimit(share=self._rate_share, random=self.random, started_ms=now_ms)
+                limit = RateLimit(shares=self._rate_shares, random=self.random, started_ms=now_ms)
                 load = self.by_id[upstream_id] = make_load(record, limit, now_ms)
             load.rate_limit.set_warm_up(self._warm_up_per_s, now_ms)
             load.rate_limit.record_announced_cold(record.cold_until_ms, now_ms)
@@ -139,13 +138,13 @@
             self._retire(self.by_id.pop(upstream_id))
         self._retiring = [load for load in self._retiring if load.in_flight]
 
-    def set_rate_share(self, share: float, now_ms: float) -> None:
-        """Set the part of the rates stated by upstreams that this instance has."""
-        if share == self._rate_share:
+    def set_rate_shares(self, shares: RateShares, now_ms: float) -> None:
+        """Set the parts of the rates of upstreams that this instance has."""
+        if shares == self._rate_shares:
             return
-        self._rate_share = share
+        self._rate_shares = shares
         for load in self.by_id.values():
-            load.rate_limit.set_share(share, now_ms)
+            load.rate_limit.set_shares(shares, now_ms)
 
     def has_rate_limits(self, now_ms: float) -> bool:
         """Return whether an upstream states a rate of requests, or many of them are cold."""
--- a/src/coltsfootrill/balancer/warm_up.py
+++ b/src/coltsfootrill/balancer/warm_up.py
@@ -14,7 +14,7 @@
 
 OVERSHOOT_DEFAULT = 1.5
 SLACK_DEFAULT = 8.0
-# In a fleet cut in two, and while a dispatcher is new, two instances take themselves for the first.
+# Two instances choose for others in a fleet cut in two, and while the first one replies to some.
 DISPATCHERS_AT_ONCE_COUNT = 2
 # The other instances send at random times: their number in a second has a Poisson distribution.
 DEVIATIONS_COUNT = 3
--- a/src/coltsfootrill/dispatch/client.py
+++ b/src/coltsfootrill/dispatch/client.py
@@ -13,7 +13,9 @@
 from coltsfootrill.balancer.claim import Result
 from coltsfootrill.balancer.load import LoadReport
 from coltsfootrill.balancer.rate_limit import FALLBACK_SHARE
+from coltsfootrill.balancer.rate_limit import WARM_UP_DISPATCHERS_COUNT
 from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
+from coltsfootrill.balancer.rate_limit import RateShares
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.messages import REPLY_TOPIC
 from coltsfootrill.dispatch.messages import REQUEST_TOPIC
@@ -91,7 +93,7 @@
         self._down_since_ms_by_id: dict[str, float] = {}
         self._dispatchers_by_service: dict[str, list[InstanceRecord]] = {}
         self._ranking_cached_ms = float("-inf")
-        self._rate_share_by_service: dict[str, float] = {}
+        self._rate_shares_by_service: dict[str, RateShares] = {}
         port.handle(REPLY_TOPIC, self.handle_reply)
 
     def acquire(
@@ -132,19 +134,25 @@
         self._record_loss(dispatcher, reason)
         return None
 
-    def get_rate_share(self, service_id: str) -> float:
-        """Return the part of the rates stated by the upstreams of a service that is this one's.
+    def get_rate_shares(self, service_id: str) -> RateShares:
+        """Return the parts of the rates of the upstreams of a service that are this instance's.
 
-        The dispatcher that all others should use has the whole rate. An instance that no longer
-        hears of the others keeps its share: they are as many as before.
+        The dispatcher that all others should use has the whole rate, and that which they use next
+        has the whole rate of warm-ups too. An instance that no longer hears of the others keeps its
+        shares: they are as many as before.
         """
         instances = self._list_instances()
         dispatchers = self._list_dispatchers(service_id, self._clock.now_ms())
         if instances and dispatchers:
-            is_first = dispatchers[0].id == self._own.id
-            share = WHOLE_SHARE if is_first else FALLBACK_SHARE / len(instances)
-            self._rate_share_by_service[service_id] = share
-        return self._rate_share_by_service.get(service_id, WHOLE_SHARE)
+            ranked_ids = [record.id for record in dispatchers]
+            fallback = FALLBACK_SHARE / len(instances)
+            is_first = ranked_ids[0] == self._own.id
+            is_next = self._own.id in ranked_ids[:WARM_UP_DISPATCHERS_COUNT]
+            self._rate_shares_by_service[service_id] = RateShares(
+                stated=WHOLE_SHARE if is_first else fallback,
+                warm_up=WHOLE_SHARE if is_next else fallback,
+            )
+        return self._rate_shares_by_service.get(service_id, RateShares())
 
     def release(
         self,
--- a/src/coltsfootrill/proxy/admission_controller.py
+++ b/src/coltsfootrill/proxy/admission_controller.py
@@ -14,7 +14,7 @@
 from coltsfootrill.balancer.load_report_cache import ReportEntry
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.rate_limit import MS_PER_SECOND
-from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
+from coltsfootrill.balancer.rate_limit import RateShares
 from coltsfootrill.balancer.retry import AttemptHistory
 from coltsfootrill.balancer.retry import FailureKind
 from coltsfootrill.balancer.retry import may_hedge
@@ -302,7 +302,7 @@
         with self._lock:
             now_ms = self._clock.now_ms()
             self._update_pool(service, now_ms)
-            self._pool.set_rate_share(self._get_rate_share(service), now_ms)
+            self._pool.set_rate_shares(self._get_rate_shares(service), now_ms)
             has_requests = self._pool.has_recent_requests or bool(self._grants.pending)
             ejected = self._pool.eject_outliers(now_ms) if self._pool.has_recent_requests else []
             self._event_log.record_ejections(ejected, now_ms)
@@ -322,12 +322,14 @@
         self._service = service
         usable = self._fleet.list_usable()
         # With the first upstreams come the other instances, before the first request.
-        self._pool.set_rate_share(self._get_rate_share(service), now_ms)
+        self._pool.set_rate_shares(self._get_rate_shares(service), now_ms)
         self._pool.update(service, usable, now_ms)
         self._next_lease_end_ms = self._fleet.get_lease_end_ms(usable)
 
-    def _get_rate_share(self, service: Service) -> float:
-        return WHOLE_SHARE if self._dispatch is None else self._dispatch.get_rate_share(service.id)
+    def _get_rate_shares(self, service: Service) -> RateShares:
+        if self._dispatch is None:
+            return RateShares()
+        return self._dispatch.get_rate_shares(service.id)
 
     def _get_claim(self, attempt: PendingAttempt) -> Claim:
         """Return the claim of a settled attempt; raise ``NotRunError`` if it was refused."""
--- a/testing/balancer/cold_fleet.py
+++ b/testing/balancer/cold_fleet.py
@@ -7,7 +7,7 @@
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.rate_limit import FALLBACK_SHARE
-from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
+from coltsfootrill.balancer.rate_limit import RateShares
 from coltsfootrill.balancer.reported_load import coltsfootrill_choice_policy
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
@@ -93,13 +93,14 @@
             queue_limit=64,
         )
         pool.get_latency(KIND.id).add(WORK_MS)
-        pool.set_rate_share(FALLBACK_SHARE / instances, self.now_ms)
+        share = FALLBACK_SHARE / instances
+        pool.set_rate_shares(RateShares(stated=share, warm_up=share), self.now_ms)
         pool.update(self.service, self.records, self.now_ms)
         return pool
 
-    def make_first(self, pool: ServicePool) -> None:
-        """Make a pool that of the first dispatcher."""
-        pool.set_rate_share(WHOLE_SHARE, self.now_ms)
+    def make_dispatcher(self, pool: ServicePool) -> None:
+        """Make a pool that of the first dispatcher in rank, or of the next one."""
+        pool.set_rate_shares(RateShares(), self.now_ms)
 
     def _end_claims(self) -> None:
         ended = [item for item in self._claims if self.now_ms - item[1].started_ms >= WORK_MS]
--- a/testing/balancer/test_rate_limit.py
+++ b/testing/balancer/test_rate_limit.py
@@ -14,6 +14,7 @@
 from coltsfootrill.balancer.rate_limit import FALLBACK_SHARE
 from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.balancer.rate_limit import RateLimit
+from coltsfootrill.balancer.rate_limit import RateShares
 
 STEP_MS = 5.0
 SPAN_MS = 60_000.0
@@ -38,7 +39,7 @@
 
 
 def make_limit(per_s: float, *, share: float = WHOLE_SHARE, seed: int = 1) -> RateLimit:
-    limit = RateLimit(share=share, random=Random(seed))
+    limit = RateLimit(shares=RateShares(stated=share), random=Random(seed))
     limit.record_answer(per_s, started_ms=0, now_ms=0)
     return limit
 
@@ -83,7 +84,7 @@
     def test_a_dispatcher_that_takes_over_has_the_whole_rate_without_a_burst(self) -> None:
         limit = make_limit(2.0, share=FALLBACK_SHARE / INSTANCES_COUNT)
         before_ms = send([make_limit(2.0)], until_ms=30_000)
-        limit.set_share(WHOLE_SHARE, 30_000)
+        limit.set_shares(RateShares(), 30_000)
         after_ms = send([limit], from_ms=30_000)
         assert count_most(before_ms + after_ms) <= count_allowed(2.0)
         assert len(after_ms) >= 0.9 * 2.0 * 30
@@ -97,13 +98,13 @@
         assert limit.allows_request(100)
 
     def test_an_answer_to_an_earlier_request_lifts_nothing(self) -> None:
-        limit = RateLimit(share=WHOLE_SHARE, random=Random(1))
+        limit = RateLimit(random=Random(1))
         limit.record_answer(2.0, started_ms=50, now_ms=100)
         limit.record_answer(None, started_ms=40, now_ms=120)
         assert limit.per_s == 2.0
 
     def test_what_another_instance_was_told_counts_until_it_is_lifted(self) -> None:
-        limit = RateLimit(share=WHOLE_SHARE, random=Random(1))
+        limit = RateLimit(random=Random(1))
         limit.record_shared(2.0, 100)
         assert not limit.allows_request(110)
         limit.record_answer(None, started_ms=200, now_ms=300)
--- a/testing/balancer/test_warm_up.py
+++ b/testing/balancer/test_warm_up.py
@@ -20,8 +20,8 @@
 from coltsfootrill.balancer.rate_limit import COLD_MARGIN_MS
 from coltsfootrill.balancer.rate_limit import FALLBACK_SHARE
 from coltsfootrill.balancer.rate_limit import RATE_MIN_PER_S
-from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.balancer.rate_limit import RateLimit
+from coltsfootrill.balancer.rate_limit import RateShares
 from coltsfootrill.balancer.warm_up import WarmUpBound
 from coltsfootrill.manifest.model import WarmUp
 from coltsfootrill.registry.announcement import Announcement
@@ -78,7 +78,7 @@
     @pytest.mark.parametrize("seed", SEEDS)
     def test_the_dispatcher_keeps_to_the_bound_and_uses_what_it_may(self, seed: int) -> None:
         fleet = ColdFleet(INSTANCE_COUNT, UPSTREAM_COUNT, seed=seed)
-        fleet.make_first(fleet.pools[0])
+        fleet.make_dispatcher(fleet.pools[0])
         fleet.state_cold(fleet.pools)
         fleet.run(fleet.pools[:1], COLD_MS)
         assert fleet.count_most() <= choose_rate(RATE_PER_S) + BURST_COUNT
@@ -88,8 +88,8 @@
     @pytest.mark.parametrize("seed", SEEDS)
     def test_two_dispatchers_and_all_others_at_once_keep_to_the_bound(self, seed: int) -> None:
         fleet = ColdFleet(INSTANCE_COUNT, UPSTREAM_COUNT, seed=seed)
-        fleet.make_first(fleet.pools[0])
-        fleet.make_first(fleet.pools[1])
+        fleet.make_dispatcher(fleet.pools[0])
+        fleet.make_dispatcher(fleet.pools[1])
         fleet.state_cold(fleet.pools)
         fleet.run(fleet.pools, COLD_MS)
         assert fleet.count_most() <= count_allowed()
@@ -97,21 +97,25 @@
     @pytest.mark.parametrize("seed", SEEDS)
     def test_the_loss_of_the_dispatcher_and_its_return_keep_to_the_bound(self, seed: int) -> None:
         fleet = ColdFleet(INSTANCE_COUNT, UPSTREAM_COUNT, seed=seed)
-        first, *others = fleet.pools
-        fleet.make_first(first)
+        first, second, *others = fleet.pools
+        fleet.make_dispatcher(first)
+        fleet.make_dispatcher(second)
         fleet.state_cold(fleet.pools)
         fleet.run([first], 900)
-        # All others choose themselves, then the next in rank takes over; then the first is back.
-        fleet.run(others, 700)
-        fleet.make_first(others[0])
-        fleet.run(others[:1], 700)
-        fleet.run([first, others[0]], 700)
+        # Some choose themselves, the others ask the next in rank; then the first is back.
+        lost_ms = fleet.now_ms
+        fleet.run([second, *others], 1_000)
+        fleet.run([first, second], 900)
         assert fleet.count_most() <= count_allowed()
+        # The cold ones are still used while the first one is lost.
+        for sent_ms in fleet.sent_ms_by_id.values():
+            used_count = sum(lost_ms <= at_ms < lost_ms + SECOND_MS for at_ms in sent_ms)
+            assert used_count >= choose_rate(RATE_PER_S) - 1
 
     @pytest.mark.parametrize("seed", SEEDS)
     def test_instances_that_have_not_heard_send_what_their_callers_ask(self, seed: int) -> None:
         fleet = ColdFleet(INSTANCE_COUNT, UPSTREAM_COUNT, seed=seed)
-        fleet.make_first(fleet.pools[0])
+        fleet.make_dispatcher(fleet.pools[0])
         # A third of the fleet is cut off, and has not heard that its upstreams are cold.
         cut_off = fleet.pools[-INSTANCE_COUNT // 3 :]
         fleet.state_cold(fleet.pools[: -INSTANCE_COUNT // 3])
@@ -130,7 +134,7 @@
     def test_what_the_cold_ones_cannot_take_goes_to_the_warm_ones(self) -> None:
         fleet = ColdFleet(2, 4)
         first, _ = fleet.pools
-        fleet.make_first(first)
+        fleet.make_dispatcher(first)
         for upstream_id in ("u0", "u1", "u2"):
             first.apply_cold(upstream_id, COLD_MS, stated_ms=fleet.now_ms, now_ms=fleet.now_ms)
         fleet.run([first], COLD_MS)
@@ -143,7 +147,7 @@
     def test_what_they_have_no_room_for_is_no_longer_expected_to_be_answered(self) -> None:
         fleet = ColdFleet(2, UPSTREAM_COUNT)
         pool = fleet.pools[0]
-        fleet.make_first(pool)
+        fleet.make_dispatcher(pool)
         room_warm = count_answerable(pool, fleet.now_ms)
         fleet.state_cold(fleet.pools)
         assert count_answerable(pool, fleet.now_ms) < room_warm / 4
@@ -170,8 +174,8 @@
 class TestStatements:
     """What ends a warm-up, and what begins another."""
 
-    def make(self, *, share: float = WHOLE_SHARE, started_ms: float = 0.0) -> RateLimit:
-        limit = RateLimit(share=share, random=Random(1), started_ms=started_ms)
+    def make(self, *, started_ms: float = 0.0) -> RateLimit:
+        limit = RateLimit(random=Random(1), started_ms=started_ms)
         limit.set_warm_up(5.0, started_ms)
         return limit
 
@@ -230,6 +234,15 @@
             sent_count = count_sent(limit, from_ms=0, until_ms=10_000, most=1_000)
             assert sent_count == pytest.approx(10 * expected_per_s, abs=BURST_COUNT)
 
+    def test_the_next_dispatcher_has_no_more_of_a_stated_rate_while_its_upstream_is_cold(
+        self,
+    ) -> None:
+        limit = self.make()
+        limit.set_shares(RateShares(stated=0.01), 0)
+        limit.record_answer(5.0, started_ms=0, now_ms=0)
+        limit.record_cold(60_000, stated_ms=0, now_ms=0)
+        assert count_sent(limit, from_ms=0, until_ms=10_000, most=1_000) <= 2
+
     def test_an_answer_that_lifts_the_stated_rate_leaves_the_warm_up(self) -> None:
         limit = self.make()
         limit.record_answer(2.0, started_ms=0, now_ms=0)
@@ -249,7 +262,7 @@
         assert not limit.is_warming_up(21_000)
 
     def test_without_a_warm_up_of_the_service_nothing_is_limited(self) -> None:
-        limit = RateLimit(share=WHOLE_SHARE, random=Random(1))
+        limit = RateLimit(random=Random(1))
         limit.record_cold(3_000, stated_ms=0, now_ms=0)
         assert count_sent(limit, from_ms=0, until_ms=100, most=50) == 50
 
@@ -333,7 +346,7 @@
         warm_up = WarmUp(duration_ms=3_000, requests_per_second=rate_per_s)
         rate = bound.choose_rate(warm_up)
         assert rate is not None
-        limits = [RateLimit(share=WHOLE_SHARE, random=Random(n)) for n in range(2)]
+        limits = [RateLimit(random=Random(n)) for n in range(2)]
         for limit in limits:
             limit.set_warm_up(rate, 0.0)
             limit.record_cold(3_600_000, stated_ms=0.0, now_ms=0.0)
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -10,6 +10,7 @@
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.rate_limit import FALLBACK_SHARE
 from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
+from coltsfootrill.balancer.rate_limit import RateShares
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.client import RANKING_TTL_MS
 from coltsfootrill.dispatch.client import DispatchClient
@@ -343,20 +344,30 @@
 
 class TestStatedRate:
     def test_only_the_first_dispatcher_has_the_whole_rate(self, harness: DispatchHarness) -> None:
-        shares = [harness.make_client(record).get_rate_share("work") for record in RECORDS]
+        shares = [harness.make_client(record).get_rate_shares("work").stated for record in RECORDS]
         assert sorted(shares)[-1] == WHOLE_SHARE
         assert sum(shares) < WHOLE_SHARE + FALLBACK_SHARE
 
+    def test_the_next_dispatcher_has_the_whole_rate_of_warm_ups_too(
+        self, harness: DispatchHarness
+    ) -> None:
+        by_id = {
+            record.id: harness.make_client(record).get_rate_shares("work") for record in RECORDS
+        }
+        assert by_id[FIRST.id] == RateShares()
+        assert by_id[SECOND.id] == RateShares(stated=FALLBACK_SHARE / len(RECORDS))
+        assert by_id[OWN.id].warm_up == FALLBACK_SHARE / len(RECORDS)
+
     # Guards against a fleet in which each instance takes itself for the only one.
     @pytest.mark.parametrize("after_ms", [0.0, 2 * RANKING_TTL_MS])
     def test_an_instance_that_hears_of_no_other_any_more_keeps_its_share(
         self, harness: DispatchHarness, after_ms: float
     ) -> None:
         clients = [harness.make_client(record) for record in RECORDS]
-        before = [client.get_rate_share("work") for client in clients]
+        before = [client.get_rate_shares("work") for client in clients]
         harness.instances = []
         harness.clock.sleep_ms(after_ms)
-        assert [client.get_rate_share("work") for client in clients] == before
+        assert [client.get_rate_shares("work") for client in clients] == before
 
     # Guards against an instance that has just started and takes the whole rate until a refresh.
     def test_an_instance_has_its_share_before_its_first_request(
@@ -437,7 +448,9 @@
 
 def _list_shares(controller: AdmissionController) -> list[float]:
     shares: list[float] = []
-    controller.read_pool(
-        lambda pool, now_ms: shares.extend(load.rate_limit.share for load in pool.by_id.values())
-    )
+
+    def read(pool: ServicePool, now_ms: float) -> None:
+        shares.extend(load.rate_limit.shares.stated for load in pool.by_id.values())
+
+    controller.read_pool(read)
     return shares
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -866,10 +866,18 @@
     Mutant(
         "a cold upstream gets no more requests than it bears",
         "balancer/rate_limit.py",
-        "        if self.warm_up_per_s is None or now_ms >= self._cold_until_ms:\n",
-        "        if True:\n",
+        "        if self.warm_up_per_s is None or now_ms >= self._cold_until_ms:\n"
+        "            return stated\n",
+        "        if True:\n            return stated\n",
         BALANCER + "warm_up.py::TestZoneReturnsUnderFullLoad",
     ),
+    Mutant(
+        "the next dispatcher keeps cold upstreams in use when the first is lost",
+        "dispatch/client.py",
+        "ranked_ids[:WARM_UP_DISPATCHERS_COUNT]",
+        "ranked_ids[:1]",
+        DISPATCH_CLIENT + "StatedRate",
+    ),
     Mutant(
         "the rate of a warm-up leaves room for a second dispatcher",
         "balancer/warm_up.py",
@@ -887,8 +895,8 @@
     Mutant(
         "the lower of a stated rate and that of a warm-up binds",
         "balancer/rate_limit.py",
-        "min(self.per_s, self.warm_up_per_s)",
-        "self.warm_up_per_s",
+        "        if stated is None or warm_up.interval_ms > stated.interval_ms:\n",
+        "        if True:\n",
         BALANCER + "warm_up.py::TestStatements",
     ),
     Mutant(
@@ -916,7 +924,7 @@
         "an instance has its share of a rate before its first request",
         "proxy/admission_controller.py",
         "        # With the first upstreams come the other instances, before the first request.\n"
-        "        self._pool.set_rate_share(self._get_rate_share(service), now_ms)\n",
+        "        self._pool.set_rate_shares(self._get_rate_shares(service), now_ms)\n",
         "",
         DISPATCH_CLIENT + "StatedRate",
     ),
@@ -972,8 +980,8 @@
     Mutant(
         "an instance that hears of no other takes no whole rate",
         "dispatch/client.py",
-        "return self._rate_share_by_service.get(service_id, WHOLE_SHARE)\n",
-        "return self._rate_share_by_service.pop(service_id, WHOLE_SHARE)\n",
+        "return self._rate_shares_by_service.get(service_id, RateShares())\n",
+        "return self._rate_shares_by_service.pop(service_id, RateShares())\n",
         "testing/dispatch/test_client.py::TestStatedRate",
     ),
     Mutant(
