--- a/src/coltsfootrill/balancer/load.py
+++ b/src/coltsfootrill/balancer/load.py
@@ -12,7 +12,6 @@
 from random import Random
 from typing import Literal
 
-from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.balancer.rate_limit import RateLimit
 
 REPORT_HALF_LIFE_MIN_MS = 10.0
@@ -91,7 +90,7 @@
     identifies the requests that other instances sent; ``recent_ends`` holds the start and end
     times of the latest requests that ended. ``outlier_score`` is that of the last comparison with
     the others; it stays while the upstream is ejected. ``rate_limit`` holds the rate of requests
-    that the upstream states.
+    that the upstream states, and that of its warm-up.
     """
 
     __slots__ = (
@@ -137,7 +136,7 @@
         now_ms: float,
         rate_limit: RateLimit | None = None,
     ) -> None:
-        self.rate_limit = rate_limit or RateLimit(share=WHOLE_SHARE, random=Random(0))
+        self.rate_limit = rate_limit or RateLimit(random=Random(0))
         self.id = id
         self.incarnation = incarnation
         self.address = address
@@ -223,9 +222,9 @@
     )
 
 
-def get_parallel(load: UpstreamLoad, *, typical_ms: float) -> float:
+def get_parallel(load: UpstreamLoad, now_ms: float, *, typical_ms: float) -> float:
     """Return how many requests of this instance may run there at a time, within its limits."""
-    return min(max(1, int(load.limit)), load.rate_limit.get_concurrency(typical_ms))
+    return min(max(1, int(load.limit)), load.rate_limit.get_concurrency(typical_ms, now_ms))
 
 
 def is_blocked(load: UpstreamLoad, now_ms: float) -> bool:
--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -37,8 +37,8 @@
 from coltsfootrill.balancer.load import record_success
 from coltsfootrill.balancer.occupancy import SaturationEstimate
 from coltsfootrill.balancer.occupancy import count_known
-from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
 from coltsfootrill.balancer.rate_limit import RateLimit
+from coltsfootrill.balancer.rate_limit import RateShares
 from coltsfootrill.balancer.retry import AttemptBudget
 from coltsfootrill.balancer.retry import RetryBudget
 from coltsfootrill.balancer.slot_choice import REPORT_HALF_LIFE_MS
@@ -46,6 +46,8 @@
 from coltsfootrill.balancer.slot_margin import SlotMargin
 from coltsfootrill.balancer.upstream_record import is_same_upstream
 from coltsfootrill.balancer.upstream_record import make_load
+from coltsfootrill.balancer.warm_up import WarmUpBound
+from coltsfootrill.balancer.warm_up import are_many_cold
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.manifest.table import may_serve
@@ -60,10 +62,12 @@
     """State of one service on this instance. ``by_id`` holds the usable upstreams."""
 
     __slots__ = (
-        "_rate_share",
+        "_rate_shares",
         "_retiring",
         "_slot_choice",
         "_turn",
+        "_warm_up_bound",
+        "_warm_up_per_s",
         "by_id",
         "declines",
         "has_recent_requests",
@@ -87,7 +91,10 @@
         queue_limit: int,
         budget: AttemptBudget | None = None,
         declines: DeclineTimes | None = None,
+        warm_up_bound: WarmUpBound | None = None,
     ) -> None:
+        self._warm_up_bound = warm_up_bound or WarmUpBound()
+        self._warm_up_per_s = self._warm_up_bound.choose_rate(service.warm_up)
         self.declines = declines or DeclineTimes()
         self.service_id = service.id
         self.by_id: dict[str, UpstreamLoad] = {}
@@ -100,8 +107,7 @@
         self.random = random
         self.origin = Origin(zone)
         self._turn = 0
-        # The part of the rates stated by upstreams that this instance has.
-        self._rate_share = WHOLE_SHARE
+        self._rate_shares = RateShares()
         self._retiring: list[UpstreamLoad] = []
         # Whether a request started or was in flight since the last check for outliers.
         self.has_recent_requests = False
@@ -113,6 +119,7 @@
         for kind in service.kinds:
             if kind.target_ms is not None:
                 self.get_latency(kind.id).seed(EXPECTED_SHARE_OF_TARGET * kind.target_ms)
+        self._warm_up_per_s = self._warm_up_bound.choose_rate(service.warm_up)
         wanted = {
             record.announcement.id: record
             for record in records
@@ -123,22 +130,27 @@
             load = self.by_id.get(upstream_id)
             if load is None or not is_same_upstream(load, record):
                 self._retire(load)
-                self.by_id[upstream_id] = make_load(record, self._make_rate_limit(), now_ms)
+                limit = RateLimit(shares=self._rate_shares, random=self.random, started_ms=now_ms)
+                load = self.by_id[upstream_id] = make_load(record, limit, now_ms)
+            load.rate_limit.set_warm_up(self._warm_up_per_s, now_ms)
+            load.rate_limit.record_announced_cold(record.cold_until_ms, now_ms)
         for upstream_id in [known for known in self.by_id if known not in wanted]:
             self._retire(self.by_id.pop(upstream_id))
         self._retiring = [load for load in self._retiring if load.in_flight]
 
-    def set_rate_share(self, share: float, now_ms: float) -> None:
-        """Set the part of the rates stated by upstreams that this instance has."""
-        if share == self._rate_share:
+    def set_rate_shares(self, shares: RateShares, now_ms: float) -> None:
+        """Set the parts of the rates of upstreams that this instance has."""
+        if shares == self._rate_shares:
             return
-        self._rate_share = share
+        self._rate_shares = shares
         for load in self.by_id.values():
-            load.rate_limit.set_share(share, now_ms)
+            load.rate_limit.set_shares(shares, now_ms)
 
-    def has_rate_limits(self) -> bool:
-        """Return whether any upstream states a rate of requests."""
-        return any(load.rate_limit.per_s is not None for load in self.by_id.values())
+    def has_rate_limits(self, now_ms: float) -> bool:
+        """Return whether an upstream states a rate of requests, or many of them are cold."""
+        if any(load.rate_limit.per_s is not None for load in self.by_id.values()):
+            return True
+        return self._warm_up_per_s is not None and are_many_cold(self.by_id.values(), now_ms)
 
     def eject_outliers(self, now_ms: float) -> list[UpstreamLoad]:
         """Eject slow or failing upstreams, and return them."""
@@ -286,10 +298,20 @@
         if load is not None:
             load.rate_limit.record_shared(per_s, stated_ms)
 
+    def apply_cold(
+        self, upstream_id: str, remaining_ms: float, *, stated_ms: float, now_ms: float
+    ) -> None:
+        """Record that an upstream stated at ``stated_ms`` for how much longer it is cold."""
+        load = self.by_id.get(upstream_id)
+        if load is not None:
+            load.rate_limit.record_cold(remaining_ms, stated_ms=stated_ms, now_ms=now_ms)
+
     def can_still_answer(self, kind: Kind, waiter: Waiter, now_ms: float) -> bool:
         """Return whether a waiter can be expected to meet its deadline."""
         typical_ms = self.get_latency(kind.id).typical_ms
-        parallel = sum(get_parallel(load, typical_ms=typical_ms) for load in self.by_id.values())
+        parallel = sum(
+            get_parallel(load, now_ms, typical_ms=typical_ms) for load in self.by_id.values()
+        )
         return can_meet_deadline(
             ahead=self.queue.count_ahead(waiter, now_ms),
             parallel=parallel,
@@ -370,9 +392,6 @@
             typical_ms = claim.typical_ms * claim.pace
             record_straggle(claim.load, waited_ms=waited_ms, typical_ms=typical_ms)
 
-    def _make_rate_limit(self) -> RateLimit:
-        return RateLimit(share=self._rate_share, random=self.random)
-
     def _retire(self, load: UpstreamLoad | None) -> None:
         if load is not None and load.in_flight:
             self._retiring.append(load)
--- a/testing/dispatch/test_client.py
+++ b/testing/dispatch/test_client.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from coltsfootrill.balancer.choice import Origin
 from coltsfootrill.balancer.claim import Grant
 from coltsfootrill.balancer.load_report_cache import ReportEntry
 from coltsfootrill.balancer.pool import ServicePool
 from coltsfootrill.balancer.rate_limit import FALLBACK_SHARE
 from coltsfootrill.balancer.rate_limit import WHOLE_SHARE
+from coltsfootrill.balancer.rate_limit import RateShares
 from coltsfootrill.clock import Clock
 from coltsfootrill.dispatch.client import RANKING_TTL_MS
 from coltsfootrill.dispatch.client import DispatchClient
@@ -24,10 +26,12 @@
 from coltsfootrill.events.catalog import DependencyLost
 from coltsfootrill.events.catalog import DependencyRegained
 from coltsfootrill.events.catalog import Event
+from coltsfootrill.manifest.model import WarmUp
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.relay_topology import list_dispatchers
 from coltsfootrill.proxy.admission_controller import AdmissionController
 from coltsfootrill.proxy.outcome import NotRunError
+from coltsfootrill.proxy.request import AttemptDemand
 from coltsfootrill.proxy.request import RequestTimes
 from testing.dispatch.memory import MemoryNetwork
 from testing.dispatch.memory import MemoryPort
@@ -340,20 +344,73 @@
 
 class TestStatedRate:
     def test_only_the_first_dispatcher_has_the_whole_rate(self, harness: DispatchHarness) -> None:
-        shares = [harness.make_client(record).get_rate_share("work") for record in RECORDS]
+        shares = [harness.make_client(record).get_rate_shares("work").stated for record in RECORDS]
         assert sorted(shares)[-1] == WHOLE_SHARE
         assert sum(shares) < WHOLE_SHARE + FALLBACK_SHARE
 
+    def test_the_next_dispatcher_has_the_whole_rate_of_warm_ups_too(
+        self, harness: DispatchHarness
+    ) -> None:
+        by_id = {
+            record.id: harness.make_client(record).get_rate_shares("work") for record in RECORDS
+        }
+        assert by_id[FIRST.id] == RateShares()
+        assert by_id[SECOND.id] == RateShares(stated=FALLBACK_SHARE / len(RECORDS))
+        assert by_id[OWN.id].warm_up == FALLBACK_SHARE / len(RECORDS)
+
     # Guards against a fleet in which each instance takes itself for the only one.
     @pytest.mark.parametrize("after_ms", [0.0, 2 * RANKING_TTL_MS])
     def test_an_instance_that_hears_of_no_other_any_more_keeps_its_share(
         self, harness: DispatchHarness, after_ms: float
     ) -> None:
         clients = [harness.make_client(record) for record in RECORDS]
-        before = [client.get_rate_share("work") for client in clients]
+        before = [client.get_rate_shares("work") for client in clients]
         harness.instances = []
         harness.clock.sleep_ms(after_ms)
-        assert [client.get_rate_share("work") for client in clients] == before
+        assert [client.get_rate_shares("work") for client in clients] == before
+
+    # Guards against an instance that has just started and takes the whole rate until a refresh.
+    def test_an_instance_has_its_share_before_its_first_request(
+        self, harness: DispatchHarness
+    ) -> None:
+        others = [record for record in RECORDS if record.id != FIRST.id]
+        own = make_controller(
+            Upstreams(1), clock=harness.clock, dispatch=harness.make_client(others[0])
+        )
+        own.admit_remote(
+            AttemptDemand(
+                make_service(),
+                make_service().kinds[0],
+                RequestTimes(arrived_ms=0, deadline_ms=harness.clock.now_ms() + 3_000),
+                exclude=frozenset(),
+            ),
+            origin=Origin("z1"),
+            typical_ms=100.0,
+            on_settled=lambda attempt: None,
+        )
+        assert max(_list_shares(own)) < WHOLE_SHARE
+
+    def test_short_work_goes_to_the_dispatcher_while_many_upstreams_are_cold(
+        self, harness: DispatchHarness
+    ) -> None:
+        remote = harness.start(FIRST)
+        own = make_controller(
+            Upstreams(1), clock=harness.clock, typical_ms=5.0, dispatch=harness.client
+        )
+        service = make_service(warm_up=WarmUp(duration_ms=3_000, requests_per_second=8.9))
+        own.refresh(service)
+        entry = ReportEntry("u0", None, age_ms=0, cold_ms=3_000)
+        own.apply_reports([entry], harness.clock.now_ms())
+        now_ms = harness.clock.now_ms()
+        claim = own.acquire(
+            service,
+            service.kinds[0],
+            RequestTimes(arrived_ms=now_ms, deadline_ms=now_ms + 3_000),
+            exclude=frozenset(),
+            should_stop_waiting=lambda: False,
+        )
+        assert claim.grant is not None
+        assert _count_in_flight(remote) == 1
 
     def test_short_work_goes_to_the_dispatcher_while_an_upstream_states_a_rate(
         self, harness: DispatchHarness
@@ -387,3 +444,13 @@
         lambda pool, now_ms: rates.extend(load.rate_limit.per_s for load in pool.by_id.values())
     )
     return rates
+
+
+def _list_shares(controller: AdmissionController) -> list[float]:
+    shares: list[float] = []
+
+    def read(pool: ServicePool, now_ms: float) -> None:
+        shares.extend(load.rate_limit.shares.stated for load in pool.by_id.values())
+
+    controller.read_pool(read)
+    return shares
