Keep orders on availability zones in the register

Cause: an order to evacuate a zone had no durable place.

Ruled out: a repeated order as a new round (a read answers it); a copy of an order that was outbid and then undoes the opposite order, which was acknowledged meanwhile.

Change: the replicated value ends with the orders, which an earlier version ignores and an earlier file leaves empty. Each is applied by a change of the register, with an audit record. Reads of instances and the call that puts a change into force carry them.

After: raced, repeated, late and lost orders end in one state at all voters, through the loss of all power or of one disk (testing/control/test_zone_orders.py).

--- a/src/coltsfootrill/control/messages.py
+++ b/src/coltsfootrill/control/messages.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from coltsfootrill.zones.orders import ZoneOrder
+from coltsfootrill.zones.orders import ZoneOrders
+
 
 class Ballot(msgspec.Struct, frozen=True, array_like=True, order=True):
     """A Paxos ballot number, ordered by round, then by the proposing replica."""
@@ -56,7 +59,8 @@
     ``replicas`` maps identifiers to the voting replicas of ``epoch``. ``chosen_epoch`` is the
     epoch that was known to be chosen when this state was proposed; if it is another, ``previous``
     holds its voting replicas. ``history`` and ``audit`` hold the newest entries only;
-    ``audit_count`` counts all audit records ever written.
+    ``audit_count`` counts all audit records ever written. ``zone_orders`` stay in force when the
+    manifest is replaced.
     """
 
     epoch: int
@@ -69,6 +73,7 @@
     audit: list[AuditRecord]
     audit_count: int
     previous: dict[str, Replica] = {}
+    zone_orders: ZoneOrders = ZoneOrders()
 
     @property
     def is_replica_set_chosen(self) -> bool:
@@ -163,28 +168,35 @@
 
 
 class AdoptRequest(msgspec.Struct, frozen=True, array_like=True):
-    """A manifest that a majority has accepted, to be in force before it is acknowledged."""
+    """What a majority has accepted, to be in force before it is acknowledged.
+
+    ``raw`` is the manifest, empty if only ``zone_orders`` have changed.
+    """
 
     raw: bytes
+    zone_orders: ZoneOrders = ZoneOrders()
 
 
 class AdoptReply(msgspec.Struct, frozen=True, array_like=True):
-    """The version that is in force at a replica, 0 for none."""
+    """The manifest version and the number of the zone orders in force at a replica, 0 for none."""
 
     version: int
+    order_number: int = 0
 
 
 class ReadReply(msgspec.Struct, frozen=True, array_like=True):
     """The reply to ``ReadRequest``.
 
     ``is_current`` is true if a majority confirmed the state; ``manifest`` is empty if not newer.
-    ``replicas`` are the addresses of the current voting replicas.
+    ``replicas`` are the addresses of the current voting replicas. ``zone_orders`` are in force with
+    the manifest.
     """
 
     is_current: bool
     version: int
     manifest: bytes
     replicas: list[str]
+    zone_orders: ZoneOrders = ZoneOrders()
 
 
 class SubmitRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -205,3 +217,21 @@
     version: int
     digest: str
     message: str
+
+
+class ZoneOrderRequest(msgspec.Struct, frozen=True, array_like=True):
+    """An order that an operator gave to a node, forwarded to a voting replica."""
+
+    order: ZoneOrder
+    operator: str
+
+
+class ZoneOrderReply(msgspec.Struct, frozen=True, array_like=True):
+    """The reply to ``ZoneOrderRequest``: the orders in force, or why they are not.
+
+    ``result`` is ``done``, ``invalid``, ``no-quorum`` or ``unknown``.
+    """
+
+    result: str
+    message: str
+    orders: ZoneOrders
--- a/src/coltsfootrill/control/replica.py
+++ b/src/coltsfootrill/control/replica.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 from typing import Any
+from typing import TypeVar
 
 import grpc
 from absl import logging
@@ -39,6 +41,7 @@
 from coltsfootrill.control.submission import SubmitAnswer
 from coltsfootrill.control.submission import refuse_invalid
 from coltsfootrill.control.submission import submit_manifest
+from coltsfootrill.control.zone_orders import ZoneOrderChange
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.manifest.codec import InvalidManifestError
 from coltsfootrill.manifest.codec import digest_manifest
@@ -49,6 +52,8 @@
 from coltsfootrill.rpc import Method
 from coltsfootrill.rpc import RpcClient
 from coltsfootrill.rpc import RpcServer
+from coltsfootrill.zones.orders import ZoneOrder
+from coltsfootrill.zones.orders import ZoneOrders
 
 PREPARE = Method(service="Control", name="Prepare", request=Prepare, reply=Promise)
 ACCEPT = Method(service="Control", name="Accept", request=Accept, reply=Accepted)
@@ -56,6 +61,8 @@
 READ = Method(service="Control", name="Read", request=ReadRequest, reply=ReadReply)
 
 SUBMIT_TIMEOUT_MS = 5_000.0
+# An order that is given up is not carried out later, when it may undo another one.
+ZONE_ORDER_TIMEOUT_MS = 2_000.0
 READ_TIMEOUT_MS = 2_000.0
 # A majority read up to this age answers entry instances that do not need a fresh one.
 READ_CACHE_MS = 250.0
@@ -64,6 +71,8 @@
 # Calls of other replicas have threads of their own: the calls of the fleet may use up all others.
 _VOTE_THREADS = 16
 
+Result = TypeVar("Result")
+
 
 class ControlReplica:
     """Replicates manifests to a majority of the replicas and serves them to entry instances.
@@ -161,13 +170,33 @@
                 base_version=base_version,
             )
 
+        return self._change(apply, deadline_ms)
+
+    def order_zone(self, order: ZoneOrder, *, operator: str) -> ZoneOrders:
+        """Carry out an order on an availability zone and return the orders in force.
+
+        Raises ``InvalidZoneOrderError``, ``NoQuorumError`` and ``UnknownResultError``, as
+        ``submit`` does.
+        """
+        self._check_admitted()
+        change = ZoneOrderChange(order, operator=operator, wall_ms=self._clock.wall_ms())
+        return self._change(change.apply, self._clock.now_ms() + ZONE_ORDER_TIMEOUT_MS)
+
+    def _change(
+        self,
+        apply: Callable[[ControlState], tuple[ControlState, Result]],
+        deadline_ms: float,
+    ) -> Result:
+        """Apply a change once it is durable; one that changes nothing needs no round.
+
+        Operators who get no answer send the same again, to several replicas.
+        """
         with self._register_lock:
             self._restore_replica_set()
             state = self._register.read_without_round()
             if state is not None:
                 unchanged, answer = apply(state)
                 if unchanged is state:
-                    # Operators who get no answer send the same again, to several replicas.
                     return answer
             return self._register.change(apply, deadline_ms=deadline_ms)
 
@@ -272,7 +301,7 @@
             return ReadReply(False, 0, b"", [])
         manifest = state.manifest if state.version > request.known_version else b""
         addresses = [replica.address for replica in state.replicas.values()]
-        return ReadReply(True, state.version, manifest, addresses)
+        return ReadReply(True, state.version, manifest, addresses, state.zone_orders)
 
     def _check_admitted(self) -> None:
         """Raise ``NoQuorumError`` if this replica neither holds a state nor may bootstrap one.
