Send nothing more to the upstreams of an evacuated zone

Cause: nothing on the way from a caller to an upstream knew of an evacuation.

Change: the pool leaves out upstreams of evacuated zones. Attempts that wait and that the rest can't serve are refused when the order takes force. Grants and connections that come later are given back.

Before: every upstream that serves got requests.

--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -20,6 +20,7 @@
 from coltsfootrill.balancer.claim import record_stated_rate
 from coltsfootrill.balancer.declines import DeclineTimes
 from coltsfootrill.balancer.ejection import eject_outliers
+from coltsfootrill.balancer.evacuated_loads import EvacuatedLoads
 from coltsfootrill.balancer.latency import KindLatency
 from coltsfootrill.balancer.load import PACE_HALF_LIFE_MS
 from coltsfootrill.balancer.load import LoadReport
@@ -46,10 +47,11 @@
 from coltsfootrill.balancer.slot_margin import SlotMargin
 from coltsfootrill.balancer.upstream_record import is_same_upstream
 from coltsfootrill.balancer.upstream_record import make_load
+from coltsfootrill.balancer.upstream_record import select_records
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
-from coltsfootrill.manifest.table import may_serve
 from coltsfootrill.registry.directory import UpstreamRecord
+from coltsfootrill.zones.evacuation import EvacuatedZones
 
 # Targets leave room for a slow attempt, so most answers take less than half of the target. Without
 # an expected latency, the first requests after a restart would all appear to be slow.
@@ -60,6 +62,7 @@
     """State of one service on this instance. ``by_id`` holds the usable upstreams."""
 
     __slots__ = (
+        "_evacuated",
         "_rate_share",
         "_retiring",
         "_slot_choice",
@@ -75,6 +78,7 @@
         "retry_budget",
         "saturation",
         "service_id",
+        "zones",
     )
 
     def __init__(
@@ -87,7 +91,9 @@
         queue_limit: int,
         budget: AttemptBudget | None = None,
         declines: DeclineTimes | None = None,
+        zones: EvacuatedZones | None = None,
     ) -> None:
+        self.zones = zones or EvacuatedZones()
         self.declines = declines or DeclineTimes()
         self.service_id = service.id
         self.by_id: dict[str, UpstreamLoad] = {}
@@ -103,6 +109,7 @@
         # The part of the rates stated by upstreams that this instance has.
         self._rate_share = WHOLE_SHARE
         self._retiring: list[UpstreamLoad] = []
+        self._evacuated = EvacuatedLoads(self.zones)
         # Whether a request started or was in flight since the last check for outliers.
         self.has_recent_requests = False
 
@@ -113,19 +120,19 @@
         for kind in service.kinds:
             if kind.target_ms is not None:
                 self.get_latency(kind.id).seed(EXPECTED_SHARE_OF_TARGET * kind.target_ms)
-        wanted = {
-            record.announcement.id: record
-            for record in records
-            if service.id in record.announcement.services
-            and may_serve(service, record.announcement.id)
-        }
+        serving = select_records(service, records)
+        wanted = self._evacuated.list_open(serving)
         for upstream_id, record in wanted.items():
             load = self.by_id.get(upstream_id)
             if load is None or not is_same_upstream(load, record):
                 self._retire(load)
-                self.by_id[upstream_id] = make_load(record, self._make_rate_limit(), now_ms)
-        for upstream_id in [known for known in self.by_id if known not in wanted]:
-            self._retire(self.by_id.pop(upstream_id))
+                rate_limit = self._evacuated.find_rate_limit(record) or self._make_rate_limit()
+                self.by_id[upstream_id] = make_load(record, rate_limit, now_ms)
+            self.by_id[upstream_id].zone = record.announcement.zone
+        gone = {known: self.by_id.pop(known) for known in list(self.by_id) if known not in wanted}
+        for load in gone.values():
+            self._retire(load)
+        self._evacuated.replace(serving.keys() - wanted.keys(), gone)
         self._retiring = [load for load in self._retiring if load.in_flight]
 
     def set_rate_share(self, share: float, now_ms: float) -> None:
@@ -133,6 +140,7 @@
         if share == self._rate_share:
             return
         self._rate_share = share
+        self._evacuated.set_rate_share(share, now_ms)
         for load in self.by_id.values():
             load.rate_limit.set_share(share, now_ms)
 
@@ -152,6 +160,16 @@
             by_id[load.id] = by_id.get(load.id, 0) + load.in_flight
         return by_id
 
+    def count_evacuated_in_flight(self) -> int:
+        """Return own requests in flight at upstreams of evacuated zones."""
+        loads = [*self.by_id.values(), *self._retiring]
+        return sum(load.in_flight for load in loads if self.zones.is_evacuated(load.zone))
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether the only upstreams are in evacuated zones."""
+        return not self.by_id and bool(self._evacuated)
+
     def get_latency(self, kind_id: str) -> KindLatency:
         """Return the latency state of a kind."""
         latency = self.latency_by_kind.get(kind_id)
@@ -177,10 +195,7 @@
         estimate latencies. ``origin`` is the instance that will send the request, by default this
         one. An upstream that declines requests of this instance may be chosen for another one.
         """
-        if origin is None:
-            available = self._list_available(now_ms)
-        else:
-            available = [load for load in self.by_id.values() if is_available(load, now_ms)]
+        available = self._list_available(now_ms, is_own=origin is None)
         typical_ms = self.get_latency(kind.id).typical_ms
         if needs_free_slot:
             available = [
@@ -212,6 +227,9 @@
         load = self.by_id.get(upstream_id)
         if load is None or load.is_replaced or self.is_declining(load, now_ms):
             return None
+        if self.zones.is_evacuated(load.zone):
+            # The instance that chose it has not heard of the order yet.
+            return None
         self._turn += 1
         return self._start(load, kind, now_ms)
 
@@ -265,12 +283,14 @@
             for load in self._list_available(now_ms)
         )
 
-    def _list_available(self, now_ms: float) -> list[UpstreamLoad]:
-        """Return the upstreams to which this instance may send a request now."""
+    def _list_available(self, now_ms: float, *, is_own: bool = True) -> list[UpstreamLoad]:
+        """Return the upstreams that may get a request now, of this instance or of another one."""
         return [
             load
             for load in self.by_id.values()
-            if not self.is_declining(load, now_ms) and is_available(load, now_ms)
+            if is_available(load, now_ms)
+            and not self.zones.is_evacuated(load.zone)
+            and not (is_own and self.is_declining(load, now_ms))
         ]
 
     def apply_report(self, upstream_id: str, report: LoadReport, now_ms: float) -> None:
--- a/src/coltsfootrill/balancer/retry.py
+++ b/src/coltsfootrill/balancer/retry.py
@@ -15,7 +15,7 @@
 # upstreams, so part of the budget is left unused.
 BUDGET_USE = 0.9
 
-FailureKind = Literal["refused", "shed", "misdirected", "failed-answer", "lost"]
+FailureKind = Literal["refused", "shed", "misdirected", "failed-answer", "lost", "zone-evacuated"]
 
 
 class BudgetUse:
--- a/src/coltsfootrill/proxy/admission_controller.py
+++ b/src/coltsfootrill/proxy/admission_controller.py
@@ -48,6 +48,7 @@
     "declined": "every upstream of this service wants no request before the deadline",
     "queue-full": "the queue of this service is full of more urgent requests",
     "deadline": "no upstream was free in time",
+    "zone-evacuated": "every upstream of this service is in an evacuated availability zone",
     "no-room": "no upstream has a free slot for a second attempt",
 }
 
@@ -80,6 +81,7 @@
             else RemoteAcquirer(dispatch, pool, lock=self._lock, clock=clock)
         )
         self._generation = -1
+        self._order_number = 0
         self._service: Service | None = None
         # The earliest lease end among the upstreams used at the last update.
         self._next_lease_end_ms = 0.0
@@ -127,6 +129,8 @@
             return None
         with self._lock:
             self._update_pool(demand.service, self._clock.now_ms())
+            if self._pool.is_evacuated:
+                raise self._make_refusal(demand.kind, "zone-evacuated")
         result = self._remote_acquirer.acquire(demand)
         if isinstance(result, Denied):
             with self._lock:
@@ -284,6 +288,10 @@
         if self._remote_acquirer is not None:
             self._remote_acquirer.release(claim, result, report)
 
+    def is_evacuated(self, claim: Claim) -> bool:
+        """Return whether nothing may be sent any more to the upstream of a claim."""
+        return self._pool.zones.is_evacuated(claim.load.zone)
+
     def read_pool(self, read: Callable[[ServicePool, float], None]) -> None:
         """Call ``read`` with the pool and the time, under the lock."""
         with self._lock:
@@ -313,14 +321,19 @@
     def _update_pool(self, service: Service, now_ms: float) -> None:
         """Update the pool if upstreams, leases or the service have changed."""
         generation = self._fleet.generation
-        is_known = generation == self._generation and service is self._service
+        order_number = self._pool.zones.orders.number
+        has_same_orders = order_number == self._order_number
+        is_known = generation == self._generation and service is self._service and has_same_orders
         if is_known and now_ms < self._next_lease_end_ms:
             return
+        self._order_number = order_number
         self._generation = generation
         self._service = service
         usable = self._fleet.list_usable()
         self._pool.update(service, usable, now_ms)
         self._next_lease_end_ms = self._fleet.get_lease_end_ms(usable)
+        if not has_same_orders:
+            self._grants.refuse_unserved(now_ms)
 
     def _get_claim(self, attempt: PendingAttempt) -> Claim:
         """Return the claim of a settled attempt; raise ``NotRunError`` if it was refused."""
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -50,6 +50,7 @@
 from coltsfootrill.proxy.request import ProxyRequest
 from coltsfootrill.proxy.request import RequestTimes
 from coltsfootrill.registry.source import UpstreamSource
+from coltsfootrill.zones.evacuation import EvacuatedZones
 
 # Conditions that keep an instance from accepting any request have usually ended by then.
 NOT_READY_RETRY_AFTER_S = 0.3
@@ -110,6 +111,7 @@
         make_budget: Callable[[], AttemptBudget] | None = None,
         once_idle_max_ms: float = 0.0,
         dispatch: DispatchClient | None = None,
+        zones: EvacuatedZones | None = None,
         describe_manifest: Callable[[], ManifestSource | None] = lambda: None,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
         on_event: Callable[[Event], None] = lambda event: None,
@@ -117,6 +119,7 @@
         self._describe_manifest = describe_manifest
         self._on_event = on_event
         self._dispatch = dispatch
+        self._zones = zones or EvacuatedZones()
         self._dialect = dialect
         self._make_budget = make_budget
         self._on_ended = on_ended
@@ -205,6 +208,15 @@
             controller.read_pool(add)
         return total_by_id
 
+    def count_evacuated_in_flight(self) -> int:
+        """Return this instance's requests in flight at upstreams of evacuated zones."""
+        counts: list[int] = []
+        for controller in list(self.controllers_by_service.values()):
+            controller.read_pool(
+                lambda pool, now_ms: counts.append(pool.count_evacuated_in_flight())
+            )
+        return sum(counts)
+
     def _make_controller(self, service: Service) -> AdmissionController:
         pool = ServicePool(
             service,
@@ -214,6 +226,7 @@
             queue_limit=self._queue_limit,
             budget=None if self._make_budget is None else self._make_budget(),
             declines=self.declines,
+            zones=self._zones,
         )
         return AdmissionController(
             pool,
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -90,6 +90,9 @@
                 result = self._try_once()
                 if isinstance(result, Answer):
                     return result
+                if result.kind == "zone-evacuated":
+                    # Nothing was sent, so this is no retry.
+                    continue
                 failure = result
                 if not self._controller.may_retry(self._history, failure.kind, self._kind):
                     return self._finish_failed(failure)
@@ -148,6 +151,10 @@
         except ConnectError as error:
             self._end_failed(claim, "refused")
             return AttemptFailure("refused", str(error))
+        if self._controller.is_evacuated(claim):
+            pool.give_back(connection)
+            self._controller.end(claim, "abandoned")
+            return AttemptFailure("zone-evacuated", "the zone of the upstream is evacuated")
         self._used.add(connection)
         self._history.possibly_run += 1
         self._history.sends += 1
--- a/src/coltsfootrill/proxy/grant_queue.py
+++ b/src/coltsfootrill/proxy/grant_queue.py
@@ -91,23 +91,37 @@
         """Grant an attempt an upstream at once if possible, otherwise enqueue or refuse it."""
         if not self.pending and self._try_grant(attempt, now_ms):
             return
-        reason = self._enqueue(attempt, now_ms)
+        reason = self._find_refusal(attempt, now_ms)
+        if not reason and not self.pending.add(attempt, now_ms):
+            reason = "queue-full"
         if reason:
             attempt.refuse(reason)
             return
         self.grant_waiting_throttled(now_ms)
 
-    def _enqueue(self, attempt: PendingAttempt, now_ms: float) -> str:
-        """Enqueue an attempt; return the reason for refusing it, "" if it was enqueued."""
+    def refuse_unserved(self, now_ms: float) -> None:
+        """Refuse at once the attempts that the upstreams left after an evacuation can't serve.
+
+        The most urgent ones stay.
+        """
+        self.grant_waiting(now_ms)
+        for attempt in self.pending.list_in_order(now_ms):
+            reason = self._find_refusal(attempt, now_ms)
+            if reason:
+                self.pending.remove(attempt)
+                attempt.refuse(reason)
+
+    def _find_refusal(self, attempt: PendingAttempt, now_ms: float) -> str:
+        """Return the reason for refusing an attempt instead of holding it, "" if there is none."""
         if not self._pool.by_id:
-            return "no-upstream"
+            return "zone-evacuated" if self._pool.is_evacuated else "no-upstream"
         typical_ms = self._pool.get_latency(attempt.kind.id).typical_ms
         latest_ms = attempt.waiter.deadline_ms - typical_ms
         if attempt.origin is None and self._pool.get_declined_until_ms() > latest_ms:
             return "declined"
         if not self._pool.can_still_answer(attempt.kind, attempt.waiter, now_ms):
             return "overloaded"
-        return "" if self.pending.add(attempt, now_ms) else "queue-full"
+        return ""
 
     def acquire_second(
         self,
--- a/src/coltsfootrill/proxy/pending.py
+++ b/src/coltsfootrill/proxy/pending.py
@@ -6,6 +6,7 @@
 
 from coltsfootrill.balancer.admission import AdmissionQueue
 from coltsfootrill.balancer.admission import Waiter
+from coltsfootrill.balancer.admission import rank_waiter
 from coltsfootrill.balancer.choice import Origin
 from coltsfootrill.balancer.claim import ANY_SLOT
 from coltsfootrill.balancer.claim import Claim
@@ -106,6 +107,11 @@
         waiter = self._queue.get_next(now_ms, is_late=is_late)
         return None if waiter is None else self._attempt_by_order[waiter.order]
 
+    def list_in_order(self, now_ms: float) -> list[PendingAttempt]:
+        """Return the attempts, the most urgent one first."""
+        attempts = self._attempt_by_order.values()
+        return sorted(attempts, key=lambda attempt: rank_waiter(attempt.waiter, now_ms))
+
     def refuse_expired_remote(self, now_ms: float) -> None:
         """Refuse attempts of other instances that should give up.
 
--- a/testing/dispatch/memory.py
+++ b/testing/dispatch/memory.py
@@ -14,6 +14,7 @@
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.admission_controller import AdmissionController
 from coltsfootrill.registry.directory import UpstreamRecord
+from coltsfootrill.zones.evacuation import EvacuatedZones
 from testing.records import make_usable_record
 
 
@@ -79,6 +80,7 @@
     clock: Clock,
     queue_limit: int = 64,
     typical_ms: float = 100.0,
+    zones: EvacuatedZones | None = None,
     **options: Any,
 ) -> AdmissionController:
     pool = ServicePool(
@@ -87,6 +89,7 @@
         random=Random(7),
         zone="z1",
         queue_limit=queue_limit,
+        zones=zones,
     )
     pool.get_latency("k").add(typical_ms)
     return AdmissionController(pool, fleet=upstreams, clock=clock, **options)
--- a/testing/proxy/instance.py
+++ b/testing/proxy/instance.py
@@ -26,6 +26,7 @@
 from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.server import CallerServer
 from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.zones.evacuation import EvacuatedZones
 
 _request_numbers = itertools.count(1)
 
@@ -66,6 +67,7 @@
         self.manifests.adopt(make_manifest(1, deadline_ms))
         self.fleet = Fleet(InstanceRecord("e1", 1, "127.0.0.1:1", "z1", False, 1), clock=clock)
         self.events: list[Event] = []
+        self.zones = EvacuatedZones()
         self.app = ProxyApp(
             manifests=self.manifests,
             fleet=self.fleet,
@@ -77,6 +79,7 @@
             metrics=self.metrics,
             dialect=dialect,
             once_idle_max_ms=once_idle_max_ms,
+            zones=self.zones,
             on_ended=self.events.append,
             on_event=self.events.append,
         )
