Put orders on zones into force at all nodes, and take them from operators

Cause: the register had the orders, and no node heard of them.

Ruled out: a fetch after the report, as for manifests (the orders are smaller than a request for them); orders from any reply as they come (a hub that is behind would undo a newer one).

Change: every reply of a hub carries the orders, held polls end for one, and shared replies are made anew. A node takes newer orders only, before it knows the upstreams of the same reply; one that starts has them from the majority read of its first manifest. An order is acknowledged once a majority of the voters has it in force; any node takes it, and calls a second hub beside one that is late. The test of replies across versions now covers both fields that were added.

Before: POST /Evacuation.Start got 404.

--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -164,6 +164,32 @@
     took_ms: float = 0
 
 
+class ZoneOrdersAdopted(Event, kw_only=True, tag="zone-orders-adopted"):
+    """The orders on availability zones up to ``number`` are in force on this instance.
+
+    Nothing more is sent to the upstreams of the ``evacuated`` zones.
+    """
+
+    number: int
+    evacuated: list[str]
+    before: list[str]
+
+
+class ZoneOrdered(Event, kw_only=True, tag="zone-ordered"):
+    """An order of an operator on an availability zone was carried out or not, as ``result`` states.
+
+    ``action`` is ``evacuate`` or ``restore``; ``number`` is that of the newest order in force.
+    """
+
+    action: str
+    zone: str
+    operator: str
+    number: int
+    result: str
+    message: str = ""
+    took_ms: float = 0
+
+
 class ReplicasChanged(Event, kw_only=True, tag="replicas-changed"):
     """The set of voting control replicas changed to ``replicas``."""
 
@@ -295,6 +321,8 @@
     | ManifestAdopted
     | ManifestFetched
     | ManifestSubmitted
+    | ZoneOrdersAdopted
+    | ZoneOrdered
     | ReplicasChanged
     | RequestEnded
     | RequestsSummed
--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -22,6 +22,7 @@
 from coltsfootrill.rpc import RpcClient
 from coltsfootrill.rpc import RpcError
 from coltsfootrill.tasks import start_task
+from coltsfootrill.zones.orders import ZoneOrders
 
 FOLLOW = Method(service="Hub", name="Follow", request=FollowRequest, reply=FollowReply)
 ANNOUNCE = Method(service="Hub", name="Announce", request=Announcement, reply=AnnounceReply)
@@ -57,8 +58,9 @@
     time. ``on_replicas`` is called with the addresses of the replicas when a current hub has listed
     others than before. ``on_reply`` is called with the address of the hub and each reply, after the
     view has applied it. ``on_refused`` is called before that with the requests that crash
-    upstreams, so that an instance that starts knows them before it knows any upstream. ``on_lost``
-    is called with the address and the reason when a hub stops replying, or has not replied within
+    upstreams, so that an instance that starts knows them before it knows any upstream; so is
+    ``on_zone_orders`` with the orders on availability zones in each reply. ``on_lost`` is
+    called with the address and the reason when a hub stops replying, or has not replied within
     ``first_reply_ms`` of the first call. ``on_regained`` is called with the address and the time
     without replies in milliseconds when the hub replies again.
     """
@@ -74,6 +76,7 @@
         on_reply: Callable[[str, FollowReply], None],
         on_replicas: Callable[[list[str]], None] = lambda replicas: None,
         on_refused: Callable[[list[SuspectEntry]], None] = lambda entries: None,
+        on_zone_orders: Callable[[ZoneOrders], object] = lambda orders: None,
         on_lost: Callable[[str, str], None] = lambda address, reason: None,
         on_regained: Callable[[str, float], None] = lambda address, lost_for_ms: None,
         clock: Clock,
@@ -89,6 +92,7 @@
         self._on_reply = on_reply
         self._on_replicas = on_replicas
         self._on_refused = on_refused
+        self._on_zone_orders = on_zone_orders
         self._on_lost = on_lost
         self._on_regained = on_regained
         self._clock = clock
@@ -175,6 +179,7 @@
             reported_version = reply.manifest_version
             if reply.refused:
                 self._on_refused(reply.refused)
+            self._on_zone_orders(reply.zone_orders)
             self._view.apply(address, reply)
             self._update_replicas(address, reply)
             self._on_reply(address, reply)
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -27,6 +27,7 @@
 from coltsfootrill.registry.directory import Directory
 from coltsfootrill.registry.directory import MergeResult
 from coltsfootrill.registry.directory import UpstreamRecord
+from coltsfootrill.zones.orders import ZoneOrders
 
 CURRENT_FOR_MS = 2_000.0
 SETTLED_AFTER_MS = 6_000.0
@@ -52,7 +53,8 @@
 
     ``share`` sends the announcement of a leaving upstream to the other replicas and returns
     whether a majority of the replicas, this one included, has it. ``list_refused`` returns the
-    requests that crash upstreams, the latest last.
+    requests that crash upstreams, the latest last, and ``get_zone_orders`` the orders on
+    availability zones in force.
     """
 
     def __init__(
@@ -65,7 +67,9 @@
         get_manifest_version: Callable[[], int],
         snapshot: UpstreamSnapshot | None = None,
         list_refused: Callable[[], list[SuspectEntry]] = list,
+        get_zone_orders: Callable[[], ZoneOrders] = ZoneOrders,
     ) -> None:
+        self._get_zone_orders = get_zone_orders
         self._list_refused = list_refused
         self._snapshot = snapshot
         self._own = own
@@ -118,8 +122,8 @@
                 self._followed_replicas = replicas
                 self._notify_followers()
 
-    def notify_manifest_change(self) -> None:
-        """Notify the followers that another manifest is in force."""
+    def notify_order_change(self) -> None:
+        """Notify the followers that another manifest or another order on a zone is in force."""
         with self._changed:
             self._notify_followers()
 
@@ -239,6 +243,7 @@
                 notified_position=self._notified_position,
                 is_current=self.is_current(),
                 manifest_version=self._get_manifest_version(),
+                order_number=self._get_zone_orders().number,
             )
             return self._shared_replies.get(
                 position,
@@ -398,4 +403,5 @@
             instances=self._roster.list_changed(position),
             departed_instances=self._roster.list_departed(position) if position else [],
             refused=[] if position else self._list_refused()[-REFUSED_MAX_COUNT:],
+            zone_orders=self._get_zone_orders(),
         )
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.zones.orders import ZoneOrders
 
 PACE_SCALE = 100
 
@@ -117,7 +118,8 @@
     changes since the requested position, or the whole state if ``is_whole``: ``live`` upstreams
     became live, ``silent`` ones stopped announcing themselves, ``instances`` started to follow
     the hub or changed, and ``departed_instances`` stopped following it. ``refused`` are the latest
-    requests that crash upstreams, if ``is_whole``.
+    requests that crash upstreams, if ``is_whole``. ``zone_orders`` are the orders on availability
+    zones in force at the hub.
     """
 
     boot: int
@@ -135,6 +137,7 @@
     instances: list[InstanceRecord]
     departed_instances: list[str]
     refused: list[SuspectEntry] = []
+    zone_orders: ZoneOrders = ZoneOrders()
 
 
 class AnnounceReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/membership/shared_replies.py
+++ b/src/coltsfootrill/membership/shared_replies.py
@@ -11,9 +11,17 @@
 class UrgentState:
     """What a reply must not be older than: any change of these is urgent."""
 
-    __slots__ = ("is_current", "manifest_version", "notified_position")
-
-    def __init__(self, *, notified_position: int, is_current: bool, manifest_version: int) -> None:
+    __slots__ = ("is_current", "manifest_version", "notified_position", "order_number")
+
+    def __init__(
+        self,
+        *,
+        notified_position: int,
+        is_current: bool,
+        manifest_version: int,
+        order_number: int = 0,
+    ) -> None:
+        self.order_number = order_number
         self.notified_position = notified_position
         self.is_current = is_current
         self.manifest_version = manifest_version
@@ -24,6 +32,7 @@
             self.notified_position == other.notified_position
             and self.is_current == other.is_current
             and self.manifest_version == other.manifest_version
+            and self.order_number == other.order_number
         )
 
 
--- a/src/coltsfootrill/metrics.py
+++ b/src/coltsfootrill/metrics.py
@@ -83,6 +83,21 @@
         self.manifest_version = Gauge(
             "coltsfootrill_manifest_version", "Version of the manifest in force.", registry=registry
         )
+        self.evacuated_zones = Gauge(
+            "coltsfootrill_evacuated_zones",
+            "Availability zones whose upstreams get nothing more.",
+            registry=registry,
+        )
+        self.zone_order_number = Gauge(
+            "coltsfootrill_zone_order_number",
+            "Number of the newest order on an availability zone in force.",
+            registry=registry,
+        )
+        self.evacuated_requests = Gauge(
+            "coltsfootrill_evacuated_requests",
+            "Requests of this instance in flight at upstreams of evacuated zones.",
+            registry=registry,
+        )
         self.manifest_tables = Gauge(
             "coltsfootrill_manifest_tables",
             "Routing tables in memory, old ones still in use included.",
--- a/src/coltsfootrill/operators/interface.py
+++ b/src/coltsfootrill/operators/interface.py
@@ -8,6 +8,8 @@
 from coltsfootrill.control.submission import SubmitAnswer
 from coltsfootrill.operators.http import HttpApp
 from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.zones.orders import ZoneAction
+from coltsfootrill.zones.orders import ZoneOrders
 
 
 class ControlOperations(Protocol):
@@ -33,6 +35,12 @@
     def submit(self, raw: bytes, *, base_version: int | None, operator: str) -> SubmitAnswer:
         """Submit a manifest; raise ``InvalidManifestError`` or the errors of the register."""
 
+    def order_zone(self, action: ZoneAction, zone: str, *, operator: str) -> ZoneOrders:
+        """Evacuate or restore an availability zone; return the orders in force at a majority.
+
+        Raises ``InvalidZoneOrderError`` or the errors of the register.
+        """
+
     def read_manifest(self) -> bytes:
         """Return the newest accepted manifest; raise ``NoQuorumError`` without a majority."""
 
--- a/src/coltsfootrill/platform/interface.py
+++ b/src/coltsfootrill/platform/interface.py
@@ -27,11 +27,15 @@
 from coltsfootrill.registry.announcement import SlotCount
 from coltsfootrill.registry.announcement import UpstreamState
 from coltsfootrill.registry.announcement import split_address
+from coltsfootrill.zones.orders import InvalidZoneOrderError
+from coltsfootrill.zones.orders import ZoneAction
 
 HEARTBEAT_PREFIX = "/Instances.Heartbeat/"
 DEREGISTER_PREFIX = "/Instances.Deregister/"
 REPLACE_PATH = "/Configuration.Replace"
 READ_PATH = "/Configuration.Read"
+EVACUATE_PREFIX = "/Evacuation.Start/"
+RESTORE_PREFIX = "/Evacuation.Finish/"
 READY_PATH = "/readiness"
 BASE_VERSION_HEADER = "X-Base-Version"
 OPERATOR = "platform"
@@ -172,6 +176,21 @@
             return _reply_with_message("503 Service Unavailable", str(error))
         return _reply_with_message(_STATUS_BY_RESULT[reply.result], reply.message)
 
+    def handle_evacuate(self, request: HttpRequest) -> HttpReply:
+        return self._order_zone("evacuate", request.path.removeprefix(EVACUATE_PREFIX))
+
+    def handle_restore(self, request: HttpRequest) -> HttpReply:
+        return self._order_zone("restore", request.path.removeprefix(RESTORE_PREFIX))
+
+    def _order_zone(self, action: ZoneAction, zone: str) -> HttpReply:
+        try:
+            orders = self._operations.order_zone(action, zone, operator=OPERATOR)
+        except InvalidZoneOrderError as error:
+            return _reply_with_message("400 Bad Request", str(error))
+        except (NoQuorumError, UnknownResultError) as error:
+            return _reply_with_message("503 Service Unavailable", str(error))
+        return _reply_with_message("200 OK", f"in force since order {orders.number}")
+
     def handle_read(self, request: HttpRequest) -> HttpReply:
         try:
             raw = self._operations.read_manifest()
@@ -191,6 +210,8 @@
     app.add_prefix("POST", DEREGISTER_PREFIX, handlers.handle_deregistration)
     app.add("POST", REPLACE_PATH, handlers.handle_replace)
     app.add("GET", READ_PATH, handlers.handle_read)
+    app.add_prefix("POST", EVACUATE_PREFIX, handlers.handle_evacuate)
+    app.add_prefix("POST", RESTORE_PREFIX, handlers.handle_restore)
 
 
 def add_ready_routes(app: HttpApp, is_ready: Callable[[], bool]) -> None:
--- a/src/coltsfootrill/roles/hub_client.py
+++ b/src/coltsfootrill/roles/hub_client.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
+from collections.abc import Iterator
+from concurrent.futures import FIRST_COMPLETED
 from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
 from concurrent.futures import as_completed
+from concurrent.futures import wait
 from random import Random
 from typing import TypeVar
 
@@ -15,6 +19,8 @@
 from coltsfootrill.control.messages import ReadRequest
 from coltsfootrill.control.messages import SubmitReply
 from coltsfootrill.control.messages import SubmitRequest
+from coltsfootrill.control.messages import ZoneOrderReply
+from coltsfootrill.control.messages import ZoneOrderRequest
 from coltsfootrill.control.proposer import NoQuorumError
 from coltsfootrill.control.replica import READ
 from coltsfootrill.errors import ColtsfootrillError
@@ -28,17 +34,26 @@
 from coltsfootrill.registry.announcement import split_address
 from coltsfootrill.rpc import Method
 from coltsfootrill.settings import Address
+from coltsfootrill.zones.orders import ZoneOrders
 
 ADOPT = Method(service="Control", name="Adopt", request=AdoptRequest, reply=AdoptReply)
 SUBMIT = Method(service="Control", name="Submit", request=SubmitRequest, reply=SubmitReply)
+ORDER_ZONE = Method(
+    service="Control", name="OrderZone", request=ZoneOrderRequest, reply=ZoneOrderReply
+)
 
 HUB_CALL_TIMEOUT_MS = 400.0
 ADOPT_CALL_TIMEOUT_MS = 1_000.0
 SUBMIT_CALL_TIMEOUT_MS = 2_500.0
 READ_CALL_TIMEOUT_MS = 1_500.0
+ORDER_CALL_TIMEOUT_MS = 2_500.0
+# A hub that carries out an order replies sooner, unless it has fallen silent.
+ORDER_HEDGE_MS = 400.0
 _CALL_THREAD_COUNT = 16
 _HUB_ATTEMPTS_MAX_COUNT = 2
 
+MS_PER_SECOND = 1_000.0
+
 Answer = TypeVar("Answer")
 
 
@@ -76,17 +91,22 @@
 
         return self._reach_majority(self._following.replicas, share_with)
 
-    def put_in_force(self, version: int, raw: bytes, *, replicas: list[str]) -> bool:
-        """Let the other replicas adopt a manifest; return whether a majority has it in force.
+    def put_in_force(
+        self,
+        request: AdoptRequest,
+        is_in_force: Callable[[AdoptReply], bool],
+        *,
+        replicas: list[str],
+    ) -> bool:
+        """Let the other replicas adopt a change; return whether a majority has it in force.
 
         This node, where it is in force already, counts towards the majority.
         """
 
         def adopt_at(address: str) -> bool:
             client = self._following.get_client(address)
-            request = AdoptRequest(raw)
             reply: AdoptReply = client.call(ADOPT, request, timeout_ms=ADOPT_CALL_TIMEOUT_MS)
-            return reply.version >= version
+            return is_in_force(reply)
 
         return self._reach_majority(replicas, adopt_at)
 
@@ -140,6 +160,32 @@
             return SubmitReply("unknown", 0, "", str(error))
         return reply
 
+    def order_zone(self, request: ZoneOrderRequest) -> ZoneOrderReply:
+        """Forward an order on a zone to a hub; the result is ``unknown`` when no call succeeds.
+
+        A second hub is called beside one that is late: an order is idempotent.
+        """
+
+        def call_hub(address: str) -> ZoneOrderReply:
+            client = self._following.get_client(address)
+            reply: ZoneOrderReply = client.call(
+                ORDER_ZONE, request, timeout_ms=ORDER_CALL_TIMEOUT_MS
+            )
+            return reply
+
+        reply = ZoneOrderReply("unknown", "no hub with a majority is known", ZoneOrders())
+        pending: set[Future[ZoneOrderReply]] = set()
+        hubs = self._list_other_hubs()[:_HUB_ATTEMPTS_MAX_COUNT]
+        for number, address in enumerate(hubs, start=1):
+            pending.add(self._executor.submit(call_hub, address))
+            timeout_ms = ORDER_HEDGE_MS if number < len(hubs) else ORDER_CALL_TIMEOUT_MS
+            for done in _take_done(pending, timeout_ms):
+                error = done.exception()
+                reply = done.result() if error is None else _make_unknown_reply(error)
+                if reply.result in ("done", "invalid"):
+                    return reply
+        return reply
+
     def read_manifest(self, known_version: int) -> bytes:
         """Return the newest accepted manifest, empty if it is not newer than ``known_version``.
 
@@ -162,18 +208,40 @@
 
         Tries up to ``_HUB_ATTEMPTS_MAX_COUNT`` hubs. Raises ``NoQuorumError`` with the last error.
         """
-        hubs = [hub for hub in self._view.list_current_hubs() if hub != self._own_address]
         reason = "no hub with a majority is known"
-        ordered_hubs = order_hubs(hubs, own_address=self._own_address, random=self._random)
-        for address in ordered_hubs[:_HUB_ATTEMPTS_MAX_COUNT]:
+        for address in self._list_other_hubs()[:_HUB_ATTEMPTS_MAX_COUNT]:
             try:
                 return address, call_hub(address)
             except ColtsfootrillError as error:
                 reason = str(error)
         raise NoQuorumError(reason)
 
+    def _list_other_hubs(self) -> list[str]:
+        """Return the other current hubs in the order to call them."""
+        hubs = [hub for hub in self._view.list_current_hubs() if hub != self._own_address]
+        return order_hubs(hubs, own_address=self._own_address, random=self._random)
+
 
 def check_acknowledged(reply: AnnounceReply) -> None:
     """Raise ``NoQuorumError`` when a hub could not acknowledge an announcement."""
     if not reply.is_known:
         raise NoQuorumError(reply.message)
+
+
+def _take_done(
+    pending: set[Future[ZoneOrderReply]], timeout_ms: float
+) -> Iterator[Future[ZoneOrderReply]]:
+    """Yield the calls that end within ``timeout_ms``; return as soon as none is left."""
+    end_s = time.monotonic() + timeout_ms / MS_PER_SECOND
+    while pending:
+        done, _ = wait(
+            pending, timeout=max(0.0, end_s - time.monotonic()), return_when=FIRST_COMPLETED
+        )
+        if not done:
+            return
+        pending -= done
+        yield from done
+
+
+def _make_unknown_reply(error: BaseException) -> ZoneOrderReply:
+    return ZoneOrderReply("unknown", str(error), ZoneOrders())
--- a/src/coltsfootrill/roles/manifest_sync.py
+++ b/src/coltsfootrill/roles/manifest_sync.py
@@ -18,6 +18,7 @@
 from coltsfootrill.membership.messages import ManifestRequest
 from coltsfootrill.rpc import RpcClient
 from coltsfootrill.rpc import RpcError
+from coltsfootrill.zones.orders import ZoneOrders
 
 FETCH_TIMEOUT_MS = 1_500.0
 # A fetch that takes longer may hang, so one from another hub may start beside it.
@@ -26,9 +27,14 @@
 
 
 class ManifestSync:
-    """Updates a node's manifest when a hub reports a newer version. Thread-safe."""
+    """Updates a node's manifest when a hub reports a newer version. Thread-safe.
+
+    ``adopt_zone_orders`` is called with the orders on availability zones that were read with the
+    first manifest, before that is in force.
+    """
 
     __slots__ = (
+        "_adopt_zone_orders",
         "_clock",
         "_fetches_count",
         "_get_client",
@@ -47,7 +53,9 @@
         get_client: Callable[[str], RpcClient],
         clock: Clock,
         log: EventLog,
+        adopt_zone_orders: Callable[[ZoneOrders], object] = lambda orders: None,
     ) -> None:
+        self._adopt_zone_orders = adopt_zone_orders
         self._clock = clock
         self._manifests = manifests
         self._own_id = own_id
@@ -117,7 +125,11 @@
                 ReadRequest(self._own_id, 0, True, takes_packed=True),
                 timeout_ms=FETCH_TIMEOUT_MS,
             )
-            return read_reply.manifest if read_reply.is_current else b""
+            if not read_reply.is_current:
+                return b""
+            # No request is served before the manifest is in force, so none misses these orders.
+            self._adopt_zone_orders(read_reply.zone_orders)
+            return read_reply.manifest
         reply: ManifestReply = client.call(
             FETCH_MANIFEST,
             ManifestRequest(known_version, takes_packed=True),
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -29,6 +29,7 @@
 from coltsfootrill.events.catalog import Stopped
 from coltsfootrill.events.catalog import Stopping
 from coltsfootrill.events.catalog import UpstreamChanged
+from coltsfootrill.events.catalog import ZoneOrdersAdopted
 from coltsfootrill.events.log import EventLog
 from coltsfootrill.events.requests import RequestLog
 from coltsfootrill.manifest.holder import ManifestHolder
@@ -64,6 +65,9 @@
 from coltsfootrill.settings_catalog import NODE_SETTINGS
 from coltsfootrill.tasks import start_task
 from coltsfootrill.tls import Credentials
+from coltsfootrill.zones.evacuation import EvacuatedZones
+from coltsfootrill.zones.evacuation import OpenUpstreams
+from coltsfootrill.zones.orders import ZoneOrders
 
 HOUSEKEEPING_INTERVAL_MS = 200.0
 SETTINGS_CHECK_INTERVAL_MS = 2_000.0
@@ -105,6 +109,7 @@
         self.manifests = ManifestHolder(
             schemes, manifest_format=manifest_format, on_adopt=self._record_manifest
         )
+        self.zones = EvacuatedZones(on_adopt=self._record_zone_orders)
         self.view = HubView(clock=self._clock, on_upstream=self._record_upstream)
         self._adopted_ms = self._started_ms
         self._budgets: list[WindowBudget] = []
@@ -133,6 +138,7 @@
             dialect=self._dialect,
             make_budget=self._make_budget,
             dispatch=self._make_dispatch_client(),
+            zones=self.zones,
             describe_manifest=self._describe_manifest,
             on_ended=requests.record,
             on_event=self.log.emit,
@@ -149,6 +155,7 @@
             schemes=schemes,
             view=self.view,
             guard=self.gateway.app.crash_guard,
+            zones=self.zones,
             server=server,
             credentials=credentials,
             clock=self._clock,
@@ -261,7 +268,7 @@
             dialect=self._dialect,
             get_table=lambda: self.manifests.current,
             list_instances=self.view.list_instances,
-            list_upstreams=self.view.list_usable,
+            list_upstreams=OpenUpstreams(self.zones, self.view.list_usable).list_open,
             report_cache=self.gateway.app.reports,
             declines=self.gateway.app.declines,
             on_round=exchange_reports,
@@ -294,6 +301,7 @@
         self._record_instances()
         self.metrics.upstreams.set(len(self.view.list_usable()))
         self.metrics.members.set(self.view.count_instances() or 0)
+        self.metrics.evacuated_requests.set(self.gateway.app.count_evacuated_in_flight())
 
     def _record_instances(self) -> None:
         known = frozenset(record.id for record in self.view.list_instances())
@@ -363,7 +371,19 @@
                 digest=after.digest[:12],
             )
         )
-        self.control.notify_manifest_change()
+        self.control.notify_order_change()
+
+    def _record_zone_orders(self, before: ZoneOrders, after: ZoneOrders) -> None:
+        self.metrics.evacuated_zones.set(len(after.evacuated))
+        self.metrics.zone_order_number.set(after.number)
+        self.log.emit(
+            ZoneOrdersAdopted(
+                number=after.number,
+                evacuated=sorted(after.evacuated),
+                before=sorted(before.evacuated),
+            )
+        )
+        self.control.notify_order_change()
 
     def _record_upstream(self, change: StateChange) -> None:
         self.log.emit(
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -57,16 +57,21 @@
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import split_address
 from coltsfootrill.roles.hub_client import ADOPT
+from coltsfootrill.roles.hub_client import ORDER_ZONE
 from coltsfootrill.roles.hub_client import SUBMIT
 from coltsfootrill.roles.hub_client import HubClient
 from coltsfootrill.roles.hub_client import check_acknowledged
 from coltsfootrill.roles.hub_event_log import HubEventLog
 from coltsfootrill.roles.manifest_sync import ManifestSync
+from coltsfootrill.roles.zone_control import ZoneControl
 from coltsfootrill.rpc import RpcServer
 from coltsfootrill.settings import Address
 from coltsfootrill.settings import Settings
 from coltsfootrill.tasks import start_task
 from coltsfootrill.tls import Credentials
+from coltsfootrill.zones.evacuation import EvacuatedZones
+from coltsfootrill.zones.orders import ZoneAction
+from coltsfootrill.zones.orders import ZoneOrders
 
 SYNC_INTERVAL_MS = 600.0
 SYNC_RETRY_DELAY_MS = 60.0
@@ -89,6 +94,7 @@
         schemes: Mapping[str, NamingScheme],
         view: HubView,
         guard: CrashGuard,
+        zones: EvacuatedZones,
         server: RpcServer,
         credentials: Credentials,
         clock: Clock,
@@ -100,6 +106,7 @@
         self._manifests = manifests
         self._view = view
         self._guard = guard
+        self._zones = zones
         self._server = server
         self._credentials = credentials
         self._clock = clock
@@ -122,6 +129,7 @@
             get_manifest_version=lambda: manifests.version,
             snapshot=None if data is None else UpstreamSnapshot(data / "hub", files=FileLayer()),
             list_refused=lambda: [pack_news(news) for news in guard.list_refused()],
+            get_zone_orders=lambda: zones.orders,
         )
         self._replica = self._make_replica(manifest_format, schemes)
         self._following = HubFollowing(
@@ -133,6 +141,7 @@
             on_reply=self._handle_reply,
             on_replicas=self.hub.record_followed_replicas,
             on_refused=self._merge_refused,
+            on_zone_orders=zones.adopt,
             on_lost=self._hub_events.record_lost,
             on_regained=self._hub_events.record_regained,
             clock=clock,
@@ -152,6 +161,15 @@
             get_client=self._following.get_client,
             clock=clock,
             log=log,
+            adopt_zone_orders=zones.adopt,
+        )
+        self._zone_control = ZoneControl(
+            zones,
+            get_replica=lambda: self._replica,
+            hub=self.hub,
+            hub_client=self._hub_client,
+            clock=clock,
+            log=log,
         )
         self._add_rpc_methods()
 
@@ -188,9 +206,9 @@
             has_current_hub=has_current_hub, replicas=self._following.replicas
         )
 
-    def notify_manifest_change(self) -> None:
-        """Notify the followers that another manifest is in force."""
-        self.hub.notify_manifest_change()
+    def notify_order_change(self) -> None:
+        """Notify the followers that another manifest or another order on a zone is in force."""
+        self.hub.notify_order_change()
 
     def announce(self, announcement: Announcement) -> str | None:
         """Handle an announcement; see ``ControlOperations``."""
@@ -239,6 +257,10 @@
         )
         return _convert_submit_reply(reply)
 
+    def order_zone(self, action: ZoneAction, zone: str, *, operator: str) -> ZoneOrders:
+        """Evacuate or restore an availability zone; see ``ControlOperations``."""
+        return self._zone_control.order(action, zone, operator=operator)
+
     def read_manifest(self) -> bytes:
         """Return the newest accepted manifest; see ``ControlOperations``."""
         if self._replica is not None and self.hub.is_current():
@@ -260,6 +282,7 @@
         share_executor = ThreadPoolExecutor(SHARE_THREAD_COUNT, thread_name_prefix="share")
         self._server.add(SHARE, self._store_shared, executor=share_executor)
         self._server.add(SUBMIT, self._submit_locally)
+        self._server.add(ORDER_ZONE, self._zone_control.order_locally)
         # A voter that submits waits for this call at the others.
         self._server.add(ADOPT, self._adopt_accepted, executor=share_executor)
         self._server.add(
@@ -338,6 +361,7 @@
                 continue
             pause_ms = SYNC_INTERVAL_MS
             self._is_member = self._replica.is_member(state)
+            self._zones.adopt(state.zone_orders)
             if state.version > self._manifests.version:
                 self._manifest_sync.adopt(state.manifest)
             if self._is_member:
@@ -401,14 +425,19 @@
         version, raw = self._manifests.read_newer(0)
         if version <= self._version_at_majority:
             return True
-        if not self._hub_client.put_in_force(version, raw, replicas=self.hub.replicas):
+        request = AdoptRequest(raw, self._zones.orders)
+        if not self._hub_client.put_in_force(
+            request, lambda reply: reply.version >= version, replicas=self.hub.replicas
+        ):
             return False
         self._version_at_majority = version
         return True
 
     def _adopt_accepted(self, request: AdoptRequest) -> AdoptReply:
-        self._manifest_sync.adopt(request.raw)
-        return AdoptReply(self._manifests.version)
+        self._zones.adopt(request.zone_orders)
+        if request.raw:
+            self._manifest_sync.adopt(request.raw)
+        return AdoptReply(self._manifests.version, self._zones.orders.number)
 
 
 def _convert_submit_reply(reply: SubmitReply) -> SubmitAnswer:
--- a/testing/membership/test_following.py
+++ b/testing/membership/test_following.py
@@ -33,6 +33,8 @@
 from coltsfootrill.rpc import KEEPALIVE_AFTER_MS
 from coltsfootrill.rpc import KEEPALIVE_TIMEOUT_MS
 from coltsfootrill.rpc import RpcServer
+from coltsfootrill.zones.evacuation import EvacuatedZones
+from coltsfootrill.zones.orders import ZoneOrders
 from testing.processes import wait_until
 from testing.records import make_usable_record
 from testing.relay import Relay
@@ -60,6 +62,9 @@
         self.refused: list[SuspectEntry] = []
         # The digests heard of, each with the number of upstreams known at that time.
         self.heard: list[tuple[bytes, int]] = []
+        self.zones = EvacuatedZones()
+        # The numbers of the orders on zones in the replies, with the same.
+        self.orders_heard: list[tuple[int, int]] = []
         record = InstanceRecord(address, 1, address, "z1", False, 0)
         self.hub = Hub(
             record,
@@ -68,6 +73,7 @@
             share=lambda announcement: True,
             get_manifest_version=lambda: 0,
             list_refused=lambda: self.refused,
+            get_zone_orders=lambda: self.zones.orders,
         )
         is_voter = address in voters
         if is_voter:
@@ -85,6 +91,7 @@
             on_reply=lambda hub, reply: self.replies.append(reply),
             on_replicas=self.hub.record_followed_replicas,
             on_refused=self._hear,
+            on_zone_orders=self._hear_orders,
             on_lost=lambda hub, reason: self.lost.append(hub),
             on_regained=lambda hub, lost_for_ms: self.regained.append(hub),
             clock=clock,
@@ -94,6 +101,10 @@
     def _hear(self, entries: list[SuspectEntry]) -> None:
         self.heard += [(entry.digest, len(self.view.list_usable())) for entry in entries]
 
+    def _hear_orders(self, orders: ZoneOrders) -> None:
+        self.orders_heard.append((orders.number, len(self.view.list_usable())))
+        self.zones.adopt(orders)
+
     def close(self) -> None:
         self.following.stop()
         self._server.stop(grace_ms=0)
@@ -197,6 +208,34 @@
         assert follower.heard[0] == (b"deadly", 0)
 
 
+class TestZoneOrders:
+    # Guards against requests of an instance that starts during an evacuation.
+    def test_an_instance_that_starts_knows_them_before_any_upstream(self) -> None:
+        address = _find_address(46)
+        hub = Member(address, [], voters=[address])
+        hub.zones.adopt(ZoneOrders(3, {"z1": 3}))
+        hub.hub.merge(_announce("serving"), age_ms=0)
+        follower = Member(_find_address(47), [address], voters=[])
+        follower.following.update_tasks()
+        wait_until(lambda: bool(follower.view.list_usable()), within_s=10)
+        for member in (hub, follower):
+            member.close()
+        # Its own hub, which it may hear first, knows neither.
+        assert next(heard for heard in follower.orders_heard if heard[0] == 3) == (3, 0)
+
+    def test_a_hub_that_is_behind_undoes_nothing(self) -> None:
+        addresses = [_find_address(number) for number in (48, 49)]
+        hubs = [Member(address, [], voters=addresses) for address in addresses]
+        hubs[0].zones.adopt(ZoneOrders(3, {"z1": 3}))
+        hubs[1].zones.adopt(ZoneOrders(2, {}, {"z1": 2}))
+        follower = Member(_find_address(50), addresses, voters=[])
+        follower.following.update_tasks()
+        wait_until(lambda: {2, 3} <= {number for number, _ in follower.orders_heard}, within_s=10)
+        for member in (*hubs, follower):
+            member.close()
+        assert follower.zones.is_evacuated("z1")
+
+
 class TestManifestThatIsNotInForceYet:
     """The pattern: a hub reports a newer manifest, and the fetch that follows fails."""
 
--- a/testing/membership/test_held_polls.py
+++ b/testing/membership/test_held_polls.py
@@ -20,6 +20,7 @@
 from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.zones.orders import ZoneOrders
 from testing.membership.test_hub import announce
 
 FOLLOWERS_COUNT = 40
@@ -40,12 +41,14 @@
 
     def __init__(self) -> None:
         self.version = 1
+        self.zone_orders = ZoneOrders()
         self.hub = Hub(
             InstanceRecord("h1", 1, "10.0.0.1:1", "z1", False, 0),
             boot=1,
             clock=Clock(),
             share=lambda announcement: True,
             get_manifest_version=lambda: self.version,
+            get_zone_orders=lambda: self.zone_orders,
         )
         self.hub.record_majority_read(["h1"])
         self.polls = HeldPolls(self.hub, loop=asyncio.get_running_loop(), random=Random(1))
@@ -78,13 +81,23 @@
         async def play(scene: Scene) -> None:
             held = await scene.hold(FOLLOWERS_COUNT)
             scene.version = 2
-            scene.hub.notify_manifest_change()
+            scene.hub.notify_order_change()
             replies = await asyncio.gather(*held)
             assert {reply.manifest_version for reply in replies} == {2}
             assert scene.polls.waiting_count == 0
 
         run(play)
 
+    def test_every_held_poll_hears_of_an_order_on_a_zone(self) -> None:
+        async def play(scene: Scene) -> None:
+            held = await scene.hold(FOLLOWERS_COUNT)
+            scene.zone_orders = ZoneOrders(1, {"z1": 1})
+            scene.hub.notify_order_change()
+            replies = await asyncio.gather(*held)
+            assert {reply.zone_orders.number for reply in replies} == {1}
+
+        run(play)
+
     def test_a_change_from_another_thread_is_heard(self) -> None:
         async def play(scene: Scene) -> None:
             held = await scene.hold(1)
--- a/testing/membership/test_hub.py
+++ b/testing/membership/test_hub.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import msgspec
+import pytest
 
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.control.files import FileLayer
@@ -20,6 +21,7 @@
 from coltsfootrill.membership.view import HUB_RESPONSIVE_WITHIN_MS
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.zones.orders import ZoneOrders
 
 
 class Pair:
@@ -31,6 +33,7 @@
         self.is_shared = True
         self.snapshot: UpstreamSnapshot | None = None
         self.refused: list[SuspectEntry] = []
+        self.zone_orders = ZoneOrders()
         self.hub = self.make_hub(boot=1)
         self.view = HubView(clock=self.clock)
         self.hub.record_majority_read(["a", "b", "c"])
@@ -44,6 +47,7 @@
             get_manifest_version=lambda: 3,
             snapshot=self.snapshot,
             list_refused=lambda: self.refused,
+            get_zone_orders=lambda: self.zone_orders,
         )
 
     def share(self, announcement: Announcement) -> bool:
@@ -380,13 +384,20 @@
         assert pair.follow(position=first.position, boot=first.boot).refused == []
 
     # Guards against a fleet that is replaced one by one: instances of both versions follow hubs.
-    def test_instances_of_an_earlier_version_understand_the_reply_and_hubs_theirs(self) -> None:
+    @pytest.mark.parametrize("fields_added", [1, 2])
+    def test_instances_of_an_earlier_version_understand_the_reply_and_hubs_theirs(
+        self, fields_added: int
+    ) -> None:
         pair = Pair()
+        pair.zone_orders = ZoneOrders(1, {"z1": 1}, {})
         pair.refused = [SuspectEntry(b"deadly", [], 0, False)]
         raw = msgspec.msgpack.encode(pair.follow())
         fields = [(field.name, field.type) for field in msgspec.structs.fields(FollowReply)]
-        earlier = msgspec.defstruct("FollowReply", fields[:-1], array_like=True, frozen=True)
+        earlier = msgspec.defstruct(
+            "FollowReply", fields[:-fields_added], array_like=True, frozen=True
+        )
         decoded = msgspec.msgpack.decode(raw, type=earlier)
         again = msgspec.msgpack.decode(msgspec.msgpack.encode(decoded), type=FollowReply)
-        assert again.refused == []
+        assert again.refused == (pair.refused if fields_added == 1 else [])
+        assert again.zone_orders == ZoneOrders()
         assert again.position == pair.follow().position
--- a/testing/membership/test_shared_replies.py
+++ b/testing/membership/test_shared_replies.py
@@ -4,6 +4,7 @@
 
 from coltsfootrill.membership.following import FOLLOW
 from coltsfootrill.membership.shared_replies import SHARED_REPLY_MS
+from coltsfootrill.zones.orders import ZoneOrders
 from testing.membership.test_held_polls import make_request
 from testing.membership.test_hub import Pair
 from testing.membership.test_hub import announce
@@ -27,6 +28,14 @@
         raw = pair.hub.encode_reply(0, is_for_hub=False)
         assert FOLLOW.decode_reply(raw).live == ["u1"]
 
+    # Guards against a light follower that gets a reply made before an order on a zone.
+    def test_an_order_on_a_zone_is_in_the_next_reply(self) -> None:
+        pair = Pair()
+        pair.hub.encode_reply(0, is_for_hub=False)
+        pair.zone_orders = ZoneOrders(1, {"z1": 1})
+        raw = pair.hub.encode_reply(0, is_for_hub=False)
+        assert FOLLOW.decode_reply(raw).zone_orders == pair.zone_orders
+
     def test_a_hub_that_lost_its_majority_does_not_claim_to_have_it(self) -> None:
         pair = Pair()
         pair.hub.encode_reply(0, is_for_hub=False)
--- a/testing/platform/test_interface.py
+++ b/testing/platform/test_interface.py
@@ -19,6 +19,10 @@
 from coltsfootrill.platform.interface import decode_heartbeat
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import InvalidAnnouncementError
+from coltsfootrill.zones.orders import InvalidZoneOrderError
+from coltsfootrill.zones.orders import ZoneAction
+from coltsfootrill.zones.orders import ZoneOrders
+from coltsfootrill.zones.orders import parse_zone_order
 
 
 class Operations:
@@ -28,6 +32,7 @@
         self.announced: list[Announcement] = []
         self.left: list[tuple[str, int | None]] = []
         self.submitted: list[tuple[bytes, int | None]] = []
+        self.ordered: list[tuple[str, str, str]] = []
         self.error: Exception | None = None
         self.answer = SubmitAnswer(result="accepted", version=7, digest="d", message="m")
 
@@ -45,6 +50,12 @@
         self.submitted.append((raw, base_version))
         return self.answer
 
+    def order_zone(self, action: ZoneAction, zone: str, *, operator: str) -> ZoneOrders:
+        self._raise_error()
+        parse_zone_order(action, zone)
+        self.ordered.append((action, zone, operator))
+        return ZoneOrders(3, {"z1": 3})
+
     def read_manifest(self) -> bytes:
         self._raise_error()
         return b"{raw}"
@@ -256,3 +267,46 @@
         }
         app(environ, lambda line, headers: statuses.append(line))
         assert statuses[0].startswith(status)
+
+
+class TestZones:
+    def test_calls_of_an_evacuation_are_orders_on_the_zone(self) -> None:
+        port = ControlPort()
+        for verb in ("Start", "Finish"):
+            assert port.call("POST", f"/Evacuation.{verb}/rajkot-a")[0] == "200"
+        assert port.operations.ordered == [
+            ("evacuate", "rajkot-a", "platform"),
+            ("restore", "rajkot-a", "platform"),
+        ]
+
+    @pytest.mark.parametrize("path", ["/Evacuation.Start/", "/Evacuation.Start/Not%20a%20zone"])
+    def test_a_bad_name_is_refused(self, path: str) -> None:
+        port = ControlPort()
+        assert port.call("POST", path)[0] == "400"
+        assert port.operations.ordered == []
+
+    @pytest.mark.parametrize(
+        ("method", "path"),
+        [
+            ("GET", "/Evacuation.Start/z1"),
+            ("POST", "/Evacuation.Stop/z1"),
+            ("POST", "/Evacuation.Start/a/b"),
+        ],
+    )
+    def test_another_method_or_path_is_unknown(self, method: str, path: str) -> None:
+        assert ControlPort().call(method, path)[0] == "404"
+
+    @pytest.mark.parametrize(
+        ("error", "status"),
+        [
+            (InvalidZoneOrderError("too many"), "400"),
+            (NoQuorumError("no majority"), "503"),
+            (UnknownResultError("unknown"), "503"),
+        ],
+    )
+    def test_an_order_that_is_not_in_force_is_no_success(
+        self, error: Exception, status: str
+    ) -> None:
+        port = ControlPort()
+        port.operations.error = error
+        assert port.call("POST", "/Evacuation.Start/z1")[0] == status
--- a/testing/roles/test_manifest_sync.py
+++ b/testing/roles/test_manifest_sync.py
@@ -19,9 +19,11 @@
 from coltsfootrill.roles.manifest_sync import FETCH_ALONE_MS
 from coltsfootrill.roles.manifest_sync import ManifestSync
 from coltsfootrill.rpc import Method
+from coltsfootrill.zones.orders import ZoneOrders
 from testing.proxy.instance import make_manifest
 
 DEADLINE_MS = 1_500
+ZONE_ORDERS = ZoneOrders(4, {"z1": 4})
 
 
 class Hub:
@@ -41,7 +43,9 @@
         if self.hangs:
             self.release.wait()
         raw = make_manifest(2, DEADLINE_MS)
-        return ReadReply(True, 2, raw, []) if method is READ else ManifestReply(2, raw)
+        if method is READ:
+            return ReadReply(True, 2, raw, [], ZONE_ORDERS)
+        return ManifestReply(2, raw)
 
 
 class Node:
@@ -52,6 +56,8 @@
         self.hub_by_address = {address: Hub() for address in ("h1", "h2", "h3")}
         self.manifests = ManifestHolder(collect_schemes(load_plugins()))
         self.manifests.adopt(make_manifest(1, DEADLINE_MS))
+        # The orders on zones heard of, each with the manifest version in force at that time.
+        self.heard: list[tuple[ZoneOrders, int]] = []
         self._threads: list[threading.Thread] = []
         self.sync = self._make_sync(self.manifests)
 
@@ -60,12 +66,16 @@
         return self._make_sync(ManifestHolder(collect_schemes(load_plugins())))
 
     def _make_sync(self, manifests: ManifestHolder) -> ManifestSync:
+        def adopt_zone_orders(orders: ZoneOrders) -> None:
+            self.heard.append((orders, manifests.version))
+
         return ManifestSync(
             manifests,
             own_id="n1",
             get_client=self._get_client,
             clock=self.clock,
             log=EventLog("n1", clock=self.clock),
+            adopt_zone_orders=adopt_zone_orders,
         )
 
     def _get_client(self, address: str) -> Any:
@@ -105,6 +115,11 @@
         sync.fetch_if_newer(2, "h2", serves_reads=True)
         assert node.count_calls() == [0, 1, 0]
 
+    # Guards against a node that serves its first requests before it knows of an evacuation.
+    def test_the_orders_on_zones_are_in_force_before_it(self, node: Node) -> None:
+        node.start_without_manifest().fetch_if_newer(2, "h1")
+        assert node.heard == [(ZONE_ORDERS, 0)]
+
 
 class TestFetchThatHangs:
     # Guards against a manifest in force too late: a hub that hung kept others from being asked.
