Let operators evacuate and restore zones from the command line

Cause: deployments of control replicas and entry instances had no way to give the orders that nodes take.

Change: `coltsfootrill zones list|evacuate|restore` at the control replicas, which accept an order as they accept a manifest. Entry instances take the orders from their reads each second, the first one with their first manifest. Status, gauges and both audit trails show them. Choosing among many upstreams looks the evacuated zones up once, not for each.

Before: no command.

--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -285,11 +285,12 @@
 
     def _list_available(self, now_ms: float, *, is_own: bool = True) -> list[UpstreamLoad]:
         """Return the upstreams that may get a request now, of this instance or of another one."""
+        evacuated = self.zones.orders.evacuated
         return [
             load
             for load in self.by_id.values()
             if is_available(load, now_ms)
-            and not self.zones.is_evacuated(load.zone)
+            and load.zone not in evacuated
             and not (is_own and self.is_declining(load, now_ms))
         ]
 
--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -14,6 +14,7 @@
 from coltsfootrill import __version__
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.operators import commands
+from coltsfootrill.operators import zone_commands
 from coltsfootrill.operators.client import CallError
 from coltsfootrill.operators.client import OperatorClient
 from coltsfootrill.operators.exit_codes import ExitCode
@@ -50,6 +51,8 @@
 replicas_app = App(name="replicas", help="Replace control replicas.")
 app.command(manifest_app)
 app.command(replicas_app)
+zones_app = App(name="zones", help="Evacuate availability zones and restore them.")
+app.command(zones_app)
 
 OperatorAddress = Annotated[str, Parameter(help="Address for operators of an instance, ip:port.")]
 OperatorAddresses = Annotated[
@@ -163,6 +166,44 @@
     return commands.replace_replica(clients, old=old, new=new, address=address, as_json=json)
 
 
+@zones_app.command(name="list")
+def list_zones(*, at: OperatorAddress, token_file: TokenFile, json: AsJson = False) -> int:
+    """Print the evacuated availability zones, from a control replica."""
+    return zone_commands.list_zones(_make_clients([at], token_file, None)[0], as_json=json)
+
+
+@zones_app.command
+def evacuate(
+    zone: str,
+    *,
+    at: OperatorAddresses,
+    token_file: TokenFile,
+    operator: OperatorName = None,
+    json: AsJson = False,
+) -> int:
+    """Send nothing more to the upstreams of an availability zone; requests in progress there end.
+
+    If a control replica does not answer, the next one is tried. This is safe: an order that is in
+    force already changes nothing.
+    """
+    clients = _make_clients(at, token_file, operator)
+    return zone_commands.order_zone(clients, "evacuate", zone, as_json=json)
+
+
+@zones_app.command
+def restore(
+    zone: str,
+    *,
+    at: OperatorAddresses,
+    token_file: TokenFile,
+    operator: OperatorName = None,
+    json: AsJson = False,
+) -> int:
+    """Send requests to the upstreams of an evacuated availability zone again."""
+    clients = _make_clients(at, token_file, operator)
+    return zone_commands.order_zone(clients, "restore", zone, as_json=json)
+
+
 @app.command
 def upstreams(*, at: OperatorAddresses, token_file: TokenFile, json: AsJson = False) -> int:
     """List upstreams and their requests in flight from the given entry instances.
--- a/src/coltsfootrill/control/follower.py
+++ b/src/coltsfootrill/control/follower.py
@@ -14,6 +14,7 @@
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.rpc import RpcClient
 from coltsfootrill.rpc import RpcError
+from coltsfootrill.zones.orders import ZoneOrders
 
 POLL_MS = 1_000.0
 START_POLL_MS = 200.0
@@ -25,7 +26,8 @@
 
     A starting instance accepts its first manifest only from a majority read made for its request,
     so that an isolated replica cannot supply an outdated one. An instance that has a manifest
-    continues to use it while no control replica replies.
+    continues to use it while no control replica replies. Each read brings the orders on
+    availability zones too.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         *,
         get_version: Callable[[], int],
         adopt: Callable[[bytes], None],
+        adopt_zone_orders: Callable[[ZoneOrders], object] = lambda orders: None,
         random: Random,
         metrics: Metrics,
         credentials: grpc.ChannelCredentials | None = None,
@@ -46,6 +49,7 @@
         self._clients: dict[str, RpcClient] = {}
         self._get_version = get_version
         self._adopt = adopt
+        self._adopt_zone_orders = adopt_zone_orders
         self._random = random
         self._metrics = metrics
         self._stopping = threading.Event()
@@ -76,6 +80,8 @@
         self._metrics.control_reads.labels("current" if reply.is_current else "isolated").inc()
         if reply.is_current:
             self._update_addresses(reply.replicas)
+            # Nothing is served before the first manifest, which comes with the first orders.
+            self._adopt_zone_orders(reply.zone_orders)
         if reply.is_current and reply.manifest:
             self._adopt(reply.manifest)
         return reply.is_current
--- a/src/coltsfootrill/control/zone_orders.py
+++ b/src/coltsfootrill/control/zone_orders.py
@@ -10,6 +10,7 @@
 from coltsfootrill.zones.orders import ZoneOrder
 from coltsfootrill.zones.orders import ZoneOrders
 from coltsfootrill.zones.orders import apply_zone_order
+from coltsfootrill.zones.orders import describe_evacuated
 
 
 class ZoneOrderChange:
@@ -52,8 +53,3 @@
             f"order {after.number}",
         )
         return append_audit(msgspec.structs.replace(state, zone_orders=after), record), after
-
-
-def describe_evacuated(orders: ZoneOrders) -> str:
-    """Return the names of the evacuated zones, for operators."""
-    return " ".join(sorted(orders.evacuated))
--- a/src/coltsfootrill/metrics.py
+++ b/src/coltsfootrill/metrics.py
@@ -8,6 +8,8 @@
 from prometheus_client import Histogram
 from prometheus_client import generate_latest
 
+from coltsfootrill.zones.orders import ZoneOrders
+
 _LATENCY_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
 
 
@@ -146,6 +148,11 @@
             registry=registry,
         )
 
+    def record_zone_orders(self, orders: ZoneOrders) -> None:
+        """Record the orders on availability zones in force."""
+        self.evacuated_zones.set(len(orders.evacuated))
+        self.zone_order_number.set(orders.number)
+
     def count_request(self, service_id: str, outcome: str, reason: str) -> None:
         """Count one answer to a caller."""
         self.requests.labels(service_id, outcome, reason).inc()
--- a/src/coltsfootrill/operators/commands.py
+++ b/src/coltsfootrill/operators/commands.py
@@ -71,7 +71,7 @@
 
 def submit_manifest(file: Path, clients: list[OperatorClient], *, as_json: bool) -> int:
     """Submit a manifest to the first control replica that reaches a quorum."""
-    reply = _call_until_decided(clients, "/manifest", _read_file(file))
+    reply = call_until_decided(clients, "/manifest", _read_file(file))
     if isinstance(reply, ExitCode):
         return reply
     return _print_submit_reply(reply, as_json=as_json)
@@ -82,7 +82,7 @@
 ) -> int:
     """Replace the control replica ``old`` by ``new``, which listens on ``address``."""
     request = {"old": old, "new": new, "address": str(parse_address_argument(address))}
-    reply = _call_until_decided(clients, "/replicas", json.dumps(request).encode())
+    reply = call_until_decided(clients, "/replicas", json.dumps(request).encode())
     if isinstance(reply, ExitCode):
         return reply
     is_done = reply.status == HTTPStatus.OK
@@ -95,7 +95,7 @@
     return ExitCode.DONE if is_done else ExitCode.REFUSED
 
 
-def _call_until_decided(
+def call_until_decided(
     clients: list[OperatorClient], path: str, body: bytes
 ) -> CallReply | ExitCode:
     """Send the request to one control replica after another until one accepts or refuses it.
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -211,6 +211,8 @@
     def count_evacuated_in_flight(self) -> int:
         """Return this instance's requests in flight at upstreams of evacuated zones."""
         counts: list[int] = []
+        if not self._zones.orders.evacuated:
+            return 0
         for controller in list(self.controllers_by_service.values()):
             controller.read_pool(
                 lambda pool, now_ms: counts.append(pool.count_evacuated_in_flight())
--- a/src/coltsfootrill/roles/control.py
+++ b/src/coltsfootrill/roles/control.py
@@ -29,11 +29,13 @@
 from coltsfootrill.plugins import load_plugins
 from coltsfootrill.process import error_lines
 from coltsfootrill.roles.signals import install_stop_event
+from coltsfootrill.roles.zone_http import ZoneHandlers
 from coltsfootrill.settings import InvalidSettingsError
 from coltsfootrill.settings import SettingError
 from coltsfootrill.settings import Settings
 from coltsfootrill.tasks import start_task
 from coltsfootrill.tls import Credentials
+from coltsfootrill.zones.orders import describe_evacuated
 
 MS_PER_SECOND = 1_000.0
 _STATUS_BY_RESULT = {"accepted": "200 OK", "conflict": "409 Conflict", "older": "409 Conflict"}
@@ -61,6 +63,7 @@
         app.add("GET", "/status", self._handle_status)
         app.add("GET", "/audit", self._handle_audit)
         app.add("POST", "/replicas", self._handle_replace)
+        ZoneHandlers(replica).add_routes(app)
         self._http_server = HttpServer(app, settings.get("operators", "listen"))
 
     @classmethod
@@ -196,6 +199,8 @@
         },
         "version": state.version,
         "digest": state.digest,
+        "zone_order": state.zone_orders.number,
+        "evacuated_zones": describe_evacuated(state.zone_orders),
     }
 
 
--- a/src/coltsfootrill/roles/entry.py
+++ b/src/coltsfootrill/roles/entry.py
@@ -36,6 +36,9 @@
 from coltsfootrill.settings import Settings
 from coltsfootrill.tasks import start_task
 from coltsfootrill.tls import Credentials
+from coltsfootrill.zones.evacuation import EvacuatedZones
+from coltsfootrill.zones.orders import ZoneOrders
+from coltsfootrill.zones.orders import describe_evacuated
 
 HOUSEKEEPING_INTERVAL_MS = 200.0
 LEAVE_PROPAGATION_MS = 300.0
@@ -59,6 +62,7 @@
         self.audit = AuditTrail(
             self._id, None if folder is None else folder / "audit", clock=self._clock
         )
+        self.zones = EvacuatedZones(on_adopt=self._record_zone_orders)
         self.manifests = ManifestHolder(collect_schemes(plugins), on_adopt=self._record_manifest)
         self.fleet = Fleet(
             self._make_own_record(),
@@ -74,6 +78,7 @@
             random=random,
             clock=self._clock,
             metrics=self.metrics,
+            zones=self.zones,
         )
         self._exchange = self._make_peer_exchange()
         self._follower = self._make_follower(random)
@@ -143,6 +148,7 @@
             gateway=self.gateway,
             metrics=self.metrics,
             audit=self.audit,
+            zones=self.zones,
             is_ready=self.is_ready,
         )
         self._serve_http("operators", "operator_file", handlers.add_operator_routes)
@@ -181,6 +187,7 @@
             self.audit.record(self._id, "isolated" if is_isolated else "not isolated")
         self.metrics.upstreams.set(len(self.fleet.list_usable()))
         self.metrics.isolated.set(is_isolated)
+        self.metrics.evacuated_requests.set(self.gateway.app.count_evacuated_in_flight())
         self.metrics.members.set(len(self.fleet.list_members()))
         self.metrics.manifest_tables.set(self.manifests.count_live_tables())
         self.metrics.peer_bytes.labels("sent").set(self._exchange.counter.sent)
@@ -215,6 +222,7 @@
             list(self._settings.get("control", "replicas").values()),
             get_version=lambda: self.manifests.version,
             adopt=self._adopt,
+            adopt_zone_orders=self.zones.adopt,
             random=random,
             metrics=self.metrics,
             credentials=self._credentials.channel,
@@ -243,6 +251,15 @@
             after=after.digest,
         )
 
+    def _record_zone_orders(self, before: ZoneOrders, after: ZoneOrders) -> None:
+        self.metrics.record_zone_orders(after)
+        self.audit.record(
+            "zones",
+            f"order {after.number} in force",
+            before=describe_evacuated(before),
+            after=describe_evacuated(after),
+        )
+
     def _record_upstream(self, change: StateChange) -> None:
         self.audit.record(
             change.upstream_id,
--- a/src/coltsfootrill/roles/entry_http.py
+++ b/src/coltsfootrill/roles/entry_http.py
@@ -20,6 +20,8 @@
 from coltsfootrill.registry.directory import LEASE_MS
 from coltsfootrill.registry.directory import RENEW_AFTER_MS
 from coltsfootrill.roles.gateway import Gateway
+from coltsfootrill.zones.evacuation import EvacuatedZones
+from coltsfootrill.zones.orders import describe_evacuated
 
 
 class EntryHandlers:
@@ -33,6 +35,7 @@
         gateway: Gateway,
         metrics: Metrics,
         audit: AuditTrail,
+        zones: EvacuatedZones,
         is_ready: Callable[[], bool],
     ) -> None:
         self._fleet = fleet
@@ -40,6 +43,7 @@
         self._gateway = gateway
         self._metrics = metrics
         self._audit = audit
+        self._zones = zones
         self._is_ready = is_ready
 
     def add_operator_routes(self, app: HttpApp) -> None:
@@ -73,6 +77,8 @@
             "in_progress": self._gateway.count_in_progress(),
             "version": self._manifests.version,
             "digest": "" if current is None else current.digest,
+            "zone_order": self._zones.orders.number,
+            "evacuated_zones": describe_evacuated(self._zones.orders),
             "members": [
                 {"id": member.id, "zone": member.zone, "version": member.manifest_version}
                 for member in self._fleet.list_members()
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -374,8 +374,7 @@
         self.control.notify_order_change()
 
     def _record_zone_orders(self, before: ZoneOrders, after: ZoneOrders) -> None:
-        self.metrics.evacuated_zones.set(len(after.evacuated))
-        self.metrics.zone_order_number.set(after.number)
+        self.metrics.record_zone_orders(after)
         self.log.emit(
             ZoneOrdersAdopted(
                 number=after.number,
--- a/src/coltsfootrill/zones/orders.py
+++ b/src/coltsfootrill/zones/orders.py
@@ -82,5 +82,10 @@
     return ZoneOrders(number, evacuated, restored)
 
 
+def describe_evacuated(orders: ZoneOrders) -> str:
+    """Return the names of the evacuated zones, for operators."""
+    return " ".join(sorted(orders.evacuated))
+
+
 def _get_number(item: tuple[str, int]) -> int:
     return item[1]
