Prove each mechanism of an evacuation by a mutant

Cause: the promises of an evacuation were tested, not proved.

Before: one mutant, of a grant, passed without its mechanism, since another one caught it; its test now lets the order arrive while the request waits.

--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -177,9 +177,9 @@
             boot = reply.boot
             position = reply.position
             reported_version = reply.manifest_version
+            self._on_zone_orders(reply.zone_orders)
             if reply.refused:
                 self._on_refused(reply.refused)
-            self._on_zone_orders(reply.zone_orders)
             self._view.apply(address, reply)
             self._update_replicas(address, reply)
             self._on_reply(address, reply)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -33,6 +33,8 @@
 CONNECTION = "testing/proxy/test_connection.py::Test"
 DIRECTORY = "testing/registry/test_directory.py::Test"
 CALLER = "testing/proxy/test_caller.py::Test"
+ZONE_ORDERS = "testing/control/test_zone_orders.py::Test"
+EVACUATION = "testing/proxy/test_evacuation.py::Test"
 BALANCER = "testing/balancer/test_"
 
 MUTANTS = [
@@ -961,4 +963,114 @@
         "",
         "testing/roles/test_gateway.py::TestReadiness",
     ),
+    Mutant(
+        "orders on an evacuated zone stay when the manifest is replaced",
+        "control/submission.py",
+        "        audited, version=version, digest=digest, manifest=manifest, history=history\n",
+        "        audited, version=version, digest=digest, manifest=manifest, history=history,"
+        " zone_orders=type(audited.zone_orders)()\n",
+        ZONE_ORDERS + "Register",
+    ),
+    Mutant(
+        "a late copy of an order undoes no later one on an evacuated zone",
+        "control/zone_orders.py",
+        "before.get_last_number(self._order.zone) > self._since",
+        "False",
+        ZONE_ORDERS + "Change",
+    ),
+    Mutant(
+        "an older order on an evacuated zone is not adopted",
+        "zones/evacuation.py",
+        "if orders.number <= before.number:",
+        "if orders.number == before.number:",
+        "testing/zones/test_evacuation.py::TestEvacuatedZones",
+    ),
+    Mutant(
+        "an order on an evacuated zone is in no reply made before it",
+        "membership/shared_replies.py",
+        "            and self.order_number == other.order_number\n",
+        "",
+        "testing/membership/test_shared_replies.py::TestSharedReplies",
+    ),
+    Mutant(
+        "an instance that starts knows evacuated zones before any upstream",
+        "membership/following.py",
+        "            self._on_zone_orders(reply.zone_orders)\n"
+        "            if reply.refused:\n"
+        "                self._on_refused(reply.refused)\n"
+        "            self._view.apply(address, reply)\n",
+        "            self._view.apply(address, reply)\n"
+        "            self._on_zone_orders(reply.zone_orders)\n",
+        FOLLOWING + "ZoneOrders",
+    ),
+    Mutant(
+        "an instance that starts knows evacuated zones before its first manifest",
+        "roles/manifest_sync.py",
+        "            self._adopt_zone_orders(read_reply.zone_orders)\n",
+        "",
+        "testing/roles/test_manifest_sync.py::TestFirstManifest",
+    ),
+    Mutant(
+        "an evacuation is in force at a majority once it is acknowledged",
+        "roles/zone_control.py",
+        "        if not self._put_in_force(orders):\n",
+        "        if False:\n",
+        "testing/roles/test_zone_control.py::TestAcknowledgement",
+    ),
+    Mutant(
+        "a hub that is late delays no order on an evacuated zone",
+        "roles/hub_client.py",
+        "ORDER_HEDGE_MS = 400.0",
+        "ORDER_HEDGE_MS = 2_500.0",
+        "testing/roles/test_zone_control.py::TestForwarding",
+    ),
+    Mutant(
+        "what waits is refused at once when its last upstreams are evacuated",
+        "proxy/admission_controller.py",
+        "            self._grants.refuse_unserved(now_ms)\n",
+        "            pass\n",
+        EVACUATION + "ZoneLeavesAtPeak",
+    ),
+    Mutant(
+        "a slot that becomes free in an evacuated zone is given to nobody",
+        "balancer/pool.py",
+        "            and load.zone not in evacuated\n",
+        "",
+        EVACUATION + "ZoneLeavesAtPeak",
+    ),
+    Mutant(
+        "room in an evacuated zone does not count",
+        "balancer/evacuated_loads.py",
+        "            if not self._zones.is_evacuated(record.announcement.zone)\n",
+        "",
+        EVACUATION + "ZoneLeavesAtPeak",
+    ),
+    Mutant(
+        "a grant in an evacuated zone by a dispatcher that has not heard is given back",
+        "balancer/pool.py",
+        "        if self.zones.is_evacuated(load.zone):\n",
+        "        if False:\n",
+        EVACUATION + "DispatcherThatHasNotHeard",
+    ),
+    Mutant(
+        "a request that has its connection too late is not sent to an evacuated zone",
+        "proxy/forward.py",
+        "        if self._controller.is_evacuated(claim):\n",
+        "        if False:\n",
+        EVACUATION + "Sending",
+    ),
+    Mutant(
+        "load is not polled in an evacuated zone",
+        "zones/evacuation.py",
+        "        if not evacuated:\n            return upstreams\n",
+        "        return upstreams\n",
+        "testing/zones/test_evacuation.py::TestOpenUpstreams",
+    ),
+    Mutant(
+        "an upstream keeps the rate that it stated while its zone was evacuated",
+        "balancer/pool.py",
+        "self._evacuated.find_rate_limit(record) or self._make_rate_limit()",
+        "self._make_rate_limit()",
+        EVACUATION + "UpstreamsOfTheZone",
+    ),
 ]
--- a/testing/proxy/test_evacuation.py
+++ b/testing/proxy/test_evacuation.py
@@ -223,7 +223,10 @@
 
 
 class TestDispatcherThatHasNotHeard:
-    def test_its_grant_is_given_back_and_another_upstream_chosen(self) -> None:
+    @pytest.mark.parametrize("hears_while_it_waits", [False, True])
+    def test_its_grant_is_given_back_and_another_upstream_chosen(
+        self, hears_while_it_waits: bool
+    ) -> None:
         harness = DispatchHarness()
         upstreams = Upstreams(0)
         upstreams.records = [make_usable_record("u1", slots=SLOTS, zone="z1")]
@@ -235,7 +238,12 @@
         controller = make_controller(
             known, clock=harness.clock, dispatch=harness.client, zones=zones
         )
-        zones.adopt(ZoneOrders(1, {"z1": 1}))
+        orders = ZoneOrders(1, {"z1": 1})
+        if hears_while_it_waits:
+            # Every datagram arrives, the first one together with the order.
+            harness.network.is_lost = lambda source, target, data: zones.adopt(orders) and False
+        else:
+            zones.adopt(orders)
         service = make_service()
         now_ms = harness.clock.now_ms()
         claim = controller.acquire(
