--- a/src/coltsfootrill/balancer/pool.py
+++ b/src/coltsfootrill/balancer/pool.py
@@ -20,6 +20,7 @@
 from coltsfootrill.balancer.claim import record_stated_rate
 from coltsfootrill.balancer.declines import DeclineTimes
 from coltsfootrill.balancer.ejection import eject_outliers
+from coltsfootrill.balancer.evacuated_loads import EvacuatedLoads
 from coltsfootrill.balancer.latency import KindLatency
 from coltsfootrill.balancer.load import PACE_HALF_LIFE_MS
 from coltsfootrill.balancer.load import LoadReport
@@ -46,12 +47,13 @@
 from coltsfootrill.balancer.slot_margin import SlotMargin
 from coltsfootrill.balancer.upstream_record import is_same_upstream
 from coltsfootrill.balancer.upstream_record import make_load
+from coltsfootrill.balancer.upstream_record import select_records
 from coltsfootrill.balancer.warm_up import WarmUpBound
 from coltsfootrill.balancer.warm_up import are_many_cold
 from coltsfootrill.manifest.model import Kind
 from coltsfootrill.manifest.model import Service
-from coltsfootrill.manifest.table import may_serve
 from coltsfootrill.registry.directory import UpstreamRecord
+from coltsfootrill.zones.evacuation import EvacuatedZones
 
 # Targets leave room for a slow attempt, so most answers take less than half of the target. Without
 # an expected latency, the first requests after a restart would all appear to be slow.
@@ -62,6 +64,7 @@
     """State of one service on this instance. ``by_id`` holds the usable upstreams."""
 
     __slots__ = (
+        "_evacuated",
         "_rate_shares",
         "_retiring",
         "_slot_choice",
@@ -79,6 +82,7 @@
         "retry_budget",
         "saturation",
         "service_id",
+        "zones",
     )
 
     def __init__(
@@ -92,9 +96,11 @@
         budget: AttemptBudget | None = None,
         declines: DeclineTimes | None = None,
         warm_up_bound: WarmUpBound | None = None,
+        zones: EvacuatedZones | None = None,
     ) -> None:
         self._warm_up_bound = warm_up_bound or WarmUpBound()
         self._warm_up_per_s = self._warm_up_bound.choose_rate(service.warm_up)
+        self.zones = zones or EvacuatedZones()
         self.declines = declines or DeclineTimes()
         self.service_id = service.id
         self.by_id: dict[str, UpstreamLoad] = {}
@@ -109,6 +115,7 @@
         self._turn = 0
         self._rate_shares = RateShares()
         self._retiring: list[UpstreamLoad] = []
+        self._evacuated = EvacuatedLoads(self.zones)
         # Whether a request started or was in flight since the last check for outliers.
         self.has_recent_requests = False
 
@@ -120,29 +127,36 @@
             if kind.target_ms is not None:
                 self.get_latency(kind.id).seed(EXPECTED_SHARE_OF_TARGET * kind.target_ms)
         self._warm_up_per_s = self._warm_up_bound.choose_rate(service.warm_up)
-        wanted = {
-            record.announcement.id: record
-            for record in records
-            if service.id in record.announcement.services
-            and may_serve(service, record.announcement.id)
-        }
+        serving = select_records(service, records)
+        wanted = self._evacuated.list_open(serving)
         for upstream_id, record in wanted.items():
             load = self.by_id.get(upstream_id)
             if load is None or not is_same_upstream(load, record):
                 self._retire(load)
-                limit = RateLimit(shares=self._rate_shares, random=self.random, started_ms=now_ms)
+                limit = self._evacuated.find_rate_limit(record) or self._make_rate_limit(now_ms)
                 load = self.by_id[upstream_id] = make_load(record, limit, now_ms)
+            load.zone = record.announcement.zone
             load.rate_limit.set_warm_up(self._warm_up_per_s, now_ms)
             load.rate_limit.record_announced_cold(record.cold_until_ms, now_ms)
-        for upstream_id in [known for known in self.by_id if known not in wanted]:
-            self._retire(self.by_id.pop(upstream_id))
+            if service.warm_up is not None and self._evacuated.holds(upstream_id):
+                # It may have become cold while nobody asked it.
+                cold_until_ms = now_ms + service.warm_up.duration_ms
+                load.rate_limit.record_announced_cold(cold_until_ms, now_ms)
+        gone = {known: self.by_id.pop(known) for known in list(self.by_id) if known not in wanted}
+        for load in gone.values():
+            self._retire(load)
+        self._evacuated.replace(serving.keys() - wanted.keys(), gone)
         self._retiring = [load for load in self._retiring if load.in_flight]
 
+    def _make_rate_limit(self, now_ms: float) -> RateLimit:
+        return RateLimit(shares=self._rate_shares, random=self.random, started_ms=now_ms)
+
     def set_rate_shares(self, shares: RateShares, now_ms: float) -> None:
         """Set the parts of the rates of upstreams that this instance has."""
         if shares == self._rate_shares:
             return
         self._rate_shares = shares
+        self._evacuated.set_rate_shares(shares, now_ms)
         for load in self.by_id.values():
             load.rate_limit.set_shares(shares, now_ms)
 
@@ -164,6 +178,16 @@
             by_id[load.id] = by_id.get(load.id, 0) + load.in_flight
         return by_id
 
+    def count_evacuated_in_flight(self) -> int:
+        """Return own requests in flight at upstreams of evacuated zones."""
+        loads = [*self.by_id.values(), *self._retiring]
+        return sum(load.in_flight for load in loads if self.zones.is_evacuated(load.zone))
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether the only upstreams are in evacuated zones."""
+        return not self.by_id and bool(self._evacuated)
+
     def get_latency(self, kind_id: str) -> KindLatency:
         """Return the latency state of a kind."""
         latency = self.latency_by_kind.get(kind_id)
@@ -189,10 +213,7 @@
         estimate latencies. ``origin`` is the instance that will send the request, by default this
         one. An upstream that declines requests of this instance may be chosen for another one.
         """
-        if origin is None:
-            available = self._list_available(now_ms)
-        else:
-            available = [load for load in self.by_id.values() if is_available(load, now_ms)]
+        available = self._list_available(now_ms, is_own=origin is None)
         typical_ms = self.get_latency(kind.id).typical_ms
         if needs_free_slot:
             available = [
@@ -224,6 +245,9 @@
         load = self.by_id.get(upstream_id)
         if load is None or load.is_replaced or self.is_declining(load, now_ms):
             return None
+        if self.zones.is_evacuated(load.zone):
+            # The instance that chose it has not heard of the order yet.
+            return None
         self._turn += 1
         return self._start(load, kind, now_ms)
 
@@ -277,12 +301,15 @@
             for load in self._list_available(now_ms)
         )
 
-    def _list_available(self, now_ms: float) -> list[UpstreamLoad]:
-        """Return the upstreams to which this instance may send a request now."""
+    def _list_available(self, now_ms: float, *, is_own: bool = True) -> list[UpstreamLoad]:
+        """Return the upstreams that may get a request now, of this instance or of another one."""
+        evacuated = self.zones.orders.evacuated
         return [
             load
             for load in self.by_id.values()
-            if not self.is_declining(load, now_ms) and is_available(load, now_ms)
+            if is_available(load, now_ms)
+            and load.zone not in evacuated
+            and not (is_own and self.is_declining(load, now_ms))
         ]
 
     def apply_report(self, upstream_id: str, report: LoadReport, now_ms: float) -> None:
--- a/src/coltsfootrill/metrics.py
+++ b/src/coltsfootrill/metrics.py
@@ -10,6 +10,8 @@
 from prometheus_client import Histogram
 from prometheus_client import generate_latest
 
+from coltsfootrill.zones.orders import ZoneOrders
+
 # Further organisations of a manifest are counted together.
 ORGANISATION_LABELS_MAX_COUNT = 100
 OTHER_ORGANISATIONS = "other"
@@ -95,6 +97,21 @@
         self.manifest_version = Gauge(
             "coltsfootrill_manifest_version", "Version of the manifest in force.", registry=registry
         )
+        self.evacuated_zones = Gauge(
+            "coltsfootrill_evacuated_zones",
+            "Availability zones whose upstreams get nothing more.",
+            registry=registry,
+        )
+        self.zone_order_number = Gauge(
+            "coltsfootrill_zone_order_number",
+            "Number of the newest order on an availability zone in force.",
+            registry=registry,
+        )
+        self.evacuated_requests = Gauge(
+            "coltsfootrill_evacuated_requests",
+            "Requests of this instance in flight at upstreams of evacuated zones.",
+            registry=registry,
+        )
         self.manifest_tables = Gauge(
             "coltsfootrill_manifest_tables",
             "Routing tables in memory, old ones still in use included.",
@@ -143,6 +160,11 @@
             registry=registry,
         )
 
+    def record_zone_orders(self, orders: ZoneOrders) -> None:
+        """Record the orders on availability zones in force."""
+        self.evacuated_zones.set(len(orders.evacuated))
+        self.zone_order_number.set(orders.number)
+
     def count_request(self, service_id: str, outcome: str, reason: str) -> None:
         """Count one answer to a caller."""
         self.requests.labels(service_id, outcome, reason).inc()
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -50,6 +50,7 @@
 from coltsfootrill.proxy.resolution import RequestResolver
 from coltsfootrill.proxy.resolution import Resolution
 from coltsfootrill.registry.source import UpstreamSource
+from coltsfootrill.zones.evacuation import EvacuatedZones
 
 # Conditions that keep an instance from accepting any request have usually ended by then.
 NOT_READY_RETRY_AFTER_S = 0.3
@@ -84,6 +85,7 @@
         once_idle_max_ms: float = 0.0,
         dispatch: DispatchClient | None = None,
         warm_up_bound: WarmUpBound | None = None,
+        zones: EvacuatedZones | None = None,
         describe_manifest: Callable[[], ManifestSource | None] = lambda: None,
         get_reported_version: Callable[[], int] = lambda: 0,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
@@ -92,6 +94,7 @@
         self._on_event = on_event
         self._dispatch = dispatch
         self._warm_up_bound = warm_up_bound
+        self._zones = zones or EvacuatedZones()
         self._dialect = dialect
         self._make_budget = make_budget
         self._on_ended = on_ended
@@ -186,6 +189,17 @@
             controller.read_pool(add)
         return total_by_id
 
+    def count_evacuated_in_flight(self) -> int:
+        """Return this instance's requests in flight at upstreams of evacuated zones."""
+        counts: list[int] = []
+        if not self._zones.orders.evacuated:
+            return 0
+        for controller in list(self.controllers_by_service.values()):
+            controller.read_pool(
+                lambda pool, now_ms: counts.append(pool.count_evacuated_in_flight())
+            )
+        return sum(counts)
+
     def _make_controller(self, service: Service) -> AdmissionController:
         pool = ServicePool(
             service,
@@ -196,6 +210,7 @@
             budget=None if self._make_budget is None else self._make_budget(),
             declines=self.declines,
             warm_up_bound=self._warm_up_bound,
+            zones=self._zones,
         )
         return AdmissionController(
             pool,
--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -27,6 +27,7 @@
 from coltsfootrill.registry.source import UpstreamSource
 from coltsfootrill.settings import Settings
 from coltsfootrill.tasks import start_task
+from coltsfootrill.zones.evacuation import EvacuatedZones
 
 REFRESH_INTERVAL_MS = 40.0
 # Without requests, only leases and ejections that have ended are to be noticed.
@@ -55,6 +56,7 @@
         make_budget: Callable[[], AttemptBudget] | None = None,
         dispatch: DispatchClient | None = None,
         warm_up_bound: WarmUpBound | None = None,
+        zones: EvacuatedZones | None = None,
         describe_manifest: Callable[[], ManifestSource | None] = lambda: None,
         get_reported_version: Callable[[], int] = lambda: 0,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
@@ -79,6 +81,7 @@
             once_idle_max_ms=settings.get("upstreams", "once_idle_ms"),
             dispatch=dispatch,
             warm_up_bound=warm_up_bound,
+            zones=zones,
             describe_manifest=describe_manifest,
             get_reported_version=get_reported_version,
             on_ended=on_ended,
--- a/testing/balancer/test_warm_up.py
+++ b/testing/balancer/test_warm_up.py
@@ -26,6 +26,7 @@
 from coltsfootrill.manifest.model import WarmUp
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import UpstreamRecord
+from coltsfootrill.zones.orders import ZoneOrders
 from testing.balancer.cold_fleet import COLD_MS
 from testing.balancer.cold_fleet import KIND
 from testing.balancer.cold_fleet import RATE_PER_S
@@ -298,6 +299,18 @@
         pool.update(SERVICE, [record], fleet.now_ms)
         assert pool.acquire(KIND, fleet.now_ms, exclude=frozenset()) is None
 
+    def test_a_zone_that_is_restored_comes_back_by_warm_up(self) -> None:
+        fleet = ColdFleet(1, 0)
+        pool = fleet.pools[0]
+        records = [make_cold_record(fleet.now_ms, cold_ms=0)]
+        pool.update(SERVICE, records, fleet.now_ms)
+        for number, evacuated in ((1, {"z1": 1}), (2, {})):
+            pool.zones.adopt(ZoneOrders(number, evacuated))
+            pool.update(SERVICE, records, fleet.now_ms)
+        assert pool.acquire(KIND, fleet.now_ms, exclude=frozenset()) is None
+        pool.apply_cold("u0", 0, stated_ms=fleet.now_ms + 80, now_ms=fleet.now_ms + 80)
+        assert pool.acquire(KIND, fleet.now_ms + 80, exclude=frozenset()) is not None
+
     def test_a_manifest_may_state_and_drop_a_warm_up(self) -> None:
         fleet = ColdFleet(1, 0)
         pool = fleet.pools[0]
--- a/testing/proxy/instance.py
+++ b/testing/proxy/instance.py
@@ -26,6 +26,7 @@
 from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.server import CallerServer
 from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.zones.evacuation import EvacuatedZones
 
 _request_numbers = itertools.count(1)
 
@@ -67,6 +68,7 @@
         self.manifests.adopt(make_manifest(1, deadline_ms))
         self.fleet = Fleet(InstanceRecord("e1", 1, "127.0.0.1:1", "z1", False, 1), clock=clock)
         self.events: list[Event] = []
+        self.zones = EvacuatedZones()
         self.app = ProxyApp(
             manifests=self.manifests,
             fleet=self.fleet,
@@ -79,6 +81,7 @@
             dialect=dialect,
             once_idle_max_ms=once_idle_max_ms,
             get_reported_version=lambda: reported_version,
+            zones=self.zones,
             on_ended=self.events.append,
             on_event=self.events.append,
         )
