Evacuate and restore zones in the soak

Cause: the soak gave no orders on zones, so no fault was tried beside one.

Change: upstreams are in two zones, an operator evacuates one for a while and restores it, and what reaches upstreams is judged: nothing from a node in touch 2 s after the acknowledgement, as for manifests. Hubs that tell no orders are a fault that it must find. Threads that act again and again, loops that accept connections, requests of the probes and the clock of the checks' tests stood twice; each stands once.

--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -35,6 +35,7 @@
             )
             faults_count = len(soak.history.faults)
             changes = f"{soak.judge.acknowledged_count} changes, {soak.judge.judged_count} judged"
+            changes += f", {soak.zones.acknowledged_count} evacuations"
             print(f"seed {seed}: {faults_count} faults, {changes}, {counts}", flush=True)
             for violation in violations:
                 print(f"  VIOLATED {violation}", flush=True)
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -43,19 +43,27 @@
 _request_ids = itertools.count(1)
 
 
-class Caller:
-    """Sends requests one at a time; replaces its connection after an error and at random."""
+def send_safe(node: Node, prefix: str, history: History) -> int:
+    """Send a request that may be repeated to a node; return the status, 0 without an answer."""
+    request_id = f"n{next(_request_ids)}"
+    headers = {"Host": HOST, "X_Attempt_Id": request_id, "X_Deadline_Milliseconds": "300"}
+    history.record_request(request_id, is_idempotent=True, node=node.host)
+    path = prefix + request_id
+    status, body = node.call("callers", "GET", path, timeout_s=PROBE_TIMEOUT_S, **headers)
+    history.record_reply(request_id, Reply(status, body))
+    return status
+
 
+class Worker:
+    """Acts again and again, after random pauses, in a thread of its own."""
+
+    pause_min_s = 0.0
     pause_max_s = PAUSE_MAX_S
 
-    def __init__(self, proxies: dict[str, FaultProxy], history: History, random: Random) -> None:
-        self._proxies = proxies
-        self._history = history
+    def __init__(self, random: Random) -> None:
         self._random = random
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
-        self._connection: http.client.HTTPConnection | None = None
-        self._node = ""
 
     def start(self) -> None:
         self._thread.start()
@@ -65,10 +73,24 @@
         self._thread.join()
 
     def _run(self) -> None:
-        while not self._stopped.wait(self.pause_max_s * self._random.random()):
-            self._send()
+        while not self._stopped.wait(self._random.uniform(self.pause_min_s, self.pause_max_s)):
+            self._act()
+
+    def _act(self) -> None:
+        raise NotImplementedError
+
+
+class Caller(Worker):
+    """Sends requests one at a time; replaces its connection after an error and at random."""
+
+    def __init__(self, proxies: dict[str, FaultProxy], history: History, random: Random) -> None:
+        super().__init__(random)
+        self._proxies = proxies
+        self._history = history
+        self._connection: http.client.HTTPConnection | None = None
+        self._node = ""
 
-    def _send(self) -> None:
+    def _act(self) -> None:
         request_id = f"q{next(_request_ids)}"
         is_idempotent = self._random.random() < 0.5
         connection = self._connect()
@@ -116,7 +138,7 @@
 
     pause_max_s = LEAVING_PAUSE_MAX_S
 
-    def _send(self) -> None:
+    def _act(self) -> None:
         node = self._random.choice(list(self._proxies))
         host, _, port = self._proxies[node].address.partition(":")
         count = self._random.randint(PIPELINED_MIN_COUNT, PIPELINED_MAX_COUNT)
@@ -166,7 +188,7 @@
         self._target = node
         self._judge = judge
 
-    def _send(self) -> None:
+    def _act(self) -> None:
         due = self._judge.find_due(now_ms())
         newest = self._judge.acknowledged_count
         change = self._random.choice([newest, due, due - ROUTES_KEPT_COUNT])
@@ -176,34 +198,30 @@
     def _probe(self, change: int) -> None:
         node, process = self._target, self._target.process
         assert process is not None
-        request_id = f"n{next(_request_ids)}"
-        headers = {"Host": HOST, "X_Attempt_Id": request_id, "X_Deadline_Milliseconds": "300"}
-        self._history.record_request(request_id, is_idempotent=True, node=node.host)
         sent_ms = now_ms()
-        path = f"/n{change}/{request_id}"
-        status, body = node.call("callers", "GET", path, timeout_s=PROBE_TIMEOUT_S, **headers)
-        self._history.record_reply(request_id, Reply(status, body))
+        status = send_safe(node, f"/n{change}/", self._history)
         if node.process is process:
             probe = Probe(node.host, process.pid, change, sent_ms=sent_ms, status=status)
             self._judge.check(probe)
 
 
-class Operator:
+class Operator(Worker):
     """Submits manifests to random nodes and reads them back from random nodes.
 
     ``judge`` hears which changes were acknowledged. An invalid manifest must be refused.
     """
 
+    pause_min_s = 0.1
+    pause_max_s = 0.6
+
     def __init__(
         self, nodes: list[Node], history: History, judge: ManifestJudge, random: Random
     ) -> None:
+        super().__init__(random)
         self._nodes = nodes
         self._history = history
         self._judge = judge
-        self._random = random
         self.version = 0
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
 
     def submit_first(self, timeout_s: float) -> None:
         """Submit manifests until one is accepted; raise ``TimeoutError`` after the timeout."""
@@ -213,13 +231,6 @@
                 raise TimeoutError(f"the first manifest was not accepted within {timeout_s} s")
             time.sleep(0.1)
 
-    def start(self) -> None:
-        self._thread.start()
-
-    def stop(self) -> None:
-        self._stopped.set()
-        self._thread.join()
-
     def read(self, node: Node) -> tuple[int, bytes]:
         """Read the manifest at a node and check its version; return the status and the body."""
         sent_ms = now_ms()
@@ -229,15 +240,14 @@
             self._history.check_read(sent_ms, version, node.host)
         return status, raw
 
-    def _run(self) -> None:
-        while not self._stopped.wait(self._random.uniform(0.1, 0.6)):
-            choice = self._random.random()
-            if choice < 0.4:
-                self._submit_change()
-            elif choice < 0.45:
-                self._submit_invalid()
-            else:
-                self.read(self._random.choice(self._nodes))
+    def _act(self) -> None:
+        choice = self._random.random()
+        if choice < 0.4:
+            self._submit_change()
+        elif choice < 0.45:
+            self._submit_invalid()
+        else:
+            self.read(self._random.choice(self._nodes))
 
     def _submit_invalid(self) -> None:
         version = self.version + 1
--- a/testing/soak/history.py
+++ b/testing/soak/history.py
@@ -5,6 +5,7 @@
 import math
 import threading
 import time
+from collections.abc import Callable
 from collections.abc import Iterator
 
 # Statuses that state that a request was not executed.
@@ -67,6 +68,8 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
+        # Called with each run and the node that sent it.
+        self.on_run: Callable[[Run, str], None] = lambda run, node: None
         self._runs_by_id: dict[str, list[Run]] = {}
         self._reply_by_id: dict[str, Reply] = {}
         self._is_idempotent_by_id: dict[str, bool] = {}
@@ -93,9 +96,9 @@
         with self._lock:
             self._runs_by_id.setdefault(run.request_id, []).append(run)
             departed_ms = self._departed_ms_by_upstream.get(run.upstream_id)
-            freezes = self._freezes_by_node.get(
-                self._node_by_request_id.get(run.request_id, ""), []
-            )
+            node = self._node_by_request_id.get(run.request_id, "")
+            freezes = self._freezes_by_node.get(node, [])
+        self.on_run(run, node)
         if departed_ms is not None and run.arrived_ms > departed_ms + WORK_AFTER_LEAVING_MAX_MS:
             if any(freeze.overlaps(departed_ms, run.arrived_ms) for freeze in freezes):
                 return
--- a/testing/soak/linked_node.py
+++ b/testing/soak/linked_node.py
@@ -14,13 +14,16 @@
 from typing import Any
 
 import grpc
+import msgspec
 
 from coltsfootrill.membership import following
 from coltsfootrill.membership import hub
 from coltsfootrill.membership import view
 from coltsfootrill.membership.held_polls import HeldPolls
+from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.roles.manifest_sync import ManifestSync
 from coltsfootrill.start import main
+from coltsfootrill.zones.orders import ZoneOrders
 
 FETCHED_LATE_S = 3.0
 POLL_HELD_MS = 10_000
@@ -43,9 +46,20 @@
     ManifestSync.fetch_if_newer = fetch_late  # type: ignore[method-assign]
 
 
+def _tell_no_orders() -> None:
+    make_reply = hub.Hub._make_reply
+
+    def make_without(self: hub.Hub, position: int, *, is_for_hub: bool) -> FollowReply:
+        reply = make_reply(self, position, is_for_hub=is_for_hub)
+        return msgspec.structs.replace(reply, zone_orders=ZoneOrders())
+
+    hub.Hub._make_reply = make_without  # type: ignore[method-assign]
+
+
 FAULT_BY_NAME: dict[str, Callable[[], None]] = {
     "wakes-nobody": _wake_nobody,
     "fetches-late": _fetch_late,
+    "tells-no-orders": _tell_no_orders,
 }
 
 
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -6,6 +6,7 @@
 import struct
 import threading
 import time
+from collections.abc import Callable
 from typing import Literal
 
 Mode = Literal["pass", "delay", "silent", "one-way"]
@@ -14,6 +15,20 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
+def accept_all(listener: socket.socket, serve: Callable[[socket.socket], None]) -> None:
+    """Call ``serve`` for each connection, in a thread of its own, until ``listener`` is closed."""
+
+    def accept() -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=serve, args=(sock,), daemon=True).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+
+
 class FaultProxy:
     """Forwards connections from a port of its own to ``target``, with the fault set by ``mode``.
 
@@ -29,7 +44,7 @@
         self._lock = threading.Lock()
         self._open_sockets: set[socket.socket] = set()
         self._silent_before_s = 0.0
-        threading.Thread(target=self._accept, daemon=True).start()
+        accept_all(self._listener, self._connect)
 
     def reset_all(self) -> None:
         """Reset all open connections."""
@@ -48,14 +63,6 @@
         self._listener.close()
         self.reset_all()
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                caller, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._connect, args=(caller,), daemon=True).start()
-
     def _connect(self, caller: socket.socket) -> None:
         try:
             target = socket.create_connection(self._target, timeout=2)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -18,13 +18,15 @@
 from testing.soak.callers import LeavingCaller
 from testing.soak.callers import Operator
 from testing.soak.callers import Prober
+from testing.soak.callers import send_safe
+from testing.soak.evacuations import ZoneJudge
+from testing.soak.evacuations import ZoneOperator
 from testing.soak.fleet_faults import VOTERS_COUNT
 from testing.soak.fleet_faults import FleetFaults
 from testing.soak.fleet_faults import choose_calm_s
 from testing.soak.fleet_faults import suspend
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
 from testing.soak.history import History
-from testing.soak.history import Reply
 from testing.soak.judge import ManifestJudge
 from testing.soak.links import NodeLinks
 from testing.soak.proxy import FaultProxy
@@ -93,6 +95,8 @@
         self._links = NodeLinks(hosts, self._ports["fleet"])
         self._voters = hosts[:VOTERS_COUNT]
         self.judge = ManifestJudge(self.history, self._voters)
+        self.zones = ZoneJudge(self.history, self.judge)
+        self.history.on_run = self.zones.check
         self._nodes = [self._make_node(number) for number in range(1, nodes + 1)]
         self._nodes_max_count = len(hosts)
         self._proxies = {node.host: self._make_proxy(node) for node in self._nodes}
@@ -100,6 +104,7 @@
         self._upstreams: list[SoakUpstream] = []
         self._upstream_numbers = itertools.count(1)
         self._operator = Operator(self._nodes, self.history, self.judge, self._derive_random())
+        self._zone_operator = ZoneOperator(self._nodes, self.zones, self._derive_random())
         self._callers = [
             Caller(self._proxies, self.history, self._derive_random()) for _ in range(CALLERS_COUNT)
         ]
@@ -120,16 +125,21 @@
         self._faulted_hosts: set[str] = set()
         self._threads: list[threading.Thread] = []
 
+    @property
+    def late_count(self) -> int:
+        """Return how often a node was found to act on an outdated manifest or order."""
+        return self.judge.late_count + self.zones.late_count
+
     def run(self, duration_s: float, *, ends_once_late: bool = False) -> list[str]:
         """Run for ``duration_s`` and return the violated guarantees.
 
-        With ``ends_once_late`` it ends as soon as an outdated manifest has been found in use.
+        With ``ends_once_late`` it ends as soon as an outdated manifest or order has been found.
         """
         try:
             self._start()
             faults = self._choose_faults()
             end_s = time.monotonic() + duration_s
-            while time.monotonic() < end_s and not (ends_once_late and self.judge.late_count):
+            while time.monotonic() < end_s and not (ends_once_late and self.late_count):
                 time.sleep(self._random.uniform(0.1, 0.9))
                 self._random.choice(faults)()
             self._end_faults_and_check()
@@ -176,9 +186,8 @@
             for _ in range(count):
                 self._add_upstream(service)
         self._wait_until_serving()
-        self._operator.start()
-        for client in [*self._callers, *self._probers]:
-            client.start()
+        for worker in [self._operator, self._zone_operator, *self._callers, *self._probers]:
+            worker.start()
 
     def _end_faults_and_check(self) -> None:
         """End all faults, then check that all nodes serve requests and return the manifest."""
@@ -188,9 +197,8 @@
             proxy.mode = "pass"
         for upstream in self._upstreams:
             upstream.behaviour = "good"
-        self._operator.stop()
-        for prober in self._probers:
-            prober.stop()
+        for worker in [self._operator, self._zone_operator, *self._probers]:
+            worker.stop()
         self._wait_until_serving()
         for caller in self._callers:
             caller.stop()
@@ -241,19 +249,11 @@
     def _wait_until_serving(self) -> None:
         end_s = time.monotonic() + RECOVERY_TIMEOUT_S
         for node in self._nodes:
-            while self._probe(node) != 200:
+            while send_safe(node, "/y/", self.history) != 200:
                 if time.monotonic() > end_s:
                     raise TimeoutError(f"{node.host} does not serve requests again")
                 time.sleep(0.1)
 
-    def _probe(self, node: Node) -> int:
-        request_id = f"p{self._random.getrandbits(48):x}"
-        self.history.record_request(request_id, is_idempotent=True, node=node.host)
-        headers = {"Host": "a.example", "X_Attempt_Id": request_id}
-        status, body = node.call("callers", "GET", f"/y/{request_id}", **headers)
-        self.history.record_reply(request_id, Reply(status, body))
-        return status
-
     def _close(self) -> None:
         for upstream in self._upstreams:
             upstream.close()
--- a/testing/soak/test_history.py
+++ b/testing/soak/test_history.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from testing.soak import history as history_module
+from testing.soak.conftest import FakeTime
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
 from testing.soak.history import STALE_AFTER_FREEZE_MAX_MS
 from testing.soak.history import WORK_AFTER_LEAVING_MAX_MS
@@ -14,23 +14,6 @@
 from testing.soak.history import make_body
 
 
-class FakeTime:
-    """Replaces ``now_ms`` of the history."""
-
-    def __init__(self) -> None:
-        self.now_ms = 1_000.0
-
-    def __call__(self) -> float:
-        return self.now_ms
-
-
-@pytest.fixture
-def time(monkeypatch: pytest.MonkeyPatch) -> FakeTime:
-    fake_time = FakeTime()
-    monkeypatch.setattr(history_module, "now_ms", fake_time)
-    return fake_time
-
-
 def _run(request_id: str, *, is_executed: bool = True) -> Run:
     return Run(request_id, "i-1", is_executed=is_executed)
 
--- a/testing/soak/test_judge.py
+++ b/testing/soak/test_judge.py
@@ -4,29 +4,21 @@
 
 import pytest
 
-from testing.soak import history as history_module
-from testing.soak import judge as judge_module
+from testing.soak.conftest import FakeTime
+from testing.soak.evacuations import ZoneJudge
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
 from testing.soak.history import STALE_AFTER_FREEZE_MAX_MS
 from testing.soak.history import History
+from testing.soak.history import Run
 from testing.soak.judge import NO_ROUTE
 from testing.soak.judge import REGRESS_MAX_MS
 from testing.soak.judge import ROUTES_KEPT_COUNT
 from testing.soak.judge import ManifestJudge
 from testing.soak.judge import Probe
-from testing.soak.test_history import FakeTime
 
 SERVED = 200
 
 
-@pytest.fixture
-def time(monkeypatch: pytest.MonkeyPatch) -> FakeTime:
-    fake_time = FakeTime()
-    for module in (judge_module, history_module):
-        monkeypatch.setattr(module, "now_ms", fake_time)
-    return fake_time
-
-
 class Judged:
     """A judge for the voter ``v`` and the node ``n``, with change 1 acknowledged."""
 
@@ -103,3 +95,26 @@
         disturbance.end()
         time.now_ms += STALE_AFTER_FREEZE_MAX_MS + 1
         assert judged.probe(NO_ROUTE)
+
+
+class TestEvacuations:
+    def test_nothing_reaches_a_zone_later_than_allowed_until_it_is_restored(
+        self, judged: Judged, time: FakeTime
+    ) -> None:
+        zones = ZoneJudge(judged.history, judged.judge)
+
+        def is_violated(upstream_id: str = "i-desk-1") -> bool:
+            count = len(judged.history.violations)
+            zones.check(Run("q1", upstream_id, is_executed=False), "n")
+            return len(judged.history.violations) > count
+
+        zones.record_evacuated("z2")
+        time.now_ms += MANIFEST_APPLY_MAX_MS
+        assert not is_violated()
+        time.now_ms += 1
+        assert is_violated()
+        assert not is_violated("i-desk-2")
+        judged.judge.disturb(["n"])
+        assert not is_violated()
+        zones.record_restoring("z2")
+        assert not is_violated()
--- a/testing/soak/test_links.py
+++ b/testing/soak/test_links.py
@@ -12,6 +12,7 @@
 import pytest
 
 from testing.soak.links import NodeLinks
+from testing.soak.proxy import accept_all
 
 HOST = "127.0.0.1"
 CALLER = "127.0.0.9"
@@ -21,22 +22,13 @@
 @pytest.fixture
 def links() -> Iterator[NodeLinks]:
     with socket.create_server((HOST, 0)) as listener:
-        threading.Thread(target=_echo, args=(listener,), daemon=True).start()
+        accept_all(listener, _answer)
         made = NodeLinks([CALLER, HOST], listener.getsockname()[1])
         yield made
         made.close()
         listener.shutdown(socket.SHUT_RDWR)
 
 
-def _echo(listener: socket.socket) -> None:
-    try:
-        while True:
-            sock, _ = listener.accept()
-            threading.Thread(target=_answer, args=(sock,), daemon=True).start()
-    except OSError:
-        return
-
-
 def _answer(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
         sock.sendall(sock.recv(100))
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -23,10 +23,11 @@
         assert soak.history.count_outcomes()["200"] > 0
         assert soak.history.faults
         assert soak.judge.acknowledged_count > 0
+        assert soak.zones.acknowledged_count > 0
 
     # Guards against a soak that overlooks a change which is not in force in time.
     @pytest.mark.parametrize("fault", sorted(FAULT_BY_NAME))
     def test_a_fault_put_in_on_purpose_is_found(self, tmp_path: Path, fault: str) -> None:
         soak = Soak(tmp_path, 3, is_planned_only=True, fault=fault)
         soak.run(FAULTY_DURATION_MAX_S, ends_once_late=True)
-        assert soak.judge.late_count
+        assert soak.late_count
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -10,10 +10,12 @@
 from typing import Literal
 
 from testing.nodes import Node
+from testing.soak.evacuations import find_zone
 from testing.soak.history import History
 from testing.soak.history import Run
 from testing.soak.history import make_body
 from testing.soak.proxy import FaultProxy
+from testing.soak.proxy import accept_all
 
 Behaviour = Literal["good", "shed", "full", "close", "hang", "fail", "extra-answer", "late-copy"]
 HEARTBEAT_INTERVAL_S = 0.5
@@ -82,7 +84,7 @@
         self._closed = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.proxy = FaultProxy(("127.0.0.1", self._listener.getsockname()[1]))
-        threading.Thread(target=self._accept, daemon=True).start()
+        accept_all(self._listener, self._serve)
         threading.Thread(target=self._run_heartbeats, daemon=True).start()
 
     @property
@@ -138,7 +140,7 @@
             "serverInfo": {
                 "service": self.service,
                 "version": "v1",
-                "zone": "z1",
+                "zone": find_zone(lifetime.name),
                 "concurrency": SLOTS,
             },
             "status": {"state": state, "sequence": self._sequence, "coldRemainingMs": 0},
@@ -148,14 +150,6 @@
         path = f"/Instances.Heartbeat/{lifetime.name}"
         return node.call("interface", "POST", path, json.dumps(body).encode())[0] == 200
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
-
     def _serve(self, sock: socket.socket) -> None:
         writer = AnswerWriter(sock)
         data = b""
