--- /dev/null
+++ b/src/coltsfootrill/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of organisations, kept over all instances."""
