Test what a request's tokens do, and prove the mechanisms of the quotas

Cause: the hook in the request path and the mechanisms of the quotas had no mutants.

Two earlier mutants named the line after the one that they remove; that line is another now, so they name their own line only and remove the same.

--- a/src/coltsfootrill/quotas/decider.py
+++ b/src/coltsfootrill/quotas/decider.py
@@ -76,11 +76,12 @@
     when this one decides without a break.
     """
 
-    __slots__ = ("_bounds", "_state_by_name")
+    __slots__ = ("_bounds", "_removed_ms", "_state_by_name")
 
     def __init__(self, bounds: QuotaBounds) -> None:
         self._bounds = bounds
         self._state_by_name: dict[str, _State] = {}
+        self._removed_ms = float("-inf")
 
     def decide(
         self,
@@ -146,7 +147,10 @@
             state.pull_interval_ms = PULL_INTERVAL_MS
 
     def remove_unused(self, now_ms: float) -> None:
-        """Drop answers and buckets that are no longer needed."""
+        """Drop answers and buckets that are no longer needed, now and then."""
+        if now_ms - self._removed_ms < ANSWER_RETENTION_MS:
+            return
+        self._removed_ms = now_ms
         for name, state in list(self._state_by_name.items()):
             state.last_by_sender = {
                 sender: last
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -34,6 +34,8 @@
 DIRECTORY = "testing/registry/test_directory.py::Test"
 CALLER = "testing/proxy/test_caller.py::Test"
 BALANCER = "testing/balancer/test_"
+QUOTAS = "testing/quotas/test_"
+QUOTA_REQUESTS = "testing/proxy/test_quota.py::Test"
 
 MUTANTS = [
     Mutant(
@@ -131,8 +133,8 @@
     Mutant(
         "a refused request waits for no upstream",
         "proxy/forward.py",
-        "        self._guard.check()\n        claim",
-        "        claim",
+        "        self._guard.check()\n",
+        "",
         "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
     ),
     Mutant(
@@ -180,8 +182,8 @@
     Mutant(
         "a request that crashed three upstreams while it waited is not sent",
         "proxy/forward.py",
-        "            self._guard.begin()\n        except",
-        "            pass\n        except",
+        "            self._guard.begin()\n",
+        "",
         "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
     ),
     Mutant(
@@ -961,4 +963,109 @@
         "",
         "testing/roles/test_gateway.py::TestReadiness",
     ),
+    Mutant(
+        "a token of a quota is not used after it expired",
+        "quotas/holding.py",
+        "return now_ms < self.expires_ms",
+        "return True",
+        QUOTAS + "holding.py::TestTokens",
+    ),
+    Mutant(
+        "a token that was given back expires as before",
+        "quotas/holding.py",
+        "        while tokens and not tokens[0].is_valid(now_ms):\n            tokens.popleft()\n",
+        "",
+        QUOTAS + "holding.py::TestTokens",
+    ),
+    Mutant(
+        "a lost answer of a decider costs no second token",
+        "quotas/decider.py",
+        "if last is not None and ask.number <= last.answer.number:",
+        "if False:",
+        QUOTAS + "decider.py::TestAnswers",
+    ),
+    Mutant(
+        "a decider that starts has almost no tokens",
+        "quotas/limits.py",
+        "start=starts / starts_count / deciders",
+        "start=capacity / deciders",
+        QUOTAS + "decider.py::TestStart",
+    ),
+    Mutant(
+        "an instance that gets a seat waits until the holder before has stopped",
+        "quotas/seats.py",
+        "now_ms - self.since_ms < SETTLE_MS",
+        "False",
+        QUOTAS + "seats.py::TestTakingASeat",
+    ),
+    Mutant(
+        "a side without a majority stops deciding",
+        "quotas/seats.py",
+        "if now_ms - self._current_ms > MINORITY_MAX_MS:",
+        "if False:",
+        QUOTAS + "seats.py::TestLosingTouch",
+    ),
+    Mutant(
+        "the seats of a zone that may be cut off are not shared out",
+        "quotas/seats.py",
+        "if now_ms - seen_ms > REMEMBER_MS:",
+        "if True:",
+        QUOTAS + "seats.py::TestLosingTouch",
+    ),
+    Mutant(
+        "an instance that was frozen takes its seat anew",
+        "quotas/seats.py",
+        "if elapsed_ms > GAP_MAX_MS:",
+        "if False:",
+        QUOTAS + "seats.py::TestLosingTouch",
+    ),
+    Mutant(
+        "tokens that a decider hands over leave its bucket",
+        "quotas/decider.py",
+        "return bucket.take(count, count, now_ms)",
+        "return count",
+        QUOTAS + "decider.py::TestTransfers",
+    ),
+    Mutant(
+        "the deciders of a quota lend each other tokens",
+        "quotas/server.py",
+        "        if pull_number is not None:\n",
+        "        if False:\n",
+        QUOTAS + "client.py::TestTokens",
+    ),
+    Mutant(
+        "a refused instance asks no decider until a token is expected",
+        "quotas/holding.py",
+        "return now_ms < self._denied_until_ms",
+        "return False",
+        QUOTAS + "holding.py::TestRefusals",
+    ),
+    Mutant(
+        "another decider is asked when one does not answer",
+        "quotas/exchange.py",
+        "DECIDERS_TRIED_MAX_COUNT = 2",
+        "DECIDERS_TRIED_MAX_COUNT = 1",
+        QUOTAS + "client.py::TestLostDeciders",
+    ),
+    Mutant(
+        "a request that was not run gives its token back",
+        "proxy/request_tokens.py",
+        "            self._client.give_back(self._organisation, token)\n",
+        "            pass\n",
+        QUOTA_REQUESTS + "TokensOfARequest",
+    ),
+    Mutant(
+        "each attempt that may have run takes a token",
+        "proxy/request_tokens.py",
+        "        self.reserve()\n        self._spent.append(self._spare.pop())\n",
+        "        self.reserve()\n",
+        QUOTA_REQUESTS + "TokensOfARequest",
+    ),
+    Mutant(
+        "a request beyond its quota is refused before it waits for an upstream",
+        "proxy/forward.py",
+        "        self._tokens.reserve()\n",
+        "",
+        QUOTA_REQUESTS + "Forwarding",
+    ),
 ]
