--- a/testing/events/test_explanation.py
+++ b/testing/events/test_explanation.py
@@ -82,6 +82,23 @@
         )
         assert "control" not in explanation.conclusion
 
+    def test_a_refusal_by_a_quota_names_the_organisation_and_the_decider(self) -> None:
+        message = "organisation o1: its quota is used up, says the decider n3"
+        explanation = _explain(
+            "q1",
+            _ended(
+                1000,
+                "q1",
+                status="429",
+                outcome="not-run",
+                reason="quota",
+                took_ms=0.2,
+                more=f',"message":"{message}"',
+            ),
+        )
+        assert message in explanation.conclusion
+        assert "Nothing was sent" in explanation.conclusion
+
     def test_a_refusal_at_admission_states_its_inputs(self) -> None:
         admission = (
             ',"admission":{"upstreams":6,"ejected":1,"with_room":0,"waiting":4,"usual_ms":78,'
