Let restarted deciders go on, and spread seats over all instances

Cause: an instance that got a seat waited 4.5 s, also after a restart during which nobody else could have got it; with half of the instances killed at once most quotas would have stood still. The widest links are those of the hubs, so all seats were lost together with them.

Ruled out: deciding at once in any case (two deciders with the same seat), a state on disk (most instances have none).

Change: an instance with a new seat asks others for how long they have listed it as the holder, and decides at once if one of them has for 7 s and none decides in its place. Seats go by hash alone, and a decider without a hub goes on for 2.5 s more. Deciders begin with empty buckets; the margin that starts had goes to the capacity.

--- a/src/coltsfootrill/quotas/bucket.py
+++ b/src/coltsfootrill/quotas/bucket.py
@@ -8,19 +8,17 @@
 
 # A bucket that was to hold a whole token at a promised time may lack this much of it.
 ROUNDING_ERROR = 1e-6
+AHEAD_SHARE = 0.25
 
 
 class TokenBucket:
-    """Gains tokens at a rate up to a capacity. Not thread-safe.
-
-    ``created_ms`` may lie in the past: what the bucket would have gained since then is in it.
-    """
+    """Gains tokens at a rate up to a capacity, from none at ``created_ms``. Not thread-safe."""
 
     __slots__ = ("_filled_ms", "_level", "_promised_ms", "limit")
 
     def __init__(self, limit: BucketLimit, *, created_ms: float) -> None:
         self.limit = limit
-        self._level = min(limit.start, limit.capacity)
+        self._level = 0.0
         self._filled_ms = created_ms
         # Until when the tokens to come are promised to those who were refused.
         self._promised_ms = created_ms
@@ -39,12 +37,13 @@
     def take(self, needed: int, wanted: int, now_ms: float) -> int:
         """Take tokens and return how many.
 
-        ``needed`` are for requests that wait. Those wanted beyond that are given only while the
-        bucket is at least half full, since they may stay unused.
+        ``needed`` are for requests that wait. Of what is left after these, only a part is given
+        for requests to come, since it may stay unused.
         """
         self._fill(now_ms)
-        is_half_full = 2 * self._level >= self.limit.capacity
-        count = min(wanted if is_half_full else needed, int(self._level + ROUNDING_ERROR))
+        level = int(self._level + ROUNDING_ERROR)
+        count = min(needed, level)
+        count += min(wanted - needed, int(AHEAD_SHARE * (level - count)))
         self._level = max(0.0, self._level - count)
         return count
 
--- a/src/coltsfootrill/quotas/decider.py
+++ b/src/coltsfootrill/quotas/decider.py
@@ -1,7 +1,7 @@
 """Decides how many tokens of an organisation's quota an instance gets.
 
-Nothing is stored: an instance that starts to decide has almost empty buckets, which fill at its
-share of the rate. What was known before is lost on the side of the limit.
+Nothing is stored: an instance that starts to decide has empty buckets, which fill at its share of
+the rate. What was known before is lost on the side of the limit.
 """
 
 from __future__ import annotations
--- a/src/coltsfootrill/quotas/limits.py
+++ b/src/coltsfootrill/quotas/limits.py
@@ -2,7 +2,7 @@
 
 In any window of ``window_ms``, upstreams bear ``(rate x window + burst) x (1 + overshoot) + slack``
 requests of an organisation. The part above ``rate x window + burst`` is the margin. It pays for
-tokens that are used after the window in which they were handed out, and for deciders that start.
+tokens that are used after the window in which they were handed out.
 """
 
 from __future__ import annotations
@@ -14,12 +14,12 @@
 from coltsfootrill.settings import Settings
 
 MS_PER_SECOND = 1_000.0
-# An instance without a responsive hub stops deciding within this time; one that gets its seat waits
-# as long before it decides.
-SETTLE_MS = HUB_RESPONSIVE_WITHIN_MS
+# An instance without a responsive hub goes on deciding for this time.
+KEPT_MS = 2_500.0
+# So it stops within this time after its last contact, and one that gets its seat waits as long.
+SETTLE_MS = HUB_RESPONSIVE_WITHIN_MS + KEPT_MS
 # Shares of the margin. What is left covers tokens on their way between deciders.
-CAPACITY_MARGIN_SHARE = 0.2
-START_MARGIN_SHARE = 0.2
+CAPACITY_MARGIN_SHARE = 0.4
 VALIDITY_MARGIN_SHARE = 0.5
 VALID_MAX_MS = 2_000.0
 # A caller's request takes about this long from its token to its start at an upstream.
@@ -64,18 +64,15 @@
 class BucketLimit:
     """The limits of one decider's bucket.
 
-    The bucket holds at most ``capacity`` tokens, gains ``rate_per_ms`` and starts with ``start``.
-    Tokens may be used for ``valid_ms`` after they were handed out.
+    The bucket holds at most ``capacity`` tokens and gains ``rate_per_ms``. Tokens may be used for
+    ``valid_ms`` after they were handed out.
     """
 
-    __slots__ = ("capacity", "rate_per_ms", "start", "valid_ms")
+    __slots__ = ("capacity", "rate_per_ms", "valid_ms")
 
-    def __init__(
-        self, *, capacity: float, rate_per_ms: float, start: float, valid_ms: float
-    ) -> None:
+    def __init__(self, *, capacity: float, rate_per_ms: float, valid_ms: float) -> None:
         self.capacity = capacity
         self.rate_per_ms = rate_per_ms
-        self.start = start
         self.valid_ms = valid_ms
 
 
@@ -99,14 +96,11 @@
     valid_ms = VALIDITY_MARGIN_SHARE * margin / rate_per_ms
     valid_ms = min(VALID_MAX_MS, max(VALID_MIN_MS, valid_ms))
     capacity = max(_get_capacity(organisation, bounds), math.floor(min(1.0, allowed)))
-    starts = START_MARGIN_SHARE * margin if capacity > 1 else 0.0
-    starts_count = 1 + math.ceil(bounds.window_ms / SETTLE_MS)
-    rest = max(0.0, allowed - capacity - starts)
+    rest = max(0.0, allowed - capacity)
     rate_per_ms = min(rate_per_ms, rest / (bounds.window_ms + valid_ms))
     return BucketLimit(
         capacity=capacity / deciders,
         rate_per_ms=rate_per_ms / deciders,
-        start=starts / starts_count / deciders,
         valid_ms=valid_ms,
     )
 
--- a/src/coltsfootrill/quotas/messages.py
+++ b/src/coltsfootrill/quotas/messages.py
@@ -10,7 +10,7 @@
 
 ASK_TOPIC = b"Q"
 ANSWER_TOPIC = b"T"
-TRANSFER_TOPIC = b"U"
+SEAT_TOPIC = b"U"
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -71,14 +71,33 @@
     count: int
 
 
+class HeldQuestion(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Asks another instance for how long it has listed ``holder`` as a decider of a quota."""
+
+    organisation: str
+    holder: str
+
+
+class HeldAnswer(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Tells for how long, without a break, the sender has listed the receiver as a decider.
+
+    ``is_rival`` means that the sender decides itself and does not list the receiver.
+    """
+
+    organisation: str
+    held_ms: float
+    is_rival: bool
+
+
+SeatMessage = Pull | Transfer | HeldQuestion | HeldAnswer
 AskAnswer = Granted | Denied | Unavailable
 _ask_decoder = msgspec.msgpack.Decoder(Ask)
 _answer_decoder = msgspec.msgpack.Decoder(Granted | Denied | Unavailable)
-_transfer_decoder = msgspec.msgpack.Decoder(Pull | Transfer)
+_seat_decoder = msgspec.msgpack.Decoder(Pull | Transfer | HeldQuestion | HeldAnswer)
 _encoder = msgspec.msgpack.Encoder()
 
 
-def encode(message: Ask | AskAnswer | Pull | Transfer) -> bytes:
+def encode(message: Ask | AskAnswer | SeatMessage) -> bytes:
     """Return a message as bytes."""
     return _encoder.encode(message)
 
@@ -94,6 +113,7 @@
     return answer
 
 
-def decode_transfer(data: bytes) -> Pull | Transfer:
+def decode_seat_message(data: bytes) -> SeatMessage:
     """Return a message between deciders; raise ``msgspec.MsgspecError`` if it is malformed."""
-    return _transfer_decoder.decode(data)
+    message: SeatMessage = _seat_decoder.decode(data)
+    return message
--- a/src/coltsfootrill/quotas/seats.py
+++ b/src/coltsfootrill/quotas/seats.py
@@ -2,7 +2,8 @@
 
 A quota is shared equally among a few seats, spread over the availability zones. The seats of a zone
 belong to the first instances of it in rank. An instance that gets a seat waits until any other that
-held it before has heard of that, or has lost touch with the hubs and stopped deciding.
+held it before has heard of that, or has lost touch with the hubs and stopped deciding. It need not
+wait if another instance confirms that it has held the seat all the time, as after a restart.
 """
 
 from __future__ import annotations
@@ -13,11 +14,14 @@
 
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.relay_topology import rank
+from coltsfootrill.quotas.limits import KEPT_MS
 from coltsfootrill.quotas.limits import SETTLE_MS
 
 # An instance that has not observed the fleet for longer may have missed a change.
 GAP_MAX_MS = 3_000.0
 OBSERVE_INTERVAL_MS = 200.0
+# An instance asks this many others to confirm its seat.
+WITNESSES_MAX_COUNT = 5
 # A side without a majority goes on with its seats for this time. The others share out the seats of
 # a zone that they no longer hear of only after REMEMBER_MS, so that no seat exists twice.
 MINORITY_MAX_MS = 15_000.0
@@ -40,10 +44,11 @@
 
     ``deciders`` are the listed instances that hold a seat; ``seats_count`` also counts the seats of
     instances that are out of touch. ``since_ms`` tells since when this instance has held one
-    without a break, ``None`` if it holds none.
+    without a break, ``None`` if it holds none. ``witnesses`` are other instances, those that would
+    get its seat first.
     """
 
-    __slots__ = ("deciders", "generation", "listed_ms", "seats_count", "since_ms")
+    __slots__ = ("deciders", "generation", "listed_ms", "seats_count", "since_ms", "witnesses")
 
     def __init__(
         self,
@@ -53,8 +58,10 @@
         since_ms: float | None,
         listed_ms: float,
         generation: int,
+        witnesses: list[InstanceRecord],
     ) -> None:
         self.deciders = deciders
+        self.witnesses = witnesses
         self.seats_count = seats_count
         self.since_ms = since_ms
         self.listed_ms = listed_ms
@@ -81,6 +88,7 @@
         self._remembered: Sequence[InstanceRecord] | None = None
         self._remembered_ms = float("-inf")
         self._current_ms = float("-inf")
+        self._touched_ms = float("-inf")
         self._generation = 0
         self._standing_by_key: dict[tuple[str, int], Standing] = {}
 
@@ -102,6 +110,10 @@
             self._observed_ms = now_ms
             if is_current:
                 self._current_ms = now_ms
+            if instances:
+                self._touched_ms = now_ms
+            elif now_ms - self._touched_ms <= KEPT_MS and self._listings:
+                instances = self._listings[-1].instances
             if now_ms - self._current_ms > MINORITY_MAX_MS:
                 instances = ()
             self._remember(instances, now_ms)
@@ -117,6 +129,32 @@
                 self._standing_by_key[key] = standing
             return standing
 
+    def get_held_ms(self, organisation: str, seats_max: int, instance_id: str) -> float:
+        """Return for how long another instance has been listed with a seat, without a break."""
+        with self._lock:
+            seats_by_zone = self._count_seats(organisation, seats_max)
+            since_ms = self._observed_ms
+            for listing in reversed(self._listings):
+                chosen = _choose(organisation, listing.instances, seats_by_zone)
+                if all(record.id != instance_id for record in chosen):
+                    break
+                since_ms = listing.since_ms
+            return self._observed_ms - since_ms
+
+    def confirm(self, organisation: str, seats_max: int, now_ms: float) -> None:
+        """Record that this instance has held its seat for long, as others have listed it."""
+        with self._lock:
+            standing = self._standing_by_key.get((organisation, seats_max))
+            if standing is not None and standing.since_ms is not None:
+                standing.since_ms = min(standing.since_ms, now_ms - SETTLE_MS)
+
+    def dispute(self, organisation: str, seats_max: int, now_ms: float) -> None:
+        """Record that another instance decides in place of this one, which waits from now on."""
+        with self._lock:
+            standing = self._standing_by_key.get((organisation, seats_max))
+            if standing is not None and standing.since_ms is not None:
+                standing.since_ms = now_ms
+
     def _make_standing(
         self, organisation: str, seats_max: int, before: Standing | None
     ) -> Standing:
@@ -143,7 +181,22 @@
             since_ms=since_ms,
             listed_ms=self._listings[-1].since_ms if self._listings else self._observed_ms,
             generation=self._generation,
+            witnesses=self._list_witnesses(organisation, chosen_by_listing),
+        )
+
+    def _list_witnesses(
+        self, organisation: str, chosen_by_listing: list[list[InstanceRecord]]
+    ) -> list[InstanceRecord]:
+        if not chosen_by_listing:
+            return []
+        chosen = {record.id for record in chosen_by_listing[0]}
+        others = [record for record in self._listings[-1].instances if record.id not in chosen]
+        own_zone = self._zone_by_id.get(self._own_id)
+        others.sort(
+            key=lambda record: (record.zone == own_zone, rank(organisation, record.id)),
+            reverse=True,
         )
+        return others[:WITNESSES_MAX_COUNT]
 
     def _list(self, instances: Sequence[InstanceRecord], now_ms: float) -> None:
         """Record a list of instances; keep earlier ones for as long as they matter."""
@@ -193,13 +246,11 @@
 def _choose(
     organisation: str, instances: Sequence[InstanceRecord], seats_by_zone: dict[str, int]
 ) -> list[InstanceRecord]:
-    """Return the first instances of each zone in rank, widest links first."""
+    """Return the first instances of each zone in rank."""
     chosen: list[InstanceRecord] = []
     for zone, count in seats_by_zone.items():
         members = [record for record in instances if record.zone == zone]
-        members.sort(
-            key=lambda record: (record.link_mbps, rank(organisation, record.id)), reverse=True
-        )
+        members.sort(key=lambda record: rank(organisation, record.id), reverse=True)
         chosen.extend(members[:count])
     return chosen
 
--- a/src/coltsfootrill/quotas/server.py
+++ b/src/coltsfootrill/quotas/server.py
@@ -9,22 +9,28 @@
 from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.membership.datagrams import DatagramPort
 from coltsfootrill.quotas.decider import Decider
+from coltsfootrill.quotas.limits import SETTLE_MS
 from coltsfootrill.quotas.limits import QuotaBounds
 from coltsfootrill.quotas.limits import count_deciders_max
 from coltsfootrill.quotas.messages import ANSWER_TOPIC
 from coltsfootrill.quotas.messages import ASK_TOPIC
-from coltsfootrill.quotas.messages import TRANSFER_TOPIC
+from coltsfootrill.quotas.messages import SEAT_TOPIC
 from coltsfootrill.quotas.messages import Ask
 from coltsfootrill.quotas.messages import AskAnswer
+from coltsfootrill.quotas.messages import HeldAnswer
+from coltsfootrill.quotas.messages import HeldQuestion
 from coltsfootrill.quotas.messages import Pull
 from coltsfootrill.quotas.messages import Transfer
 from coltsfootrill.quotas.messages import Unavailable
 from coltsfootrill.quotas.messages import decode_ask
-from coltsfootrill.quotas.messages import decode_transfer
+from coltsfootrill.quotas.messages import decode_seat_message
 from coltsfootrill.quotas.messages import encode
 from coltsfootrill.quotas.seats import Seats
 from coltsfootrill.quotas.seats import Standing
 
+# An instance that has got a seat asks others to confirm it at this interval.
+CONFIRM_INTERVAL_MS = 200.0
+
 
 class QuotaServer:
     """Decides about tokens while this instance holds a seat; thread-safe.
@@ -55,7 +61,9 @@
         self._lock = threading.Lock()
         self._decider = Decider(bounds)
         port.handle(ASK_TOPIC, self.handle_ask)
-        port.handle(TRANSFER_TOPIC, self.handle_transfer)
+        self._asked_witnesses_ms_by_name: dict[str, float] = {}
+        self._disputed_ms_by_name: dict[str, float] = {}
+        port.handle(SEAT_TOPIC, self.handle_seat_message)
 
     def handle_ask(self, payload: bytes, sender: str) -> None:
         """Answer a question; raise ``msgspec.MsgspecError`` if it is malformed."""
@@ -69,6 +77,8 @@
         now_ms = self._clock.now_ms()
         settled_ms = None if standing is None else standing.get_settled_ms(now_ms)
         if organisation is None or standing is None or settled_ms is None:
+            if standing is not None and standing.since_ms is not None:
+                self._ask_witnesses(ask.organisation, standing, now_ms)
             return Unavailable(ask.number)
         with self._lock:
             answer = self._decider.decide(
@@ -84,14 +94,18 @@
             self._pull(organisation, standing, pull_number)
         return answer
 
-    def handle_transfer(self, payload: bytes, sender: str) -> None:
-        """Handle a message of another decider; raise ``msgspec.MsgspecError`` if malformed."""
-        message = decode_transfer(payload)
+    def handle_seat_message(self, payload: bytes, sender: str) -> None:
+        """Handle a message about seats; raise ``msgspec.MsgspecError`` if it is malformed."""
+        message = decode_seat_message(payload)
         if isinstance(message, Transfer):
             with self._lock:
                 self._decider.accept(message, self._clock.now_ms())
-        else:
+        elif isinstance(message, Pull):
             self._hand_over(message, sender)
+        elif isinstance(message, HeldQuestion):
+            self._testify(message, sender)
+        else:
+            self._hear(message)
 
     def remove_unused(self) -> None:
         """Drop what is no longer needed."""
@@ -112,7 +126,7 @@
         message = encode(Pull(number, organisation.name, wanted))
         for record in standing.deciders:
             if record.id != self._own_id:
-                self._port.send(TRANSFER_TOPIC, message, record.address)
+                self._port.send(SEAT_TOPIC, message, record.address)
 
     def _hand_over(self, pull: Pull, sender: str) -> None:
         organisation, standing = self._find(pull.organisation)
@@ -130,4 +144,39 @@
             )
         if count:
             transfer = Transfer(pull.number, pull.organisation, count)
-            self._port.send(TRANSFER_TOPIC, encode(transfer), sender)
+            self._port.send(SEAT_TOPIC, encode(transfer), sender)
+
+    def _ask_witnesses(self, name: str, standing: Standing, now_ms: float) -> None:
+        """Ask other instances for how long they have listed this one with a seat."""
+        asked_ms = self._asked_witnesses_ms_by_name.get(name, float("-inf"))
+        if now_ms - asked_ms < CONFIRM_INTERVAL_MS:
+            return
+        self._asked_witnesses_ms_by_name[name] = now_ms
+        message = encode(HeldQuestion(name, self._own_id))
+        for record in standing.witnesses:
+            self._port.send(SEAT_TOPIC, message, record.address)
+
+    def _testify(self, question: HeldQuestion, sender: str) -> None:
+        organisation, standing = self._find(question.organisation)
+        if organisation is None or standing is None:
+            return
+        seats_max = count_deciders_max(organisation, self._bounds)
+        held_ms = self._seats.get_held_ms(organisation.name, seats_max, question.holder)
+        is_listed = any(record.id == question.holder for record in standing.deciders)
+        decides = standing.get_settled_ms(self._clock.now_ms()) is not None
+        answer = HeldAnswer(organisation.name, round(held_ms, 1), decides and not is_listed)
+        self._port.send(SEAT_TOPIC, encode(answer), sender)
+
+    def _hear(self, answer: HeldAnswer) -> None:
+        organisation, _ = self._find(answer.organisation)
+        if organisation is None:
+            return
+        now_ms = self._clock.now_ms()
+        seats_max = count_deciders_max(organisation, self._bounds)
+        name = organisation.name
+        if answer.is_rival:
+            self._disputed_ms_by_name[name] = now_ms
+            self._seats.dispute(name, seats_max, now_ms)
+        disputed_ms = self._disputed_ms_by_name.get(name, float("-inf"))
+        if answer.held_ms >= SETTLE_MS and now_ms - disputed_ms >= SETTLE_MS:
+            self._seats.confirm(name, seats_max, now_ms)
--- a/testing/quotas/fleet.py
+++ b/testing/quotas/fleet.py
@@ -55,6 +55,7 @@
         self.decider = Decider(self.fleet.bounds)
         self.holding = Holding()
         self.reserved: list[Token] = []
+        self.disputed_ms = float("-inf")
         self.skipped_until_ms_by_id: dict[str, float] = {}
 
     def observe(self, now_ms: float) -> None:
@@ -73,6 +74,8 @@
         standing = self.get_standing()
         settled_ms = standing.get_settled_ms(now_ms)
         if settled_ms is None:
+            if standing.since_ms is not None:
+                self.ask_witnesses(standing, now_ms)
             return None
         answer = self.decider.decide(
             ask,
@@ -87,6 +90,24 @@
             self.pull(standing, number, now_ms)
         return answer
 
+    def ask_witnesses(self, standing: Standing, now_ms: float) -> None:
+        """Decide at once if others have listed this instance with its seat for long."""
+        seats_max = count_deciders_max(self.organisation, self.fleet.bounds)
+        name = self.organisation.name
+        for record in standing.witnesses:
+            other = self.fleet.by_id[record.id]
+            if not (self.fleet.passes(self, other) and self.fleet.passes(other, self)):
+                continue
+            other.observe(now_ms)
+            listed = other.get_standing()
+            is_listed = any(item.id == self.record.id for item in listed.deciders)
+            if listed.get_settled_ms(now_ms) is not None and not is_listed:
+                self.disputed_ms = now_ms
+                self.seats.dispute(name, seats_max, now_ms)
+            held_ms = other.seats.get_held_ms(name, seats_max, self.record.id)
+            if held_ms >= SETTLE_MS and now_ms - self.disputed_ms >= SETTLE_MS:
+                self.seats.confirm(name, seats_max, now_ms)
+
     def pull(self, standing: Standing, number: int, now_ms: float) -> None:
         wanted = self.decider.get_wanted(self.organisation)
         for record in standing.deciders:
--- a/testing/quotas/test_bound.py
+++ b/testing/quotas/test_bound.py
@@ -182,6 +182,19 @@
             random.choice(alive).send()
         assert fleet.refused_count == 0
 
+    def test_a_decider_that_restarts_goes_on(self) -> None:
+        fleet = QuotaFleet(make_organisation(40, 40), instances=30)
+        fleet.settle()
+        instance = fleet.instances[0]
+        _send_evenly(fleet, per_s=36, duration_s=5, one_instance=True)
+        for record in instance.get_standing().deciders:
+            fleet.by_id[record.id].restart()
+        fleet.advance(1_000.0)
+        fleet.refused_count = 0
+        _send_evenly(fleet, per_s=25, duration_s=10, one_instance=True)
+        # The first ones come before the seats are confirmed and the buckets have filled.
+        assert fleet.refused_count <= 25
+
     def test_a_busy_instance_asks_less_than_once_a_request(self) -> None:
         fleet = QuotaFleet(make_organisation(200, 200), instances=100)
         fleet.settle()
--- a/testing/quotas/test_client.py
+++ b/testing/quotas/test_client.py
@@ -19,6 +19,7 @@
 from coltsfootrill.quotas.limits import SETTLE_MS
 from coltsfootrill.quotas.messages import ANSWER_TOPIC
 from coltsfootrill.quotas.messages import ASK_TOPIC
+from coltsfootrill.quotas.messages import SEAT_TOPIC
 from coltsfootrill.quotas.messages import Granted
 from coltsfootrill.quotas.messages import decode_ask
 from coltsfootrill.quotas.messages import encode
@@ -90,6 +91,12 @@
             on_event=self.events.append,
         )
 
+    def restart(self, record: InstanceRecord) -> None:
+        """Start an instance anew, which then hears of the others at once."""
+        self.seats_by_id[record.id] = Seats(record.id)
+        self.client_by_id[record.id] = self._start(record)
+        self.observe()
+
     def observe(self) -> None:
         for seats in self.seats_by_id.values():
             seats.observe(RECORDS, is_current=True, now_ms=self.clock.now_ms())
@@ -266,6 +273,42 @@
         assert len(set(asked)) == 2
 
 
+class TestRestartedDeciders:
+    def test_one_that_others_have_listed_all_the_time_decides_at_once(
+        self, harness: QuotaHarness
+    ) -> None:
+        decider = harness.find_decider("z0")
+        harness.restart(decider)
+        client = harness.find_other("z0")
+        asked: list[str] = []
+
+        def record_target(source: str, target: str, data: bytes) -> bool:
+            if data.startswith(ASK_TOPIC):
+                asked.append(target)
+            return False
+
+        client.acquire(harness.organisation)
+        harness.clock.shift(1_000.0)
+        harness.network.is_lost = record_target
+        client.acquire(harness.organisation)
+        assert asked == [decider.address]
+
+    def test_one_that_nobody_confirms_waits(self, harness: QuotaHarness) -> None:
+        decider = harness.find_decider("z0")
+        harness.restart(decider)
+        harness.network.is_lost = lambda source, target, data: data.startswith(SEAT_TOPIC)
+        client = harness.find_other("z0")
+        client.acquire(harness.organisation)
+        harness.clock.shift(1_000.0)
+        client.acquire(harness.organisation)
+        settled_ms = (
+            harness.seats_by_id[decider.id]
+            .get_standing("o1", 3)
+            .get_settled_ms(harness.clock.now_ms())
+        )
+        assert settled_ms is None
+
+
 class TestMetrics:
     def test_attempts_are_counted_by_organisation(self, harness: QuotaHarness) -> None:
         harness.take_all(harness.find_other("z0"))
