Give up only those questions for tokens that no request waits for

Cause: a question whose thread was delayed for four timeouts was replaced by a new one, and the tokens of its late answer were lost. A test of a lost answer failed so once in eight runs beside other load.

Change: a question that requests wait for is repeated under its number; only one that was sent ahead is replaced. The test passed twelve times in twelve runs beside the same load.

--- a/src/coltsfootrill/quotas/client.py
+++ b/src/coltsfootrill/quotas/client.py
@@ -41,7 +41,7 @@
 OTHER_LABEL = "other"
 # Numbers start from the wall time, so that they also grow over a restart.
 _NUMBERS_PER_MS = 1 << 16
-# A question ahead of requests is left alone when no request waits for its answer.
+# Nobody repeats a question ahead of requests; after this many timeouts it is given up.
 _TIMEOUTS_MAX_COUNT = 4
 
 
@@ -168,12 +168,15 @@
         exchange = account.exchange
         is_stale = (
             exchange is not None
+            and exchange.is_ahead
             and now_ms - exchange.asked_ms > _TIMEOUTS_MAX_COUNT * self._timeout_ms
         )
         if exchange is None or is_stale:
             self._end(account)
             wanted = account.holding.get_wanted(account.waiting_count, now_ms)
-            exchange = account.exchange = Exchange(now_ms=now_ms, wanted=wanted)
+            is_ahead = account.waiting_count == 0
+            exchange = Exchange(now_ms=now_ms, wanted=wanted, is_ahead=is_ahead)
+            account.exchange = exchange
         if not exchange.may_repeat():
             if exchange.decider is not None and exchange.sends:
                 self._record_loss(exchange.decider, now_ms)
--- a/src/coltsfootrill/quotas/exchange.py
+++ b/src/coltsfootrill/quotas/exchange.py
@@ -17,12 +17,24 @@
 class Exchange:
     """A question that is in progress; ``number`` changes with each decider that is asked.
 
-    ``denial`` is the refusal of a decider while another one may have tokens.
+    ``denial`` is the refusal of a decider while another one may have tokens. ``is_ahead`` means
+    that no request waited for a token when it began.
     """
 
-    __slots__ = ("asked_ms", "decider", "denial", "number", "sends", "tried", "until_ms", "wanted")
+    __slots__ = (
+        "asked_ms",
+        "decider",
+        "denial",
+        "is_ahead",
+        "number",
+        "sends",
+        "tried",
+        "until_ms",
+        "wanted",
+    )
 
-    def __init__(self, *, now_ms: float, wanted: int) -> None:
+    def __init__(self, *, now_ms: float, wanted: int, is_ahead: bool) -> None:
+        self.is_ahead = is_ahead
         self.asked_ms = now_ms
         self.until_ms = now_ms
         self.wanted = wanted
