Keep the seat of a quota that is seldom asked for over changes of the list

Cause: since when an instance holds a seat was followed only when it was asked. After two changes of the list without a question in between its bucket was taken for a new one, and a request of a small organisation could be refused inside its quota.

Change: held seats are followed from list to list, and lists are kept for 30 s. A question ahead of requests no longer replaces one that requests wait for.

--- a/src/coltsfootrill/quotas/client.py
+++ b/src/coltsfootrill/quotas/client.py
@@ -113,8 +113,7 @@
                 end_ms = now_ms + wait_max_ms if wait_max_ms is not None else float("inf")
                 token = self._wait(account, organisation, end_ms)
             self._metrics.quota_requests.labels(account.label, "granted").inc()
-            if holding.should_refill(now_ms) and not _is_busy(account, now_ms):
-                self._end(account)
+            if account.exchange is None and holding.should_refill(now_ms):
                 self._ask(account, organisation, now_ms)
             return token
 
--- a/src/coltsfootrill/quotas/seats.py
+++ b/src/coltsfootrill/quotas/seats.py
@@ -20,6 +20,8 @@
 # An instance that has not observed the fleet for longer may have missed a change.
 GAP_MAX_MS = 3_000.0
 OBSERVE_INTERVAL_MS = 200.0
+# Lists of instances are kept for this time, to tell since when an instance has held a seat.
+HISTORY_MS = 30_000.0
 # An instance asks this many others to confirm its seat.
 WITNESSES_MAX_COUNT = 5
 # A side without a majority goes on with its seats for this time. The others share out the seats of
@@ -199,17 +201,26 @@
         return others[:WITNESSES_MAX_COUNT]
 
     def _list(self, instances: Sequence[InstanceRecord], now_ms: float) -> None:
-        """Record a list of instances; keep earlier ones for as long as they matter."""
+        """Record a list of instances, and drop those that are too old."""
         listings = self._listings
+        before_generation = self._generation
         if not listings or not _have_same_ids(listings[-1].instances, instances):
             listings.append(_Listing(instances, now_ms))
             self._generation += 1
         elif listings[-1].instances is not instances:
             listings[-1].instances = instances
             self._generation += 1
-        while len(listings) > 1 and now_ms - listings[1].since_ms > SETTLE_MS:
+        if self._generation != before_generation:
+            self._update_held()
+        while len(listings) > 1 and now_ms - listings[1].since_ms > HISTORY_MS:
             listings.popleft()
 
+    def _update_held(self) -> None:
+        """Follow the seats of this instance from list to list, also of quotas seldom asked for."""
+        for key, standing in list(self._standing_by_key.items()):
+            if standing.since_ms is not None:
+                self._standing_by_key[key] = self._make_standing(*key, standing)
+
     def _remember(self, instances: Sequence[InstanceRecord], now_ms: float) -> None:
         if instances is self._remembered and now_ms - self._remembered_ms < REMEMBER_INTERVAL_MS:
             return
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1005,6 +1005,13 @@
         "if False and",
         QUOTAS + "client.py::TestRestartedDeciders",
     ),
+    Mutant(
+        "a holder keeps its seat over changes of the list, also when it is seldom asked",
+        "quotas/seats.py",
+        "            self._update_held()\n",
+        "            pass\n",
+        QUOTAS + "seats.py::TestTakingASeat",
+    ),
     Mutant(
         "an instance that was out of the list does not count as a holder of its seat",
         "quotas/seats.py",
--- a/testing/quotas/test_seats.py
+++ b/testing/quotas/test_seats.py
@@ -122,6 +122,16 @@
             standing = observer.seats.get_standing("o1", 3)
             assert standing.get_settled_ms(observer.now_ms) == settled_ms
 
+    def test_a_seat_of_a_quota_that_is_seldom_asked_for_is_not_interrupted_either(self) -> None:
+        observer = _Observer(_find_decider("z0").id)
+        observer.observe(RECORDS, 10_000.0)
+        settled_ms = observer.seats.get_standing("o1", 3).get_settled_ms(observer.now_ms)
+        for count in range(4):
+            others = [_make_record(50 + number, "z1") for number in range(count + 1)]
+            observer.observe(RECORDS + others, 20_000.0)
+        standing = observer.seats.get_standing("o1", 3)
+        assert standing.get_settled_ms(observer.now_ms) == settled_ms
+
     def test_an_organisation_that_is_new_needs_no_waiting(self) -> None:
         observer = _Observer("n0")
         observer.observe(RECORDS, 10_000.0)
