List organisations with their quotas for operators

Cause: operators could not see an organisation's limits, use, refusals and deciders in one place.

Change: a node serves them beside its metrics, and a command sums them over nodes. Keys are not part of the answer; a test looks for them.

--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -18,6 +18,7 @@
 from coltsfootrill.operators.client import OperatorClient
 from coltsfootrill.operators.exit_codes import ExitCode
 from coltsfootrill.operators.explain import explain_request
+from coltsfootrill.operators.organisations import list_organisations
 from coltsfootrill.operators.output import print_error
 from coltsfootrill.process import set_up_process
 from coltsfootrill.roles.control import ControlRole
@@ -55,6 +56,9 @@
 OperatorAddresses = Annotated[
     list[str], Parameter(help="Address for operators of an instance, ip:port; repeatable.")
 ]
+MetricsAddresses = Annotated[
+    list[str], Parameter(help="Address for metrics of a node, ip:port; repeatable.")
+]
 TokenFile = Annotated[Path, Parameter(help="File that holds the token of operators.")]
 OperatorName = Annotated[
     str | None, Parameter(help="Name recorded in the audit trail; default: the login name.")
@@ -172,6 +176,18 @@
     return commands.list_upstreams(_make_clients(at, token_file, None), as_json=json)
 
 
+@app.command
+def organisations(*, at: MetricsAddresses, json: AsJson = False) -> int:
+    """List organisations with their limits, requests granted and refused, and deciders.
+
+    Give the addresses of all nodes to see the requests of the fleet. Keys are not shown.
+    """
+    clients = [
+        OperatorClient(commands.parse_address_argument(text), token="", operator="") for text in at
+    ]
+    return list_organisations(clients, as_json=json)
+
+
 @app.command
 def status(*, at: OperatorAddresses, token_file: TokenFile, json: AsJson = False) -> int:
     """Print the state of instances."""
--- a/src/coltsfootrill/quotas/client.py
+++ b/src/coltsfootrill/quotas/client.py
@@ -30,6 +30,7 @@
 from coltsfootrill.quotas.messages import decode_answer
 from coltsfootrill.quotas.messages import encode
 from coltsfootrill.quotas.seats import Seats
+from coltsfootrill.quotas.use import QuotaUse
 
 # A decider that did not answer, or does not decide, is asked again after this time.
 DECIDER_BACKOFF_MS = 1_500.0
@@ -48,10 +49,21 @@
 class _Account:
     """What this instance holds of one organisation's quota; ``condition`` guards it."""
 
-    __slots__ = ("condition", "exchange", "holding", "label", "message", "waiting_count")
+    __slots__ = (
+        "condition",
+        "exchange",
+        "granted_count",
+        "holding",
+        "label",
+        "message",
+        "refused_count",
+        "waiting_count",
+    )
 
     def __init__(self, label: str) -> None:
         self.label = label
+        self.granted_count = 0
+        self.refused_count = 0
         self.condition = threading.Condition()
         self.holding = Holding()
         self.exchange: Exchange | None = None
@@ -112,6 +124,7 @@
             if token is None:
                 end_ms = now_ms + wait_max_ms if wait_max_ms is not None else float("inf")
                 token = self._wait(account, organisation, end_ms)
+            account.granted_count += 1
             self._metrics.quota_requests.labels(account.label, "granted").inc()
             if account.exchange is None and holding.should_refill(now_ms):
                 self._ask(account, organisation, now_ms)
@@ -123,6 +136,24 @@
         with account.condition:
             account.holding.give_back(token)
 
+    def describe_use(self, organisation: Organisation) -> QuotaUse:
+        """Return what this instance has done for an organisation."""
+        deciders: list[InstanceRecord] = []
+        if organisation.has_quota:
+            seats_max = count_deciders_max(organisation, self._bounds)
+            deciders = self._seats.get_standing(organisation.name, seats_max).deciders
+        account = self._account_by_name.get(organisation.name)
+        now_ms = self._clock.now_ms()
+        return QuotaUse(
+            name=organisation.name,
+            rate_per_s=organisation.rate_per_s,
+            burst=organisation.burst,
+            per_s=0.0 if account is None else round(account.holding.get_demand_per_s(now_ms), 2),
+            granted=0 if account is None else account.granted_count,
+            refused=0 if account is None else account.refused_count,
+            deciders=[record.id for record in deciders],
+        )
+
     def handle_answer(self, payload: bytes, sender: str) -> None:
         """Apply the answer of a decider; raise ``msgspec.MsgspecError`` if it is malformed."""
         answer = decode_answer(payload)
@@ -261,6 +292,7 @@
     def _make_refusal(
         self, account: _Account, organisation: Organisation, now_ms: float
     ) -> QuotaExceededError:
+        account.refused_count += 1
         self._metrics.quota_requests.labels(account.label, "refused").inc()
         retry_after_ms = account.holding.get_retry_after_ms(now_ms)
         return QuotaExceededError(
--- a/src/coltsfootrill/quotas/holding.py
+++ b/src/coltsfootrill/quotas/holding.py
@@ -8,6 +8,7 @@
 from coltsfootrill.quotas.messages import Denied
 from coltsfootrill.quotas.messages import Granted
 
+MS_PER_SECOND = 1_000.0
 # The demand of an instance is averaged over this time.
 DEMAND_WINDOW_MS = 1_000.0
 # Tokens are asked for ahead of the requests of this part of their validity.
@@ -76,6 +77,10 @@
         """Record that a request needs a token."""
         self._demand.add(now_ms)
 
+    def get_demand_per_s(self, now_ms: float) -> float:
+        """Return how many requests a second have needed a token in the last second or so."""
+        return self._demand.get_per_ms(now_ms) * MS_PER_SECOND
+
     def take(self, now_ms: float) -> Token | None:
         """Return a token that is in hand, ``None`` if there is none."""
         tokens = self._tokens
--- a/src/coltsfootrill/quotas/member.py
+++ b/src/coltsfootrill/quotas/member.py
@@ -16,6 +16,7 @@
 from coltsfootrill.quotas.limits import QuotaBounds
 from coltsfootrill.quotas.seats import Seats
 from coltsfootrill.quotas.server import QuotaServer
+from coltsfootrill.quotas.use import QuotaUse
 
 DEFAULT_TIMEOUT_MS = 30.0
 
@@ -32,14 +33,19 @@
 
     def find(self, name: str) -> Organisation | None:
         """Return an organisation, ``None`` if the manifest has none of this name."""
+        return self._get_by_name().get(name)
+
+    def list_all(self) -> list[Organisation]:
+        """Return all organisations."""
+        return list(self._get_by_name().values())
+
+    def _get_by_name(self) -> dict[str, Organisation]:
         table = self._manifests.current
-        if table is None:
-            return None
-        if table.version != self._version:
+        if table is not None and table.version != self._version:
             organisations = table.manifest.organisations or []
             self._by_name = {item.name: item for item in organisations}
             self._version = table.version
-        return self._by_name.get(name)
+        return self._by_name
 
 
 class QuotaMember:
@@ -86,6 +92,10 @@
             on_event=on_event,
         )
 
+    def list_use(self) -> list[QuotaUse]:
+        """Return the organisations of the manifest, and what this instance has done for them."""
+        return [self.client.describe_use(item) for item in self._organisations.list_all()]
+
     def run_housekeeping(self) -> None:
         """Record which instances are listed; drop what is no longer needed."""
         self._observe()
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -44,6 +44,8 @@
 from coltsfootrill.operators.http import HttpRequest
 from coltsfootrill.operators.http import HttpServer
 from coltsfootrill.operators.http import OperatorListenError
+from coltsfootrill.operators.organisations import ORGANISATIONS_PATH
+from coltsfootrill.operators.organisations import make_organisations_handler
 from coltsfootrill.plugins import collect_schemes
 from coltsfootrill.plugins import find_dialect
 from coltsfootrill.plugins import find_interface
@@ -233,6 +235,7 @@
         """Serve metrics; a port that cannot be used is logged and does not stop the node."""
         app = HttpApp(None)
         app.add("GET", "/metrics", self._handle_metrics)
+        app.add("GET", ORGANISATIONS_PATH, make_organisations_handler(self._quotas.list_use))
         try:
             HttpServer(app, self._settings.get("metrics", "listen"), threads=1).start()
         except OperatorListenError as error:
--- a/testing/quotas/test_member.py
+++ b/testing/quotas/test_member.py
@@ -5,6 +5,7 @@
 import json
 import socket
 
+import msgspec
 import pytest
 
 from coltsfootrill.clock import Clock
@@ -141,6 +142,15 @@
         assert count + second.take_all() <= most
         assert first.events == second.events == []
 
+    def test_operators_see_what_was_granted_and_refused_but_no_key(self, pair: _Pair) -> None:
+        first = pair.nodes[0]
+        count = first.take_all()
+        (use,) = first.member.list_use()
+        assert (use.name, use.rate_per_s, use.granted, use.refused) == ("o1", 30, count, 1)
+        assert sorted(use.deciders) == ["n0", "n1"]
+        assert use.per_s > 0
+        assert b"k1" not in msgspec.json.encode(use)
+
     def test_a_lower_limit_applies_at_once(self, pair: _Pair) -> None:
         for node in pair.nodes:
             node.take_all()
