--- a/src/coltsfootrill/cli.py
+++ b/src/coltsfootrill/cli.py
@@ -22,6 +22,7 @@
 from coltsfootrill.operators.explain import explain_request
 from coltsfootrill.operators.manifest_check import check_manifest as run_manifest_check
 from coltsfootrill.operators.output import print_error
+from coltsfootrill.operators.quota_list import list_quotas
 from coltsfootrill.process import set_up_process
 from coltsfootrill.roles.control import ControlRole
 from coltsfootrill.roles.entry import EntryRole
@@ -61,6 +62,9 @@
 OperatorAddresses = Annotated[
     list[str], Parameter(help="Address for operators of an instance, ip:port; repeatable.")
 ]
+MetricsAddresses = Annotated[
+    list[str], Parameter(help="Address for metrics of a node, ip:port; repeatable.")
+]
 TokenFile = Annotated[Path, Parameter(help="File that holds the token of operators.")]
 OperatorName = Annotated[
     str | None, Parameter(help="Name recorded in the audit trail; default: the login name.")
@@ -233,6 +237,18 @@
     return commands.list_organisations(client, as_json=json)
 
 
+@app.command
+def quotas(*, at: MetricsAddresses, json: AsJson = False) -> int:
+    """List the quotas of organisations, their requests granted and refused, and the deciders.
+
+    Give the addresses of all nodes to see the requests of the fleet. Keys are not shown.
+    """
+    clients = [
+        OperatorClient(commands.parse_address_argument(text), token="", operator="") for text in at
+    ]
+    return list_quotas(clients, as_json=json)
+
+
 @app.command
 def status(*, at: OperatorAddresses, token_file: TokenFile, json: AsJson = False) -> int:
     """Print the state of instances."""
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -47,8 +47,10 @@
 from coltsfootrill.proxy.request import ProxyRequest
 from coltsfootrill.proxy.request import RequestTimes
 from coltsfootrill.proxy.request_record import RequestRecord
+from coltsfootrill.proxy.request_tokens import make_request_tokens
 from coltsfootrill.proxy.resolution import RequestResolver
 from coltsfootrill.proxy.resolution import Resolution
+from coltsfootrill.quotas.client import QuotaClient
 from coltsfootrill.registry.source import UpstreamSource
 from coltsfootrill.zones.evacuation import EvacuatedZones
 
@@ -86,6 +88,7 @@
         dispatch: DispatchClient | None = None,
         warm_up_bound: WarmUpBound | None = None,
         zones: EvacuatedZones | None = None,
+        quotas: QuotaClient | None = None,
         describe_manifest: Callable[[], ManifestSource | None] = lambda: None,
         get_reported_version: Callable[[], int] = lambda: 0,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
@@ -95,6 +98,7 @@
         self._dispatch = dispatch
         self._warm_up_bound = warm_up_bound
         self._zones = zones or EvacuatedZones()
+        self._quotas = quotas
         self._dialect = dialect
         self._make_budget = make_budget
         self._on_ended = on_ended
@@ -275,6 +279,7 @@
             dialect=self._dialect,
             service=service,
             key_check=self._resolver.make_key_check(resolution),
+            tokens=make_request_tokens(self._quotas, proxied.organisation, clock=self._clock),
         )
         record.attempts = forwarder.attempts
         record.deadline_ms = times.deadline_ms - times.arrived_ms
--- a/src/coltsfootrill/proxy/forward.py
+++ b/src/coltsfootrill/proxy/forward.py
@@ -21,6 +21,8 @@
 from coltsfootrill.proxy.attempt import AttemptFailure
 from coltsfootrill.proxy.attempt import AttemptInProgress
 from coltsfootrill.proxy.attempt import make_attempt_event
+from coltsfootrill.proxy.attempt import make_final_error
+from coltsfootrill.proxy.attempt import make_unknown_error
 from coltsfootrill.proxy.attempt import poll_attempts
 from coltsfootrill.proxy.attempt_head import encode_attempt_head
 from coltsfootrill.proxy.caller_key import KeyCheck
@@ -37,6 +39,7 @@
 from coltsfootrill.proxy.pools import ConnectionPools
 from coltsfootrill.proxy.request import ProxyRequest
 from coltsfootrill.proxy.request_guard import RequestGuard
+from coltsfootrill.proxy.request_tokens import AttemptTokens
 from coltsfootrill.proxy.second_attempt import get_second_attempt_at_ms
 from coltsfootrill.proxy.second_attempt import get_silence_timeout_ms
 from coltsfootrill.proxy.second_attempt import get_target_left_ms
@@ -65,9 +68,11 @@
         dialect: Dialect = NATIVE_DIALECT,
         service: Service | None = None,
         key_check: KeyCheck,
+        tokens: AttemptTokens,
     ) -> None:
         self._request = request
         self._key_check = key_check
+        self._tokens = tokens
         self._service = service or route.service
         self._dialect = dialect
         self._guard = RequestGuard(guard, request, dialect.attempt_headers)
@@ -106,13 +111,15 @@
                 raise
             if failure.answer is not None:
                 return failure.answer
-            raise UnknownOutcomeError("502 Bad Gateway", failure.kind, failure.message) from error
+            raise make_unknown_error(failure) from error
         finally:
             self._cancel_in_progress()
+            self._tokens.close()
 
     def _try_once(self) -> Answer | AttemptFailure:
         """Make one attempt, and a second one in parallel if allowed."""
         self._guard.check()
+        self._tokens.reserve()
         claim = self._controller.acquire(
             self._service,
             self._kind,
@@ -126,6 +133,7 @@
             # crashed others.
             self._key_check.check(self._request)
             self._guard.begin()
+            self._tokens.spend()
         except NotRunError:
             self._controller.end(claim, "abandoned")
             raise
@@ -145,6 +153,7 @@
         self._tried.add(claim.load.id)
         left_ms = self._request.times.deadline_ms - self._clock.now_ms()
         if left_ms <= SEND_MARGIN_MS:
+            self._tokens.take_back()
             self._controller.end(claim, "abandoned")
             raise self._make_deadline_error()
         pool = self._pools.get(claim.load.address)
@@ -155,10 +164,12 @@
                 on_unsolicited=lambda: self._count_unsolicited("idle"),
             ) or pool.open(left_ms)
         except ConnectError as error:
+            self._tokens.take_back()
             self._end_failed(claim, "refused")
             return AttemptFailure("refused", str(error))
         if self._controller.is_evacuated(claim):
             pool.give_back(connection)
+            self._tokens.take_back()
             self._controller.end(claim, "abandoned")
             return AttemptFailure("zone-evacuated", "the zone of the upstream is evacuated")
         self._used.add(connection)
@@ -238,12 +249,16 @@
         )
         if claim is None:
             return
+        if not self._tokens.spend_second():
+            self._controller.end(claim, "abandoned")
+            return
         # Spend the retry budget only once an upstream has been acquired for the attempt.
         if is_silent:
             is_allowed = self._controller.may_retry(self._history, "lost", self._kind)
         else:
             is_allowed = self._controller.may_hedge(self._history, self._kind)
         if not is_allowed or not self._key_check.is_passed(self._request):
+            self._tokens.take_back()
             self._controller.end(claim, "abandoned")
             return
         self._count_extra("silent" if is_silent else "hedge")
@@ -296,6 +311,7 @@
             self._record_attempt(claim, "misdirected", connection)
             self._controller.end(claim, "misdirected")
             self._history.possibly_run -= 1
+            self._tokens.take_back()
             return AttemptFailure(
                 "misdirected", f"upstream {claim.load.id} is no longer at its address"
             )
@@ -303,6 +319,7 @@
             self._record_attempt(claim, "shed", connection)
             self._controller.end(claim, "shed", report)
             self._history.possibly_run -= 1
+            self._tokens.take_back()
             return AttemptFailure("shed", f"upstream {claim.load.id} had no capacity")
         is_genuine = not dialect.signature or bool(answer.get_header(dialect.signature))
         if answer.status not in dialect.implied_not_run_statuses and (
@@ -345,14 +362,7 @@
     def _finish_failed(self, failure: AttemptFailure) -> Answer:
         if failure.answer is not None:
             return failure.answer
-        if not self._history.may_have_run:
-            raise NotRunError(
-                "503 Service Unavailable",
-                failure.kind,
-                failure.message,
-                retry_after_s=self._controller.get_retry_after_s(),
-            )
-        raise UnknownOutcomeError("502 Bad Gateway", failure.kind, failure.message)
+        raise make_final_error(failure, self._history, self._controller.get_retry_after_s())
 
     def _make_deadline_error(self) -> ProxyError:
         for attempt in self._in_progress:
--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -24,6 +24,7 @@
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.server import CallerServer
+from coltsfootrill.quotas.client import QuotaClient
 from coltsfootrill.registry.source import UpstreamSource
 from coltsfootrill.settings import Settings
 from coltsfootrill.tasks import start_task
@@ -57,6 +58,7 @@
         dispatch: DispatchClient | None = None,
         warm_up_bound: WarmUpBound | None = None,
         zones: EvacuatedZones | None = None,
+        quotas: QuotaClient | None = None,
         describe_manifest: Callable[[], ManifestSource | None] = lambda: None,
         get_reported_version: Callable[[], int] = lambda: 0,
         on_ended: Callable[[RequestEnded], None] = lambda event: None,
@@ -82,6 +84,7 @@
             dispatch=dispatch,
             warm_up_bound=warm_up_bound,
             zones=zones,
+            quotas=quotas,
             describe_manifest=describe_manifest,
             get_reported_version=get_reported_version,
             on_ended=on_ended,
--- a/src/coltsfootrill/roles/node.py
+++ b/src/coltsfootrill/roles/node.py
@@ -46,6 +46,8 @@
 from coltsfootrill.operators.http import HttpRequest
 from coltsfootrill.operators.http import HttpServer
 from coltsfootrill.operators.http import OperatorListenError
+from coltsfootrill.operators.quota_list import QUOTAS_PATH
+from coltsfootrill.operators.quota_list import make_quotas_handler
 from coltsfootrill.plugins import collect_schemes
 from coltsfootrill.plugins import find_dialect
 from coltsfootrill.plugins import find_interface
@@ -54,6 +56,8 @@
 from coltsfootrill.plugins import load_plugins
 from coltsfootrill.process import error_lines
 from coltsfootrill.proxy.load_poller import LoadPoller
+from coltsfootrill.quotas.limits import QuotaBounds
+from coltsfootrill.quotas.member import QuotaMember
 from coltsfootrill.registry.directory import StateChange
 from coltsfootrill.roles.gateway import SWITCH_INTERVAL_S
 from coltsfootrill.roles.gateway import Gateway
@@ -128,6 +132,18 @@
             settings.get("instance", "link_mbps"),
         )
         self._datagram_port = DatagramPort(str(listen))
+        self._quotas = QuotaMember(
+            self._own_record,
+            bounds=QuotaBounds.from_settings(settings),
+            port=self._datagram_port,
+            manifests=self.manifests,
+            view=self.view,
+            is_stopping=lambda: self.gateway.is_stopping,
+            clock=self._clock,
+            metrics=self.metrics,
+            timeout_ms=settings.get("dispatch", "timeout_ms"),
+            on_event=self.log.emit,
+        )
         self.gateway = Gateway(
             settings,
             manifests=self.manifests,
@@ -144,6 +160,7 @@
                 slack=settings.get("warm_up", "slack"),
             ),
             zones=self.zones,
+            quotas=self._quotas.client,
             describe_manifest=self._describe_manifest,
             get_reported_version=self.view.get_reported_version,
             on_ended=requests.record,
@@ -231,6 +248,7 @@
         """Serve metrics; a port that cannot be used is logged and does not stop the node."""
         app = HttpApp(None)
         app.add("GET", "/metrics", self._handle_metrics)
+        app.add("GET", QUOTAS_PATH, make_quotas_handler(self._quotas.list_use))
         try:
             HttpServer(app, self._settings.get("metrics", "listen"), threads=1).start()
         except OperatorListenError as error:
@@ -301,6 +319,7 @@
     def _run_housekeeping(self) -> None:
         self.view.remove_expired()
         self._dispatch_server.remove_expired()
+        self._quotas.run_housekeeping()
         self.control.run_housekeeping()
         self.gateway.close_idle_connections()
         self._update_retry_allowance()
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -38,6 +38,8 @@
 ZONE_ORDERS = "testing/control/test_zone_orders.py::Test"
 EVACUATION = "testing/proxy/test_evacuation.py::Test"
 BALANCER = "testing/balancer/test_"
+QUOTAS = "testing/quotas/test_"
+QUOTA_REQUESTS = "testing/proxy/test_quota.py::Test"
 
 MUTANTS = [
     Mutant(
@@ -135,8 +137,8 @@
     Mutant(
         "a refused request waits for no upstream",
         "proxy/forward.py",
-        "        self._guard.check()\n        claim",
-        "        claim",
+        "        self._guard.check()\n",
+        "",
         "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
     ),
     Mutant(
@@ -184,8 +186,8 @@
     Mutant(
         "a request that crashed three upstreams while it waited is not sent",
         "proxy/forward.py",
-        "            self._guard.begin()\n        except",
-        "            pass\n        except",
+        "            self._guard.begin()\n",
+        "",
         "testing/proxy/test_crash_guard.py::TestDeadlyRequest",
     ),
     Mutant(
@@ -1315,4 +1317,144 @@
         "self._make_rate_limit(now_ms)",
         EVACUATION + "UpstreamsOfTheZone",
     ),
+    Mutant(
+        "a token of a quota is not used after it expired",
+        "quotas/holding.py",
+        "return now_ms < self.expires_ms",
+        "return True",
+        QUOTAS + "holding.py::TestTokens",
+    ),
+    Mutant(
+        "a token that was given back expires as before",
+        "quotas/holding.py",
+        "        while tokens and not tokens[0].is_valid(now_ms):\n            tokens.popleft()\n",
+        "",
+        QUOTAS + "holding.py::TestTokens",
+    ),
+    Mutant(
+        "a lost answer of a decider costs no second token",
+        "quotas/decider.py",
+        "if last is not None and ask.number <= last.answer.number:",
+        "if False:",
+        QUOTAS + "decider.py::TestAnswers",
+    ),
+    Mutant(
+        "a decider that starts has no tokens",
+        "quotas/bucket.py",
+        "self._level = 0.0",
+        "self._level = limit.capacity",
+        QUOTAS + "decider.py::TestStart",
+    ),
+    Mutant(
+        "an instance that gets a seat waits until the holder before has stopped",
+        "quotas/seats.py",
+        "now_ms - self.since_ms < SETTLE_MS",
+        "False",
+        QUOTAS + "seats.py::TestTakingASeat",
+    ),
+    Mutant(
+        "a decider that restarts need not wait if others have listed it all the time",
+        "quotas/server.py",
+        "if answer.held_ms >= SETTLE_MS and",
+        "if False and",
+        QUOTAS + "client.py::TestRestartedDeciders",
+    ),
+    Mutant(
+        "a holder keeps its seat over changes of the list, also when it is seldom asked",
+        "quotas/seats.py",
+        "            self._update_held()\n",
+        "            pass\n",
+        QUOTAS + "seats.py::TestTakingASeat",
+    ),
+    Mutant(
+        "an instance that was out of the list does not count as a holder of its seat",
+        "quotas/seats.py",
+        "if all(record.id != instance_id for record in chosen):",
+        "if False:",
+        QUOTAS + "seats.py::TestWitnesses",
+    ),
+    Mutant(
+        "an instance whose seat is disputed waits",
+        "quotas/seats.py",
+        "standing.since_ms = now_ms\n",
+        "pass\n",
+        QUOTAS + "seats.py::TestWitnesses",
+    ),
+    Mutant(
+        "an instance without hubs stops deciding",
+        "quotas/seats.py",
+        "elif now_ms - self._touched_ms <= KEPT_MS and self._listings:",
+        "elif self._listings:",
+        QUOTAS + "seats.py::TestLosingTouch",
+    ),
+    Mutant(
+        "a side without a majority stops deciding",
+        "quotas/seats.py",
+        "if now_ms - self._current_ms > MINORITY_MAX_MS:",
+        "if False:",
+        QUOTAS + "seats.py::TestLosingTouch",
+    ),
+    Mutant(
+        "the seats of a zone that may be cut off are not shared out",
+        "quotas/seats.py",
+        "if now_ms - seen_ms > REMEMBER_MS:",
+        "if True:",
+        QUOTAS + "seats.py::TestLosingTouch",
+    ),
+    Mutant(
+        "an instance that was frozen takes its seat anew",
+        "quotas/seats.py",
+        "if elapsed_ms > GAP_MAX_MS:",
+        "if False:",
+        QUOTAS + "seats.py::TestLosingTouch",
+    ),
+    Mutant(
+        "tokens that a decider hands over leave its bucket",
+        "quotas/decider.py",
+        "return bucket.take(count, count, now_ms)",
+        "return count",
+        QUOTAS + "decider.py::TestTransfers",
+    ),
+    Mutant(
+        "the deciders of a quota lend each other tokens",
+        "quotas/server.py",
+        "        if pull_number is not None:\n",
+        "        if False:\n",
+        QUOTAS + "client.py::TestTokens",
+    ),
+    Mutant(
+        "a refused instance asks no decider until a token is expected",
+        "quotas/holding.py",
+        "return now_ms < self._denied_until_ms",
+        "return False",
+        QUOTAS + "holding.py::TestRefusals",
+    ),
+    Mutant(
+        "another decider is asked when one does not answer",
+        "quotas/exchange.py",
+        "DECIDERS_TRIED_MAX_COUNT = 2",
+        "DECIDERS_TRIED_MAX_COUNT = 1",
+        QUOTAS + "client.py::TestLostDeciders",
+    ),
+    Mutant(
+        "a request that was not run gives its token back",
+        "proxy/request_tokens.py",
+        "            self._client.give_back(self._organisation, token)\n",
+        "            pass\n",
+        QUOTA_REQUESTS + "TokensOfARequest",
+    ),
+    Mutant(
+        "each attempt that may have run takes a token",
+        "proxy/request_tokens.py",
+        "        self.reserve()\n        self._spent.append(self._spare.pop())\n",
+        "        self.reserve()\n",
+        QUOTA_REQUESTS + "TokensOfARequest",
+    ),
+    Mutant(
+        "a request beyond its quota is refused before it waits for an upstream",
+        "proxy/forward.py",
+        "        self._tokens.reserve()\n",
+        "",
+        QUOTA_REQUESTS + "Forwarding",
+    ),
 ]
