Let an instance use a warm-up only once others have heard of it

Cause: a hub that has just started lists few instances, each of which takes itself for the first in rank. After a loss of power of all, each voter would have had the whole rate of upstreams that are cold then.

Ruled out: a delay for stated rates too, whose bound begins three seconds after the first statement.

Change: an instance new among the first two in rank has its share of the quarter for two seconds. One that was next has the whole rate at once when the first is lost.

--- a/src/coltsfootrill/dispatch/client.py
+++ b/src/coltsfootrill/dispatch/client.py
@@ -45,6 +45,9 @@
 DISPATCHER_BACKOFF_MS = 1_500.0
 # Rankings of dispatchers are cached for this time.
 RANKING_TTL_MS = 200.0
+# An instance that is new among the first in rank has a share of warm-ups for this time: a hub that
+# has just started lists few instances, and others may not have heard of this one.
+WARM_UP_DELAY_MS = 2_000.0
 # The first token is random, so tokens are not reused after a restart.
 _TOKEN_BITS = 48
 
@@ -94,6 +97,8 @@
         self._dispatchers_by_service: dict[str, list[InstanceRecord]] = {}
         self._ranking_cached_ms = float("-inf")
         self._rate_shares_by_service: dict[str, RateShares] = {}
+        # Since when this instance has been among those that have the whole rate of warm-ups.
+        self._ranked_since_ms_by_service: dict[str, float] = {}
         port.handle(REPLY_TOPIC, self.handle_reply)
 
     def acquire(
@@ -138,22 +143,33 @@
         """Return the parts of the rates of the upstreams of a service that are this instance's.
 
         The dispatcher that all others should use has the whole rate, and that which they use next
-        has the whole rate of warm-ups too. An instance that no longer hears of the others keeps its
-        shares: they are as many as before.
+        has the whole rate of warm-ups too, both after ``WARM_UP_DELAY_MS``. An instance that no
+        longer hears of the others keeps its shares: they are as many as before.
         """
         instances = self._list_instances()
-        dispatchers = self._list_dispatchers(service_id, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        dispatchers = self._list_dispatchers(service_id, now_ms)
         if instances and dispatchers:
             ranked_ids = [record.id for record in dispatchers]
             fallback = FALLBACK_SHARE / len(instances)
             is_first = ranked_ids[0] == self._own.id
-            is_next = self._own.id in ranked_ids[:WARM_UP_DISPATCHERS_COUNT]
+            has_warm_up = self._has_long_been_in(
+                ranked_ids[:WARM_UP_DISPATCHERS_COUNT], service_id, now_ms
+            )
             self._rate_shares_by_service[service_id] = RateShares(
                 stated=WHOLE_SHARE if is_first else fallback,
-                warm_up=WHOLE_SHARE if is_next else fallback,
+                warm_up=WHOLE_SHARE if has_warm_up else fallback,
             )
         return self._rate_shares_by_service.get(service_id, RateShares())
 
+    def _has_long_been_in(self, ids: list[str], service_id: str, now_ms: float) -> bool:
+        """Return whether this instance has been in ``ids`` for ``WARM_UP_DELAY_MS``."""
+        if self._own.id not in ids:
+            self._ranked_since_ms_by_service.pop(service_id, None)
+            return False
+        since_ms = self._ranked_since_ms_by_service.setdefault(service_id, now_ms)
+        return now_ms - since_ms >= WARM_UP_DELAY_MS
+
     def release(
         self,
         grant: Grant,
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -878,6 +878,13 @@
         "ranked_ids[:1]",
         DISPATCH_CLIENT + "StatedRate",
     ),
+    Mutant(
+        "instances that start at the same time do not all use a warm-up",
+        "dispatch/client.py",
+        "        return now_ms - since_ms >= WARM_UP_DELAY_MS\n",
+        "        return True\n",
+        DISPATCH_CLIENT + "StatedRate",
+    ),
     Mutant(
         "the rate of a warm-up leaves room for a second dispatcher",
         "balancer/warm_up.py",
