--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -35,7 +35,8 @@
             )
             faults_count = len(soak.history.faults)
             changes = f"{soak.judge.acknowledged_count} changes, {soak.judge.judged_count} judged"
-            print(f"seed {seed}: {faults_count} faults, {changes}, {counts}", flush=True)
+            cold = f"{soak.cold_judge.judged_count} warm-ups judged"
+            print(f"seed {seed}: {faults_count} faults, {changes}, {cold}, {counts}", flush=True)
             for violation in violations:
                 print(f"  VIOLATED {violation}", flush=True)
             if violations:
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -13,6 +13,7 @@
 from testing.nodes import Node
 from testing.platform.test_desired_state import encode_state
 from testing.platform.test_desired_state import route
+from testing.soak.cold import SERVICES
 from testing.soak.history import History
 from testing.soak.history import Reply
 from testing.soak.history import now_ms
@@ -261,7 +262,8 @@
             route(name=f"n-{number}", pathPrefix=f"/n{number}/", kind="safe", service="stock")
             for number in list_routes(change)
         ]
-        raw = encode_state(first, *ROUTES[1:], *added, version=f"{version:08x}")
+        routes = [first, *ROUTES[1:], *added]
+        raw = encode_state(*routes, version=f"{version:08x}", services=SERVICES)
         for _ in itertools.count() if tries_count is None else range(tries_count):
             node = self._random.choice(self._nodes)
             status = node.submit(raw, base, timeout_s=OPERATOR_TIMEOUT_S)
--- a/testing/soak/history.py
+++ b/testing/soak/history.py
@@ -177,6 +177,16 @@
                 f"{request_id} was executed but reported as not run ({reply.status})"
             )
 
+    def list_runs(self, upstream_id: str) -> list[tuple[Run, str]]:
+        """Return the arrivals at an upstream, each with the node that its caller asked."""
+        with self._lock:
+            runs = [run for of_request in self._runs_by_id.values() for run in of_request]
+            return [
+                (run, self._node_by_request_id.get(run.request_id, ""))
+                for run in runs
+                if run.upstream_id == upstream_id
+            ]
+
     def count_outcomes(self) -> dict[str, int]:
         """Count the requests sent, and the replies by status; ``cut`` is a failed connection."""
         counts: dict[str, int] = {"sent": len(self._is_idempotent_by_id)}
--- a/testing/soak/judge.py
+++ b/testing/soak/judge.py
@@ -123,6 +123,15 @@
                 if host in disturbance.hosts or disturbance.hosts & self._voters
             )
 
+    def is_calm(self, host: str, at_ms: float) -> bool:
+        """Return whether a node and its own links were undisturbed, whatever other nodes did."""
+        with self._lock:
+            return all(
+                disturbance.is_calm(at_ms)
+                for disturbance in self._disturbances
+                if host in disturbance.hosts
+            )
+
     def check(self, probe: Probe) -> None:
         """Check the answer to a probe."""
         self._check_regress(probe)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -18,6 +18,7 @@
 from testing.soak.callers import LeavingCaller
 from testing.soak.callers import Operator
 from testing.soak.callers import Prober
+from testing.soak.cold import ColdJudge
 from testing.soak.fleet_faults import VOTERS_COUNT
 from testing.soak.fleet_faults import FleetFaults
 from testing.soak.fleet_faults import choose_calm_s
@@ -53,6 +54,7 @@
 ALL_FAULTS_SHARE = 0.5
 SAME_ID_SHARE = 0.25
 CRASH_SHARE = 0.3
+COLD_SERVICE_SHARE = 0.3
 RESTARTS_MAX_COUNT = 5
 LINKED_NODE = Path(__file__).with_name("linked_node.py")
 JOINS_MAX_COUNT = 2
@@ -93,6 +95,7 @@
         self._links = NodeLinks(hosts, self._ports["fleet"])
         self._voters = hosts[:VOTERS_COUNT]
         self.judge = ManifestJudge(self.history, self._voters)
+        self.cold_judge = ColdJudge(self.history, self.judge)
         self._nodes = [self._make_node(number) for number in range(1, nodes + 1)]
         self._nodes_max_count = len(hosts)
         self._proxies = {node.host: self._make_proxy(node) for node in self._nodes}
@@ -138,6 +141,7 @@
         finally:
             self._close()
         self.history.check_final(is_planned_only=self._is_planned_only)
+        self.cold_judge.check_final()
         return self.history.violations
 
     def _make_node(self, number: int) -> Node:
@@ -282,7 +286,11 @@
         """
         if self._fault:
             return [self._replace_upstream]
-        planned: list[Callable[[], None]] = [self._stop_node, self._replace_upstream]
+        planned: list[Callable[[], None]] = [
+            self._stop_node,
+            self._replace_upstream,
+            self._cool_upstreams,
+        ]
         if self._is_planned_only:
             return planned
         unplanned: list[Callable[[], None]] = [
@@ -437,6 +445,15 @@
 
         self._start_thread(run)
 
+    def _cool_upstreams(self) -> None:
+        """Let one upstream, or all of a service, become cold without a restart."""
+        chosen = self._random.choice(self._upstreams)
+        is_whole_service = self._random.random() < COLD_SERVICE_SHARE
+        for upstream in self._upstreams:
+            if upstream is chosen or (is_whole_service and upstream.service == chosen.service):
+                self.history.record_fault(f"{upstream.name} becomes cold")
+                upstream.become_cold(self.cold_judge)
+
     def _restart_service(self) -> None:
         """Let all upstreams of a service restart at their addresses, a few times."""
         service = self._random.choice(RESTARTED_SERVICES)
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -10,9 +10,12 @@
 from typing import Literal
 
 from testing.nodes import Node
+from testing.soak.cold import COLD_MS
+from testing.soak.cold import ColdJudge
 from testing.soak.history import History
 from testing.soak.history import Run
 from testing.soak.history import make_body
+from testing.soak.history import now_ms
 from testing.soak.proxy import FaultProxy
 
 Behaviour = Literal["good", "shed", "full", "close", "hang", "fail", "extra-answer", "late-copy"]
@@ -75,6 +78,7 @@
         self._random = random
         self.behaviour: Behaviour = "good"
         self._lifetime = Lifetime(name)
+        self._cold_until_ms = 0.0
         self._sequence = 0
         self._in_flight = 0
         self._is_leaving = False
@@ -107,6 +111,14 @@
         self._send_heartbeat("ready")
         return True
 
+    def become_cold(self, judge: ColdJudge) -> None:
+        """Be cold for ``COLD_MS``, which health checks and the next heartbeats state."""
+        self._cold_until_ms = now_ms() + COLD_MS
+        judge.record(self.name)
+
+    def _get_cold_ms(self) -> int:
+        return max(0, int(self._cold_until_ms - now_ms()))
+
     def leave(self) -> None:
         """Announce the departure until it is acknowledged, serve a little longer, then close."""
         with self._lock:
@@ -141,7 +153,11 @@
                 "zone": "z1",
                 "concurrency": SLOTS,
             },
-            "status": {"state": state, "sequence": self._sequence, "coldRemainingMs": 0},
+            "status": {
+                "state": state,
+                "sequence": self._sequence,
+                "coldRemainingMs": self._get_cold_ms(),
+            },
             "born": lifetime.born_ms,
         }
         node = self._random.choice(self._nodes)
@@ -183,7 +199,8 @@
         """Answer one request; return whether to keep the connection open."""
         load = f"x-server-load: {self._in_flight},0,{SLOTS},100\r\n"
         if head.startswith(b"GET /health"):
-            extra = f"x-instance-identifier: {self.name}\r\n{load}"
+            cold = f"x-cold-milliseconds: {self._get_cold_ms()}\r\n"
+            extra = f"x-instance-identifier: {self.name}\r\n{cold}{load}"
             writer.write(_encode("200 OK", b"", extra))
             return True
         behaviour = self.behaviour
