Test quotas on real nodes

Cause: who decides was tested with lists made by hand only.

Change: four processes learn an organisation from a manifest, agree on its three deciders, and each of these hands out a token over its datagram port while the fourth hands out none.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1005,6 +1005,13 @@
         "if False and",
         QUOTAS + "client.py::TestRestartedDeciders",
     ),
+    Mutant(
+        "nodes follow who decides about quotas, also before anyone asks",
+        "roles/node.py",
+        "        self._quotas.run_housekeeping()\n",
+        "",
+        NODE + "Quotas",
+    ),
     Mutant(
         "a holder keeps its seat over changes of the list, also when it is seldom asked",
         "quotas/seats.py",
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -12,6 +12,11 @@
 
 from coltsfootrill.control.acceptor import Acceptor
 from coltsfootrill.control.files import FileLayer
+from coltsfootrill.quotas.messages import ASK_TOPIC
+from coltsfootrill.quotas.messages import Ask
+from coltsfootrill.quotas.messages import Granted
+from coltsfootrill.quotas.messages import decode_answer
+from coltsfootrill.quotas.messages import encode
 from testing.nodes import Node
 from testing.nodes import find_free_ports
 from testing.platform.test_desired_state import encode_state
@@ -333,3 +338,42 @@
         return False
     state = Acceptor.from_folder(folder, files=FileLayer()).get_state()
     return state is not None and state.is_replica_set_chosen
+
+
+class TestQuotas:
+    def test_the_nodes_agree_who_decides_and_deciders_hand_out_the_quota(
+        self, fleet: Fleet
+    ) -> None:
+        columns = ["name", "apiKeys", "ratePerS", "burst"]
+        tenants = {"columns": columns, "rows": [["o1", ["s3cret"], 30, 30]]}
+        raw = encode_state(route(), version="00000002", tenants=tenants)
+        wait_until(lambda: fleet.nodes[0].submit(raw, 0) == 200, within_s=20)
+        wait_until(lambda: len(list_deciders(fleet.nodes[0])) == 3, within_s=20)
+        deciders = list_deciders(fleet.nodes[0])
+        for node in fleet.nodes:
+            wait_until(lambda node=node: list_deciders(node) == deciders, within_s=20)  # type: ignore[misc]
+        assert b"s3cret" not in fleet.nodes[0].call("metrics", "GET", "/organisations")[1]
+        for number, node in enumerate(fleet.nodes, start=1):
+            if f"n{number}" in deciders:
+                wait_until(lambda node=node: hands_out_token(node), within_s=20)  # type: ignore[misc]
+            else:
+                assert not hands_out_token(node)
+
+
+def list_deciders(node: Node) -> list[str]:
+    """Return the deciders of the only organisation that a node lists, none before it does."""
+    listed = json.loads(node.call("metrics", "GET", "/organisations")[1])
+    return listed[0]["deciders"] if listed else []
+
+
+def hands_out_token(node: Node) -> bool:
+    """Return whether a node hands out a token of the organisation o1."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.settimeout(1.0)
+        ask = encode(Ask(time.time_ns(), "o1", 1, 1))
+        sock.sendto(ASK_TOPIC + ask, (node.host, node.ports["fleet"]))
+        try:
+            answer = decode_answer(sock.recv(1_000)[1:])
+        except TimeoutError:
+            return False
+    return isinstance(answer, Granted)
