Let quotas go on soon after a loss of power of all

Cause: an instance that gets a seat waits 7 s unless another confirms that it held the seat all the time. After a loss of power of all nobody can, so all requests of organisations with a quota were refused for 7 s more.

Ruled out: deciding at once with the whole bucket (a rival may be left behind a cut), and a reserve for the time of waiting (a fifth of the rate, which callers would feel as much).

Change: witnesses say whether they have just started themselves. If all five have, and the list of instances has been the same for 2 s, nobody can have got the seat by waiting, so its holder decides from an empty bucket. What witnesses say is judged in a module of its own, which the property test of the bound plays too, with losses of power of all among its faults.

Before: testing/quotas/test_bound.py::TestInsideTheQuota::test_all_lose_power fails. After: it passes, and so does the bound over random histories.

--- a/src/coltsfootrill/quotas/messages.py
+++ b/src/coltsfootrill/quotas/messages.py
@@ -81,12 +81,14 @@
 class HeldAnswer(msgspec.Struct, frozen=True, array_like=True, tag=7):
     """Tells for how long, without a break, the sender has listed the receiver as a decider.
 
-    ``is_rival`` means that the sender decides itself and does not list the receiver.
+    ``is_rival`` means that the sender decides itself and does not list the receiver. ``is_new``
+    means that the sender has observed the fleet for too short a time to have got a seat.
     """
 
     organisation: str
     held_ms: float
     is_rival: bool
+    is_new: bool = False
 
 
 SeatMessage = Pull | Transfer | HeldQuestion | HeldAnswer
--- a/src/coltsfootrill/quotas/seats.py
+++ b/src/coltsfootrill/quotas/seats.py
@@ -83,6 +83,7 @@
         self._own_id = own_id
         self._lock = threading.Lock()
         self._listings: deque[_Listing] = deque()
+        self._begun_ms = float("inf")
         self._zone_by_id: dict[str, str] = {}
         self._seen_ms_by_id: dict[str, float] = {}
         self._observed: Sequence[InstanceRecord] | None = None
@@ -110,6 +111,8 @@
                 self._listings.clear()
                 self._standing_by_key.clear()
             self._observed_ms = now_ms
+            if not self._listings:
+                self._begun_ms = now_ms
             if is_current:
                 self._current_ms = now_ms
             if instances:
@@ -143,6 +146,11 @@
                 since_ms = listing.since_ms
             return self._observed_ms - since_ms
 
+    def is_new(self) -> bool:
+        """Return whether this instance has observed the fleet for too short a time to decide."""
+        with self._lock:
+            return self._observed_ms - self._begun_ms < SETTLE_MS
+
     def confirm(self, organisation: str, seats_max: int, now_ms: float) -> None:
         """Record that this instance has held its seat for long, as others have listed it."""
         with self._lock:
--- a/src/coltsfootrill/quotas/server.py
+++ b/src/coltsfootrill/quotas/server.py
@@ -9,7 +9,6 @@
 from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.membership.datagrams import DatagramPort
 from coltsfootrill.quotas.decider import Decider
-from coltsfootrill.quotas.limits import SETTLE_MS
 from coltsfootrill.quotas.limits import QuotaBounds
 from coltsfootrill.quotas.limits import count_deciders_max
 from coltsfootrill.quotas.messages import ANSWER_TOPIC
@@ -27,6 +26,8 @@
 from coltsfootrill.quotas.messages import encode
 from coltsfootrill.quotas.seats import Seats
 from coltsfootrill.quotas.seats import Standing
+from coltsfootrill.quotas.testimony import Testimonies
+from coltsfootrill.quotas.testimony import testify
 
 # An instance that has got a seat asks others to confirm it at this interval.
 CONFIRM_INTERVAL_MS = 200.0
@@ -62,7 +63,7 @@
         self._decider = Decider(bounds)
         port.handle(ASK_TOPIC, self.handle_ask)
         self._asked_witnesses_ms_by_name: dict[str, float] = {}
-        self._disputed_ms_by_name: dict[str, float] = {}
+        self._testimonies = Testimonies(seats)
         port.handle(SEAT_TOPIC, self.handle_seat_message)
 
     def handle_ask(self, payload: bytes, sender: str) -> None:
@@ -105,7 +106,7 @@
         elif isinstance(message, HeldQuestion):
             self._testify(message, sender)
         else:
-            self._hear(message)
+            self._hear(message, sender)
 
     def remove_unused(self) -> None:
         """Drop what is no longer needed."""
@@ -161,22 +162,25 @@
         if organisation is None or standing is None:
             return
         seats_max = count_deciders_max(organisation, self._bounds)
-        held_ms = self._seats.get_held_ms(organisation.name, seats_max, question.holder)
-        is_listed = any(record.id == question.holder for record in standing.deciders)
-        decides = standing.get_settled_ms(self._clock.now_ms()) is not None
-        answer = HeldAnswer(organisation.name, round(held_ms, 1), decides and not is_listed)
+        answer = testify(
+            self._seats,
+            organisation.name,
+            seats_max,
+            holder=question.holder,
+            now_ms=self._clock.now_ms(),
+        )
         self._port.send(SEAT_TOPIC, encode(answer), sender)
 
-    def _hear(self, answer: HeldAnswer) -> None:
-        organisation, _ = self._find(answer.organisation)
-        if organisation is None:
+    def _hear(self, answer: HeldAnswer, sender: str) -> None:
+        organisation, standing = self._find(answer.organisation)
+        if organisation is None or standing is None:
             return
-        now_ms = self._clock.now_ms()
         seats_max = count_deciders_max(organisation, self._bounds)
-        name = organisation.name
-        if answer.is_rival:
-            self._disputed_ms_by_name[name] = now_ms
-            self._seats.dispute(name, seats_max, now_ms)
-        disputed_ms = self._disputed_ms_by_name.get(name, float("-inf"))
-        if answer.held_ms >= SETTLE_MS and now_ms - disputed_ms >= SETTLE_MS:
-            self._seats.confirm(name, seats_max, now_ms)
+        with self._lock:
+            self._testimonies.hear(
+                answer,
+                sender,
+                standing=standing,
+                seats_max=seats_max,
+                now_ms=self._clock.now_ms(),
+            )
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1361,11 +1361,25 @@
     ),
     Mutant(
         "a decider that restarts need not wait if others have listed it all the time",
-        "quotas/server.py",
+        "quotas/testimony.py",
         "if answer.held_ms >= SETTLE_MS and",
         "if False and",
         QUOTAS + "client.py::TestRestartedDeciders",
     ),
+    Mutant(
+        "quotas go on soon after a loss of power of all",
+        "quotas/testimony.py",
+        "elif self._are_all_new(answer, witness, standing, now_ms):",
+        "elif False:",
+        QUOTAS + "bound.py::TestInsideTheQuota",
+    ),
+    Mutant(
+        "a witness that has run for long does not count as new",
+        "quotas/seats.py",
+        "return self._observed_ms - self._begun_ms < SETTLE_MS",
+        "return True",
+        QUOTAS + "seats.py::TestWitnesses",
+    ),
     Mutant(
         "nodes follow who decides about quotas, also before anyone asks",
         "roles/node.py",
--- a/testing/quotas/fleet.py
+++ b/testing/quotas/fleet.py
@@ -23,6 +23,8 @@
 from coltsfootrill.quotas.messages import Transfer
 from coltsfootrill.quotas.seats import Seats
 from coltsfootrill.quotas.seats import Standing
+from coltsfootrill.quotas.testimony import Testimonies
+from coltsfootrill.quotas.testimony import testify
 
 STEP_MS = 100.0
 # A hub drops an instance this long after the last reply that reached it, at the earliest.
@@ -55,7 +57,7 @@
         self.decider = Decider(self.fleet.bounds)
         self.holding = Holding()
         self.reserved: list[Token] = []
-        self.disputed_ms = float("-inf")
+        self.testimonies = Testimonies(self.seats)
         self.skipped_until_ms_by_id: dict[str, float] = {}
 
     def observe(self, now_ms: float) -> None:
@@ -99,14 +101,14 @@
             if not (self.fleet.passes(self, other) and self.fleet.passes(other, self)):
                 continue
             other.observe(now_ms)
-            listed = other.get_standing()
-            is_listed = any(item.id == self.record.id for item in listed.deciders)
-            if listed.get_settled_ms(now_ms) is not None and not is_listed:
-                self.disputed_ms = now_ms
-                self.seats.dispute(name, seats_max, now_ms)
-            held_ms = other.seats.get_held_ms(name, seats_max, self.record.id)
-            if held_ms >= SETTLE_MS and now_ms - self.disputed_ms >= SETTLE_MS:
-                self.seats.confirm(name, seats_max, now_ms)
+            answer = testify(other.seats, name, seats_max, holder=self.record.id, now_ms=now_ms)
+            self.testimonies.hear(
+                answer,
+                record.address,
+                standing=standing,
+                seats_max=seats_max,
+                now_ms=now_ms,
+            )
 
     def pull(self, standing: Standing, number: int, now_ms: float) -> None:
         wanted = self.decider.get_wanted(self.organisation)
--- a/testing/quotas/test_bound.py
+++ b/testing/quotas/test_bound.py
@@ -195,6 +195,17 @@
         # The first ones come before the seats are confirmed and the buckets have filled.
         assert fleet.refused_count <= 25
 
+    def test_all_lose_power(self) -> None:
+        fleet = QuotaFleet(make_organisation(40, 40), instances=30)
+        fleet.settle()
+        for instance in fleet.instances:
+            instance.restart()
+        # Half a second in which nobody is answered, and two in which lists are the same.
+        _send_evenly(fleet, per_s=20, duration_s=3, one_instance=False)
+        fleet.refused_count = 0
+        _send_evenly(fleet, per_s=20, duration_s=5, one_instance=False)
+        assert fleet.refused_count == 0
+
     def test_a_busy_instance_asks_less_than_once_a_request(self) -> None:
         fleet = QuotaFleet(make_organisation(200, 200), instances=100)
         fleet.settle()
--- a/testing/quotas/test_seats.py
+++ b/testing/quotas/test_seats.py
@@ -180,6 +180,13 @@
         holder.observe(RECORDS, SETTLE_MS + STEP_MS)
         assert holder.may_decide()
 
+    def test_a_witness_is_new_until_it_could_have_got_a_seat(self) -> None:
+        witness = _Observer("n0")
+        witness.observe(RECORDS, SETTLE_MS - STEP_MS)
+        assert witness.seats.is_new()
+        witness.observe(RECORDS, 2 * STEP_MS)
+        assert not witness.seats.is_new()
+
     def test_one_without_a_seat_gets_none_by_confirmation(self) -> None:
         _, witness = self._observe_both()
         witness.seats.get_standing("o1", 3)
