Let a new decider wait for the list of instances only as long as hubs may delay it

Cause: two seconds of an unchanged list were asked for in any fleet, while hubs delay a change by half a second in a small one. Callers wait for that after a loss of power of all.

Change: twice the delay of the hubs for the number of instances listed, which the hub now states in one function.

--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -43,6 +43,11 @@
 REFUSED_MAX_COUNT = 200
 
 
+def get_instance_change_delay_ms(followers_count: int) -> float:
+    """Return for how long a change of the followers, which is not urgent, may be delayed."""
+    return max(INSTANCE_CHANGE_DELAY_MS, INSTANCE_CHANGE_DELAY_PER_FOLLOWER_MS * followers_count)
+
+
 def limit_hold_ms(request: FollowRequest) -> int:
     """Return how long a poll may be held."""
     return min(max(request.hold_ms, 0), HOLD_MAX_MS)
@@ -259,7 +264,11 @@
             for instance_id in self._roster.list_expired(now_ms - FOLLOWER_TIMEOUT_MS):
                 self._remove_follower(instance_id)
             unsent_since_ms = self._unsent_since_ms
-            if unsent_since_ms is not None and now_ms - unsent_since_ms >= self._choose_delay():
+            if (
+                unsent_since_ms is not None
+                and now_ms - unsent_since_ms
+                >= get_instance_change_delay_ms(len(self._roster.by_id))
+            ):
                 self._notify_followers()
 
     def list_candidates(self) -> dict[str, str]:
@@ -339,11 +348,6 @@
         if self._unsent_since_ms is None:
             self._unsent_since_ms = self._clock.now_ms()
 
-    def _choose_delay(self) -> float:
-        """Return for how many milliseconds a change of the followers may be delayed."""
-        followers = len(self._roster.by_id)
-        return max(INSTANCE_CHANGE_DELAY_MS, INSTANCE_CHANGE_DELAY_PER_FOLLOWER_MS * followers)
-
     def _list_replicas(self) -> list[str]:
         """Return the voting replicas: if not confirmed recently, all that may be some of them."""
         if self.is_current():
--- a/src/coltsfootrill/quotas/seats.py
+++ b/src/coltsfootrill/quotas/seats.py
@@ -44,13 +44,21 @@
 class Standing:
     """Who decides about one quota, as of the list of instances that was new at ``listed_ms``.
 
-    ``deciders`` are the listed instances that hold a seat; ``seats_count`` also counts the seats of
-    instances that are out of touch. ``since_ms`` tells since when this instance has held one
-    without a break, ``None`` if it holds none. ``witnesses`` are other instances, those that would
-    get its seat first.
+    ``instances_count`` is how many instances it lists, and ``deciders`` are those of them that hold
+    a seat; ``seats_count`` also counts the seats of instances that are out of touch. ``since_ms``
+    tells since when this instance has held one without a break, ``None`` if it holds none.
+    ``witnesses`` are other instances, those that would get its seat first.
     """
 
-    __slots__ = ("deciders", "generation", "listed_ms", "seats_count", "since_ms", "witnesses")
+    __slots__ = (
+        "deciders",
+        "generation",
+        "instances_count",
+        "listed_ms",
+        "seats_count",
+        "since_ms",
+        "witnesses",
+    )
 
     def __init__(
         self,
@@ -60,9 +68,11 @@
         since_ms: float | None,
         listed_ms: float,
         generation: int,
+        instances_count: int,
         witnesses: list[InstanceRecord],
     ) -> None:
         self.deciders = deciders
+        self.instances_count = instances_count
         self.witnesses = witnesses
         self.seats_count = seats_count
         self.since_ms = since_ms
@@ -191,6 +201,7 @@
             since_ms=since_ms,
             listed_ms=self._listings[-1].since_ms if self._listings else self._observed_ms,
             generation=self._generation,
+            instances_count=len(self._listings[-1].instances) if self._listings else 0,
             witnesses=self._list_witnesses(organisation, chosen_by_listing),
         )
 
--- a/src/coltsfootrill/quotas/testimony.py
+++ b/src/coltsfootrill/quotas/testimony.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootrill.membership.hub import get_instance_change_delay_ms
 from coltsfootrill.quotas.limits import SETTLE_MS
 from coltsfootrill.quotas.messages import HeldAnswer
 from coltsfootrill.quotas.seats import Seats
@@ -9,8 +10,9 @@
 
 # The answers of several witnesses are compared if they are not older.
 ANSWER_MAX_AGE_MS = 1_000.0
-# When many start together, their lists of instances differ at first.
-STABLE_LIST_MS = 2_000.0
+# When many start together, their lists of instances differ at first. Hubs delay changes of a list,
+# and one that has been the same for longer than that by this factor is taken for complete.
+STABLE_LIST_FACTOR = 2
 
 
 def testify(seats: Seats, name: str, seats_max: int, *, holder: str, now_ms: float) -> HeldAnswer:
@@ -69,5 +71,6 @@
             (new_ms_by_witness.get(address, float("-inf")) for address in addresses),
             default=float("-inf"),
         )
-        is_stable = now_ms - standing.listed_ms >= STABLE_LIST_MS
+        stable_ms = STABLE_LIST_FACTOR * get_instance_change_delay_ms(standing.instances_count)
+        is_stable = now_ms - standing.listed_ms >= stable_ms
         return is_stable and now_ms - oldest_ms <= ANSWER_MAX_AGE_MS
