--- a/testing/nodes.py
+++ b/testing/nodes.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import re
 import signal
 import socket
 import subprocess
@@ -21,8 +22,8 @@
     """A node process with its own loopback address, because all nodes use the same ports.
 
     Nodes 1 to 3 have a disk, so they vote; later ones have none unless ``has_disk`` is set.
-    ``settings`` is added to the settings file. ``program`` are the arguments of the interpreter
-    that run a node with the settings file named after them.
+    ``settings`` is added to the settings file, ``callers`` to its section of that name. ``program``
+    are the arguments of the interpreter that run a node with the settings file named after them.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         network: str = "127.0.2",
         has_disk: bool = False,
         settings: str = "",
+        callers: str = "",
         program: Sequence[str] = PROGRAM,
     ) -> None:
         self._program = program
@@ -45,6 +47,7 @@
         self._path = folder / f"node-{number}.ini"
         self._has_disk = has_disk or number <= 3
         self._settings = settings
+        self._callers = callers
         self._seeds = seeds
         self._number = number
         self.process: subprocess.Popen[bytes] | None = None
@@ -72,7 +75,7 @@
             "name = platform\ndialect = platform\nmanifest = platform\n"
             f"[fleet]\nlisten = {self.host}:{ports['fleet']}\n"
             f"seeds = {','.join(seeds or self._seeds)}\n"
-            f"[callers]\nlisten = {self.host}:{ports['callers']}\nnotice_ms = 300\n"
+            f"[callers]\nlisten = {self.host}:{ports['callers']}\nnotice_ms = 300\n{self._callers}"
             "[balancer]\npolicy = reported-load\n[measuring]\ninterval_ms = 100\n"
             "[dispatch]\ntimeout_ms = 30\nwork_min_ms = 5\n"
             "[tls]\nplain = true\n" + self._settings
@@ -141,3 +144,12 @@
     for sock in sockets:
         sock.close()
     return ports
+
+
+def read_peak_mb(node: Node) -> float:
+    """Return the peak resident memory of a node's process."""
+    assert node.process is not None
+    status = Path(f"/proc/{node.process.pid}/status").read_text()
+    found = re.search(r"VmHWM:\s+(\d+) kB", status)
+    assert found is not None
+    return int(found[1]) / 1024
--- a/testing/roles/test_node_memory.py
+++ b/testing/roles/test_node_memory.py
@@ -4,23 +4,22 @@
 
 import contextlib
 import http.client
-import itertools
-import json
-import re
 import socket
 import threading
 from concurrent.futures import ThreadPoolExecutor
-from pathlib import Path
 
 import pytest
 
+from testing.announced_upstream import SLOTS
+from testing.announced_upstream import AnnouncedUpstream
+from testing.announced_upstream import announce
+from testing.nodes import read_peak_mb
 from testing.platform.test_desired_state import encode_state
 from testing.platform.test_desired_state import route
 from testing.processes import wait_until
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import encode
-from testing.proxy.test_dialect import reply_with
 from testing.roles.test_node import Fleet
 from testing.roles.test_node import send_request
 
@@ -29,7 +28,6 @@
 REQUESTS_AT_ONCE = 240
 REQUESTS_COUNT = 480
 FAULTY_COUNT = 60
-SLOTS = 4
 BLOCK_BYTES = 65_536
 BLOCK = b"a" * BLOCK_BYTES
 CHUNK = f"{BLOCK_BYTES:x}\r\n".encode() + BLOCK + b"\r\n"
@@ -37,17 +35,6 @@
 UPLOADS_COUNT = 20
 UPLOAD_BYTES = 60 * 1024 * 1024
 CALLERS_COUNT = 40
-HEARTBEAT_INTERVAL_S = 0.5
-
-
-def read_peak_mb(fleet: Fleet) -> float:
-    """Return the peak resident memory of the first node."""
-    process = fleet.nodes[0].process
-    assert process is not None
-    status = Path(f"/proc/{process.pid}/status").read_text()
-    found = re.search(r"VmHWM:\s+(\d+) kB", status)
-    assert found is not None
-    return int(found[1]) / 1024
 
 
 def send_endlessly(start: bytes, block: bytes, *, has_sound_health: bool) -> Script:
@@ -64,15 +51,6 @@
     return script
 
 
-def announce(fleet: Fleet, upstream_id: str, address: str, sequence: int = 1) -> None:
-    info = {"service": "desk", "version": "v1", "zone": "z1", "concurrency": SLOTS}
-    status = {"state": "ready", "sequence": sequence, "coldRemainingMs": 0}
-    body = {"address": address, "serverInfo": info, "status": status, "born": 1}
-    raw = json.dumps(body).encode()
-    path = f"/Instances.Heartbeat/{upstream_id}"
-    wait_until(lambda: fleet.nodes[0].call("interface", "POST", path, raw)[0] == 200, within_s=20)
-
-
 class TestEndlessAnswers:
     # Guards against an instance that keeps what faulty upstreams send until its memory ends.
     @pytest.mark.parametrize(
@@ -92,11 +70,11 @@
         faulty = [ScriptedUpstream(script) for _ in range(FAULTY_COUNT)]
         try:
             for number, upstream in enumerate(faulty):
-                announce(fleet, f"i-faulty-{number}", upstream.address)
+                announce(fleet.nodes[0], f"i-faulty-{number}", upstream.address)
             wait_until(lambda: send_request(fleet.nodes[0]) != 503, within_s=20)
             with ThreadPoolExecutor(REQUESTS_AT_ONCE) as executor:
                 list(executor.map(lambda _: send_request(fleet.nodes[0]), range(REQUESTS_COUNT)))
-            assert read_peak_mb(fleet) < MEMORY_MAX_MB
+            assert read_peak_mb(fleet.nodes[0]) < MEMORY_MAX_MB
         finally:
             for upstream in faulty:
                 upstream.close()
@@ -104,39 +82,6 @@
         fleet.wait_until_served()
 
 
-class Upstream:
-    """Reads each body to its end, and answers; announces itself until it is closed."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self._fleet = fleet
-        self._upstream = ScriptedUpstream(self._serve)
-        self._is_closed = threading.Event()
-        self._thread = threading.Thread(target=self._announce, daemon=True)
-        self._thread.start()
-
-    def close(self) -> None:
-        self._is_closed.set()
-        self._thread.join()
-        self._upstream.close()
-
-    def _announce(self) -> None:
-        sequence = itertools.count(1)
-        while not self._is_closed.wait(HEARTBEAT_INTERVAL_S):
-            announce(self._fleet, "i-sound", self._upstream.address, next(sequence))
-
-    def _serve(self, sock: socket.socket, head: bytes, number: int) -> bool:
-        fields, _, rest = head.partition(b"\r\n\r\n")
-        found = re.search(rb"content-length: (\d+)", fields, re.IGNORECASE)
-        left_bytes = (int(found[1]) if found else 0) - len(rest)
-        buffer = bytearray(BLOCK_BYTES)
-        while left_bytes > 0:
-            received_bytes = sock.recv_into(buffer)
-            if not received_bytes:
-                return False
-            left_bytes -= received_bytes
-        return reply_with()(sock, fields, number)
-
-
 class Uploads:
     """Callers that upload large bodies to the first node, and others with small requests beside."""
 
@@ -196,12 +141,12 @@
     ) -> None:
         raw = encode_state(route(timeoutMs=20_000), version="00000002")
         wait_until(lambda: fleet.nodes[0].submit(raw, 0) == 200, within_s=20)
-        sound = Upstream(fleet)
+        sound = AnnouncedUpstream(fleet.nodes[0])
         try:
             wait_until(lambda: send_request(fleet.nodes[0]) == 200, within_s=20)
             uploads = Uploads(fleet)
             assert uploads.run(is_chunked=is_chunked) == {(200, ""), (503, "no-room-for-body")}
             assert set(uploads.small_statuses) <= {200, 503}
-            assert read_peak_mb(fleet) < MEMORY_MAX_MB
+            assert read_peak_mb(fleet.nodes[0]) < MEMORY_MAX_MB
         finally:
             sound.close()
