Let callers that stop short give their places and their room to others

Cause: nothing took back what such a caller holds. A request that stops keeps its connection, its thread and its room for as long as the pauses of the manifest allow, and one that trickles below 64 KiB without end. Small bodies needed no room, each waiting thread held a buffer of 64 KiB, and the connections over which an answer had been sent did not count. Very small chunks were copied once for each of them, by all threads at once.

- A connection gives its place to a new one when all are taken: first those whose last answer has been sent, then the longest stalled request, then the longest idle.
A body that lacks room takes that of the longest stalled one, which is refused with 503 while it has not run.
A request that is being answered is never cut, nor is one with unread bytes.
One log line a second, one counter.
- Small bodies above 4 KiB share 4 MiB of their own, and then the common bound.
- A thread receives 8 KiB where no memory is reserved for more.
- A whole request takes 60 s at most; before, this held for large bodies only.
- Chunks are decoded in linear time; beyond 64 in one part, by one thread at a time.
- Found beside: a body of exactly the limit, or with framing beyond it, got 413; a length of thousands of digits was an unhandled exception.

--- a/src/coltsfootrill/metrics.py
+++ b/src/coltsfootrill/metrics.py
@@ -104,6 +104,12 @@
             "Bytes of memory that are free for large bodies of callers.",
             registry=registry,
         )
+        self.evicted_connections = Counter(
+            "coltsfootrill_connections_evicted_total",
+            "Connections of callers that were closed for the room that others need, by state.",
+            ["state"],
+            registry=registry,
+        )
         self.requests_in_progress = Gauge(
             "coltsfootrill_requests_in_progress",
             "Requests that were read from callers and have not ended.",
--- a/src/coltsfootrill/proxy/attempt.py
+++ b/src/coltsfootrill/proxy/attempt.py
@@ -8,8 +8,8 @@
 from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.balancer.retry import FailureKind
 from coltsfootrill.events.catalog import Attempt as AttemptEvent
-from coltsfootrill.proxy.caller import DisconnectMonitor
 from coltsfootrill.proxy.connection import UpstreamConnection
+from coltsfootrill.proxy.disconnect_monitor import DisconnectMonitor
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import UnknownOutcomeError
 from coltsfootrill.proxy.unsolicited import count_skipped
--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import select
 import socket
-import struct
 import threading
 from collections.abc import Callable
 from typing import Literal
@@ -24,18 +24,28 @@
 from coltsfootrill.proxy.block_buffer import BlockBuffer
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.body_budget import BodyReservation
+from coltsfootrill.proxy.disconnect_monitor import DisconnectMonitor
+from coltsfootrill.proxy.eviction import ConnectionState
 from coltsfootrill.proxy.request_parser import RequestParser
+from coltsfootrill.proxy.sockets import has_unread_bytes
+from coltsfootrill.proxy.sockets import set_receive_timeout
 from coltsfootrill.proxy.turns import Turn
 from coltsfootrill.proxy.turns import TurnOrder
 
 RECEIVE_BYTES = 64 * 1024
+# Received at a time where no memory is reserved for more.
+UNRESERVED_RECEIVE_BYTES = 8 * 1024
+# Fewer bytes of a request do not keep it from counting as stalled.
+PROGRESS_MIN_BYTES = 4 * 1024
 WRITE_TIMEOUT_MS = 30_000.0
 LINGER_MS = 500.0
 LINGER_MAX_MS = 2_000.0
-# Meanwhile the body has memory that others cannot have.
-LARGE_BODY_TIMEOUT_MS = 60_000.0
+# From the first byte of a request to its last.
+REQUEST_TIMEOUT_MS = 60_000.0
 PIPELINED_REQUESTS_MAX_COUNT = 8
 TURN_WAIT_MAX_MS = DEADLINE_MAX_MS + WRITE_TIMEOUT_MS
+# Bytes that are discarded; what threads write here at the same time is never read.
+_DISCARDED = bytearray(RECEIVE_BYTES)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 # Too many requests are in progress, the instance is about to end, or it has no room for the body.
@@ -87,57 +97,6 @@
         return self.headers.get(name.upper().replace("-", "_"), "")
 
 
-class DisconnectMonitor:
-    """Detects that a caller disconnects or sends more while one of its requests is processed.
-
-    ``read_next`` starts the reading of the next request in another thread; it is called at most
-    once. With ``None`` further bytes are not polled for. ``is_ending`` returns whether the server
-    is about to close all connections.
-    """
-
-    __slots__ = ("_is_ending", "_read_next", "_sock")
-
-    def __init__(
-        self,
-        sock: socket.socket,
-        read_next: Callable[[], None] | None,
-        *,
-        is_ending: Callable[[], bool] = lambda: False,
-    ) -> None:
-        self._sock = sock
-        self._read_next = read_next
-        self._is_ending = is_ending
-
-    def fileno(self) -> int:
-        """Return the descriptor to poll."""
-        return self._sock.fileno()
-
-    @property
-    def events(self) -> int:
-        """Return the events to poll for."""
-        return select.POLLRDHUP | (select.POLLIN if self._read_next is not None else 0)
-
-    def handle_event(self, event: int) -> bool:
-        """Handle a poll event; return whether the caller has disconnected."""
-        if event & ~select.POLLIN:
-            return True
-        if event and self._read_next is not None:
-            read_next, self._read_next = self._read_next, None
-            read_next()
-        return False
-
-    def should_stop_waiting(self) -> bool:
-        """Return whether a request that has no upstream yet should be refused now.
-
-        Its caller has closed its end, or the server is about to close the connection.
-        """
-        if self._is_ending():
-            return True
-        poller = select.poll()
-        poller.register(self._sock, self.events)
-        return any(self.handle_event(event) for _, event in poller.poll(0))
-
-
 class CallerConnection:
     """A caller's connection with its pipelined requests.
 
@@ -148,12 +107,16 @@
 
     __slots__ = (
         "_clock",
+        "_is_lingering",
         "_is_receiving",
         "_order",
+        "_reservation",
         "_timeout_ms",
         "_unparsed",
         "_users",
         "_users_lock",
+        "active_ms",
+        "is_evicted",
         "sock",
     )
 
@@ -166,6 +129,26 @@
         self._order = TurnOrder()
         self._users_lock = threading.Lock()
         self._users = 1
+        self._is_lingering = False
+        self._reservation: BodyReservation | None = None
+        self.is_evicted = False
+        # When it opened, a request arrived, or ``PROGRESS_MIN_BYTES`` more of one.
+        self.active_ms = clock.now_ms()
+
+    @property
+    def state(self) -> ConnectionState:
+        """Return what the connection does."""
+        if self._is_lingering:
+            return "lingering"
+        if self._order.is_busy:
+            return "busy"
+        return "receiving" if self._is_receiving else "idle"
+
+    @property
+    def reserved_bytes(self) -> int:
+        """Return how much memory is reserved for the body of a request that is still arriving."""
+        reservation = self._reservation
+        return 0 if reservation is None else reservation.reserved_bytes
 
     @property
     def is_busy(self) -> bool:
@@ -188,14 +171,15 @@
         """Return the next request once it is parsed, ``None`` at the end of the stream.
 
         The caller of this method closes the request, which frees its share of ``budget``. Raises
-        ``OSError`` when no bytes arrive within the timeout of ``limits``, or when a large body
-        takes longer than ``LARGE_BODY_TIMEOUT_MS``.
+        ``OSError`` when no bytes arrive within the timeout of ``limits``, or when the request
+        takes longer than ``REQUEST_TIMEOUT_MS``.
         """
-        reservation = BodyReservation(budget)
+        reservation = self._reservation = BodyReservation(budget)
         parser = None
         try:
             parser = self._receive(adjustments, limits, reservation)
         finally:
+            self._reservation = None
             if parser is None:
                 reservation.release()
         return parser
@@ -204,7 +188,8 @@
         self, adjustments: Adjustments, limits: CallerLimits, reservation: BodyReservation
     ) -> RequestParser | None:
         parser = RequestParser(adjustments, reservation)
-        until_ms: float | None = None
+        until_ms = math.inf
+        progress_bytes = PROGRESS_MIN_BYTES
         data = self._unparsed
         self._unparsed = b""
         while not parser.completed:
@@ -213,9 +198,14 @@
                 self._set_timeout(
                     limits.receive_timeout_ms if is_receiving else limits.idle_timeout_ms
                 )
-                data = self.sock.recv(RECEIVE_BYTES)
+                room_bytes = max(UNRESERVED_RECEIVE_BYTES, parser.room_bytes)
+                data = self.sock.recv(min(room_bytes, RECEIVE_BYTES))
                 if not data:
-                    return None
+                    return self._end_stream(parser)
+            progress_bytes += len(data)
+            if progress_bytes >= PROGRESS_MIN_BYTES:
+                progress_bytes = 0
+                self.active_ms = self._clock.now_ms()
             self._is_receiving = True
             consumed = parser.received(data)
             data = data[consumed:]
@@ -225,13 +215,46 @@
                 parser.expect_continue = False
                 if not self._send_continue(limits.receive_timeout_ms):
                     return None
-            if reservation.is_held and not parser.completed:
-                until_ms = until_ms or self._clock.now_ms() + LARGE_BODY_TIMEOUT_MS
-                if self._clock.now_ms() > until_ms:
-                    raise TimeoutError("a large body takes too long")
+            if not parser.completed:
+                until_ms = self._check_duration(until_ms)
         self._unparsed = data
         return parser
 
+    def _check_duration(self, until_ms: float) -> float:
+        """Return until when a request that is still incomplete has to be received.
+
+        Raises ``TimeoutError`` when that time has passed.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms > until_ms:
+            raise TimeoutError("a request takes too long")
+        return min(until_ms, now_ms + REQUEST_TIMEOUT_MS)
+
+    def _end_stream(self, parser: RequestParser) -> RequestParser | None:
+        """Return the request in progress as refused if the connection has been evicted."""
+        if not self.is_evicted or not parser.headers_finished:
+            return None
+        parser.refuse_body()
+        return parser
+
+    def evict(self) -> bool:
+        """Close a connection that is not busy; return whether it will be.
+
+        A request whose head has arrived is refused; one that arrives at the same moment is never
+        processed. A connection with unread bytes stays open.
+        """
+        if self.state == "idle" and not self.close_if_idle():
+            return False
+        is_receiving = self.state == "receiving"
+        if is_receiving and has_unread_bytes(self.sock):
+            self.active_ms = self._clock.now_ms()
+            return False
+        self.is_evicted = True
+        with contextlib.suppress(OSError):
+            # The caller may have closed the connection already.
+            self.sock.shutdown(socket.SHUT_RD if is_receiving else socket.SHUT_RDWR)
+        return True
+
     def _send_continue(self, timeout_ms: float) -> bool:
         """Ask for the body of a request; return whether the connection takes more requests.
 
@@ -326,11 +349,12 @@
         Closing a socket with unread bytes of a rejected request would reset the connection, and
         the caller could lose the answer that rejects it.
         """
+        self.active_ms = self._clock.now_ms()
+        self._is_lingering = True
         self.sock.shutdown(socket.SHUT_WR)
         self.sock.settimeout(LINGER_MS / 1000)
-        buffer = bytearray(RECEIVE_BYTES)
         until_ms = self._clock.now_ms() + LINGER_MAX_MS
-        while self.sock.recv_into(buffer) and self._clock.now_ms() < until_ms:
+        while self.sock.recv_into(_DISCARDED) and self._clock.now_ms() < until_ms:
             pass
 
     def _shut_down_if_over(self) -> bool:
@@ -373,6 +397,4 @@
         if timeout_ms == self._timeout_ms:
             return
         self._timeout_ms = timeout_ms
-        seconds, rest_ms = divmod(int(timeout_ms), 1_000)
-        value = struct.pack("ll", seconds, rest_ms * 1_000)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, value)
+        set_receive_timeout(self.sock, timeout_ms)
--- a/src/coltsfootrill/proxy/request.py
+++ b/src/coltsfootrill/proxy/request.py
@@ -10,7 +10,7 @@
 from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.proxy.block_buffer import BlockBuffer
-from coltsfootrill.proxy.caller import DisconnectMonitor
+from coltsfootrill.proxy.disconnect_monitor import DisconnectMonitor
 from coltsfootrill.proxy.headers import list_request_headers
 
 DIGEST_BYTES = 16
--- a/src/coltsfootrill/proxy/request_parser.py
+++ b/src/coltsfootrill/proxy/request_parser.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import waitress.parser
 from waitress.adjustments import Adjustments
-from waitress.utilities import BadRequest
+from waitress.utilities import RequestEntityTooLarge
 
 from coltsfootrill.proxy.block_buffer import BlockBuffer
+from coltsfootrill.proxy.body_budget import FREE_BODY_MAX_BYTES
 from coltsfootrill.proxy.body_budget import SMALL_BODY_MAX_BYTES
 from coltsfootrill.proxy.body_budget import BodyReservation
+from coltsfootrill.proxy.chunk_decoder import ChunkDecoder
 
 # A body in chunks does not state its length, so memory for it is reserved in steps.
 RESERVATION_STEP_BYTES = 1024 * 1024
-# Of the size of a chunk with its extensions, and of all trailers.
-CHUNK_FRAMING_MAX_BYTES = 16 * 1024
+SMALL_RESERVATION_STEP_BYTES = 16 * 1024
+# More digits than any limit has; Python refuses to convert thousands of them.
+_LONG_LENGTH = re.compile(rb"\ncontent-length:[ \t]*[0-9]{19}")
 
 
 class RequestParser(waitress.parser.HTTPRequestParser):  # type: ignore[misc]
@@ -39,29 +43,44 @@
 
     def __init__(self, adjustments: Adjustments, reservation: BodyReservation) -> None:
         super().__init__(adjustments)
+        # Waitress refuses a body of this size already.
+        self._body_max_bytes = int(adjustments.max_request_body_size) - 1
         self._reservation = reservation
         self.is_body_refused = False
+        self._has_long_length = False
 
     @property
     def body(self) -> BlockBuffer:
         """Return the body, which is empty if the request has none."""
         return BlockBuffer() if self.body_rcv is None else self.body_rcv.buf
 
+    @property
+    def room_bytes(self) -> int:
+        """Return how much of the memory reserved for the body is not used yet."""
+        if self.body_rcv is None:
+            return 0
+        return self._reservation.reserved_bytes - len(self.body_rcv)
+
     def received(self, data: bytes) -> int:
         """Parse bytes; return how many belong to the request."""
-        consumed: int = super().received(data)
-        if self.error is not None or self.body_rcv is None:
-            return consumed
-        if self._has_endless_framing():
-            self.error = BadRequest("the framing of a chunk, or the trailers, are too long")
-            self.completed = True
-        elif not self._reservation.extend_to(self._get_body_bytes()):
-            self.is_body_refused = True
-            self.body_rcv = None
-            self.connection_close = True
-            self.completed = True
+        if self.body_rcv is None:
+            consumed: int = super().received(data)
+            if self._has_long_length or isinstance(self.error, RequestEntityTooLarge):
+                self.error = self._make_too_large()
+        else:
+            consumed = self._receive_body(data)
+        if self.error is None and self.body_rcv is not None:
+            if not self._reservation.extend_to(self._get_body_bytes()):
+                self.refuse_body()
         return consumed
 
+    def refuse_body(self) -> None:
+        """Complete the request without its body, for which there is no room."""
+        self.is_body_refused = True
+        self.close()
+        self.connection_close = True
+        self.completed = True
+
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the head; raise ``ParsingError`` if it is ambiguous."""
         head = header_plus.lower()
@@ -72,10 +91,15 @@
             )
         if head.count(b"\nhost:") > 1 or head.count(b"\ncontent-length:") > 1:
             raise waitress.parser.ParsingError("Host or Content-Length is given more than once")
+        if _LONG_LENGTH.search(head):
+            self._has_long_length = True
+            raise waitress.parser.ParsingError("Content-Length has too many digits")
         super().parse_header(header_plus)
         if has_chunks and self.version != "1.1":
             raise waitress.parser.ParsingError("Transfer-Encoding requires HTTP/1.1")
-        if self.body_rcv is not None:
+        if self.chunked:
+            self.body_rcv = ChunkDecoder()
+        elif self.body_rcv is not None:
             # Waitress would write large bodies to files, which count as memory on some platforms.
             self.body_rcv.buf = BlockBuffer()
 
@@ -84,16 +108,29 @@
         self.body_rcv = None
         self._reservation.release()
 
+    def _receive_body(self, data: bytes) -> int:
+        receiver = self.body_rcv
+        consumed = int(receiver.received(data))
+        self.body_bytes_received += consumed
+        if receiver.error:
+            self.error = receiver.error
+        elif self.chunked and receiver.announced_bytes > self._body_max_bytes:
+            self.error = self._make_too_large()
+        elif receiver.completed and self.chunked:
+            # Upstreams get the body with its length.
+            self.headers["CONTENT_LENGTH"] = str(len(receiver))
+        self.completed = bool(self.error or receiver.completed)
+        return consumed
+
+    def _make_too_large(self) -> RequestEntityTooLarge:
+        return RequestEntityTooLarge(f"the body exceeds the limit of {self._body_max_bytes} bytes")
+
     def _get_body_bytes(self) -> int:
         if not self.chunked:
             return int(self.content_length)
-        received_bytes = int(self.body_bytes_received)
-        if received_bytes <= SMALL_BODY_MAX_BYTES:
+        received_bytes = len(self.body_rcv)
+        if received_bytes <= FREE_BODY_MAX_BYTES:
             return received_bytes
-        return -(-received_bytes // RESERVATION_STEP_BYTES) * RESERVATION_STEP_BYTES
-
-    def _has_endless_framing(self) -> bool:
-        if not self.chunked:
-            return False
-        receiver = self.body_rcv
-        return max(len(receiver.control_line), len(receiver.trailer)) > CHUNK_FRAMING_MAX_BYTES
+        is_small = received_bytes <= SMALL_BODY_MAX_BYTES
+        step_bytes = SMALL_RESERVATION_STEP_BYTES if is_small else RESERVATION_STEP_BYTES
+        return -(-received_bytes // step_bytes) * step_bytes
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -26,8 +26,10 @@
 from coltsfootrill.proxy.caller import WRITE_TIMEOUT_MS
 from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.proxy.caller import CallerRequest
-from coltsfootrill.proxy.caller import DisconnectMonitor
 from coltsfootrill.proxy.caller import Refusal
+from coltsfootrill.proxy.caller_connections import CallerConnections
+from coltsfootrill.proxy.disconnect_monitor import DisconnectMonitor
+from coltsfootrill.proxy.eviction import ConnectionState
 from coltsfootrill.proxy.in_progress import RequestsInProgress
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
@@ -74,6 +76,7 @@
         body_budget: BodyBudget,
         get_limits: Callable[[], CallerLimits] = CallerLimits,
         get_deadline_max_ms: Callable[[], float] = lambda: DEADLINE_MAX_MS,
+        on_evicted: Callable[[ConnectionState], None] = lambda state: None,
     ) -> None:
         self._body_budget = body_budget
         self._get_limits = get_limits
@@ -81,11 +84,10 @@
         self._limits = CallerLimits()
         self._handle = handle
         self._clock = clock
-        self._connections_max = connections_max
+        self._connections = CallerConnections(connections_max, clock=clock, on_evicted=on_evicted)
+        body_budget.set_reclaim(self._connections.reclaim)
         self._workers = WorkerThreads(connections_max, name="caller", clock=clock)
         self._adjustments = _make_adjustments(self._limits)
-        self._lock = threading.Lock()
-        self._connections: set[CallerConnection] = set()
         self.in_progress = RequestsInProgress(requests_max, clock)
         self._listener: socket.socket | None = None
         self._thread: threading.Thread | None = None
@@ -150,9 +152,7 @@
                 self._close_idle()
             self._clock.sleep_ms(DRAIN_CHECK_MS)
         aborted_count = self.count_in_progress()
-        with self._lock:
-            open_connections = list(self._connections)
-        for connection in open_connections:
+        for connection in self._connections.list_open():
             connection.abort("the instance has stopped")
         remaining_ms = limit_ms - (self._clock.now_ms() - start_ms)
         running_count = self._workers.close(timeout_ms=max(remaining_ms, THREADS_END_MS))
@@ -161,15 +161,12 @@
         return aborted_count
 
     def _is_finished(self) -> bool:
-        with self._lock:
-            # A request is in progress until the callbacks of its answer have run.
-            return not self.in_progress and not self._connections
+        # A request is in progress until the callbacks of its answer have run.
+        return not self.in_progress and not self._connections
 
     def _close_idle(self) -> None:
         """Close the idle connections; a request that arrives on one later is not processed."""
-        with self._lock:
-            connections = list(self._connections)
-        for connection in connections:
+        for connection in self._connections.list_open():
             if connection.close_if_idle():
                 connection.abort("the instance is stopping")
 
@@ -197,28 +194,19 @@
         try:
             sock.settimeout(None)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if self._add_connection(connection):
+            if self._connections.add(connection):
                 self._workers.submit(lambda: self._serve(connection))
                 return
             logging.warning(
-                "connection closed: too many are open connections=%d", self._connections_max
+                "connection closed: too many are open connections=%d", self._connections.count_max
             )
             sock.send(encode_answer(_TOO_MANY_ANSWER, "", is_closing=True), socket.MSG_DONTWAIT)
         except (OSError, RuntimeError) as error:
             # The caller has left, or no thread can be started.
             logging.error('connection closed error="%s"', error)
-            with self._lock:
-                self._connections.discard(connection)
+            self._connections.discard(connection)
         sock.close()
 
-    def _add_connection(self, connection: CallerConnection) -> bool:
-        """Add a connection; return whether there was room for it."""
-        with self._lock:
-            if len(self._connections) >= self._connections_max:
-                return False
-            self._connections.add(connection)
-            return True
-
     def _serve(self, connection: CallerConnection) -> None:
         """Read and answer requests until another thread reads the next one or either end closes."""
         try:
@@ -235,8 +223,7 @@
     def _release(self, connection: CallerConnection) -> None:
         if not connection.release():
             return
-        with self._lock:
-            self._connections.discard(connection)
+        self._connections.linger(connection)
         if connection.unsent_count:
             logging.warning(
                 'answers not sent count=%d cause="%s"', connection.unsent_count, connection.failure
@@ -247,6 +234,7 @@
             # The caller has already closed the connection.
             pass
         connection.sock.close()
+        self._connections.discard(connection)
 
     def _serve_one(self, connection: CallerConnection) -> bool:
         """Receive and answer a request; return whether this thread also reads the next one."""
@@ -372,7 +360,8 @@
 def _make_adjustments(limits: CallerLimits) -> Adjustments:
     return Adjustments(
         listen="127.0.0.1:0",
-        max_request_body_size=limits.body_max_bytes,
+        # Waitress refuses bodies of this size.
+        max_request_body_size=limits.body_max_bytes + 1,
         max_request_header_size=limits.head_max_bytes,
     )
 
--- a/src/coltsfootrill/roles/gateway.py
+++ b/src/coltsfootrill/roles/gateway.py
@@ -89,6 +89,7 @@
             get_limits=self._get_limits,
             get_deadline_max_ms=self._get_deadline_max_ms,
             body_budget=body_budget,
+            on_evicted=lambda state: metrics.evicted_connections.labels(state).inc(),
         )
         requests = self._caller_server.in_progress
         metrics.requests_in_progress.set_function(lambda: len(requests))
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -34,6 +34,7 @@
 DIRECTORY = "testing/registry/test_directory.py::Test"
 CALLER = "testing/proxy/test_caller.py::Test"
 BALANCER = "testing/balancer/test_"
+BODIES = "testing/proxy/test_bodies.py::Test"
 
 MUTANTS = [
     Mutant(
@@ -53,8 +54,8 @@
     Mutant(
         "a planned stop of an entry instance cuts no request",
         "proxy/server.py",
-        "            return not self.in_progress and not self._connections\n",
-        "            return True\n",
+        "        return not self.in_progress and not self._connections\n",
+        "        return True\n",
         FEATURES + "a_planned_stop_of_an_entry_instance_interrupts_no_request",
     ),
     Mutant(
@@ -606,10 +607,66 @@
     Mutant(
         "large bodies of callers share a bound",
         "proxy/body_budget.py",
-        "            if count > self._free_bytes:\n",
+        "            if count > self.free_bytes:\n",
         "            if False:\n",
         "testing/proxy/test_bodies.py::TestRefusal",
     ),
+    Mutant(
+        "small bodies of callers share a bound",
+        "proxy/body_budget.py",
+        "                if self._count_free(self._small_bytes + count) < 0:\n",
+        "                if False:\n",
+        BODIES + "BodyBudget",
+    ),
+    Mutant(
+        "large bodies leave the room of small ones free",
+        "proxy/body_budget.py",
+        "        overflow_bytes = max(0, small_bytes - SMALL_RESERVED_BYTES)\n",
+        "        overflow_bytes = small_bytes\n",
+        BODIES + "BodyBudget",
+    ),
+    Mutant(
+        "a caller that has stalled gives its place to another",
+        "proxy/caller_connections.py",
+        "                state = self._evict_for_place()\n",
+        "",
+        "testing/proxy/test_caller_connections.py::TestPlaces",
+    ),
+    Mutant(
+        "a caller that has stalled gives its room to another",
+        "proxy/caller_connections.py",
+        "                reserved_bytes = self._evict_for_room()\n",
+        "                reserved_bytes = 0\n",
+        BODIES + "StalledCallers",
+    ),
+    Mutant(
+        "a request that is being answered is not cut for others",
+        "proxy/eviction.py",
+        '        if state == "busy" or connection.is_evicted:\n',
+        "        if connection.is_evicted:\n",
+        "testing/proxy/test_eviction.py::TestPlace",
+    ),
+    Mutant(
+        "callers that close keep their places until then",
+        "proxy/caller_connections.py",
+        "            self._lingering.add(connection)\n",
+        "            pass\n",
+        "testing/proxy/test_caller_connections.py::TestPlaces",
+    ),
+    Mutant(
+        "a request that trickles ends, also a small one",
+        "proxy/caller.py",
+        "        if now_ms > until_ms:\n",
+        "        if False:\n",
+        BODIES + "Freeing",
+    ),
+    Mutant(
+        "the framing of chunks is bounded",
+        "proxy/chunk_decoder.py",
+        "        if self.error is None and len(self._partial) > CHUNK_FRAMING_MAX_BYTES:\n",
+        "        if False:\n",
+        "testing/proxy/test_chunk_decoder.py::TestBounds",
+    ),
     Mutant(
         "a body gives back its room when its request ends",
         "proxy/request_parser.py",
@@ -929,8 +986,8 @@
     Mutant(
         "a connection over the limit is refused and logged",
         "proxy/server.py",
-        "if self._add_connection(connection):",
-        "if self._add_connection(connection) or True:",
+        "if self._connections.add(connection):",
+        "if self._connections.add(connection) or True:",
         "testing/proxy/test_server.py::TestTooManyConnections",
     ),
     Mutant(
--- a/testing/proxy/test_bodies.py
+++ b/testing/proxy/test_bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 import socket
 import threading
@@ -9,9 +10,12 @@
 
 import pytest
 
+from coltsfootrill.proxy import body_budget
 from coltsfootrill.proxy import caller
+from coltsfootrill.proxy import eviction
 from coltsfootrill.proxy.body_budget import MB
 from coltsfootrill.proxy.body_budget import SMALL_BODY_MAX_BYTES
+from coltsfootrill.proxy.body_budget import SMALL_RESERVED_BYTES
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.body_budget import BodyReservation
 from testing.processes import wait_until
@@ -171,7 +175,7 @@
     def test_body_that_trickles_gives_back_its_room(
         self, instance: Instance, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr(caller, "LARGE_BODY_TIMEOUT_MS", 300.0)
+        monkeypatch.setattr(caller, "REQUEST_TIMEOUT_MS", 300.0)
         with _connect(instance) as sock:
             sock.sendall(HEAD + f"Content-Length: {len(LARGE)}\r\n\r\n".encode())
             wait_until(lambda: instance.body_budget.free_bytes < BODY_BYTES)
@@ -181,6 +185,17 @@
                     threading.Event().wait(0.02)
         _wait_until_free(instance)
 
+    def test_small_request_that_trickles_ends(
+        self, instance: Instance, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(caller, "REQUEST_TIMEOUT_MS", 300.0)
+        with _connect(instance) as sock:
+            sock.sendall(HEAD)
+            with pytest.raises(OSError):
+                for _ in range(200):
+                    sock.sendall(b"X: y\r\n")
+                    threading.Event().wait(0.02)
+
     def test_body_of_a_request_without_an_upstream_gives_back_its_room(
         self, instance: Instance
     ) -> None:
@@ -188,7 +203,67 @@
         _wait_until_free(instance)
 
 
+class TestStalledCallers:
+    # Guards against callers that stop short and keep the room that other uploads need.
+    def test_body_gets_the_room_of_one_that_has_stalled(
+        self,
+        instance: Instance,
+        reading: ReadingUpstream,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        monkeypatch.setattr(eviction, "STALLED_MIN_MS", 0.0)
+        with _connect(instance) as stalled:
+            stalled.sendall(HEAD + f"Content-Length: {len(LARGE)}\r\n\r\n".encode() + b"x")
+            wait_until(lambda: instance.body_budget.free_bytes < BODY_BYTES)
+            assert instance.call("/once", method="POST", body=LARGE).status == 200
+            refusal = stalled.recv(65_536)
+        assert refusal.startswith(b"HTTP/1.1 503 ") and b"no-room-for-body" in refusal
+        assert b"not-run" in refusal and b"Retry-After" in refusal
+        assert reading.received == 1
+        _wait_until_free(instance)
+
+    def test_small_bodies_that_stop_short_are_refused_beyond_their_room(
+        self, instance: Instance, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(body_budget, "SMALL_RESERVED_BYTES", 0)
+        head = HEAD + f"Content-Length: {SMALL_BODY_MAX_BYTES}\r\n\r\n".encode()
+        with contextlib.ExitStack() as stack:
+            callers = [
+                stack.enter_context(_connect(instance))
+                for _ in range(BODY_BYTES // SMALL_BODY_MAX_BYTES + 1)
+            ]
+            for caller_socket in callers[:-1]:
+                caller_socket.sendall(head)
+            wait_until(lambda: instance.body_budget.free_bytes == 0)
+            callers[-1].sendall(head)
+            assert b"no-room-for-body" in callers[-1].recv(65_536)
+        _wait_until_free(instance)
+
+
 class TestBodyBudget:
+    def test_small_bodies_take_their_own_room_first_and_then_the_bound(self) -> None:
+        budget = BodyBudget(MB)
+        assert budget.try_reserve(SMALL_RESERVED_BYTES, is_small=True)
+        assert budget.free_bytes == MB
+        assert budget.try_reserve(MB, is_small=True)
+        assert budget.free_bytes == 0
+        assert not budget.try_reserve(1, is_small=True)
+        budget.release(2 * MB, is_small=True)
+        assert budget.free_bytes == MB
+
+    def test_large_bodies_leave_the_room_of_small_ones(self) -> None:
+        budget = BodyBudget(MB)
+        assert budget.try_reserve(MB) and not budget.try_reserve(1)
+        assert budget.try_reserve(SMALL_RESERVED_BYTES, is_small=True)
+
+    def test_body_that_grows_large_gives_back_the_room_of_small_ones(self) -> None:
+        budget = BodyBudget(MB)
+        reservation = BodyReservation(budget)
+        assert reservation.extend_to(SMALL_BODY_MAX_BYTES) and budget.free_bytes == MB
+        assert reservation.extend_to(MB) and budget.free_bytes == 0
+        reservation.release()
+        assert budget.free_bytes == MB
+
     def test_bound_is_worked_out_from_the_memory(self) -> None:
         assert BodyBudget.from_memory_mb(200).free_bytes == 72 * MB
         assert BodyBudget.from_memory_mb(300).free_bytes == 172 * MB
