Bound answers that callers do not read, and free the upstream before they do

Callers that do not read held each answer twice for 30 s, with no common bound, and held the slot of the upstream as long: four such callers kept an upstream with four slots from everybody.

The slot is freed as soon as an answer has to wait, for its turn or for its caller. The body is not kept beside the encoded answer. Answers that wait for their callers share 32 MiB; above 16 MiB one of which nothing is read for 250 ms is given up, and beyond the bound the one that comes. Answers that the kernel takes at once do not count.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -9,7 +9,6 @@
 
 import contextlib
 import math
-import select
 import socket
 import threading
 from collections.abc import Callable
@@ -27,6 +26,9 @@
 from coltsfootrill.proxy.disconnect_monitor import DisconnectMonitor
 from coltsfootrill.proxy.eviction import ConnectionState
 from coltsfootrill.proxy.request_parser import RequestParser
+from coltsfootrill.proxy.sending import WRITE_TIMEOUT_MS
+from coltsfootrill.proxy.sending import Sender
+from coltsfootrill.proxy.sending import UnreadAnswers
 from coltsfootrill.proxy.sockets import has_unread_bytes
 from coltsfootrill.proxy.sockets import set_receive_timeout
 from coltsfootrill.proxy.turns import Turn
@@ -37,7 +39,6 @@
 UNRESERVED_RECEIVE_BYTES = 8 * 1024
 # Fewer bytes of a request do not keep it from counting as stalled.
 PROGRESS_MIN_BYTES = 4 * 1024
-WRITE_TIMEOUT_MS = 30_000.0
 LINGER_MS = 500.0
 LINGER_MAX_MS = 2_000.0
 # From the first byte of a request to its last.
@@ -111,6 +112,7 @@
         "_is_receiving",
         "_order",
         "_reservation",
+        "_sender",
         "_timeout_ms",
         "_unparsed",
         "_users",
@@ -120,9 +122,12 @@
         "sock",
     )
 
-    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+    def __init__(
+        self, sock: socket.socket, clock: Clock, unread: UnreadAnswers | None = None
+    ) -> None:
         self.sock = sock
         self._clock = clock
+        self._sender = Sender(sock, clock, unread or UnreadAnswers())
         self._unparsed = b""
         self._timeout_ms = 0.0
         self._is_receiving = False
@@ -266,7 +271,7 @@
                 return False
         except TimeoutError:
             return True
-        self._send(CONTINUE)
+        self._sender.send(CONTINUE)
         return True
 
     def take_turn(self) -> Turn | None:
@@ -299,19 +304,23 @@
         *,
         wants_close: Callable[[], bool],
         wait_max_ms: float = TURN_WAIT_MAX_MS,
+        on_wait: Callable[[], object] = lambda: None,
     ) -> bool:
         """Send the answer of a turn once all before it are sent; return whether it was the last.
 
         ``encode`` receives whether the connection closes after this answer. The connection closes
         only after the last request that was read, so that no request read is left unanswered.
         Nothing more is sent after an answer that could not be, or that would have to wait for
-        ``wait_max_ms`` without any before it being sent.
+        ``wait_max_ms`` without any before it being sent. ``on_wait`` is called if it has to wait,
+        for those before or for the caller to read it.
         """
         try:
+            if not self._order.is_next(turn):
+                on_wait()
             if not self._order.wait_to_send(turn, timeout_ms=wait_max_ms):
                 return True
             is_last = wants_close() and self._order.close_if_newest(turn)
-            self._send(encode(is_last))
+            self._sender.send(encode(is_last), on_wait=on_wait)
         except OSError as error:
             if isinstance(error, TimeoutError):
                 logging.error('turn given up number=%d error="%s"', turn.number, error)
@@ -372,26 +381,6 @@
             pass
         return True
 
-    def _send(self, data: bytes) -> None:
-        """Send ``data``; raise ``OSError`` if that fails or takes too long.
-
-        The socket stays in blocking mode, since another thread may be receiving from it.
-        """
-        rest = memoryview(data)
-        until_ms = self._clock.now_ms() + WRITE_TIMEOUT_MS
-        while rest:
-            try:
-                rest = rest[self.sock.send(rest, socket.MSG_DONTWAIT) :]
-            except BlockingIOError:
-                self._wait_until_writable(until_ms)
-
-    def _wait_until_writable(self, until_ms: float) -> None:
-        poller = select.poll()
-        poller.register(self.sock, select.POLLOUT)
-        remaining_ms = until_ms - self._clock.now_ms()
-        if remaining_ms <= 0 or not poller.poll(math.ceil(remaining_ms)):
-            raise TimeoutError("the caller did not read the answer in time")
-
     def _set_timeout(self, timeout_ms: float) -> None:
         """Set the kernel's receive timeout, which needs no system call before each receive."""
         if timeout_ms == self._timeout_ms:
--- a/src/coltsfootrill/proxy/outcome.py
+++ b/src/coltsfootrill/proxy/outcome.py
@@ -43,14 +43,14 @@
         self._sent_callbacks: list[Callable[[], None]] = []
 
     def add_sent_callback(self, callback: Callable[[], None]) -> None:
-        """Register a callback that runs once the answer has been sent or sending has failed."""
+        """Register a callback that runs once the answer is sent, has failed, or has to wait."""
         self._sent_callbacks.append(callback)
 
     def run_sent_callbacks(self) -> None:
-        """Run the registered callbacks; called exactly once."""
-        for callback in self._sent_callbacks:
+        """Run the callbacks that are registered and have not run."""
+        callbacks, self._sent_callbacks = self._sent_callbacks, []
+        for callback in callbacks:
             callback()
-        self._sent_callbacks.clear()
 
 
 class ProxyError(ColtsfootrillError):
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -23,7 +23,6 @@
 from coltsfootrill.manifest.model import DEADLINE_MAX_MS
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.proxy.body_budget import BodyBudget
-from coltsfootrill.proxy.caller import WRITE_TIMEOUT_MS
 from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.caller import Refusal
@@ -37,6 +36,8 @@
 from coltsfootrill.proxy.outcome import encode_answer
 from coltsfootrill.proxy.outcome import make_error_answer
 from coltsfootrill.proxy.request_parser import RequestParser
+from coltsfootrill.proxy.sending import WRITE_TIMEOUT_MS
+from coltsfootrill.proxy.sending import UnreadAnswers
 from coltsfootrill.proxy.turns import Turn
 from coltsfootrill.proxy.worker_threads import WorkerThreads
 
@@ -87,6 +88,7 @@
         self._connections = CallerConnections(connections_max, clock=clock, on_evicted=on_evicted)
         body_budget.set_reclaim(self._connections.reclaim)
         self._workers = WorkerThreads(connections_max, name="caller", clock=clock)
+        self._unread_answers = UnreadAnswers()
         self._adjustments = _make_adjustments(self._limits)
         self.in_progress = RequestsInProgress(requests_max, clock)
         self._listener: socket.socket | None = None
@@ -190,7 +192,7 @@
 
     def _start_task(self, sock: socket.socket) -> None:
         """Serve a connection, or close it if there are too many."""
-        connection = CallerConnection(sock, self._clock)
+        connection = CallerConnection(sock, self._clock, self._unread_answers)
         try:
             sock.settimeout(None)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -269,9 +271,11 @@
         try:
             is_last = connection.answer(
                 turn,
-                lambda is_last: encode_answer(answer, method, is_closing=is_last),
+                lambda is_last: _encode_once(answer, method, is_closing=is_last),
                 wants_close=lambda: self._is_draining or _wants_close(parsed),
                 wait_max_ms=self._get_request_max_ms(),
+                # A caller that does not read must not hold the upstream's slot meanwhile.
+                on_wait=answer.run_sent_callbacks,
             )
         finally:
             answer.run_sent_callbacks()
@@ -366,6 +370,13 @@
     )
 
 
+def _encode_once(answer: Answer, method: str, *, is_closing: bool) -> bytes:
+    """Return an answer as bytes; its body is not held beside them."""
+    data = encode_answer(answer, method, is_closing=is_closing)
+    answer.body = b""
+    return data
+
+
 def _wants_close(parsed: RequestParser) -> bool:
     return bool(parsed.error is not None or parsed.connection_close or parsed.version != "1.1")
 
--- a/src/coltsfootrill/proxy/turns.py
+++ b/src/coltsfootrill/proxy/turns.py
@@ -63,6 +63,10 @@
             self._forbid_after(self._taken_count)
             return True
 
+    def is_next(self, turn: Turn) -> bool:
+        """Return whether all turns before have been sent."""
+        return self._sent_count >= turn.number - 1
+
     def wait_to_send(self, turn: Turn, *, timeout_ms: float) -> bool:
         """Wait until all turns before have been sent; return whether this one may be.
 
--- a/testing/announced_upstream.py
+++ b/testing/announced_upstream.py
@@ -29,9 +29,14 @@
 
 
 class AnnouncedUpstream:
-    """Reads each body to its end, and answers; announces itself until it is closed."""
+    """Reads each body to its end, and answers; announces itself until it is closed.
+
+    ``answer_body`` goes to the requests with a stated length, which ``answered_count`` counts.
+    """
 
     def __init__(self, node: Node) -> None:
+        self.answer_body = b"hello"
+        self.answered_count = 0
         self._node = node
         self._upstream = ScriptedUpstream(self._serve)
         self._is_closed = threading.Event()
@@ -58,4 +63,7 @@
             if not received_bytes:
                 return False
             left_bytes -= received_bytes
-        return reply_with()(sock, fields, number)
+        if not found:
+            return reply_with()(sock, fields, number)
+        self.answered_count += 1
+        return reply_with(self.answer_body)(sock, fields, number)
--- a/testing/floods/instance.py
+++ b/testing/floods/instance.py
@@ -61,6 +61,17 @@
         if self.node.is_alive():
             self.node.end()
 
+    def answer_with(self, body: bytes) -> None:
+        """Let the upstream answer with ``body`` from now on."""
+        assert self._upstream is not None
+        self._upstream.answer_body = body
+
+    def wait_until_taken(self, count: int) -> None:
+        """Wait until the upstream has answered ``count`` requests that have a body."""
+        upstream = self._upstream
+        assert upstream is not None
+        wait_until(lambda: upstream.answered_count >= count, within_s=ANSWER_S)
+
     def check_sound(self) -> None:
         """Check what must hold during a flood, and that an ordinary caller gets its answer."""
         self.wait_until_answered()
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -653,6 +653,27 @@
         "            pass\n",
         "testing/proxy/test_caller_connections.py::TestPlaces",
     ),
+    Mutant(
+        "answers that callers do not read share a bound",
+        "proxy/sending.py",
+        "            if self._held_bytes and self._held_bytes + count > self._max_bytes:\n",
+        "            if False:\n",
+        "testing/proxy/test_sending.py::TestUnreadAnswers",
+    ),
+    Mutant(
+        "an answer that is not read is given up for others",
+        "proxy/sending.py",
+        "            if self._held_bytes <= self._usual_bytes:\n",
+        "            if True:\n",
+        "testing/proxy/test_sending.py::TestUnreadAnswers",
+    ),
+    Mutant(
+        "a caller that does not read holds no slot of an upstream",
+        "proxy/server.py",
+        "                on_wait=answer.run_sent_callbacks,\n",
+        "",
+        "testing/proxy/test_sending.py::TestSlots",
+    ),
     Mutant(
         "a request that trickles ends, also a small one",
         "proxy/caller.py",
@@ -978,9 +999,9 @@
     ),
     Mutant(
         "a thread that writes does not disturb the one that reads",
-        "proxy/caller.py",
+        "proxy/sending.py",
         "        rest = memoryview(data)\n",
-        "        self.sock.settimeout(WRITE_TIMEOUT_MS / 1000)\n        rest = memoryview(data)\n",
+        "        self._sock.settimeout(WRITE_TIMEOUT_MS / 1000)\n        rest = memoryview(data)\n",
         CALLER + "Sending",
     ),
     Mutant(
