--- /dev/null
+++ b/src/coltsfootrill/operators/bounded_bodies.py
@@ -0,0 +1,66 @@
+"""Bounds the memory that the bodies of operators and announcements take on one port."""
+
+from __future__ import annotations
+
+import weakref
+from typing import Any
+
+from waitress.adjustments import Adjustments
+from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
+from waitress.utilities import Error
+
+from coltsfootrill.proxy.body_budget import BodyBudget
+from coltsfootrill.proxy.body_budget import BodyReservation
+
+# Of all bodies above 64 KiB that are being received or handled.
+BODIES_MAX_BYTES = 16 * 1024 * 1024
+# A body in chunks does not state its length, so memory for it is reserved in steps.
+_STEP_BYTES = 256 * 1024
+
+
+class _NoRoomError(Error):  # type: ignore[misc]
+    code = 503
+    reason = "Service Unavailable"
+
+
+class _BoundedParser(HTTPRequestParser):  # type: ignore[misc]
+    """Parses one request; refuses its body with 503 if there is no room for it."""
+
+    # An error of waitress, or ``None``.
+    error: Any
+
+    def __init__(self, adjustments: Adjustments, budget: BodyBudget) -> None:
+        super().__init__(adjustments)
+        self._reservation = BodyReservation(budget)
+        # A request that its sender cuts off is not closed.
+        weakref.finalize(self, self._reservation.release)
+
+    def received(self, data: bytes) -> int:
+        """Parse bytes; return how many belong to the request."""
+        consumed: int = super().received(data)
+        if self.error is None and self.body_rcv is not None:
+            if not self._reservation.extend_to(self._count_body_bytes()):
+                self.error = _NoRoomError("this instance holds too many large bodies")
+                self.completed = True
+        return consumed
+
+    def close(self) -> None:
+        """Free the body and its reservation."""
+        super().close()
+        self._reservation.release()
+
+    def _count_body_bytes(self) -> int:
+        if not self.chunked:
+            return int(self.content_length)
+        return -(-int(self.body_bytes_received) // _STEP_BYTES) * _STEP_BYTES
+
+
+def make_channel_class(bodies_max_bytes: int = BODIES_MAX_BYTES) -> Any:
+    """Return a class of waitress's channels whose requests share a bound for their bodies."""
+    budget = BodyBudget(bodies_max_bytes)
+
+    class BoundedChannel(HTTPChannel):  # type: ignore[misc]
+        parser_class = staticmethod(lambda adjustments: _BoundedParser(adjustments, budget))
+
+    return BoundedChannel
--- a/src/coltsfootrill/operators/http.py
+++ b/src/coltsfootrill/operators/http.py
@@ -12,6 +12,8 @@
 import waitress.server
 
 from coltsfootrill.errors import ColtsfootrillError
+from coltsfootrill.operators.bounded_bodies import BODIES_MAX_BYTES
+from coltsfootrill.operators.bounded_bodies import make_channel_class
 from coltsfootrill.settings import Address
 
 BODY_MAX_BYTES = 5 * 1024 * 1024
@@ -128,7 +130,14 @@
 class HttpServer:
     """Serves one application on one address; raises ``OperatorListenError`` if it cannot listen."""
 
-    def __init__(self, app: HttpApp, address: Address, *, threads: int = _THREAD_COUNT) -> None:
+    def __init__(
+        self,
+        app: HttpApp,
+        address: Address,
+        *,
+        threads: int = _THREAD_COUNT,
+        bodies_max_bytes: int = BODIES_MAX_BYTES,
+    ) -> None:
         try:
             self._server = waitress.server.create_server(
                 app,
@@ -141,6 +150,7 @@
             )
         except OSError as error:
             raise OperatorListenError(f"cannot listen on {address}: {error}") from error
+        self._server.channel_class = make_channel_class(bodies_max_bytes)
         self._thread = threading.Thread(
             target=self._server.run, name=f"http-{address}", daemon=True
         )
--- /dev/null
+++ b/testing/operators/test_http.py
@@ -0,0 +1,61 @@
+"""Bodies of operators and announcements: what one port holds of them is bounded."""
+
+from __future__ import annotations
+
+import http.client
+import socket
+
+from coltsfootrill.operators.http import HttpApp
+from coltsfootrill.operators.http import HttpReply
+from coltsfootrill.operators.http import HttpServer
+from coltsfootrill.settings import Address
+from testing.processes import get_free_port
+from testing.processes import wait_until
+
+KB = 1024
+BODIES_MAX_BYTES = 1024 * KB
+
+
+class Port:
+    """A port whose only route answers with the size of the body."""
+
+    def __init__(self) -> None:
+        self.address = ("127.0.0.1", get_free_port())
+        app = HttpApp(None)
+        app.add("POST", "/size", lambda request: HttpReply.from_json("200 OK", len(request.body)))
+        HttpServer(app, Address(*self.address), bodies_max_bytes=BODIES_MAX_BYTES).start()
+
+    def call(self, body_bytes: int, *, is_chunked: bool = False) -> tuple[int, bytes]:
+        connection = http.client.HTTPConnection(*self.address, timeout=10)
+        body = iter([b"x" * body_bytes]) if is_chunked else b"x" * body_bytes
+        try:
+            connection.request("POST", "/size", body=body, encode_chunked=is_chunked)
+            response = connection.getresponse()
+            return response.status, response.read().strip()
+        finally:
+            connection.close()
+
+    def stop_short(self, body_bytes: int) -> socket.socket:
+        sock = socket.create_connection(self.address, timeout=10)
+        sock.sendall(
+            f"POST /size HTTP/1.1\r\nHost: a\r\nContent-Length: {body_bytes}\r\n\r\n".encode()
+        )
+        return sock
+
+
+class TestBodies:
+    # Guards against a process that ends for the bodies that it holds, each of them allowed.
+    def test_bodies_share_a_bound_and_small_ones_are_handled_beside_them(self) -> None:
+        port = Port()
+        assert port.call(BODIES_MAX_BYTES) == (200, b"%d" % BODIES_MAX_BYTES)
+        with port.stop_short(BODIES_MAX_BYTES):
+            wait_until(lambda: port.call(128 * KB)[0] == 503)
+            assert port.call(60 * KB) == (200, b"%d" % (60 * KB))
+        wait_until(lambda: port.call(128 * KB)[0] == 200)
+
+    def test_body_in_chunks_is_refused_beyond_the_bound(self) -> None:
+        port = Port()
+        with port.stop_short(BODIES_MAX_BYTES - 128 * KB):
+            wait_until(lambda: port.call(200 * KB)[0] == 503)
+            assert port.call(200 * KB, is_chunked=True)[0] == 503
+        wait_until(lambda: port.call(200 * KB, is_chunked=True)[0] == 200)
--- a/testing/test_rpc.py
+++ b/testing/test_rpc.py
@@ -23,6 +23,7 @@
 from coltsfootrill.membership.messages import ManifestRequest
 from coltsfootrill.rpc import KEEPALIVE_AFTER_MS
 from coltsfootrill.rpc import KEEPALIVE_TIMEOUT_MS
+from coltsfootrill.rpc import MESSAGE_MAX_BYTES
 from coltsfootrill.rpc import RpcClient
 from coltsfootrill.rpc import RpcError
 from coltsfootrill.rpc import RpcServer
@@ -271,3 +272,29 @@
         release.set()
         client.close()
         server.stop(grace_ms=0)
+
+
+class TestTooLargeMessages:
+    # Guards against a process that ends for the messages that it receives.
+    @pytest.mark.parametrize(
+        ("size_bytes", "compression"),
+        [
+            pytest.param(MESSAGE_MAX_BYTES + 1, grpc.Compression.NoCompression, id="plain"),
+            pytest.param(4 * MESSAGE_MAX_BYTES, grpc.Compression.Gzip, id="compressed"),
+        ],
+    )
+    def test_message_is_refused_and_the_next_call_is_answered(
+        self,
+        server: SilentServer,
+        client: RpcClient,
+        size_bytes: int,
+        compression: grpc.Compression,
+    ) -> None:
+        options = [("grpc.max_send_message_length", -1)]
+        with grpc.insecure_channel(server.relay.address, options=options) as channel:
+            call = channel.unary_unary(FETCH_MANIFEST.path)
+            with pytest.raises(grpc.RpcError) as raised:
+                call(bytes(size_bytes), timeout=LONG_TIMEOUT_MS / 1000, compression=compression)
+        assert raised.value.code() == grpc.StatusCode.RESOURCE_EXHAUSTED
+        reply = client.call(FETCH_MANIFEST, ManifestRequest(0), timeout_ms=LONG_TIMEOUT_MS)
+        assert reply.version == 1
