Search for a connection to close at most every 50 ms once none was found

A search goes through all connections, under the lock that a new one needs. While an instance is full and nobody has stalled, each refused connection would pay for one.

--- a/src/coltsfootrill/proxy/caller_connections.py
+++ b/src/coltsfootrill/proxy/caller_connections.py
@@ -4,6 +4,8 @@
 
 import threading
 from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Literal
 
 from absl import logging
 
@@ -18,6 +20,8 @@
 LOG_INTERVAL_MS = 1_000.0
 # A chosen connection stays open if bytes have arrived on it meanwhile.
 ATTEMPTS_MAX_COUNT = 8
+# After a search that found no connection; one goes through all of them.
+SEARCH_PAUSE_MS = 50.0
 
 
 class CallerConnections:
@@ -41,6 +45,7 @@
         self._open: set[CallerConnection] = set()
         # Their last answer has been sent.
         self._lingering: set[CallerConnection] = set()
+        self._next_search_ms = {"place": 0.0, "room": 0.0}
         self._unlogged_count = 0
         self._logged_ms = 0.0
 
@@ -97,10 +102,7 @@
         """Close a connection; return its state, ``None`` if none is closed."""
         if not self._may_evict():
             return None
-        for _ in range(ATTEMPTS_MAX_COUNT):
-            victim = choose_for_place([*self._lingering, *self._open], self._clock.now_ms())
-            if victim is None:
-                return None
+        for victim in self._search("place"):
             state = victim.state
             if victim.evict():
                 return state
@@ -108,15 +110,27 @@
 
     def _evict_for_room(self) -> int:
         """Close a connection; return how many bytes it holds, 0 if none is closed."""
-        for _ in range(ATTEMPTS_MAX_COUNT):
-            victim = choose_for_room(self._open, self._clock.now_ms())
-            if victim is None:
-                return 0
+        for victim in self._search("room"):
             reserved_bytes = victim.reserved_bytes
             if victim.evict():
                 return reserved_bytes
         return 0
 
+    def _search(self, purpose: Literal["place", "room"]) -> Iterator[CallerConnection]:
+        """Iterate over the connections to close, best first, as each of them stays open."""
+        for _ in range(ATTEMPTS_MAX_COUNT):
+            now_ms = self._clock.now_ms()
+            if now_ms < self._next_search_ms[purpose]:
+                return
+            if purpose == "place":
+                victim = choose_for_place([*self._lingering, *self._open], now_ms)
+            else:
+                victim = choose_for_room(self._open, now_ms)
+            if victim is None:
+                self._next_search_ms[purpose] = now_ms + SEARCH_PAUSE_MS
+                return
+            yield victim
+
     def _has_place(self) -> bool:
         return len(self._open) + len(self._lingering) < self.count_max
 
