Make the test of unread answers fail without its mechanism

With four answers of 7 MiB the bound of unread answers freed the slots as well, so the mutant passed, and the ordinary answer of 7 MiB could itself be the one without room: the test failed once, beside load. Three answers now stay below the bound, and the caller has a small window, so the kernel does not take them.

--- a/testing/proxy/test_sending.py
+++ b/testing/proxy/test_sending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from collections.abc import Iterator
@@ -10,14 +11,19 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.proxy import sending
+from coltsfootrill.proxy.sending import UNREAD_USUAL_BYTES
 from coltsfootrill.proxy.sending import Sender
 from coltsfootrill.proxy.sending import UnreadAnswers
+from testing.processes import wait_until
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import answer
 from testing.proxy.instance import Instance
 
 MB = 1024 * 1024
 SLOTS = 3
+# More than the kernel takes, and less than that from which answers are given up.
+UNREAD_BYTES = UNREAD_USUAL_BYTES // SLOTS - 64 * 1024
+RECEIVE_BUFFER_BYTES = 4 * 1024
 
 
 class TestUnreadAnswers:
@@ -84,14 +90,18 @@
 class TestSlots:
     # Guards against callers that keep an upstream from all others by not reading its answers.
     def test_answers_that_are_not_read_hold_no_slots(self, instance: Instance) -> None:
-        upstream = ScriptedUpstream(answer(b"a" * 7 * MB))
+        upstream = ScriptedUpstream(answer(b"a" * UNREAD_BYTES))
         instance.announce("u1", upstream.address, slots=SLOTS)
-        callers = [
-            socket.create_connection(("127.0.0.1", instance.server.port)) for _ in range(SLOTS + 1)
-        ]
-        for caller in callers:
-            caller.sendall(b"POST /once HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
-        assert instance.call("/once", method="POST").status == 200
-        for caller in callers:
-            caller.close()
+        with contextlib.ExitStack() as stack:
+            for _ in range(SLOTS):
+                stack.enter_context(self._send_without_reading(instance))
+            wait_until(lambda: len(upstream.heads) >= SLOTS)
+            assert instance.call("/once", method="POST").status == 200
         upstream.close()
+
+    def _send_without_reading(self, instance: Instance) -> socket.socket:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.connect(("127.0.0.1", instance.server.port))
+        sock.sendall(b"POST /once HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+        return sock
