Merge the bounds of bodies that flood

Cause: callers that stop short kept connections, threads and room that others need, and small bodies had no bound together.

--- a/src/coltsfootrill/proxy/attempt.py
+++ b/src/coltsfootrill/proxy/attempt.py
@@ -9,8 +9,8 @@
 from coltsfootrill.balancer.retry import AttemptHistory
 from coltsfootrill.balancer.retry import FailureKind
 from coltsfootrill.events.catalog import Attempt as AttemptEvent
-from coltsfootrill.proxy.caller import DisconnectMonitor
 from coltsfootrill.proxy.connection import UpstreamConnection
+from coltsfootrill.proxy.disconnect_monitor import DisconnectMonitor
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.outcome import ProxyError
