Test that the organisation of a caller's key is asked for its quota

Cause: keys and quotas were built apart, and no test led a request with a key to a quota.

Change: one test through a whole instance: 429 with Retry-After for the organisation whose quota is used up, 200 for another, and one token for a request that is served.

Before: untested; after: it passes.

--- a/testing/proxy/instance.py
+++ b/testing/proxy/instance.py
@@ -25,6 +25,7 @@
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.server import CallerServer
+from coltsfootrill.quotas.client import QuotaClient
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.zones.evacuation import EvacuatedZones
 
@@ -60,6 +61,7 @@
         once_idle_max_ms: float = 0.0,
         body_bytes: int = 16 * 1024 * 1024,
         reported_version: int = 0,
+        quotas: QuotaClient | None = None,
     ) -> None:
         clock = Clock()
         plugins = load_plugins()
@@ -82,6 +84,7 @@
             once_idle_max_ms=once_idle_max_ms,
             get_reported_version=lambda: reported_version,
             zones=self.zones,
+            quotas=quotas,
             on_ended=self.events.append,
             on_event=self.events.append,
         )
--- a/testing/proxy/test_quota.py
+++ b/testing/proxy/test_quota.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -22,6 +23,9 @@
 from testing.proxy.fakes import answer
 from testing.proxy.fakes import send_raw
 from testing.proxy.instance import Instance
+from testing.proxy.keyed import KEY
+from testing.proxy.keyed import OTHER_KEY
+from testing.proxy.keyed import make_keyed_manifest
 
 Serve = Callable[..., ScriptedUpstream]
 ORGANISATION = Organisation(name="o1", keys=[], rate_per_s=10)
@@ -208,3 +212,24 @@
         assert instance.call("/x").headers["Retry-After"] == "0.13"
     finally:
         instance.close()
+
+
+def test_the_organisation_of_a_key_is_asked_for_its_quota() -> None:
+    client = FakeClient(0)
+    instance = Instance(quotas=client)  # type: ignore[arg-type]
+    upstream = ScriptedUpstream(answer())
+    try:
+        manifest = json.loads(make_keyed_manifest(2))
+        manifest["organisations"][0]["rate_per_s"] = 10
+        instance.manifests.adopt(json.dumps(manifest).encode())
+        instance.announce("u1", upstream.address)
+        refused = instance.call(Authorization=f"Bearer {KEY}")
+        assert refused.status == 429 and refused.reason == "quota"
+        assert refused.headers["Retry-After"] == "1"
+        assert instance.call(Authorization=f"Bearer {OTHER_KEY}").status == 200
+        client.left = 1
+        assert instance.call(Authorization=f"Bearer {KEY}").status == 200
+        assert client.left == 0
+    finally:
+        instance.close()
+        upstream.close()
