Give up the answer that is not read for longest, not the newest one

Beyond the bound the answer that came last was given up, also when its caller read: a test whose ordinary caller asks for 7 MiB beside four that do not read failed once, beside load, with half of its answer. Now the room is taken from the answer of which nothing was read for longest.

--- a/src/coltsfootrill/proxy/sending.py
+++ b/src/coltsfootrill/proxy/sending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import select
 import socket
@@ -17,10 +18,22 @@
 STALLED_MIN_MS = 250.0
 
 
+class UnreadAnswer:
+    """An answer that its caller has not read yet; ``progress_ms`` is when it last read of it."""
+
+    __slots__ = ("abort", "is_given_up", "progress_ms", "size_bytes")
+
+    def __init__(self, size_bytes: int, progress_ms: float, abort: Callable[[], object]) -> None:
+        self.size_bytes = size_bytes
+        self.progress_ms = progress_ms
+        self.abort = abort
+        self.is_given_up = False
+
+
 class UnreadAnswers:
-    """Counts the bytes of answers that callers have not read yet. Thread-safe."""
+    """Bounds the bytes of answers that callers have not read yet. Thread-safe."""
 
-    __slots__ = ("_held_bytes", "_lock", "_max_bytes", "_usual_bytes")
+    __slots__ = ("_answers", "_held_bytes", "_lock", "_max_bytes", "_usual_bytes")
 
     def __init__(
         self, max_bytes: int = UNREAD_MAX_BYTES, usual_bytes: int = UNREAD_USUAL_BYTES
@@ -28,31 +41,41 @@
         self._max_bytes = max_bytes
         self._usual_bytes = usual_bytes
         self._lock = threading.Lock()
+        self._answers: set[UnreadAnswer] = set()
         self._held_bytes = 0
 
-    def try_hold(self, count: int) -> bool:
-        """Count an answer that its caller does not read at once; return whether there is room.
+    def hold(self, answer: UnreadAnswer) -> None:
+        """Count an answer; those of which nothing was read for longest are given up for it.
 
         A single answer always has room.
         """
         with self._lock:
-            if self._held_bytes and self._held_bytes + count > self._max_bytes:
-                return False
-            self._held_bytes += count
-            return True
-
-    def release(self, count: int) -> None:
+            while self._answers and self._held_bytes + answer.size_bytes > self._max_bytes:
+                victim = min(self._answers, key=lambda held: held.progress_ms)
+                self._give_up(victim)
+                victim.abort()
+            self._answers.add(answer)
+            self._held_bytes += answer.size_bytes
+
+    def release(self, answer: UnreadAnswer) -> None:
         """Stop counting an answer."""
         with self._lock:
-            self._held_bytes -= count
+            self._remove(answer)
 
-    def release_if_exceeded(self, count: int) -> bool:
-        """Stop counting an answer while all together take much; return whether they did."""
+    def give_up_if_exceeded(self, answer: UnreadAnswer) -> None:
+        """Give up an answer of which nothing is read if all together take much."""
         with self._lock:
-            if self._held_bytes <= self._usual_bytes:
-                return False
-            self._held_bytes -= count
-            return True
+            if self._held_bytes > self._usual_bytes:
+                self._give_up(answer)
+
+    def _give_up(self, answer: UnreadAnswer) -> None:
+        answer.is_given_up = True
+        self._remove(answer)
+
+    def _remove(self, answer: UnreadAnswer) -> None:
+        if answer in self._answers:
+            self._answers.remove(answer)
+            self._held_bytes -= answer.size_bytes
 
 
 class Sender:
@@ -79,19 +102,28 @@
         if not rest:
             return
         on_wait()
-        held_bytes = len(data)
-        if not self._unread.try_hold(held_bytes):
-            raise TimeoutError("the caller does not read at once, and others hold the memory")
+        answer = UnreadAnswer(len(data), self._clock.now_ms(), self._abort)
+        self._unread.hold(answer)
         try:
-            while rest:
-                if not self._wait_until_writable(until_ms):
-                    if self._unread.release_if_exceeded(held_bytes):
-                        held_bytes = 0
-                        raise TimeoutError("the caller does not read, and others need the memory")
-                    continue
-                rest = self._send_some(rest)
+            self._send_rest(rest, answer, until_ms)
         finally:
-            self._unread.release(held_bytes)
+            self._unread.release(answer)
+
+    def _send_rest(self, rest: memoryview, answer: UnreadAnswer, until_ms: float) -> None:
+        """Send what is left as the caller reads."""
+        while rest:
+            if self._wait_until_writable(until_ms):
+                rest = self._send_some(rest)
+                answer.progress_ms = self._clock.now_ms()
+            else:
+                self._unread.give_up_if_exceeded(answer)
+            if answer.is_given_up:
+                raise TimeoutError("the caller does not read, and others need the memory")
+
+    def _abort(self) -> None:
+        with contextlib.suppress(OSError):
+            # The caller may have closed the connection already.
+            self._sock.shutdown(socket.SHUT_RDWR)
 
     def _send_some(self, rest: memoryview) -> memoryview:
         """Send what the kernel takes now; return what is left."""
