--- a/testing/proxy/test_sending.py
+++ b/testing/proxy/test_sending.py
@@ -84,16 +84,24 @@
         monkeypatch.setattr(sending, "STALLED_MIN_MS", 10.0)
         data = bytes(range(256)) * 8 * 1024
         waits: list[int] = []
+        is_waiting = threading.Event()
+
+        def record_wait() -> None:
+            waits.append(1)
+            is_waiting.set()
+
         ours, theirs = socket.socketpair()
         with theirs:
             sender = Sender(ours, Clock(), UnreadAnswers(4 * MB))
 
             def send() -> None:
                 with ours:
-                    sender.send(data, on_wait=lambda: waits.append(1))
+                    sender.send(data, on_wait=record_wait)
 
             thread = threading.Thread(target=send)
             thread.start()
+            # The kernel takes less than the answer while nothing is read.
+            assert is_waiting.wait(10)
             received = b""
             while part := theirs.recv(65_536):
                 received += part
