Split the manifests of a node from what else it controls, as its zones are

Change: `roles/manifest_control.py` takes what concerns manifests, without a change of behaviour. The list of quotas is called by its own path and command, since organisations have a command of theirs: its test on real nodes asked the former path and failed since the parts were merged.

--- /dev/null
+++ b/src/coltsfootrill/roles/manifest_control.py
@@ -0,0 +1,149 @@
+"""Manifests at a node: submitted by an operator, kept in the register, in force."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from coltsfootrill.clock import Clock
+from coltsfootrill.control.messages import AdoptRequest
+from coltsfootrill.control.messages import SubmitReply
+from coltsfootrill.control.messages import SubmitRequest
+from coltsfootrill.control.proposer import NoQuorumError
+from coltsfootrill.control.proposer import UnknownResultError
+from coltsfootrill.control.replica import ControlReplica
+from coltsfootrill.control.submission import SubmitAnswer
+from coltsfootrill.events.catalog import ManifestSubmitted
+from coltsfootrill.events.log import EventLog
+from coltsfootrill.manifest.codec import InvalidManifestError
+from coltsfootrill.manifest.codec import ManifestValueError
+from coltsfootrill.manifest.codec import digest_manifest
+from coltsfootrill.manifest.codec import make_manifest_error
+from coltsfootrill.manifest.holder import ManifestHolder
+from coltsfootrill.membership.hub import Hub
+from coltsfootrill.roles.hub_client import HubClient
+from coltsfootrill.roles.manifest_sync import ManifestSync
+from coltsfootrill.zones.evacuation import EvacuatedZones
+
+
+class ManifestControl:
+    """Submits and reads on this node's replica if its hub is current, else on another one.
+
+    ``get_replica`` returns ``None`` on a node without a data folder.
+    """
+
+    def __init__(
+        self,
+        manifests: ManifestHolder,
+        *,
+        sync: ManifestSync,
+        zones: EvacuatedZones,
+        get_replica: Callable[[], ControlReplica | None],
+        hub: Hub,
+        hub_client: HubClient,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._manifests = manifests
+        self._sync = sync
+        self._zones = zones
+        self._get_replica = get_replica
+        self._hub = hub
+        self._hub_client = hub_client
+        self._clock = clock
+        self._log = log
+        # The newest manifest that a majority of the replicas is known to have in force.
+        self._version_at_majority = 0
+
+    def submit(self, raw: bytes, *, base_version: int | None, operator: str) -> SubmitAnswer:
+        """Submit a manifest; see ``ControlOperations``."""
+        request = SubmitRequest(raw, base_version, operator)
+        start_ms = self._clock.now_ms()
+        if self._get_replica() is not None and self._hub.is_current():
+            reply = self.submit_locally(request)
+        else:
+            reply = self._hub_client.submit(request)
+        self._log.emit(
+            ManifestSubmitted(
+                version=reply.version,
+                base_version=base_version,
+                operator=operator,
+                digest=digest_manifest(raw)[:12],
+                result=reply.result,
+                message=reply.message,
+                took_ms=round(self._clock.now_ms() - start_ms, 1),
+            )
+        )
+        return _convert_submit_reply(reply)
+
+    def read(self) -> bytes:
+        """Return the newest accepted manifest; see ``ControlOperations``."""
+        replica = self._get_replica()
+        if replica is not None and self._hub.is_current():
+            raw = replica.read().manifest
+        else:
+            known_version, known = self._manifests.read_newer(0)
+            raw = self._hub_client.read_manifest(known_version) or known
+        if not raw:
+            raise NoQuorumError("no manifest has been accepted yet")
+        return raw
+
+    def submit_locally(self, request: SubmitRequest) -> SubmitReply:
+        """Submit a manifest to the replica of this node, and put it into force at a majority."""
+        replica = self._get_replica()
+        if replica is None:
+            return SubmitReply(
+                "no-quorum",
+                0,
+                "",
+                "this node has no data folder and does not vote; submit to a voting node",
+            )
+        try:
+            answer = replica.submit(
+                request.raw, operator=request.operator, base_version=request.base_version
+            )
+        except InvalidManifestError as error:
+            return SubmitReply("invalid", 0, "", str(error.exceptions[0]))
+        except NoQuorumError as error:
+            return SubmitReply("no-quorum", 0, "", str(error))
+        except UnknownResultError as error:
+            return SubmitReply("unknown", 0, "", str(error))
+        if answer.result == "accepted":
+            if answer.version > self._manifests.version:
+                self._sync.adopt(request.raw)
+            if not self._put_in_force():
+                return SubmitReply(
+                    "unknown",
+                    0,
+                    "",
+                    "no majority of the replicas has it in force yet; send it again",
+                )
+        return SubmitReply(answer.result, answer.version, answer.digest, answer.message)
+
+    def _put_in_force(self) -> bool:
+        """Let a majority of the replicas adopt the manifest in force here; return whether it has.
+
+        What is acknowledged is then told to all instances although one replica is lost.
+        """
+        version, raw = self._manifests.read_newer(0)
+        if version <= self._version_at_majority:
+            return True
+        request = AdoptRequest(raw, self._zones.orders)
+        if not self._hub_client.put_in_force(
+            request, lambda reply: reply.version >= version, replicas=self._hub.replicas
+        ):
+            return False
+        self._version_at_majority = version
+        return True
+
+
+def _convert_submit_reply(reply: SubmitReply) -> SubmitAnswer:
+    """Return ``reply`` as an answer; raise the error that its result stands for."""
+    if reply.result == "invalid":
+        raise make_manifest_error([ManifestValueError("$", reply.message)])
+    if reply.result == "no-quorum":
+        raise NoQuorumError(reply.message)
+    if reply.result == "unknown":
+        raise UnknownResultError(reply.message)
+    return msgspec.convert(msgspec.structs.asdict(reply), SubmitAnswer)
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -17,21 +17,12 @@
 from coltsfootrill.control.files import FileLayer
 from coltsfootrill.control.messages import AdoptReply
 from coltsfootrill.control.messages import AdoptRequest
-from coltsfootrill.control.messages import SubmitReply
-from coltsfootrill.control.messages import SubmitRequest
-from coltsfootrill.control.proposer import NoQuorumError
-from coltsfootrill.control.proposer import UnknownResultError
 from coltsfootrill.control.repair import ReplicaRepairTask
 from coltsfootrill.control.replica import ControlReplica
 from coltsfootrill.control.submission import SubmitAnswer
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.event_loop import get_event_loop
-from coltsfootrill.events.catalog import ManifestSubmitted
 from coltsfootrill.events.log import EventLog
-from coltsfootrill.manifest.codec import InvalidManifestError
-from coltsfootrill.manifest.codec import ManifestValueError
-from coltsfootrill.manifest.codec import digest_manifest
-from coltsfootrill.manifest.codec import make_manifest_error
 from coltsfootrill.manifest.format import ManifestFormat
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.membership.exchange import FETCH_MANIFEST
@@ -62,6 +53,7 @@
 from coltsfootrill.roles.hub_client import HubClient
 from coltsfootrill.roles.hub_client import check_acknowledged
 from coltsfootrill.roles.hub_event_log import HubEventLog
+from coltsfootrill.roles.manifest_control import ManifestControl
 from coltsfootrill.roles.manifest_sync import ManifestSync
 from coltsfootrill.roles.zone_control import ZoneControl
 from coltsfootrill.rpc import RpcServer
@@ -113,8 +105,6 @@
         self._random = random
         self._log = log
         self._is_member = False
-        # The newest manifest that a majority of the replicas is known to have in force.
-        self._version_at_majority = 0
         self._stopping = threading.Event()
         self._hub_events = HubEventLog(log, clock=clock, is_stopping=self._stopping.is_set)
         self._repair_task: ReplicaRepairTask | None = None
@@ -163,6 +153,16 @@
             log=log,
             adopt_zone_orders=zones.adopt,
         )
+        self._manifest_control = ManifestControl(
+            manifests,
+            sync=self._manifest_sync,
+            zones=zones,
+            get_replica=lambda: self._replica,
+            hub=self.hub,
+            hub_client=self._hub_client,
+            clock=clock,
+            log=log,
+        )
         self._zone_control = ZoneControl(
             zones,
             get_replica=lambda: self._replica,
@@ -238,24 +238,7 @@
 
     def submit(self, raw: bytes, *, base_version: int | None, operator: str) -> SubmitAnswer:
         """Submit a manifest; see ``ControlOperations``."""
-        request = SubmitRequest(raw, base_version, operator)
-        start_ms = self._clock.now_ms()
-        if self._replica is not None and self.hub.is_current():
-            reply = self._submit_locally(request)
-        else:
-            reply = self._hub_client.submit(request)
-        self._log.emit(
-            ManifestSubmitted(
-                version=reply.version,
-                base_version=base_version,
-                operator=operator,
-                digest=digest_manifest(raw)[:12],
-                result=reply.result,
-                message=reply.message,
-                took_ms=round(self._clock.now_ms() - start_ms, 1),
-            )
-        )
-        return _convert_submit_reply(reply)
+        return self._manifest_control.submit(raw, base_version=base_version, operator=operator)
 
     def order_zone(self, action: ZoneAction, zone: str, *, operator: str) -> ZoneOrders:
         """Evacuate or restore an availability zone; see ``ControlOperations``."""
@@ -263,15 +246,7 @@
 
     def read_manifest(self) -> bytes:
         """Return the newest accepted manifest; see ``ControlOperations``."""
-        if self._replica is not None and self.hub.is_current():
-            state = self._replica.read()
-            raw = state.manifest
-        else:
-            known_version, known = self._manifests.read_newer(0)
-            raw = self._hub_client.read_manifest(known_version) or known
-        if not raw:
-            raise NoQuorumError("no manifest has been accepted yet")
-        return raw
+        return self._manifest_control.read()
 
     def _add_rpc_methods(self) -> None:
         polls = HeldPolls(self.hub, loop=get_event_loop(), random=self._random)
@@ -281,7 +256,7 @@
         # A hub that acknowledges that an upstream leaves waits for this call at the others.
         share_executor = ThreadPoolExecutor(SHARE_THREAD_COUNT, thread_name_prefix="share")
         self._server.add(SHARE, self._store_shared, executor=share_executor)
-        self._server.add(SUBMIT, self._submit_locally)
+        self._server.add(SUBMIT, self._manifest_control.submit_locally)
         self._server.add(ORDER_ZONE, self._zone_control.order_locally)
         # A voter that submits waits for this call at the others.
         self._server.add(ADOPT, self._adopt_accepted, executor=share_executor)
@@ -387,65 +362,8 @@
         self.hub.persist_upstreams()
         return AnnounceReply(True, "")
 
-    def _submit_locally(self, request: SubmitRequest) -> SubmitReply:
-        if self._replica is None:
-            return SubmitReply(
-                "no-quorum",
-                0,
-                "",
-                "this node has no data folder and does not vote; submit to a voting node",
-            )
-        try:
-            answer = self._replica.submit(
-                request.raw, operator=request.operator, base_version=request.base_version
-            )
-        except InvalidManifestError as error:
-            return SubmitReply("invalid", 0, "", str(error.exceptions[0]))
-        except NoQuorumError as error:
-            return SubmitReply("no-quorum", 0, "", str(error))
-        except UnknownResultError as error:
-            return SubmitReply("unknown", 0, "", str(error))
-        if answer.result == "accepted":
-            if answer.version > self._manifests.version:
-                self._manifest_sync.adopt(request.raw)
-            if not self._put_in_force():
-                return SubmitReply(
-                    "unknown",
-                    0,
-                    "",
-                    "no majority of the replicas has it in force yet; send it again",
-                )
-        return SubmitReply(answer.result, answer.version, answer.digest, answer.message)
-
-    def _put_in_force(self) -> bool:
-        """Let a majority of the replicas adopt the manifest in force here; return whether it has.
-
-        What is acknowledged is then told to all instances although one replica is lost.
-        """
-        version, raw = self._manifests.read_newer(0)
-        if version <= self._version_at_majority:
-            return True
-        request = AdoptRequest(raw, self._zones.orders)
-        if not self._hub_client.put_in_force(
-            request, lambda reply: reply.version >= version, replicas=self.hub.replicas
-        ):
-            return False
-        self._version_at_majority = version
-        return True
-
     def _adopt_accepted(self, request: AdoptRequest) -> AdoptReply:
         self._zones.adopt(request.zone_orders)
         if request.raw:
             self._manifest_sync.adopt(request.raw)
         return AdoptReply(self._manifests.version, self._zones.orders.number)
-
-
-def _convert_submit_reply(reply: SubmitReply) -> SubmitAnswer:
-    """Return ``reply`` as an answer; raise the error that its result stands for."""
-    if reply.result == "invalid":
-        raise make_manifest_error([ManifestValueError("$", reply.message)])
-    if reply.result == "no-quorum":
-        raise NoQuorumError(reply.message)
-    if reply.result == "unknown":
-        raise UnknownResultError(reply.message)
-    return msgspec.convert(msgspec.structs.asdict(reply), SubmitAnswer)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -633,7 +633,7 @@
     ),
     Mutant(
         "what is acknowledged is in force at a majority of the voters",
-        "roles/node_control.py",
+        "roles/manifest_control.py",
         "            if not self._put_in_force():\n",
         "            if False:\n",
         NODE + "EndToEnd",
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -352,7 +352,7 @@
         deciders = list_deciders(fleet.nodes[0])
         for node in fleet.nodes:
             wait_until(lambda node=node: list_deciders(node) == deciders, within_s=20)  # type: ignore[misc]
-        assert b"s3cret" not in fleet.nodes[0].call("metrics", "GET", "/organisations")[1]
+        assert b"s3cret" not in fleet.nodes[0].call("metrics", "GET", "/quotas")[1]
         for number, node in enumerate(fleet.nodes, start=1):
             if f"n{number}" in deciders:
                 wait_until(lambda node=node: hands_out_token(node), within_s=20)  # type: ignore[misc]
@@ -362,7 +362,7 @@
 
 def list_deciders(node: Node) -> list[str]:
     """Return the deciders of the only organisation that a node lists, none before it does."""
-    listed = json.loads(node.call("metrics", "GET", "/organisations")[1])
+    listed = json.loads(node.call("metrics", "GET", "/quotas")[1])
     return listed[0]["deciders"] if listed else []
 
 
