--- a/testing/features/test_tls.py
+++ b/testing/features/test_tls.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import http.client
+import socket
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -99,9 +100,10 @@
     wait_until(lambda: system.call_operators("e1", "/status")[0] == 200)
     manifest_port = system.ports["c1.operators"]
     assert _post_with_invalid_token(manifest_port, "/manifest", make_manifest(5)) == 401
-    assert (
-        _post_with_invalid_token(system.ports["e1.announcements"], "/announcements", b"{}") == 401
-    )
+    announcement_port = system.ports["e1.announcements"]
+    # An entry instance opens it after the port of operators.
+    wait_until(lambda: _is_listening(announcement_port))
+    assert _post_with_invalid_token(announcement_port, "/announcements", b"{}") == 401
     for name in ("c1", "e1"):
         assert 'refused_operations_total{cause="token"} 1.0' in _read_metrics(system, name)
 
@@ -111,6 +113,14 @@
     return len(body["members"])
 
 
+def _is_listening(port: int) -> bool:
+    try:
+        socket.create_connection(("127.0.0.1", port), timeout=5).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
 def _post_with_invalid_token(port: int, path: str, body: bytes) -> int:
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
     connection.request("POST", path, body, {"Authorization": "Bearer wrong"})
