Answer a body that is refused on the operators' port only once it has ended

Cause: a body without room was answered 503 at once and the connection closed with unread bytes, so it was reset, and its sender could lose the answer.

Ruled out: a client that reads the answer after the reset; the kernel may have dropped it.

Change: the rest of such a body is discarded, holding no memory, and then answered. The limit of each body still ends it.

--- a/src/coltsfootrill/operators/bounded_bodies.py
+++ b/src/coltsfootrill/operators/bounded_bodies.py
@@ -24,8 +24,25 @@
     reason = "Service Unavailable"
 
 
+class _DiscardingBuffer:
+    """Stands for the buffer of a body that is refused, and holds nothing of it."""
+
+    def __len__(self) -> int:
+        return 0
+
+    def append(self, data: bytes) -> None:
+        """Drop bytes."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
 class _BoundedParser(HTTPRequestParser):  # type: ignore[misc]
-    """Parses one request; refuses its body with 503 if there is no room for it."""
+    """Parses one request; refuses its body with 503 if there is no room for it.
+
+    The rest of a refused body is discarded first: a connection that closes with unread bytes is
+    reset, and its sender could lose the answer.
+    """
 
     # An error of waitress, or ``None``.
     error: Any
@@ -33,16 +50,18 @@
     def __init__(self, adjustments: Adjustments, budget: BodyBudget) -> None:
         super().__init__(adjustments)
         self._reservation = BodyReservation(budget)
+        self._is_refused = False
         # A request that its sender cuts off is not closed.
         weakref.finalize(self, self._reservation.release)
 
     def received(self, data: bytes) -> int:
         """Parse bytes; return how many belong to the request."""
         consumed: int = super().received(data)
-        if self.error is None and self.body_rcv is not None:
+        if self.error is None and self.body_rcv is not None and not self._is_refused:
             if not self._reservation.extend_to(self._count_body_bytes()):
-                self.error = _NoRoomError("this instance holds too many large bodies")
-                self.completed = True
+                self._refuse()
+        if self._is_refused and self.completed and self.error is None:
+            self.error = _NoRoomError("this instance holds too many large bodies")
         return consumed
 
     def close(self) -> None:
@@ -50,6 +69,13 @@
         super().close()
         self._reservation.release()
 
+    def _refuse(self) -> None:
+        """Free what has been received, and keep nothing of the rest."""
+        self._is_refused = True
+        self._reservation.release()
+        self.body_rcv.getbuf().close()
+        self.body_rcv.buf = _DiscardingBuffer()
+
     def _count_body_bytes(self) -> int:
         if not self.chunked:
             return int(self.content_length)
