--- a/testing/floods/instance.py
+++ b/testing/floods/instance.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import socket
+import time
+from collections.abc import Sequence
 from pathlib import Path
 
 from testing.announced_upstream import AnnouncedUpstream
+from testing.floods.memory import MemoryWatch
+from testing.nodes import PROGRAM
 from testing.nodes import Node
 from testing.nodes import find_free_ports
 from testing.nodes import read_peak_mb
@@ -23,13 +28,22 @@
 RESERVED_DESCRIPTORS = 200
 START_S = 30.0
 ANSWER_S = 30.0
+# Ordinary requests that are answered one after the other while a crowd stays.
+ORDINARY_COUNT = 20
+ORDINARY_PAUSE_S = 0.1
 
 
 class FloodedInstance:
     """A fleet of one node, whose limits the test lowers."""
 
     def __init__(
-        self, folder: Path, *, memory_mb: int, connections: int, body_max_bytes: int
+        self,
+        folder: Path,
+        *,
+        memory_mb: int,
+        connections: int,
+        body_max_bytes: int,
+        program: Sequence[str] = PROGRAM,
     ) -> None:
         self._connections = connections
         self._memory_mb = memory_mb
@@ -37,13 +51,15 @@
         ports = find_free_ports(NETWORK)
         seeds = [f"{NETWORK}.1:{ports['interface']}"]
         callers = f"connections = {connections}\nmemory_mb = {memory_mb}\n"
-        self.node = Node(1, folder, ports, seeds, network=NETWORK, callers=callers)
+        self.node = Node(1, folder, ports, seeds, network=NETWORK, callers=callers, program=program)
         self._upstream: AnnouncedUpstream | None = None
+        self._watch: MemoryWatch | None = None
         self.address = (self.node.host, ports["callers"])
 
     def start(self) -> None:
         """Start the process and wait until it serves."""
         self.node.start(is_first_start=True)
+        self._watch = MemoryWatch(self._pid, self.node.host)
         limits = {
             "maxHeaderBytes": 16_384,
             "maxBodyBytes": self._body_max_bytes,
@@ -58,6 +74,8 @@
     def close(self) -> None:
         if self._upstream is not None:
             self._upstream.close()
+        if self._watch is not None:
+            self._watch.close()
         if self.node.is_alive():
             self.node.end()
 
@@ -77,11 +95,20 @@
         self.wait_until_answered()
         self.check_bounds()
 
+    def check_sound_for_long(self) -> None:
+        """Check what must hold during a flood while ordinary callers come one after the other."""
+        for _ in range(ORDINARY_COUNT):
+            self.wait_until_answered()
+            time.sleep(ORDINARY_PAUSE_S)
+        self.check_bounds()
+
     def check_bounds(self) -> None:
         """Check that the process lives within its memory and its descriptors."""
         assert self.node.is_alive()
         peak_mb = read_peak_mb(self.node)
         assert peak_mb < self._memory_mb, f"peak of {peak_mb:.1f} MB"
+        watch = self._watch
+        assert watch is not None and watch.peak_mb < self._memory_mb, str(watch)
         descriptors_max = self._connections + RESERVED_DESCRIPTORS
         assert (count := self.count_descriptors()) <= descriptors_max, f"{count} descriptors"
         assert "this is a bug" not in self.node.read_log()
@@ -89,6 +116,16 @@
     def wait_until_answered(self) -> None:
         wait_until(lambda: send_request(self.node) == 200, within_s=ANSWER_S)
 
+    def wait_until_served(self, request: bytes) -> None:
+        """Wait until a whole request alone is answered with success."""
+
+        def is_served() -> bool:
+            with contextlib.suppress(OSError):
+                return self.send(request).startswith(b"HTTP/1.1 200 ")
+            return False
+
+        wait_until(is_served, within_s=ANSWER_S)
+
     def send(self, request: bytes) -> bytes:
         """Send a whole request alone and return its answer; the connection closes after it."""
         with socket.create_connection(self.address, timeout=ANSWER_S) as sock:
