Discard with pauses what refused callers send on

Seen by callers: beside 300 callers that upload 4 MiB each, most of them refused, an ordinary request waited 1.05 s in the median, up to 1.3 s; beside 200 that send chunks without end up to 2.2 s.

Cause: what a refused caller sends is read for 2 s so that it can read its answer, as fast as it sends. Hundreds of threads do so at once, and each read takes a turn of the interpreter from other requests.

Change: after 64 KiB the discarding pauses for 20 ms after each 64 KiB; after 512 KiB if the bound of bodies has that much free, so that a single caller that reads only once it has sent its whole body still gets its answer. Why this works: the reads of a crowd are bounded by its size and not by what it sends.

Evidence: the test of what a lingering connection takes failed without the pauses (13.2 MB of 13.1, 104.9 of 104.8, and on).

--- a/src/coltsfootrill/proxy/body_budget.py
+++ b/src/coltsfootrill/proxy/body_budget.py
@@ -63,6 +63,10 @@
                 lambda: self._take(count, is_small=is_small), RECLAIM_WAIT_MS / MS_PER_SECOND
             )
 
+    def take_if_free(self, count: int) -> bool:
+        """Reserve bytes if that takes nothing from others; return whether they were free."""
+        return self._take(count, is_small=False)
+
     def release(self, count: int, *, is_small: bool = False) -> None:
         """Free reserved bytes."""
         with self._changed:
--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -41,6 +41,12 @@
 PROGRESS_MIN_BYTES = 4 * 1024
 LINGER_MS = 500.0
 LINGER_MAX_MS = 2_000.0
+# What a caller sends after its refusal is discarded in steps with pauses, since a crowd would keep
+# the interpreter from other requests. Where memory is free, a step is large: a caller that reads
+# only once it has sent its whole body gets its answer.
+DISCARD_PAUSE_MS = 20.0
+DISCARD_STEP_BYTES = RECEIVE_BYTES
+DISCARD_ROOM_BYTES = 512 * 1024
 # From the first byte of a request to its last.
 REQUEST_TIMEOUT_MS = 60_000.0
 PIPELINED_REQUESTS_MAX_COUNT = 8
@@ -352,19 +358,37 @@
         with self._users_lock:
             self._users += 1
 
-    def linger(self) -> None:
+    def linger(self, budget: BodyBudget) -> None:
         """Shut down sending, then discard received bytes until the caller closes.
 
         Closing a socket with unread bytes of a rejected request would reset the connection, and
-        the caller could lose the answer that rejects it.
+        the caller could lose the answer that rejects it. Takes room of ``budget`` meanwhile, if
+        some is free.
         """
         self.active_ms = self._clock.now_ms()
         self._is_lingering = True
         self.sock.shutdown(socket.SHUT_WR)
         self.sock.settimeout(LINGER_MS / 1000)
         until_ms = self._clock.now_ms() + LINGER_MAX_MS
-        while self.sock.recv_into(_DISCARDED) and self._clock.now_ms() < until_ms:
-            pass
+        if not self._discard_step(DISCARD_STEP_BYTES, until_ms):
+            return
+        has_room = budget.take_if_free(DISCARD_ROOM_BYTES)
+        step_bytes = DISCARD_ROOM_BYTES if has_room else DISCARD_STEP_BYTES
+        try:
+            while self._discard_step(step_bytes, until_ms):
+                self._clock.sleep_ms(DISCARD_PAUSE_MS)
+        finally:
+            if has_room:
+                budget.release(DISCARD_ROOM_BYTES)
+
+    def _discard_step(self, step_bytes: int, until_ms: float) -> bool:
+        """Discard up to ``step_bytes``; return whether more may come before ``until_ms``."""
+        while step_bytes > 0:
+            count = self.sock.recv_into(_DISCARDED)
+            if not count or self._clock.now_ms() >= until_ms:
+                return False
+            step_bytes -= count
+        return True
 
     def _shut_down_if_over(self) -> bool:
         """Shut down sending once the last answer that may be is sent; return whether it is.
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -231,7 +231,7 @@
                 'answers not sent count=%d cause="%s"', connection.unsent_count, connection.failure
             )
         try:
-            connection.linger()
+            connection.linger(self._body_budget)
         except OSError:
             # The caller has already closed the connection.
             pass
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -659,6 +659,13 @@
         "        overflow_bytes = small_bytes\n",
         BODIES + "BodyBudget",
     ),
+    Mutant(
+        "what refused callers send on is discarded with pauses",
+        "proxy/caller.py",
+        "                self._clock.sleep_ms(DISCARD_PAUSE_MS)\n",
+        "                pass\n",
+        "testing/proxy/test_caller.py::TestDiscarding",
+    ),
     Mutant(
         "a caller that has stalled gives its place to another",
         "proxy/caller_connections.py",
--- a/testing/proxy/test_caller.py
+++ b/testing/proxy/test_caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from collections.abc import Callable
@@ -11,14 +12,20 @@
 from waitress.adjustments import Adjustments
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.clock import ManualClock
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.proxy.body_budget import BodyBudget
+from coltsfootrill.proxy.caller import DISCARD_PAUSE_MS
+from coltsfootrill.proxy.caller import DISCARD_ROOM_BYTES
+from coltsfootrill.proxy.caller import DISCARD_STEP_BYTES
+from coltsfootrill.proxy.caller import LINGER_MAX_MS
 from coltsfootrill.proxy.caller import CallerConnection
 from testing.processes import wait_until
 
 TURN_COUNT = 4
 # Nothing that these turns wait for takes any time.
 END_WITHIN_S = 5.0
+LINGER_STEPS_COUNT = int(LINGER_MAX_MS / DISCARD_PAUSE_MS)
 LARGE_BYTES = 6 * 1024 * 1024
 EXPECTING = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -97,6 +104,38 @@
     raise ValueError("this answer cannot be encoded")
 
 
+class TestDiscarding:
+    # Guards against a crowd of refused callers that keeps the interpreter from all other requests.
+    @pytest.mark.parametrize(
+        ("free_bytes", "discarded_max_bytes"),
+        [
+            pytest.param(0, 2 * LINGER_STEPS_COUNT * DISCARD_STEP_BYTES, id="no-room"),
+            pytest.param(
+                DISCARD_ROOM_BYTES, 2 * LINGER_STEPS_COUNT * DISCARD_ROOM_BYTES, id="room"
+            ),
+        ],
+    )
+    def test_pauses_while_a_refused_caller_sends_on(
+        self, free_bytes: int, discarded_max_bytes: int
+    ) -> None:
+        ours, caller = socket.socketpair()
+        budget = BodyBudget(free_bytes)
+        connection = CallerConnection(ours, ManualClock())
+
+        def linger() -> None:
+            with contextlib.closing(ours):
+                connection.linger(budget)
+
+        lingering = _start(linger)
+        sent_bytes = 0
+        with contextlib.suppress(OSError), caller:
+            while sent_bytes <= discarded_max_bytes:
+                sent_bytes += caller.send(b"x" * 65_536)
+        lingering.join(END_WITHIN_S)
+        assert sent_bytes <= discarded_max_bytes
+        assert budget.free_bytes == free_bytes
+
+
 class TestFailedTurns:
     # Guards against turns that wait for good for one whose answer was never sent.
     def test_all_turns_end_after_a_caller_has_left(self, pair: Pair) -> None:
