Bound the bytes that the kernel holds unread of callers' connections

Seen by callers: a flooded instance held 20 to 260 MB that had arrived and was not read, beside a process that kept its own bound. The users' page counts both, so the machine ends the process, and the requests of all its callers with it.

Cause: the kernel's windows grow to 6 MB for each connection, whatever has room.

Change: the port for callers has a small receive buffer, which connections inherit before they are accepted: 12 KiB unread at most. An upload above 128 KiB gets 512 KiB, at most 16 at a time, so that one of the largest legal size doesn't take a round trip for each 12 KiB; its connection closes after the answer, since a window can't be taken back at once. What refused callers send on is discarded by the same rule.

Ruled out: to shrink the window near the end of a body. To pay the 512 KiB from the bound of bodies: a body of exactly the bound would have been refused.

Why this works: the bound holds in the kernel, before any thread of the process runs.

--- a/src/coltsfootrill/early_listener.py
+++ b/src/coltsfootrill/early_listener.py
@@ -11,12 +11,28 @@
 from pathlib import Path
 
 BACKLOG = 512
+# The kernel holds up to twice that of bytes that have arrived and were not received.
+RECEIVE_BUFFER_BYTES = 6 * 1024
 
 
 def open_listener(host: str, port: int) -> socket.socket:
-    """Return a socket that listens for callers; raise ``OSError`` if the address is not free."""
+    """Return a socket that listens for callers; raise ``OSError`` if the address is not free.
+
+    Connections inherit its receive buffer, which bounds what callers send before they are accepted.
+    """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.create_server((host, port), family=family, backlog=BACKLOG)
+    listener = socket.socket(family)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            listener.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.bind((host, port))
+        listener.listen(BACKLOG)
+    except BaseException:
+        listener.close()
+        raise
+    return listener
 
 
 def open_from_settings(path: Path) -> socket.socket | None:
--- a/src/coltsfootrill/proxy/body_budget.py
+++ b/src/coltsfootrill/proxy/body_budget.py
@@ -17,6 +17,8 @@
 FREE_BODY_MAX_BYTES = 4 * 1024
 # How long a body waits for the room of callers that have stalled, once that is being taken back.
 RECLAIM_WAIT_MS = 250.0
+# Connections of which the kernel may hold ``WIDE_ROOM_BYTES`` unread at a time.
+WIDE_MAX_COUNT = 16
 MS_PER_SECOND = 1_000.0
 
 
@@ -26,13 +28,21 @@
     Small bodies take what is reserved for them first and then, like large ones, the common bound.
     """
 
-    __slots__ = ("_bound_bytes", "_changed", "_large_bytes", "_reclaim", "_small_bytes")
+    __slots__ = (
+        "_bound_bytes",
+        "_changed",
+        "_large_bytes",
+        "_reclaim",
+        "_small_bytes",
+        "_wide_count",
+    )
 
     def __init__(self, bound_bytes: int) -> None:
         self._changed = threading.Condition()
         self._bound_bytes = bound_bytes
         self._large_bytes = 0
         self._small_bytes = 0
+        self._wide_count = 0
         self._reclaim: Callable[[int], bool] = lambda count: False
 
     @classmethod
@@ -63,9 +73,18 @@
                 lambda: self._take(count, is_small=is_small), RECLAIM_WAIT_MS / MS_PER_SECOND
             )
 
-    def take_if_free(self, count: int) -> bool:
-        """Reserve bytes if that takes nothing from others; return whether they were free."""
-        return self._take(count, is_small=False)
+    def take_wide(self) -> bool:
+        """Return whether one more connection may be wide; ``release_wide`` ends that."""
+        with self._changed:
+            if self._wide_count >= WIDE_MAX_COUNT:
+                return False
+            self._wide_count += 1
+            return True
+
+    def release_wide(self) -> None:
+        """Let another connection be wide."""
+        with self._changed:
+            self._wide_count -= 1
 
     def release(self, count: int, *, is_small: bool = False) -> None:
         """Free reserved bytes."""
@@ -97,11 +116,12 @@
 class BodyReservation:
     """What is reserved for the body of one request. Used by a single thread at a time."""
 
-    __slots__ = ("_budget", "_is_small", "reserved_bytes")
+    __slots__ = ("_budget", "_is_small", "_is_wide", "reserved_bytes")
 
     def __init__(self, budget: BodyBudget) -> None:
         self._budget = budget
         self.reserved_bytes = 0
+        self._is_wide = False
         self._is_small = False
 
     @property
@@ -127,8 +147,16 @@
         self.reserved_bytes = body_bytes
         return True
 
+    def widen(self) -> bool:
+        """Return whether the kernel may hold much of the body unread, until this is released."""
+        self._is_wide = self._is_wide or self._budget.take_wide()
+        return self._is_wide
+
     def release(self) -> None:
         """Free what is reserved, once the request has ended."""
+        if self._is_wide:
+            self._is_wide = False
+            self._budget.release_wide()
         if self.reserved_bytes:
             self._budget.release(self.reserved_bytes, is_small=self._is_small)
             self.reserved_bytes = 0
--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -18,6 +18,7 @@
 from waitress.adjustments import Adjustments
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.early_listener import RECEIVE_BUFFER_BYTES
 from coltsfootrill.manifest.model import DEADLINE_MAX_MS
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.proxy.block_buffer import BlockBuffer
@@ -29,7 +30,10 @@
 from coltsfootrill.proxy.sending import WRITE_TIMEOUT_MS
 from coltsfootrill.proxy.sending import Sender
 from coltsfootrill.proxy.sending import UnreadAnswers
+from coltsfootrill.proxy.sockets import WIDE_RECEIVE_BUFFER_BYTES
+from coltsfootrill.proxy.sockets import WIDE_ROOM_BYTES
 from coltsfootrill.proxy.sockets import has_unread_bytes
+from coltsfootrill.proxy.sockets import set_receive_buffer
 from coltsfootrill.proxy.sockets import set_receive_timeout
 from coltsfootrill.proxy.turns import Turn
 from coltsfootrill.proxy.turns import TurnOrder
@@ -37,16 +41,16 @@
 RECEIVE_BYTES = 64 * 1024
 # Received at a time where no memory is reserved for more.
 UNRESERVED_RECEIVE_BYTES = 8 * 1024
+# Smaller bodies arrive in a few parts of what the kernel holds for each connection.
+WIDE_BODY_MIN_BYTES = 128 * 1024
 # Fewer bytes of a request do not keep it from counting as stalled.
 PROGRESS_MIN_BYTES = 4 * 1024
 LINGER_MS = 500.0
 LINGER_MAX_MS = 2_000.0
 # What a caller sends after its refusal is discarded in steps with pauses, since a crowd would keep
-# the interpreter from other requests. Where memory is free, a step is large: a caller that reads
-# only once it has sent its whole body gets its answer.
+# the interpreter from other requests. For the first few a step is large: a caller that reads only
+# once it has sent its whole body gets its answer.
 DISCARD_PAUSE_MS = 20.0
-DISCARD_STEP_BYTES = RECEIVE_BYTES
-DISCARD_ROOM_BYTES = 512 * 1024
 # From the first byte of a request to its last.
 REQUEST_TIMEOUT_MS = 60_000.0
 PIPELINED_REQUESTS_MAX_COUNT = 8
@@ -116,6 +120,7 @@
         "_clock",
         "_is_lingering",
         "_is_receiving",
+        "_is_wide",
         "_order",
         "_reservation",
         "_sender",
@@ -136,6 +141,8 @@
         self._sender = Sender(sock, clock, unread or UnreadAnswers())
         self._unparsed = b""
         self._timeout_ms = 0.0
+        # Whether the kernel may hold more than the listener has set.
+        self._is_wide = False
         self._is_receiving = False
         self._order = TurnOrder()
         self._users_lock = threading.Lock()
@@ -220,6 +227,7 @@
             self._is_receiving = True
             consumed = parser.received(data)
             data = data[consumed:]
+            self._widen_if_large(parser, reservation)
             if parser.empty:
                 parser = RequestParser(adjustments, reservation)
             if parser.expect_continue and parser.headers_finished and not parser.completed:
@@ -231,6 +239,20 @@
         self._unparsed = data
         return parser
 
+    def _widen_if_large(self, parser: RequestParser, reservation: BodyReservation) -> None:
+        """Let more of a large body arrive at a time, unless many others do.
+
+        The connection closes after its answer, since what the kernel may hold is not taken back
+        from a sender at once.
+        """
+        if self._is_wide or parser.completed or reservation.reserved_bytes < WIDE_BODY_MIN_BYTES:
+            return
+        if not reservation.widen():
+            return
+        self._is_wide = True
+        set_receive_buffer(self.sock, WIDE_RECEIVE_BUFFER_BYTES)
+        parser.connection_close = True
+
     def _check_duration(self, until_ms: float) -> float:
         """Return until when a request that is still incomplete has to be received.
 
@@ -362,24 +384,27 @@
         """Shut down sending, then discard received bytes until the caller closes.
 
         Closing a socket with unread bytes of a rejected request would reset the connection, and
-        the caller could lose the answer that rejects it. Takes room of ``budget`` meanwhile, if
-        some is free.
+        the caller could lose the answer that rejects it.
         """
         self.active_ms = self._clock.now_ms()
         self._is_lingering = True
         self.sock.shutdown(socket.SHUT_WR)
+        if self._is_wide:
+            set_receive_buffer(self.sock, RECEIVE_BUFFER_BYTES)
         self.sock.settimeout(LINGER_MS / 1000)
         until_ms = self._clock.now_ms() + LINGER_MAX_MS
-        if not self._discard_step(DISCARD_STEP_BYTES, until_ms):
+        if not self._discard_step(RECEIVE_BYTES, until_ms):
             return
-        has_room = budget.take_if_free(DISCARD_ROOM_BYTES)
-        step_bytes = DISCARD_ROOM_BYTES if has_room else DISCARD_STEP_BYTES
+        is_wide = budget.take_wide()
+        step_bytes = WIDE_ROOM_BYTES if is_wide else RECEIVE_BUFFER_BYTES
+        if is_wide:
+            set_receive_buffer(self.sock, WIDE_RECEIVE_BUFFER_BYTES)
         try:
             while self._discard_step(step_bytes, until_ms):
                 self._clock.sleep_ms(DISCARD_PAUSE_MS)
         finally:
-            if has_room:
-                budget.release(DISCARD_ROOM_BYTES)
+            if is_wide:
+                budget.release_wide()
 
     def _discard_step(self, step_bytes: int, until_ms: float) -> bool:
         """Discard up to ``step_bytes``; return whether more may come before ``until_ms``."""
--- a/src/coltsfootrill/proxy/sockets.py
+++ b/src/coltsfootrill/proxy/sockets.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 import socket
 import struct
 
 MS_PER_SECOND = 1_000
+# Lets a body of the largest legal size arrive within seconds on a link with a delay of 20 ms.
+WIDE_RECEIVE_BUFFER_BYTES = 256 * 1024
+# The kernel holds up to so many times the size that it is asked for.
+KERNEL_FACTOR = 2
+WIDE_ROOM_BYTES = KERNEL_FACTOR * WIDE_RECEIVE_BUFFER_BYTES
 
 
 def has_unread_bytes(sock: socket.socket) -> bool:
@@ -16,6 +22,18 @@
     return bool(poller.poll(0))
 
 
+def set_receive_buffer(sock: socket.socket, size_bytes: int) -> None:
+    """Bound what the kernel holds unread, to ``KERNEL_FACTOR`` times this.
+
+    Without the clamp, older kernels keep to the window with which the connection began. A smaller
+    bound holds once what has arrived is received; with large segments, as on loopback, senders then
+    wait long between them. What a system does not support is left as it is.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, size_bytes * KERNEL_FACTOR)
+
+
 def set_receive_timeout(sock: socket.socket, timeout_ms: float) -> None:
     """Set the kernel's receive timeout, which needs no system call before each receive."""
     seconds, rest_ms = divmod(int(timeout_ms), MS_PER_SECOND)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -666,6 +666,20 @@
         "                pass\n",
         "testing/proxy/test_caller.py::TestDiscarding",
     ),
+    Mutant(
+        "connections hold few bytes unread",
+        "early_listener.py",
+        "        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)\n",
+        "",
+        "testing/proxy/test_sockets.py::TestUnreadBytes",
+    ),
+    Mutant(
+        "few connections hold much unread",
+        "proxy/body_budget.py",
+        "            if self._wide_count >= WIDE_MAX_COUNT:\n",
+        "            if False:\n",
+        BODIES + "WideConnections",
+    ),
     Mutant(
         "a caller that has stalled gives its place to another",
         "proxy/caller_connections.py",
--- a/testing/proxy/test_bodies.py
+++ b/testing/proxy/test_bodies.py
@@ -16,6 +16,7 @@
 from coltsfootrill.proxy.body_budget import MB
 from coltsfootrill.proxy.body_budget import SMALL_BODY_MAX_BYTES
 from coltsfootrill.proxy.body_budget import SMALL_RESERVED_BYTES
+from coltsfootrill.proxy.body_budget import WIDE_MAX_COUNT
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.body_budget import BodyReservation
 from testing.processes import wait_until
@@ -240,6 +241,30 @@
         _wait_until_free(instance)
 
 
+class TestWideConnections:
+    # Guards against what the kernel holds of many large bodies beside the memory for them.
+    def test_few_are_wide_at_a_time(self) -> None:
+        budget = BodyBudget(MB)
+        wide = [BodyReservation(budget) for _ in range(WIDE_MAX_COUNT)]
+        assert all(reservation.widen() for reservation in wide)
+        another = BodyReservation(budget)
+        assert wide[0].widen() and not another.widen()
+        wide[0].release()
+        wide[0].release()
+        assert another.widen() and not wide[0].widen()
+
+    def test_connection_closes_after_a_large_body(
+        self, instance: Instance, reading: ReadingUpstream
+    ) -> None:
+        with _connect(instance) as sock:
+            sock.sendall(HEAD + f"Content-Length: {len(LARGE)}\r\n\r\n".encode() + LARGE)
+            assert b"Connection: close" in sock.recv(65_536)
+        with _connect(instance) as sock:
+            small = b"s" * SMALL_BODY_MAX_BYTES
+            sock.sendall(HEAD + f"Content-Length: {len(small)}\r\n\r\n".encode() + small)
+            assert b"Connection: close" not in sock.recv(65_536)
+
+
 class TestBodyBudget:
     def test_small_bodies_take_their_own_room_first_and_then_the_bound(self) -> None:
         budget = BodyBudget(MB)
