Case 12: an acknowledged deregistration is forgotten when a first status report is late

A hub answers the deregistration of an upstream that it does not know with 200 and stores nothing. A status report of the same start that arrives later puts the upstream into use.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 case.py
--- a/review/local/fleet.py
+++ b/review/local/fleet.py
@@ -521,9 +521,7 @@
         running = min(self.in_flight, self.slots)
         return f"X-Server-Load: {running},{max(0, self.in_flight - self.slots)},{self.slots}\r\n"
 
-    def answer(
-        self, sock: socket.socket, first: str, headers: dict[str, str], body: bytes
-    ) -> bool:
+    def answer(self, sock: socket.socket, first: str, headers: dict[str, str], body: bytes) -> bool:
         """Answer one request; return whether the connection stays open."""
         if first.startswith("GET /health "):
             extra = f"X-Instance-Identifier: {self.name}\r\n{self.describe_load()}"
