--- a/review/local/fleet.py
+++ b/review/local/fleet.py
@@ -666,12 +666,19 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def _interrupt(number: int, frame: Any) -> None:
+    """End the case, so that it ends all processes that it started."""
+    raise CannotRunError(f"ended by signal {number}")
+
+
 def main(folder: Path, play: Callable[[Record], str]) -> None:
     """Play a case; exit with 1 if a rule was broken, 0 if it held, 2 if it could not run.
 
     ``play`` returns how the rule was broken, an empty text if it held.
     """
     record = Record(folder / "record.txt")
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _interrupt)
     try:
         broken = play(record)
         record.write(f"RESULT {'broken: ' + broken if broken else 'held'}")
