Split the upstreams of a hub from the hub

What it knows of upstreams (takeover of addresses, renewals, what followers are told of them) needs no lock, clock or condition of its own and moves to hub_upstreams.py. Behaviour is the same; two mutants follow their code.

--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -4,29 +4,23 @@
 
 import threading
 from collections.abc import Callable
-from collections.abc import Iterable
-from typing import Literal
 
 import msgspec
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.membership.hub_upstreams import HubUpstreams
 from coltsfootrill.membership.live import LiveSet
 from coltsfootrill.membership.messages import AnnounceReply
 from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import LeaveRequest
-from coltsfootrill.membership.messages import Renewal
-from coltsfootrill.membership.messages import SharedUpstream
 from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.roster import Roster
 from coltsfootrill.membership.shared_replies import SharedReplies
 from coltsfootrill.membership.shared_replies import UrgentState
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.registry.announcement import Announcement
-from coltsfootrill.registry.directory import Directory
-from coltsfootrill.registry.directory import MergeResult
-from coltsfootrill.registry.directory import UpstreamRecord
 from coltsfootrill.zones.orders import ZoneOrders
 
 CURRENT_FOR_MS = 2_000.0
@@ -83,7 +77,8 @@
         self._share = share
         self._get_manifest_version = get_manifest_version
         self._changed = threading.Condition()
-        self._directory = Directory()
+        self._upstreams = HubUpstreams(own.id)
+        self._directory = self._upstreams.directory
         self._roster = Roster()
         self._live = LiveSet()
         self._replicas: list[str] = []
@@ -154,8 +149,7 @@
         if self._snapshot is None:
             return
         with self._changed:
-            records = self._directory.by_id.values()
-            announcements = [record.describe_lasting() for record in records]
+            announcements = self._upstreams.list_lasting()
         self._snapshot.write(announcements)
 
     def deregister(self, request: LeaveRequest) -> AnnounceReply:
@@ -177,7 +171,7 @@
         """Merge an announcement that was made ``age_ms`` ago."""
         with self._changed:
             now_ms = self._clock.now_ms()
-            result = self._merge(announcement, age_ms, now_ms, self._directory.by_id.values())
+            result = self._upstreams.merge(announcement, age_ms=age_ms, now_ms=now_ms)
             if result == "superseded":
                 return
             if result == "changed" or announcement.id not in self._live.ids:
@@ -189,15 +183,8 @@
         """Merge the upstreams and renewals in a reply from another hub, as one change."""
         with self._changed:
             now_ms = self._clock.now_ms()
-            has_changed = bool(reply.upstreams) and self._merge_all(reply.upstreams, now_ms)
-            for renewal in reply.renewals:
-                self._directory.renew(
-                    renewal.id,
-                    renewal.incarnation,
-                    now_ms - renewal.age_ms,
-                    origin=None,
-                    now_ms=now_ms,
-                )
+            has_changed = self._upstreams.merge_all(reply.upstreams, now_ms)
+            self._upstreams.renew_all(reply.renewals, now_ms)
             if reply.upstreams:
                 self._update_live(now_ms)
             if has_changed:
@@ -280,49 +267,6 @@
                 if follower.is_candidate and not follower.record.is_leaving
             }
 
-    def _merge_all(self, upstreams: list[SharedUpstream], now_ms: float) -> bool:
-        """Merge the upstreams of another hub; return whether one of them is a change."""
-        records_by_address: dict[str, list[UpstreamRecord]] = {}
-        for record in self._directory.by_id.values():
-            records_by_address.setdefault(record.announcement.address, []).append(record)
-        has_changed = False
-        for shared in upstreams:
-            announcement = shared.announcement
-            others = records_by_address.setdefault(announcement.address, [])
-            result = self._merge(announcement, shared.age_ms, now_ms, others)
-            has_changed |= result == "changed"
-            if result != "superseded":
-                others.append(self._directory.by_id[announcement.id])
-        return has_changed
-
-    def _merge(
-        self,
-        announcement: Announcement,
-        age_ms: float,
-        now_ms: float,
-        others: Iterable[UpstreamRecord],
-    ) -> MergeResult | Literal["superseded"]:
-        """Merge an announcement; ``others`` has all records at its address, and may have more."""
-        if self._is_superseded(announcement, others):
-            return "superseded"
-        return self._directory.merge(
-            announcement, origin=self._own.id, last_confirmed_ms=now_ms - age_ms, now_ms=now_ms
-        )
-
-    def _is_superseded(self, announcement: Announcement, others: Iterable[UpstreamRecord]) -> bool:
-        """Return whether a newer upstream has the address; mark older ones there as leaving."""
-        for record in others:
-            other = record.announcement
-            if other.address != announcement.address or other.id == announcement.id:
-                continue
-            if record.is_leaving:
-                continue
-            if other.incarnation > announcement.incarnation:
-                return True
-            if announcement.state != "leaving":
-                self._directory.mark_leaving(other.id, other.incarnation)
-        return False
-
     def _record_follower(self, request: FollowRequest, now_ms: float) -> None:
         if request.sender.is_leaving:
             self._remove_follower(request.sender.id)
@@ -366,11 +310,7 @@
             listener()
 
     def _update_live(self, now_ms: float) -> None:
-        live = frozenset(
-            record.announcement.id
-            for record in self._directory.by_id.values()
-            if not record.is_leaving and now_ms - record.last_confirmed_ms < SILENT_AFTER_MS
-        )
+        live = self._upstreams.list_live(now_ms - SILENT_AFTER_MS)
         if self._live.replace(live, position=self._directory.position + 1):
             self._notify_followers()
 
@@ -379,15 +319,6 @@
 
     def _make_reply(self, position: int, *, is_for_hub: bool) -> FollowReply:
         now_ms = self._clock.now_ms()
-        upstreams: list[SharedUpstream] = []
-        renewals: list[Renewal] = []
-        for record in self._directory.by_id.values():
-            age_ms = max(0, int(now_ms - record.last_confirmed_ms) + 1)
-            announcement = record.announcement
-            if record.changed_at > position or position == 0:
-                upstreams.append(SharedUpstream(record.describe(), record.origin, age_ms))
-            elif is_for_hub and not record.is_leaving:
-                renewals.append(Renewal(announcement.id, announcement.incarnation, age_ms))
         return FollowReply(
             boot=self._boot,
             position=self._directory.position,
@@ -395,8 +326,8 @@
             is_settled=now_ms - self._started_ms > SETTLED_AFTER_MS,
             manifest_version=self._get_manifest_version(),
             instance_count=len(self._roster.by_id),
-            upstreams=upstreams,
-            renewals=renewals,
+            upstreams=self._upstreams.list_changed(position, now_ms),
+            renewals=self._upstreams.list_renewed(position, now_ms) if is_for_hub else [],
             replicas=self._list_replicas(),
             is_whole=position == 0,
             live=self._live.list_live(position),
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -542,8 +542,8 @@
     ),
     Mutant(
         "an upstream that stopped announcing gets no new requests",
-        "membership/hub.py",
-        "if not record.is_leaving and now_ms - record.last_confirmed_ms < SILENT_AFTER_MS",
+        "membership/hub_upstreams.py",
+        "if not record.is_leaving and record.last_confirmed_ms > confirmed_after_ms",
         "if not record.is_leaving",
         HUB + "Following",
     ),
@@ -1084,9 +1084,9 @@
     ),
     Mutant(
         "an instance that starts hears how long an upstream is still cold",
-        "membership/hub.py",
-        "SharedUpstream(record.describe(), record.origin, age_ms)",
-        "SharedUpstream(announcement, record.origin, age_ms)",
+        "membership/hub_upstreams.py",
+        "SharedUpstream(record.describe(), record.origin, _get_age_ms(record, now_ms))",
+        "SharedUpstream(record.announcement, record.origin, _get_age_ms(record, now_ms))",
         HUB + "ColdUpstreams",
     ),
     Mutant(
