Remember the departure of an upstream that has not announced itself yet

Cause: a departure was stored only as a mark on the record of the same incarnation. With no record, or only that of an earlier incarnation, the hub answered that it was done and stored and shared nothing, so the first announcement, which arrived 2.5 s later, registered the upstream as serving.

Change: the directory stores departures without a record, by identifier: of the latest incarnation that left, or of all that announce themselves for now if none was stated. Announcements of these are ignored, and an older incarnation under the same identifier is marked as leaving. A hub acknowledges such a departure as it does that of a leaving upstream: once it is on disk and a majority of the replicas has it. Hubs list departures to each other and to all instances, since one of them may have taken the late announcement before it hears of the departure. A stated incarnation is remembered for an hour, as leaving upstreams are, and one that was not stated for 60 s, since it bars the next start under the identifier too. There are at most 4,096; if all of them are younger than 60 s, a further one is refused rather than forgotten. Two more ways to the same end are closed: a departure of an earlier incarnation outlives the record of the later one, and a leaving upstream whose address a newer one has taken is remembered.

Three mutants show that the tests need the mechanism.

--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -27,6 +27,9 @@
 FOLLOW = Method(service="Hub", name="Follow", request=FollowRequest, reply=FollowReply)
 ANNOUNCE = Method(service="Hub", name="Announce", request=Announcement, reply=AnnounceReply)
 SHARE = Method(service="Hub", name="Share", request=Announcement, reply=AnnounceReply)
+SHARE_DEPARTURE = Method(
+    service="Hub", name="ShareDeparture", request=LeaveRequest, reply=AnnounceReply
+)
 LEAVE = Method(service="Hub", name="Leave", request=LeaveRequest, reply=AnnounceReply)
 
 HOLD_MS = 2_500
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.membership.hub_upstreams import HubMergeResult
 from coltsfootrill.membership.hub_upstreams import HubUpstreams
 from coltsfootrill.membership.live import LiveSet
 from coltsfootrill.membership.messages import AnnounceReply
@@ -19,8 +20,10 @@
 from coltsfootrill.membership.roster import Roster
 from coltsfootrill.membership.shared_replies import SharedReplies
 from coltsfootrill.membership.shared_replies import UrgentState
+from coltsfootrill.membership.snapshot import StoredUpstreams
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.departures import DepartureResult
 from coltsfootrill.zones.orders import ZoneOrders
 
 CURRENT_FOR_MS = 2_000.0
@@ -35,6 +38,8 @@
 INSTANCE_CHANGE_DELAY_PER_FOLLOWER_MS = 4.0
 HOLD_MAX_MS = 5_000
 REFUSED_MAX_COUNT = 200
+NOT_CURRENT = "no majority has recently confirmed the state of this replica"
+NO_ROOM = "too many upstreams have left before they announced themselves"
 
 
 def get_instance_change_delay_ms(followers_count: int) -> float:
@@ -50,10 +55,10 @@
 class Hub:
     """Thread-safe owner of the announcements made to the voting replicas.
 
-    ``share`` sends the announcement of a leaving upstream to the other replicas and returns
-    whether a majority of the replicas, this one included, has it. ``list_refused`` returns the
-    requests that crash upstreams, the latest last, and ``get_zone_orders`` the orders on
-    availability zones in force.
+    ``share`` sends the departure of an upstream, or the announcement of a leaving one, to the other
+    replicas and returns whether a majority of the replicas, this one included, has it.
+    ``list_refused`` returns the requests that crash upstreams, the latest last, and
+    ``get_zone_orders`` the orders on availability zones in force.
     """
 
     def __init__(
@@ -62,7 +67,7 @@
         *,
         boot: int,
         clock: Clock,
-        share: Callable[[Announcement], bool],
+        share: Callable[[Announcement | LeaveRequest], bool],
         get_manifest_version: Callable[[], int],
         snapshot: UpstreamSnapshot | None = None,
         list_refused: Callable[[], list[SuspectEntry]] = list,
@@ -91,8 +96,8 @@
         self._listeners: list[Callable[[], None]] = []
         self._shared_replies = SharedReplies()
         self._directory.position = 1
-        for announcement in [] if snapshot is None else snapshot.read():
-            self.merge(announcement, age_ms=SILENT_AFTER_MS)
+        if snapshot is not None:
+            self._restore(snapshot)
 
     def is_current(self) -> bool:
         """Return whether a majority confirmed this replica's state within ``CURRENT_FOR_MS``."""
@@ -133,59 +138,72 @@
         One that is leaving is acknowledged only once a majority of the replicas has it.
         """
         if not self.is_current():
-            return AnnounceReply(
-                False, "no majority has recently confirmed the state of this replica"
-            )
-        self.merge(announcement, age_ms=0)
+            return AnnounceReply(False, NOT_CURRENT)
+        result = self.merge(announcement, age_ms=0)
         if announcement.state != "leaving":
             return AnnounceReply(True, "")
-        self.persist_upstreams()
-        if not self._share(announcement):
-            return AnnounceReply(False, "no majority of the replicas confirmed the announcement")
-        return AnnounceReply(True, "")
+        if result == "full":
+            return AnnounceReply(False, NO_ROOM)
+        return self._confirm(announcement)
 
     def persist_upstreams(self) -> None:
         """Write the upstreams to the snapshot, if this instance has a disk."""
         if self._snapshot is None:
             return
         with self._changed:
-            announcements = self._upstreams.list_lasting()
-        self._snapshot.write(announcements)
+            stored = StoredUpstreams(
+                upstreams=self._upstreams.list_lasting(),
+                departures=self._upstreams.list_lasting_departures(),
+            )
+        self._snapshot.write(stored)
 
     def deregister(self, request: LeaveRequest) -> AnnounceReply:
-        """Mark an upstream as leaving; an unknown upstream or another incarnation is ignored."""
+        """Record that an upstream has left, also one that has not announced itself yet.
+
+        Its announcement may be on its way. Like that of a leaving upstream, the departure is
+        acknowledged only once a majority of the replicas has it.
+        """
+        if not self.is_current():
+            return AnnounceReply(False, NOT_CURRENT)
         with self._changed:
-            record = self._directory.by_id.get(request.upstream_id)
-            announcement = None if record is None else record.announcement
-        if announcement is None:
-            return AnnounceReply(
-                self.is_current(), "no upstream with this identifier is registered"
-            )
-        if request.incarnation not in (None, announcement.incarnation):
-            return AnnounceReply(
-                self.is_current(), "another incarnation of this upstream is registered"
-            )
-        return self.announce(msgspec.structs.replace(announcement, state="leaving"))
+            result = self._record_departure(request)
+            departure = self._upstreams.describe_departure(request)
+        if result == "full":
+            return AnnounceReply(False, NO_ROOM)
+        return self._confirm(departure)
+
+    def store_shared(self, shared: Announcement | LeaveRequest) -> AnnounceReply:
+        """Store what another replica shares before it acknowledges a departure."""
+        if isinstance(shared, Announcement):
+            is_stored = self.merge(shared, age_ms=0) != "full"
+        else:
+            is_stored = self._record_departure(shared) != "full"
+        if not is_stored:
+            return AnnounceReply(False, NO_ROOM)
+        self.persist_upstreams()
+        return AnnounceReply(True, "")
 
-    def merge(self, announcement: Announcement, *, age_ms: float) -> None:
+    def merge(self, announcement: Announcement, *, age_ms: float) -> HubMergeResult:
         """Merge an announcement that was made ``age_ms`` ago."""
         with self._changed:
             now_ms = self._clock.now_ms()
             result = self._upstreams.merge(announcement, age_ms=age_ms, now_ms=now_ms)
-            if result == "superseded":
-                return
+            if result in ("superseded", "full"):
+                return result
             if result == "changed" or announcement.id not in self._live.ids:
                 self._update_live(now_ms)
             if result == "changed":
                 self._notify_followers()
+            return result
 
     def merge_reply(self, reply: FollowReply) -> None:
-        """Merge the upstreams and renewals in a reply from another hub, as one change."""
+        """Merge the departures, upstreams and renewals of another hub's reply, as one change."""
         with self._changed:
             now_ms = self._clock.now_ms()
-            has_changed = self._upstreams.merge_all(reply.upstreams, now_ms)
+            has_changed = self._upstreams.record_departures(reply.departures, now_ms)
+            has_changed |= self._upstreams.merge_all(reply.upstreams, now_ms)
             self._upstreams.renew_all(reply.renewals, now_ms)
-            if reply.upstreams:
+            if reply.departures or reply.upstreams:
                 self._update_live(now_ms)
             if has_changed:
                 self._notify_followers()
@@ -267,6 +285,30 @@
                 if follower.is_candidate and not follower.record.is_leaving
             }
 
+    def _restore(self, snapshot: UpstreamSnapshot) -> None:
+        """Restore what the snapshot holds; how long ago upstreams left is not known any more."""
+        stored = snapshot.read()
+        for departure in stored.departures:
+            self._record_departure(departure)
+        for announcement in stored.upstreams:
+            self.merge(announcement, age_ms=SILENT_AFTER_MS)
+
+    def _record_departure(self, departure: LeaveRequest) -> DepartureResult:
+        with self._changed:
+            now_ms = self._clock.now_ms()
+            result = self._upstreams.record_departure(departure, age_ms=0, now_ms=now_ms)
+            if result == "recorded":
+                self._update_live(now_ms)
+                self._notify_followers()
+            return result
+
+    def _confirm(self, departure: Announcement | LeaveRequest) -> AnnounceReply:
+        """Acknowledge a departure that is recorded here once a majority of the replicas has it."""
+        self.persist_upstreams()
+        if not self._share(departure):
+            return AnnounceReply(False, "no majority of the replicas confirmed the departure")
+        return AnnounceReply(True, "")
+
     def _record_follower(self, request: FollowRequest, now_ms: float) -> None:
         if request.sender.is_leaving:
             self._remove_follower(request.sender.id)
@@ -336,4 +378,5 @@
             departed_instances=self._roster.list_departed(position) if position else [],
             refused=[] if position else self._list_refused()[-REFUSED_MAX_COUNT:],
             zone_orders=self._get_zone_orders(),
+            departures=self._upstreams.list_departures(position, now_ms),
         )
--- a/src/coltsfootrill/membership/hub_upstreams.py
+++ b/src/coltsfootrill/membership/hub_upstreams.py
@@ -5,13 +5,18 @@
 from collections.abc import Iterable
 from typing import Literal
 
+from coltsfootrill.membership.messages import DepartureEntry
+from coltsfootrill.membership.messages import LeaveRequest
 from coltsfootrill.membership.messages import Renewal
 from coltsfootrill.membership.messages import SharedUpstream
 from coltsfootrill.registry.announcement import Announcement
+from coltsfootrill.registry.departures import DepartureResult
 from coltsfootrill.registry.directory import Directory
 from coltsfootrill.registry.directory import MergeResult
 from coltsfootrill.registry.directory import UpstreamRecord
 
+HubMergeResult = MergeResult | Literal["superseded", "full"]
+
 
 class HubUpstreams:
     """The directory of a hub, in which a newer upstream supersedes others at its address.
@@ -25,10 +30,11 @@
         self._origin = origin
         self.directory = Directory()
 
-    def merge(
-        self, announcement: Announcement, *, age_ms: float, now_ms: float
-    ) -> MergeResult | Literal["superseded"]:
-        """Merge an announcement that was made ``age_ms`` ago."""
+    def merge(self, announcement: Announcement, *, age_ms: float, now_ms: float) -> HubMergeResult:
+        """Merge an announcement that was made ``age_ms`` ago.
+
+        ``full`` means that it announces a departure for which there is no room.
+        """
         return self._merge(announcement, age_ms, now_ms, self.directory.by_id.values())
 
     def merge_all(self, upstreams: list[SharedUpstream], now_ms: float) -> bool:
@@ -44,10 +50,34 @@
             others = records_by_address.setdefault(announcement.address, [])
             result = self._merge(announcement, shared.age_ms, now_ms, others)
             has_changed |= result == "changed"
-            if result != "superseded":
+            if result != "superseded" and announcement.id in self.directory.by_id:
                 others.append(self.directory.by_id[announcement.id])
         return has_changed
 
+    def describe_departure(self, request: LeaveRequest) -> Announcement | LeaveRequest:
+        """Return the announcement of the upstream that left, or the request if there is none."""
+        record = self.directory.by_id.get(request.upstream_id)
+        if record is None or request.incarnation not in (None, record.announcement.incarnation):
+            return request
+        return record.announcement
+
+    def record_departure(
+        self, request: LeaveRequest, *, age_ms: float, now_ms: float
+    ) -> DepartureResult:
+        """Record a departure that was stated ``age_ms`` ago."""
+        return self.directory.record_departure(
+            request.upstream_id, request.incarnation, departed_ms=now_ms - age_ms, now_ms=now_ms
+        )
+
+    def record_departures(self, entries: list[DepartureEntry], now_ms: float) -> bool:
+        """Record the departures of which another hub knows; return whether one of them is news."""
+        has_changed = False
+        for entry in entries:
+            request = LeaveRequest(entry.upstream_id, entry.incarnation)
+            result = self.record_departure(request, age_ms=entry.age_ms, now_ms=now_ms)
+            has_changed |= result == "recorded"
+        return has_changed
+
     def renew_all(self, renewals: list[Renewal], now_ms: float) -> None:
         """Renew the leases that another hub has renewed."""
         for renewal in renewals:
@@ -59,10 +89,28 @@
                 now_ms=now_ms,
             )
 
+    def list_departures(self, position: int, now_ms: float) -> list[DepartureEntry]:
+        """Return the departures without a record that were recorded after ``position``."""
+        return [
+            DepartureEntry(
+                departure.upstream_id,
+                departure.incarnation,
+                max(0, int(now_ms - departure.departed_ms)),
+            )
+            for departure in self.directory.departures.list_after(position)
+        ]
+
     def list_lasting(self) -> list[Announcement]:
         """Return all announcements without what changes with each renewal."""
         return [record.describe_lasting() for record in self.directory.by_id.values()]
 
+    def list_lasting_departures(self) -> list[LeaveRequest]:
+        """Return the departures without a record, without how long ago they were."""
+        return [
+            LeaveRequest(departure.upstream_id, departure.incarnation)
+            for departure in self.directory.departures.list_after(0)
+        ]
+
     def list_live(self, confirmed_after_ms: float) -> frozenset[str]:
         """Return those that are not leaving and were confirmed after ``confirmed_after_ms``."""
         return frozenset(
@@ -102,10 +150,14 @@
         age_ms: float,
         now_ms: float,
         others: Iterable[UpstreamRecord],
-    ) -> MergeResult | Literal["superseded"]:
+    ) -> HubMergeResult:
         """Merge an announcement; ``others`` has all records at its address, and may have more."""
         if self._is_superseded(announcement, others):
-            return "superseded"
+            if announcement.state != "leaving":
+                return "superseded"
+            request = LeaveRequest(announcement.id, announcement.incarnation)
+            result = self.record_departure(request, age_ms=age_ms, now_ms=now_ms)
+            return "full" if result == "full" else "superseded"
         return self.directory.merge(
             announcement, origin=self._origin, last_confirmed_ms=now_ms - age_ms, now_ms=now_ms
         )
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -109,6 +109,17 @@
     is_tried: bool = False
 
 
+class DepartureEntry(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that left ``age_ms`` ago and whose announcement may arrive later.
+
+    ``incarnation`` is the latest one that left, ``None`` if the upstream did not state it.
+    """
+
+    upstream_id: str
+    incarnation: int | None
+    age_ms: int
+
+
 class FollowReply(msgspec.Struct, frozen=True, array_like=True):
     """State of a hub up to ``position``; ages are in milliseconds at the time of the reply.
 
@@ -119,7 +130,7 @@
     became live, ``silent`` ones stopped announcing themselves, ``instances`` started to follow
     the hub or changed, and ``departed_instances`` stopped following it. ``refused`` are the latest
     requests that crash upstreams, if ``is_whole``. ``zone_orders`` are the orders on availability
-    zones in force at the hub.
+    zones in force at the hub. ``departures`` are those of which ``upstreams`` has no announcement.
     """
 
     boot: int
@@ -138,6 +149,7 @@
     departed_instances: list[str]
     refused: list[SuspectEntry] = []
     zone_orders: ZoneOrders = ZoneOrders()
+    departures: list[DepartureEntry] = []
 
 
 class AnnounceReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/membership/snapshot.py
+++ b/src/coltsfootrill/membership/snapshot.py
@@ -1,4 +1,4 @@
-"""Snapshot of a hub's upstreams on disk, from which it restores them after a restart.
+"""Snapshot of a hub's upstreams and departures on disk, restored after a restart.
 
 All processes may lose power at once. Upstreams announce themselves again within seconds, but
 callers do not wait that long.
@@ -17,46 +17,57 @@
 from coltsfootrill.control.files import StorageError
 from coltsfootrill.control.files import read_record
 from coltsfootrill.control.files import write_record
+from coltsfootrill.membership.messages import LeaveRequest
 from coltsfootrill.registry.announcement import Announcement
 
 FILE_NAME = "upstreams.rec"
 LOG_INTERVAL_S = 30
 
-_decoder = msgspec.msgpack.Decoder(list[Announcement])
+
+class StoredUpstreams(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest announcement of each upstream, and the departures of which there is none."""
+
+    upstreams: list[Announcement] = []
+    departures: list[LeaveRequest] = []
+
+
+# Earlier versions stored the announcements only.
+_decoder = msgspec.msgpack.Decoder(StoredUpstreams | list[Announcement])
 
 
 class UpstreamSnapshot:
-    """One file with the newest announcement of each upstream. Thread-safe."""
+    """One file with what a hub stores of upstreams. Thread-safe."""
 
     def __init__(self, folder: Path, *, files: FileLayer) -> None:
         self._folder = folder
         self._files = files
         self._lock = threading.Lock()
-        self._written: list[Announcement] | None = None
+        self._written: StoredUpstreams | None = None
 
-    def read(self) -> list[Announcement]:
-        """Return the stored announcements, none if the file is missing or cannot be decoded."""
+    def read(self) -> StoredUpstreams:
+        """Return what is stored, nothing if the file is missing or cannot be decoded."""
         try:
             raw = read_record(self._files, self._folder / FILE_NAME)
-            return [] if raw is None else _decoder.decode(raw)
+            stored = StoredUpstreams() if raw is None else _decoder.decode(raw)
         except (DamagedFileError, msgspec.MsgspecError) as error:
             logging.warning('upstream snapshot not restored error="%s"', error)
-            return []
+            return StoredUpstreams()
+        return StoredUpstreams(upstreams=stored) if isinstance(stored, list) else stored
 
-    def write(self, announcements: list[Announcement]) -> None:
-        """Write announcements if they changed; a failed write is only logged.
+    def write(self, stored: StoredUpstreams) -> None:
+        """Write what changed since the last write; a failed write is only logged.
 
         Without the snapshot a restarted hub only has to wait for the upstreams to announce
         themselves again.
         """
         with self._lock:
-            if announcements == self._written:
+            if stored == self._written:
                 return
             try:
                 self._folder.mkdir(parents=True, exist_ok=True)
-                raw = msgspec.msgpack.encode(announcements)
+                raw = msgspec.msgpack.encode(stored)
                 write_record(self._files, self._folder / FILE_NAME, raw)
-                self._written = announcements
+                self._written = stored
             except (StorageError, OSError) as error:
                 logging.log_every_n_seconds(
                     logging.WARNING,
--- a/src/coltsfootrill/membership/view.py
+++ b/src/coltsfootrill/membership/view.py
@@ -71,6 +71,13 @@
         """Apply a reply from the hub at the address ``hub``."""
         with self._lock:
             now_ms = self._clock.now_ms()
+            for entry in reply.departures:
+                self._directory.record_departure(
+                    entry.upstream_id,
+                    entry.incarnation,
+                    departed_ms=now_ms - entry.age_ms,
+                    now_ms=now_ms,
+                )
             for shared in reply.upstreams:
                 self._directory.merge(
                     shared.announcement,
--- a/src/coltsfootrill/operators/interface.py
+++ b/src/coltsfootrill/operators/interface.py
@@ -29,7 +29,8 @@
     def leave(self, upstream_id: str, incarnation: int | None) -> None:
         """Deregister an upstream; raise ``NoQuorumError`` as ``announce`` does.
 
-        Without an ``incarnation``, whichever one is current is deregistered.
+        Without an ``incarnation``, whichever one is current is deregistered. An upstream may
+        deregister before its first announcement arrives, which is ignored then.
         """
 
     def submit(self, raw: bytes, *, base_version: int | None, operator: str) -> SubmitAnswer:
--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -16,6 +16,9 @@
 from coltsfootrill.registry.announcement import COLD_MAX_MS
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import UpstreamState
+from coltsfootrill.registry.departures import Departure
+from coltsfootrill.registry.departures import DepartureResult
+from coltsfootrill.registry.departures import Departures
 
 # No new work may be sent later than 3 s after the last confirmation. Admission controllers notice
 # the end of a lease slightly late, so a lease is 100 ms shorter.
@@ -135,9 +138,12 @@
 
 
 class Directory:
-    """Records by upstream identifier. Not thread-safe: the owner holds a lock."""
+    """Records by upstream identifier, and departures that no record can hold.
 
-    __slots__ = ("_lease_ms", "_on_change", "by_id", "generation", "position")
+    Not thread-safe: the owner holds a lock.
+    """
+
+    __slots__ = ("_lease_ms", "_on_change", "by_id", "departures", "generation", "position")
 
     def __init__(
         self,
@@ -147,6 +153,7 @@
     ) -> None:
         self._lease_ms = lease_ms
         self.by_id: dict[str, UpstreamRecord] = {}
+        self.departures = Departures()
         self.position = 0
         # Grows when the set of upstreams or one of their states changes, not with renewals.
         self.generation = 0
@@ -162,9 +169,13 @@
     ) -> MergeResult:
         """Merge one announcement and return its effect.
 
-        An older incarnation, and anything after ``leaving`` in the same incarnation, is ignored.
-        ``now_ms`` defaults to ``last_confirmed_ms``.
+        An older incarnation, one whose departure is recorded, and anything after ``leaving`` in the
+        same incarnation, is ignored. ``now_ms`` defaults to ``last_confirmed_ms``.
         """
+        if announcement.state != "leaving" and self.departures.covers(
+            announcement.id, announcement.incarnation
+        ):
+            return "ignored"
         record = self.by_id.get(announcement.id)
         if record is None:
             record = UpstreamRecord(
@@ -251,6 +262,31 @@
         self._mark_changed(record, before=before.state)
         return True
 
+    def record_departure(
+        self, upstream_id: str, incarnation: int | None, *, departed_ms: float, now_ms: float
+    ) -> DepartureResult:
+        """Record that an incarnation has left, whether or not it has announced itself yet.
+
+        Older incarnations have left as well. Without an ``incarnation`` the one with a record has
+        left or, if there is no record, each one that announces itself for now.
+        """
+        record = self.by_id.get(upstream_id)
+        known = None if record is None else record.announcement.incarnation
+        is_news = (
+            known is not None
+            and (incarnation is None or known <= incarnation)
+            and self.mark_leaving(upstream_id, known)
+        )
+        if known is not None and incarnation in (None, known):
+            return "recorded" if is_news else "known"
+        departure = Departure(
+            upstream_id, incarnation, departed_ms=departed_ms, changed_at=self.position + 1
+        )
+        result = self.departures.add(departure, now_ms=now_ms)
+        if result == "recorded":
+            self.position += 1
+        return "recorded" if result == "known" and is_news else result
+
     def list_usable(self, now_ms: float) -> list[UpstreamRecord]:
         """Return the records of all upstreams that may get new work now.
 
@@ -259,11 +295,12 @@
         return [record for record in list(self.by_id.values()) if record.is_usable(now_ms)]
 
     def remove_expired(self, now_ms: float) -> int:
-        """Drop expired records and return how many there were.
+        """Drop expired records and departures, and return how many records there were.
 
         The record of an upstream that left is retained for ``TOMBSTONE_MS``, so that a late
         announcement of the same incarnation cannot make it usable again.
         """
+        self.departures.remove_expired(now_ms)
         expired = [
             upstream_id
             for upstream_id, record in self.by_id.items()
--- a/src/coltsfootrill/roles/hub_client.py
+++ b/src/coltsfootrill/roles/hub_client.py
@@ -25,6 +25,7 @@
 from coltsfootrill.control.replica import READ
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.membership.following import SHARE
+from coltsfootrill.membership.following import SHARE_DEPARTURE
 from coltsfootrill.membership.following import HubFollowing
 from coltsfootrill.membership.following import order_hubs
 from coltsfootrill.membership.messages import AnnounceReply
@@ -78,15 +79,16 @@
         self._random = random
         self._executor = ThreadPoolExecutor(_CALL_THREAD_COUNT, thread_name_prefix="hub-call")
 
-    def share(self, announcement: Announcement) -> bool:
-        """Send an announcement to the other replicas; return whether a majority stored it.
+    def share(self, departure: Announcement | LeaveRequest) -> bool:
+        """Send a departure to the other replicas; return whether a majority stored it.
 
         This node counts towards the majority if it is one of the replicas.
         """
+        method = SHARE if isinstance(departure, Announcement) else SHARE_DEPARTURE
 
         def share_with(address: str) -> bool:
             client = self._following.get_client(address)
-            reply: AnnounceReply = client.call(SHARE, announcement, timeout_ms=HUB_CALL_TIMEOUT_MS)
+            reply: AnnounceReply = client.call(method, departure, timeout_ms=HUB_CALL_TIMEOUT_MS)
             return reply.is_known
 
         return self._reach_majority(self._following.replicas, share_with)
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -30,11 +30,11 @@
 from coltsfootrill.membership.following import FOLLOW
 from coltsfootrill.membership.following import LEAVE
 from coltsfootrill.membership.following import SHARE
+from coltsfootrill.membership.following import SHARE_DEPARTURE
 from coltsfootrill.membership.following import HubFollowing
 from coltsfootrill.membership.following import Identity
 from coltsfootrill.membership.held_polls import HeldPolls
 from coltsfootrill.membership.hub import Hub
-from coltsfootrill.membership.messages import AnnounceReply
 from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import LeaveRequest
@@ -115,7 +115,7 @@
             record,
             boot=record.boot,
             clock=clock,
-            share=lambda announcement: self._hub_client.share(announcement),
+            share=lambda departure: self._hub_client.share(departure),
             get_manifest_version=lambda: manifests.version,
             snapshot=None if data is None else UpstreamSnapshot(data / "hub", files=FileLayer()),
             list_refused=lambda: [pack_news(news) for news in guard.list_refused()],
@@ -255,7 +255,8 @@
         self._server.add(LEAVE, self.hub.deregister)
         # A hub that acknowledges that an upstream leaves waits for this call at the others.
         share_executor = ThreadPoolExecutor(SHARE_THREAD_COUNT, thread_name_prefix="share")
-        self._server.add(SHARE, self._store_shared, executor=share_executor)
+        self._server.add(SHARE, self.hub.store_shared, executor=share_executor)
+        self._server.add(SHARE_DEPARTURE, self.hub.store_shared, executor=share_executor)
         self._server.add(SUBMIT, self._manifest_control.submit_locally)
         self._server.add(ORDER_ZONE, self._zone_control.order_locally)
         # A voter that submits waits for this call at the others.
@@ -357,11 +358,6 @@
             reply.manifest_version, address, serves_reads=reply.is_current
         )
 
-    def _store_shared(self, announcement: Announcement) -> AnnounceReply:
-        self.hub.merge(announcement, age_ms=0)
-        self.hub.persist_upstreams()
-        return AnnounceReply(True, "")
-
     def _adopt_accepted(self, request: AdoptRequest) -> AdoptReply:
         self._zones.adopt(request.zone_orders)
         if request.raw:
--- a/testing/membership/hub_pair.py
+++ b/testing/membership/hub_pair.py
@@ -10,6 +10,7 @@
 from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.membership.messages import LeaveRequest
 from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.membership.view import HubView
@@ -22,7 +23,7 @@
 
     def __init__(self) -> None:
         self.clock = ManualClock(1_000_000)
-        self.shared: list[Announcement] = []
+        self.shared: list[Announcement | LeaveRequest] = []
         self.is_shared = True
         self.snapshot: UpstreamSnapshot | None = None
         self.refused: list[SuspectEntry] = []
@@ -43,8 +44,8 @@
             get_zone_orders=lambda: self.zone_orders,
         )
 
-    def share(self, announcement: Announcement) -> bool:
-        self.shared.append(announcement)
+    def share(self, departure: Announcement | LeaveRequest) -> bool:
+        self.shared.append(departure)
         return self.is_shared
 
     def follow(self, *, position: int = 0, boot: int = 0) -> FollowReply:
--- a/testing/membership/test_hub.py
+++ b/testing/membership/test_hub.py
@@ -17,6 +17,7 @@
 from coltsfootrill.membership.messages import LeaveRequest
 from coltsfootrill.membership.messages import Renewal
 from coltsfootrill.membership.messages import SuspectEntry
+from coltsfootrill.membership.snapshot import StoredUpstreams
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.membership.view import HUB_RESPONSIVE_WITHIN_MS
 from coltsfootrill.membership.view import HubView
@@ -289,7 +290,7 @@
 
     def test_a_damaged_snapshot_is_read_as_empty(self, tmp_path: Path) -> None:
         (tmp_path / "upstreams.rec").write_bytes(b"torn")
-        assert UpstreamSnapshot(tmp_path, files=FileLayer()).read() == []
+        assert UpstreamSnapshot(tmp_path, files=FileLayer()).read() == StoredUpstreams()
 
     def test_instances_that_could_vote_are_candidates(self) -> None:
         pair = Pair()
@@ -374,13 +375,14 @@
         assert pair.follow(position=first.position, boot=first.boot).refused == []
 
     # Guards against a fleet that is replaced one by one: instances of both versions follow hubs.
-    @pytest.mark.parametrize("fields_added", [1, 2])
+    @pytest.mark.parametrize("fields_added", [1, 2, 3])
     def test_instances_of_an_earlier_version_understand_the_reply_and_hubs_theirs(
         self, fields_added: int
     ) -> None:
         pair = Pair()
         pair.zone_orders = ZoneOrders(1, {"z1": 1}, {})
         pair.refused = [SuspectEntry(b"deadly", [], 0, False)]
+        pair.hub.deregister(LeaveRequest("u9", 1))
         raw = msgspec.msgpack.encode(pair.follow())
         fields = [(field.name, field.type) for field in msgspec.structs.fields(FollowReply)]
         earlier = msgspec.defstruct(
@@ -388,6 +390,7 @@
         )
         decoded = msgspec.msgpack.decode(raw, type=earlier)
         again = msgspec.msgpack.decode(msgspec.msgpack.encode(decoded), type=FollowReply)
-        assert again.refused == (pair.refused if fields_added == 1 else [])
-        assert again.zone_orders == ZoneOrders()
+        assert again.refused == (pair.refused if fields_added <= 2 else [])
+        assert again.zone_orders == (pair.zone_orders if fields_added <= 1 else ZoneOrders())
+        assert again.departures == []
         assert again.position == pair.follow().position
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -24,6 +24,7 @@
 DISPATCH_SERVER = "testing/dispatch/test_server.py::Test"
 DISPATCH_CLIENT = "testing/dispatch/test_client.py::Test"
 HUB = "testing/membership/test_hub.py::Test"
+DEPARTURES = "testing/membership/test_departures.py::Test"
 LEAVING = "testing/proxy/test_leaving.py::Test"
 FOLLOWING = "testing/membership/test_following.py::Test"
 NODE = "testing/roles/test_node.py::Test"
@@ -529,15 +530,38 @@
     Mutant(
         "a leave is acknowledged once a majority has recorded it",
         "membership/hub.py",
-        "        if not self._share(announcement):\n",
+        "        if not self._share(departure):\n",
         "        if False:\n",
         HUB + "Acknowledgements",
     ),
+    Mutant(
+        "an announcement that arrives after its departure is ignored",
+        "registry/directory.py",
+        '            return "ignored"\n        record = self.by_id',
+        "            pass\n        record = self.by_id",
+        DEPARTURES + "LateFirstAnnouncement",
+    ),
+    Mutant(
+        "a hub that restarts remembers departures",
+        "membership/hub.py",
+        "        for departure in stored.departures:\n",
+        "        for departure in []:\n",
+        DEPARTURES + "OtherHubs",
+    ),
+    Mutant(
+        "a departure for which there is no room is not acknowledged",
+        "registry/departures.py",
+        "+ ANNOUNCEMENT_LATE_MAX_MS:\n            return False",
+        "+ ANNOUNCEMENT_LATE_MAX_MS:\n            pass",
+        DEPARTURES + "Acknowledgement",
+    ),
     Mutant(
         "a replica without a majority accepts no announcement",
         "membership/hub.py",
-        "        if not self.is_current():\n            return AnnounceReply(",
-        "        if False:\n            return AnnounceReply(",
+        "        if not self.is_current():\n            return AnnounceReply(False, NOT_CURRENT)\n"
+        "        result = self.merge(",
+        "        if False:\n            return AnnounceReply(False, NOT_CURRENT)\n"
+        "        result = self.merge(",
         HUB + "Acknowledgements",
     ),
     Mutant(
@@ -550,8 +574,8 @@
     Mutant(
         "upstreams are restored after all instances lost power",
         "membership/hub.py",
-        "[] if snapshot is None else snapshot.read()",
-        "[]",
+        "        if snapshot is not None:\n            self._restore(snapshot)\n",
+        "",
         HUB + "Following",
     ),
     Mutant(
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -29,9 +29,9 @@
 
 
 def send_heartbeat(
-    node: Node, upstream: ScriptedUpstream, sequence: int, state: str = "ready"
+    node: Node, upstream: ScriptedUpstream, sequence: int, state: str = "ready", *, born: int = 1
 ) -> int:
-    body = _encode_heartbeat(upstream.address, zone="z1", sequence=sequence, state=state)
+    body = _encode_heartbeat(upstream.address, zone="z1", sequence=sequence, state=state, born=born)
     return node.call("interface", "POST", "/Instances.Heartbeat/i-1", body)[0]
 
 
@@ -43,12 +43,19 @@
     return str(address).partition(":")[0]
 
 
-def _encode_heartbeat(address: str, *, zone: str, sequence: int, state: str) -> bytes:
+def deregister(node: Node) -> int:
+    body = json.dumps({"born": 1}).encode()
+    return node.call("interface", "POST", "/Instances.Deregister/i-1", body)[0]
+
+
+def _encode_heartbeat(
+    address: str, *, zone: str, sequence: int, state: str, born: int = 1
+) -> bytes:
     body = {
         "address": address,
         "serverInfo": {"service": "desk", "version": "v1", "zone": zone, "concurrency": 3},
         "status": {"state": state, "sequence": sequence, "coldRemainingMs": 0},
-        "born": 1,
+        "born": born,
     }
     return json.dumps(body).encode()
 
@@ -158,6 +165,28 @@
         assert forwarded == []
 
 
+class TestDepartures:
+    # Guards against use of an upstream whose first heartbeat arrives after its deregistration.
+    def test_a_late_first_heartbeat_undoes_no_deregistration_even_after_all_voters_restart(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.submit_manifest(2, 0)
+        wait_until(lambda: deregister(fleet.nodes[3]) == 200, within_s=20)
+        for voter in fleet.nodes[:3]:
+            voter.end(signal.SIGKILL)
+        for voter in fleet.nodes[:3]:
+            voter.start(is_first_start=False)
+        fleet.announce_upstream(1)
+        end_s = time.monotonic() + 2
+        while time.monotonic() < end_s:
+            assert 200 not in [send_request(node) for node in fleet.nodes]
+        assert not any(head.startswith(b"POST") for head in fleet.upstream.heads)
+        wait_until(
+            lambda: send_heartbeat(fleet.nodes[3], fleet.upstream, 1, born=2) == 200, within_s=20
+        )
+        fleet.wait_until_served()
+
+
 class TestHeartbeats:
     def test_upstreams_are_sent_to_the_hub_of_their_zone(self, fleet: Fleet) -> None:
         fleet.submit_manifest(2, 0)
