Remember a stated departure that is heard before the announcement

What callers would see: requests at an upstream that has stated on an answer to another instance (Server-Leaving) that it is leaving.

An instance that hears of it by load reports while the announcement is still on its way, as one that has just started, dropped the statement and used the upstream when the announcement arrived.

Change: nodes and entry instances record the departure itself, as hubs do. Before: the four cases of TestStatements failed; after: they pass, and a mutant shows that they need the mechanism.

--- a/src/coltsfootrill/membership/fleet.py
+++ b/src/coltsfootrill/membership/fleet.py
@@ -119,8 +119,13 @@
     def record_leaving(self, upstream_id: str, incarnation: int) -> None:
         """Use an upstream no more, whose answer stated that it is leaving, and notify the peers."""
         with self._changed:
-            if self.directory.mark_leaving(upstream_id, incarnation):
-                self.directory.by_id[upstream_id].origin = self._own.id
+            now_ms = self._clock.now_ms()
+            result = self.directory.record_departure(
+                upstream_id, incarnation, departed_ms=now_ms, now_ms=now_ms
+            )
+            record = self.directory.by_id.get(upstream_id)
+            if result == "recorded" and record is not None and record.is_leaving:
+                record.origin = self._own.id
                 self._changed.notify_all()
 
     def list_usable(self) -> list[UpstreamRecord]:
--- a/src/coltsfootrill/membership/view.py
+++ b/src/coltsfootrill/membership/view.py
@@ -110,8 +110,12 @@
     def record_leaving(self, upstream_id: str, incarnation: int) -> None:
         """Use an upstream no more, whose answer stated that this incarnation of it is leaving."""
         with self._lock:
-            if self._directory.mark_leaving(upstream_id, incarnation):
-                self._update(self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            result = self._directory.record_departure(
+                upstream_id, incarnation, departed_ms=now_ms, now_ms=now_ms
+            )
+            if result == "recorded":
+                self._update(now_ms)
 
     def has_current_hub(self) -> bool:
         """Return whether a hub whose state a majority confirmed is responsive."""
--- a/src/coltsfootrill/registry/source.py
+++ b/src/coltsfootrill/registry/source.py
@@ -24,4 +24,7 @@
         """Extend the lease of an upstream that answered a request sent at ``sent_ms``."""
 
     def record_leaving(self, upstream_id: str, incarnation: int) -> None:
-        """Use an upstream no more, whose answer stated that this incarnation of it is leaving."""
+        """Use an upstream no more, whose answer stated that this incarnation of it is leaving.
+
+        Its announcement may not have arrived here yet.
+        """
--- a/testing/membership/test_departures.py
+++ b/testing/membership/test_departures.py
@@ -7,8 +7,10 @@
 import msgspec
 import pytest
 
+from coltsfootrill.clock import ManualClock
 from coltsfootrill.control.files import FileLayer
 from coltsfootrill.control.files import write_record
+from coltsfootrill.membership.fleet import Fleet
 from coltsfootrill.membership.hub import SILENT_AFTER_MS
 from coltsfootrill.membership.hub import Hub
 from coltsfootrill.membership.messages import FollowRequest
@@ -249,3 +251,35 @@
         pair.hub.merge_reply(reply)
         pair.follow()
         assert pair.list_usable() == []
+
+
+class TestStatements:
+    """An upstream may state on an answer to another instance that it is leaving."""
+
+    # Guards against use of an upstream whose statement was heard before its announcement.
+    @pytest.mark.parametrize("known_incarnation", [1, None])
+    def test_a_node_that_does_not_know_the_incarnation_yet_remembers(
+        self, known_incarnation: int | None
+    ) -> None:
+        pair = Pair()
+        if known_incarnation is not None:
+            pair.hub.announce(announce(incarnation=known_incarnation))
+            pair.follow()
+        pair.view.record_leaving("u1", 2)
+        assert pair.list_usable() == []
+        assert list_usable_after(pair, incarnation=2) == []
+        assert list_usable_after(pair, incarnation=3) == ["u1"]
+
+    @pytest.mark.parametrize("known_incarnation", [1, None])
+    def test_an_entry_instance_that_does_not_know_the_incarnation_yet_remembers(
+        self, clock: ManualClock, known_incarnation: int | None
+    ) -> None:
+        fleet = Fleet(InstanceRecord("e1", 1, "127.0.0.1:1", "z1", False, 0), clock=clock)
+        if known_incarnation is not None:
+            fleet.announce(announce(incarnation=known_incarnation))
+        fleet.record_leaving("u1", 2)
+        assert fleet.list_usable() == []
+        fleet.announce(announce(incarnation=2))
+        assert fleet.list_usable() == []
+        fleet.announce(announce(incarnation=3))
+        assert [record.announcement.incarnation for record in fleet.list_usable()] == [3]
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -541,6 +541,16 @@
         "            pass\n        record = self.by_id",
         DEPARTURES + "LateFirstAnnouncement",
     ),
+    Mutant(
+        "a statement that is heard before the announcement is remembered",
+        "membership/view.py",
+        "            result = self._directory.record_departure(\n"
+        "                upstream_id, incarnation, departed_ms=now_ms, now_ms=now_ms\n"
+        "            )\n",
+        "            is_news = self._directory.mark_leaving(upstream_id, incarnation)\n"
+        '            result = "recorded" if is_news else "known"\n',
+        DEPARTURES + "Statements",
+    ),
     Mutant(
         "a hub that restarts remembers departures",
         "membership/hub.py",
