--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -148,14 +148,8 @@
 
     def persist_upstreams(self) -> None:
         """Write the upstreams to the snapshot, if this instance has a disk."""
-        if self._snapshot is None:
-            return
-        with self._changed:
-            stored = StoredUpstreams(
-                upstreams=self._upstreams.list_lasting(),
-                departures=self._upstreams.list_lasting_departures(),
-            )
-        self._snapshot.write(stored)
+        if self._snapshot is not None:
+            self._snapshot.write(self._describe_stored)
 
     def deregister(self, request: LeaveRequest) -> AnnounceReply:
         """Record that an upstream has left, also one that has not announced itself yet.
@@ -293,6 +287,13 @@
         for announcement in stored.upstreams:
             self.merge(announcement, age_ms=SILENT_AFTER_MS)
 
+    def _describe_stored(self) -> StoredUpstreams:
+        with self._changed:
+            return StoredUpstreams(
+                upstreams=self._upstreams.list_lasting(),
+                departures=self._upstreams.list_lasting_departures(),
+            )
+
     def _record_departure(self, departure: LeaveRequest) -> DepartureResult:
         with self._changed:
             now_ms = self._clock.now_ms()
--- a/src/coltsfootrill/membership/snapshot.py
+++ b/src/coltsfootrill/membership/snapshot.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -54,13 +55,15 @@
             return StoredUpstreams()
         return StoredUpstreams(upstreams=stored) if isinstance(stored, list) else stored
 
-    def write(self, stored: StoredUpstreams) -> None:
-        """Write what changed since the last write; a failed write is only logged.
+    def write(self, describe: Callable[[], StoredUpstreams]) -> None:
+        """Write what ``describe`` returns if it changed; a failed write is only logged.
 
         Without the snapshot a restarted hub only has to wait for the upstreams to announce
-        themselves again.
+        themselves again. ``describe`` is called once no other write is in progress, so that nothing
+        older is ever written over something newer.
         """
         with self._lock:
+            stored = describe()
             if stored == self._written:
                 return
             try:
--- a/testing/membership/test_departures.py
+++ b/testing/membership/test_departures.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import pytest
@@ -283,3 +285,34 @@
         assert fleet.list_usable() == []
         fleet.announce(announce(incarnation=3))
         assert [record.announcement.incarnation for record in fleet.list_usable()] == [3]
+
+
+class RacingSnapshot(UpstreamSnapshot):
+    """Lets another thread's change be written between the call of a write and the write itself."""
+
+    race: Callable[[], object] | None = None
+
+    def write(self, *args: Any) -> Any:
+        race, self.race = self.race, None
+        if race is not None:
+            race()
+        return super().write(*args)
+
+
+class TestSnapshot:
+    """What was acknowledged is on disk, whatever is written beside it."""
+
+    # Guards against a departure that is lost with power after an older list was written over it.
+    @pytest.mark.parametrize("incarnation", [1, None])
+    def test_a_periodic_write_never_replaces_a_newer_one(
+        self, tmp_path: Path, incarnation: int | None
+    ) -> None:
+        pair = Pair()
+        snapshot = pair.snapshot = RacingSnapshot(tmp_path, files=FileLayer())
+        pair.hub = pair.make_hub(boot=2)
+        pair.hub.record_majority_read(["a"])
+        pair.hub.announce(announce("u2"))
+        snapshot.race = lambda: pair.hub.deregister(LeaveRequest("u1", incarnation))
+        pair.hub.persist_upstreams()
+        stored = UpstreamSnapshot(tmp_path, files=FileLayer()).read()
+        assert stored.departures == [LeaveRequest("u1", incarnation)]
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -558,6 +558,14 @@
         "        for departure in []:\n",
         DEPARTURES + "OtherHubs",
     ),
+    Mutant(
+        "nothing older is written over a departure",
+        "membership/hub.py",
+        "            self._snapshot.write(self._describe_stored)\n",
+        "            stored = self._describe_stored()\n"
+        "            self._snapshot.write(lambda: stored)\n",
+        DEPARTURES + "Snapshot",
+    ),
     Mutant(
         "a departure for which there is no room is not acknowledged",
         "registry/departures.py",
