Acknowledge a departure only if the disk has taken it

Change: the write reports whether it succeeded. A voter whose disk refuses it does not acknowledge the departure, nor does it count for another's majority. The upstream is out of use all the same, and its next call reaches another voter. Before: the test got an acknowledgement from a full disk; after: a refusal, and the acknowledgement once there is room. A mutant shows that it is needed.

--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -39,6 +39,7 @@
 HOLD_MAX_MS = 5_000
 REFUSED_MAX_COUNT = 200
 NOT_CURRENT = "no majority has recently confirmed the state of this replica"
+NOT_WRITTEN = "the disk of this replica refused the departure"
 NO_ROOM = "too many upstreams have left before they announced themselves"
 
 
@@ -146,10 +147,12 @@
             return AnnounceReply(False, NO_ROOM)
         return self._confirm(announcement)
 
-    def persist_upstreams(self) -> None:
-        """Write the upstreams to the snapshot, if this instance has a disk."""
-        if self._snapshot is not None:
-            self._snapshot.write(self._describe_stored)
+    def persist_upstreams(self) -> bool:
+        """Write the upstreams to the snapshot, if this instance has a disk.
+
+        Return whether nothing is left to write.
+        """
+        return self._snapshot is None or self._snapshot.write(self._describe_stored)
 
     def deregister(self, request: LeaveRequest) -> AnnounceReply:
         """Record that an upstream has left, also one that has not announced itself yet.
@@ -174,7 +177,8 @@
             is_stored = self._record_departure(shared) != "full"
         if not is_stored:
             return AnnounceReply(False, NO_ROOM)
-        self.persist_upstreams()
+        if not self.persist_upstreams():
+            return AnnounceReply(False, NOT_WRITTEN)
         return AnnounceReply(True, "")
 
     def merge(self, announcement: Announcement, *, age_ms: float) -> HubMergeResult:
@@ -305,7 +309,8 @@
 
     def _confirm(self, departure: Announcement | LeaveRequest) -> AnnounceReply:
         """Acknowledge a departure that is recorded here once a majority of the replicas has it."""
-        self.persist_upstreams()
+        if not self.persist_upstreams():
+            return AnnounceReply(False, NOT_WRITTEN)
         if not self._share(departure):
             return AnnounceReply(False, "no majority of the replicas confirmed the departure")
         return AnnounceReply(True, "")
--- a/src/coltsfootrill/membership/snapshot.py
+++ b/src/coltsfootrill/membership/snapshot.py
@@ -55,17 +55,16 @@
             return StoredUpstreams()
         return StoredUpstreams(upstreams=stored) if isinstance(stored, list) else stored
 
-    def write(self, describe: Callable[[], StoredUpstreams]) -> None:
-        """Write what ``describe`` returns if it changed; a failed write is only logged.
+    def write(self, describe: Callable[[], StoredUpstreams]) -> bool:
+        """Write what ``describe`` returns if it changed; return whether it is on disk.
 
-        Without the snapshot a restarted hub only has to wait for the upstreams to announce
-        themselves again. ``describe`` is called once no other write is in progress, so that nothing
-        older is ever written over something newer.
+        A failed write is logged. ``describe`` is called once no other write is in progress, so that
+        nothing older is ever written over something newer.
         """
         with self._lock:
             stored = describe()
             if stored == self._written:
-                return
+                return True
             try:
                 self._folder.mkdir(parents=True, exist_ok=True)
                 raw = msgspec.msgpack.encode(stored)
@@ -78,3 +77,5 @@
                     LOG_INTERVAL_S,
                     error,
                 )
+                return False
+            return True
--- a/testing/membership/test_departures.py
+++ b/testing/membership/test_departures.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import msgspec
@@ -25,6 +26,7 @@
 from coltsfootrill.registry.departures import DEPARTURES_MAX_COUNT
 from coltsfootrill.registry.departures import STATED_KEPT_MS
 from coltsfootrill.registry.departures import UNSTATED_KEPT_MS
+from testing.control.disk import Disk
 from testing.membership.hub_pair import Pair
 from testing.membership.hub_pair import announce
 
@@ -316,3 +318,25 @@
         pair.hub.persist_upstreams()
         stored = UpstreamSnapshot(tmp_path, files=FileLayer()).read()
         assert stored.departures == [LeaveRequest("u1", incarnation)]
+
+    # Guards against a departure that is acknowledged and gone when all hubs restart.
+    def test_a_departure_that_the_disk_refuses_is_not_acknowledged(self, tmp_path: Path) -> None:
+        disk = Disk(Random(1))
+        pair = Pair()
+        pair.snapshot = UpstreamSnapshot(tmp_path, files=disk)
+        pair.hub = pair.make_hub(boot=2)
+        pair.hub.record_majority_read(["a"])
+        pair.hub.announce(announce("u1"))
+        pair.hub.persist_upstreams()
+        leaving = announce("u1", sequence=2, state="leaving")
+        disk.is_full = True
+        assert not pair.hub.announce(leaving).is_known
+        assert not pair.hub.store_shared(leaving).is_known
+        assert not pair.hub.deregister(LeaveRequest("u1", 1)).is_known
+        assert not pair.hub.deregister(LeaveRequest("u2", 1)).is_known
+        assert not pair.hub.store_shared(LeaveRequest("u2", 1)).is_known
+        pair.follow()
+        assert pair.list_usable() == [], "it is not used all the same"
+        disk.is_full = False
+        assert pair.hub.announce(leaving).is_known
+        assert pair.hub.deregister(LeaveRequest("u2", 1)).is_known
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -561,9 +561,17 @@
     Mutant(
         "nothing older is written over a departure",
         "membership/hub.py",
-        "            self._snapshot.write(self._describe_stored)\n",
-        "            stored = self._describe_stored()\n"
-        "            self._snapshot.write(lambda: stored)\n",
+        "        return self._snapshot is None or self._snapshot.write(self._describe_stored)\n",
+        "        stored = self._describe_stored()\n"
+        "        return self._snapshot is None or self._snapshot.write(lambda: stored)\n",
+        DEPARTURES + "Snapshot",
+    ),
+    Mutant(
+        "a departure that the disk refuses is not acknowledged",
+        "membership/hub.py",
+        "        if not self.persist_upstreams():\n"
+        "            return AnnounceReply(False, NOT_WRITTEN)\n        if not self._share",
+        "        self.persist_upstreams()\n        if not self._share",
         DEPARTURES + "Snapshot",
     ),
     Mutant(
