Let the soak's upstreams report late and leave before they are heard of

Cause: the soak sent each heartbeat at once and announced each departure by a heartbeat, so it could not find a departure that is forgotten when a report arrives after it.

Change: one heartbeat in seven arrives 1 to 4 s late, also after others and after the departure. Upstreams leave in three ways: by heartbeat, by deregistration, or by starting again under their identifier and deregistering before that start has been heard of. Others do so with their first start. Such an upstream serves on for 5 s. Half of the deregistrations state no incarnation, unless an earlier one is registered. A node with the fault forgets-departures must be found.

--- a/testing/soak/history.py
+++ b/testing/soak/history.py
@@ -77,6 +77,8 @@
         self._freezes_by_node: dict[str, list[Freeze]] = {}
         self._departed_ms_by_upstream: dict[str, float] = {}
         self._acknowledged: list[tuple[float, int, bytes]] = []
+        # How many requests reached upstreams that had left.
+        self.late_count = 0
         self.violations: list[str] = []
         self.faults: list[str] = []
 
@@ -102,6 +104,7 @@
         if departed_ms is not None and run.arrived_ms > departed_ms + WORK_AFTER_LEAVING_MAX_MS:
             if any(freeze.overlaps(departed_ms, run.arrived_ms) for freeze in freezes):
                 return
+            self.late_count += 1
             late_ms = run.arrived_ms - departed_ms
             self.add_violation(
                 f"{run.upstream_id} got {run.request_id} {late_ms:.0f} ms after it left"
--- a/testing/soak/linked_node.py
+++ b/testing/soak/linked_node.py
@@ -21,6 +21,7 @@
 from coltsfootrill.membership import view
 from coltsfootrill.membership.held_polls import HeldPolls
 from coltsfootrill.membership.messages import FollowReply
+from coltsfootrill.registry.departures import Departures
 from coltsfootrill.roles.manifest_sync import ManifestSync
 from coltsfootrill.start import main
 from coltsfootrill.zones.orders import ZoneOrders
@@ -56,9 +57,14 @@
     hub.Hub._make_reply = make_without  # type: ignore[method-assign]
 
 
+def _forget_departures() -> None:
+    Departures.covers = lambda self, upstream_id, incarnation: False  # type: ignore[method-assign]
+
+
 FAULT_BY_NAME: dict[str, Callable[[], None]] = {
     "wakes-nobody": _wake_nobody,
     "fetches-late": _fetch_late,
+    "forgets-departures": _forget_departures,
     "tells-no-orders": _tell_no_orders,
 }
 
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -31,6 +31,7 @@
 from testing.soak.judge import ManifestJudge
 from testing.soak.links import NodeLinks
 from testing.soak.proxy import FaultProxy
+from testing.soak.upstreams import DEPARTURES
 from testing.soak.upstreams import Behaviour
 from testing.soak.upstreams import SoakUpstream
 
@@ -105,6 +106,7 @@
         self._proxies = {node.host: self._make_proxy(node) for node in self._nodes}
         self._probers = [self._make_prober(node) for node in self._nodes]
         self._upstreams: list[SoakUpstream] = []
+        self._called_off: list[SoakUpstream] = []
         self._upstream_numbers = itertools.count(1)
         self._operator = Operator(self._nodes, self.history, self.judge, self._derive_random())
         self._zone_operator = ZoneOperator(self._nodes, self.zones, self._derive_random())
@@ -130,13 +132,16 @@
 
     @property
     def late_count(self) -> int:
-        """Return how often a node was found to act on an outdated manifest or order."""
-        return self.judge.late_count + self.zones.late_count
+        """Return how often a node was found to act on what is outdated.
+
+        That is a manifest, an order, or an upstream that has left.
+        """
+        return self.judge.late_count + self.zones.late_count + self.history.late_count
 
     def run(self, duration_s: float, *, ends_once_late: bool = False) -> list[str]:
         """Run for ``duration_s`` and return the violated guarantees.
 
-        With ``ends_once_late`` it ends as soon as an outdated manifest or order has been found.
+        With ``ends_once_late`` it ends as soon as ``late_count`` is above 0.
         """
         try:
             self._start()
@@ -259,7 +264,7 @@
                 time.sleep(0.1)
 
     def _close(self) -> None:
-        for upstream in self._upstreams:
+        for upstream in [*self._upstreams, *self._called_off]:
             upstream.close()
         for node in self._nodes:
             if node.is_alive():
@@ -285,10 +290,11 @@
         others: after a lost answer, a node reuses no connection for orders for a while.
         """
         if self._fault:
-            return [self._replace_upstream]
+            return [self._replace_upstream, self._call_off_start]
         planned: list[Callable[[], None]] = [
             self._stop_node,
             self._replace_upstream,
+            self._call_off_start,
             self._cool_upstreams,
         ]
         if self._is_planned_only:
@@ -405,8 +411,25 @@
         upstream = self._random.choice(self._upstreams)
         self._upstreams.remove(upstream)
         self._add_upstream(upstream.service)
-        self.history.record_fault(f"{upstream.name} leaves")
-        self._start_thread(upstream.leave)
+        departure = self._random.choice(DEPARTURES)
+        self.history.record_fault(f"{upstream.name} leaves: {departure}")
+        self._start_thread(lambda: upstream.leave(departure))
+
+    def _call_off_start(self) -> None:
+        """Let an upstream leave before anybody has heard of it; its first heartbeat is late."""
+        service = self._random.choice(list(UPSTREAMS_COUNT_BY_SERVICE))
+        name = self._make_upstream_id(service)
+        upstream = SoakUpstream(
+            name,
+            service,
+            self._nodes,
+            self.history,
+            self._derive_random(),
+            has_heartbeats=False,
+        )
+        self._called_off.append(upstream)
+        self.history.record_fault(f"{name} starts and leaves at once")
+        self._start_thread(lambda: upstream.leave("call-off"))
 
     def _disturb_caller_link(self) -> None:
         host = self._random.choice(list(self._proxies))
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -20,6 +20,10 @@
 from testing.soak.proxy import FaultProxy
 from testing.soak.proxy import accept_all
 
+# How an upstream leaves. ``drain`` sends a heartbeat that says so and ``deregister`` the call that
+# deregisters it; ``call-off`` starts again and deregisters before that start has been heard of.
+Departure = Literal["drain", "deregister", "call-off"]
+DEPARTURES: tuple[Departure, ...] = ("drain", "deregister", "call-off")
 Behaviour = Literal["good", "shed", "full", "close", "hang", "fail", "extra-answer", "late-copy"]
 HEARTBEAT_INTERVAL_S = 0.5
 SLOTS = 3
@@ -29,6 +33,12 @@
 WORK_TIME_S = 0.02
 HANG_TIME_S = 1.5
 SERVE_AFTER_LEAVING_S = 3.0
+LATE_HEARTBEAT_SHARE = 0.15
+HEARTBEAT_LATE_MIN_S = 1.0
+HEARTBEAT_LATE_MAX_S = 4.0
+CALL_OFF_AFTER_MAX_S = 0.8
+# Longer than its heartbeat may be late.
+SERVE_AFTER_CALL_OFF_S = 5.0
 HEADER_END = b"\r\n\r\n"
 
 
@@ -69,10 +79,19 @@
     after running a request, ``hang`` answers after the callers' deadline, ``fail`` answers with
     status 500, and ``extra-answer`` sends each answer twice. ``late-copy`` refuses as ``full`` does
     and writes each answer and refusal again where the next one on its connection is due.
+    Some heartbeats arrive seconds late, also after others. Without ``has_heartbeats`` there are
+    none until it leaves.
     """
 
     def __init__(
-        self, name: str, service: str, nodes: list[Node], history: History, random: Random
+        self,
+        name: str,
+        service: str,
+        nodes: list[Node],
+        history: History,
+        random: Random,
+        *,
+        has_heartbeats: bool = True,
     ) -> None:
         self.service = service
         self._nodes = nodes
@@ -89,7 +108,9 @@
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.proxy = FaultProxy(("127.0.0.1", self._listener.getsockname()[1]))
         accept_all(self._listener, self._serve)
-        threading.Thread(target=self._run_heartbeats, daemon=True).start()
+        self._has_heartbeats = has_heartbeats
+        if has_heartbeats:
+            threading.Thread(target=self._run_heartbeats, daemon=True).start()
 
     @property
     def name(self) -> str:
@@ -121,30 +142,70 @@
     def _get_cold_ms(self) -> int:
         return max(0, int(self._cold_until_ms - now_ms()))
 
-    def leave(self) -> None:
+    def leave(self, departure: Departure = "drain") -> None:
         """Announce the departure until it is acknowledged, serve a little longer, then close."""
         with self._lock:
             self._is_leaving = True
+        is_call_off = departure == "call-off"
+        if is_call_off:
+            self._lifetime = Lifetime(self.name)
+            self._send_late_heartbeat()
+            self._closed.wait(self._random.uniform(0.0, CALL_OFF_AFTER_MAX_S))
+        states_born = self._random.random() < 0.5 or (is_call_off and self._has_heartbeats)
         while not self._closed.is_set():
-            if self._send_heartbeat("draining"):
+            if (
+                self._send_heartbeat("draining")
+                if departure == "drain"
+                else self._deregister(states_born=states_born)
+            ):
                 self._history.record_departure(self.name)
-                self._closed.wait(SERVE_AFTER_LEAVING_S)
+                self._closed.wait(SERVE_AFTER_CALL_OFF_S if is_call_off else SERVE_AFTER_LEAVING_S)
                 break
             self._closed.wait(0.1)
         self.close()
 
     def close(self) -> None:
+        if self._closed.is_set():
+            return
         self._closed.set()
         self._listener.close()
         self.proxy.close()
 
     def _run_heartbeats(self) -> None:
         while not self._closed.wait(HEARTBEAT_INTERVAL_S * self._random.uniform(0.8, 1.2)):
-            if not self._is_leaving:
+            if self._is_leaving:
+                continue
+            if self._random.random() < LATE_HEARTBEAT_SHARE:
+                self._send_late_heartbeat()
+            else:
                 self._send_heartbeat("ready")
 
     def _send_heartbeat(self, state: str) -> bool:
         """Send one heartbeat to a random node; return whether it was accepted."""
+        return self._call(f"/Instances.Heartbeat/{self.name}", self._make_heartbeat(state))
+
+    def _send_late_heartbeat(self) -> None:
+        """Send a heartbeat of now that arrives seconds later, whatever happens until then."""
+        path = f"/Instances.Heartbeat/{self.name}"
+        body = self._make_heartbeat("ready")
+        late_s = self._random.uniform(HEARTBEAT_LATE_MIN_S, HEARTBEAT_LATE_MAX_S)
+
+        def deliver() -> None:
+            time.sleep(late_s)
+            self._call(path, body)
+
+        threading.Thread(target=deliver, daemon=True).start()
+
+    def _deregister(self, *, states_born: bool) -> bool:
+        """Deregister at a random node; return whether it was acknowledged."""
+        body = json.dumps({"born": self._lifetime.born_ms}).encode() if states_born else b""
+        return self._call(f"/Instances.Deregister/{self.name}", body)
+
+    def _call(self, path: str, body: bytes) -> bool:
+        node = self._random.choice(self._nodes)
+        return node.call("interface", "POST", path, body)[0] == 200
+
+    def _make_heartbeat(self, state: str) -> bytes:
         self._sequence += 1
         lifetime = self._lifetime
         body = {
@@ -162,9 +223,7 @@
             },
             "born": lifetime.born_ms,
         }
-        node = self._random.choice(self._nodes)
-        path = f"/Instances.Heartbeat/{lifetime.name}"
-        return node.call("interface", "POST", path, json.dumps(body).encode())[0] == 200
+        return json.dumps(body).encode()
 
     def _serve(self, sock: socket.socket) -> None:
         writer = AnswerWriter(sock)
