Refuse the deregistration of an identifier that no upstream can have

Cause: the identifier of a deregistration was taken from the path as it is. That did no harm while the departures of unknown upstreams were not stored; now each is kept in memory, written to disk and sent to all instances, so 4,096 of them were bounded in number but not in size.

Change: it must be one that a heartbeat can have, of 64 characters at most; otherwise the answer is 400, as for a heartbeat. Before: the four cases of the test were accepted; after: refused.

--- a/src/coltsfootrill/platform/interface.py
+++ b/src/coltsfootrill/platform/interface.py
@@ -100,8 +100,8 @@
 
     What is accepted here is passed on to all instances, so each figure and name is checked.
     """
+    known_id = _decode_identifier(upstream_id)
     try:
-        known_id = msgspec.convert(upstream_id, Identifier)
         heartbeat = msgspec.json.decode(raw, type=_Heartbeat)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidAnnouncementError(str(error)) from error
@@ -120,6 +120,14 @@
     )
 
 
+def _decode_identifier(text: str) -> str:
+    """Return the identifier of an upstream in a path; raise ``InvalidAnnouncementError``."""
+    try:
+        return msgspec.convert(text, Identifier)
+    except msgspec.ValidationError as error:
+        raise InvalidAnnouncementError(str(error)) from error
+
+
 def _decode_deregistration(raw: bytes) -> int | None:
     """Return the incarnation that leaves, ``None`` if the body does not contain it."""
     if not raw.strip():
@@ -152,7 +160,7 @@
 
     def handle_deregistration(self, request: HttpRequest) -> HttpReply:
         try:
-            upstream_id = request.path.removeprefix(DEREGISTER_PREFIX)
+            upstream_id = _decode_identifier(request.path.removeprefix(DEREGISTER_PREFIX))
             self._operations.leave(upstream_id, _decode_deregistration(request.body))
         except InvalidAnnouncementError as error:
             return _reply_with_message("400 Bad Request", str(error))
--- a/testing/platform/test_interface.py
+++ b/testing/platform/test_interface.py
@@ -144,6 +144,13 @@
         assert port.call("POST", "/Instances.Deregister/i-1", body)[0] == "400"
         assert port.operations.left == []
 
+    # Guards against memory that anybody's names fill: a departure is stored, written and passed on.
+    @pytest.mark.parametrize("upstream_id", ["", "x" * 65, "I-1", "i%201"])
+    def test_a_deregistration_with_an_odd_name_is_refused(self, upstream_id: str) -> None:
+        port = ControlPort()
+        assert port.call("POST", f"/Instances.Deregister/{upstream_id}")[0] == "400"
+        assert port.operations.left == []
+
     @pytest.mark.parametrize(
         "raw",
         [
