Tell which incarnation leaves when a deregistration does not say so

Where no start was registered, the next one under the identifier was barred for 60 s.

Change: incarnations are start times on the platform, so the adapter passes on the latest that can have sent the request: now. The hub takes that or the registered one, whichever is later, stores and shares it. Departures hold one incarnation for each identifier and are kept for 10 minutes, which also bounds what a node does whose time of day is ahead; the variant without an incarnation is gone. An upstream that drains and then deregisters, as most do, adds a departure that wakes nobody.

Ruled out: barring each identifier for a while, since an upstream may start again under it at once. What remains: a node whose time of day is behind takes a younger start for a later one.

Before: the tests of a later incarnation failed for a request without one (the mutant shows it); after: they pass, with 4 s of two tests with real nodes, one of them without a body.

--- a/src/coltsfootrill/membership/fleet.py
+++ b/src/coltsfootrill/membership/fleet.py
@@ -124,7 +124,7 @@
                 upstream_id, incarnation, departed_ms=now_ms, now_ms=now_ms
             )
             record = self.directory.by_id.get(upstream_id)
-            if result == "recorded" and record is not None and record.is_leaving:
+            if result == "changed" and record is not None and record.is_leaving:
                 record.origin = self._own.id
                 self._changed.notify_all()
 
--- a/src/coltsfootrill/membership/following.py
+++ b/src/coltsfootrill/membership/following.py
@@ -11,6 +11,7 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.membership.messages import AnnounceReply
+from coltsfootrill.membership.messages import DepartureRequest
 from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
@@ -28,7 +29,7 @@
 ANNOUNCE = Method(service="Hub", name="Announce", request=Announcement, reply=AnnounceReply)
 SHARE = Method(service="Hub", name="Share", request=Announcement, reply=AnnounceReply)
 SHARE_DEPARTURE = Method(
-    service="Hub", name="ShareDeparture", request=LeaveRequest, reply=AnnounceReply
+    service="Hub", name="ShareDeparture", request=DepartureRequest, reply=AnnounceReply
 )
 LEAVE = Method(service="Hub", name="Leave", request=LeaveRequest, reply=AnnounceReply)
 
--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -12,6 +12,7 @@
 from coltsfootrill.membership.hub_upstreams import HubUpstreams
 from coltsfootrill.membership.live import LiveSet
 from coltsfootrill.membership.messages import AnnounceReply
+from coltsfootrill.membership.messages import DepartureRequest
 from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
@@ -23,7 +24,7 @@
 from coltsfootrill.membership.snapshot import StoredUpstreams
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.registry.announcement import Announcement
-from coltsfootrill.registry.departures import DepartureResult
+from coltsfootrill.registry.directory import DepartureResult
 from coltsfootrill.zones.orders import ZoneOrders
 
 CURRENT_FOR_MS = 2_000.0
@@ -68,7 +69,7 @@
         *,
         boot: int,
         clock: Clock,
-        share: Callable[[Announcement | LeaveRequest], bool],
+        share: Callable[[Announcement | DepartureRequest], bool],
         get_manifest_version: Callable[[], int],
         snapshot: UpstreamSnapshot | None = None,
         list_refused: Callable[[], list[SuspectEntry]] = list,
@@ -163,13 +164,14 @@
         if not self.is_current():
             return AnnounceReply(False, NOT_CURRENT)
         with self._changed:
-            result = self._record_departure(request)
-            departure = self._upstreams.describe_departure(request)
+            departure = self._upstreams.resolve(request)
+            result = self._record_departure(departure)
+            shared = self._upstreams.describe_departure(departure)
         if result == "full":
             return AnnounceReply(False, NO_ROOM)
-        return self._confirm(departure)
+        return self._confirm(shared)
 
-    def store_shared(self, shared: Announcement | LeaveRequest) -> AnnounceReply:
+    def store_shared(self, shared: Announcement | DepartureRequest) -> AnnounceReply:
         """Store what another replica shares before it acknowledges a departure."""
         if isinstance(shared, Announcement):
             is_stored = self.merge(shared, age_ms=0) != "full"
@@ -298,16 +300,16 @@
                 departures=self._upstreams.list_lasting_departures(),
             )
 
-    def _record_departure(self, departure: LeaveRequest) -> DepartureResult:
+    def _record_departure(self, departure: DepartureRequest) -> DepartureResult:
         with self._changed:
             now_ms = self._clock.now_ms()
             result = self._upstreams.record_departure(departure, age_ms=0, now_ms=now_ms)
-            if result == "recorded":
+            if result == "changed":
                 self._update_live(now_ms)
                 self._notify_followers()
             return result
 
-    def _confirm(self, departure: Announcement | LeaveRequest) -> AnnounceReply:
+    def _confirm(self, departure: Announcement | DepartureRequest) -> AnnounceReply:
         """Acknowledge a departure that is recorded here once a majority of the replicas has it."""
         if not self.persist_upstreams():
             return AnnounceReply(False, NOT_WRITTEN)
--- a/src/coltsfootrill/membership/hub_upstreams.py
+++ b/src/coltsfootrill/membership/hub_upstreams.py
@@ -6,11 +6,12 @@
 from typing import Literal
 
 from coltsfootrill.membership.messages import DepartureEntry
+from coltsfootrill.membership.messages import DepartureRequest
 from coltsfootrill.membership.messages import LeaveRequest
 from coltsfootrill.membership.messages import Renewal
 from coltsfootrill.membership.messages import SharedUpstream
 from coltsfootrill.registry.announcement import Announcement
-from coltsfootrill.registry.departures import DepartureResult
+from coltsfootrill.registry.directory import DepartureResult
 from coltsfootrill.registry.directory import Directory
 from coltsfootrill.registry.directory import MergeResult
 from coltsfootrill.registry.directory import UpstreamRecord
@@ -54,15 +55,28 @@
                 others.append(self.directory.by_id[announcement.id])
         return has_changed
 
-    def describe_departure(self, request: LeaveRequest) -> Announcement | LeaveRequest:
+    def resolve(self, request: LeaveRequest) -> DepartureRequest:
+        """Return the departure that a request states.
+
+        An upstream that does not state its incarnation has the one with a record, or a later one
+        whose announcement has not arrived yet.
+        """
+        incarnation = request.incarnation
+        if incarnation is None:
+            record = self.directory.by_id.get(request.upstream_id)
+            known = 0 if record is None else record.announcement.incarnation
+            incarnation = max(known, request.latest_incarnation)
+        return DepartureRequest(request.upstream_id, incarnation)
+
+    def describe_departure(self, request: DepartureRequest) -> Announcement | DepartureRequest:
         """Return the announcement of the upstream that left, or the request if there is none."""
         record = self.directory.by_id.get(request.upstream_id)
-        if record is None or request.incarnation not in (None, record.announcement.incarnation):
+        if record is None or record.announcement.incarnation != request.incarnation:
             return request
         return record.announcement
 
     def record_departure(
-        self, request: LeaveRequest, *, age_ms: float, now_ms: float
+        self, request: DepartureRequest, *, age_ms: float, now_ms: float
     ) -> DepartureResult:
         """Record a departure that was stated ``age_ms`` ago."""
         return self.directory.record_departure(
@@ -73,9 +87,9 @@
         """Record the departures of which another hub knows; return whether one of them is news."""
         has_changed = False
         for entry in entries:
-            request = LeaveRequest(entry.upstream_id, entry.incarnation)
+            request = DepartureRequest(entry.upstream_id, entry.incarnation)
             result = self.record_departure(request, age_ms=entry.age_ms, now_ms=now_ms)
-            has_changed |= result == "recorded"
+            has_changed |= result == "changed"
         return has_changed
 
     def renew_all(self, renewals: list[Renewal], now_ms: float) -> None:
@@ -104,10 +118,10 @@
         """Return all announcements without what changes with each renewal."""
         return [record.describe_lasting() for record in self.directory.by_id.values()]
 
-    def list_lasting_departures(self) -> list[LeaveRequest]:
+    def list_lasting_departures(self) -> list[DepartureRequest]:
         """Return the departures without a record, without how long ago they were."""
         return [
-            LeaveRequest(departure.upstream_id, departure.incarnation)
+            DepartureRequest(departure.upstream_id, departure.incarnation)
             for departure in self.directory.departures.list_after(0)
         ]
 
@@ -155,7 +169,7 @@
         if self._is_superseded(announcement, others):
             if announcement.state != "leaving":
                 return "superseded"
-            request = LeaveRequest(announcement.id, announcement.incarnation)
+            request = DepartureRequest(announcement.id, announcement.incarnation)
             result = self.record_departure(request, age_ms=age_ms, now_ms=now_ms)
             return "full" if result == "full" else "superseded"
         return self.directory.merge(
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -112,11 +112,11 @@
 class DepartureEntry(msgspec.Struct, frozen=True, array_like=True):
     """An upstream that left ``age_ms`` ago and whose announcement may arrive later.
 
-    ``incarnation`` is the latest one that left, ``None`` if the upstream did not state it.
+    ``incarnation`` is the latest one that left.
     """
 
     upstream_id: str
-    incarnation: int | None
+    incarnation: int
     age_ms: int
 
 
@@ -160,10 +160,21 @@
 
 
 class LeaveRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Deregisters an upstream; ``incarnation`` is ``None`` if the upstream did not send it."""
+    """Deregisters an upstream; ``incarnation`` is ``None`` if the upstream did not send it.
+
+    In that case ``latest_incarnation`` is the latest one that can have sent the request.
+    """
 
     upstream_id: str
     incarnation: int | None
+    latest_incarnation: int = 0
+
+
+class DepartureRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a replica to store that this incarnation of an upstream, and older ones, have left."""
+
+    upstream_id: str
+    incarnation: int
 
 
 class ManifestRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coltsfootrill/membership/snapshot.py
+++ b/src/coltsfootrill/membership/snapshot.py
@@ -18,7 +18,7 @@
 from coltsfootrill.control.files import StorageError
 from coltsfootrill.control.files import read_record
 from coltsfootrill.control.files import write_record
-from coltsfootrill.membership.messages import LeaveRequest
+from coltsfootrill.membership.messages import DepartureRequest
 from coltsfootrill.registry.announcement import Announcement
 
 FILE_NAME = "upstreams.rec"
@@ -29,7 +29,7 @@
     """The newest announcement of each upstream, and the departures of which there is none."""
 
     upstreams: list[Announcement] = []
-    departures: list[LeaveRequest] = []
+    departures: list[DepartureRequest] = []
 
 
 # Earlier versions stored the announcements only.
--- a/src/coltsfootrill/membership/view.py
+++ b/src/coltsfootrill/membership/view.py
@@ -114,7 +114,7 @@
             result = self._directory.record_departure(
                 upstream_id, incarnation, departed_ms=now_ms, now_ms=now_ms
             )
-            if result == "recorded":
+            if result == "changed":
                 self._update(now_ms)
 
     def has_current_hub(self) -> bool:
--- a/src/coltsfootrill/operators/interface.py
+++ b/src/coltsfootrill/operators/interface.py
@@ -26,11 +26,12 @@
         Raises ``NoQuorumError`` if no majority of the replicas acknowledges it.
         """
 
-    def leave(self, upstream_id: str, incarnation: int | None) -> None:
+    def leave(self, upstream_id: str, incarnation: int | None, *, latest_incarnation: int) -> None:
         """Deregister an upstream; raise ``NoQuorumError`` as ``announce`` does.
 
-        Without an ``incarnation``, whichever one is current is deregistered. An upstream may
-        deregister before its first announcement arrives, which is ignored then.
+        Without an ``incarnation``, all up to ``latest_incarnation`` and the one that is registered
+        are deregistered. An upstream may deregister before its first announcement arrives, which is
+        ignored then.
         """
 
     def submit(self, raw: bytes, *, base_version: int | None, operator: str) -> SubmitAnswer:
--- a/src/coltsfootrill/platform/interface.py
+++ b/src/coltsfootrill/platform/interface.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from coltsfootrill.clock import Clock
 from coltsfootrill.control.proposer import NoQuorumError
 from coltsfootrill.control.proposer import UnknownResultError
 from coltsfootrill.hookspecs import hookimpl
@@ -39,6 +40,7 @@
 READY_PATH = "/readiness"
 BASE_VERSION_HEADER = "X-Base-Version"
 OPERATOR = "platform"
+SYSTEM_CLOCK = Clock()
 _STATUS_BY_RESULT = {
     "accepted": "200 OK",
     "conflict": "412 Precondition Failed",
@@ -141,10 +143,11 @@
 class _ControlHandlers:
     """One handler per route; each calls one operation of the node."""
 
-    __slots__ = ("_operations",)
+    __slots__ = ("_clock", "_operations")
 
-    def __init__(self, operations: ControlOperations) -> None:
+    def __init__(self, operations: ControlOperations, *, clock: Clock) -> None:
         self._operations = operations
+        self._clock = clock
 
     def handle_heartbeat(self, request: HttpRequest) -> HttpReply:
         try:
@@ -161,7 +164,10 @@
     def handle_deregistration(self, request: HttpRequest) -> HttpReply:
         try:
             upstream_id = _decode_identifier(request.path.removeprefix(DEREGISTER_PREFIX))
-            self._operations.leave(upstream_id, _decode_deregistration(request.body))
+            incarnation = _decode_deregistration(request.body)
+            # Incarnations are start times, so one that starts later did not send this.
+            latest_incarnation = self._clock.wall_ms()
+            self._operations.leave(upstream_id, incarnation, latest_incarnation=latest_incarnation)
         except InvalidAnnouncementError as error:
             return _reply_with_message("400 Bad Request", str(error))
         except NoQuorumError as error:
@@ -211,9 +217,11 @@
     return HttpReply(status, msgspec.json.encode({"message": message}))
 
 
-def add_control_routes(app: HttpApp, operations: ControlOperations) -> None:
+def add_control_routes(
+    app: HttpApp, operations: ControlOperations, *, clock: Clock = SYSTEM_CLOCK
+) -> None:
     """Add the routes for upstreams and operators."""
-    handlers = _ControlHandlers(operations)
+    handlers = _ControlHandlers(operations, clock=clock)
     app.add_prefix("POST", HEARTBEAT_PREFIX, handlers.handle_heartbeat)
     app.add_prefix("POST", DEREGISTER_PREFIX, handlers.handle_deregistration)
     app.add("POST", REPLACE_PATH, handlers.handle_replace)
--- a/src/coltsfootrill/registry/departures.py
+++ b/src/coltsfootrill/registry/departures.py
@@ -11,96 +11,79 @@
 
 # Announcements may arrive seconds late. No departure is dropped earlier than this.
 ANNOUNCEMENT_LATE_MAX_MS = 60_000.0
-STATED_KEPT_MS = 3_600_000.0
-# A departure that states no incarnation also bars the next one under the same identifier.
-UNSTATED_KEPT_MS = ANNOUNCEMENT_LATE_MAX_MS
+DEPARTURE_KEPT_MS = 600_000.0
 DEPARTURES_MAX_COUNT = 4_096
 
-DepartureResult = Literal["recorded", "known", "full"]
+AddResult = Literal["recorded", "known", "full"]
 
 
 class Departure:
     """A departure at the local time ``departed_ms``, recorded at the position ``changed_at``.
 
-    ``incarnation`` is the latest one that has left; ``None`` stands for all that announce
-    themselves while the departure is kept.
+    ``incarnation`` is the latest one that has left.
     """
 
     __slots__ = ("changed_at", "departed_ms", "incarnation", "upstream_id")
 
     def __init__(
-        self, upstream_id: str, incarnation: int | None, *, departed_ms: float, changed_at: int
+        self, upstream_id: str, incarnation: int, *, departed_ms: float, changed_at: int
     ) -> None:
         self.upstream_id = upstream_id
         self.incarnation = incarnation
         self.departed_ms = departed_ms
         self.changed_at = changed_at
 
-    def covers(self, incarnation: int | None) -> bool:
-        """Return whether this incarnation has left, with ``None`` whether all have."""
-        if self.incarnation is None:
-            return True
-        return incarnation is not None and incarnation <= self.incarnation
-
     def has_expired(self, now_ms: float) -> bool:
         """Return whether the departure need not be remembered any longer."""
-        kept_ms = UNSTATED_KEPT_MS if self.incarnation is None else STATED_KEPT_MS
-        return now_ms > self.departed_ms + kept_ms
+        return now_ms > self.departed_ms + DEPARTURE_KEPT_MS
 
 
 class Departures:
-    """At most ``DEPARTURES_MAX_COUNT`` departures. Not thread-safe: the owner holds a lock.
+    """The latest departure of each of ``DEPARTURES_MAX_COUNT`` upstreams at most.
 
-    An upstream has two at most: of the latest incarnation that it stated, and one that states none.
+    Not thread-safe: the owner holds a lock.
     """
 
-    __slots__ = ("_by_key",)
+    __slots__ = ("_by_id",)
 
     def __init__(self) -> None:
-        # By identifier, and whether the departure states an incarnation.
-        self._by_key: dict[tuple[str, bool], Departure] = {}
-
-    def covers(self, upstream_id: str, incarnation: int | None) -> bool:
-        """Return whether this incarnation is known to have left, with ``None`` whether all are."""
-        for is_stated in (True, False):
-            departure = self._by_key.get((upstream_id, is_stated))
-            if departure is not None and departure.covers(incarnation):
-                return True
-        return False
-
-    def add(self, departure: Departure, *, now_ms: float) -> DepartureResult:
+        self._by_id: dict[str, Departure] = {}
+
+    def covers(self, upstream_id: str, incarnation: int) -> bool:
+        """Return whether this incarnation is known to have left."""
+        departure = self._by_id.get(upstream_id)
+        return departure is not None and incarnation <= departure.incarnation
+
+    def add(self, departure: Departure, *, now_ms: float) -> AddResult:
         """Record a departure unless it is known.
 
         ``full`` means that it was not recorded: there are ``DEPARTURES_MAX_COUNT`` others, and the
         announcement of each may still arrive.
         """
-        key = (departure.upstream_id, departure.incarnation is not None)
-        known = self._by_key.get(key)
-        if departure.has_expired(now_ms):
-            return "known"
-        if known is not None and known.covers(departure.incarnation):
+        upstream_id = departure.upstream_id
+        if departure.has_expired(now_ms) or self.covers(upstream_id, departure.incarnation):
             return "known"
-        if known is None and not self._make_room(now_ms):
+        if upstream_id not in self._by_id and not self._make_room(now_ms):
             return "full"
-        self._by_key[key] = departure
+        self._by_id[upstream_id] = departure
         return "recorded"
 
     def list_after(self, position: int) -> list[Departure]:
         """Return the departures that were recorded after ``position``."""
-        return [departure for departure in self._by_key.values() if departure.changed_at > position]
+        return [departure for departure in self._by_id.values() if departure.changed_at > position]
 
     def remove_expired(self, now_ms: float) -> None:
         """Drop the departures that need not be remembered any longer."""
-        expired = [key for key, departure in self._by_key.items() if departure.has_expired(now_ms)]
-        for key in expired:
-            del self._by_key[key]
+        expired = [key for key, departure in self._by_id.items() if departure.has_expired(now_ms)]
+        for upstream_id in expired:
+            del self._by_id[upstream_id]
 
     def _make_room(self, now_ms: float) -> bool:
         """Drop the oldest departure if there are too many; return whether there is room."""
-        if len(self._by_key) < DEPARTURES_MAX_COUNT:
+        if len(self._by_id) < DEPARTURES_MAX_COUNT:
             return True
-        oldest = min(self._by_key, key=lambda key: self._by_key[key].departed_ms)
-        if now_ms < self._by_key[oldest].departed_ms + ANNOUNCEMENT_LATE_MAX_MS:
+        oldest = min(self._by_id.values(), key=lambda departure: departure.departed_ms)
+        if now_ms < oldest.departed_ms + ANNOUNCEMENT_LATE_MAX_MS:
             return False
-        del self._by_key[oldest]
+        del self._by_id[oldest.upstream_id]
         return True
--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -17,7 +17,6 @@
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import UpstreamState
 from coltsfootrill.registry.departures import Departure
-from coltsfootrill.registry.departures import DepartureResult
 from coltsfootrill.registry.departures import Departures
 
 # No new work may be sent later than 3 s after the last confirmation. Admission controllers notice
@@ -32,6 +31,7 @@
 COLD_TOLERANCE_MS = 500.0
 
 MergeResult = Literal["changed", "renewed", "ignored"]
+DepartureResult = Literal["changed", "recorded", "known", "full"]
 
 
 class TransitTimes:
@@ -263,29 +263,29 @@
         return True
 
     def record_departure(
-        self, upstream_id: str, incarnation: int | None, *, departed_ms: float, now_ms: float
+        self, upstream_id: str, incarnation: int, *, departed_ms: float, now_ms: float
     ) -> DepartureResult:
         """Record that an incarnation has left, whether or not it has announced itself yet.
 
-        Older incarnations have left as well. Without an ``incarnation`` the one with a record has
-        left or, if there is no record, each one that announces itself for now.
+        Older incarnations have left as well. ``changed`` is news of an upstream that was not known
+        to be leaving, ``recorded`` of a later incarnation of one that was; ``full`` means that
+        there was no room for it.
         """
         record = self.by_id.get(upstream_id)
-        known = None if record is None else record.announcement.incarnation
-        is_news = (
-            known is not None
-            and (incarnation is None or known <= incarnation)
-            and self.mark_leaving(upstream_id, known)
-        )
-        if known is not None and incarnation in (None, known):
-            return "recorded" if is_news else "known"
+        was_leaving = record is not None and record.is_leaving
+        is_marked = False
+        if record is not None and record.announcement.incarnation <= incarnation:
+            is_marked = self.mark_leaving(upstream_id, record.announcement.incarnation)
+            if record.announcement.incarnation == incarnation:
+                return "changed" if is_marked else "known"
         departure = Departure(
             upstream_id, incarnation, departed_ms=departed_ms, changed_at=self.position + 1
         )
         result = self.departures.add(departure, now_ms=now_ms)
         if result == "recorded":
             self.position += 1
-        return "recorded" if result == "known" and is_news else result
+            return "recorded" if was_leaving else "changed"
+        return "changed" if result == "known" and is_marked else result
 
     def list_usable(self, now_ms: float) -> list[UpstreamRecord]:
         """Return the records of all upstreams that may get new work now.
--- a/src/coltsfootrill/roles/hub_client.py
+++ b/src/coltsfootrill/roles/hub_client.py
@@ -29,6 +29,7 @@
 from coltsfootrill.membership.following import HubFollowing
 from coltsfootrill.membership.following import order_hubs
 from coltsfootrill.membership.messages import AnnounceReply
+from coltsfootrill.membership.messages import DepartureRequest
 from coltsfootrill.membership.messages import LeaveRequest
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.registry.announcement import Announcement
@@ -79,7 +80,7 @@
         self._random = random
         self._executor = ThreadPoolExecutor(_CALL_THREAD_COUNT, thread_name_prefix="hub-call")
 
-    def share(self, departure: Announcement | LeaveRequest) -> bool:
+    def share(self, departure: Announcement | DepartureRequest) -> bool:
         """Send a departure to the other replicas; return whether a majority stored it.
 
         This node counts towards the majority if it is one of the replicas.
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -228,9 +228,9 @@
         hub = self._view.find_current_hub(zone)
         return None if hub is None else self._hub_client.get_interface_address(hub)
 
-    def leave(self, upstream_id: str, incarnation: int | None) -> None:
+    def leave(self, upstream_id: str, incarnation: int | None, *, latest_incarnation: int) -> None:
         """Deregister an upstream; see ``ControlOperations``."""
-        request = LeaveRequest(upstream_id, incarnation)
+        request = LeaveRequest(upstream_id, incarnation, latest_incarnation)
         if self.hub.is_current():
             check_acknowledged(self.hub.deregister(request))
             return
--- a/testing/membership/hub_pair.py
+++ b/testing/membership/hub_pair.py
@@ -7,10 +7,10 @@
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.membership.hub import SETTLED_AFTER_MS
 from coltsfootrill.membership.hub import Hub
+from coltsfootrill.membership.messages import DepartureRequest
 from coltsfootrill.membership.messages import FollowReply
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
-from coltsfootrill.membership.messages import LeaveRequest
 from coltsfootrill.membership.messages import SuspectEntry
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.membership.view import HubView
@@ -23,7 +23,7 @@
 
     def __init__(self) -> None:
         self.clock = ManualClock(1_000_000)
-        self.shared: list[Announcement | LeaveRequest] = []
+        self.shared: list[Announcement | DepartureRequest] = []
         self.is_shared = True
         self.snapshot: UpstreamSnapshot | None = None
         self.refused: list[SuspectEntry] = []
@@ -44,7 +44,7 @@
             get_zone_orders=lambda: self.zone_orders,
         )
 
-    def share(self, departure: Announcement | LeaveRequest) -> bool:
+    def share(self, departure: Announcement | DepartureRequest) -> bool:
         self.shared.append(departure)
         return self.is_shared
 
--- a/testing/membership/test_departures.py
+++ b/testing/membership/test_departures.py
@@ -16,6 +16,7 @@
 from coltsfootrill.membership.fleet import Fleet
 from coltsfootrill.membership.hub import SILENT_AFTER_MS
 from coltsfootrill.membership.hub import Hub
+from coltsfootrill.membership.messages import DepartureRequest
 from coltsfootrill.membership.messages import FollowRequest
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import LeaveRequest
@@ -23,14 +24,15 @@
 from coltsfootrill.membership.snapshot import UpstreamSnapshot
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.registry.departures import ANNOUNCEMENT_LATE_MAX_MS
+from coltsfootrill.registry.departures import DEPARTURE_KEPT_MS
 from coltsfootrill.registry.departures import DEPARTURES_MAX_COUNT
-from coltsfootrill.registry.departures import STATED_KEPT_MS
-from coltsfootrill.registry.departures import UNSTATED_KEPT_MS
 from testing.control.disk import Disk
 from testing.membership.hub_pair import Pair
 from testing.membership.hub_pair import announce
 
 LATE_MS = 3_000
+# Deregistrations of the incarnation 1: one that states it, and one that was sent while it ran.
+DEREGISTRATIONS = (LeaveRequest("u1", 1), LeaveRequest("u1", None, 1))
 
 
 def wait(pair: Pair, for_ms: float = LATE_MS) -> None:
@@ -57,23 +59,35 @@
     """An announcement that is seconds late undoes no departure that was acknowledged."""
 
     # Guards against use of an upstream that deregistered before any instance knew it.
-    @pytest.mark.parametrize("incarnation", [1, None])
-    def test_an_upstream_that_nobody_knew_stays_away(self, incarnation: int | None) -> None:
+    @pytest.mark.parametrize("deregistration", DEREGISTRATIONS)
+    def test_an_upstream_that_nobody_knew_stays_away(self, deregistration: LeaveRequest) -> None:
         pair = Pair()
-        assert pair.hub.deregister(LeaveRequest("u1", incarnation)).is_known
+        assert pair.hub.deregister(deregistration).is_known
         wait(pair)
         assert list_usable_after(pair) == []
 
     # Guards against use of a lifetime that deregistered while an earlier one was registered.
-    def test_a_later_incarnation_of_a_known_upstream_stays_away(self) -> None:
+    @pytest.mark.parametrize("deregistration", [LeaveRequest("u1", 2), LeaveRequest("u1", None, 2)])
+    @pytest.mark.parametrize("state", ["serving", "leaving"])
+    def test_a_later_incarnation_of_a_known_upstream_stays_away(
+        self, deregistration: LeaveRequest, state: str
+    ) -> None:
         pair = Pair()
-        pair.hub.announce(announce(incarnation=1))
-        assert pair.hub.deregister(LeaveRequest("u1", 2)).is_known
+        pair.hub.announce(announce(incarnation=1, state=state))
+        assert pair.hub.deregister(deregistration).is_known
         pair.follow()
         assert pair.list_usable() == []
         wait(pair)
         assert list_usable_after(pair, incarnation=2) == []
 
+    # Guards against use of a lifetime that, by the clock of the node it called, starts later.
+    def test_the_registered_incarnation_left_if_none_was_stated(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce(incarnation=9))
+        assert pair.hub.deregister(LeaveRequest("u1", None, 5)).is_known
+        wait(pair)
+        assert list_usable_after(pair, incarnation=9, sequence=2) == []
+
     # Guards against use of a lifetime that ended before the one that deregistered.
     def test_an_earlier_incarnation_stays_away_too(self) -> None:
         pair = Pair()
@@ -86,7 +100,7 @@
         pair = Pair()
         pair.hub.announce(announce(incarnation=2))
         assert pair.hub.deregister(LeaveRequest("u1", 1)).is_known
-        wait(pair, 10 * ANNOUNCEMENT_LATE_MAX_MS)
+        wait(pair, 2 * ANNOUNCEMENT_LATE_MAX_MS)
         assert list_usable_after(pair, incarnation=1) == []
 
     # Guards against a departure that is forgotten since the address has a newer upstream.
@@ -100,13 +114,14 @@
 
     # Guards against a departure that bars the next lifetime, which is to be used.
     @pytest.mark.parametrize("known_incarnation", [1, 2, None])
+    @pytest.mark.parametrize("deregistration", [LeaveRequest("u1", 2), LeaveRequest("u1", None, 2)])
     def test_an_incarnation_that_starts_after_the_departure_is_used(
-        self, known_incarnation: int | None
+        self, known_incarnation: int | None, deregistration: LeaveRequest
     ) -> None:
         pair = Pair()
         if known_incarnation is not None:
             pair.hub.announce(announce(incarnation=known_incarnation))
-        pair.hub.deregister(LeaveRequest("u1", 2))
+        pair.hub.deregister(deregistration)
         assert list_usable_after(pair, incarnation=3) == ["u1"]
 
 
@@ -119,22 +134,25 @@
         assert not pair.hub.deregister(LeaveRequest("u1", 1)).is_known
         pair.is_shared = True
         assert pair.hub.deregister(LeaveRequest("u1", 1)).is_known
-        assert pair.shared == [LeaveRequest("u1", 1), LeaveRequest("u1", 1)]
+        assert pair.shared == [DepartureRequest("u1", 1), DepartureRequest("u1", 1)]
 
     def test_a_replica_that_it_is_shared_with_stores_it(self) -> None:
         pair = Pair()
-        assert pair.hub.store_shared(LeaveRequest("u1", 1)).is_known
+        assert pair.hub.store_shared(DepartureRequest("u1", 1)).is_known
         assert list_usable_after(pair) == []
 
-    @pytest.mark.parametrize("incarnation", [5, None])
-    def test_a_majority_has_the_announcement_of_an_upstream_that_is_known(
-        self, incarnation: int | None
-    ) -> None:
+    def test_a_majority_has_the_announcement_of_an_upstream_that_is_known(self) -> None:
         pair = Pair()
         pair.hub.announce(announce(incarnation=5))
-        assert pair.hub.deregister(LeaveRequest("u1", incarnation)).is_known
+        assert pair.hub.deregister(LeaveRequest("u1", 5)).is_known
         assert pair.shared == [announce(incarnation=5, state="leaving")]
 
+    def test_a_majority_has_the_latest_incarnation_that_may_have_left(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce(incarnation=5))
+        assert pair.hub.deregister(LeaveRequest("u1", None, 7)).is_known
+        assert pair.shared == [DepartureRequest("u1", 7)]
+
     # Guards against memory without bound, and against an acknowledgement that is forgotten for it.
     def test_a_departure_for_which_there_is_no_room_is_refused(self) -> None:
         pair = Pair()
@@ -142,7 +160,7 @@
         for number in range(DEPARTURES_MAX_COUNT):
             assert pair.hub.deregister(LeaveRequest(f"x{number}", 1)).is_known
         assert not pair.hub.deregister(LeaveRequest("u1", 1)).is_known
-        assert not pair.hub.store_shared(LeaveRequest("u1", 1)).is_known
+        assert not pair.hub.store_shared(DepartureRequest("u1", 1)).is_known
         assert pair.hub.deregister(LeaveRequest("u2", 1)).is_known, "it needs no room"
         wait(pair, ANNOUNCEMENT_LATE_MAX_MS)
         assert pair.hub.deregister(LeaveRequest("u1", 1)).is_known
@@ -152,20 +170,25 @@
 class TestMemory:
     """How long a departure is remembered."""
 
-    @pytest.mark.parametrize(
-        ("incarnation", "kept_ms"), [(1, STATED_KEPT_MS), (None, UNSTATED_KEPT_MS)]
-    )
-    def test_it_is_dropped_once_no_announcement_can_be_that_late(
-        self, incarnation: int | None, kept_ms: float
-    ) -> None:
+    def test_it_is_dropped_once_no_announcement_can_be_that_late(self) -> None:
         pair = Pair()
-        pair.hub.deregister(LeaveRequest("u1", incarnation))
-        wait(pair, kept_ms)
+        pair.hub.deregister(LeaveRequest("u1", 1))
+        wait(pair, DEPARTURE_KEPT_MS)
         assert list_usable_after(pair) == []
         wait(pair, 1)
         assert list_usable_after(pair, sequence=2) == ["u1"]
         assert pair.follow().departures == []
 
+    # Guards against a wake-up of all instances for each upstream that drains and then deregisters.
+    def test_the_deregistration_of_a_leaving_upstream_wakes_nobody(self) -> None:
+        pair = Pair()
+        pair.hub.announce(announce(state="leaving"))
+        first = pair.follow()
+        pair.hub.deregister(LeaveRequest("u1", None, 7))
+        assert not pair.hub.has_changes(first.position)
+        (entry,) = pair.follow(position=first.position, boot=first.boot).departures
+        assert entry.incarnation == 7
+
 
 class TestOtherHubs:
     """Hubs may change or restart between a departure and the late announcement."""
@@ -177,12 +200,14 @@
         pair.view = HubView(clock=pair.clock)
         pair.hub.record_majority_read(["a"])
 
-    @pytest.mark.parametrize("incarnation", [1, None])
-    def test_a_hub_that_restarts_remembers(self, tmp_path: Path, incarnation: int | None) -> None:
+    @pytest.mark.parametrize("deregistration", DEREGISTRATIONS)
+    def test_a_hub_that_restarts_remembers(
+        self, tmp_path: Path, deregistration: LeaveRequest
+    ) -> None:
         pair = Pair()
         self._restart(pair, tmp_path, boot=2)
         pair.hub.announce(announce("u2"))
-        pair.hub.deregister(LeaveRequest("u1", incarnation))
+        pair.hub.deregister(deregistration)
         self._restart(pair, tmp_path, boot=3)
         assert list_usable_after(pair) == ["u2"]
 
@@ -199,10 +224,10 @@
         sender = InstanceRecord("h2", 1, "10.0.0.2:1", "z1", False, 0)
         other.merge_reply(pair.hub.answer(FollowRequest(sender, True, True, 0, 0, 0)))
 
-    @pytest.mark.parametrize("incarnation", [1, None])
-    def test_a_hub_that_is_new_hears_of_it(self, incarnation: int | None) -> None:
+    @pytest.mark.parametrize("deregistration", DEREGISTRATIONS)
+    def test_a_hub_that_is_new_hears_of_it(self, deregistration: LeaveRequest) -> None:
         pair = Pair()
-        pair.hub.deregister(LeaveRequest("u1", incarnation))
+        pair.hub.deregister(deregistration)
         new = pair.make_hub(boot=2)
         self._follow_as_hub(pair, new)
         pair.hub = new
@@ -305,19 +330,19 @@
     """What was acknowledged is on disk, whatever is written beside it."""
 
     # Guards against a departure that is lost with power after an older list was written over it.
-    @pytest.mark.parametrize("incarnation", [1, None])
+    @pytest.mark.parametrize("deregistration", DEREGISTRATIONS)
     def test_a_periodic_write_never_replaces_a_newer_one(
-        self, tmp_path: Path, incarnation: int | None
+        self, tmp_path: Path, deregistration: LeaveRequest
     ) -> None:
         pair = Pair()
         snapshot = pair.snapshot = RacingSnapshot(tmp_path, files=FileLayer())
         pair.hub = pair.make_hub(boot=2)
         pair.hub.record_majority_read(["a"])
         pair.hub.announce(announce("u2"))
-        snapshot.race = lambda: pair.hub.deregister(LeaveRequest("u1", incarnation))
+        snapshot.race = lambda: pair.hub.deregister(deregistration)
         pair.hub.persist_upstreams()
         stored = UpstreamSnapshot(tmp_path, files=FileLayer()).read()
-        assert stored.departures == [LeaveRequest("u1", incarnation)]
+        assert stored.departures == [DepartureRequest("u1", 1)]
 
     # Guards against a departure that is acknowledged and gone when all hubs restart.
     def test_a_departure_that_the_disk_refuses_is_not_acknowledged(self, tmp_path: Path) -> None:
@@ -334,7 +359,7 @@
         assert not pair.hub.store_shared(leaving).is_known
         assert not pair.hub.deregister(LeaveRequest("u1", 1)).is_known
         assert not pair.hub.deregister(LeaveRequest("u2", 1)).is_known
-        assert not pair.hub.store_shared(LeaveRequest("u2", 1)).is_known
+        assert not pair.hub.store_shared(DepartureRequest("u2", 1)).is_known
         pair.follow()
         assert pair.list_usable() == [], "it is not used all the same"
         disk.is_full = False
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -548,9 +548,16 @@
         "                upstream_id, incarnation, departed_ms=now_ms, now_ms=now_ms\n"
         "            )\n",
         "            is_news = self._directory.mark_leaving(upstream_id, incarnation)\n"
-        '            result = "recorded" if is_news else "known"\n',
+        '            result = "changed" if is_news else "known"\n',
         DEPARTURES + "Statements",
     ),
+    Mutant(
+        "a deregistration that states no incarnation is also that of a later one",
+        "membership/hub_upstreams.py",
+        "            incarnation = max(known, request.latest_incarnation)\n",
+        "            incarnation = known\n",
+        DEPARTURES + "LateFirstAnnouncement",
+    ),
     Mutant(
         "a hub that restarts remembers departures",
         "membership/hub.py",
--- a/testing/platform/test_interface.py
+++ b/testing/platform/test_interface.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from coltsfootrill.clock import ManualClock
 from coltsfootrill.control.proposer import NoQuorumError
 from coltsfootrill.control.proposer import UnknownResultError
 from coltsfootrill.control.submission import SubmitAnswer
@@ -30,7 +31,7 @@
 
     def __init__(self) -> None:
         self.announced: list[Announcement] = []
-        self.left: list[tuple[str, int | None]] = []
+        self.left: list[tuple[str, int | None, int]] = []
         self.submitted: list[tuple[bytes, int | None]] = []
         self.ordered: list[tuple[str, str, str]] = []
         self.error: Exception | None = None
@@ -41,9 +42,9 @@
         self.announced.append(announcement)
         return "10.0.0.1:80"
 
-    def leave(self, upstream_id: str, incarnation: int | None) -> None:
+    def leave(self, upstream_id: str, incarnation: int | None, *, latest_incarnation: int) -> None:
         self._raise_error()
-        self.left.append((upstream_id, incarnation))
+        self.left.append((upstream_id, incarnation, latest_incarnation))
 
     def submit(self, raw: bytes, *, base_version: int | None, operator: str) -> SubmitAnswer:
         self._raise_error()
@@ -71,7 +72,7 @@
     def __init__(self) -> None:
         self.operations = Operations()
         self._app = HttpApp(None)
-        add_control_routes(self._app, self.operations)
+        add_control_routes(self._app, self.operations, clock=ManualClock(1_700_000_000_000))
 
     def call(self, method: str, path: str, body: bytes = b"", **headers: str) -> tuple[str, bytes]:
         statuses: list[str] = []
@@ -222,11 +223,15 @@
         assert port.call("POST", "/Instances.Heartbeat/i-1", encode_heartbeat())[0] == "503"
         assert port.call("POST", "/Instances.Deregister/i-1")[0] == "503"
 
-    def test_a_deregistration_passes_on_its_incarnation_if_it_has_one(self) -> None:
+    # Upstreams state when they started on each heartbeat, but deregister without a body.
+    def test_a_deregistration_passes_on_its_incarnation_or_the_latest_that_can_have_sent_it(
+        self,
+    ) -> None:
         port = ControlPort()
         port.call("POST", "/Instances.Deregister/i-1", b'{"born": 7}')
         port.call("POST", "/Instances.Deregister/i-2")
-        assert port.operations.left == [("i-1", 7), ("i-2", None)]
+        now_ms = 1_700_000_000_000
+        assert port.operations.left == [("i-1", 7, now_ms), ("i-2", None, now_ms)]
 
 
 class TestConfiguration:
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from coltsfootrill.control.acceptor import Acceptor
 from coltsfootrill.control.files import FileLayer
 from coltsfootrill.quotas.messages import ASK_TOPIC
@@ -43,8 +45,7 @@
     return str(address).partition(":")[0]
 
 
-def deregister(node: Node) -> int:
-    body = json.dumps({"born": 1}).encode()
+def deregister(node: Node, body: bytes) -> int:
     return node.call("interface", "POST", "/Instances.Deregister/i-1", body)[0]
 
 
@@ -167,11 +168,12 @@
 
 class TestDepartures:
     # Guards against use of an upstream whose first heartbeat arrives after its deregistration.
+    @pytest.mark.parametrize("body", [b'{"born": 1}', b""])
     def test_a_late_first_heartbeat_undoes_no_deregistration_even_after_all_voters_restart(
-        self, fleet: Fleet
+        self, fleet: Fleet, body: bytes
     ) -> None:
         fleet.submit_manifest(2, 0)
-        wait_until(lambda: deregister(fleet.nodes[3]) == 200, within_s=20)
+        wait_until(lambda: deregister(fleet.nodes[3], body) == 200, within_s=20)
         for voter in fleet.nodes[:3]:
             voter.end(signal.SIGKILL)
         for voter in fleet.nodes[:3]:
@@ -181,8 +183,10 @@
         while time.monotonic() < end_s:
             assert 200 not in [send_request(node) for node in fleet.nodes]
         assert not any(head.startswith(b"POST") for head in fleet.upstream.heads)
+        born = time.time_ns() // 1_000_000
         wait_until(
-            lambda: send_heartbeat(fleet.nodes[3], fleet.upstream, 1, born=2) == 200, within_s=20
+            lambda: send_heartbeat(fleet.nodes[3], fleet.upstream, 1, born=born) == 200,
+            within_s=20,
         )
         fleet.wait_until_served()
 
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -108,7 +108,6 @@
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.proxy = FaultProxy(("127.0.0.1", self._listener.getsockname()[1]))
         accept_all(self._listener, self._serve)
-        self._has_heartbeats = has_heartbeats
         if has_heartbeats:
             threading.Thread(target=self._run_heartbeats, daemon=True).start()
 
@@ -151,7 +150,7 @@
             self._lifetime = Lifetime(self.name)
             self._send_late_heartbeat()
             self._closed.wait(self._random.uniform(0.0, CALL_OFF_AFTER_MAX_S))
-        states_born = self._random.random() < 0.5 or (is_call_off and self._has_heartbeats)
+        states_born = self._random.random() < 0.5
         while not self._closed.is_set():
             if (
                 self._send_heartbeat("draining")
