Log the departure of an upstream that no record knows

Cause: an upstream whose announcement is ignored since it has left gets no request, and no line of the log said why. Change: each node logs such a departure once, as it does that of an upstream that it knows (upstream-changed, from nothing to leaving). Before: the test found no change in the audit trail; after: one, however often the departure is recorded.

--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -282,10 +282,17 @@
             upstream_id, incarnation, departed_ms=departed_ms, changed_at=self.position + 1
         )
         result = self.departures.add(departure, now_ms=now_ms)
-        if result == "recorded":
-            self.position += 1
-            return "recorded" if was_leaving else "changed"
-        return "changed" if result == "known" and is_marked else result
+        if result != "recorded":
+            return "changed" if result == "known" and is_marked else result
+        self.position += 1
+        if was_leaving:
+            return "recorded"
+        self._on_change(
+            StateChange(
+                upstream_id=upstream_id, incarnation=incarnation, before=None, after="leaving"
+            )
+        )
+        return "changed"
 
     def list_usable(self, now_ms: float) -> list[UpstreamRecord]:
         """Return the records of all upstreams that may get new work now.
--- a/testing/registry/test_directory.py
+++ b/testing/registry/test_directory.py
@@ -12,6 +12,7 @@
 from coltsfootrill.registry.directory import COLD_TOLERANCE_MS
 from coltsfootrill.registry.directory import LEASE_MS
 from coltsfootrill.registry.directory import Directory
+from coltsfootrill.registry.directory import StateChange
 
 
 class TestMerging:
@@ -107,6 +108,21 @@
         assert record.describe().cold_ms == 0
 
 
+class TestDepartures:
+    # Guards against an upstream that never gets a request, with no line of the log that says why.
+    def test_a_departure_without_a_record_is_in_the_audit_trail_once(
+        self, make_announcement: Any
+    ) -> None:
+        changes: list[StateChange] = []
+        directory = Directory(changes.append)
+        for _ in range(2):
+            directory.record_departure("blazon-1", 2, departed_ms=0.0, now_ms=0.0)
+        directory.merge(make_announcement(incarnation=2), origin="e1", last_confirmed_ms=0.0)
+        (change,) = changes
+        assert (change.upstream_id, change.incarnation) == ("blazon-1", 2)
+        assert (change.before, change.after) == (None, "leaving")
+
+
 class TestLeases:
     def test_a_lease_ends_without_renewal(self, make_announcement: Any) -> None:
         directory = Directory()
