--- a/scripts/bench_left_callers.py
+++ b/scripts/bench_left_callers.py
@@ -19,7 +19,7 @@
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.proxy.body_budget import BodyBudget
-from coltsfootrill.proxy.caller import CallerRequest
+from coltsfootrill.proxy.caller_request import CallerRequest
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.server import CallerServer
 
--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -29,8 +29,8 @@
 from coltsfootrill.manifest.table import RoutingTable
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.proxy.admission_controller import AdmissionController
-from coltsfootrill.proxy.caller import CallerRequest
-from coltsfootrill.proxy.caller import Refusal
+from coltsfootrill.proxy.caller_request import CallerRequest
+from coltsfootrill.proxy.caller_request import Refusal
 from coltsfootrill.proxy.dialect import NATIVE_DIALECT
 from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.forward import RequestForwarder
--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -12,7 +12,6 @@
 import socket
 import threading
 from collections.abc import Callable
-from typing import Literal
 
 from absl import logging
 from waitress.adjustments import Adjustments
@@ -21,10 +20,8 @@
 from coltsfootrill.early_listener import RECEIVE_BUFFER_BYTES
 from coltsfootrill.manifest.model import DEADLINE_MAX_MS
 from coltsfootrill.manifest.model import CallerLimits
-from coltsfootrill.proxy.block_buffer import BlockBuffer
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.body_budget import BodyReservation
-from coltsfootrill.proxy.disconnect_monitor import DisconnectMonitor
 from coltsfootrill.proxy.eviction import ConnectionState
 from coltsfootrill.proxy.request_parser import RequestParser
 from coltsfootrill.proxy.sending import WRITE_TIMEOUT_MS
@@ -59,54 +56,6 @@
 _DISCARDED = bytearray(RECEIVE_BYTES)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-# Too many requests are in progress, the instance is about to end, or it has no room for the body.
-Refusal = Literal["too-many-requests", "stopping", "no-room-for-body"]
-
-
-class CallerRequest:
-    """A complete request; ``headers`` have waitress's names: upper case with underscores.
-
-    ``refusal`` is the reason for which the server accepts no request at the moment, ``None`` if it
-    does. ``monitor`` detects that the caller disconnects and starts the reading of pipelined
-    requests.
-    """
-
-    __slots__ = (
-        "arrived_ms",
-        "body",
-        "headers",
-        "method",
-        "monitor",
-        "path",
-        "refusal",
-        "target",
-    )
-
-    def __init__(
-        self,
-        *,
-        method: str,
-        target: str,
-        path: str,
-        headers: dict[str, str],
-        body: BlockBuffer,
-        arrived_ms: float,
-        refusal: Refusal | None,
-        monitor: DisconnectMonitor,
-    ) -> None:
-        self.method = method
-        self.target = target
-        self.path = path
-        self.headers = headers
-        self.body = body
-        self.arrived_ms = arrived_ms
-        self.refusal = refusal
-        self.monitor = monitor
-
-    def get_header(self, name: str) -> str:
-        """Return the value of a header by its usual name, empty when it is absent."""
-        return self.headers.get(name.upper().replace("-", "_"), "")
-
 
 class CallerConnection:
     """A caller's connection with its pipelined requests.
--- a/src/coltsfootrill/proxy/request_record.py
+++ b/src/coltsfootrill/proxy/request_record.py
@@ -8,7 +8,7 @@
 from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.manifest.model import Service
 from coltsfootrill.manifest.table import Route
-from coltsfootrill.proxy.caller import CallerRequest
+from coltsfootrill.proxy.caller_request import CallerRequest
 
 
 class RequestRecord:
--- a/src/coltsfootrill/proxy/resolution.py
+++ b/src/coltsfootrill/proxy/resolution.py
@@ -12,9 +12,9 @@
 from coltsfootrill.manifest.table import RouteError
 from coltsfootrill.manifest.table import RoutingTable
 from coltsfootrill.naming.scheme import RequestName
-from coltsfootrill.proxy.caller import CallerRequest
 from coltsfootrill.proxy.caller_key import KeyCheck
 from coltsfootrill.proxy.caller_key import identify_caller
+from coltsfootrill.proxy.caller_request import CallerRequest
 from coltsfootrill.proxy.dialect import Dialect
 from coltsfootrill.proxy.first_manifest import FirstManifestWait
 from coltsfootrill.proxy.headers import parse_deadline_ms
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -24,9 +24,9 @@
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.caller import CallerConnection
-from coltsfootrill.proxy.caller import CallerRequest
-from coltsfootrill.proxy.caller import Refusal
 from coltsfootrill.proxy.caller_connections import CallerConnections
+from coltsfootrill.proxy.caller_request import CallerRequest
+from coltsfootrill.proxy.caller_request import Refusal
 from coltsfootrill.proxy.disconnect_monitor import DisconnectMonitor
 from coltsfootrill.proxy.eviction import ConnectionState
 from coltsfootrill.proxy.in_progress import RequestsInProgress
--- a/testing/proxy/scripted_callers.py
+++ b/testing/proxy/scripted_callers.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from queue import SimpleQueue
 
-from coltsfootrill.proxy.caller import CallerRequest
+from coltsfootrill.proxy.caller_request import CallerRequest
 from coltsfootrill.proxy.outcome import Answer
 
 # More than the buffers of a connection hold, so that its writer waits until the caller reads.
--- a/testing/proxy/test_resolution.py
+++ b/testing/proxy/test_resolution.py
@@ -10,8 +10,8 @@
 from coltsfootrill.plugins import collect_schemes
 from coltsfootrill.plugins import load_plugins
 from coltsfootrill.proxy.block_buffer import BlockBuffer
-from coltsfootrill.proxy.caller import CallerRequest
-from coltsfootrill.proxy.caller import DisconnectMonitor
+from coltsfootrill.proxy.caller_request import CallerRequest
+from coltsfootrill.proxy.disconnect_monitor import DisconnectMonitor
 from coltsfootrill.proxy.outcome import NotRunError
 from coltsfootrill.proxy.request_record import RequestRecord
 from coltsfootrill.proxy.resolution import RequestResolver
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -15,7 +15,7 @@
 from coltsfootrill.clock import Clock
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.caller import CallerConnection
-from coltsfootrill.proxy.caller import CallerRequest
+from coltsfootrill.proxy.caller_request import CallerRequest
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.server import CallerServer
 from coltsfootrill.proxy.worker_threads import WorkerThreads
