Say once what a recorded departure means for others

Cause: the result of a departure was decided in three places of one function, and the change for the audit trail was made up beside the one of marked records. Both have one place now.

--- a/src/coltsfootrill/registry/directory.py
+++ b/src/coltsfootrill/registry/directory.py
@@ -282,17 +282,14 @@
             upstream_id, incarnation, departed_ms=departed_ms, changed_at=self.position + 1
         )
         result = self.departures.add(departure, now_ms=now_ms)
-        if result != "recorded":
-            return "changed" if result == "known" and is_marked else result
-        self.position += 1
-        if was_leaving:
-            return "recorded"
-        self._on_change(
-            StateChange(
-                upstream_id=upstream_id, incarnation=incarnation, before=None, after="leaving"
-            )
-        )
-        return "changed"
+        if result == "full":
+            return "full"
+        is_news = result == "recorded" and not was_leaving
+        if result == "recorded":
+            self.position += 1
+        if is_news:
+            self._record_change(upstream_id, incarnation, before=None, after="leaving")
+        return "changed" if is_news or is_marked else result
 
     def list_usable(self, now_ms: float) -> list[UpstreamRecord]:
         """Return the records of all upstreams that may get new work now.
@@ -338,11 +335,21 @@
         self.generation += 1
         record.changed_at = self.position
         record.renewed_at = self.position
+        announcement = record.announcement
+        self._record_change(
+            announcement.id, announcement.incarnation, before=before, after=announcement.state
+        )
+
+    def _record_change(
+        self,
+        upstream_id: str,
+        incarnation: int,
+        *,
+        before: UpstreamState | None,
+        after: UpstreamState,
+    ) -> None:
         change = StateChange(
-            upstream_id=record.announcement.id,
-            incarnation=record.announcement.incarnation,
-            before=before,
-            after=record.announcement.state,
+            upstream_id=upstream_id, incarnation=incarnation, before=before, after=after
         )
         self._on_change(change)
 
