Name what a hub resolves when an upstream deregisters

Cause: resolve() on the upstreams of a hub did not say what it resolves. A rename, no behaviour: testing/membership, registry and platform pass before and after.

--- a/src/coltsfootrill/membership/hub.py
+++ b/src/coltsfootrill/membership/hub.py
@@ -164,7 +164,7 @@
         if not self.is_current():
             return AnnounceReply(False, NOT_CURRENT)
         with self._changed:
-            departure = self._upstreams.resolve(request)
+            departure = self._upstreams.resolve_departure(request)
             result = self._record_departure(departure)
             shared = self._upstreams.describe_departure(departure)
         if result == "full":
--- a/src/coltsfootrill/membership/hub_upstreams.py
+++ b/src/coltsfootrill/membership/hub_upstreams.py
@@ -55,7 +55,7 @@
                 others.append(self.directory.by_id[announcement.id])
         return has_changed
 
-    def resolve(self, request: LeaveRequest) -> DepartureRequest:
+    def resolve_departure(self, request: LeaveRequest) -> DepartureRequest:
         """Return the departure that a request states.
 
         An upstream that does not state its incarnation has the one with a record, or a later one
