Log that a connection of a caller ended with requests unanswered

A connection could end with a request received and unanswered without a line in the log: a request that was read whole and got no turn, and bytes that lingering discards after an end that no answer announced. Now one line tells why the connection ended (the caller, idle, stalled, evicted, stopping), how many requests were read and dropped, and how many bytes were discarded.

Before: nothing is logged. After: a test drops a request on purpose and finds the line. No decision is changed.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -12,6 +12,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from typing import Literal
 
 from absl import logging
 from waitress.adjustments import Adjustments
@@ -57,6 +58,10 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+# The caller has closed, no request came, one did not arrive in time, or another thread decided it.
+EndCause = Literal["caller", "idle", "stalled", "evicted", "stopping"]
+
+
 class CallerConnection:
     """A caller's connection with its pipelined requests.
 
@@ -78,6 +83,9 @@
         "_users",
         "_users_lock",
         "active_ms",
+        "discarded_bytes",
+        "dropped_count",
+        "end_cause",
         "is_evicted",
         "sock",
     )
@@ -99,6 +107,12 @@
         self._is_lingering = False
         self._reservation: BodyReservation | None = None
         self.is_evicted = False
+        # Why no further request is read, once that is decided.
+        self.end_cause: EndCause | None = None
+        # Requests that were read whole and got no turn.
+        self.dropped_count = 0
+        # Received after the end was decided, and not looked at.
+        self.discarded_bytes = 0
         # When it opened, a request arrived, or ``PROGRESS_MIN_BYTES`` more of one.
         self.active_ms = clock.now_ms()
 
@@ -166,7 +180,7 @@
                     limits.receive_timeout_ms if is_receiving else limits.idle_timeout_ms
                 )
                 room_bytes = max(UNRESERVED_RECEIVE_BYTES, parser.room_bytes)
-                data = self.sock.recv(min(room_bytes, RECEIVE_BYTES))
+                data = self._receive_some(min(room_bytes, RECEIVE_BYTES))
                 if not data:
                     return self._end_stream(parser)
             progress_bytes += len(data)
@@ -188,6 +202,17 @@
         self._unparsed = data
         return parser
 
+    def _receive_some(self, count_max: int) -> bytes:
+        """Return received bytes, none at the end of the stream; raise ``OSError`` at a timeout."""
+        try:
+            data = self.sock.recv(count_max)
+        except BlockingIOError:
+            self.end_cause = self.end_cause or ("stalled" if self._is_receiving else "idle")
+            raise
+        if not data:
+            self.end_cause = self.end_cause or "caller"
+        return data
+
     def _widen_if_large(self, parser: RequestParser, reservation: BodyReservation) -> None:
         """Let more of a large body arrive at a time, unless many others do.
 
@@ -236,6 +261,7 @@
             self.active_ms = self._clock.now_ms()
             return False
         self.is_evicted = True
+        self.end_cause = "evicted"
         with contextlib.suppress(OSError):
             # The caller may have closed the connection already.
             self.sock.shutdown(socket.SHUT_RD if is_receiving else socket.SHUT_RDWR)
@@ -259,7 +285,9 @@
         """Return the turn of the request just read; ``None`` if it is not to be processed."""
         turn = self._order.take()
         self._is_receiving = bool(self._unparsed)
-        if turn is not None:
+        if turn is None:
+            self.dropped_count += 1
+        else:
             turn.free_at_end(self._shut_down_if_over)
         return turn
 
@@ -361,6 +389,7 @@
         """Discard up to ``step_bytes``; return whether more may come before ``until_ms``."""
         while step_bytes > 0:
             count = self.sock.recv_into(_DISCARDED)
+            self.discarded_bytes += count
             if not count or self._clock.now_ms() >= until_ms:
                 return False
             step_bytes -= count
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -170,6 +170,7 @@
         """Close the idle connections; a request that arrives on one later is not processed."""
         for connection in self._connections.list_open():
             if connection.close_if_idle():
+                connection.end_cause = "stopping"
                 connection.abort("the instance is stopping")
 
     def _accept(self, listener: socket.socket) -> None:
@@ -237,6 +238,7 @@
             pass
         connection.close(self._body_budget)
         self._connections.discard(connection)
+        _log_unanswered(connection)
 
     def _serve_one(self, connection: CallerConnection) -> bool:
         """Receive and answer a request; return whether this thread also reads the next one."""
@@ -361,6 +363,20 @@
         self._submit_next_read(self._connection)
 
 
+def _log_unanswered(connection: CallerConnection) -> None:
+    """Log that a connection ended with requests, or bytes of some, that got no answer."""
+    if connection.end_cause is None and not connection.dropped_count:
+        # Callers were told with the last answer that it is the last one.
+        return
+    if connection.dropped_count or connection.discarded_bytes:
+        logging.warning(
+            'connection ended with requests unanswered cause="%s" dropped=%d discarded_bytes=%d',
+            connection.end_cause,
+            connection.dropped_count,
+            connection.discarded_bytes,
+        )
+
+
 def _make_adjustments(limits: CallerLimits) -> Adjustments:
     return Adjustments(
         listen="127.0.0.1:0",
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -13,6 +13,7 @@
 import pytest
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.proxy.caller_request import CallerRequest
@@ -44,10 +45,20 @@
     made.may_end.set()
 
 
-def _start(handler: Handler) -> tuple[CallerServer, socket.socket]:
-    server = CallerServer(
-        handler, clock=Clock(), requests_max=8, connections_max=8, body_budget=BodyBudget(0)
+def _make_server(handler: Handler, limits: CallerLimits | None = None) -> CallerServer:
+    in_force = limits or CallerLimits()
+    return CallerServer(
+        handler,
+        clock=Clock(),
+        requests_max=8,
+        connections_max=8,
+        body_budget=BodyBudget(0),
+        get_limits=lambda: in_force,
     )
+
+
+def _start(handler: Handler) -> tuple[CallerServer, socket.socket]:
+    server = _make_server(handler)
     server.start("127.0.0.1", 0)
     caller = socket.create_connection(("127.0.0.1", server.port))
     wait_until(lambda: bool(server._connections))
@@ -189,3 +200,21 @@
             assert b"done" in _read_all(later)
         served.close()
         server.stop(idle_ms=0, limit_ms=2_000)
+
+
+class TestUnansweredRequests:
+    # Guards against a connection that ends with a request received and leaves no trace in the log.
+    def test_a_request_that_arrives_after_the_end_is_logged(
+        self, handler: Handler, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        server = _make_server(handler)
+        ours, theirs = socket.socketpair()
+        connection = CallerConnection(ours, Clock())
+        assert connection.close_if_idle()
+        with theirs:
+            theirs.sendall(REQUEST)
+            server._serve(connection)
+            assert _read_all(theirs) == b""
+        assert "connection ended with requests unanswered" in caplog.text
+        assert "dropped=1" in caplog.text
+        assert handler.count == 0
