Answer a request that arrives before an idle connection has closed

What callers saw: a whole request on a kept connection got neither an answer nor a refusal. Cause: when the idle timeout of a connection has run out, the thread that reads it decides to close and does so once it has the interpreter again. It did not look again whether a request had arrived meanwhile, shut down sending, and lingering then received the request and threw it away. With a busy interpreter (a large manifest being read, a small machine) the time in between grows beyond 200 ms. Change: after each receive that has ended, what has arrived already is received before the end is decided; the end is then sent at once and nothing more is read, so that a request which crosses it is reset, and its caller knows that it was not read. A connection with a request still being answered is not idle. Ruled out: an unsolicited answer (408) at the timeout, which callers without a request would take for that of their next one.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -72,6 +72,7 @@
 
     __slots__ = (
         "_clock",
+        "_is_ended_idle",
         "_is_lingering",
         "_is_receiving",
         "_is_wide",
@@ -105,6 +106,8 @@
         self._users_lock = threading.Lock()
         self._users = 1
         self._is_lingering = False
+        # Whether it ended without an answer that announced the end.
+        self._is_ended_idle = False
         self._reservation: BodyReservation | None = None
         self.is_evicted = False
         # Why no further request is read, once that is decided.
@@ -203,15 +206,44 @@
         return parser
 
     def _receive_some(self, count_max: int) -> bytes:
-        """Return received bytes, none at the end of the stream; raise ``OSError`` at a timeout."""
+        """Return received bytes, none if no request follows; raise ``OSError`` if one has stalled.
+
+        This thread may run again long after a receive has ended, so what has arrived meanwhile
+        still counts.
+        """
+        while True:
+            try:
+                data = self.sock.recv(count_max)
+                has_timed_out = False
+            except BlockingIOError:
+                data = b""
+                has_timed_out = True
+            data = data or self._receive_now(count_max)
+            if data:
+                return data
+            if not has_timed_out:
+                self._end_reading("caller")
+                return b""
+            if self._is_receiving:
+                self.end_cause = self.end_cause or "stalled"
+                raise TimeoutError("a request has stalled")
+            if not self._order.is_busy:
+                self._end_reading("idle")
+                return b""
+
+    def _receive_now(self, count_max: int) -> bytes:
+        """Return what has arrived already, which may be nothing."""
         try:
-            data = self.sock.recv(count_max)
+            return self.sock.recv(count_max, socket.MSG_DONTWAIT)
         except BlockingIOError:
-            self.end_cause = self.end_cause or ("stalled" if self._is_receiving else "idle")
-            raise
-        if not data:
-            self.end_cause = self.end_cause or "caller"
-        return data
+            return b""
+
+    def _end_reading(self, cause: EndCause) -> None:
+        """Let an idle caller see the end at once, before it sends another request."""
+        self.end_cause = self.end_cause or cause
+        if self.close_if_idle():
+            self._is_ended_idle = True
+            self._shut_down_if_over()
 
     def _widen_if_large(self, parser: RequestParser, reservation: BodyReservation) -> None:
         """Let more of a large body arrive at a time, unless many others do.
@@ -267,6 +299,11 @@
             self.sock.shutdown(socket.SHUT_RD if is_receiving else socket.SHUT_RDWR)
         return True
 
+    def _shut_down(self, how: int) -> None:
+        with contextlib.suppress(OSError):
+            # The caller may have closed the connection already.
+            self.sock.shutdown(how)
+
     def _send_continue(self, timeout_ms: float) -> bool:
         """Ask for the body of a request; return whether the connection takes more requests.
 
@@ -344,11 +381,7 @@
     def abort(self, cause: str) -> None:
         """Send and receive nothing more, and end all waits."""
         self._order.fail(cause)
-        try:
-            self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The caller has already closed the connection.
-            pass
+        self._shut_down(socket.SHUT_RDWR)
 
     def release(self) -> bool:
         """Decrement the count of threads using the connection; return whether it reached zero."""
@@ -365,8 +398,11 @@
         """Shut down sending, then discard received bytes until the caller closes.
 
         Closing a socket with unread bytes of a rejected request would reset the connection, and
-        the caller could lose the answer that rejects it.
+        the caller could lose the answer that rejects it. After an idle connection there is no such
+        answer: a request that comes too late is left unread, so that its caller may repeat it.
         """
+        if self._is_ended_idle:
+            return
         self.active_ms = self._clock.now_ms()
         self._is_lingering = True
         self.sock.shutdown(socket.SHUT_WR)
@@ -403,11 +439,7 @@
         """
         if not self._order.is_over:
             return False
-        try:
-            self.sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            # The caller has already closed the connection.
-            pass
+        self._shut_down(socket.SHUT_WR)
         return True
 
     def _set_timeout(self, timeout_ms: float) -> None:
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -8,7 +8,9 @@
 
 import socket
 import threading
+from collections.abc import Callable
 from collections.abc import Iterator
+from typing import Literal
 
 import pytest
 
@@ -202,6 +204,79 @@
         server.stop(idle_ms=0, limit_ms=2_000)
 
 
+class LateThread(socket.socket):
+    """A socket whose receiving thread runs again late: meanwhile ``on_late`` happens once.
+
+    ``late_after`` tells whether the receive had returned bytes, or had timed out.
+    """
+
+    late_after: Literal["bytes", "timeout"] = "timeout"
+    on_late: Callable[[], object] | None = None
+
+    def recv(self, size: int, flags: int = 0, /) -> bytes:
+        """Receive, and let ``on_late`` happen before the caller of this method goes on."""
+        try:
+            data = super().recv(size, flags)
+        except BlockingIOError:
+            self._be_late("timeout")
+            raise
+        if data:
+            self._be_late("bytes")
+        return data
+
+    def _be_late(self, after: str) -> None:
+        if after == self.late_after and self.on_late is not None:
+            on_late, self.on_late = self.on_late, None
+            on_late()
+
+
+@pytest.fixture
+def late_pair() -> Iterator[tuple[LateThread, socket.socket]]:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        caller = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    with caller, LateThread(fileno=accepted.detach()) as ours:
+        yield ours, caller
+
+
+class TestRequestAtTheEnd:
+    """The end of a connection is decided while a request arrives on it."""
+
+    # Guards against a request that arrives at the idle timeout and gets no answer at all.
+    def test_a_request_that_arrives_before_an_idle_connection_is_closed_is_answered(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        ours.on_late = lambda: _send(caller)
+        handler.may_end.set()
+        server = _make_server(handler, CallerLimits(idle_timeout_ms=50))
+        server._serve(CallerConnection(ours, Clock()))
+        assert b"done" in _read_all(caller)
+        assert handler.count == 1
+
+    # Guards against a request that is read and dropped after its connection was closed as idle.
+    def test_a_request_that_comes_after_the_end_is_not_read(
+        self,
+        handler: Handler,
+        late_pair: tuple[LateThread, socket.socket],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        ours, caller = late_pair
+        server = _make_server(handler, CallerLimits(idle_timeout_ms=50))
+        connection = CallerConnection(ours, Clock())
+        # At this point no thread reads from the connection any more.
+        monkeypatch.setattr(server._connections, "linger", lambda connection: _send(caller))
+        server._serve(connection)
+        assert _read_all(caller) == b""
+        assert (connection.discarded_bytes, connection.dropped_count) == (0, 0)
+        assert handler.count == 0
+
+
+def _send(caller: socket.socket) -> None:
+    caller.sendall(REQUEST)
+    # On loopback it has arrived once the next system call of this process begins.
+
+
 class TestUnansweredRequests:
     # Guards against a connection that ends with a request received and leaves no trace in the log.
     def test_a_request_that_arrives_after_the_end_is_logged(
