Let only the thread that reads close a connection for others or in a stop

What callers saw: nothing at all for a request that had been received, beside a stop or when a new connection needed the place of an idle one. Cause: another thread decided that a connection was idle and shut down both directions. It cannot know whether the thread that reads has just received a request: such a request got no turn and was dropped, bytes that waited unread were lost although the docstring says that such a connection stays open, and a connection chosen while idle was cut although it had become busy meanwhile, with an upstream at work. Change: whether a turn is in progress is decided under the lock that turns are taken under. The other thread only shuts down receiving; the one that reads refuses what it has received meanwhile (503, not run), with an answer that announces the end, or closes. Ruled out: a lock around each receive, which each request would pay for. Before: the four new tests fail (no answer, evicted though unread, evicted though busy, no answer in a stop). After: they pass.

--- a/src/coltsfootrill/proxy/app.py
+++ b/src/coltsfootrill/proxy/app.py
@@ -58,11 +58,13 @@
 NOT_READY_RETRY_AFTER_S = 0.3
 _MESSAGE_BY_REFUSAL: dict[Refusal, str] = {
     "too-many-requests": "this instance has too many requests in progress",
+    "too-many-connections": "this connection was closing for others when the request came",
     "stopping": "this instance is stopping; another one accepts the request",
     "no-room-for-body": "this instance holds too many large bodies to take this one",
 }
 _RETRY_AFTER_S_BY_REFUSAL: dict[Refusal, float] = {
     "too-many-requests": NOT_READY_RETRY_AFTER_S,
+    "too-many-connections": NOT_READY_RETRY_AFTER_S,
     "stopping": 0.0,
     "no-room-for-body": NOT_READY_RETRY_AFTER_S,
 }
--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -139,6 +139,11 @@
         """Return whether a request is being received or its turn has not ended."""
         return self._is_receiving or self._order.is_busy
 
+    @property
+    def is_closing(self) -> bool:
+        """Return whether it was asked to close, so that a request read now is refused."""
+        return self._order.is_closing
+
     @property
     def unsent_count(self) -> int:
         """Return how many turns have ended without their answer being sent."""
@@ -281,22 +286,30 @@
         return parser
 
     def evict(self) -> bool:
-        """Close a connection that is not busy; return whether it will be.
+        """Close a connection on which no request is being answered; return whether it will be.
 
-        A request whose head has arrived is refused; one that arrives at the same moment is never
-        processed. A connection with unread bytes stays open.
+        A request whose head has arrived is refused. A connection with unread bytes stays open.
         """
-        if self.state == "idle" and not self.close_if_idle():
-            return False
-        is_receiving = self.state == "receiving"
-        if is_receiving and has_unread_bytes(self.sock):
+        if self._is_lingering:
+            self.is_evicted = True
+            self._shut_down(socket.SHUT_RDWR)
+            return True
+        if has_unread_bytes(self.sock):
             self.active_ms = self._clock.now_ms()
             return False
-        self.is_evicted = True
-        self.end_cause = "evicted"
-        with contextlib.suppress(OSError):
-            # The caller may have closed the connection already.
-            self.sock.shutdown(socket.SHUT_RD if is_receiving else socket.SHUT_RDWR)
+        self.is_evicted = self.ask_to_close("evicted")
+        return self.is_evicted
+
+    def ask_to_close(self, cause: EndCause) -> bool:
+        """Let the thread that reads close the connection unless a request is being answered.
+
+        Return whether it will. Only that thread knows whether it has received a request meanwhile;
+        that one is the last.
+        """
+        if not self._order.ask_to_close():
+            return False
+        self.end_cause = self.end_cause or cause
+        self._shut_down(socket.SHUT_RD)
         return True
 
     def _shut_down(self, how: int) -> None:
--- a/src/coltsfootrill/proxy/caller_request.py
+++ b/src/coltsfootrill/proxy/caller_request.py
@@ -7,8 +7,9 @@
 from coltsfootrill.proxy.block_buffer import BlockBuffer
 from coltsfootrill.proxy.disconnect_monitor import DisconnectMonitor
 
-# Too many requests are in progress, the instance is about to end, or it has no room for the body.
-Refusal = Literal["too-many-requests", "stopping", "no-room-for-body"]
+# Too many requests are in progress, the connection was closing for others when the request came,
+# the instance is about to end, or it has no room for the body.
+Refusal = Literal["too-many-requests", "too-many-connections", "stopping", "no-room-for-body"]
 
 
 class CallerRequest:
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -167,11 +167,10 @@
         return not self.in_progress and not self._connections
 
     def _close_idle(self) -> None:
-        """Close the idle connections; a request that arrives on one later is not processed."""
+        """Close the idle connections; a request that was received meanwhile is refused."""
         for connection in self._connections.list_open():
-            if connection.close_if_idle():
-                connection.end_cause = "stopping"
-                connection.abort("the instance is stopping")
+            if not connection.is_busy and not connection.is_closing:
+                connection.ask_to_close("stopping")
 
     def _accept(self, listener: socket.socket) -> None:
         while self._is_accepting:
@@ -257,9 +256,10 @@
     def _serve_turn(self, connection: CallerConnection, parsed: RequestParser, turn: Turn) -> bool:
         """Answer a request; return whether this thread also reads the next one."""
         arrived_ms = self._clock.now_ms()
-        refusal = self._find_refusal(parsed, has_place=self.in_progress.add(turn))
+        has_place = self.in_progress.add(turn)
+        refusal = self._find_refusal(connection, parsed, has_place=has_place)
         handover = _ReadHandover(connection, self._submit_next_read)
-        may_read_on = not _wants_close(parsed) and connection.may_read_on()
+        may_read_on = not _closes_after(connection, parsed) and connection.may_read_on()
         monitor = DisconnectMonitor(
             connection.sock,
             handover.hand_over if may_read_on else None,
@@ -274,7 +274,7 @@
             is_last = connection.answer(
                 turn,
                 lambda is_last: _encode_once(answer, method, is_closing=is_last),
-                wants_close=lambda: self._is_draining or _wants_close(parsed),
+                wants_close=lambda: (self._is_draining or _closes_after(connection, parsed)),
                 wait_max_ms=self._get_request_max_ms(),
                 # A caller that does not read must not hold the upstream's slot meanwhile.
                 on_wait=answer.run_sent_callbacks,
@@ -283,12 +283,16 @@
             answer.run_sent_callbacks()
         return not is_last and not handover.is_handed_over
 
-    def _find_refusal(self, parsed: RequestParser, *, has_place: bool) -> Refusal | None:
+    def _find_refusal(
+        self, connection: CallerConnection, parsed: RequestParser, *, has_place: bool
+    ) -> Refusal | None:
         """Return why a request is not accepted, ``None`` if it is."""
         if parsed.is_body_refused:
             return "no-room-for-body"
         if self._is_refusing:
             return "stopping"
+        if connection.is_closing:
+            return "too-many-connections"
         return None if has_place else "too-many-requests"
 
     def _submit_next_read(self, connection: CallerConnection) -> None:
@@ -393,8 +397,10 @@
     return data
 
 
-def _wants_close(parsed: RequestParser) -> bool:
-    return bool(parsed.error is not None or parsed.connection_close or parsed.version != "1.1")
+def _closes_after(connection: CallerConnection, parsed: RequestParser) -> bool:
+    """Return whether the connection closes after the answer to a request."""
+    has_asked = parsed.connection_close or parsed.version != "1.1"
+    return bool(has_asked or parsed.error is not None or connection.is_closing)
 
 
 def _accept_now(listener: socket.socket) -> socket.socket | None:
--- a/src/coltsfootrill/proxy/turns.py
+++ b/src/coltsfootrill/proxy/turns.py
@@ -13,7 +13,8 @@
 
     Once an answer cannot be sent, no later one is: a caller could take it for the missing one.
     ``failure`` says why, ``unsent_count`` how many turns have ended without their answer, and
-    ``unended_count`` how many have been taken and not ended.
+    ``unended_count`` how many have been taken and not ended. ``is_closing`` is true once the
+    connection was asked to close; a turn that is taken nevertheless is to be the last.
     """
 
     __slots__ = (
@@ -22,6 +23,7 @@
         "_sent_count",
         "_taken_count",
         "failure",
+        "is_closing",
         "unended_count",
         "unsent_count",
     )
@@ -33,6 +35,7 @@
         self.unended_count = 0
         self.unsent_count = 0
         self.failure = ""
+        self.is_closing = False
         # The last turn whose answer may be sent. No turn is taken once it is set.
         self._last_allowed: int | None = None
 
@@ -55,6 +58,14 @@
             self.unended_count += 1
             return Turn(self, self._taken_count)
 
+    def ask_to_close(self) -> bool:
+        """Let the connection close unless a turn has not ended; return whether there was none."""
+        with self._changed:
+            if self.is_busy:
+                return False
+            self.is_closing = True
+            return True
+
     def close_if_idle(self) -> bool:
         """Take no more turns unless one has not ended; return whether there was none."""
         with self._changed:
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -19,6 +19,7 @@
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.proxy.caller_request import CallerRequest
+from coltsfootrill.proxy.caller_request import Refusal
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.server import CallerServer
 from coltsfootrill.proxy.worker_threads import WorkerThreads
@@ -32,10 +33,12 @@
 
     def __init__(self) -> None:
         self.count = 0
+        self.refusals: list[Refusal | None] = []
         self.may_end = threading.Event()
 
     def __call__(self, request: CallerRequest) -> Answer:
         self.count += 1
+        self.refusals.append(request.refusal)
         self.may_end.wait(1)
         return Answer(status="200 OK", headers=[], body=b"done", outcome="answered")
 
@@ -271,10 +274,65 @@
         assert (connection.discarded_bytes, connection.dropped_count) == (0, 0)
         assert handler.count == 0
 
+    # Guards against a request that was received when its place was given away and got no answer.
+    def test_a_request_received_while_its_place_is_given_away_is_refused(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        connection = CallerConnection(ours, Clock())
+        ours.late_after = "bytes"
+        ours.on_late = connection.evict
+        handler.may_end.set()
+        _send(caller)
+        _make_server(handler)._serve(connection)
+        assert b"Connection: close" in _read_all(caller)
+        assert handler.refusals == ["too-many-connections"]
+
+    # Guards against a request that is cut while an upstream runs it, since its connection was
+    # still idle when it was chosen.
+    def test_a_connection_whose_request_is_being_answered_keeps_its_place(
+        self, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        connection = CallerConnection(late_pair[0], Clock())
+        assert connection.take_turn() is not None
+        assert not connection.evict()
+
+    # Guards against an idle connection that gives its place away with a request unread.
+    def test_a_connection_with_a_request_unread_keeps_its_place(
+        self, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        connection = CallerConnection(ours, Clock())
+        _send(caller)
+        assert not connection.evict()
+
+    # Guards against a request that was received when a stop closed idle connections and got none.
+    def test_a_request_received_while_a_stop_closes_idle_connections_is_refused(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        handler.may_end.set()
+        server = _make_server(handler)
+        connection = CallerConnection(ours, Clock())
+        assert server._connections.add(connection)
+        ours.late_after = "bytes"
+        stop = threading.Thread(target=server.stop, kwargs={"idle_ms": 0, "limit_ms": 2_000})
+
+        def stop_now() -> None:
+            stop.start()
+            wait_until(lambda: server._is_refusing and connection.end_cause == "stopping")
+
+        ours.on_late = stop_now
+        _send(caller)
+        server._serve(connection)
+        stop.join()
+        assert b"Connection: close" in _read_all(caller)
+        assert handler.refusals == ["stopping"]
+
 
 def _send(caller: socket.socket) -> None:
+    """Send a request; on loopback it has arrived once this returns."""
     caller.sendall(REQUEST)
-    # On loopback it has arrived once the next system call of this process begins.
 
 
 class TestUnansweredRequests:
