Read the next request in the same thread if no other thread can

What callers saw: a pipelined request that had arrived got nothing, and the connection ended after an answer that did not announce it. Cause: when no thread could be started for the next request of a connection, the handover counted as done all the same. The thread that answered then left the connection, and nobody read on; what had been parsed of the next request was dropped. Change: the handover counts only if another thread will read. Otherwise the thread that answers reads on after its answer, as without pipelining. Before: the new test fails, one of two pipelined requests is answered. After: both are.

--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -295,16 +295,17 @@
             return "too-many-connections"
         return None if has_place else "too-many-requests"
 
-    def _submit_next_read(self, connection: CallerConnection) -> None:
-        """Submit a task that reads the next request of a connection."""
+    def _submit_next_read(self, connection: CallerConnection) -> bool:
+        """Let another thread read the next request of a connection; return whether one will."""
         connection.retain()
         try:
             self._workers.submit(lambda: self._serve(connection))
         except RuntimeError as error:
-            # The server has stopped, or no thread can be started. The connection closes once the
-            # requests that were read are answered.
-            logging.warning('further requests of a connection are not read error="%s"', error)
+            # The server has stopped, or no thread can be started.
+            logging.warning('the next request waits for the answer to this one error="%s"', error)
             connection.release()
+            return False
+        return True
 
     def _get_request_max_ms(self) -> float:
         """Return the time in which each request ends: its deadline, and the sending."""
@@ -350,12 +351,12 @@
 
 
 class _ReadHandover:
-    """Passes the reading of a connection to another thread and records that it did."""
+    """Passes the reading of a connection to another thread and records whether it did."""
 
     __slots__ = ("_connection", "_submit_next_read", "is_handed_over")
 
     def __init__(
-        self, connection: CallerConnection, submit_next_read: Callable[[CallerConnection], None]
+        self, connection: CallerConnection, submit_next_read: Callable[[CallerConnection], bool]
     ) -> None:
         self._connection = connection
         self._submit_next_read = submit_next_read
@@ -363,8 +364,7 @@
 
     def hand_over(self) -> None:
         """Let another thread read the next request."""
-        self.is_handed_over = True
-        self._submit_next_read(self._connection)
+        self.is_handed_over = self._submit_next_read(self._connection)
 
 
 def _log_unanswered(connection: CallerConnection) -> None:
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -330,6 +330,24 @@
         assert handler.refusals == ["stopping"]
 
 
+class TestPipelinedWithoutThread:
+    # Guards against a pipelined request that nobody reads because no thread could be started.
+    def test_the_thread_that_answers_reads_the_next_request_itself(
+        self, handler: Handler, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def refuse(workers: WorkerThreads, task: Callable[[], None]) -> None:
+            raise RuntimeError("can't start new thread")
+
+        monkeypatch.setattr(WorkerThreads, "submit", refuse)
+        handler.may_end.set()
+        ours, caller = socket.socketpair()
+        with caller:
+            caller.sendall(2 * REQUEST)
+            caller.shutdown(socket.SHUT_WR)
+            _make_server(handler)._serve(CallerConnection(ours, Clock()))
+            assert _read_all(caller).count(b"done") == 2
+
+
 def _send(caller: socket.socket) -> None:
     """Send a request; on loopback it has arrived once this returns."""
     caller.sendall(REQUEST)
