Apply the limits of a new manifest without the resolver

What callers saw, if the resolver failed: connections that ended without an answer after a change of the manifest. Cause: each manifest brings new limits for callers. The next thread that read made the adjustments of the parser anew, for which waitress resolves an address to listen on. Change: the adjustments are copied and only the limits set. They are replaced before the limits, so that no thread reads with new limits and the adjustments of old ones. Before: the new test fails, a request gets nothing. After: it is answered, and the new limit holds.

--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import copy
 import select
 import socket
 import threading
@@ -89,7 +90,7 @@
         body_budget.set_reclaim(self._connections.reclaim)
         self._workers = WorkerThreads(connections_max, name="caller", clock=clock)
         self._unread_answers = UnreadAnswers()
-        self._adjustments = _make_adjustments(self._limits)
+        self._adjustments = _adjust(Adjustments(listen="127.0.0.1:0"), self._limits)
         self.in_progress = RequestsInProgress(requests_max, clock)
         self._listener: socket.socket | None = None
         self._thread: threading.Thread | None = None
@@ -314,8 +315,8 @@
     def _update_limits(self) -> CallerLimits:
         limits = self._get_limits()
         if limits is not self._limits:
+            self._adjustments = _adjust(self._adjustments, limits)
             self._limits = limits
-            self._adjustments = _make_adjustments(limits)
         return limits
 
     def _answer(
@@ -381,13 +382,13 @@
         )
 
 
-def _make_adjustments(limits: CallerLimits) -> Adjustments:
-    return Adjustments(
-        listen="127.0.0.1:0",
-        # Waitress refuses bodies of this size.
-        max_request_body_size=limits.body_max_bytes + 1,
-        max_request_header_size=limits.head_max_bytes,
-    )
+def _adjust(adjustments: Adjustments, limits: CallerLimits) -> Adjustments:
+    """Return adjustments of waitress with other limits; new ones would resolve an address."""
+    adjusted = copy.copy(adjustments)
+    # Waitress refuses bodies of this size.
+    adjusted.max_request_body_size = limits.body_max_bytes + 1
+    adjusted.max_request_header_size = limits.head_max_bytes
+    return adjusted
 
 
 def _encode_once(answer: Answer, method: str, *, is_closing: bool) -> bytes:
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -330,6 +330,38 @@
         assert handler.refusals == ["stopping"]
 
 
+class TestChangedLimits:
+    # Guards against connections that end without an answer after each change of the manifest,
+    # because the new limits could not be applied.
+    def test_new_limits_are_applied_without_the_resolver(
+        self, handler: Handler, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        handler.may_end.set()
+        limits = [CallerLimits()]
+        server = CallerServer(
+            handler,
+            clock=Clock(),
+            requests_max=8,
+            connections_max=8,
+            body_budget=BodyBudget(0),
+            get_limits=lambda: limits[-1],
+        )
+
+        def fail(*arguments: object) -> None:
+            raise socket.gaierror("no descriptor is free")
+
+        monkeypatch.setattr(socket, "getaddrinfo", fail)
+        limits.append(CallerLimits(body_max_bytes=3))
+        ours, caller = socket.socketpair()
+        with caller:
+            caller.sendall(REQUEST + REQUEST.replace(b": 0", b": 4") + b"long")
+            caller.shutdown(socket.SHUT_WR)
+            server._serve(CallerConnection(ours, Clock()))
+            answers = _read_all(caller)
+        assert answers.count(b"done") == 1
+        assert b"413 Request Entity Too Large" in answers
+
+
 class TestPipelinedWithoutThread:
     # Guards against a pipelined request that nobody reads because no thread could be started.
     def test_the_thread_that_answers_reads_the_next_request_itself(
