Prove each mechanism of the end of a connection by a mutant

Each was run alone: its test fails without and passes with. Before: no mutant for these. Nothing in src changes.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -41,6 +41,7 @@
 BALANCER = "testing/balancer/test_"
 QUOTAS = "testing/quotas/test_"
 QUOTA_REQUESTS = "testing/proxy/test_quota.py::Test"
+SERVER = "testing/proxy/test_server.py::Test"
 BODIES = "testing/proxy/test_bodies.py::Test"
 
 MUTANTS = [
@@ -1244,6 +1245,55 @@
         "if self._connections.add(connection) or True:",
         "testing/proxy/test_server.py::TestTooManyConnections",
     ),
+    Mutant(
+        "a request that arrives before an idle connection closes is answered",
+        "proxy/caller.py",
+        "            data = data or self._receive_now(count_max)\n",
+        "",
+        SERVER + "RequestAtTheEnd",
+    ),
+    Mutant(
+        "nothing is read after the end of an idle connection",
+        "proxy/caller.py",
+        "        if self._is_ended_idle:\n            return\n",
+        "",
+        SERVER + "RequestAtTheEnd",
+    ),
+    Mutant(
+        "a request received while its connection is asked to close is refused",
+        "proxy/server.py",
+        "        if connection.is_closing:\n",
+        "        if False:\n",
+        SERVER + "RequestAtTheEnd",
+    ),
+    Mutant(
+        "a connection whose request is being answered keeps its place",
+        "proxy/turns.py",
+        "                return False\n            self.is_closing = True\n",
+        "                pass\n            self.is_closing = True\n",
+        SERVER + "RequestAtTheEnd",
+    ),
+    Mutant(
+        "an idle connection with a request unread keeps its place",
+        "proxy/caller.py",
+        "        if has_unread_bytes(self.sock):\n",
+        "        if False:\n",
+        SERVER + "RequestAtTheEnd",
+    ),
+    Mutant(
+        "a pipelined request is read although no other thread can be started",
+        "proxy/server.py",
+        "        self.is_handed_over = self._submit_next_read(self._connection)\n",
+        "        self._submit_next_read(self._connection)\n        self.is_handed_over = True\n",
+        SERVER + "PipelinedWithoutThread",
+    ),
+    Mutant(
+        "new limits for callers are applied",
+        "proxy/server.py",
+        "        if limits is not self._limits:\n",
+        "        if False:\n",
+        SERVER + "ChangedLimits",
+    ),
     Mutant(
         "a connection that gets no thread is closed, and later ones are served",
         "proxy/server.py",
