Let no connection that has just closed as idle end the listener

What callers saw: no connection was accepted any more. Cause: since an idle connection closes without lingering, it is still listed, in state idle, after its socket is closed. A new connection that needs its place chose it, and asked the kernel whether a closed socket has unread bytes: ValueError, which ended the thread that accepts. Evidence: the new test, which closes a connection at its idle timeout while others are added. Change: such a connection counts as lingering until it is discarded, as others do. Before: the new test fails with the ValueError. After: it passes, as do the tests of caller, caller_connections and server.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -414,10 +414,10 @@
         the caller could lose the answer that rejects it. After an idle connection there is no such
         answer: a request that comes too late is left unread, so that its caller may repeat it.
         """
-        if self._is_ended_idle:
-            return
         self.active_ms = self._clock.now_ms()
         self._is_lingering = True
+        if self._is_ended_idle:
+            return
         self.sock.shutdown(socket.SHUT_WR)
         self.sock.settimeout(LINGER_MS / 1000)
         until_ms = self._clock.now_ms() + LINGER_MAX_MS
--- a/testing/proxy/test_caller_connections.py
+++ b/testing/proxy/test_caller_connections.py
@@ -6,8 +6,11 @@
 from collections.abc import Iterator
 
 import pytest
+from waitress.adjustments import Adjustments
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.manifest.model import CallerLimits
+from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.proxy.caller_connections import CallerConnections
 from coltsfootrill.proxy.eviction import STALLED_MIN_MS
@@ -73,6 +76,20 @@
         callers.connections.discard(answered)
         assert callers.add()
 
+    # Guards against a listener that ends because the connection that it chose has just closed.
+    def test_a_connection_that_has_closed_as_idle_is_not_chosen(self, callers: Callers) -> None:
+        idle = callers.make(age_ms=2 * STALLED_MIN_MS)
+        assert callers.connections.add(idle)
+        assert [callers.add() for _ in range(COUNT_MAX - 1)] == [True] * (COUNT_MAX - 1)
+        budget = BodyBudget(0)
+        assert idle.receive(Adjustments(), CallerLimits(idle_timeout_ms=1), budget) is None
+        callers.connections.linger(idle)
+        idle.linger(budget)
+        idle.close(budget)
+        assert not callers.add()
+        callers.connections.discard(idle)
+        assert callers.add()
+
     def test_connection_with_unread_bytes_stays_open(self, callers: Callers) -> None:
         ours, theirs = socket.socketpair()
         with ours, theirs:
