--- a/testing/proxy/test_caller_connections.py
+++ b/testing/proxy/test_caller_connections.py
@@ -90,6 +90,12 @@
         callers.connections.discard(idle)
         assert callers.add()
 
+    # Guards against a listener that ends because the connection that it chose closes meanwhile.
+    def test_a_connection_that_has_closed_is_not_evicted(self, callers: Callers) -> None:
+        connection = callers.make()
+        connection.close(BodyBudget(0))
+        assert not connection.evict()
+
     def test_connection_with_unread_bytes_stays_open(self, callers: Callers) -> None:
         ours, theirs = socket.socketpair()
         with ours, theirs:
