Refuse a request whose connection was asked to close before its body

What callers saw: a request sent whole, head and body one after the other, got neither an answer nor a refusal, beside a stop or when its connection gave its place away. Cause: a connection that is asked to close can no longer be received from once its kernel buffer is empty. The request whose head had been read was refused only if the connection was marked as evicted. Evidence: the two new tests; in each the other thread runs at that point. Change: the request is refused if the connection was asked to close, which is recorded before the shutdown. In a stop the reason is "stopping" also for a request without its body. Before: both tests fail, the caller reads nothing. After: they pass, as does all of test_server.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -279,8 +279,8 @@
         return min(until_ms, now_ms + REQUEST_TIMEOUT_MS)
 
     def _end_stream(self, parser: RequestParser) -> RequestParser | None:
-        """Return the request in progress as refused if the connection has been evicted."""
-        if not self.is_evicted or not parser.headers_finished:
+        """Return the request in progress as refused if the connection was asked to close."""
+        if not self.is_closing or not parser.headers_finished:
             return None
         parser.refuse_body()
         return parser
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -288,10 +288,10 @@
         self, connection: CallerConnection, parsed: RequestParser, *, has_place: bool
     ) -> Refusal | None:
         """Return why a request is not accepted, ``None`` if it is."""
-        if parsed.is_body_refused:
-            return "no-room-for-body"
         if self._is_refusing:
             return "stopping"
+        if parsed.is_body_refused:
+            return "no-room-for-body"
         if connection.is_closing:
             return "too-many-connections"
         return None if has_place else "too-many-requests"
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -22,10 +22,13 @@
 from coltsfootrill.proxy.caller_request import Refusal
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.server import CallerServer
+from coltsfootrill.proxy.sockets import has_unread_bytes
 from coltsfootrill.proxy.worker_threads import WorkerThreads
 from testing.processes import wait_until
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+# Of a request whose body follows.
+HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
 
 
 class Handler:
@@ -210,12 +213,18 @@
 class LateThread(socket.socket):
     """A socket whose receiving thread runs again late: meanwhile ``on_late`` happens once.
 
-    ``late_after`` tells whether the receive had returned bytes, or had timed out.
+    ``late_after`` tells whether the receive had returned bytes, or had timed out, or whether it is
+    a thread that has shut down the socket which runs again late.
     """
 
-    late_after: Literal["bytes", "timeout"] = "timeout"
+    late_after: Literal["bytes", "timeout", "shutdown"] = "timeout"
     on_late: Callable[[], object] | None = None
 
+    def shutdown(self, how: int, /) -> None:
+        """Shut down, and let ``on_late`` happen before the caller of this method goes on."""
+        super().shutdown(how)
+        self._be_late("shutdown")
+
     def recv(self, size: int, flags: int = 0, /) -> bytes:
         """Receive, and let ``on_late`` happen before the caller of this method goes on."""
         try:
@@ -329,6 +338,45 @@
         assert b"Connection: close" in _read_all(caller)
         assert handler.refusals == ["stopping"]
 
+    # Guards against a request that a stop cuts between its head and its body, without a refusal.
+    def test_a_request_whose_body_follows_its_head_in_a_stop_is_refused(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        handler.may_end.set()
+        server = _make_server(handler)
+        connection = CallerConnection(ours, Clock())
+        ours.late_after = "bytes"
+
+        def stop_now() -> None:
+            server._is_refusing = True
+            assert connection.ask_to_close("stopping")
+
+        ours.on_late = stop_now
+        caller.sendall(HEAD)
+        server._serve(connection)
+        assert b"Connection: close" in _read_all(caller)
+        assert handler.refusals == ["stopping"]
+
+    # Guards against a request that gives its place away and sees the end before it is refused.
+    def test_a_request_that_gives_its_place_away_is_refused_however_soon_it_is_read(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        handler.may_end.set()
+        server = _make_server(handler)
+        connection = CallerConnection(ours, Clock())
+        caller.sendall(HEAD)
+        reader = threading.Thread(target=server._serve, args=(connection,))
+        reader.start()
+        wait_until(lambda: connection.state == "receiving" and not has_unread_bytes(ours))
+        ours.late_after = "shutdown"
+        ours.on_late = lambda: wait_until(lambda: connection.state != "receiving")
+        assert connection.evict()
+        assert b"Connection: close" in _read_all(caller)
+        reader.join()
+        assert handler.refusals == ["no-room-for-body"]
+
 
 class TestChangedLimits:
     # Guards against connections that end without an answer after each change of the manifest,
