Answer requests though the work after an answer fails

What callers saw: nothing at all for a request that an upstream had answered. Cause: what follows an answer (the slot, the connection to the upstream, the record) runs before the answer is sent if that has to wait for earlier ones. An exception there dropped the answer and all later ones of the connection. After an answer, it ended the reading of the connection without an announcement; an OSError did so without a trace, since it counts as a caller that has left. Whatever work was left was not done either. No such exception was seen in operation; the path is by reading. Evidence: the new test, with pipelined requests of which all have work that fails. Change: each piece of work that fails is logged, and the next one runs. Before: the test fails with both exceptions.

--- a/src/coltsfootrill/proxy/outcome.py
+++ b/src/coltsfootrill/proxy/outcome.py
@@ -8,6 +8,8 @@
 from email.utils import formatdate
 from typing import Literal
 
+from absl import logging
+
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.events.catalog import Admission
 
@@ -47,10 +49,17 @@
         self._sent_callbacks.append(callback)
 
     def run_sent_callbacks(self) -> None:
-        """Run the callbacks that are registered and have not run."""
+        """Run the callbacks that are registered and have not run.
+
+        One that fails is logged: neither this answer nor later requests of its connection, nor the
+        other callbacks, may be lost for it.
+        """
         callbacks, self._sent_callbacks = self._sent_callbacks, []
         for callback in callbacks:
-            callback()
+            try:
+                callback()
+            except Exception:
+                logging.exception("work after an answer failed; this is a bug in coltsfootrill")
 
 
 class ProxyError(ColtsfootrillError):
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -160,6 +160,41 @@
         wait_until(lambda: server.count_in_progress() == 0)
         assert server.stop(idle_ms=0, limit_ms=2_000) == 0
 
+    # Guards against a request that gets no answer because work after an earlier one fails.
+    @pytest.mark.parametrize("error", [ValueError("a bug"), OSError("no space is left")])
+    def test_requests_are_answered_though_work_after_an_answer_fails(
+        self, error: Exception
+    ) -> None:
+        done_paths: list[str] = []
+        first_may_end = threading.Event()
+
+        def fail() -> None:
+            raise error
+
+        def handle(request: CallerRequest) -> Answer:
+            answer = Answer(status="200 OK", headers=[], body=b"done", outcome="answered")
+            answer.add_sent_callback(fail)
+            answer.add_sent_callback(lambda: done_paths.append(request.path))
+            if request.path == "/0":
+                first_may_end.wait(3)
+            return answer
+
+        server = CallerServer(
+            handle, clock=Clock(), requests_max=8, connections_max=8, body_budget=BodyBudget(0)
+        )
+        server.start("127.0.0.1", 0)
+        with socket.create_connection(("127.0.0.1", server.port)) as caller:
+            caller.sendall(b"".join(b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % n for n in range(3)))
+            # The second one waits for the first, so that its work is done before it is sent.
+            wait_until(lambda: "/1" in done_paths)
+            first_may_end.set()
+            wait_until(lambda: len(done_paths) == 3)
+            caller.sendall(b"GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+            caller.shutdown(socket.SHUT_WR)
+            assert _read_all(caller).count(b"HTTP/1.1 200") == 4
+        assert sorted(done_paths) == ["/0", "/1", "/2", "/3"]
+        assert server.stop(idle_ms=0, limit_ms=2_000) == 0
+
 
 class TestTooManyConnections:
     # Guards against connections that are closed without a trace in the log.
