Announce the end with the answer before a request that has stalled

What callers saw: the rest of a pipelined request, sent late while an earlier one was being answered, got neither an answer nor a refusal, and no answer had announced the end. Cause: the thread that reads gives up at the receive timeout and ends. The earlier request is answered as if the connection stayed open; then the connection shuts down sending, and lingering receives the rest and throws it away. Evidence: the new test, with a receive timeout of 50 ms. Change: an answer that is sent once the reading has ended announces the end of the connection. A request that takes too long counts as stalled as well. Left: an answer whose head is made just before the reading ends announces nothing. Before: the new test fails, the answer has no Connection: close. After: it passes, as do test_server, test_caller, test_pipelining and test_bodies.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -275,6 +275,7 @@
         """
         now_ms = self._clock.now_ms()
         if now_ms > until_ms:
+            self.end_cause = self.end_cause or "stalled"
             raise TimeoutError("a request takes too long")
         return min(until_ms, now_ms + REQUEST_TIMEOUT_MS)
 
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -401,7 +401,8 @@
 def _closes_after(connection: CallerConnection, parsed: RequestParser) -> bool:
     """Return whether the connection closes after the answer to a request."""
     has_asked = parsed.connection_close or parsed.version != "1.1"
-    return bool(has_asked or parsed.error is not None or connection.is_closing)
+    is_ending = connection.is_closing or connection.end_cause is not None
+    return bool(has_asked or parsed.error is not None or is_ending)
 
 
 def _accept_now(listener: socket.socket) -> socket.socket | None:
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -412,6 +412,26 @@
         reader.join()
         assert handler.refusals == ["no-room-for-body"]
 
+    # Guards against a request that is given up as stalled, whose rest is received and dropped
+    # although no answer told the caller that the connection ends.
+    def test_the_answer_before_a_request_that_has_stalled_announces_the_end(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        server = _make_server(handler, CallerLimits(receive_timeout_ms=50))
+        connection = CallerConnection(ours, Clock())
+        caller.sendall(REQUEST + HEAD)
+        reader = threading.Thread(target=server._serve, args=(connection,))
+        reader.start()
+        wait_until(lambda: connection.end_cause == "stalled")
+        caller.sendall(b"body")
+        handler.may_end.set()
+        answer = _read_all(caller)
+        reader.join()
+        assert answer.count(b"HTTP/1.1 200") == 1
+        assert b"Connection: close" in answer
+        assert handler.count == 1
+
 
 class TestChangedLimits:
     # Guards against connections that end without an answer after each change of the manifest,
