Take a socket closed by another thread for one that keeps its place

What callers could have seen: no connection is accepted any more. Not seen; by reading. Cause: a connection chosen to give its place away may be closed by its own thread between the check whether it lingers and the question to the kernel, which raises ValueError for a closed socket and ends the thread that accepts. Change: a closed socket counts as one with something unread, so that another one is chosen. Before: the new test fails with the ValueError. After: it passes, as does test_caller_connections.

--- a/src/coltsfootrill/proxy/sockets.py
+++ b/src/coltsfootrill/proxy/sockets.py
@@ -16,9 +16,13 @@
 
 
 def has_unread_bytes(sock: socket.socket) -> bool:
-    """Return whether bytes have arrived that were not received, or the other end has closed."""
+    """Return whether bytes have arrived that were not received, or either end has closed."""
     poller = select.poll()
-    poller.register(sock, select.POLLIN)
+    try:
+        poller.register(sock, select.POLLIN)
+    except ValueError:
+        # Another thread has closed the socket.
+        return True
     return bool(poller.poll(0))
 
 
--- a/testing/proxy/test_sockets.py
+++ b/testing/proxy/test_sockets.py
@@ -12,6 +12,7 @@
 from coltsfootrill.proxy.sockets import KERNEL_FACTOR
 from coltsfootrill.proxy.sockets import WIDE_RECEIVE_BUFFER_BYTES
 from coltsfootrill.proxy.sockets import WIDE_ROOM_BYTES
+from coltsfootrill.proxy.sockets import has_unread_bytes
 from coltsfootrill.proxy.sockets import set_receive_buffer
 
 KB = 1024
@@ -52,3 +53,13 @@
         with open_listener("127.0.0.1", 0) as listener:
             taken_bytes = count_taken_bytes(listener, is_accepted=True, is_wide=True)
         assert 8 * RECEIVE_BUFFER_BYTES < taken_bytes < WIDE_ROOM_BYTES + SENDER_BYTES
+
+
+class TestClosedSocket:
+    # Guards against a listener that ends when the connection that it chose closes meanwhile.
+    def test_a_socket_that_has_been_closed_raises_nothing(self) -> None:
+        ours, theirs = socket.socketpair()
+        with theirs:
+            assert not has_unread_bytes(ours)
+            ours.close()
+            assert has_unread_bytes(ours)
