Serve the connections behind one that cannot be accepted in a stop

What callers saw: a reset, for a request sent on a connection that the kernel had accepted. Cause: when a stop begins, the connections that wait in the listener are accepted until there is an error. Any error ended that, also one of a single connection (ECONNABORTED, EPROTO), and the rest were reset with the listener. Evidence: the new test, with a listener whose first connection fails. Not seen in operation. Change: only an empty queue ends it, or 8 errors in a row; each is logged. Before: the new test fails, the caller reads nothing. After: it passes, as do test_server and test_stop.

--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -44,6 +44,8 @@
 
 ACCEPT_POLL_MS = 200.0
 ACCEPT_END_MS = 2 * ACCEPT_POLL_MS
+# Of the connections that the kernel has accepted when a stop begins.
+ACCEPT_ERRORS_MAX_COUNT = 8
 DRAIN_CHECK_MS = 20.0
 # Requests that still wait for an upstream at the end of a stop have this time to be refused.
 REFUSAL_GRACE_MS = 150.0
@@ -406,7 +408,15 @@
 
 
 def _accept_now(listener: socket.socket) -> socket.socket | None:
-    try:
-        return listener.accept()[0]
-    except OSError:
-        return None
+    """Return a connection that the kernel has accepted already, ``None`` if there is none.
+
+    The kernel also reports here what has become of a single connection; others may follow.
+    """
+    for _ in range(ACCEPT_ERRORS_MAX_COUNT):
+        try:
+            return listener.accept()[0]
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            logging.error('failed to accept a connection error="%s"', error)
+    return None
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -10,6 +10,7 @@
 import threading
 from collections.abc import Callable
 from collections.abc import Iterator
+from typing import Any
 from typing import Literal
 
 import pytest
@@ -116,6 +117,36 @@
         assert b"done" in _read_all(busy)
         stop.join()
 
+    # Guards against connections that a stop resets because the one before them has failed.
+    def test_a_connection_behind_one_that_cannot_be_accepted_is_served(
+        self, handler: Handler
+    ) -> None:
+        handler.may_end.set()
+        server = _make_server(handler)
+        server._is_accepting = False
+        with socket.create_server(("127.0.0.1", 0)) as served, FailingOnce(served) as listener:
+            with socket.create_connection(listener.getsockname()) as caller:
+                caller.sendall(REQUEST)
+                server._accept(listener)
+                caller.shutdown(socket.SHUT_WR)
+                assert b"done" in _read_all(caller)
+        server.stop(idle_ms=0, limit_ms=2_000)
+
+
+class FailingOnce(socket.socket):
+    """A copy of a listener whose next connection cannot be accepted."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        super().__init__(fileno=listener.dup().detach())
+        self._has_failed = False
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Fail once, then accept."""
+        if not self._has_failed:
+            self._has_failed = True
+            raise ConnectionAbortedError("the caller has reset the connection")
+        return super().accept()
+
 
 class TestCloseIfIdle:
     def test_idle_connection_accepts_no_request_after_close(self) -> None:
