End no stop while connections are still being accepted

What callers saw: a closed connection without an answer, for a request sent just before the end of the listener. Cause: a stop waits 400 ms for the thread that accepts. Where that runs late (an interpreter kept busy by a manifest), a stop without open connections ended at once, and the connections accepted afterwards got no thread. Evidence: the new test, in which that thread runs 600 ms late. Change: a stop is not finished while that thread runs; the limit of the stop holds as before. Before: the new test fails, the caller reads nothing. After: it passes, as do test_server and test_stop.

--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -166,6 +166,9 @@
         return aborted_count
 
     def _is_finished(self) -> bool:
+        if self._thread is not None and self._thread.is_alive():
+            # It still accepts connections.
+            return False
         # A request is in progress until the callbacks of its answer have run.
         return not self.in_progress and not self._connections
 
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -22,7 +22,9 @@
 from coltsfootrill.proxy.caller_request import CallerRequest
 from coltsfootrill.proxy.caller_request import Refusal
 from coltsfootrill.proxy.outcome import Answer
+from coltsfootrill.proxy.server import ACCEPT_END_MS
 from coltsfootrill.proxy.server import CallerServer
+from coltsfootrill.proxy.server import _accept_now
 from coltsfootrill.proxy.sockets import has_unread_bytes
 from coltsfootrill.proxy.worker_threads import WorkerThreads
 from testing.processes import wait_until
@@ -117,6 +119,28 @@
         assert b"done" in _read_all(busy)
         stop.join()
 
+    # Guards against a request that a stop drops because the thread that accepts it is late.
+    def test_a_connection_that_is_accepted_late_in_a_stop_is_served(
+        self, handler: Handler, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        handler.may_end.set()
+        server = _make_server(handler)
+        server.start("127.0.0.1", 0)
+        port = server.port
+        callers: list[socket.socket] = []
+
+        def accept_late(listener: socket.socket) -> socket.socket | None:
+            if not callers:
+                callers.append(socket.create_connection(("127.0.0.1", port)))
+                callers[0].sendall(REQUEST)
+                threading.Event().wait(1.5 * ACCEPT_END_MS / 1000)
+            return _accept_now(listener)
+
+        monkeypatch.setattr("coltsfootrill.proxy.server._accept_now", accept_late)
+        server.stop(idle_ms=500, limit_ms=3_000)
+        with callers[0] as caller:
+            assert b"done" in _read_all(caller)
+
     # Guards against connections that a stop resets because the one before them has failed.
     def test_a_connection_behind_one_that_cannot_be_accepted_is_served(
         self, handler: Handler
