Free a body before its reply is sent, not after

Cause: waitress sends the reply in the thread that handles the request, and that thread closes the request, which frees its share of the bound, only after that. If it is held in between, the next body of a caller that has its answer is refused with 503, although it is the only one. In the test the held body was refused and discarded, and the first then freed its share, so that nothing took any of the bound. The product is at fault. Change: the body and its share are freed before the first byte of the reply is written. The application has read the body by then. The bound and the expectations of the test are as they were. Before: the new test, which holds the thread after the reply, gets 503 for the second body.

--- a/src/coltsfootrill/operators/bounded_bodies.py
+++ b/src/coltsfootrill/operators/bounded_bodies.py
@@ -89,4 +89,15 @@
     class BoundedChannel(HTTPChannel):  # type: ignore[misc]
         parser_class = staticmethod(lambda adjustments: _BoundedParser(adjustments, budget))
 
+        def write_soon(self, data: Any) -> int:
+            """Send a part of the reply to the oldest request; free its body first.
+
+            ``HttpApp`` has read the body by then, and a caller that has its answer may send the
+            next body at once. Waitress closes the request only after the reply, perhaps much later.
+            """
+            for request in self.requests[:1]:
+                request.close()
+            sent_bytes: int = super().write_soon(data)
+            return sent_bytes
+
     return BoundedChannel
--- a/testing/operators/test_http.py
+++ b/testing/operators/test_http.py
@@ -4,6 +4,9 @@
 
 import http.client
 import socket
+import threading
+from collections.abc import Iterator
+from typing import Any
 
 from coltsfootrill.operators.http import HttpApp
 from coltsfootrill.operators.http import HttpReply
@@ -14,14 +17,41 @@
 
 KB = 1024
 BODIES_MAX_BYTES = 1024 * KB
+# Longer than the calls of a test wait.
+HOLD_MAX_S = 30.0
+
+
+class HeldReply:
+    """A reply whose handling goes on after it has been sent, until ``may_end`` is set."""
+
+    def __init__(self, parts: list[bytes], may_end: threading.Event) -> None:
+        self._parts = parts
+        self._may_end = may_end
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._parts)
+
+    def close(self) -> None:
+        self._may_end.wait(HOLD_MAX_S)
+
+
+class HoldingApp(HttpApp):
+    """Holds the handling of each request after its reply has been sent."""
+
+    def __init__(self) -> None:
+        super().__init__(None)
+        self.may_end = threading.Event()
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> HeldReply:
+        return HeldReply(list(super().__call__(environ, start_response)), self.may_end)
 
 
 class Port:
     """A port whose only route answers with the size of the body."""
 
-    def __init__(self) -> None:
+    def __init__(self, app: HttpApp | None = None) -> None:
         self.address = ("127.0.0.1", get_free_port())
-        app = HttpApp(None)
+        app = app or HttpApp(None)
         app.add("POST", "/size", lambda request: HttpReply.from_json("200 OK", len(request.body)))
         HttpServer(app, Address(*self.address), bodies_max_bytes=BODIES_MAX_BYTES).start()
 
@@ -53,6 +83,17 @@
             assert port.call(60 * KB) == (200, b"%d" % (60 * KB))
         wait_until(lambda: port.call(128 * KB)[0] == 200)
 
+    # Guards against a body that is refused although the one before it has been answered: a thread
+    # may be held between sending a reply and ending its request.
+    def test_body_has_room_once_the_one_before_it_has_been_answered(self) -> None:
+        app = HoldingApp()
+        port = Port(app)
+        try:
+            for _ in range(3):
+                assert port.call(BODIES_MAX_BYTES) == (200, b"%d" % BODIES_MAX_BYTES)
+        finally:
+            app.may_end.set()
+
     def test_body_in_chunks_is_refused_beyond_the_bound(self) -> None:
         port = Port()
         with port.stop_short(BODIES_MAX_BYTES - 128 * KB):
