Split the socket of a caller from its connection

What receives with a timeout, widens the kernel's buffer, discards what comes after the last answer and closes is now CallerSocket, in a module of its own; the connection keeps requests, turns and the decision to end. Behaviour is the same: the tests of server, caller, connections, sockets, pipelining and bodies pass before and after, with only the place of four imports and of three mutants changed.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import math
 import socket
 import threading
@@ -18,46 +17,32 @@
 from waitress.adjustments import Adjustments
 
 from coltsfootrill.clock import Clock
-from coltsfootrill.early_listener import RECEIVE_BUFFER_BYTES
 from coltsfootrill.manifest.model import DEADLINE_MAX_MS
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.body_budget import BodyReservation
+from coltsfootrill.proxy.caller_socket import RECEIVE_BYTES
+from coltsfootrill.proxy.caller_socket import CallerSocket
 from coltsfootrill.proxy.eviction import ConnectionState
 from coltsfootrill.proxy.request_parser import RequestParser
 from coltsfootrill.proxy.sending import WRITE_TIMEOUT_MS
 from coltsfootrill.proxy.sending import Sender
 from coltsfootrill.proxy.sending import UnreadAnswers
-from coltsfootrill.proxy.sockets import WIDE_RECEIVE_BUFFER_BYTES
 from coltsfootrill.proxy.sockets import has_unread_bytes
-from coltsfootrill.proxy.sockets import set_receive_buffer
-from coltsfootrill.proxy.sockets import set_receive_timeout
 from coltsfootrill.proxy.turns import Turn
 from coltsfootrill.proxy.turns import TurnOrder
 
-RECEIVE_BYTES = 64 * 1024
 # Received at a time where no memory is reserved for more.
 UNRESERVED_RECEIVE_BYTES = 8 * 1024
 # Smaller bodies arrive in a few parts of what the kernel holds for each connection.
 WIDE_BODY_MIN_BYTES = 128 * 1024
 # Fewer bytes of a request do not keep it from counting as stalled.
 PROGRESS_MIN_BYTES = 4 * 1024
-LINGER_MS = 500.0
-LINGER_MAX_MS = 2_000.0
-# What a caller sends after its refusal is discarded in steps with pauses, since a crowd would keep
-# the interpreter from other requests. For the first few a step is large: a caller that reads only
-# once it has sent its whole body gets its answer.
-DISCARD_PAUSE_MS = 20.0
-WIDE_STEP_BYTES = 2 * 1024 * 1024
 # From the first byte of a request to its last.
 REQUEST_TIMEOUT_MS = 60_000.0
 PIPELINED_REQUESTS_MAX_COUNT = 8
 TURN_WAIT_MAX_MS = DEADLINE_MAX_MS + WRITE_TIMEOUT_MS
-# Bytes that are discarded; what threads write here at the same time is never read.
-_DISCARDED = bytearray(RECEIVE_BYTES)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-
-
 # The caller has closed, no request came, one did not arrive in time, or another thread decided it.
 EndCause = Literal["caller", "idle", "stalled", "evicted", "stopping"]
 
@@ -75,32 +60,26 @@
         "_is_ended_idle",
         "_is_lingering",
         "_is_receiving",
-        "_is_wide",
         "_order",
         "_reservation",
         "_sender",
-        "_timeout_ms",
+        "_socket",
         "_unparsed",
         "_users",
         "_users_lock",
         "active_ms",
-        "discarded_bytes",
         "dropped_count",
         "end_cause",
         "is_evicted",
-        "sock",
     )
 
     def __init__(
         self, sock: socket.socket, clock: Clock, unread: UnreadAnswers | None = None
     ) -> None:
-        self.sock = sock
+        self._socket = CallerSocket(sock, clock)
         self._clock = clock
         self._sender = Sender(sock, clock, unread or UnreadAnswers())
         self._unparsed = b""
-        self._timeout_ms = 0.0
-        # Whether the kernel may hold more than the listener has set.
-        self._is_wide = False
         self._is_receiving = False
         self._order = TurnOrder()
         self._users_lock = threading.Lock()
@@ -114,11 +93,19 @@
         self.end_cause: EndCause | None = None
         # Requests that were read whole and got no turn.
         self.dropped_count = 0
-        # Received after the end was decided, and not looked at.
-        self.discarded_bytes = 0
         # When it opened, a request arrived, or ``PROGRESS_MIN_BYTES`` more of one.
         self.active_ms = clock.now_ms()
 
+    @property
+    def sock(self) -> socket.socket:
+        """Return the socket."""
+        return self._socket.sock
+
+    @property
+    def discarded_bytes(self) -> int:
+        """Return how many bytes were received after the last answer and not looked at."""
+        return self._socket.discarded_bytes
+
     @property
     def state(self) -> ConnectionState:
         """Return what the connection does."""
@@ -183,12 +170,8 @@
         self._unparsed = b""
         while not parser.completed:
             if not data:
-                is_receiving = self._is_receiving
-                self._set_timeout(
-                    limits.receive_timeout_ms if is_receiving else limits.idle_timeout_ms
-                )
                 room_bytes = max(UNRESERVED_RECEIVE_BYTES, parser.room_bytes)
-                data = self._receive_some(min(room_bytes, RECEIVE_BYTES))
+                data = self._receive_some(min(room_bytes, RECEIVE_BYTES), limits)
                 if not data:
                     return self._end_stream(parser)
             progress_bytes += len(data)
@@ -210,39 +193,25 @@
         self._unparsed = data
         return parser
 
-    def _receive_some(self, count_max: int) -> bytes:
-        """Return received bytes, none if no request follows; raise ``OSError`` if one has stalled.
-
-        This thread may run again long after a receive has ended, so what has arrived meanwhile
-        still counts.
-        """
+    def _receive_some(self, count_max: int, limits: CallerLimits) -> bytes:
+        """Return received bytes, none if no more follow; raise ``OSError`` if a request stalls."""
         while True:
-            try:
-                data = self.sock.recv(count_max)
-                has_timed_out = False
-            except BlockingIOError:
-                data = b""
-                has_timed_out = True
-            data = data or self._receive_now(count_max)
+            is_receiving = self._is_receiving
+            timeout_ms = limits.receive_timeout_ms if is_receiving else limits.idle_timeout_ms
+            data = self._socket.receive(count_max, timeout_ms)
             if data:
                 return data
-            if not has_timed_out:
+            if data is not None:
                 self._end_reading("caller")
                 return b""
-            if self._is_receiving:
+            if is_receiving:
                 self.end_cause = self.end_cause or "stalled"
                 raise TimeoutError("a request has stalled")
+            # While an earlier request is being answered, the connection is not idle.
             if not self._order.is_busy:
                 self._end_reading("idle")
                 return b""
 
-    def _receive_now(self, count_max: int) -> bytes:
-        """Return what has arrived already, which may be nothing."""
-        try:
-            return self.sock.recv(count_max, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return b""
-
     def _end_reading(self, cause: EndCause) -> None:
         """Let an idle caller see the end at once, before it sends another request."""
         self.end_cause = self.end_cause or cause
@@ -256,18 +225,12 @@
         The connection closes after its answer, since what the kernel may hold is not taken back
         from a sender at once.
         """
-        if self._is_wide or parser.completed or reservation.reserved_bytes < WIDE_BODY_MIN_BYTES:
+        is_large = reservation.reserved_bytes >= WIDE_BODY_MIN_BYTES
+        if self._socket.is_wide or parser.completed or not is_large:
             return
-        if self._widen(reservation.budget):
+        if self._socket.widen(reservation.budget):
             parser.connection_close = True
 
-    def _widen(self, budget: BodyBudget) -> bool:
-        """Let the kernel hold more unread until the connection is closed; return whether it may."""
-        if not self._is_wide and budget.take_wide():
-            self._is_wide = True
-            set_receive_buffer(self.sock, WIDE_RECEIVE_BUFFER_BYTES)
-        return self._is_wide
-
     def _check_duration(self, until_ms: float) -> float:
         """Return until when a request that is still incomplete has to be received.
 
@@ -293,7 +256,7 @@
         """
         if self._is_lingering:
             self.is_evicted = True
-            self._shut_down(socket.SHUT_RDWR)
+            self._socket.shut_down(socket.SHUT_RDWR)
             return True
         if has_unread_bytes(self.sock):
             self.active_ms = self._clock.now_ms()
@@ -310,14 +273,9 @@
         if not self._order.ask_to_close():
             return False
         self.end_cause = self.end_cause or cause
-        self._shut_down(socket.SHUT_RD)
+        self._socket.shut_down(socket.SHUT_RD)
         return True
 
-    def _shut_down(self, how: int) -> None:
-        with contextlib.suppress(OSError):
-            # The caller may have closed the connection already.
-            self.sock.shutdown(how)
-
     def _send_continue(self, timeout_ms: float) -> bool:
         """Ask for the body of a request; return whether the connection takes more requests.
 
@@ -395,7 +353,7 @@
     def abort(self, cause: str) -> None:
         """Send and receive nothing more, and end all waits."""
         self._order.fail(cause)
-        self._shut_down(socket.SHUT_RDWR)
+        self._socket.shut_down(socket.SHUT_RDWR)
 
     def release(self) -> bool:
         """Decrement the count of threads using the connection; return whether it reached zero."""
@@ -409,41 +367,19 @@
             self._users += 1
 
     def linger(self, budget: BodyBudget) -> None:
-        """Shut down sending, then discard received bytes until the caller closes.
+        """Wait until the caller closes, so that it does not lose the last answer.
 
-        Closing a socket with unread bytes of a rejected request would reset the connection, and
-        the caller could lose the answer that rejects it. After an idle connection there is no such
-        answer: a request that comes too late is left unread, so that its caller may repeat it.
+        After an idle connection there is no such answer: a request that comes too late is left
+        unread, so that its caller may repeat it.
         """
         self.active_ms = self._clock.now_ms()
         self._is_lingering = True
-        if self._is_ended_idle:
-            return
-        self.sock.shutdown(socket.SHUT_WR)
-        self.sock.settimeout(LINGER_MS / 1000)
-        until_ms = self._clock.now_ms() + LINGER_MAX_MS
-        if not self._discard_step(RECEIVE_BYTES, until_ms):
-            return
-        step_bytes = WIDE_STEP_BYTES if self._widen(budget) else RECEIVE_BUFFER_BYTES
-        while self._discard_step(step_bytes, until_ms):
-            self._clock.sleep_ms(DISCARD_PAUSE_MS)
+        if not self._is_ended_idle:
+            self._socket.discard_until_closed(budget)
 
     def close(self, budget: BodyBudget) -> None:
         """Close the socket, and free what it has of ``budget``."""
-        self.sock.close()
-        if self._is_wide:
-            self._is_wide = False
-            budget.release_wide()
-
-    def _discard_step(self, step_bytes: int, until_ms: float) -> bool:
-        """Discard up to ``step_bytes``; return whether more may come before ``until_ms``."""
-        while step_bytes > 0:
-            count = self.sock.recv_into(_DISCARDED)
-            self.discarded_bytes += count
-            if not count or self._clock.now_ms() >= until_ms:
-                return False
-            step_bytes -= count
-        return True
+        self._socket.close(budget)
 
     def _shut_down_if_over(self) -> bool:
         """Shut down sending once the last answer that may be is sent; return whether it is.
@@ -453,12 +389,5 @@
         """
         if not self._order.is_over:
             return False
-        self._shut_down(socket.SHUT_WR)
+        self._socket.shut_down(socket.SHUT_WR)
         return True
-
-    def _set_timeout(self, timeout_ms: float) -> None:
-        """Set the kernel's receive timeout, which needs no system call before each receive."""
-        if timeout_ms == self._timeout_ms:
-            return
-        self._timeout_ms = timeout_ms
-        set_receive_timeout(self.sock, timeout_ms)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -719,7 +719,7 @@
     ),
     Mutant(
         "what refused callers send on is discarded with pauses",
-        "proxy/caller.py",
+        "proxy/caller_socket.py",
         "            self._clock.sleep_ms(DISCARD_PAUSE_MS)\n",
         "            pass\n",
         "testing/proxy/test_caller.py::TestDiscarding",
@@ -1247,16 +1247,16 @@
     ),
     Mutant(
         "a request that arrives before an idle connection closes is answered",
-        "proxy/caller.py",
-        "            data = data or self._receive_now(count_max)\n",
-        "",
+        "proxy/caller_socket.py",
+        "        return data or self._receive_now(count_max) or data\n",
+        "        return data\n",
         SERVER + "RequestAtTheEnd",
     ),
     Mutant(
         "nothing is read after the end of an idle connection",
         "proxy/caller.py",
-        "        if self._is_ended_idle:\n            return\n",
-        "",
+        "        if not self._is_ended_idle:\n",
+        "        if True:\n",
         SERVER + "RequestAtTheEnd",
     ),
     Mutant(
--- a/testing/proxy/test_caller.py
+++ b/testing/proxy/test_caller.py
@@ -16,11 +16,11 @@
 from coltsfootrill.manifest.model import CallerLimits
 from coltsfootrill.proxy.body_budget import WIDE_MAX_COUNT
 from coltsfootrill.proxy.body_budget import BodyBudget
-from coltsfootrill.proxy.caller import DISCARD_PAUSE_MS
-from coltsfootrill.proxy.caller import LINGER_MAX_MS
-from coltsfootrill.proxy.caller import RECEIVE_BYTES
-from coltsfootrill.proxy.caller import WIDE_STEP_BYTES
 from coltsfootrill.proxy.caller import CallerConnection
+from coltsfootrill.proxy.caller_socket import DISCARD_PAUSE_MS
+from coltsfootrill.proxy.caller_socket import LINGER_MAX_MS
+from coltsfootrill.proxy.caller_socket import RECEIVE_BYTES
+from coltsfootrill.proxy.caller_socket import WIDE_STEP_BYTES
 from testing.processes import wait_until
 
 TURN_COUNT = 4
