Hold a test's upstream until a request has been refused

What was seen: test_requests_that_would_miss_their_deadline_are_refused_and_others_answered failed once beside load; its output is lost. Cause, one of two found: 40 callers at once are to overflow 3 slots of 100 ms and a queue of 8. If the thread that accepts is held so that they arrive over more than 1 s, each finds a place, and none is refused. The test is at fault: the product has room for them all. Change: the upstream answers its first requests only once one has been refused, after 1 s at most, so the speed of arrival no longer decides. That the refusal comes within that second is asserted too, since an endless queue that refuses at the deadline would otherwise pass. The deadline, slots, queue and all expectations are as they were. Open: with the upstream's thread late by 1 s a request ends as unknown, which is right, and the test fails.

--- a/testing/proxy/test_outcomes.py
+++ b/testing/proxy/test_outcomes.py
@@ -18,9 +18,12 @@
 from testing.proxy.fakes import send_raw
 from testing.proxy.fakes import stay_silent
 from testing.proxy.instance import Instance
+from testing.proxy.instance import Reply
 from testing.proxy.instance import make_manifest
 
 Serve = Callable[..., ScriptedUpstream]
+# Leaves time for answers within the deadline of 1.5 s.
+REFUSAL_MAX_S = 1.0
 SHED = answer(b"", status="503 Service Unavailable", extra="upstream-shed: 1\r\n")
 
 
@@ -409,14 +412,27 @@
     def test_requests_that_would_miss_their_deadline_are_refused_and_others_answered(
         self, instance: Instance, serve: Serve
     ) -> None:
+        has_refused = threading.Event()
+        was_refused_in_time: list[bool] = []
+
         def script(sock: socket.socket, head: bytes, number: int) -> bool:
+            # Beside load the requests arrive one by one, and there must be too many at a time.
+            was_refused_in_time.append(has_refused.wait(REFUSAL_MAX_S))
             time.sleep(0.1)
             sock.sendall(encode())
             return True
 
+        def call(_: int) -> Reply:
+            reply = instance.call("/once", method="POST")
+            if reply.outcome == "not-run":
+                has_refused.set()
+            return reply
+
         serve(script)
         with ThreadPoolExecutor(40) as pool:
-            replies = list(pool.map(lambda _: instance.call("/once", method="POST"), range(40)))
+            replies = list(pool.map(call, range(40)))
+        # A full queue refuses at once, not only when the deadline has come near.
+        assert all(was_refused_in_time)
         outcomes = {reply.outcome for reply in replies}
         assert outcomes == {"answered", "not-run"}
         refused = [reply for reply in replies if reply.outcome == "not-run"]
