Log no request behind an answer that announces the end

The line would have been taken for a fault. Now it is left out once an answer has announced the end. Before: the new test finds the line. After: there is none, and the test that a dropped request is logged passes as before. The docstring of answer promised that no request read is left unanswered; it now says which one is behind the last answer.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -70,6 +70,7 @@
         "active_ms",
         "dropped_count",
         "end_cause",
+        "is_end_announced",
         "is_evicted",
     )
 
@@ -91,6 +92,8 @@
         self.is_evicted = False
         # Why no further request is read, once that is decided.
         self.end_cause: EndCause | None = None
+        # Whether an answer was made that tells its caller that it is the last one.
+        self.is_end_announced = False
         # Requests that were read whole and got no turn.
         self.dropped_count = 0
         # When it opened, a request arrived, or ``PROGRESS_MIN_BYTES`` more of one.
@@ -327,7 +330,7 @@
         """Send the answer of a turn once all before it are sent; return whether it was the last.
 
         ``encode`` receives whether the connection closes after this answer. The connection closes
-        only after the last request that was read, so that no request read is left unanswered.
+        only after the last request that has a turn; one that gets none is behind that answer.
         Nothing more is sent after an answer that could not be, or that would have to wait for
         ``wait_max_ms`` without any before it being sent. ``on_wait`` is called if it has to wait,
         for those before or for the caller to read it.
@@ -338,6 +341,7 @@
             if not self._order.wait_to_send(turn, timeout_ms=wait_max_ms):
                 return True
             is_last = wants_close() and self._order.close_if_newest(turn)
+            self.is_end_announced = self.is_end_announced or is_last
             self._sender.send(encode(is_last), on_wait=on_wait)
         except OSError as error:
             if isinstance(error, TimeoutError):
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -375,8 +375,8 @@
 
 def _log_unanswered(connection: CallerConnection) -> None:
     """Log that a connection ended with requests, or bytes of some, that got no answer."""
-    if connection.end_cause is None and not connection.dropped_count:
-        # Callers were told with the last answer that it is the last one.
+    if connection.is_end_announced:
+        # What callers send behind the last answer counts as not read.
         return
     if connection.dropped_count or connection.discarded_bytes:
         logging.warning(
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -544,6 +544,23 @@
 
 
 class TestUnansweredRequests:
+    # Guards against a line in the log for a request behind an answer that announces the end.
+    def test_a_request_behind_the_last_answer_is_not_logged(
+        self, handler: Handler, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        ours, theirs = socket.socketpair()
+        connection = CallerConnection(ours, Clock())
+        turn = connection.take_turn()
+        assert turn is not None
+        with turn:
+            assert connection.answer(turn, lambda is_last: b"last", wants_close=lambda: True)
+        with theirs:
+            theirs.sendall(REQUEST)
+            _make_server(handler)._serve(connection)
+            assert _read_all(theirs) == b"last"
+        assert handler.count == 0
+        assert "requests unanswered" not in caplog.text
+
     # Guards against a connection that ends with a request received and leaves no trace in the log.
     def test_a_request_that_arrives_after_the_end_is_logged(
         self, handler: Handler, caplog: pytest.LogCaptureFixture
