Judge each request on kept, idle connections in the soak

The soak could not find it. Cause: its callers paused for 30 ms at most, its manifests always stated an idle timeout of 15 s, and a request without an answer was judged only in runs of planned operations, and only if an upstream had executed it. Change: 12 callers keep connections to nodes idle for 0.75 to 1.1 of the idle timeout last acknowledged, half of the time for 0.99 to 1.03, and then send a request. Manifests state 300, 500 or 800 ms at random, and a tenth of them have 1,000 more routes. A violation: a connection on which a request was answered before ends without a whole answer more than 200 ms after the last byte, or at any time if the request reached an upstream. Excluded: a caller that gives up after 4 s, an end seen before sending, and nodes that got SIGKILL, SIGSTOP or SIGCONT from 3 s before the last byte until the end; SIGTERM excuses nothing. Nodes record the signals sent to them. The callers go to the nodes without a proxy, so that no fault of a caller's link has to be excluded. Before: no such check. The tests of the judge pass.

--- a/testing/nodes.py
+++ b/testing/nodes.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
@@ -51,6 +52,8 @@
         self._seeds = seeds
         self._number = number
         self.process: subprocess.Popen[bytes] | None = None
+        # When which signals were sent, in milliseconds of the monotonic clock.
+        self.signals: list[tuple[float, signal.Signals]] = []
 
     def start(
         self, *, is_first_start: bool, seeds: list[str] | None = None, log: int | None = None
@@ -84,11 +87,12 @@
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         assert self.process is not None
+        self.signals.append((time.monotonic() * 1000, signal_number))
         self.process.send_signal(signal_number)
 
     def end(self, signal_number: signal.Signals = signal.SIGKILL) -> int:
         assert self.process is not None
-        self.process.send_signal(signal_number)
+        self.send_signal(signal_number)
         return self.process.wait(timeout=20)
 
     def is_alive(self) -> bool:
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -30,14 +30,15 @@
                 Path(name), seed, nodes=nodes, is_planned_only=is_planned_only, fault=node_fault
             )
             violations = soak.run(duration_s)
-            counts = " ".join(
-                f"{key}={value}" for key, value in soak.history.count_outcomes().items()
-            )
-            faults_count = len(soak.history.faults)
+            outcomes = soak.history.count_outcomes().items()
+            counts = " ".join(f"{key}={value}" for key, value in outcomes)
             changes = f"{soak.judge.acknowledged_count} changes, {soak.judge.judged_count} judged"
             changes += f", {soak.zones.acknowledged_count} evacuations"
             changes += f", {soak.cold_judge.judged_count} warm-ups judged"
-            print(f"seed {seed}: {faults_count} faults, {changes}, {counts}", flush=True)
+            changes += f", {soak.kept_judge.judged_count} requests on kept connections judged"
+            print(
+                f"seed {seed}: {len(soak.history.faults)} faults, {changes}, {counts}", flush=True
+            )
             for violation in violations:
                 print(f"  VIOLATED {violation}", flush=True)
             if violations:
@@ -45,8 +46,7 @@
                 for fault in soak.history.faults:
                     print(f"  fault {fault}")
                 for log in sorted(Path(name).glob("*.log")):
-                    copy = Path(f"soak-{seed}-{log.name}")
-                    copy.write_bytes(log.read_bytes())
+                    Path(f"soak-{seed}-{log.name}").write_bytes(log.read_bytes())
     print(f"{count} seeds, {violated_seeds} with a violated guarantee")
     return 1 if violated_seeds else 0
 
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -5,6 +5,8 @@
 import http.client
 import itertools
 import json
+import math
+import select
 import socket
 import threading
 import time
@@ -21,6 +23,7 @@
 from testing.soak.judge import ManifestJudge
 from testing.soak.judge import Probe
 from testing.soak.judge import list_routes
+from testing.soak.kept import KeptJudge
 from testing.soak.proxy import LINGER_RESET
 from testing.soak.proxy import FaultProxy
 
@@ -37,10 +40,12 @@
 FIRST_TRIES_COUNT = 40
 # An operator calls another node when one has not answered for so long.
 OPERATOR_TIMEOUT_S = 1.0
-ROUTES = [
-    route(),
-    route(name="r-2", pathPrefix="/y/", kind="safe", service="stock", timeoutMs=900),
-]
+IDLE_TIMEOUTS_MS = (300, 500, 800)
+# Shares of the idle timeout for which a connection is left idle.
+IDLE_SHARES = ((0.75, 1.1), (0.99, 1.03))
+LARGE_MANIFEST_SHARE = 0.1
+LARGE_MANIFEST_ROUTES_COUNT = 1_000
+ROUTES = [route(), route(name="r-2", pathPrefix="/y/", kind="safe", service="stock", timeoutMs=900)]
 _request_ids = itertools.count(1)
 
 
@@ -101,27 +106,35 @@
             "X-Attempt-Id": request_id,
             "X-Deadline-Milliseconds": str(DEADLINE_MS),
         }
-        status, body = 0, b""
+        status, body, sent_ms = 0, b"", math.nan
         try:
             if is_idempotent:
                 connection.request("GET", f"/y/{request_id}", headers=headers)
             else:
                 connection.request("POST", f"/x/{request_id}", body=b"order", headers=headers)
+            sent_ms = now_ms()
             response = connection.getresponse()
             body = response.read()
             status = response.status
             if response.will_close or self._random.random() < 0.1:
                 self._close_connection()
-        except (OSError, http.client.HTTPException):
+        except (OSError, http.client.HTTPException) as error:
+            sent_ms = math.nan if isinstance(error, TimeoutError) else sent_ms
             self._close_connection()
-        self._history.record_reply(request_id, Reply(status, body))
+        self._record_end(request_id, Reply(status, body), sent_ms=sent_ms)
+
+    def _record_end(self, request_id: str, reply: Reply, *, sent_ms: float) -> None:
+        """Record a reply; ``sent_ms`` is NaN for a request that was not sent or was given up."""
+        self._history.record_reply(request_id, reply)
+
+    def _choose_address(self) -> str:
+        self._node = self._random.choice(list(self._proxies))
+        return self._proxies[self._node].address
 
     def _connect(self) -> http.client.HTTPConnection:
         if self._connection is None:
-            self._node = self._random.choice(list(self._proxies))
-            host, _, port = self._proxies[self._node].address.partition(":")
             self._connection = http.client.HTTPConnection(
-                host, int(port), timeout=RECEIVE_TIMEOUT_S
+                self._choose_address(), timeout=RECEIVE_TIMEOUT_S
             )
         return self._connection
 
@@ -140,11 +153,10 @@
     pause_max_s = LEAVING_PAUSE_MAX_S
 
     def _act(self) -> None:
-        node = self._random.choice(list(self._proxies))
-        host, _, port = self._proxies[node].address.partition(":")
+        host, _, port = self._choose_address().partition(":")
         count = self._random.randint(PIPELINED_MIN_COUNT, PIPELINED_MAX_COUNT)
-        requests = b"".join(self._encode_next(node) for _ in range(count))
-        leave = self._random.choice([_close, _reset, _end_sending])
+        requests = b"".join(self._encode_next() for _ in range(count))
+        leave = self._random.choice([socket.socket.close, _reset, _end_sending])
         leave_after_s = self._random.uniform(0.0, LEAVE_AFTER_MAX_S)
         try:
             with socket.create_connection((host, int(port)), timeout=RECEIVE_TIMEOUT_S) as sock:
@@ -155,19 +167,15 @@
             # The node or the link has failed, or no answer came in time.
             return
 
-    def _encode_next(self, node: str) -> bytes:
+    def _encode_next(self) -> bytes:
         request_id = f"q{next(_request_ids)}"
-        self._history.record_request(request_id, is_idempotent=True, node=node)
+        self._history.record_request(request_id, is_idempotent=True, node=self._node)
         return (
             f"GET /y/{request_id} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request_id}\r\n"
             f"X-Deadline-Milliseconds: {DEADLINE_MS}\r\n\r\n"
         ).encode()
 
 
-def _close(sock: socket.socket) -> None:
-    sock.close()
-
-
 def _reset(sock: socket.socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
     sock.close()
@@ -223,6 +231,7 @@
         self._history = history
         self._judge = judge
         self.version = 0
+        self.idle_timeout_ms = 0
 
     def submit_first(self, timeout_s: float) -> None:
         """Submit manifests until one is accepted; raise ``TimeoutError`` after the timeout."""
@@ -264,21 +273,24 @@
         base = self.version
         version = base + self._random.randint(1, 3)
         change = self._judge.acknowledged_count + 1
-        first = route(
-            timeoutMs=self._random.choice([900, 1000, 1100]),
-            maxAttempts=self._random.choice([2, 3]),
-        )
+        timeout_ms = self._random.choice([900, 1000, 1100])
+        first = route(timeoutMs=timeout_ms, maxAttempts=self._random.choice([2, 3]))
         added = [
             route(name=f"n-{number}", pathPrefix=f"/n{number}/", kind="safe", service="stock")
             for number in list_routes(change)
         ]
         routes = [first, *ROUTES[1:], *added]
-        raw = encode_state(*routes, version=f"{version:08x}", services=SERVICES)
+        if self._random.random() < LARGE_MANIFEST_SHARE:
+            for number in range(LARGE_MANIFEST_ROUTES_COUNT):
+                routes.append(route(name=f"l-{number}", pathPrefix=f"/l{number}/"))
+        limits = {"idleTimeoutMs": self._random.choice(IDLE_TIMEOUTS_MS)}
+        raw = encode_state(*routes, version=f"{version:08x}", services=SERVICES, limits=limits)
         for _ in itertools.count() if tries_count is None else range(tries_count):
             node = self._random.choice(self._nodes)
             status = node.submit(raw, base, timeout_s=OPERATOR_TIMEOUT_S)
             if status == 200:
                 self.version = version
+                self.idle_timeout_ms = limits["idleTimeoutMs"]
                 self._history.record_acknowledged(version, raw)
                 self._judge.record_acknowledged(change)
                 return True
@@ -291,3 +303,40 @@
                 # The result is unknown, so the history records nothing about this version.
                 return False
         return False
+
+
+class KeptCaller(Caller):
+    """Leaves a connection idle for about the idle timeout before each request after the first."""
+
+    pause_max_s = 0.0
+
+    def __init__(
+        self, nodes: list[Node], operator: Operator, judge: KeptJudge, random: Random
+    ) -> None:
+        super().__init__({}, judge.history, random)
+        self._nodes = nodes
+        self._target = nodes[0]
+        self._operator = operator
+        self._judge = judge
+        self._is_kept = False
+
+    def _act(self) -> None:
+        if self._connection is not None:
+            share = self._random.uniform(*self._random.choice(IDLE_SHARES))
+            self._stopped.wait(share * self._operator.idle_timeout_ms / 1000)
+            poll = select.poll()
+            poll.register(self._connection.sock, select.POLLIN)
+            if poll.poll(0):  # Its end has come, or bytes that nobody has asked for.
+                self._close_connection()
+        self._is_kept = self._connection is not None
+        super()._act()
+
+    def _choose_address(self) -> str:
+        self._target = self._random.choice(self._nodes)
+        self._node = self._target.host
+        return f"{self._node}:{self._target.ports['callers']}"
+
+    def _record_end(self, request_id: str, reply: Reply, *, sent_ms: float) -> None:
+        if self._is_kept and not math.isnan(sent_ms):
+            self._judge.check(request_id, self._target, reply, sent_ms, now_ms())
+        super()._record_end(request_id, reply, sent_ms=sent_ms)
--- a/testing/soak/history.py
+++ b/testing/soak/history.py
@@ -5,8 +5,8 @@
 import math
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
-from collections.abc import Iterator
 
 # Statuses that state that a request was not executed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -58,9 +58,8 @@
 
     def overlaps(self, from_ms: float, until_ms: float) -> bool:
         """Return whether the node may have used stale state at some time in the given interval."""
-        return (
-            self._started_ms <= until_ms and from_ms <= self._ended_ms + STALE_AFTER_FREEZE_MAX_MS
-        )
+        ended_ms = self._ended_ms + STALE_AFTER_FREEZE_MAX_MS
+        return self._started_ms <= until_ms and from_ms <= ended_ms
 
 
 class History:
@@ -77,6 +76,8 @@
         self._freezes_by_node: dict[str, list[Freeze]] = {}
         self._departed_ms_by_upstream: dict[str, float] = {}
         self._acknowledged: list[tuple[float, int, bytes]] = []
+        # Requests that must be answered if they reached an upstream, also beside unplanned faults.
+        self.undisturbed_ids: set[str] = set()
         # How many requests reached upstreams that had left.
         self.late_count = 0
         self.violations: list[str] = []
@@ -131,20 +132,15 @@
         ``sent_ms`` is when the read was sent.
         """
         with self._lock:
-            versions = [
-                acknowledged
-                for at_ms, acknowledged, _ in self._acknowledged
-                if at_ms + MANIFEST_APPLY_MAX_MS < sent_ms
-            ]
-        if versions and version < max(versions):
-            newest = max(versions)
+            due_ms = sent_ms - MANIFEST_APPLY_MAX_MS
+            newest = max((due for at_ms, due, _ in self._acknowledged if at_ms < due_ms), default=0)
+        if version < newest:
             self.add_violation(f"{node} returned version {version} after {newest} was acknowledged")
 
     def get_newest_acknowledged(self) -> tuple[int, bytes]:
         """Return the newest acknowledged version and its bytes, or version 0 if there is none."""
         with self._lock:
-            newest = max(self._acknowledged, key=lambda entry: entry[1], default=(0.0, 0, b""))
-        return newest[1], newest[2]
+            return max((entry[1:] for entry in self._acknowledged), default=(0, b""))
 
     def add_violation(self, message: str) -> None:
         with self._lock:
@@ -168,10 +164,14 @@
                 continue
             if not self._is_idempotent_by_id[request_id]:
                 self._check_non_idempotent(request_id, executed, reply)
-            if is_planned_only and executed and (reply is None or reply.status == 0):
+            if reply is not None and reply.status != 0:
+                continue
+            if is_planned_only and executed:
                 self.add_violation(
                     f"{request_id} was executed but not answered, with planned operations only"
                 )
+            elif request_id in self.undisturbed_ids:
+                self.add_violation(f"{request_id} reached an upstream but was not answered")
 
     def _check_non_idempotent(
         self, request_id: str, executed: list[Run], reply: Reply | None
@@ -186,23 +186,18 @@
     def list_runs(self, upstream_id: str) -> list[tuple[Run, str]]:
         """Return the arrivals at an upstream, each with the node that its caller asked."""
         with self._lock:
-            runs = [run for of_request in self._runs_by_id.values() for run in of_request]
             return [
                 (run, self._node_by_request_id.get(run.request_id, ""))
+                for runs in self._runs_by_id.values()
                 for run in runs
                 if run.upstream_id == upstream_id
             ]
 
     def count_outcomes(self) -> dict[str, int]:
         """Count the requests sent, and the replies by status; ``cut`` is a failed connection."""
-        counts: dict[str, int] = {"sent": len(self._is_idempotent_by_id)}
-        for outcome in self._iterate_outcomes():
-            counts[outcome] = counts.get(outcome, 0) + 1
-        return counts
-
-    def _iterate_outcomes(self) -> Iterator[str]:
-        for reply in self._reply_by_id.values():
-            yield "cut" if reply.status == 0 else str(reply.status)
+        statuses = (reply.status for reply in self._reply_by_id.values())
+        outcomes = Counter("cut" if status == 0 else str(status) for status in statuses)
+        return {"sent": len(self._is_idempotent_by_id), **outcomes}
 
 
 def make_body(request_id: str) -> bytes:
--- /dev/null
+++ b/testing/soak/kept.py
@@ -0,0 +1,43 @@
+"""Checks that a request on a kept connection is answered, or that the connection ends at once."""
+
+from __future__ import annotations
+
+import signal
+
+from testing.nodes import Node
+from testing.soak.history import STALE_AFTER_FREEZE_MAX_MS
+from testing.soak.history import History
+from testing.soak.history import Reply
+
+# The connection of a request that crosses its end, and is not passed on, ends within this time.
+CROSSED_MAX_MS = 200.0
+
+
+class KeptJudge:
+    """Reports requests whose connection ended late; the history, those that reached an upstream.
+
+    ``judged_count`` counts those at undisturbed nodes, ``lost_count`` those that are reported.
+    """
+
+    def __init__(self, history: History) -> None:
+        self.history = history
+        self.judged_count = 0
+        self.lost_count = 0
+
+    def check(
+        self, request_id: str, node: Node, reply: Reply, sent_ms: float, at_ms: float
+    ) -> None:
+        """Check a request by when its last byte was sent, and its answer or the end came."""
+        since_ms = sent_ms - STALE_AFTER_FREEZE_MAX_MS
+        signals = [number for sent, number in list(node.signals) if since_ms <= sent <= at_ms]
+        # A node that stays suspended ends no connection, so it was killed or resumed meanwhile.
+        if any(number != signal.SIGTERM for number in signals):
+            return
+        self.judged_count += 1
+        self.history.undisturbed_ids.add(request_id)
+        if reply.status == 0 and at_ms - sent_ms > CROSSED_MAX_MS:
+            self.lost_count += 1
+            self.history.add_violation(
+                f"{request_id} got no answer and no refusal: {node.host} ended its connection "
+                f"{at_ms - sent_ms:.0f} ms after its last byte"
+            )
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -11,10 +11,12 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
+from typing import get_args
 
 from testing.nodes import Node
 from testing.nodes import find_free_ports
 from testing.soak.callers import Caller
+from testing.soak.callers import KeptCaller
 from testing.soak.callers import LeavingCaller
 from testing.soak.callers import Operator
 from testing.soak.callers import Prober
@@ -29,6 +31,7 @@
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
 from testing.soak.history import History
 from testing.soak.judge import ManifestJudge
+from testing.soak.kept import KeptJudge
 from testing.soak.links import NodeLinks
 from testing.soak.proxy import FaultProxy
 from testing.soak.upstreams import DEPARTURES
@@ -41,15 +44,7 @@
 UPSTREAMS_COUNT_BY_SERVICE = {"desk": 2, "stock": 4}
 # As deployed: requests that aren't idempotent reuse connections too.
 NODE_SETTINGS = "[upstreams]\nonce_idle_ms = 4000\n"
-BEHAVIOURS: tuple[Behaviour, ...] = (
-    "shed",
-    "full",
-    "close",
-    "hang",
-    "fail",
-    "extra-answer",
-    "late-copy",
-)
+FAULTY_BEHAVIOURS: list[Behaviour] = [name for name in get_args(Behaviour) if name != "good"]
 # Of restarted upstreams: a faulty version is often seen right after its start.
 RESTARTED_BEHAVIOURS: tuple[Behaviour, ...] = ("good", "late-copy", "late-copy", "late-copy")
 # Orders go to ``desk``.
@@ -64,6 +59,7 @@
 SEEDS_COUNT = 3
 CALLERS_COUNT = 8
 LEAVING_CALLERS_COUNT = 2
+KEPT_CALLERS_COUNT = 12
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 15.0
 # More than ``notice_ms``, ``stop_ms`` and the stop of the rest of the process together.
@@ -101,6 +97,7 @@
         self.zones = ZoneJudge(self.history, self.judge)
         self.history.on_run = self.zones.check
         self.cold_judge = ColdJudge(self.history, self.judge)
+        self.kept_judge = KeptJudge(self.history)
         self._nodes = [self._make_node(number) for number in range(1, nodes + 1)]
         self._nodes_max_count = len(hosts)
         self._proxies = {node.host: self._make_proxy(node) for node in self._nodes}
@@ -113,6 +110,10 @@
         self._callers = [
             Caller(self._proxies, self.history, self._derive_random()) for _ in range(CALLERS_COUNT)
         ]
+        self._callers += [
+            KeptCaller(self._nodes, self._operator, self.kept_judge, self._derive_random())
+            for _ in range(KEPT_CALLERS_COUNT)
+        ]
         if not is_planned_only:
             self._callers += [
                 LeavingCaller(self._proxies, self.history, self._derive_random())
@@ -132,11 +133,12 @@
 
     @property
     def late_count(self) -> int:
-        """Return how often a node was found to act on what is outdated.
+        """Return how often a node was found to act on what is outdated, or to lose a request.
 
         That is a manifest, an order, or an upstream that has left.
         """
-        return self.judge.late_count + self.zones.late_count + self.history.late_count
+        outdated_count = self.judge.late_count + self.zones.late_count + self.history.late_count
+        return outdated_count + self.kept_judge.lost_count
 
     def run(self, duration_s: float, *, ends_once_late: bool = False) -> list[str]:
         """Run for ``duration_s`` and return the violated guarantees.
@@ -166,15 +168,8 @@
         self._links.write(host, links)
         seeds = [f"{voter}:{self._ports['interface']}" for voter in self._voters]
         program = ("-P", str(LINKED_NODE), str(links), self._fault)
-        return Node(
-            number,
-            self._folder,
-            self._ports,
-            seeds,
-            network=NETWORK,
-            settings=NODE_SETTINGS,
-            program=program,
-        )
+        options = {"network": NETWORK, "settings": NODE_SETTINGS}
+        return Node(number, self._folder, self._ports, seeds, program=program, **options)
 
     def _make_proxy(self, node: Node) -> FaultProxy:
         return FaultProxy((node.host, self._ports["callers"]))
@@ -192,8 +187,7 @@
             node.start(is_first_start=True)
         self._operator.submit_first(START_TIMEOUT_S)
         for service, count in UPSTREAMS_COUNT_BY_SERVICE.items():
-            for _ in range(count):
-                self._add_upstream(service)
+            self._upstreams += [self._make_upstream(service) for _ in range(count)]
         self._wait_until_serving()
         for worker in [self._operator, self._zone_operator, *self._callers, *self._probers]:
             worker.start()
@@ -274,10 +268,10 @@
             proxy.close()
         self._links.close()
 
-    def _add_upstream(self, service: str) -> None:
-        name = self._make_upstream_id(service)
-        self._upstreams.append(
-            SoakUpstream(name, service, self._nodes, self.history, self._derive_random())
+    def _make_upstream(self, service: str, *, has_heartbeats: bool = True) -> SoakUpstream:
+        name, random = self._make_upstream_id(service), self._derive_random()
+        return SoakUpstream(
+            name, service, self._nodes, self.history, random, has_heartbeats=has_heartbeats
         )
 
     def _make_upstream_id(self, service: str) -> str:
@@ -408,9 +402,8 @@
         prober.start()
 
     def _replace_upstream(self) -> None:
-        upstream = self._random.choice(self._upstreams)
-        self._upstreams.remove(upstream)
-        self._add_upstream(upstream.service)
+        upstream = self._upstreams.pop(self._random.randrange(len(self._upstreams)))
+        self._upstreams.append(self._make_upstream(upstream.service))
         departure = self._random.choice(DEPARTURES)
         self.history.record_fault(f"{upstream.name} leaves: {departure}")
         self._start_thread(lambda: upstream.leave(departure))
@@ -418,17 +411,9 @@
     def _call_off_start(self) -> None:
         """Let an upstream leave before anybody has heard of it; its first heartbeat is late."""
         service = self._random.choice(list(UPSTREAMS_COUNT_BY_SERVICE))
-        name = self._make_upstream_id(service)
-        upstream = SoakUpstream(
-            name,
-            service,
-            self._nodes,
-            self.history,
-            self._derive_random(),
-            has_heartbeats=False,
-        )
+        upstream = self._make_upstream(service, has_heartbeats=False)
         self._called_off.append(upstream)
-        self.history.record_fault(f"{name} starts and leaves at once")
+        self.history.record_fault(f"{upstream.name} starts and leaves at once")
         self._start_thread(lambda: upstream.leave("call-off"))
 
     def _disturb_caller_link(self) -> None:
@@ -445,19 +430,17 @@
         self.history.record_fault(f"{name}: {mode} {pause_s:.1f} s")
 
         def run() -> None:
-            if mode == "reset":
-                proxy.reset_all()
-                return
-            proxy.mode = mode  # type: ignore[assignment]
-            time.sleep(pause_s)
-            proxy.mode = "pass"
+            if mode != "reset":
+                proxy.mode = mode  # type: ignore[assignment]
+                time.sleep(pause_s)
+                proxy.mode = "pass"
             proxy.reset_all()
 
         self._start_thread(run)
 
     def _change_upstream_behaviour(self) -> None:
         upstream = self._random.choice(self._upstreams)
-        behaviour = self._random.choice(BEHAVIOURS)
+        behaviour = self._random.choice(FAULTY_BEHAVIOURS)
         pause_s = self._random.uniform(0.3, 3.0)
         self.history.record_fault(f"{upstream.name}: {behaviour} {pause_s:.1f} s")
 
--- a/testing/soak/test_history.py
+++ b/testing/soak/test_history.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import signal
+from pathlib import Path
+
 import pytest
 
+from testing.nodes import Node
 from testing.soak.conftest import FakeTime
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
 from testing.soak.history import STALE_AFTER_FREEZE_MAX_MS
@@ -12,6 +16,8 @@
 from testing.soak.history import Reply
 from testing.soak.history import Run
 from testing.soak.history import make_body
+from testing.soak.kept import CROSSED_MAX_MS
+from testing.soak.kept import KeptJudge
 
 
 def _run(request_id: str, *, is_executed: bool = True) -> Run:
@@ -89,6 +95,35 @@
         ]
 
 
+class TestKeptConnections:
+    @pytest.mark.parametrize(
+        ("status", "after_ms", "has_run", "name", "count"),
+        [
+            (0, CROSSED_MAX_MS, False, "SIGTERM", 0),
+            (0, CROSSED_MAX_MS + 1, False, "SIGTERM", 1),
+            (503, CROSSED_MAX_MS + 1, True, "SIGTERM", 0),
+            (0, 1, True, "SIGTERM", 1),
+            (0, CROSSED_MAX_MS + 1, True, "SIGKILL", 0),
+            (0, CROSSED_MAX_MS + 1, True, "SIGCONT", 0),
+        ],
+    )
+    def test_a_request_is_answered_or_its_connection_ends_at_once(
+        self, tmp_path: Path, status: int, after_ms: float, has_run: bool, name: str, count: int
+    ) -> None:
+        history = History()
+        history.record_request("q1", is_idempotent=True, node="n1")
+        node = Node(1, tmp_path, {}, [])
+        # A fault excuses a request for some time, the former one no longer.
+        node.signals = [(-1, signal.SIGKILL), (0, signal.Signals[name])]
+        if has_run:
+            history.record_run(_run("q1", is_executed=False))
+        sent_ms = STALE_AFTER_FREEZE_MAX_MS
+        KeptJudge(history).check("q1", node, _reply(status), sent_ms, sent_ms + after_ms)
+        history.record_reply("q1", _reply(status))
+        history.check_final(is_planned_only=False)
+        assert len(history.violations) == count
+
+
 class TestDepartures:
     def test_an_upstream_receives_no_request_later_than_allowed_after_its_departure(
         self, time: FakeTime
