Put in a fault that drops requests as an idle connection ends

Cause: a soak that overlooks a dropped request looks like one without any, so the check needs a fault that it must find. The test of faults put in on purpose runs it too, and wants a request found to be lost.

--- a/testing/soak/linked_node.py
+++ b/testing/soak/linked_node.py
@@ -21,6 +21,7 @@
 from coltsfootrill.membership import view
 from coltsfootrill.membership.held_polls import HeldPolls
 from coltsfootrill.membership.messages import FollowReply
+from coltsfootrill.proxy.caller import CallerConnection
 from coltsfootrill.registry.departures import Departures
 from coltsfootrill.roles.manifest_sync import ManifestSync
 from coltsfootrill.start import main
@@ -28,6 +29,7 @@
 
 FETCHED_LATE_S = 3.0
 POLL_HELD_MS = 10_000
+CLOSED_LATE_S = 0.3
 
 
 def _wake_nobody() -> None:
@@ -62,11 +64,22 @@
     Departures.add = lambda self, departure, *, now_ms: "recorded"  # type: ignore[method-assign]
 
 
+def _drop_at_idle() -> None:
+    # Called once a receive has ended, as when the idle timeout has passed.
+    CallerConnection._receive_now = _find_nothing  # type: ignore[method-assign]
+
+
+def _find_nothing(connection: CallerConnection, count_max: int) -> bytes:
+    time.sleep(CLOSED_LATE_S)
+    return b""
+
+
 FAULT_BY_NAME: dict[str, Callable[[], None]] = {
     "wakes-nobody": _wake_nobody,
     "fetches-late": _fetch_late,
     "forgets-departures": _forget_departures,
     "tells-no-orders": _tell_no_orders,
+    "drops-at-idle": _drop_at_idle,
 }
 
 
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -30,4 +30,4 @@
     def test_a_fault_put_in_on_purpose_is_found(self, tmp_path: Path, fault: str) -> None:
         soak = Soak(tmp_path, 3, is_planned_only=True, fault=fault)
         soak.run(FAULTY_DURATION_MAX_S, ends_once_late=True)
-        assert soak.late_count
+        assert soak.kept_judge.lost_count if fault == "drops-at-idle" else soak.late_count
