--- a/testing/soak/linked_node.py
+++ b/testing/soak/linked_node.py
@@ -21,7 +21,7 @@
 from coltsfootrill.membership import view
 from coltsfootrill.membership.held_polls import HeldPolls
 from coltsfootrill.membership.messages import FollowReply
-from coltsfootrill.proxy.caller import CallerConnection
+from coltsfootrill.proxy.caller_socket import CallerSocket
 from coltsfootrill.registry.departures import Departures
 from coltsfootrill.roles.manifest_sync import ManifestSync
 from coltsfootrill.start import main
@@ -66,10 +66,10 @@
 
 def _drop_at_idle() -> None:
     # Called once a receive has ended, as when the idle timeout has passed.
-    CallerConnection._receive_now = _find_nothing  # type: ignore[method-assign]
+    CallerSocket._receive_now = _find_nothing  # type: ignore[method-assign]
 
 
-def _find_nothing(connection: CallerConnection, count_max: int) -> bytes:
+def _find_nothing(connection: CallerSocket, count_max: int) -> bytes:
     time.sleep(CLOSED_LATE_S)
     return b""
 
