Refuse a request of which only a part of the head came before the end

What callers saw: a request sent in two parts got neither an answer nor a refusal, beside a stop or when its connection gave its place away. Cause: a connection that is asked to close cannot be received from once its buffer is empty. A request whose head had been read was refused; one whose head had come in part was not, and lingering discarded the rest. Change: a request that has begun is refused as not-run, whatever has come of it. Before: the new test fails, the caller reads nothing. After: it passes, as do the modules server, caller, caller_connections and bodies.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -247,9 +247,9 @@
 
     def _end_stream(self, parser: RequestParser) -> RequestParser | None:
         """Return the request in progress as refused if the connection was asked to close."""
-        if not self.is_closing or not parser.headers_finished:
+        if not self.is_closing or not self._is_receiving:
             return None
-        parser.refuse_body()
+        parser.refuse()
         return parser
 
     def evict(self) -> bool:
--- a/src/coltsfootrill/proxy/request_parser.py
+++ b/src/coltsfootrill/proxy/request_parser.py
@@ -74,6 +74,12 @@
                 self.refuse_body()
         return consumed
 
+    def refuse(self) -> None:
+        """Complete a request of which not even the head may have arrived."""
+        if not self.headers_finished:
+            self.command = self.path = self.request_uri = ""
+        self.refuse_body()
+
     def refuse_body(self) -> None:
         """Complete the request without its body, for which there is no room."""
         self.is_body_refused = True
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -295,7 +295,7 @@
         """Return why a request is not accepted, ``None`` if it is."""
         if self._is_refusing:
             return "stopping"
-        if parsed.is_body_refused:
+        if parsed.is_body_refused and parsed.headers_finished:
             return "no-room-for-body"
         if connection.is_closing:
             return "too-many-connections"
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -448,6 +448,26 @@
         assert b"Connection: close" in _read_all(caller)
         assert handler.refusals == ["stopping"]
 
+    # Guards against a request that a stop cuts in the middle of its head, without a refusal.
+    def test_a_request_whose_head_arrives_in_two_parts_in_a_stop_is_refused(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        handler.may_end.set()
+        server = _make_server(handler)
+        connection = CallerConnection(ours, Clock())
+        ours.late_after = "bytes"
+
+        def stop_now() -> None:
+            server._is_refusing = True
+            assert connection.ask_to_close("stopping")
+
+        ours.on_late = stop_now
+        caller.sendall(REQUEST[:20])
+        server._serve(connection)
+        assert b"Connection: close" in _read_all(caller)
+        assert handler.refusals == ["stopping"]
+
     # Guards against a request that gives its place away and sees the end before it is refused.
     def test_a_request_that_gives_its_place_away_is_refused_however_soon_it_is_read(
         self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
