Apply the limits in force to the first request after a connection was idle

What callers saw: beside a change of the manifest, the first request on a kept connection was handled with the limits of the manifest before (413 although the body is allowed), and an idle connection ended at the timeout of the manifest before, while callers go by the new one. A line end behind a request counted as a request that has begun: the connection ended after the receive timeout, and the next request was received by lingering and dropped. Cause: limits and parser were taken before the wait for the first byte, which may take as long as the idle timeout, and the wait was part of the parsing. Change: the wait for a request comes first, with the idle timeout in force whenever a receive ends; the limits are taken once bytes have arrived; line ends before a request are no request. One test of connections that have closed calls the new method in place of receive. Before: the three new tests fail (413, connection ended, one of two answered). After: they pass, as do server, caller, caller_connections, pipelining and bodies.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -38,11 +38,15 @@
 WIDE_BODY_MIN_BYTES = 128 * 1024
 # Fewer bytes of a request do not keep it from counting as stalled.
 PROGRESS_MIN_BYTES = 4 * 1024
+# The kernel takes 0 for no timeout.
+TIMEOUT_MIN_MS = 1.0
 # From the first byte of a request to its last.
 REQUEST_TIMEOUT_MS = 60_000.0
 PIPELINED_REQUESTS_MAX_COUNT = 8
 TURN_WAIT_MAX_MS = DEADLINE_MAX_MS + WRITE_TIMEOUT_MS
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# May stand before a request and belongs to none.
+LINE_END = b"\r\n"
 # The caller has closed, no request came, one did not arrive in time, or another thread decided it.
 EndCause = Literal["caller", "idle", "stalled", "evicted", "stopping"]
 
@@ -144,14 +148,36 @@
         """Return why answers were not sent, empty if they were."""
         return self._order.failure
 
+    def wait_for_request(self, get_limits: Callable[[], CallerLimits]) -> bool:
+        """Wait until bytes of a request have arrived; return whether any have.
+
+        The idle timeout is that of the limits in force, also if these change meanwhile.
+        """
+        idle_since_ms = self._clock.now_ms()
+        timeout_ms: float = get_limits().idle_timeout_ms
+        while not self._unparsed:
+            data = self._socket.receive(UNRESERVED_RECEIVE_BYTES, timeout_ms)
+            self._unparsed = (data or b"").lstrip(LINE_END)
+            if self._order.is_busy:
+                # While an earlier request is being answered, the connection is not idle.
+                idle_since_ms = self._clock.now_ms()
+            timeout_ms = get_limits().idle_timeout_ms - (self._clock.now_ms() - idle_since_ms)
+            has_ended = data == b""
+            if not self._unparsed and (has_ended or timeout_ms < TIMEOUT_MIN_MS):
+                self._unparsed = self._end_reading("caller" if has_ended else "idle")
+                if not self._unparsed:
+                    return False
+        self._is_receiving = True
+        return True
+
     def receive(
         self, adjustments: Adjustments, limits: CallerLimits, budget: BodyBudget
     ) -> RequestParser | None:
         """Return the next request once it is parsed, ``None`` at the end of the stream.
 
         The caller of this method closes the request, which frees its share of ``budget``. Raises
-        ``OSError`` when no bytes arrive within the timeout of ``limits``, or when the request
-        takes longer than ``REQUEST_TIMEOUT_MS``.
+        ``OSError`` when no bytes arrive within ``receive_timeout_ms`` of ``limits``, or when the
+        request takes longer than ``REQUEST_TIMEOUT_MS``.
         """
         reservation = self._reservation = BodyReservation(budget)
         parser = None
@@ -174,7 +200,7 @@
         while not parser.completed:
             if not data:
                 room_bytes = max(UNRESERVED_RECEIVE_BYTES, parser.room_bytes)
-                data = self._receive_some(min(room_bytes, RECEIVE_BYTES), limits)
+                data = self._receive_more(min(room_bytes, RECEIVE_BYTES), limits)
                 if not data:
                     return self._end_stream(parser)
             progress_bytes += len(data)
@@ -193,34 +219,29 @@
                     return None
             if not parser.completed:
                 until_ms = self._check_duration(until_ms)
-        self._unparsed = data
+        self._unparsed = data.lstrip(LINE_END)
         return parser
 
-    def _receive_some(self, count_max: int, limits: CallerLimits) -> bytes:
-        """Return received bytes, none if no more follow; raise ``OSError`` if a request stalls."""
-        while True:
-            is_receiving = self._is_receiving
-            timeout_ms = limits.receive_timeout_ms if is_receiving else limits.idle_timeout_ms
-            data = self._socket.receive(count_max, timeout_ms)
-            if data:
-                return data
-            if data is not None:
-                self._end_reading("caller")
-                return b""
-            if is_receiving:
-                self.end_cause = self.end_cause or "stalled"
-                raise TimeoutError("a request has stalled")
-            # While an earlier request is being answered, the connection is not idle.
-            if not self._order.is_busy:
-                self._end_reading("idle")
-                return b""
-
-    def _end_reading(self, cause: EndCause) -> None:
+    def _receive_more(self, count_max: int, limits: CallerLimits) -> bytes:
+        """Return more bytes of a request, none at the end of the stream.
+
+        Raises ``TimeoutError`` if it has stalled.
+        """
+        data = self._socket.receive(count_max, limits.receive_timeout_ms)
+        if data is None:
+            self.end_cause = self.end_cause or "stalled"
+            raise TimeoutError("a request has stalled")
+        if not data:
+            self.end_cause = self.end_cause or "caller"
+        return data
+
+    def _end_reading(self, cause: EndCause) -> bytes:
         """Let an idle caller see the end at once, before it sends another request."""
         self.end_cause = self.end_cause or cause
-        if self.close_if_idle():
+        if not self.is_busy and self.close_if_idle():
             self._is_ended_idle = True
             self._shut_down_if_over()
+        return b""
 
     def _widen_if_large(self, parser: RequestParser, reservation: BodyReservation) -> None:
         """Let more of a large body arrive at a time, unless many others do.
@@ -247,7 +268,7 @@
 
     def _end_stream(self, parser: RequestParser) -> RequestParser | None:
         """Return the request in progress as refused if the connection was asked to close."""
-        if not self.is_closing or not self._is_receiving:
+        if not self.is_closing:
             return None
         parser.refuse()
         return parser
@@ -304,9 +325,9 @@
         return turn
 
     def close_if_idle(self) -> bool:
-        """Stop accepting requests unless one is in progress; return whether the connection is idle.
+        """Take no more turns unless a request is in progress; return whether there was none.
 
-        A request whose bytes arrive at the same moment gets no turn, so it is never processed.
+        Only the thread that reads calls this; others ask it to close the connection.
         """
         return not self._is_receiving and self._order.close_if_idle()
 
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -247,6 +247,9 @@
 
     def _serve_one(self, connection: CallerConnection) -> bool:
         """Receive and answer a request; return whether this thread also reads the next one."""
+        if not connection.wait_for_request(self._get_limits):
+            return False
+        # Those in force now: the manifest may have changed while the connection was idle.
         limits = self._update_limits()
         parsed = connection.receive(self._adjustments, limits, self._body_budget)
         if parsed is None:
--- a/testing/proxy/test_caller_connections.py
+++ b/testing/proxy/test_caller_connections.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterator
 
 import pytest
-from waitress.adjustments import Adjustments
 
 from coltsfootrill.clock import Clock
 from coltsfootrill.manifest.model import CallerLimits
@@ -82,7 +81,7 @@
         assert callers.connections.add(idle)
         assert [callers.add() for _ in range(COUNT_MAX - 1)] == [True] * (COUNT_MAX - 1)
         budget = BodyBudget(0)
-        assert idle.receive(Adjustments(), CallerLimits(idle_timeout_ms=1), budget) is None
+        assert not idle.wait_for_request(lambda: CallerLimits(idle_timeout_ms=1))
         callers.connections.linger(idle)
         idle.linger(budget)
         idle.close(budget)
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -56,7 +56,11 @@
     made.may_end.set()
 
 
-def _make_server(handler: Handler, limits: CallerLimits | None = None) -> CallerServer:
+def _make_server(
+    handler: Handler,
+    limits: CallerLimits | None = None,
+    get_limits: Callable[[], CallerLimits] | None = None,
+) -> CallerServer:
     in_force = limits or CallerLimits()
     return CallerServer(
         handler,
@@ -64,7 +68,7 @@
         requests_max=8,
         connections_max=8,
         body_budget=BodyBudget(0),
-        get_limits=lambda: in_force,
+        get_limits=get_limits or (lambda: in_force),
     )
 
 
@@ -558,6 +562,60 @@
             assert _read_all(caller).count(b"done") == 2
 
 
+class TestFirstRequestAfterIdling:
+    # Guards against a request that is handled with the limits of the manifest before.
+    def test_it_is_handled_with_the_limits_in_force(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        handler.may_end.set()
+        limits = [CallerLimits(body_max_bytes=3)]
+        server = _make_server(handler, get_limits=lambda: limits[-1])
+        reader = threading.Thread(target=server._serve, args=(CallerConnection(ours, Clock()),))
+        reader.start()
+        threading.Event().wait(0.1)
+        limits.append(CallerLimits())
+        caller.sendall(HEAD + b"body")
+        caller.shutdown(socket.SHUT_WR)
+        assert b"done" in _read_all(caller)
+        reader.join()
+
+    # Guards against an idle connection that ends at the timeout of the manifest before.
+    def test_a_connection_stays_idle_for_the_timeout_in_force(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        handler.may_end.set()
+        limits = [CallerLimits(idle_timeout_ms=200), CallerLimits(idle_timeout_ms=60_000)]
+        server = _make_server(handler, get_limits=lambda: limits[0])
+        reader = threading.Thread(target=server._serve, args=(CallerConnection(ours, Clock()),))
+        reader.start()
+        threading.Event().wait(0.1)
+        del limits[0]
+        threading.Event().wait(0.3)
+        _send(caller)
+        caller.shutdown(socket.SHUT_WR)
+        assert b"done" in _read_all(caller)
+        reader.join()
+
+    # Guards against a request that is dropped after a line end behind the one before, which counted
+    # as part of a request that has stalled.
+    def test_a_line_end_behind_a_request_leaves_the_connection_idle(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        handler.may_end.set()
+        server = _make_server(handler, CallerLimits(receive_timeout_ms=50))
+        reader = threading.Thread(target=server._serve, args=(CallerConnection(ours, Clock()),))
+        reader.start()
+        caller.sendall(REQUEST + b"\r\n")
+        threading.Event().wait(0.2)
+        _send(caller)
+        caller.shutdown(socket.SHUT_WR)
+        assert _read_all(caller).count(b"done") == 2
+        reader.join()
+
+
 def _send(caller: socket.socket) -> None:
     """Send a request; on loopback it has arrived once this returns."""
     caller.sendall(REQUEST)
