Look for a request without releasing the interpreter before the end

What callers saw: as before the look was there, if the thread waits long for the interpreter after it: a whole request, nothing back. Cause: each receive releases the interpreter, so any time may pass between the last look and the end. Change: the kernel's count of received bytes is read before the look and again directly before the end, which does not release the interpreter. If it has grown, the look is repeated. Where the system does not tell, it stays with the look. Before: the new test fails, a request that arrives after the look gets nothing. After: it is answered.

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -236,11 +236,16 @@
         return data
 
     def _end_reading(self, cause: EndCause) -> bytes:
-        """Let an idle caller see the end at once, before it sends another request."""
+        """Let an idle caller see the end, unless bytes have arrived; return these.
+
+        The end is sent at once, before the caller sends another request.
+        """
+        if not self.is_busy:
+            data = self._socket.end_if_empty(UNRESERVED_RECEIVE_BYTES)
+            if data:
+                return data
+            self._is_ended_idle = self.close_if_idle()
         self.end_cause = self.end_cause or cause
-        if not self.is_busy and self.close_if_idle():
-            self._is_ended_idle = True
-            self._shut_down_if_over()
         return b""
 
     def _widen_if_large(self, parser: RequestParser, reservation: BodyReservation) -> None:
--- a/src/coltsfootrill/proxy/caller_socket.py
+++ b/src/coltsfootrill/proxy/caller_socket.py
@@ -9,6 +9,7 @@
 from coltsfootrill.early_listener import RECEIVE_BUFFER_BYTES
 from coltsfootrill.proxy.body_budget import BodyBudget
 from coltsfootrill.proxy.sockets import WIDE_RECEIVE_BUFFER_BYTES
+from coltsfootrill.proxy.sockets import count_received_bytes
 from coltsfootrill.proxy.sockets import set_receive_buffer
 from coltsfootrill.proxy.sockets import set_receive_timeout
 
@@ -55,6 +56,21 @@
             data = None
         return data or self._receive_now(count_max) or data
 
+    def end_if_empty(self, count_max: int) -> bytes:
+        """Shut down sending unless something has arrived; return what has.
+
+        This thread may wait long for the interpreter after each receive. The count of the kernel
+        tells, directly before the end, whether anything has arrived since.
+        """
+        while True:
+            count = count_received_bytes(self.sock)
+            data = self._receive_now(count_max)
+            if data:
+                return data
+            if count_received_bytes(self.sock) == count:
+                self.shut_down(socket.SHUT_WR)
+                return b""
+
     def widen(self, budget: BodyBudget) -> bool:
         """Let the kernel hold more unread until the socket is closed; return whether it may."""
         if not self._is_wide and budget.take_wide():
--- a/src/coltsfootrill/proxy/sockets.py
+++ b/src/coltsfootrill/proxy/sockets.py
@@ -13,6 +13,10 @@
 # The kernel holds up to so many times the size that it is asked for.
 KERNEL_FACTOR = 2
 WIDE_ROOM_BYTES = KERNEL_FACTOR * WIDE_RECEIVE_BUFFER_BYTES
+# ``tcpi_bytes_received`` in the ``tcp_info`` of Linux, which only ever grows at its end.
+_BYTES_RECEIVED = struct.Struct("=Q")
+_BYTES_RECEIVED_OFFSET = 128
+_TCP_INFO_BYTES = _BYTES_RECEIVED_OFFSET + _BYTES_RECEIVED.size
 
 
 def has_unread_bytes(sock: socket.socket) -> bool:
@@ -26,6 +30,21 @@
     return bool(poller.poll(0))
 
 
+def count_received_bytes(sock: socket.socket) -> int | None:
+    """Return how many bytes of the stream have arrived in all, ``None`` if the system can't tell.
+
+    Unlike a receive this does not release the interpreter, so no time passes with the answer.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    except OSError:
+        return None
+    if len(info) < _TCP_INFO_BYTES:
+        return None
+    (count,) = _BYTES_RECEIVED.unpack_from(info, _BYTES_RECEIVED_OFFSET)
+    return int(count)
+
+
 def set_receive_buffer(sock: socket.socket, size_bytes: int) -> None:
     """Bound what the kernel holds unread, to ``KERNEL_FACTOR`` times this.
 
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -30,6 +30,8 @@
 from testing.processes import wait_until
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+# The receive that times out, and two more before the end.
+LOOKS_COUNT = 3
 # Of a request whose body follows.
 HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
 
@@ -360,6 +362,29 @@
         assert b"done" in _read_all(caller)
         assert handler.count == 1
 
+    # Guards against a request that arrives while the thread that has looked for it in vain waits
+    # for the interpreter, and gets no answer at all.
+    def test_a_request_that_arrives_after_the_last_look_is_answered(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    ) -> None:
+        ours, caller = late_pair
+        looks_count = 0
+
+        def send_after_last_look() -> None:
+            nonlocal looks_count
+            looks_count += 1
+            if looks_count == LOOKS_COUNT:
+                _send(caller)
+            else:
+                ours.on_late = send_after_last_look
+
+        ours.on_late = send_after_last_look
+        handler.may_end.set()
+        server = _make_server(handler, CallerLimits(idle_timeout_ms=50))
+        server._serve(CallerConnection(ours, Clock()))
+        assert b"done" in _read_all(caller)
+        assert handler.count == 1
+
     # Guards against a request that is read and dropped after its connection was closed as idle.
     def test_a_request_that_comes_after_the_end_is_not_read(
         self,
