Start the thread that reads a connection in one place of its tests

Five tests started the thread that serves a connection with the same two lines. Behaviour and assertions are the same; the module passes before and after.

--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -506,8 +506,7 @@
         server = _make_server(handler)
         connection = CallerConnection(ours, Clock())
         caller.sendall(HEAD)
-        reader = threading.Thread(target=server._serve, args=(connection,))
-        reader.start()
+        reader = _start_reader(server, connection)
         wait_until(lambda: connection.state == "receiving" and not has_unread_bytes(ours))
         ours.late_after = "shutdown"
         ours.on_late = lambda: wait_until(lambda: connection.state != "receiving")
@@ -525,8 +524,7 @@
         server = _make_server(handler, CallerLimits(receive_timeout_ms=50))
         connection = CallerConnection(ours, Clock())
         caller.sendall(REQUEST + HEAD)
-        reader = threading.Thread(target=server._serve, args=(connection,))
-        reader.start()
+        reader = _start_reader(server, connection)
         wait_until(lambda: connection.end_cause == "stalled")
         caller.sendall(b"body")
         handler.may_end.set()
@@ -596,8 +594,7 @@
         handler.may_end.set()
         limits = [CallerLimits(body_max_bytes=3)]
         server = _make_server(handler, get_limits=lambda: limits[-1])
-        reader = threading.Thread(target=server._serve, args=(CallerConnection(ours, Clock()),))
-        reader.start()
+        reader = _start_reader(server, CallerConnection(ours, Clock()))
         threading.Event().wait(0.1)
         limits.append(CallerLimits())
         caller.sendall(HEAD + b"body")
@@ -613,8 +610,7 @@
         handler.may_end.set()
         limits = [CallerLimits(idle_timeout_ms=200), CallerLimits(idle_timeout_ms=60_000)]
         server = _make_server(handler, get_limits=lambda: limits[0])
-        reader = threading.Thread(target=server._serve, args=(CallerConnection(ours, Clock()),))
-        reader.start()
+        reader = _start_reader(server, CallerConnection(ours, Clock()))
         threading.Event().wait(0.1)
         del limits[0]
         threading.Event().wait(0.3)
@@ -631,8 +627,7 @@
         ours, caller = late_pair
         handler.may_end.set()
         server = _make_server(handler, CallerLimits(receive_timeout_ms=50))
-        reader = threading.Thread(target=server._serve, args=(CallerConnection(ours, Clock()),))
-        reader.start()
+        reader = _start_reader(server, CallerConnection(ours, Clock()))
         caller.sendall(REQUEST + b"\r\n")
         threading.Event().wait(0.2)
         _send(caller)
@@ -641,6 +636,13 @@
         reader.join()
 
 
+def _start_reader(server: CallerServer, connection: CallerConnection) -> threading.Thread:
+    """Serve a connection in a thread of its own."""
+    reader = threading.Thread(target=server._serve, args=(connection,))
+    reader.start()
+    return reader
+
+
 def _send(caller: socket.socket) -> None:
     """Send a request; on loopback it has arrived once this returns."""
     caller.sendall(REQUEST)
