Look once for what has arrived, where it is needed, and prove each look

Found on rereading: after an idle end looked twice for a request, in receive and before the end. The mutant of the first look failed only because the test of the last one counted looks; without that look the request was still answered. Where the look of receive does matter, for a request of which a part has come, no test needed it. Change: receive no longer looks; the end of an idle connection looks as before, and so does the receipt of more of a request, with a test of its own. The test of the last look no longer counts. The fault of the soak follows the renamed method; no assertion has changed. Before: the new test fails without the look (shown by its mutant).

--- a/src/coltsfootrill/proxy/caller.py
+++ b/src/coltsfootrill/proxy/caller.py
@@ -158,12 +158,15 @@
         while not self._unparsed:
             data = self._socket.receive(UNRESERVED_RECEIVE_BYTES, timeout_ms)
             self._unparsed = (data or b"").lstrip(LINE_END)
+            if self._unparsed:
+                break
+            now_ms = self._clock.now_ms()
             if self._order.is_busy:
                 # While an earlier request is being answered, the connection is not idle.
-                idle_since_ms = self._clock.now_ms()
-            timeout_ms = get_limits().idle_timeout_ms - (self._clock.now_ms() - idle_since_ms)
+                idle_since_ms = now_ms
+            timeout_ms = get_limits().idle_timeout_ms - (now_ms - idle_since_ms)
             has_ended = data == b""
-            if not self._unparsed and (has_ended or timeout_ms < TIMEOUT_MIN_MS):
+            if has_ended or timeout_ms < TIMEOUT_MIN_MS:
                 self._unparsed = self._end_reading("caller" if has_ended else "idle")
                 if not self._unparsed:
                     return False
@@ -228,6 +231,8 @@
         Raises ``TimeoutError`` if it has stalled.
         """
         data = self._socket.receive(count_max, limits.receive_timeout_ms)
+        if not data:
+            data = self._socket.receive_now(count_max) or data
         if data is None:
             self.end_cause = self.end_cause or "stalled"
             raise TimeoutError("a request has stalled")
--- a/src/coltsfootrill/proxy/caller_socket.py
+++ b/src/coltsfootrill/proxy/caller_socket.py
@@ -29,32 +29,37 @@
     """The receiving side of a caller's connection, and its end.
 
     One thread at a time receives; others may shut it down. ``discarded_bytes`` were received
-    after the last answer and not looked at.
+    after the last answer and not looked at. ``is_wide`` is true once the kernel may hold more
+    unread than the listener has set.
     """
 
-    __slots__ = ("_clock", "_is_wide", "_timeout_ms", "discarded_bytes", "sock")
+    __slots__ = ("_clock", "_timeout_ms", "discarded_bytes", "is_wide", "sock")
 
     def __init__(self, sock: socket.socket, clock: Clock) -> None:
         self.sock = sock
         self._clock = clock
         self._timeout_ms = 0.0
-        # Whether the kernel may hold more than the listener has set.
-        self._is_wide = False
+        self.is_wide = False
         self.discarded_bytes = 0
 
     def receive(self, count_max: int, timeout_ms: float) -> bytes | None:
-        """Return received bytes, none at the end of the stream, ``None`` after ``timeout_ms``.
+        """Return received bytes, none at the end of the stream, ``None`` after ``timeout_ms``."""
+        self._set_timeout(timeout_ms)
+        try:
+            return self.sock.recv(count_max)
+        except BlockingIOError:
+            return None
+
+    def receive_now(self, count_max: int) -> bytes:
+        """Return what has arrived already, which may be nothing.
 
-        The thread may run again long after its receive has ended, so what has arrived meanwhile
+        A thread may run again long after its receive has ended, and what has arrived meanwhile
         still counts.
         """
-        self._set_timeout(timeout_ms)
-        data: bytes | None
         try:
-            data = self.sock.recv(count_max)
+            return self.sock.recv(count_max, socket.MSG_DONTWAIT)
         except BlockingIOError:
-            data = None
-        return data or self._receive_now(count_max) or data
+            return b""
 
     def end_if_empty(self, count_max: int) -> bytes:
         """Shut down sending unless something has arrived; return what has.
@@ -64,7 +69,7 @@
         """
         while True:
             count = count_received_bytes(self.sock)
-            data = self._receive_now(count_max)
+            data = self.receive_now(count_max)
             if data:
                 return data
             if count_received_bytes(self.sock) == count:
@@ -73,15 +78,10 @@
 
     def widen(self, budget: BodyBudget) -> bool:
         """Let the kernel hold more unread until the socket is closed; return whether it may."""
-        if not self._is_wide and budget.take_wide():
-            self._is_wide = True
+        if not self.is_wide and budget.take_wide():
+            self.is_wide = True
             set_receive_buffer(self.sock, WIDE_RECEIVE_BUFFER_BYTES)
-        return self._is_wide
-
-    @property
-    def is_wide(self) -> bool:
-        """Return whether the kernel may hold more unread than usual."""
-        return self._is_wide
+        return self.is_wide
 
     def shut_down(self, how: int) -> None:
         """Shut down one direction or both."""
@@ -107,17 +107,10 @@
     def close(self, budget: BodyBudget) -> None:
         """Close the socket, and free what it has of ``budget``."""
         self.sock.close()
-        if self._is_wide:
-            self._is_wide = False
+        if self.is_wide:
+            self.is_wide = False
             budget.release_wide()
 
-    def _receive_now(self, count_max: int) -> bytes:
-        """Return what has arrived already, which may be nothing."""
-        try:
-            return self.sock.recv(count_max, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return b""
-
     def _discard_step(self, step_bytes: int, until_ms: float) -> bool:
         """Discard up to ``step_bytes``; return whether more may come before ``until_ms``."""
         while step_bytes > 0:
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -283,7 +283,7 @@
             is_last = connection.answer(
                 turn,
                 lambda is_last: _encode_once(answer, method, is_closing=is_last),
-                wants_close=lambda: (self._is_draining or _closes_after(connection, parsed)),
+                wants_close=lambda: self._is_draining or _closes_after(connection, parsed),
                 wait_max_ms=self._get_request_max_ms(),
                 # A caller that does not read must not hold the upstream's slot meanwhile.
                 on_wait=answer.run_sent_callbacks,
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1248,8 +1248,15 @@
     Mutant(
         "a request that arrives before an idle connection closes is answered",
         "proxy/caller_socket.py",
-        "        return data or self._receive_now(count_max) or data\n",
-        "        return data\n",
+        "            data = self.receive_now(count_max)\n",
+        '            data = b""\n',
+        SERVER + "RequestAtTheEnd",
+    ),
+    Mutant(
+        "the rest of a request that arrives at the receive timeout is read",
+        "proxy/caller.py",
+        "            data = self._socket.receive_now(count_max) or data\n",
+        "            pass\n",
         SERVER + "RequestAtTheEnd",
     ),
     Mutant(
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -30,8 +30,6 @@
 from testing.processes import wait_until
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
-# The receive that times out, and two more before the end.
-LOOKS_COUNT = 3
 # Of a request whose body follows.
 HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
 
@@ -309,11 +307,11 @@
 class LateThread(socket.socket):
     """A socket whose receiving thread runs again late: meanwhile ``on_late`` happens once.
 
-    ``late_after`` tells whether the receive had returned bytes, or had timed out, or whether it is
-    a thread that has shut down the socket which runs again late.
+    ``late_after`` tells whether the receive had returned bytes, or had timed out, or had looked in
+    vain without waiting, or whether it is a thread that has shut down the socket which is late.
     """
 
-    late_after: Literal["bytes", "timeout", "shutdown"] = "timeout"
+    late_after: Literal["bytes", "timeout", "look", "shutdown"] = "timeout"
     on_late: Callable[[], object] | None = None
 
     def shutdown(self, how: int, /) -> None:
@@ -326,7 +324,7 @@
         try:
             data = super().recv(size, flags)
         except BlockingIOError:
-            self._be_late("timeout")
+            self._be_late("look" if flags & socket.MSG_DONTWAIT else "timeout")
             raise
         if data:
             self._be_late("bytes")
@@ -368,17 +366,8 @@
         self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
     ) -> None:
         ours, caller = late_pair
-        looks_count = 0
-
-        def send_after_last_look() -> None:
-            nonlocal looks_count
-            looks_count += 1
-            if looks_count == LOOKS_COUNT:
-                _send(caller)
-            else:
-                ours.on_late = send_after_last_look
-
-        ours.on_late = send_after_last_look
+        ours.late_after = "look"
+        ours.on_late = lambda: _send(caller)
         handler.may_end.set()
         server = _make_server(handler, CallerLimits(idle_timeout_ms=50))
         server._serve(CallerConnection(ours, Clock()))
@@ -457,9 +446,11 @@
         assert b"Connection: close" in _read_all(caller)
         assert handler.refusals == ["stopping"]
 
-    # Guards against a request that a stop cuts between its head and its body, without a refusal.
-    def test_a_request_whose_body_follows_its_head_in_a_stop_is_refused(
-        self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
+    # Guards against a request that a stop cuts between its head and its body, or in the middle of
+    # its head, without a refusal.
+    @pytest.mark.parametrize("arrived", [HEAD, REQUEST[:20]], ids=["head", "part-of-head"])
+    def test_a_request_that_arrives_in_two_parts_in_a_stop_is_refused(
+        self, handler: Handler, late_pair: tuple[LateThread, socket.socket], arrived: bytes
     ) -> None:
         ours, caller = late_pair
         handler.may_end.set()
@@ -472,30 +463,23 @@
             assert connection.ask_to_close("stopping")
 
         ours.on_late = stop_now
-        caller.sendall(HEAD)
+        caller.sendall(arrived)
         server._serve(connection)
         assert b"Connection: close" in _read_all(caller)
         assert handler.refusals == ["stopping"]
 
-    # Guards against a request that a stop cuts in the middle of its head, without a refusal.
-    def test_a_request_whose_head_arrives_in_two_parts_in_a_stop_is_refused(
+    # Guards against a request whose rest arrives at the receive timeout and gets no answer.
+    def test_the_rest_of_a_request_that_arrives_at_the_receive_timeout_is_read(
         self, handler: Handler, late_pair: tuple[LateThread, socket.socket]
     ) -> None:
         ours, caller = late_pair
         handler.may_end.set()
-        server = _make_server(handler)
-        connection = CallerConnection(ours, Clock())
-        ours.late_after = "bytes"
-
-        def stop_now() -> None:
-            server._is_refusing = True
-            assert connection.ask_to_close("stopping")
-
-        ours.on_late = stop_now
-        caller.sendall(REQUEST[:20])
-        server._serve(connection)
-        assert b"Connection: close" in _read_all(caller)
-        assert handler.refusals == ["stopping"]
+        ours.on_late = lambda: caller.sendall(b"body")
+        caller.sendall(HEAD)
+        server = _make_server(handler, CallerLimits(receive_timeout_ms=50, idle_timeout_ms=500))
+        server._serve(CallerConnection(ours, Clock()))
+        assert b"done" in _read_all(caller)
+        assert handler.count == 1
 
     # Guards against a request that gives its place away and sees the end before it is refused.
     def test_a_request_that_gives_its_place_away_is_refused_however_soon_it_is_read(
@@ -543,14 +527,7 @@
     ) -> None:
         handler.may_end.set()
         limits = [CallerLimits()]
-        server = CallerServer(
-            handler,
-            clock=Clock(),
-            requests_max=8,
-            connections_max=8,
-            body_budget=BodyBudget(0),
-            get_limits=lambda: limits[-1],
-        )
+        server = _make_server(handler, get_limits=lambda: limits[-1])
 
         def fail(*arguments: object) -> None:
             raise socket.gaierror("no descriptor is free")
--- a/testing/soak/linked_node.py
+++ b/testing/soak/linked_node.py
@@ -66,7 +66,7 @@
 
 def _drop_at_idle() -> None:
     # Called once a receive has ended, as when the idle timeout has passed.
-    CallerSocket._receive_now = _find_nothing  # type: ignore[method-assign]
+    CallerSocket.receive_now = _find_nothing  # type: ignore[method-assign]
 
 
 def _find_nothing(connection: CallerSocket, count_max: int) -> bytes:
