Log each read of the manifest, and what is left unsent of a reply

Change: 'manifest-read' states the digest (as 'manifest-submitted' does), the size, the time until it was confirmed and the error; a connection that closes before its reply was sent states the bytes left.

--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -177,6 +177,19 @@
     took_ms: float = 0
 
 
+class ManifestRead(Event, kw_only=True, tag="manifest-read"):
+    """An operator read the manifest with ``digest``, or could not because of ``error``.
+
+    It was newest at a moment of the last ``took_ms``. The reply of ``size_bytes`` is sent after
+    this line.
+    """
+
+    took_ms: float
+    digest: str = ""
+    size_bytes: int = 0
+    error: str = ""
+
+
 class ZoneOrdersAdopted(Event, kw_only=True, tag="zone-orders-adopted"):
     """The orders on availability zones up to ``number`` are in force on this instance.
 
@@ -337,6 +350,7 @@
     | ManifestAdopted
     | ManifestFetched
     | ManifestSubmitted
+    | ManifestRead
     | ZoneOrdersAdopted
     | ZoneOrdered
     | ReplicasChanged
--- a/src/coltsfootrill/operators/bounded_bodies.py
+++ b/src/coltsfootrill/operators/bounded_bodies.py
@@ -5,6 +5,7 @@
 import weakref
 from typing import Any
 
+from absl import logging
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
@@ -17,6 +18,7 @@
 BODIES_MAX_BYTES = 16 * 1024 * 1024
 # A body in chunks does not state its length, so memory for it is reserved in steps.
 _STEP_BYTES = 256 * 1024
+UNSENT_LOG_INTERVAL_S = 1
 
 
 class _NoRoomError(Error):  # type: ignore[misc]
@@ -100,4 +102,15 @@
             sent_bytes: int = super().write_soon(data)
             return sent_bytes
 
+        def handle_close(self) -> None:
+            """Close the connection; log what has not been sent of a reply."""
+            if self.total_outbufs_len:
+                logging.log_every_n_seconds(
+                    logging.WARNING,
+                    'connection closed before its reply was sent unsent_bytes="%d"',
+                    UNSENT_LOG_INTERVAL_S,
+                    self.total_outbufs_len,
+                )
+            super().handle_close()
+
     return BoundedChannel
--- a/src/coltsfootrill/roles/manifest_control.py
+++ b/src/coltsfootrill/roles/manifest_control.py
@@ -14,6 +14,7 @@
 from coltsfootrill.control.proposer import UnknownResultError
 from coltsfootrill.control.replica import ControlReplica
 from coltsfootrill.control.submission import SubmitAnswer
+from coltsfootrill.events.catalog import ManifestRead
 from coltsfootrill.events.catalog import ManifestSubmitted
 from coltsfootrill.events.log import EventLog
 from coltsfootrill.manifest.codec import InvalidManifestError
@@ -26,6 +27,8 @@
 from coltsfootrill.roles.manifest_sync import ManifestSync
 from coltsfootrill.zones.evacuation import EvacuatedZones
 
+_LOGGED_DIGEST_LENGTH = 12
+
 
 class ManifestControl:
     """Submits and reads on this node's replica if its hub is current, else on another one.
@@ -69,16 +72,30 @@
                 version=reply.version,
                 base_version=base_version,
                 operator=operator,
-                digest=digest_manifest(raw)[:12],
+                digest=_shorten(raw),
                 result=reply.result,
                 message=reply.message,
-                took_ms=round(self._clock.now_ms() - start_ms, 1),
+                took_ms=self._measure_ms(start_ms),
             )
         )
         return _convert_submit_reply(reply)
 
     def read(self) -> bytes:
         """Return the newest accepted manifest; see ``ControlOperations``."""
+        start_ms = self._clock.now_ms()
+        try:
+            raw = self._read()
+        except NoQuorumError as error:
+            self._log.emit(ManifestRead(took_ms=self._measure_ms(start_ms), error=str(error)))
+            raise
+        self._log.emit(
+            ManifestRead(
+                took_ms=self._measure_ms(start_ms), digest=_shorten(raw), size_bytes=len(raw)
+            )
+        )
+        return raw
+
+    def _read(self) -> bytes:
         replica = self._get_replica()
         if replica is not None and self._hub.is_current():
             raw = replica.read().manifest
@@ -137,6 +154,14 @@
         self._version_at_majority = version
         return True
 
+    def _measure_ms(self, start_ms: float) -> float:
+        return round(self._clock.now_ms() - start_ms, 1)
+
+
+def _shorten(raw: bytes) -> str:
+    """Return the start of the digest by which the log names a manifest."""
+    return digest_manifest(raw)[:_LOGGED_DIGEST_LENGTH]
+
 
 def _convert_submit_reply(reply: SubmitReply) -> SubmitAnswer:
     """Return ``reply`` as an answer; raise the error that its result stands for."""
