Redirect a read of a large manifest to a voter with a wider link

Cause: each node serves reads over its own link. So no state was lost; from some 250 kB on no read there can succeed, and each fills for a second the link that also carries the answers to callers. Change: a node whose link needs more than 250 ms for the manifest answers a read with 307 and the control interface of a current hub with a wider link; callers of that interface follow redirects. A voter always answers itself.

--- a/src/coltsfootrill/membership/load_gossip.py
+++ b/src/coltsfootrill/membership/load_gossip.py
@@ -24,6 +24,7 @@
 from coltsfootrill.clock import Clock
 from coltsfootrill.membership.datagrams import DatagramPort
 from coltsfootrill.membership.load_changes import ChangedLoads
+from coltsfootrill.membership.messages import BYTES_PER_MS_AND_MBPS
 from coltsfootrill.membership.messages import PACE_SCALE
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.membership.messages import LoadEntry
@@ -38,7 +39,6 @@
 COLLECT_INTERVAL_MS = 200.0
 # Of its link's bandwidth, what a collector may use for its zone.
 COLLECTOR_LINK_SHARE = 0.25
-BYTES_PER_MS_AND_MBPS = 125.0
 HOPS_TO_ZONE = 1
 HOPS_TO_COLLECTOR = 2
 
--- a/src/coltsfootrill/membership/messages.py
+++ b/src/coltsfootrill/membership/messages.py
@@ -8,6 +8,7 @@
 from coltsfootrill.zones.orders import ZoneOrders
 
 PACE_SCALE = 100
+BYTES_PER_MS_AND_MBPS = 125.0
 
 
 class InstanceRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -24,6 +25,12 @@
     manifest_version: int
     link_mbps: float = 0
 
+    def estimate_send_ms(self, size_bytes: int) -> float:
+        """Return for how long sending ``size_bytes`` fills its link, 0 if its link is unknown."""
+        if not self.link_mbps:
+            return 0.0
+        return size_bytes / (self.link_mbps * BYTES_PER_MS_AND_MBPS)
+
 
 class PullRequest(msgspec.Struct, frozen=True, array_like=True):
     """Long poll for the updates of a peer after ``position`` in its boot ``boot``.
--- a/src/coltsfootrill/operators/http.py
+++ b/src/coltsfootrill/operators/http.py
@@ -48,14 +48,25 @@
 
 
 class HttpReply:
-    """An HTTP reply; ``status`` is the code and its phrase, as in ``200 OK``."""
+    """An HTTP reply; ``status`` is the code and its phrase, as in ``200 OK``.
 
-    __slots__ = ("body", "content_type", "status")
+    ``location`` is the URL that a redirect names, empty for other replies.
+    """
+
+    __slots__ = ("body", "content_type", "location", "status")
 
-    def __init__(self, status: str, body: bytes, *, content_type: str = "application/json") -> None:
+    def __init__(
+        self,
+        status: str,
+        body: bytes,
+        *,
+        content_type: str = "application/json",
+        location: str = "",
+    ) -> None:
         self.status = status
         self.body = body
         self.content_type = content_type
+        self.location = location
 
     @classmethod
     def from_json(cls, status: str, value: Any) -> HttpReply:
@@ -95,6 +106,8 @@
             ("Content-Type", reply.content_type),
             ("Content-Length", str(len(reply.body))),
         ]
+        if reply.location:
+            headers.append(("Location", reply.location))
         start_response(reply.status, headers)
         return [reply.body]
 
--- a/src/coltsfootrill/operators/interface.py
+++ b/src/coltsfootrill/operators/interface.py
@@ -46,6 +46,12 @@
     def read_manifest(self) -> bytes:
         """Return the newest accepted manifest; raise ``NoQuorumError`` without a majority."""
 
+    def find_manifest_source(self) -> str | None:
+        """Return the control interface of another node to read the manifest from.
+
+        ``None`` if it is to be read from this one.
+        """
+
 
 class ControlInterface:
     """A named set of HTTP routes for one kind of deployment, from a plug-in.
--- a/src/coltsfootrill/platform/interface.py
+++ b/src/coltsfootrill/platform/interface.py
@@ -206,6 +206,10 @@
         return _reply_with_message("200 OK", f"in force since order {orders.number}")
 
     def handle_read(self, request: HttpRequest) -> HttpReply:
+        source = self._operations.find_manifest_source()
+        if source is not None:
+            location = f"http://{source}{READ_PATH}"
+            return HttpReply("307 Temporary Redirect", b"", location=location)
         try:
             raw = self._operations.read_manifest()
         except NoQuorumError as error:
--- a/src/coltsfootrill/roles/hub_client.py
+++ b/src/coltsfootrill/roles/hub_client.py
@@ -146,6 +146,16 @@
         """Return the address of a hub's control interface, whose port is the same on all nodes."""
         return str(Address(split_address(hub)[0], self._interface_port))
 
+    def find_wider_interface(self, link_mbps: float) -> str | None:
+        """Return the control interface of a current hub whose link is wider than ``link_mbps``."""
+        wider = {
+            record.address for record in self._view.list_instances() if record.link_mbps > link_mbps
+        }
+        for hub in self._list_other_hubs():
+            if hub in wider:
+                return self.get_interface_address(hub)
+        return None
+
     def submit(self, request: SubmitRequest) -> SubmitReply:
         """Forward a manifest to a hub; the result is ``unknown`` when no call succeeds.
 
--- a/src/coltsfootrill/roles/manifest_control.py
+++ b/src/coltsfootrill/roles/manifest_control.py
@@ -23,11 +23,14 @@
 from coltsfootrill.manifest.codec import make_manifest_error
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.membership.hub import Hub
+from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.roles.hub_client import HubClient
 from coltsfootrill.roles.manifest_sync import ManifestSync
 from coltsfootrill.zones.evacuation import EvacuatedZones
 
 _LOGGED_DIGEST_LENGTH = 12
+# Operators wait for a second, and the link also carries the answers to callers.
+READ_SEND_MAX_MS = 250.0
 
 
 class ManifestControl:
@@ -40,6 +43,7 @@
         self,
         manifests: ManifestHolder,
         *,
+        own_record: InstanceRecord,
         sync: ManifestSync,
         zones: EvacuatedZones,
         get_replica: Callable[[], ControlReplica | None],
@@ -49,6 +53,7 @@
         log: EventLog,
     ) -> None:
         self._manifests = manifests
+        self._own_record = own_record
         self._sync = sync
         self._zones = zones
         self._get_replica = get_replica
@@ -95,6 +100,18 @@
         )
         return raw
 
+    def find_source(self) -> str | None:
+        """Return where to read the manifest instead of here; see ``ControlOperations``.
+
+        That is a current hub with a wider link, if this link needs long to send the manifest.
+        """
+        if self._hub.is_current():
+            return None
+        _, raw = self._manifests.read_newer(0)
+        if self._own_record.estimate_send_ms(len(raw)) <= READ_SEND_MAX_MS:
+            return None
+        return self._hub_client.find_wider_interface(self._own_record.link_mbps)
+
     def _read(self) -> bytes:
         replica = self._get_replica()
         if replica is not None and self._hub.is_current():
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -155,6 +155,7 @@
         )
         self._manifest_control = ManifestControl(
             manifests,
+            own_record=record,
             sync=self._manifest_sync,
             zones=zones,
             get_replica=lambda: self._replica,
@@ -248,6 +249,10 @@
         """Return the newest accepted manifest; see ``ControlOperations``."""
         return self._manifest_control.read()
 
+    def find_manifest_source(self) -> str | None:
+        """Return where to read the manifest instead; see ``ControlOperations``."""
+        return self._manifest_control.find_source()
+
     def _add_rpc_methods(self) -> None:
         polls = HeldPolls(self.hub, loop=get_event_loop(), random=self._random)
         self._server.add_held(FOLLOW, polls.answer)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1740,4 +1740,18 @@
         "",
         QUOTA_REQUESTS + "Forwarding",
     ),
+    Mutant(
+        "a manifest that a narrow link sends slowly is read from a voter",
+        "roles/manifest_control.py",
+        "        return self._hub_client.find_wider_interface(self._own_record.link_mbps)\n",
+        "        return None\n",
+        NODE + "NarrowLink",
+    ),
+    Mutant(
+        "operators are sent only to a hub with a wider link",
+        "roles/hub_client.py",
+        "            if hub in wider:\n",
+        "            if hub:\n",
+        "testing/roles/test_hub_client.py",
+    ),
 ]
--- a/testing/nodes.py
+++ b/testing/nodes.py
@@ -38,6 +38,7 @@
         has_disk: bool = False,
         settings: str = "",
         callers: str = "",
+        link_mbps: float = 0,
         program: Sequence[str] = PROGRAM,
     ) -> None:
         self._program = program
@@ -49,6 +50,7 @@
         self._has_disk = has_disk or number <= 3
         self._settings = settings
         self._callers = callers
+        self._link_mbps = link_mbps
         self._seeds = seeds
         self._number = number
         self.process: subprocess.Popen[bytes] | None = None
@@ -72,6 +74,7 @@
             f"[instance]\nid = n{self._number}\nzone = z{self._number}\n"
             f"data = {self.data if self._has_disk else ''}\n"
             f"first_start = {'true' if is_first_start else 'false'}\n"
+            f"link_mbps = {self._link_mbps}\n"
             f"[metrics]\nlisten = {self.host}:{ports['metrics']}\n"
             f"[ready]\nlisten = {self.host}:{ports['ready']}\n"
             f"[interface]\nlisten = {self.host}:{ports['interface']}\n"
@@ -130,6 +133,15 @@
     def read(self, *, timeout_s: float = CALL_TIMEOUT_S) -> tuple[int, bytes]:
         return self.call("interface", "GET", "/Configuration.Read", timeout_s=timeout_s)
 
+    def find_manifest_source(self) -> str:
+        """Return the URL that a read of the manifest is redirected to, empty if it is not."""
+        connection = http.client.HTTPConnection(self.host, self.ports["interface"], timeout=8)
+        try:
+            connection.request("GET", "/Configuration.Read")
+            return connection.getresponse().headers.get("Location", "")
+        finally:
+            connection.close()
+
     def has_no_failed_task(self) -> bool:
         """Return whether the log of the process reports no failed task."""
         return "task failed" not in self._log.read_text()
--- a/testing/platform/test_interface.py
+++ b/testing/platform/test_interface.py
@@ -36,6 +36,7 @@
         self.ordered: list[tuple[str, str, str]] = []
         self.error: Exception | None = None
         self.answer = SubmitAnswer(result="accepted", version=7, digest="d", message="m")
+        self.manifest_source: str | None = None
 
     def announce(self, announcement: Announcement) -> str | None:
         self._raise_error()
@@ -61,6 +62,9 @@
         self._raise_error()
         return b"{raw}"
 
+    def find_manifest_source(self) -> str | None:
+        return self.manifest_source
+
     def _raise_error(self) -> None:
         if self.error is not None:
             raise self.error
@@ -72,17 +76,23 @@
     def __init__(self) -> None:
         self.operations = Operations()
         self._app = HttpApp(None)
+        self.location = ""
         add_control_routes(self._app, self.operations, clock=ManualClock(1_700_000_000_000))
 
     def call(self, method: str, path: str, body: bytes = b"", **headers: str) -> tuple[str, bytes]:
         statuses: list[str] = []
+
+        def start_response(status: str, response_headers: list[tuple[str, str]]) -> None:
+            statuses.append(status)
+            self.location = dict(response_headers).get("Location", "")
+
         environ: dict[str, Any] = {
             "REQUEST_METHOD": method,
             "PATH_INFO": path,
             "wsgi.input": io.BytesIO(body),
         }
         environ |= {f"HTTP_{name}": value for name, value in headers.items()}
-        reply = self._app(environ, lambda status, response_headers: statuses.append(status))
+        reply = self._app(environ, start_response)
         return statuses[0][:3], b"".join(reply)
 
 
@@ -265,6 +275,12 @@
         port.operations.error = NoQuorumError("cut off")
         assert port.call("GET", "/Configuration.Read")[0] == "503"
 
+    def test_a_read_is_redirected_to_the_node_that_it_is_to_be_made_at(self) -> None:
+        port = ControlPort()
+        port.operations.manifest_source = "10.0.0.4:8649"
+        assert port.call("GET", "/Configuration.Read")[0] == "307"
+        assert port.location == "http://10.0.0.4:8649/Configuration.Read"
+
 
 class TestReadiness:
     @pytest.mark.parametrize(("is_ready", "status"), [(True, "200"), (False, "503")])
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -75,7 +75,10 @@
         self._folder = folder
         self._ports = ports
         self._seeds = seeds
-        self.nodes = [Node(number, folder, ports, seeds) for number in range(1, NODE_COUNT + 1)]
+        self.nodes = [
+            Node(number, folder, ports, seeds, link_mbps=100 if number <= 3 else 2)
+            for number in range(1, NODE_COUNT + 1)
+        ]
         self.upstream = ScriptedUpstream(reply_with())
         for node in self.nodes:
             node.start(is_first_start=True)
@@ -166,6 +169,33 @@
         assert forwarded == []
 
 
+class TestNarrowLink:
+    # Guards against a manifest that cannot be read back: the link sends it more slowly than
+    # operators wait.
+    def test_a_large_manifest_is_read_from_a_voter_with_a_wider_link(self, fleet: Fleet) -> None:
+        fleet.submit_manifest(2, 0)
+        narrow = fleet.nodes[3]
+        wait_until(lambda: narrow.read()[0] == 200, within_s=20)
+        large = _encode_large_state("00000003")
+        wait_until(lambda: fleet.nodes[0].submit(large, 2) == 200, within_s=20)
+        wait_until(lambda: narrow.read()[0] == 307, within_s=5)
+        sources = {
+            f"http://{voter.host}:{voter.ports['interface']}/Configuration.Read": voter
+            for voter in fleet.nodes[:3]
+        }
+        assert sources[narrow.find_manifest_source()].read() == (200, large)
+
+    def test_operators_are_sent_to_no_voter_that_has_fallen_silent(self, fleet: Fleet) -> None:
+        fleet.submit_manifest(2, 0)
+        narrow = fleet.nodes[3]
+        large = _encode_large_state("00000003")
+        wait_until(lambda: fleet.nodes[0].submit(large, 2) == 200, within_s=20)
+        wait_until(lambda: narrow.read()[0] == 307, within_s=5)
+        for voter in fleet.nodes[:3]:
+            voter.end()
+        wait_until(lambda: narrow.read()[0] == 503, within_s=20)
+
+
 class TestDepartures:
     # Guards against use of an upstream whose first heartbeat arrives after its deregistration.
     @pytest.mark.parametrize("body", [b'{"born": 1}', b""])
@@ -354,6 +384,14 @@
         wait_until(lambda: has_logged("dependency-regained"), within_s=20)
 
 
+def _encode_large_state(version: str) -> bytes:
+    """Return a manifest that a link of 2 Mbit/s needs more than half a second to send."""
+    routes = [route(name=f"r-{number}", pathPrefix=f"/p{number}/") for number in range(1_700)]
+    raw = encode_state(*routes, version=version)
+    assert len(raw) > 125_000
+    return raw
+
+
 def _submit_at(node: Node, version: int, base_version: int, *, prefix: str = "/x/") -> bytes:
     only = route(pathPrefix=prefix, timeoutMs=900 + version)
     raw = encode_state(only, version=f"{version:08x}")
