Let stand-ins serve on after a thread could not start

Cause, from its own output: 'can't start new thread' in the accepting thread of the scripted upstream, which ended with it, so that nobody was served any more; the same ended the proxy of a soak test, which passed by luck. The node answered as it should. Change: a connection that gets no thread is closed, and the next ones are served; both stand-ins share the step. No check, bound or assertion changes: a request that met such a connection still fails its test. Before: the new test fails (no connection is served after the first). After: it passes, and so do the tests of links.

--- a/testing/proxy/fakes.py
+++ b/testing/proxy/fakes.py
@@ -6,6 +6,8 @@
 import threading
 from collections.abc import Callable
 
+from testing.serving import serve_in_thread
+
 Script = Callable[[socket.socket, bytes, int], bool]
 
 
@@ -54,7 +56,7 @@
                 return
             self.connections += 1
             self._sockets.append(sock)
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+            serve_in_thread(self._serve, sock)
 
     def _serve(self, sock: socket.socket) -> None:
         try:
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import Literal
 
+from testing.serving import serve_in_thread
+
 Mode = Literal["pass", "delay", "silent", "one-way"]
 DELAY_S = 0.15
 # SO_LINGER with a timeout of 0: closing the socket sends a TCP reset.
@@ -25,7 +27,7 @@
                 sock, _ = listener.accept()
             except OSError:
                 return
-            threading.Thread(target=serve, args=(sock,), daemon=True).start()
+            serve_in_thread(serve, sock)
 
     threading.Thread(target=accept, daemon=True).start()
 
