Put manifests and zone orders into force at a majority in one place

ManifestControl and ZoneControl each kept the newest number that a majority has in force and asked the others in the same steps; one of the two could also set it back when two calls overlapped, which costs a repeated call and loses nothing. Change: MajorityAdoption does both. No other behaviour changes; the mutant of the zone orders follows the line.

--- a/src/coltsfootrill/roles/manifest_control.py
+++ b/src/coltsfootrill/roles/manifest_control.py
@@ -25,6 +25,7 @@
 from coltsfootrill.membership.hub import Hub
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.roles.hub_client import HubClient
+from coltsfootrill.roles.majority_adoption import MajorityAdoption
 from coltsfootrill.roles.manifest_sync import ManifestSync
 from coltsfootrill.zones.evacuation import EvacuatedZones
 
@@ -61,8 +62,9 @@
         self._hub_client = hub_client
         self._clock = clock
         self._log = log
-        # The newest manifest that a majority of the replicas is known to have in force.
-        self._version_at_majority = 0
+        self._adoption = MajorityAdoption(
+            lambda reply: reply.version, hub=hub, hub_client=hub_client
+        )
 
     def submit(self, raw: bytes, *, base_version: int | None, operator: str) -> SubmitAnswer:
         """Submit a manifest; see ``ControlOperations``."""
@@ -156,20 +158,9 @@
         return SubmitReply(answer.result, answer.version, answer.digest, answer.message)
 
     def _put_in_force(self) -> bool:
-        """Let a majority of the replicas adopt the manifest in force here; return whether it has.
-
-        What is acknowledged is then told to all instances although one replica is lost.
-        """
+        """Let a majority adopt the manifest in force here; return whether it has."""
         version, raw = self._manifests.read_newer(0)
-        if version <= self._version_at_majority:
-            return True
-        request = AdoptRequest(raw, self._zones.orders)
-        if not self._hub_client.put_in_force(
-            request, lambda reply: reply.version >= version, replicas=self._hub.replicas
-        ):
-            return False
-        self._version_at_majority = version
-        return True
+        return self._adoption.ensure(version, lambda: AdoptRequest(raw, self._zones.orders))
 
     def _measure_ms(self, start_ms: float) -> float:
         return round(self._clock.now_ms() - start_ms, 1)
--- a/src/coltsfootrill/roles/zone_control.py
+++ b/src/coltsfootrill/roles/zone_control.py
@@ -15,6 +15,7 @@
 from coltsfootrill.events.log import EventLog
 from coltsfootrill.membership.hub import Hub
 from coltsfootrill.roles.hub_client import HubClient
+from coltsfootrill.roles.majority_adoption import MajorityAdoption
 from coltsfootrill.zones.evacuation import EvacuatedZones
 from coltsfootrill.zones.orders import InvalidZoneOrderError
 from coltsfootrill.zones.orders import ZoneAction
@@ -44,8 +45,9 @@
         self._hub_client = hub_client
         self._clock = clock
         self._log = log
-        # The newest order that a majority of the replicas is known to have in force.
-        self._number_at_majority = 0
+        self._adoption = MajorityAdoption(
+            lambda reply: reply.order_number, hub=hub, hub_client=hub_client
+        )
 
     def order(self, action: ZoneAction, zone: str, *, operator: str) -> ZoneOrders:
         """Carry out an order; see ``ControlOperations``."""
@@ -83,27 +85,11 @@
         except UnknownResultError as error:
             return ZoneOrderReply("unknown", str(error), ZoneOrders())
         self._zones.adopt(orders)
-        if not self._put_in_force(orders):
+        if not self._adoption.ensure(orders.number, lambda: AdoptRequest(b"", orders)):
             message = "no majority of the replicas has it in force yet; send it again"
             return ZoneOrderReply("unknown", message, orders)
         return ZoneOrderReply("done", "in force at a majority", orders)
 
-    def _put_in_force(self, orders: ZoneOrders) -> bool:
-        """Let a majority of the replicas adopt ``orders``; return whether it has.
-
-        What is acknowledged is then told to all instances although one replica is lost.
-        """
-        if orders.number <= self._number_at_majority:
-            return True
-        is_in_force = self._hub_client.put_in_force(
-            AdoptRequest(b"", orders),
-            lambda reply: reply.order_number >= orders.number,
-            replicas=self._hub.replicas,
-        )
-        if is_in_force:
-            self._number_at_majority = max(self._number_at_majority, orders.number)
-        return is_in_force
-
 
 def _get_orders(reply: ZoneOrderReply) -> ZoneOrders:
     """Return the orders in force; raise the error that the result stands for."""
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1519,7 +1519,7 @@
     Mutant(
         "an evacuation is in force at a majority once it is acknowledged",
         "roles/zone_control.py",
-        "        if not self._put_in_force(orders):\n",
+        '        if not self._adoption.ensure(orders.number, lambda: AdoptRequest(b"", orders)):\n',
         "        if False:\n",
         "testing/roles/test_zone_control.py::TestAcknowledgement",
     ),
