--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1752,6 +1752,6 @@
         "roles/hub_client.py",
         "            if hub in wider:\n",
         "            if hub:\n",
-        "testing/roles/test_hub_client.py",
+        "testing/roles/test_hub_client.py::TestWiderInterface",
     ),
 ]
