Close to new callers before a stop accepts the last connections

Cause: after SIGTERM the accept thread accepted one connection, started its thread, and accepted the next, on a listener that stayed open. Each step waits for the interpreter several times, so callers came faster than they were served: traced with 6 busy threads and 8 callers, the listener was open for 2.6 to 3.1 s of a stop of 2.5 s. Six connections waited with the kernel for 0.9 to 1.8 s until they were accepted; four were then cut at the end, 30 to 480 ms after they were accepted, and two were accepted after the cut and reset. One of the four was read in the moment of the cut; nobody had read the others.

Ruled out: connections that were served and forgotten (all six were at most 480 ms with the process); loss in the gap between the last accept and the close (a reset there comes at once, not after 1.4 s).

Change: a filter on the listener lets the kernel complete no further connection; those completed are all accepted, the listener is closed, and only then threads are started. Where a system has no such filter, the number accepted is bounded by the backlog.

The test of a late accept in a stop connects before the last accepts begin instead of within them, since nobody can connect there any more; the connection waits with the kernel for as long as before.

--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -19,6 +19,7 @@
 from waitress.adjustments import Adjustments
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.early_listener import BACKLOG
 from coltsfootrill.early_listener import open_listener
 from coltsfootrill.errors import ColtsfootrillError
 from coltsfootrill.manifest.model import DEADLINE_MAX_MS
@@ -39,6 +40,7 @@
 from coltsfootrill.proxy.request_parser import RequestParser
 from coltsfootrill.proxy.sending import WRITE_TIMEOUT_MS
 from coltsfootrill.proxy.sending import UnreadAnswers
+from coltsfootrill.proxy.sockets import drop_new_connections
 from coltsfootrill.proxy.turns import Turn
 from coltsfootrill.proxy.worker_threads import WorkerThreads
 
@@ -190,11 +192,8 @@
                 self._clock.sleep_ms(DRAIN_CHECK_MS)
                 continue
             self._start_task(sock)
-        # Serve the connections that the kernel has already accepted instead of resetting them.
-        listener.settimeout(0)
-        while (sock_or_none := _accept_now(listener)) is not None:
-            self._start_task(sock_or_none)
-        listener.close()
+        for sock in _accept_last(listener):
+            self._start_task(sock)
 
     def _start_task(self, sock: socket.socket) -> None:
         """Serve a connection, or close it if there are too many."""
@@ -413,6 +412,21 @@
     return bool(has_asked or parsed.error is not None or is_ending)
 
 
+def _accept_last(listener: socket.socket) -> list[socket.socket]:
+    """Close a listener; return the connections that the kernel has completed, to reset none.
+
+    Each accept may wait long for the interpreter, and the start of a thread longer still. So no
+    connections are added meanwhile, and none is served before all are accepted.
+    """
+    drop_new_connections(listener)
+    listener.settimeout(0)
+    accepted: list[socket.socket] = []
+    while len(accepted) <= BACKLOG and (sock := _accept_now(listener)) is not None:
+        accepted.append(sock)
+    listener.close()
+    return accepted
+
+
 def _accept_now(listener: socket.socket) -> socket.socket | None:
     """Return a connection that the kernel has accepted already, ``None`` if there is none.
 
--- a/src/coltsfootrill/proxy/sockets.py
+++ b/src/coltsfootrill/proxy/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import ctypes
 import select
 import socket
 import struct
@@ -17,6 +18,11 @@
 _BYTES_RECEIVED = struct.Struct("=Q")
 _BYTES_RECEIVED_OFFSET = 128
 _TCP_INFO_BYTES = _BYTES_RECEIVED_OFFSET + _BYTES_RECEIVED.size
+# Of Linux; the module ``socket`` does not name it on all architectures.
+_SO_ATTACH_FILTER = 26
+# ``sock_filter`` with the instruction BPF_RET | BPF_K, which keeps 0 bytes of each packet.
+_DROP_ALL = ctypes.create_string_buffer(struct.pack("=HBBI", 0x06, 0, 0, 0))
+_SOCK_FPROG = struct.Struct("HP")
 
 
 def has_unread_bytes(sock: socket.socket) -> bool:
@@ -45,6 +51,17 @@
     return int(count)
 
 
+def drop_new_connections(listener: socket.socket) -> None:
+    """Let the kernel complete no more connections; those that it has completed can be accepted.
+
+    Their callers send the opening packet again, and are refused once the listener is closed. A
+    system that does not support this goes on completing connections.
+    """
+    program = _SOCK_FPROG.pack(1, ctypes.addressof(_DROP_ALL))
+    with contextlib.suppress(OSError):
+        listener.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
+
+
 def set_receive_buffer(sock: socket.socket, size_bytes: int) -> None:
     """Bound what the kernel holds unread, to ``KERNEL_FACTOR`` times this.
 
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1329,6 +1329,13 @@
         "        if False:\n",
         SERVER + "Stop",
     ),
+    Mutant(
+        "callers that come while the last connections are accepted do not prolong a stop",
+        "proxy/server.py",
+        "    drop_new_connections(listener)\n",
+        "",
+        SERVER + "Stop",
+    ),
     Mutant(
         "a pipelined request is read although no other thread can be started",
         "proxy/server.py",
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -24,7 +24,7 @@
 from coltsfootrill.proxy.outcome import Answer
 from coltsfootrill.proxy.server import ACCEPT_END_MS
 from coltsfootrill.proxy.server import CallerServer
-from coltsfootrill.proxy.server import _accept_now
+from coltsfootrill.proxy.server import _accept_last
 from coltsfootrill.proxy.sockets import has_unread_bytes
 from coltsfootrill.proxy.worker_threads import WorkerThreads
 from testing.processes import wait_until
@@ -133,14 +133,13 @@
         port = server.port
         callers: list[socket.socket] = []
 
-        def accept_late(listener: socket.socket) -> socket.socket | None:
-            if not callers:
-                callers.append(socket.create_connection(("127.0.0.1", port)))
-                callers[0].sendall(REQUEST)
-                threading.Event().wait(1.5 * ACCEPT_END_MS / 1000)
-            return _accept_now(listener)
+        def accept_late(listener: socket.socket) -> list[socket.socket]:
+            callers.append(socket.create_connection(("127.0.0.1", port)))
+            callers[0].sendall(REQUEST)
+            threading.Event().wait(1.5 * ACCEPT_END_MS / 1000)
+            return _accept_last(listener)
 
-        monkeypatch.setattr("coltsfootrill.proxy.server._accept_now", accept_late)
+        monkeypatch.setattr("coltsfootrill.proxy.server._accept_last", accept_late)
         server.stop(idle_ms=500, limit_ms=3_000)
         with callers[0] as caller:
             assert b"done" in _read_all(caller)
@@ -161,6 +160,46 @@
         server.stop(idle_ms=0, limit_ms=2_000)
 
 
+    # Guards against a stop that spends its time on callers that come while it accepts, and resets
+    # some of them at its end.
+    def test_callers_that_come_while_the_last_are_accepted_do_not_prolong_the_stop(
+        self, handler: Handler, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        server = _make_server(handler)
+        server._is_accepting = False
+        listeners_open: list[bool] = []
+        with socket.create_server(("127.0.0.1", 0)) as served, Crowded(served) as listener:
+            served.close()
+
+            def start_task(sock: socket.socket) -> None:
+                listeners_open.append(listener.fileno() >= 0)
+                sock.close()
+
+            monkeypatch.setattr(server, "_start_task", start_task)
+            with socket.create_connection(listener.getsockname()):
+                server._accept(listener)
+            for caller in listener.callers:
+                caller.close()
+        assert listeners_open == [False]
+
+
+class Crowded(socket.socket):
+    """A copy of a listener to which another caller connects before each accept, up to 20."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        super().__init__(fileno=listener.dup().detach())
+        self.callers: list[socket.socket] = []
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Accept after another caller has begun to connect."""
+        if len(self.callers) < 20:
+            caller = socket.socket()
+            caller.setblocking(False)
+            caller.connect_ex(self.getsockname())
+            self.callers.append(caller)
+        return super().accept()
+
+
 class FailingOnce(socket.socket):
     """A copy of a listener whose next connection cannot be accepted."""
 
