Time the end of a kept connection by the kernel, not by when the soak looks

Cause: the judge of kept connections counted from when the caller's thread ran again after it had sent, to when it ran again after the end had come. The soak has some dozens of threads in one interpreter, so its own delays count as those of the node, against a bound of 200 ms. Change: where a connection ends without a reset, the times at which the kernel sent the last byte and received the end count. A packet that follows the end makes it seem later, never sooner, so no late end is missed. A reset leaves no such time, and counts as before, as does all else. Before: the new test fails, an end counts 200 ms more than it took. After: it passes, also for a reset.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -24,6 +24,7 @@
 from testing.soak.judge import Probe
 from testing.soak.judge import list_routes
 from testing.soak.kept import KeptJudge
+from testing.soak.kept import read_end_ms
 from testing.soak.proxy import LINGER_RESET
 from testing.soak.proxy import FaultProxy
 
@@ -95,6 +96,8 @@
         self._history = history
         self._connection: http.client.HTTPConnection | None = None
         self._node = ""
+        # Whether the stream of the last request's connection ended, without a reset.
+        self._has_ended = False
 
     def _act(self) -> None:
         request_id = f"q{next(_request_ids)}"
@@ -107,6 +110,7 @@
             "X-Deadline-Milliseconds": str(DEADLINE_MS),
         }
         status, body, sent_ms = 0, b"", math.nan
+        self._has_ended = False
         try:
             if is_idempotent:
                 connection.request("GET", f"/y/{request_id}", headers=headers)
@@ -120,6 +124,7 @@
                 self._close_connection()
         except (OSError, http.client.HTTPException) as error:
             sent_ms = math.nan if isinstance(error, TimeoutError) else sent_ms
+            self._has_ended = isinstance(error, http.client.RemoteDisconnected)
             self._close_connection()
         self._record_end(request_id, Reply(status, body), sent_ms=sent_ms)
 
@@ -319,6 +324,7 @@
         self._operator = operator
         self._judge = judge
         self._is_kept = False
+        self._twin: socket.socket
 
     def _act(self) -> None:
         if self._connection is not None:
@@ -329,7 +335,12 @@
             if poll.poll(0):  # Its end has come, or bytes that nobody has asked for.
                 self._close_connection()
         self._is_kept = self._connection is not None
-        super()._act()
+        if self._connection is None:
+            super()._act()
+            return
+        # The connection is closed before its end is judged.
+        with self._connection.sock.dup() as self._twin:
+            super()._act()
 
     def _choose_address(self) -> str:
         self._target = self._random.choice(self._nodes)
@@ -338,5 +349,8 @@
 
     def _record_end(self, request_id: str, reply: Reply, *, sent_ms: float) -> None:
         if self._is_kept and not math.isnan(sent_ms):
-            self._judge.check(request_id, self._target, reply, sent_ms, now_ms())
+            at_ms = now_ms()
+            if self._has_ended:
+                sent_ms, at_ms = read_end_ms(self._twin)
+            self._judge.check(request_id, self._target, reply, sent_ms, at_ms)
         super()._record_end(request_id, reply, sent_ms=sent_ms)
--- a/testing/soak/kept.py
+++ b/testing/soak/kept.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import signal
+import socket
+import struct
 
 from testing.nodes import Node
 from testing.soak.history import STALE_AFTER_FREEZE_MAX_MS
 from testing.soak.history import History
 from testing.soak.history import Reply
+from testing.soak.history import now_ms
 
 # The connection of a request that crosses its end, and is not passed on, ends within this time.
 CROSSED_MAX_MS = 200.0
+# In the ``tcp_info`` of Linux: how long ago data was sent, and an acknowledgement arrived.
+_SINCE_MS = struct.Struct("=I8xI")
+_SINCE_MS_OFFSET = 44
 
 
 class KeptJudge:
@@ -41,3 +47,15 @@
                 f"{request_id} got no answer and no refusal: {node.host} ended its connection "
                 f"{at_ms - sent_ms:.0f} ms after its last byte"
             )
+
+
+def read_end_ms(sock: socket.socket) -> tuple[float, float]:
+    """Return when the last byte was sent, and when the end of the stream arrived.
+
+    The kernel has noted both, so it does not matter how late this process looks. Without a reset,
+    the end comes with an acknowledgement; one that follows makes it seem later, never sooner.
+    """
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _SINCE_MS_OFFSET + _SINCE_MS.size)
+    at_ms = now_ms()
+    sent_for_ms, ended_for_ms = _SINCE_MS.unpack_from(info, _SINCE_MS_OFFSET)
+    return at_ms - sent_for_ms, at_ms - ended_for_ms
--- a/testing/soak/test_history.py
+++ b/testing/soak/test_history.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import http.client
 import signal
+import socket
+import time as clock
 from pathlib import Path
+from random import Random
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
 from testing.nodes import Node
+from testing.soak.callers import KeptCaller
 from testing.soak.conftest import FakeTime
 from testing.soak.history import MANIFEST_APPLY_MAX_MS
 from testing.soak.history import STALE_AFTER_FREEZE_MAX_MS
@@ -18,6 +25,11 @@
 from testing.soak.history import make_body
 from testing.soak.kept import CROSSED_MAX_MS
 from testing.soak.kept import KeptJudge
+from testing.soak.proxy import LINGER_RESET
+
+# Of the times that the kernel notes, and more than any tick of it.
+RESOLUTION_MS = 20.0
+LOOKS_LATE_S = 0.2
 
 
 def _run(request_id: str, *, is_executed: bool = True) -> Run:
@@ -123,6 +135,51 @@
         history.check_final(is_planned_only=False)
         assert len(history.violations) == count
 
+    @pytest.mark.parametrize("is_reset", [False, True])
+    def test_an_end_counts_from_when_it_came_unless_it_was_a_reset(
+        self, monkeypatch: pytest.MonkeyPatch, tmp_path: Path, is_reset: bool
+    ) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        node = Node(1, tmp_path, {"callers": listener.getsockname()[1]}, [])
+        node.host = "127.0.0.1"
+        judge = KeptJudge(History())
+        judged: list[tuple[float, float]] = []
+        monkeypatch.setattr(judge, "check", lambda *arguments: judged.append(arguments[-2:]))
+        operator: Any = SimpleNamespace(idle_timeout_ms=0)
+        caller = KeptCaller([node], operator, judge, Random(1))
+        receive = http.client.HTTPConnection.getresponse
+        peers: list[socket.socket] = []
+        times_ms: list[float] = []
+
+        def respond(connection: http.client.HTTPConnection) -> http.client.HTTPResponse:
+            """Answer the first request, end the connection at the second, and look for it late."""
+            if not peers:
+                peers.append(listener.accept()[0])
+                peers[0].sendall(b"HTTP/1.1 404 -\r\nContent-Length: 0\r\n\r\n")
+                return receive(connection)
+            times_ms.append(clock.monotonic() * 1000)
+            clock.sleep(LOOKS_LATE_S)
+            if is_reset:
+                peers[0].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+                peers[0].close()
+            else:
+                peers[0].shutdown(socket.SHUT_WR)
+            times_ms.append(clock.monotonic() * 1000)
+            clock.sleep(LOOKS_LATE_S)
+            times_ms.append(clock.monotonic() * 1000)
+            return receive(connection)
+
+        monkeypatch.setattr(http.client.HTTPConnection, "getresponse", respond)
+        caller._act()
+        caller._act()
+        sent_ms, ended_ms, looked_ms = times_ms
+        ((judged_sent_ms, judged_ms),) = judged
+        assert judged_sent_ms <= sent_ms + RESOLUTION_MS
+        assert judged_ms >= sent_ms + LOOKS_LATE_S * 1000 - RESOLUTION_MS
+        assert judged_ms >= looked_ms if is_reset else judged_ms <= ended_ms + RESOLUTION_MS
+        listener.close()
+        peers[0].close()
+
 
 class TestDepartures:
     def test_an_upstream_receives_no_request_later_than_allowed_after_its_departure(
