State the signals of a node and a reset when its connection ended late

Cause: a report of the judge of kept connections said neither whether the connection was reset nor what had been done to the node before, so the one that was seen (1,926 ms) cannot be attributed to a stop, a kill that took effect late, or an idle end. Change: the report states all signals of the node, counted from the last byte, and whether the connection ended or broke off. What is judged, and how, stays as it is.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -352,5 +352,6 @@
             at_ms = now_ms()
             if self._has_ended:
                 sent_ms, at_ms = read_end_ms(self._twin)
-            self._judge.check(request_id, self._target, reply, sent_ms, at_ms)
+            judge, has_ended = self._judge, self._has_ended
+            judge.check(request_id, self._target, reply, sent_ms, at_ms, has_ended=has_ended)
         super()._record_end(request_id, reply, sent_ms=sent_ms)
--- a/testing/soak/kept.py
+++ b/testing/soak/kept.py
@@ -31,9 +31,20 @@
         self.lost_count = 0
 
     def check(
-        self, request_id: str, node: Node, reply: Reply, sent_ms: float, at_ms: float
+        self,
+        request_id: str,
+        node: Node,
+        reply: Reply,
+        sent_ms: float,
+        at_ms: float,
+        *,
+        has_ended: bool = True,
     ) -> None:
-        """Check a request by when its last byte was sent, and its answer or the end came."""
+        """Check a request by when its last byte was sent, and its answer or the end came.
+
+        Without ``has_ended`` there was a reset, or a part of an answer. A violation states this,
+        and when the node got which signals, counted from the last byte.
+        """
         since_ms = sent_ms - STALE_AFTER_FREEZE_MAX_MS
         signals = [number for sent, number in list(node.signals) if since_ms <= sent <= at_ms]
         # A node that stays suspended ends no connection, so it was killed or resumed meanwhile.
@@ -43,9 +54,11 @@
         self.history.undisturbed_ids.add(request_id)
         if reply.status == 0 and at_ms - sent_ms > CROSSED_MAX_MS:
             self.lost_count += 1
+            got = [f"{each.name} at {at - sent_ms:.0f}" for at, each in list(node.signals)]
             self.history.add_violation(
-                f"{request_id} got no answer and no refusal: {node.host} ended its connection "
-                f"{at_ms - sent_ms:.0f} ms after its last byte"
+                f"{request_id} got no answer and no refusal: {node.host} "
+                f"{'ended' if has_ended else 'broke off'} its connection "
+                f"{at_ms - sent_ms:.0f} ms after its last byte; signals: {', '.join(got) or 'none'}"
             )
 
 
--- a/testing/soak/test_history.py
+++ b/testing/soak/test_history.py
@@ -144,7 +144,7 @@
         node.host = "127.0.0.1"
         judge = KeptJudge(History())
         judged: list[tuple[float, float]] = []
-        monkeypatch.setattr(judge, "check", lambda *arguments: judged.append(arguments[-2:]))
+        monkeypatch.setattr(judge, "check", lambda *times, has_ended: judged.append(times[-2:]))
         operator: Any = SimpleNamespace(idle_timeout_ms=0)
         caller = KeptCaller([node], operator, judge, Random(1))
         receive = http.client.HTTPConnection.getresponse
