Let the test of pipelined requests wait for arrivals, not for a clock

Cause, in the test: it bounds the whole exchange by 0.75 s of wall-clock time, of which the upstream's own sleeps take 0.4 s. Ruled out: a fault of the server; its answers were complete and in order in that run. Change: each request is sent once the one before has arrived at the upstream, which answers none until all six are there. So the test now also fails if any one of them waits for an answer, and no time is measured; the deadline of its requests is 20 s, as the upstream holds them back on purpose. New mutant, a request that does not let the next one be read: 'fails without, passes with'.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1336,6 +1336,13 @@
         "        self._submit_next_read(self._connection)\n        self.is_handed_over = True\n",
         SERVER + "PipelinedWithoutThread",
     ),
+    Mutant(
+        "pipelined requests are processed concurrently",
+        "proxy/server.py",
+        "            handover.hand_over if may_read_on else None,\n",
+        "            None,\n",
+        "testing/proxy/test_pipelining.py::TestPipelining::test_requests_are_processed_concurrently",
+    ),
     Mutant(
         "new limits for callers are applied",
         "proxy/server.py",
--- a/testing/proxy/test_pipelining.py
+++ b/testing/proxy/test_pipelining.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+import threading
 import time
 from collections.abc import Iterator
 
@@ -15,6 +16,9 @@
 from testing.proxy.fakes import read_all
 from testing.proxy.instance import Instance
 
+# Of a test whose upstream holds its answers back until it lets them go.
+DEADLINE_MS = 20_000
+
 
 def _answer_with_target(sock: socket.socket, head: bytes, number: int) -> bool:
     """Answer with the request's path; the first path takes longer than the others."""
@@ -48,17 +52,25 @@
         data = instance.send_raw(b"".join(_request(number) for number in range(4)) + last)
         assert _list_bodies(data) == [f"/x/{number}".encode() for number in range(5)]
 
-    def test_requests_are_processed_concurrently(self, instance: Instance) -> None:
-        with socket.create_connection(("127.0.0.1", instance.server.port), timeout=5) as sock:
-            started_s = time.monotonic()
-            sock.sendall(_request(0))
-            time.sleep(0.05)
-            for number in range(1, 5):
-                sock.sendall(_request(number))
-                time.sleep(0.02)
-            sock.sendall(_request(5, "connection: close\r\n"))
+    def test_requests_are_processed_concurrently(self) -> None:
+        all_arrived = threading.Event()
+
+        def answer_once_all_arrived(sock: socket.socket, head: bytes, number: int) -> bool:
+            all_arrived.wait(DEADLINE_MS / 1_000)
+            sock.sendall(encode(head.split(b" ")[1]))
+            return True
+
+        instance = Instance(deadline_ms=DEADLINE_MS)
+        upstream = ScriptedUpstream(answer_once_all_arrived)
+        instance.announce("u1", upstream.address, slots=16)
+        with socket.create_connection(("127.0.0.1", instance.server.port), timeout=30) as sock:
+            for number in range(6):
+                sock.sendall(_request(number, "connection: close\r\n" if number == 5 else ""))
+                wait_until(lambda count=number + 1: len(upstream.heads) == count)
+            all_arrived.set()
             data = read_all(sock)
-            assert time.monotonic() - started_s < 0.75
+        instance.close()
+        upstream.close()
         assert _list_bodies(data) == [f"/x/{number}".encode() for number in range(6)]
 
     def test_stop_closes_after_the_last_request_read(self, instance: Instance) -> None:
