Let the tests of the poller wait for an answer instead of a number of rounds

Cause, in the tests: they wait for five rounds, 100 ms, and take for granted that the upstream answers within them. The poller gives an answer up after 40 ms and polls that upstream again a second later. Ruled out: a fault of the poller; giving up and pausing is what it is for. Change: wait until the poller has handled an answer. The test of an upstream that wants no request now counts the polls at the poller as well: one is answered and none, answered or not, follows. The silent upstream still has to leave the rounds going. Two tests that say that something is not recorded passed without any answer; they need one now.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -344,6 +344,21 @@
         "may_work=not is_lost",
         "testing/test_rpc.py::TestSilentConnection",
     ),
+    Mutant(
+        "an upstream that is silent does not hold up the polls of others",
+        "proxy/load_poller.py",
+        "ANSWER_TIMEOUT_MS = 40.0\n",
+        "ANSWER_TIMEOUT_MS = 40_000.0\n",
+        "testing/proxy/test_load_poller.py::TestPolling::test_silent_upstream_does_not_delay_the_others",
+    ),
+    Mutant(
+        "an upstream that declined a poll is not polled again",
+        "proxy/load_poller.py",
+        "if self._declines.is_declining(announcement.id, announcement.incarnation, now_ms):",
+        "if False:",
+        "testing/proxy/test_load_poller.py::TestPolling"
+        "::test_an_upstream_that_wants_no_request_is_not_polled",
+    ),
     Mutant(
         "an upstream that declined a request of an instance is not polled by it",
         "proxy/load_poller.py",
--- a/testing/proxy/test_load_poller.py
+++ b/testing/proxy/test_load_poller.py
@@ -21,6 +21,7 @@
 from coltsfootrill.registry.announcement import COLD_MAX_MS
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.directory import UpstreamRecord
+from testing.processes import wait_until
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import answer
@@ -93,6 +94,7 @@
         self._rounds = threading.Semaphore(0)
         self.report_cache = LoadReportCache(Clock())
         self.declines = DeclineTimes()
+        self._metrics = Metrics()
         self.poller = LoadPoller(
             FLEET[0],
             interval_ms=20,
@@ -106,7 +108,7 @@
             declines=self.declines,
             on_round=self._rounds.release,
             clock=Clock(),
-            metrics=Metrics(),
+            metrics=self._metrics,
         )
         threading.Thread(target=self.poller.run, daemon=True).start()
 
@@ -122,6 +124,19 @@
         for _ in range(count):
             assert self._rounds.acquire(timeout=5)
 
+    def count_polls(self, *results: str) -> int:
+        """Return how many polls ended so far with one of ``results``."""
+        counts = [self._metrics.probes.labels(result) for result in results]
+        return int(sum(count._value.get() for count in counts))
+
+    def wait_answer(self) -> None:
+        """Wait until an answer to a poll has been handled.
+
+        The poller gives a late answer up, and polls that upstream again a second later.
+        """
+        wait_until(lambda: self.count_polls("good", "bad") > 0)
+        self.wait_rounds(1)
+
     def close(self) -> None:
         self.poller.stop()
         for fake in self._open:
@@ -171,7 +186,7 @@
 
     def test_an_upstream_that_is_leaving_is_reported(self, polling: PollerFixture) -> None:
         polling.serve("u1", answer(b"", extra="server-leaving: 1\r\n"))
-        polling.wait_rounds(5)
+        polling.wait_answer()
         (entry,) = polling.report_cache.take()
         assert (entry.upstream_id, entry.leaving_incarnation) == ("u1", 1)
 
@@ -184,7 +199,7 @@
         polling.warm_up = {"duration_ms": 3_000, "requests_per_second": 8.9}
         extra = f"x-cold-milliseconds: {text}\r\nx-server-load: 0,0,3\r\n"
         polling.serve("u1", answer(b"", extra=extra))
-        polling.wait_rounds(5)
+        polling.wait_answer()
         (entry,) = polling.report_cache.take()
         assert entry.cold_ms == cold_ms
 
@@ -198,8 +213,13 @@
     def test_an_upstream_that_wants_no_request_is_not_polled(self, polling: PollerFixture) -> None:
         declining = answer(b"", status="503 Service Unavailable", extra="retry-after: 60\r\n")
         fake = polling.serve("u1", declining)
+        polling.wait_answer()
+        # Polls that were given up before it could decline one are no breach.
+        given_up_count = polling.count_polls("failed")
         polling.wait_rounds(5)
-        assert len(fake.heads) == 1
+        assert polling.count_polls("good", "bad") == 1
+        assert polling.count_polls("failed") == given_up_count
+        assert 1 <= len(fake.heads) <= 1 + given_up_count
 
     # Guards against polls of an upstream that has turned a request of this instance away.
     def test_an_upstream_that_declined_a_request_is_not_polled(
@@ -215,7 +235,7 @@
     ) -> None:
         extra = "retry-after: 60\r\nx-instance-identifier: u1\r\n"
         polling.serve("u1", answer(b"", status="503 Service Unavailable", extra=extra))
-        polling.wait_rounds(5)
+        polling.wait_answer()
         assert polling.declines.is_declining("u1", 1, Clock().now_ms())
 
     def test_a_poll_that_another_upstream_declined_has_no_effect(
@@ -223,12 +243,13 @@
     ) -> None:
         extra = "retry-after: 60\r\nx-instance-identifier: u9\r\n"
         polling.serve("u1", answer(b"", status="503 Service Unavailable", extra=extra))
-        polling.wait_rounds(5)
+        polling.wait_answer()
         assert not polling.declines.is_declining("u1", 1, Clock().now_ms())
 
     def test_silent_upstream_does_not_delay_the_others(self, polling: PollerFixture) -> None:
         polling.serve("u1", stay_silent())
         polling.serve("u2", _load("0,0,3,100", "u2"))
+        polling.wait_answer()
         polling.wait_rounds(5)
         assert [entry.upstream_id for entry in polling.report_cache.take()] == ["u2"]
 
@@ -236,5 +257,5 @@
         self, polling: PollerFixture
     ) -> None:
         polling.serve("u1", _load("0,0,3,100", "u9"))
-        polling.wait_rounds(3)
+        polling.wait_answer()
         assert polling.report_cache.take() == []
