Let the clock stand still while the test's upstreams refuse a request

Cause, in the test: both refusals have to arrive before the deadline of 1.5 s of wall-clock time; after it the attempt in progress may have run, so that its token is rightly not given back. Ruled out: a token that a refused attempt loses; the second attempt had got no answer yet. Change: the clock of the instance and its tokens stands still until both upstreams have refused, then passes the deadline, for which the retry waits. The test now also states that each upstream got one attempt. Instance takes a clock.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1762,6 +1762,14 @@
         "        self.reserve()\n",
         QUOTA_REQUESTS + "TokensOfARequest",
     ),
+    Mutant(
+        "a refused attempt leaves its token to the next",
+        "proxy/forward.py",
+        """            self._tokens.take_back()
+            return AttemptFailure("shed",""",
+        """            return AttemptFailure("shed",""",
+        QUOTA_REQUESTS + "Forwarding::test_a_retry_after_a_refusal_takes_no_second",
+    ),
     Mutant(
         "a request beyond its quota is refused before it waits for an upstream",
         "proxy/forward.py",
--- a/testing/proxy/instance.py
+++ b/testing/proxy/instance.py
@@ -62,8 +62,9 @@
         body_bytes: int = 16 * 1024 * 1024,
         reported_version: int = 0,
         quotas: QuotaClient | None = None,
+        clock: Clock | None = None,
     ) -> None:
-        clock = Clock()
+        clock = clock or Clock()
         plugins = load_plugins()
         self.metrics = Metrics()
         self.manifests = ManifestHolder(collect_schemes(plugins))
--- a/testing/proxy/test_quota.py
+++ b/testing/proxy/test_quota.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import threading
 import time
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -11,6 +12,7 @@
 import pytest
 
 from coltsfootrill.clock import Clock
+from coltsfootrill.clock import ManualClock
 from coltsfootrill.manifest.model import Organisation
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
 from coltsfootrill.proxy.outcome import NotRunError
@@ -18,6 +20,7 @@
 from coltsfootrill.proxy.request_tokens import make_request_tokens
 from coltsfootrill.quotas.errors import QuotaExceededError
 from coltsfootrill.quotas.holding import Token
+from testing.processes import wait_until
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import answer
@@ -31,12 +34,14 @@
 ORGANISATION = Organisation(name="o1", keys=[], rate_per_s=10)
 SHED = answer(b"", status="503 Service Unavailable", extra="upstream-shed: 1\r\n")
 VALID_MS = 5_000.0
+DEADLINE_MS = 1_500
 
 
 class FakeClient:
     """Has a number of tokens, and no decider."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, clock: Clock | None = None) -> None:
+        self.clock = clock or Clock()
         self.left = count
         self.valid_ms = VALID_MS
         self.given_back: list[Token] = []
@@ -45,20 +50,20 @@
         if not self.left:
             raise QuotaExceededError("organisation o1: used up", retry_after_ms=123.0)
         self.left -= 1
-        return Token(Clock().now_ms() + self.valid_ms)
+        return Token(self.clock.now_ms() + self.valid_ms)
 
     def give_back(self, organisation: Organisation, token: Token) -> None:
         self.given_back.append(token)
 
 
 def _make_tokens(client: FakeClient) -> RequestTokens:
-    return RequestTokens(client, ORGANISATION, clock=Clock())  # type: ignore[arg-type]
+    return RequestTokens(client, ORGANISATION, clock=client.clock)  # type: ignore[arg-type]
 
 
 @pytest.fixture
-def client(monkeypatch: pytest.MonkeyPatch) -> FakeClient:
+def client(monkeypatch: pytest.MonkeyPatch, clock: Clock) -> FakeClient:
     """Return the tokens of all requests of an instance."""
-    made = FakeClient(10)
+    made = FakeClient(10, clock)
     monkeypatch.setattr(
         "coltsfootrill.proxy.app.make_request_tokens", lambda *args, **names: _make_tokens(made)
     )
@@ -80,8 +85,13 @@
 
 
 @pytest.fixture
-def instance() -> Iterator[Instance]:
-    made = Instance()
+def clock() -> Clock:
+    return Clock()
+
+
+@pytest.fixture
+def instance(clock: Clock) -> Iterator[Instance]:
+    made = Instance(clock=clock, deadline_ms=DEADLINE_MS)
     yield made
     made.close()
 
@@ -173,12 +183,20 @@
         assert instance.call("/x").status == 503
         assert len(client.given_back) == 10 - client.left == 1
 
+    # The clock stands still, so that both refusals arrive before the deadline, however late.
+    @pytest.mark.parametrize("clock", [ManualClock()], ids=["manual"])
     def test_a_retry_after_a_refusal_takes_no_second(
-        self, instance: Instance, serve: Serve, client: FakeClient
+        self, clock: ManualClock, instance: Instance, serve: Serve, client: FakeClient
     ) -> None:
-        serve(SHED)
-        serve(SHED)
-        instance.call("/x")
+        upstreams = [serve(SHED), serve(SHED)]
+        caller = threading.Thread(target=instance.call, args=("/x",))
+        caller.start()
+        wait_until(lambda: all(upstream.heads for upstream in upstreams))
+        wait_until(lambda: not any(instance.app.count_in_flight().values()))
+        # It now waits for a third upstream, which does not come.
+        clock.advance(DEADLINE_MS)
+        caller.join()
+        assert [len(upstream.heads) for upstream in upstreams] == [1, 1]
         assert client.left == 9
         assert len(client.given_back) == 1
 
