Let the clock stand still in the test of answers without an id

Cause, in the test, as far as it can be forced: the upstream has to answer the first request before the deadline of 1.5 s of wall-clock time. Ruled out: an answer that a fresh connection does not accept; none had arrived. Change: the clock stands still until the second answer has been read, then passes the deadline. The test now states that this answer was read and not taken; before, an answer that was only late passed as one that is not accepted.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1041,6 +1041,14 @@
         '("",)',
         "testing/proxy/test_dialect.py::TestRepeatedRefusals",
     ),
+    Mutant(
+        "an answer without an id is accepted only on a fresh connection",
+        "proxy/answer.py",
+        "is_first = self._is_fresh and not",
+        "is_first = not",
+        "testing/proxy/test_dialect.py::TestAnswerMatching"
+        "::test_answer_without_an_id_is_accepted_only_on_a_fresh_connection",
+    ),
     Mutant(
         "a refusal that is written again answers no request without an id",
         "proxy/used_connections.py",
--- a/testing/proxy/test_dialect.py
+++ b/testing/proxy/test_dialect.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
 from collections.abc import Callable
 from collections.abc import Iterator
 
 import pytest
 
+from coltsfootrill.clock import Clock
+from coltsfootrill.clock import ManualClock
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from coltsfootrill.proxy.answer import UpstreamAnswer
+from coltsfootrill.proxy.connection import UpstreamConnection
 from testing.processes import wait_until
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
@@ -22,6 +27,7 @@
 Serve = Callable[..., ScriptedUpstream]
 SIGNATURE = "x-server-signature: s\r\n"
 NOT_RUN = "x-not-executed: 1\r\n"
+DEADLINE_MS = 1_500
 
 
 def get_request_id(head: bytes) -> str:
@@ -44,8 +50,18 @@
 
 
 @pytest.fixture
-def instance() -> Iterator[Instance]:
-    made = Instance(dialect=coltsfootrill_dialect(), once_idle_max_ms=4_000)
+def clock() -> Clock:
+    return Clock()
+
+
+@pytest.fixture
+def instance(clock: Clock) -> Iterator[Instance]:
+    made = Instance(
+        dialect=coltsfootrill_dialect(),
+        deadline_ms=DEADLINE_MS,
+        once_idle_max_ms=4_000,
+        clock=clock,
+    )
     yield made
     made.close()
 
@@ -151,17 +167,40 @@
         assert replies == [b"mine"] * 3
         assert upstream.connections == 3
 
+    # The clock stands still, so that no deadline passes and the connection stays fit for reuse.
+    @pytest.mark.parametrize("clock", [ManualClock()], ids=["manual"])
     def test_answer_without_an_id_is_accepted_only_on_a_fresh_connection(
-        self, instance: Instance, serve: Serve
+        self,
+        clock: ManualClock,
+        instance: Instance,
+        serve: Serve,
+        monkeypatch: pytest.MonkeyPatch,
     ) -> None:
         def script(sock: socket.socket, head: bytes, number: int) -> bool:
             sock.sendall(encode(str(number).encode(), extra=SIGNATURE))
             return True
 
+        are_answers: list[bool] = []
+        read_available = UpstreamConnection.read_available
+
+        def record_read(connection: UpstreamConnection) -> UpstreamAnswer | None:
+            answer = read_available(connection)
+            are_answers.append(answer is not None)
+            return answer
+
+        monkeypatch.setattr(UpstreamConnection, "read_available", record_read)
         upstream = serve(script)
         assert _call(instance, "/once", method="POST").body == b"1"
-        reply = _call(instance, "/once", method="POST")
-        assert (reply.outcome, upstream.connections) == ("unknown", 1)
+        replies: list[Reply] = []
+        caller = threading.Thread(
+            target=lambda: replies.append(_call(instance, "/once", method="POST"))
+        )
+        caller.start()
+        wait_until(lambda: len(are_answers) == 2)
+        clock.advance(DEADLINE_MS)
+        caller.join()
+        assert are_answers == [True, False]
+        assert (replies[0].outcome, upstream.connections) == ("unknown", 1)
 
     # Guards against a request that has run being refused for an answer that names no request.
     def test_answer_without_an_id_is_not_accepted_behind_the_answer_to_another_request(
