Let the test of the retry budget time its second attempts by hand

Cause, in the test: its upstream sleeps for 0.5 s of wall-clock time and has to be answered for before the deadline of 1.5 s. Ruled out: a budget that is spent; the request simply ended at its deadline. Change: the clock of the instance moves by 0.5 s once the instance waits for the answer, and the upstream answers once the second attempt has been tried. The test now also states that one was tried and found no upstream; the budget has to be 4.2, not only above 4.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1049,6 +1049,16 @@
         "testing/proxy/test_dialect.py::TestAnswerMatching"
         "::test_answer_without_an_id_is_accepted_only_on_a_fresh_connection",
     ),
+    Mutant(
+        "a second attempt that has no upstream spends no retry budget",
+        "proxy/forward.py",
+        "        if claim is None:\n            return\n",
+        "        if claim is None:\n"
+        "            self._controller.may_hedge(self._history, self._kind)\n"
+        "            return\n",
+        "testing/proxy/test_dialect.py::TestHedging"
+        "::test_retry_budget_is_not_spent_without_a_second_upstream",
+    ),
     Mutant(
         "a refusal that is written again answers no request without an id",
         "proxy/used_connections.py",
--- a/testing/proxy/test_dialect.py
+++ b/testing/proxy/test_dialect.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import queue
 import socket
 import threading
 import time
 from collections.abc import Callable
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
+from coltsfootrill.balancer.claim import Claim
 from coltsfootrill.clock import Clock
 from coltsfootrill.clock import ManualClock
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from coltsfootrill.proxy import forward
+from coltsfootrill.proxy.admission_controller import AdmissionController
 from coltsfootrill.proxy.answer import UpstreamAnswer
 from coltsfootrill.proxy.connection import UpstreamConnection
+from coltsfootrill.proxy.second_attempt import get_second_attempt_at_ms
 from testing.processes import wait_until
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
@@ -28,6 +34,7 @@
 SIGNATURE = "x-server-signature: s\r\n"
 NOT_RUN = "x-not-executed: 1\r\n"
 DEADLINE_MS = 1_500
+SLOW_MS = 500.0
 
 
 def get_request_id(head: bytes) -> str:
@@ -276,21 +283,51 @@
         bodies = [_call(instance, "/targeted").body for _ in range(5)]
         assert bodies.count(b"quick") >= 4
 
+    @pytest.mark.parametrize("clock", [ManualClock()], ids=["manual"])
     def test_retry_budget_is_not_spent_without_a_second_upstream(
-        self, instance: Instance, serve: Serve
+        self,
+        clock: ManualClock,
+        instance: Instance,
+        serve: Serve,
+        monkeypatch: pytest.MonkeyPatch,
     ) -> None:
+        second_at_ms: queue.SimpleQueue[float] = queue.SimpleQueue()
+        found: queue.SimpleQueue[object] = queue.SimpleQueue()
+        tried_count = 0
+
+        def record_time(*args: Any, **names: Any) -> float:
+            at_ms = get_second_attempt_at_ms(*args, **names)
+            second_at_ms.put(at_ms)
+            return at_ms
+
+        def record_claim(*args: Any, **names: Any) -> Claim | None:
+            claim = try_acquire(*args, **names)
+            found.put(claim)
+            return claim
+
         def slow(sock: socket.socket, head: bytes, number: int) -> bool:
-            time.sleep(0.5)
+            nonlocal tried_count
+            # Only once the instance waits for this answer, and not again before it has tried.
+            until_ms = clock.now_ms() + SLOW_MS
+            is_tried = second_at_ms.get() <= until_ms
+            clock.advance(SLOW_MS)
+            if is_tried:
+                assert found.get() is None
+                tried_count += 1
             return reply_with()(sock, head, number)
 
+        try_acquire = AdmissionController.try_acquire
+        monkeypatch.setattr(forward, "get_second_attempt_at_ms", record_time)
+        monkeypatch.setattr(AdmissionController, "try_acquire", record_claim)
         serve(slow)
         for _ in range(6):
             assert _call(instance, "/targeted").status == 200
+        assert tried_count > 0
         controller = instance.app.controllers_by_service["work"]
         tokens: list[float] = []
         controller.read_pool(lambda pool, now_ms: tokens.append(pool.retry_budget.tokens))
         # Six first attempts earned 0.2 tokens each, in addition to the initial 3.
-        assert tokens[0] > 4
+        assert tokens == [pytest.approx(4.2)]
 
 
 class RefusingUpstream:
