Let the test of a hedge without a key choose when the hedge is due

Cause, in the test, two interleavings. The key is taken away by the thread of the first upstream, within the quantile of 40 warm-up calls, some ms. Forced: with that thread 0.2 s late the hedge is rightly sent before and the test fails with 2 attempts for 1. And with each read 0.1 s late the warm-up outlasts the lease of 3 s of the upstreams, and it fails with 0 attempts for 1 and for 2, '503 no-upstream'. Ruled out: a hedge without a key; in the first case the key was still in force when the hedge was sent. Change: the clock stands still until the first attempt has arrived and the key is taken away, and then passes the time of the hedge, which is given instead of measured. What is asserted is after the instance has tried a second attempt; the attempts are counted at the instance as well, so that one that arrives late is not missed.

--- a/testing/proxy/test_keys.py
+++ b/testing/proxy/test_keys.py
@@ -8,13 +8,19 @@
 import socket
 import threading
 from collections.abc import Iterator
+from typing import Any
 
 import msgspec
 import pytest
 
+from coltsfootrill.clock import Clock
+from coltsfootrill.clock import ManualClock
 from coltsfootrill.events.catalog import RequestEnded
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from coltsfootrill.proxy import forward
 from coltsfootrill.proxy import newer_manifest
+from coltsfootrill.proxy.admission_controller import AdmissionController
+from coltsfootrill.proxy.second_attempt import get_second_attempt_at_ms
 from testing.processes import wait_until
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import answer
@@ -31,12 +37,19 @@
 SIGNED = "X-Server-Signature: s\r\n"
 NEW_PATH = "/new"
 LONG_WAIT_MS = 10_000.0
+DEADLINE_MS = 1_500.0
+HEDGE_AFTER_MS = 50.0
 WITHOUT_ACME = {"acme": [], "other": [OTHER_KEY]}
 
 
 @pytest.fixture
-def instance() -> Iterator[Instance]:
-    made = Instance(dialect=coltsfootrill_dialect())
+def clock() -> Clock:
+    return Clock()
+
+
+@pytest.fixture
+def instance(clock: Clock) -> Iterator[Instance]:
+    made = Instance(dialect=coltsfootrill_dialect(), clock=clock)
     made.manifests.adopt(make_keyed_manifest(2))
     yield made
     made.close()
@@ -178,31 +191,57 @@
         assert len(upstream.heads) == 1
         upstream.close()
 
+    @pytest.mark.parametrize("clock", [ManualClock()], ids=["manual"])
     @pytest.mark.parametrize(("is_taken_away", "attempts_count"), [(True, 1), (False, 2)])
     def test_no_hedge_follows_once_the_key_is_taken_away(
-        self, instance: Instance, is_taken_away: bool, attempts_count: int
+        self,
+        clock: ManualClock,
+        instance: Instance,
+        is_taken_away: bool,
+        attempts_count: int,
+        monkeypatch: pytest.MonkeyPatch,
     ) -> None:
         stalled: list[bytes] = []
-        is_stalling = threading.Event()
+        is_waiting = threading.Event()
+        is_second_tried = threading.Event()
 
-        def stall_later(sock: socket.socket, head: bytes, number: int) -> bool:
-            if not is_stalling.is_set():
-                sock.sendall(encode(extra=SIGNED))
-                return True
+        def record_wait(*args: Any, **names: Any) -> float:
+            at_ms = get_second_attempt_at_ms(*args, **names)
+            is_waiting.set()
+            return at_ms
+
+        def record_second(forwarder: forward.RequestForwarder) -> None:
+            start_second(forwarder)
+            is_second_tried.set()
+
+        def stall(sock: socket.socket, head: bytes, number: int) -> bool:
             stalled.append(head)
-            if is_taken_away:
-                instance.manifests.adopt(make_keyed_manifest(3, WITHOUT_ACME))
             sock.recv(1)
             return False
 
-        upstreams = [ScriptedUpstream(stall_later) for _ in range(2)]
+        start_second = forward.RequestForwarder._start_second
+        monkeypatch.setattr(forward, "get_second_attempt_at_ms", record_wait)
+        monkeypatch.setattr(forward.RequestForwarder, "_start_second", record_second)
+        monkeypatch.setattr(AdmissionController, "get_quantile_ms", lambda *args: HEDGE_AFTER_MS)
+        upstreams = [ScriptedUpstream(stall) for _ in range(2)]
         for number, made in enumerate(upstreams):
             instance.announce(f"u{number}", made.address)
-        for _ in range(40):
-            instance.call("/hedged", Authorization=BEARER)
-        is_stalling.set()
-        instance.call("/hedged", Authorization=BEARER)
-        assert len(stalled) == attempts_count
+        caller = threading.Thread(
+            target=lambda: instance.call("/hedged", Authorization=BEARER), daemon=True
+        )
+        caller.start()
+        wait_until(lambda: len(stalled) == 1 and is_waiting.is_set())
+        if is_taken_away:
+            instance.manifests.adopt(make_keyed_manifest(3, WITHOUT_ACME))
+        clock.advance(HEDGE_AFTER_MS)
+        wait_until(is_second_tried.is_set)
+        # What the instance has sent by now arrives, however late.
+        wait_until(lambda: len(stalled) >= attempts_count)
+        clock.advance(DEADLINE_MS)
+        caller.join()
+        wait_until(lambda: bool(instance.events))
+        (event,) = [event for event in instance.events if isinstance(event, RequestEnded)]
+        assert len(stalled) == len(event.attempts) == attempts_count
         assert all(b"X-Tenant: acme" in head for head in stalled)
         for made in upstreams:
             made.close()
