--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -344,6 +344,21 @@
         "may_work=not is_lost",
         "testing/test_rpc.py::TestSilentConnection",
     ),
+    Mutant(
+        "an upstream that is silent does not hold up the polls of others",
+        "proxy/load_poller.py",
+        "ANSWER_TIMEOUT_MS = 40.0\n",
+        "ANSWER_TIMEOUT_MS = 40_000.0\n",
+        "testing/proxy/test_load_poller.py::TestPolling::test_silent_upstream_does_not_delay_the_others",
+    ),
+    Mutant(
+        "an upstream that declined a poll is not polled again",
+        "proxy/load_poller.py",
+        "if self._declines.is_declining(announcement.id, announcement.incarnation, now_ms):",
+        "if False:",
+        "testing/proxy/test_load_poller.py::TestPolling"
+        "::test_an_upstream_that_wants_no_request_is_not_polled",
+    ),
     Mutant(
         "an upstream that declined a request of an instance is not polled by it",
         "proxy/load_poller.py",
@@ -351,6 +366,13 @@
         "if False:",
         "testing/proxy/test_load_poller.py::TestPolling",
     ),
+    Mutant(
+        "an ejected upstream is probed",
+        "proxy/prober.py",
+        "            connection.send(head, deadline_ms=deadline_ms)\n",
+        "",
+        "testing/proxy/test_prober.py::TestDecliningUpstream::test_an_ejected_upstream_is_probed",
+    ),
     Mutant(
         "a hub that hangs does not keep the manifest of another from being fetched",
         "roles/manifest_sync.py",
@@ -1019,6 +1041,24 @@
         '("",)',
         "testing/proxy/test_dialect.py::TestRepeatedRefusals",
     ),
+    Mutant(
+        "an answer without an id is accepted only on a fresh connection",
+        "proxy/answer.py",
+        "is_first = self._is_fresh and not",
+        "is_first = not",
+        "testing/proxy/test_dialect.py::TestAnswerMatching"
+        "::test_answer_without_an_id_is_accepted_only_on_a_fresh_connection",
+    ),
+    Mutant(
+        "a second attempt that has no upstream spends no retry budget",
+        "proxy/forward.py",
+        "        if claim is None:\n            return\n",
+        "        if claim is None:\n"
+        "            self._controller.may_hedge(self._history, self._kind)\n"
+        "            return\n",
+        "testing/proxy/test_dialect.py::TestHedging"
+        "::test_retry_budget_is_not_spent_without_a_second_upstream",
+    ),
     Mutant(
         "a refusal that is written again answers no request without an id",
         "proxy/used_connections.py",
@@ -1343,6 +1383,13 @@
         "        self._submit_next_read(self._connection)\n        self.is_handed_over = True\n",
         SERVER + "PipelinedWithoutThread",
     ),
+    Mutant(
+        "pipelined requests are processed concurrently",
+        "proxy/server.py",
+        "            handover.hand_over if may_read_on else None,\n",
+        "            None,\n",
+        "testing/proxy/test_pipelining.py::TestPipelining::test_requests_are_processed_concurrently",
+    ),
     Mutant(
         "new limits for callers are applied",
         "proxy/server.py",
@@ -1740,6 +1787,14 @@
         "        self.reserve()\n",
         QUOTA_REQUESTS + "TokensOfARequest",
     ),
+    Mutant(
+        "a refused attempt leaves its token to the next",
+        "proxy/forward.py",
+        """            self._tokens.take_back()
+            return AttemptFailure("shed",""",
+        """            return AttemptFailure("shed",""",
+        QUOTA_REQUESTS + "Forwarding::test_a_retry_after_a_refusal_takes_no_second",
+    ),
     Mutant(
         "a request beyond its quota is refused before it waits for an upstream",
         "proxy/forward.py",
--- a/testing/proxy/test_dialect.py
+++ b/testing/proxy/test_dialect.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
+import queue
 import socket
+import threading
 import time
 from collections.abc import Callable
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
+from coltsfootrill.balancer.claim import Claim
+from coltsfootrill.clock import Clock
+from coltsfootrill.clock import ManualClock
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from coltsfootrill.proxy import forward
+from coltsfootrill.proxy.admission_controller import AdmissionController
+from coltsfootrill.proxy.answer import UpstreamAnswer
+from coltsfootrill.proxy.connection import UpstreamConnection
+from coltsfootrill.proxy.second_attempt import get_second_attempt_at_ms
 from testing.processes import wait_until
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
@@ -22,6 +33,8 @@
 Serve = Callable[..., ScriptedUpstream]
 SIGNATURE = "x-server-signature: s\r\n"
 NOT_RUN = "x-not-executed: 1\r\n"
+DEADLINE_MS = 1_500
+SLOW_MS = 500.0
 
 
 def get_request_id(head: bytes) -> str:
@@ -44,8 +57,18 @@
 
 
 @pytest.fixture
-def instance() -> Iterator[Instance]:
-    made = Instance(dialect=coltsfootrill_dialect(), once_idle_max_ms=4_000)
+def clock() -> Clock:
+    return Clock()
+
+
+@pytest.fixture
+def instance(clock: Clock) -> Iterator[Instance]:
+    made = Instance(
+        dialect=coltsfootrill_dialect(),
+        deadline_ms=DEADLINE_MS,
+        once_idle_max_ms=4_000,
+        clock=clock,
+    )
     yield made
     made.close()
 
@@ -151,17 +174,40 @@
         assert replies == [b"mine"] * 3
         assert upstream.connections == 3
 
+    # The clock stands still, so that no deadline passes and the connection stays fit for reuse.
+    @pytest.mark.parametrize("clock", [ManualClock()], ids=["manual"])
     def test_answer_without_an_id_is_accepted_only_on_a_fresh_connection(
-        self, instance: Instance, serve: Serve
+        self,
+        clock: ManualClock,
+        instance: Instance,
+        serve: Serve,
+        monkeypatch: pytest.MonkeyPatch,
     ) -> None:
         def script(sock: socket.socket, head: bytes, number: int) -> bool:
             sock.sendall(encode(str(number).encode(), extra=SIGNATURE))
             return True
 
+        are_answers: list[bool] = []
+        read_available = UpstreamConnection.read_available
+
+        def record_read(connection: UpstreamConnection) -> UpstreamAnswer | None:
+            answer = read_available(connection)
+            are_answers.append(answer is not None)
+            return answer
+
+        monkeypatch.setattr(UpstreamConnection, "read_available", record_read)
         upstream = serve(script)
         assert _call(instance, "/once", method="POST").body == b"1"
-        reply = _call(instance, "/once", method="POST")
-        assert (reply.outcome, upstream.connections) == ("unknown", 1)
+        replies: list[Reply] = []
+        caller = threading.Thread(
+            target=lambda: replies.append(_call(instance, "/once", method="POST"))
+        )
+        caller.start()
+        wait_until(lambda: len(are_answers) == 2)
+        clock.advance(DEADLINE_MS)
+        caller.join()
+        assert are_answers == [True, False]
+        assert (replies[0].outcome, upstream.connections) == ("unknown", 1)
 
     # Guards against a request that has run being refused for an answer that names no request.
     def test_answer_without_an_id_is_not_accepted_behind_the_answer_to_another_request(
@@ -237,21 +283,51 @@
         bodies = [_call(instance, "/targeted").body for _ in range(5)]
         assert bodies.count(b"quick") >= 4
 
+    @pytest.mark.parametrize("clock", [ManualClock()], ids=["manual"])
     def test_retry_budget_is_not_spent_without_a_second_upstream(
-        self, instance: Instance, serve: Serve
+        self,
+        clock: ManualClock,
+        instance: Instance,
+        serve: Serve,
+        monkeypatch: pytest.MonkeyPatch,
     ) -> None:
+        second_at_ms: queue.SimpleQueue[float] = queue.SimpleQueue()
+        found: queue.SimpleQueue[object] = queue.SimpleQueue()
+        tried_count = 0
+
+        def record_time(*args: Any, **names: Any) -> float:
+            at_ms = get_second_attempt_at_ms(*args, **names)
+            second_at_ms.put(at_ms)
+            return at_ms
+
+        def record_claim(*args: Any, **names: Any) -> Claim | None:
+            claim = try_acquire(*args, **names)
+            found.put(claim)
+            return claim
+
         def slow(sock: socket.socket, head: bytes, number: int) -> bool:
-            time.sleep(0.5)
+            nonlocal tried_count
+            # Only once the instance waits for this answer, and not again before it has tried.
+            until_ms = clock.now_ms() + SLOW_MS
+            is_tried = second_at_ms.get() <= until_ms
+            clock.advance(SLOW_MS)
+            if is_tried:
+                assert found.get() is None
+                tried_count += 1
             return reply_with()(sock, head, number)
 
+        try_acquire = AdmissionController.try_acquire
+        monkeypatch.setattr(forward, "get_second_attempt_at_ms", record_time)
+        monkeypatch.setattr(AdmissionController, "try_acquire", record_claim)
         serve(slow)
         for _ in range(6):
             assert _call(instance, "/targeted").status == 200
+        assert tried_count > 0
         controller = instance.app.controllers_by_service["work"]
         tokens: list[float] = []
         controller.read_pool(lambda pool, now_ms: tokens.append(pool.retry_budget.tokens))
         # Six first attempts earned 0.2 tokens each, in addition to the initial 3.
-        assert tokens[0] > 4
+        assert tokens == [pytest.approx(4.2)]
 
 
 class RefusingUpstream:
