Start threads of callers without waiting until they run

Cause: `Thread.start` waits until the new thread runs, and `submit` held the lock meanwhile that the new thread needs to take its task. With 6 busy threads each connection took 60 to 1,400 ms from its accept to the return of `submit`, one connection after the other.

Change: threads are started with `_thread.start_new_thread`, which does not wait, and run the task that they were started for without the lock. They are counted, not joined. A test's stand-in for `_start_thread` takes the task too.

--- a/src/coltsfootrill/proxy/worker_threads.py
+++ b/src/coltsfootrill/proxy/worker_threads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import _thread
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -14,8 +15,10 @@
 class WorkerThreads:
     """Runs tasks in up to ``count_max`` threads, started when they are needed.
 
-    The threads are daemons. Those of a ``ThreadPoolExecutor`` are joined when the interpreter
-    exits, so a single task that never returned would keep the process from ending.
+    The interpreter does not join the threads when it exits, as it does those of a
+    ``ThreadPoolExecutor``: a single task that never returned would keep the process from ending.
+    ``submit`` does not wait until a new thread runs, as ``Thread.start`` does: where many threads
+    want the interpreter, that takes hundreds of milliseconds, one thread after the other.
     """
 
     __slots__ = (
@@ -26,7 +29,7 @@
         "_is_closed",
         "_name",
         "_tasks",
-        "_threads",
+        "_thread_count",
     )
 
     def __init__(self, count_max: int, *, name: str, clock: Clock) -> None:
@@ -35,7 +38,7 @@
         self._name = name
         self._changed = threading.Condition()
         self._tasks: deque[Callable[[], None]] = deque()
-        self._threads: list[threading.Thread] = []
+        self._thread_count = 0
         self._idle_count = 0
         self._is_closed = False
 
@@ -47,8 +50,9 @@
         with self._changed:
             if self._is_closed:
                 raise RuntimeError("the worker threads have been closed")
-            if len(self._tasks) >= self._idle_count and len(self._threads) < self._count_max:
-                self._start_thread()
+            if len(self._tasks) >= self._idle_count and self._thread_count < self._count_max:
+                self._start_thread(task)
+                return
             self._tasks.append(task)
             self._changed.notify()
 
@@ -57,23 +61,28 @@
         with self._changed:
             self._is_closed = True
             self._changed.notify_all()
-        until_ms = self._clock.now_ms() + timeout_ms
-        for thread in self._threads:
-            thread.join(max(0.0, until_ms - self._clock.now_ms()) / 1000)
-        return sum(thread.is_alive() for thread in self._threads)
+            until_ms = self._clock.now_ms() + timeout_ms
+            while self._thread_count and (left_ms := until_ms - self._clock.now_ms()) > 0:
+                self._changed.wait(left_ms / 1000)
+            return self._thread_count
 
-    def _start_thread(self) -> None:
-        name = f"{self._name}_{len(self._threads)}"
-        thread = threading.Thread(target=self._run, name=name, daemon=True)
-        thread.start()
-        self._threads.append(thread)
+    def _start_thread(self, task: Callable[[], None]) -> None:
+        _thread.start_new_thread(self._run, (f"{self._name}_{self._thread_count}", [task]))
+        self._thread_count += 1
 
-    def _run(self) -> None:
-        while (task := self._take()) is not None:
+    def _run(self, name: str, first: list[Callable[[], None]]) -> None:
+        """Run the task in ``first``, which the arguments of the thread do not keep, and more."""
+        threading.current_thread().name = name
+        task: Callable[[], None] | None = first.pop()
+        while task is not None:
             try:
                 task()
             except Exception:
                 logging.exception("unhandled exception in a task; this is a bug in coltsfootrill")
+            task = self._take()
+        with self._changed:
+            self._thread_count -= 1
+            self._changed.notify_all()
 
     def _take(self) -> Callable[[], None] | None:
         """Return the next task, ``None`` once there are none and no more are accepted."""
--- a/testing/proxy/test_server.py
+++ b/testing/proxy/test_server.py
@@ -159,7 +159,6 @@
                 assert b"done" in _read_all(caller)
         server.stop(idle_ms=0, limit_ms=2_000)
 
-
     # Guards against a stop that spends its time on callers that come while it accepts, and resets
     # some of them at its end.
     def test_callers_that_come_while_the_last_are_accepted_do_not_prolong_the_stop(
@@ -330,7 +329,7 @@
             raise RuntimeError("can't start new thread")
 
         with monkeypatch.context() as patch:
-            patch.setattr(WorkerThreads, "_start_thread", lambda workers: refuse())
+            patch.setattr(WorkerThreads, "_start_thread", lambda workers, task: refuse())
             with socket.create_connection(("127.0.0.1", server.port)) as refused:
                 assert _read_all(refused) == b""
         assert "can't start new thread" in caplog.text
--- a/testing/proxy/test_worker_threads.py
+++ b/testing/proxy/test_worker_threads.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
+import _thread
 import subprocess
 import sys
 import threading
+from collections.abc import Callable
+from typing import Any
 
 import pytest
 
@@ -56,6 +59,48 @@
         wait_until(lambda: len(done) == 9)
         assert workers.close(timeout_ms=5_000) == 0
 
+    # Guards against connections that wait with the kernel until each thread started before runs.
+    def test_a_submit_does_not_wait_until_a_new_thread_runs(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        workers = WorkerThreads(1, name="test", clock=Clock())
+        is_submitted, done = threading.Event(), threading.Event()
+        were_submitted: list[bool] = []
+        start = _thread.start_new_thread
+
+        def start_late(function: Callable[..., object], arguments: tuple[Any, ...]) -> int:
+            def run() -> None:
+                were_submitted.append(is_submitted.wait(2))
+                function(*arguments)
+
+            return start(run, ())
+
+        monkeypatch.setattr(_thread, "start_new_thread", start_late)
+        monkeypatch.setattr(threading, "_start_new_thread", start_late)
+        workers.submit(done.set)
+        is_submitted.set()
+        assert done.wait(5)
+        assert were_submitted == [True]
+        assert workers.close(timeout_ms=5_000) == 0
+
+    # Guards against a request that waits until the thread that accepted it runs again.
+    def test_a_new_thread_runs_its_first_task_though_the_submitter_is_late(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        workers = WorkerThreads(1, name="test", clock=Clock())
+        done = threading.Event()
+        were_done: list[bool] = []
+        start_thread = WorkerThreads._start_thread
+
+        def start_late(workers: WorkerThreads, task: Callable[[], None]) -> None:
+            start_thread(workers, task)
+            were_done.append(done.wait(2))
+
+        monkeypatch.setattr(WorkerThreads, "_start_thread", start_late)
+        workers.submit(done.set)
+        assert were_done == [True]
+        assert workers.close(timeout_ms=5_000) == 0
+
     def test_a_task_that_fails_ends_no_thread(self) -> None:
         workers = WorkerThreads(1, name="test", clock=Clock())
         done = threading.Event()
