--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1013,6 +1013,14 @@
         "",
         "testing/proxy/test_rate_limit.py::TestStatedRate",
     ),
+    Mutant(
+        "an answer without a rate lifts the limit of an upstream",
+        "balancer/rate_limit.py",
+        "            self.per_s = None\n            self._lifted_ms = now_ms\n",
+        "            self._lifted_ms = now_ms\n",
+        "testing/proxy/test_rate_limit.py::TestStatedRate"
+        "::test_an_answer_without_a_rate_lifts_the_limit",
+    ),
     Mutant(
         "the fleet together keeps to the rate that an upstream states",
         "dispatch/server.py",
