Name as the better source of a manifest the hub that has just confirmed it

The instance decided by the size of the manifest in force on it: one that had just restarted, or was behind the first large change, fetched the newest from a hub and sent all of it over its narrow link, as before. And it named any hub that had replied within 4.5 s, so that after a loss of power an operator could be sent to a dead one. Change: the read is made first; its answer holds the manifest and, if this link needs more than 250 ms for it, the control interface of the very hub that has just confirmed it with a majority, if that has a wider link. 'manifest-read' states the redirect. Without a majority the answer is 503 at once, which the test now asks of the first read after the voters have ended (20 s were allowed before). New: a restarted instance sends no large manifest before it redirects.

--- a/src/coltsfootrill/events/catalog.py
+++ b/src/coltsfootrill/events/catalog.py
@@ -181,12 +181,13 @@
     """An operator read the manifest with ``digest``, or could not because of ``error``.
 
     It was newest at a moment of the last ``took_ms``. The reply of ``size_bytes`` is sent after
-    this line.
+    this line, or from the control interface that the caller was redirected to.
     """
 
     took_ms: float
     digest: str = ""
     size_bytes: int = 0
+    redirected_to: str | None = None
     error: str = ""
 
 
--- a/src/coltsfootrill/operators/interface.py
+++ b/src/coltsfootrill/operators/interface.py
@@ -12,6 +12,20 @@
 from coltsfootrill.zones.orders import ZoneOrders
 
 
+class ManifestAnswer:
+    """The newest accepted manifest as it was submitted.
+
+    ``source`` is the control interface of a node that can send it sooner, ``None`` if this one may
+    as well.
+    """
+
+    __slots__ = ("raw", "source")
+
+    def __init__(self, raw: bytes, source: str | None = None) -> None:
+        self.raw = raw
+        self.source = source
+
+
 class ControlOperations(Protocol):
     """Operations of a node for operators and upstreams.
 
@@ -43,15 +57,9 @@
         Raises ``InvalidZoneOrderError`` or the errors of the register.
         """
 
-    def read_manifest(self) -> bytes:
+    def read_manifest(self) -> ManifestAnswer:
         """Return the newest accepted manifest; raise ``NoQuorumError`` without a majority."""
 
-    def find_manifest_source(self) -> str | None:
-        """Return the control interface of another node to read the manifest from.
-
-        ``None`` if it is to be read from this one.
-        """
-
 
 class ControlInterface:
     """A named set of HTTP routes for one kind of deployment, from a plug-in.
--- a/src/coltsfootrill/platform/interface.py
+++ b/src/coltsfootrill/platform/interface.py
@@ -206,15 +206,14 @@
         return _reply_with_message("200 OK", f"in force since order {orders.number}")
 
     def handle_read(self, request: HttpRequest) -> HttpReply:
-        source = self._operations.find_manifest_source()
-        if source is not None:
-            location = f"http://{source}{READ_PATH}"
-            return HttpReply("307 Temporary Redirect", b"", location=location)
         try:
-            raw = self._operations.read_manifest()
+            answer = self._operations.read_manifest()
         except NoQuorumError as error:
             return _reply_with_message("503 Service Unavailable", str(error))
-        return HttpReply("200 OK", raw)
+        if answer.source is not None:
+            location = f"http://{answer.source}{READ_PATH}"
+            return HttpReply("307 Temporary Redirect", b"", location=location)
+        return HttpReply("200 OK", answer.raw)
 
 
 def _reply_with_message(status: str, message: str) -> HttpReply:
--- a/src/coltsfootrill/roles/hub_client.py
+++ b/src/coltsfootrill/roles/hub_client.py
@@ -146,15 +146,12 @@
         """Return the address of a hub's control interface, whose port is the same on all nodes."""
         return str(Address(split_address(hub)[0], self._interface_port))
 
-    def find_wider_interface(self, link_mbps: float) -> str | None:
-        """Return the control interface of a current hub whose link is wider than ``link_mbps``."""
-        wider = {
-            record.address for record in self._view.list_instances() if record.link_mbps > link_mbps
-        }
-        for hub in self._list_other_hubs():
-            if hub in wider:
-                return self.get_interface_address(hub)
-        return None
+    def has_wider_link(self, hub: str, link_mbps: float) -> bool:
+        """Return whether the link of a hub is known to be wider than ``link_mbps``."""
+        return any(
+            record.address == hub and record.link_mbps > link_mbps
+            for record in self._view.list_instances()
+        )
 
     def submit(self, request: SubmitRequest) -> SubmitReply:
         """Forward a manifest to a hub; the result is ``unknown`` when no call succeeds.
@@ -199,10 +196,11 @@
                     return reply
         return reply
 
-    def read_manifest(self, known_version: int) -> bytes:
-        """Return the newest accepted manifest, empty if it is not newer than ``known_version``.
+    def read_manifest(self, known_version: int) -> tuple[str, bytes]:
+        """Return a hub that confirms the newest accepted manifest with a majority, and its bytes.
 
-        Raises ``NoQuorumError`` when no hub confirms it with a majority.
+        The bytes are empty if it is not newer than ``known_version``. Raises ``NoQuorumError`` when
+        no hub confirms it.
         """
 
         def call_hub(address: str) -> ReadReply:
@@ -213,8 +211,8 @@
                 raise NoQuorumError(f"the hub {address} cannot reach a majority of the replicas")
             return reply
 
-        _, reply = self._call_first_available(call_hub)
-        return reply.manifest
+        hub, reply = self._call_first_available(call_hub)
+        return hub, reply.manifest
 
     def _call_first_available(self, call_hub: Callable[[str], Answer]) -> tuple[str, Answer]:
         """Return the address and the answer of the first current hub whose call succeeds.
--- a/src/coltsfootrill/roles/manifest_control.py
+++ b/src/coltsfootrill/roles/manifest_control.py
@@ -24,6 +24,7 @@
 from coltsfootrill.manifest.holder import ManifestHolder
 from coltsfootrill.membership.hub import Hub
 from coltsfootrill.membership.messages import InstanceRecord
+from coltsfootrill.operators.interface import ManifestAnswer
 from coltsfootrill.roles.hub_client import HubClient
 from coltsfootrill.roles.majority_adoption import MajorityAdoption
 from coltsfootrill.roles.manifest_sync import ManifestSync
@@ -87,43 +88,47 @@
         )
         return _convert_submit_reply(reply)
 
-    def read(self) -> bytes:
+    def read(self) -> ManifestAnswer:
         """Return the newest accepted manifest; see ``ControlOperations``."""
         start_ms = self._clock.now_ms()
         try:
-            raw = self._read()
+            answer = self._read()
         except NoQuorumError as error:
             self._log.emit(ManifestRead(took_ms=self._measure_ms(start_ms), error=str(error)))
             raise
         self._log.emit(
             ManifestRead(
-                took_ms=self._measure_ms(start_ms), digest=_shorten(raw), size_bytes=len(raw)
+                took_ms=self._measure_ms(start_ms),
+                digest=_shorten(answer.raw),
+                size_bytes=len(answer.raw),
+                redirected_to=answer.source,
             )
         )
-        return raw
-
-    def find_source(self) -> str | None:
-        """Return where to read the manifest instead of here; see ``ControlOperations``.
+        return answer
 
-        That is a current hub with a wider link, if this link needs long to send the manifest.
-        """
-        if self._hub.is_current():
-            return None
-        _, raw = self._manifests.read_newer(0)
-        if self._own_record.estimate_send_ms(len(raw)) <= READ_SEND_MAX_MS:
-            return None
-        return self._hub_client.find_wider_interface(self._own_record.link_mbps)
-
-    def _read(self) -> bytes:
+    def _read(self) -> ManifestAnswer:
         replica = self._get_replica()
         if replica is not None and self._hub.is_current():
-            raw = replica.read().manifest
+            answer = ManifestAnswer(replica.read().manifest)
         else:
             known_version, known = self._manifests.read_newer(0)
-            raw = self._hub_client.read_manifest(known_version) or known
-        if not raw:
+            hub, raw = self._hub_client.read_manifest(known_version)
+            answer = self._answer_from(hub, raw or known)
+        if not answer.raw:
             raise NoQuorumError("no manifest has been accepted yet")
-        return raw
+        return answer
+
+    def _answer_from(self, hub: str, raw: bytes) -> ManifestAnswer:
+        """Return the manifest that a hub has just confirmed, with that hub as its better source.
+
+        It is one if its link is wider and this one needs long to send the manifest.
+        """
+        own = self._own_record
+        if own.estimate_send_ms(len(raw)) <= READ_SEND_MAX_MS:
+            return ManifestAnswer(raw)
+        if not self._hub_client.has_wider_link(hub, own.link_mbps):
+            return ManifestAnswer(raw)
+        return ManifestAnswer(raw, self._hub_client.get_interface_address(hub))
 
     def submit_locally(self, request: SubmitRequest) -> SubmitReply:
         """Submit a manifest to the replica of this node, and put it into force at a majority."""
--- a/src/coltsfootrill/roles/node_control.py
+++ b/src/coltsfootrill/roles/node_control.py
@@ -45,6 +45,7 @@
 from coltsfootrill.membership.suspect_gossip import unpack_news
 from coltsfootrill.membership.view import HubView
 from coltsfootrill.naming.scheme import NamingScheme
+from coltsfootrill.operators.interface import ManifestAnswer
 from coltsfootrill.registry.announcement import Announcement
 from coltsfootrill.registry.announcement import split_address
 from coltsfootrill.roles.hub_client import ADOPT
@@ -245,14 +246,10 @@
         """Evacuate or restore an availability zone; see ``ControlOperations``."""
         return self._zone_control.order(action, zone, operator=operator)
 
-    def read_manifest(self) -> bytes:
+    def read_manifest(self) -> ManifestAnswer:
         """Return the newest accepted manifest; see ``ControlOperations``."""
         return self._manifest_control.read()
 
-    def find_manifest_source(self) -> str | None:
-        """Return where to read the manifest instead; see ``ControlOperations``."""
-        return self._manifest_control.find_source()
-
     def _add_rpc_methods(self) -> None:
         polls = HeldPolls(self.hub, loop=get_event_loop(), random=self._random)
         self._server.add_held(FOLLOW, polls.answer)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1827,15 +1827,15 @@
     Mutant(
         "a manifest that a narrow link sends slowly is read from a voter",
         "roles/manifest_control.py",
-        "        return self._hub_client.find_wider_interface(self._own_record.link_mbps)\n",
-        "        return None\n",
+        "        return ManifestAnswer(raw, self._hub_client.get_interface_address(hub))\n",
+        "        return ManifestAnswer(raw)\n",
         NODE + "NarrowLink",
     ),
     Mutant(
         "operators are sent only to a hub with a wider link",
         "roles/hub_client.py",
-        "            if hub in wider:\n",
-        "            if hub:\n",
-        "testing/roles/test_hub_client.py::TestWiderInterface",
+        "            record.address == hub and record.link_mbps > link_mbps\n",
+        "            record.address == hub\n",
+        "testing/roles/test_hub_client.py::TestWiderLink",
     ),
 ]
--- a/testing/platform/test_interface.py
+++ b/testing/platform/test_interface.py
@@ -15,6 +15,7 @@
 from coltsfootrill.manifest.codec import make_manifest_error
 from coltsfootrill.membership.messages import SharedUpstream
 from coltsfootrill.operators.http import HttpApp
+from coltsfootrill.operators.interface import ManifestAnswer
 from coltsfootrill.platform.interface import add_control_routes
 from coltsfootrill.platform.interface import add_ready_routes
 from coltsfootrill.platform.interface import decode_heartbeat
@@ -58,12 +59,9 @@
         self.ordered.append((action, zone, operator))
         return ZoneOrders(3, {"z1": 3})
 
-    def read_manifest(self) -> bytes:
+    def read_manifest(self) -> ManifestAnswer:
         self._raise_error()
-        return b"{raw}"
-
-    def find_manifest_source(self) -> str | None:
-        return self.manifest_source
+        return ManifestAnswer(b"{raw}", self.manifest_source)
 
     def _raise_error(self) -> None:
         if self.error is not None:
--- a/testing/roles/test_hub_client.py
+++ b/testing/roles/test_hub_client.py
@@ -4,6 +4,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.roles.hub_client import HubClient
 
@@ -23,11 +25,14 @@
     )
 
 
-class TestWiderInterface:
-    def test_it_is_that_of_a_current_hub_with_a_wider_link(self) -> None:
-        assert make_client(hub_link_mbps=100).find_wider_interface(2) == "10.0.0.1:8649"
-
+class TestWiderLink:
     # Guards against a redirect that gains nothing, or to a hub whose link is not known.
-    def test_a_hub_with_a_link_that_is_not_wider_or_unknown_is_not_named(self) -> None:
-        assert make_client(hub_link_mbps=2).find_wider_interface(2) is None
-        assert make_client(hub_link_mbps=0).find_wider_interface(2) is None
+    @pytest.mark.parametrize(("hub_link_mbps", "is_wider"), [(100, True), (2, False), (0, False)])
+    def test_only_a_link_that_is_known_to_be_wider_is(
+        self, hub_link_mbps: float, is_wider: bool
+    ) -> None:
+        client = make_client(hub_link_mbps=hub_link_mbps)
+        assert client.has_wider_link(HUB_ADDRESS, 2) is is_wider
+
+    def test_an_unknown_hub_has_none(self) -> None:
+        assert not make_client(hub_link_mbps=100).has_wider_link("10.0.0.7:7160", 2)
--- a/testing/roles/test_node.py
+++ b/testing/roles/test_node.py
@@ -184,6 +184,12 @@
             for voter in fleet.nodes[:3]
         }
         assert sources[narrow.find_manifest_source()].read() == (200, large)
+        # It sends none itself either before it has fetched one.
+        narrow.end()
+        narrow.start(is_first_start=False)
+        statuses: set[int] = set()
+        wait_until(lambda: statuses.add(narrow.read()[0]) or 307 in statuses, within_s=20)
+        assert 200 not in statuses
 
     def test_operators_are_sent_to_no_voter_that_has_fallen_silent(self, fleet: Fleet) -> None:
         fleet.submit_manifest(2, 0)
@@ -193,7 +199,7 @@
         wait_until(lambda: narrow.read()[0] == 307, within_s=5)
         for voter in fleet.nodes[:3]:
             voter.end()
-        wait_until(lambda: narrow.read()[0] == 503, within_s=20)
+        assert narrow.read()[0] == 503
 
 
 class TestDepartures:
