--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -351,7 +351,9 @@
         if self._is_kept and not math.isnan(sent_ms):
             at_ms = now_ms()
             if self._has_ended:
-                sent_ms, at_ms = read_end_ms(self._twin)
+                last_sent_ms, at_ms = read_end_ms(self._twin)
+                # The kernel may have sent the last byte again.
+                sent_ms = min(sent_ms, last_sent_ms)
             judge, has_ended = self._judge, self._has_ended
             judge.check(request_id, self._target, reply, sent_ms, at_ms, has_ended=has_ended)
         super()._record_end(request_id, reply, sent_ms=sent_ms)
--- a/testing/soak/kept.py
+++ b/testing/soak/kept.py
@@ -63,7 +63,7 @@
 
 
 def read_end_ms(sock: socket.socket) -> tuple[float, float]:
-    """Return when the last byte was sent, and when the end of the stream arrived.
+    """Return when the last byte was sent, or sent again, and when the end of the stream arrived.
 
     The kernel has noted both, so it does not matter how late this process looks. Without a reset,
     the end comes with an acknowledgement; one that follows makes it seem later, never sooner.
