--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -1019,6 +1019,13 @@
         "            self._lifted_ms = now_ms\n",
         "testing/proxy/test_rate_limit.py::TestStatedRate",
     ),
+    Mutant(
+        "an instance limits an upstream that announces to be cold",
+        "balancer/rate_limit.py",
+        "        if self.warm_up_per_s is None or now_ms >= self._cold_until_ms:\n",
+        "        if True:\n",
+        "testing/proxy/test_warm_up.py::TestColdUpstream",
+    ),
     Mutant(
         "the fleet together keeps to the rate that an upstream states",
         "dispatch/server.py",
