Let the test of a silent upstream poll the other however late its thread runs

Cause, in the test: it waits for five rounds, 100 ms, and takes for granted that the other upstream answers within 40 ms of wall-clock time; a late answer is given up, and that upstream polled again a second later. Ruled out: a poll that waits behind the silent one; both are sent before the first wait. Change: the poller has a clock that the test moves, and looks for answers once that of the other has arrived. So the other has to be heard in each of six rounds, waited for together with the silent one in every other round (before: once, some time within five rounds, with the silent one polled once). A round that does not end within 5 s fails, as before.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -351,6 +351,14 @@
         "ANSWER_TIMEOUT_MS = 40_000.0\n",
         "testing/proxy/test_load_poller.py::TestPolling",
     ),
+    Mutant(
+        "the wait for a silent upstream is that for the others as well",
+        "proxy/load_poller.py",
+        "                waiting[connection.fileno()] = upstream\n"
+        "        self._receive_answers(waiting)\n",
+        "                self._receive_answers({connection.fileno(): upstream})\n",
+        "testing/proxy/test_load_poller.py::TestPolling::test_silent_upstream_does_not_delay_the_others",
+    ),
     Mutant(
         "an upstream that declined a poll is not polled again",
         "proxy/load_poller.py",
--- a/testing/proxy/test_load_poller.py
+++ b/testing/proxy/test_load_poller.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import select
+import socket
 import threading
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -11,10 +13,12 @@
 from coltsfootrill.balancer.declines import DeclineTimes
 from coltsfootrill.balancer.load_report_cache import LoadReportCache
 from coltsfootrill.clock import Clock
+from coltsfootrill.clock import ManualClock
 from coltsfootrill.manifest.table import RoutingTable
 from coltsfootrill.membership.messages import InstanceRecord
 from coltsfootrill.metrics import Metrics
 from coltsfootrill.platform.dialect import coltsfootrill_dialect
+from coltsfootrill.proxy.load_poller import PAUSE_AFTER_FAILURE_MS
 from coltsfootrill.proxy.load_poller import AssignedUpstreams
 from coltsfootrill.proxy.load_poller import LoadPoller
 from coltsfootrill.proxy.load_poller import assign_upstreams
@@ -25,9 +29,9 @@
 from testing.proxy.fakes import Script
 from testing.proxy.fakes import ScriptedUpstream
 from testing.proxy.fakes import answer
-from testing.proxy.fakes import stay_silent
 from testing.proxy.instance import make_manifest
 
+ANSWER_MAX_MS = 5_000
 FLEET = [InstanceRecord(f"n{n}", 1, f"10.0.0.{n}:1", f"z{n % 3}", False, 0) for n in range(9)]
 
 
@@ -87,12 +91,12 @@
 class PollerFixture:
     """A running poller of scripted upstreams, and the reports that it received."""
 
-    def __init__(self, schemes: Any) -> None:
+    def __init__(self, schemes: Any, clock: Clock) -> None:
         self.warm_up: dict[str, Any] | None = None
         self.upstreams: list[UpstreamRecord] = []
         self._open: list[ScriptedUpstream] = []
         self._rounds = threading.Semaphore(0)
-        self.report_cache = LoadReportCache(Clock())
+        self.report_cache = LoadReportCache(clock)
         self.declines = DeclineTimes()
         self._metrics = Metrics()
         self.poller = LoadPoller(
@@ -107,7 +111,7 @@
             report_cache=self.report_cache,
             declines=self.declines,
             on_round=self._rounds.release,
-            clock=Clock(),
+            clock=clock,
             metrics=self._metrics,
         )
         threading.Thread(target=self.poller.run, daemon=True).start()
@@ -144,8 +148,14 @@
 
 
 @pytest.fixture
-def polling(schemes: Any) -> Iterator[PollerFixture]:
-    made = PollerFixture(schemes)
+def clock() -> Clock:
+    """Return the poller's clock; a test can set another one with ``parametrize``."""
+    return Clock()
+
+
+@pytest.fixture
+def polling(schemes: Any, clock: Clock) -> Iterator[PollerFixture]:
+    made = PollerFixture(schemes, clock)
     yield made
     made.close()
 
@@ -155,6 +165,12 @@
     return answer(b"", extra=extra)
 
 
+def _wait_for_end(sock: socket.socket, head: bytes, number: int) -> bool:
+    """Stay silent until the poller closes the connection."""
+    sock.recv(1)
+    return False
+
+
 class TestRestartedUpstream:
     # Guards against a live upstream being taken out for what its former start states.
     def test_the_former_start_of_an_upstream_is_not_polled_in_place_of_the_new_one(
@@ -246,11 +262,37 @@
         polling.wait_answer()
         assert not polling.declines.is_declining("u1", 1, Clock().now_ms())
 
-    def test_silent_upstream_does_not_delay_the_others(self, polling: PollerFixture) -> None:
-        polling.serve("u1", stay_silent())
+    @pytest.mark.parametrize("clock", [ManualClock()], ids=["manual"])
+    def test_silent_upstream_does_not_delay_the_others(
+        self, clock: ManualClock, polling: PollerFixture, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        receive_answers = polling.poller._receive_answers
+        # Of each round, whom the poller waited for together, and who was heard meanwhile.
+        rounds: list[tuple[list[str], list[str]]] = []
+
+        def receive_once_answered(waiting: dict[int, UpstreamRecord]) -> None:
+            fileno_by_id = {record.announcement.id: fileno for fileno, record in waiting.items()}
+            if "u2" in fileno_by_id:
+                # It is to be heard, however late its thread runs.
+                poll = select.poll()
+                poll.register(fileno_by_id["u2"], select.POLLIN)
+                assert poll.poll(ANSWER_MAX_MS)
+            receive_answers(waiting)
+            if fileno_by_id:
+                heard = [entry.upstream_id for entry in polling.report_cache.take()]
+                rounds.append((list(fileno_by_id), heard))
+                # So that the silent one is polled in every other round.
+                clock.advance(PAUSE_AFTER_FAILURE_MS / 2)
+
+        monkeypatch.setattr(polling.poller, "_receive_answers", receive_once_answered)
+        polling.serve("u1", _wait_for_end)
         polling.serve("u2", _load("0,0,3,100", "u2"))
-        polling.wait_rounds(5)
-        assert [entry.upstream_id for entry in polling.report_cache.take()] == ["u2"]
+        # The round in progress may have begun before both were known.
+        polling.wait_rounds(1)
+        rounds.clear()
+        polling.wait_rounds(6)
+        beside_u1, alone = (["u1", "u2"], ["u2"]), (["u2"], ["u2"])
+        assert rounds[:6] in ([beside_u1, alone] * 3, [alone, beside_u1] * 3)
 
     def test_load_of_another_upstream_at_the_address_is_ignored(
         self, polling: PollerFixture
