--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -522,6 +522,14 @@
         "pass",
         OUTCOMES + "Callers",
     ),
+    Mutant(
+        "a full queue refuses requests at once, not at their deadline",
+        "balancer/admission.py",
+        "        if len(self._waiters) <= self._limit and len(deferred)",
+        "        if len(deferred)",
+        OUTCOMES + "Admission"
+        "::test_requests_that_would_miss_their_deadline_are_refused_and_others_answered",
+    ),
     Mutant(
         "deferrable requests take priority from their latest time",
         "balancer/admission.py",
