--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -351,6 +351,14 @@
         "ANSWER_TIMEOUT_MS = 40_000.0\n",
         "testing/proxy/test_load_poller.py::TestPolling",
     ),
+    Mutant(
+        "the wait for a silent upstream is that for the others as well",
+        "proxy/load_poller.py",
+        "                waiting[connection.fileno()] = upstream\n"
+        "        self._receive_answers(waiting)\n",
+        "                self._receive_answers({connection.fileno(): upstream})\n",
+        "testing/proxy/test_load_poller.py::TestPolling::test_silent_upstream_does_not_delay_the_others",
+    ),
     Mutant(
         "an upstream that declined a poll is not polled again",
         "proxy/load_poller.py",
@@ -514,6 +522,14 @@
         "pass",
         OUTCOMES + "Callers",
     ),
+    Mutant(
+        "a full queue refuses requests at once, not at their deadline",
+        "balancer/admission.py",
+        "        if len(self._waiters) <= self._limit and len(deferred)",
+        "        if len(deferred)",
+        OUTCOMES + "Admission"
+        "::test_requests_that_would_miss_their_deadline_are_refused_and_others_answered",
+    ),
     Mutant(
         "deferrable requests take priority from their latest time",
         "balancer/admission.py",
