Say in the docstrings what a newcomer had to guess

Cause: two docstrings said that no connection is reset at a stop, which holds only for those that are open by then; others did not give their reason. Change: docstrings, one comment, and two names (_UNSENT_LOG_INTERVAL_S, and duplicate for the second socket of a kept connection). Compared with without comments and names, src is the same in all files.

--- a/src/coltsfootrill/operators/bounded_bodies.py
+++ b/src/coltsfootrill/operators/bounded_bodies.py
@@ -18,7 +18,7 @@
 BODIES_MAX_BYTES = 16 * 1024 * 1024
 # A body in chunks does not state its length, so memory for it is reserved in steps.
 _STEP_BYTES = 256 * 1024
-UNSENT_LOG_INTERVAL_S = 1
+_UNSENT_LOG_INTERVAL_S = 1
 
 
 class _NoRoomError(Error):  # type: ignore[misc]
@@ -108,7 +108,7 @@
                 logging.log_every_n_seconds(
                     logging.WARNING,
                     'connection closed before its reply was sent unsent_bytes="%d"',
-                    UNSENT_LOG_INTERVAL_S,
+                    _UNSENT_LOG_INTERVAL_S,
                     self.total_outbufs_len,
                 )
             super().handle_close()
--- a/src/coltsfootrill/operators/interface.py
+++ b/src/coltsfootrill/operators/interface.py
@@ -15,8 +15,8 @@
 class ManifestAnswer:
     """The newest accepted manifest as it was submitted.
 
-    ``source`` is the control interface of a node that can send it sooner, ``None`` if this one may
-    as well.
+    ``source`` is the address of the control interface that callers are to read it from, ``None`` if
+    ``raw`` is to be sent here.
     """
 
     __slots__ = ("raw", "source")
--- a/src/coltsfootrill/proxy/server.py
+++ b/src/coltsfootrill/proxy/server.py
@@ -414,10 +414,11 @@
 
 
 def _accept_last(listener: socket.socket) -> Iterator[socket.socket]:
-    """Yield the connections that the kernel has completed, to reset none; then close the listener.
+    """Yield the connections that the kernel has completed, then close the listener.
 
-    Each accept may wait long for the interpreter, so no connections are added meanwhile. Where the
-    system adds some all the same, those that its queue holds bound the number.
+    That resets a connection whose handshake still goes on; nobody has read its request. Each accept
+    may wait long for the interpreter, so no connections are added meanwhile. Where the system adds
+    some all the same, those that its queue holds bound the number.
     """
     drop_new_connections(listener)
     listener.settimeout(0)
--- a/src/coltsfootrill/proxy/sockets.py
+++ b/src/coltsfootrill/proxy/sockets.py
@@ -36,6 +36,7 @@
 _DROP_OPENING_PROGRAM = ctypes.create_string_buffer(
     b"".join(_FILTER_INSTRUCTION.pack(*instruction) for instruction in _DROP_OPENING)
 )
+# The structure ``sock_fprog``: the count of instructions and their address.
 _SOCK_FPROG = struct.Struct("HP")
 
 
@@ -66,7 +67,7 @@
 
 
 def drop_new_connections(listener: socket.socket) -> None:
-    """Let the kernel open no more connections; those that it has begun to open can be accepted.
+    """Let the kernel begin to open no more connections; those begun can be accepted once open.
 
     Their callers send the opening packet again, after a second as a rule, and are refused once the
     listener is closed. A system that does not support this goes on opening connections.
--- a/src/coltsfootrill/proxy/worker_threads.py
+++ b/src/coltsfootrill/proxy/worker_threads.py
@@ -71,7 +71,11 @@
         self._thread_count += 1
 
     def _run(self, name: str, first: list[Callable[[], None]]) -> None:
-        """Run the task in ``first``, which the arguments of the thread do not keep, and more."""
+        """Run the task in ``first`` and further ones.
+
+        The thread keeps its arguments to its end, so the task is taken out of ``first``: otherwise
+        the connection that it serves would be kept as long.
+        """
         threading.current_thread().name = name
         task: Callable[[], None] | None = first.pop()
         while task is not None:
--- a/src/coltsfootrill/roles/majority_adoption.py
+++ b/src/coltsfootrill/roles/majority_adoption.py
@@ -28,9 +28,9 @@
         self._newest = 0
 
     def ensure(self, number: int, make_request: Callable[[], AdoptRequest]) -> bool:
-        """Let a majority adopt the change with ``number``; return whether it has.
+        """Return whether a majority has the change with ``number`` in force, after asking it to.
 
-        On this node it is in force already.
+        It must be in force on this node. ``make_request`` is called only if others are asked.
         """
         if number <= self._newest:
             return True
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -324,7 +324,7 @@
         self._operator = operator
         self._judge = judge
         self._is_kept = False
-        self._twin: socket.socket
+        self._duplicate: socket.socket
 
     def _act(self) -> None:
         if self._connection is not None:
@@ -339,7 +339,7 @@
             super()._act()
             return
         # The connection is closed before its end is judged.
-        with self._connection.sock.dup() as self._twin:
+        with self._connection.sock.dup() as self._duplicate:
             super()._act()
 
     def _choose_address(self) -> str:
@@ -351,7 +351,7 @@
         if self._is_kept and not math.isnan(sent_ms):
             at_ms = now_ms()
             if self._has_ended:
-                last_sent_ms, at_ms = read_end_ms(self._twin)
+                last_sent_ms, at_ms = read_end_ms(self._duplicate)
                 # The kernel may have sent the last byte again.
                 sent_ms = min(sent_ms, last_sent_ms)
             judge, has_ended = self._judge, self._has_ended
