Let the fault that wakes nobody begin once the fleet serves

Cause, in the soak: with this fault polls are held for 10 s from the start on, so a node without a vote hears of the first manifest and upstreams up to 10 s late, and 15 s are allowed until all serve. Traced three times at a load of 20 to 25: 8.9, 9.2 and 11.0 s of the 15, the voters within 1 s. Beyond that the soak ends before any check has begun, and finds nothing. Forced: with the nodes without a vote frozen from 6 to 15.5 s of the wait (once one, once both), twice '127.0.3.4 does not serve requests again', respectively late_count 0; frozen once more, one served before, and the test passed. Ruled out: a check that overlooks the fault; none had been asked (0 judged). Change: hubs wake their followers until the fleet serves, then nobody any more. Polls are held as long as before; no bound changes, neither that of the start nor that of a check. Other faults, and soaks without one, are as they were. The test fails if no check counts what is late, and if hubs go on waking (load 36 to 48).

--- a/testing/soak/linked_node.py
+++ b/testing/soak/linked_node.py
@@ -1,7 +1,8 @@
 """A node whose calls to other nodes pass the proxies of its links, and that may have a fault.
 
 Usage: ``linked_node.py LINKS FAULT SETTINGS``. LINKS is a file that ``NodeLinks`` wrote. FAULT is
-empty, or the name of a fault that is put in on purpose: a soak of such nodes must fail.
+empty, or the name of a fault that is put in on purpose: a soak of such nodes must fail. One that
+would hold up the start begins once there is a file ``BEGIN_FILE`` beside LINKS.
 """
 
 from __future__ import annotations
@@ -27,6 +28,7 @@
 from coltsfootrill.start import main
 from coltsfootrill.zones.orders import ZoneOrders
 
+BEGIN_FILE = "fault-begins"
 FETCHED_LATE_S = 3.0
 POLL_HELD_MS = 10_000
 CLOSED_LATE_S = 0.3
@@ -36,7 +38,14 @@
     # Shorter polls to three hubs may end by turns often enough to hide the fault.
     following.HOLD_MS = hub.HOLD_MAX_MS = POLL_HELD_MS
     view.HUB_RESPONSIVE_WITHIN_MS = 2.0 * POLL_HELD_MS
-    HeldPolls._request_wake = lambda self: None  # type: ignore[method-assign]
+    begin = Path(sys.argv[1]).with_name(BEGIN_FILE)
+    request_wake = HeldPolls._request_wake
+
+    def request_until_begin(self: HeldPolls) -> None:
+        if not begin.exists():
+            request_wake(self)
+
+    HeldPolls._request_wake = request_until_begin  # type: ignore[method-assign]
 
 
 def _fetch_late() -> None:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -32,6 +32,7 @@
 from testing.soak.history import History
 from testing.soak.judge import ManifestJudge
 from testing.soak.kept import KeptJudge
+from testing.soak.linked_node import BEGIN_FILE
 from testing.soak.links import NodeLinks
 from testing.soak.proxy import FaultProxy
 from testing.soak.upstreams import DEPARTURES
@@ -189,6 +190,7 @@
         for service, count in UPSTREAMS_COUNT_BY_SERVICE.items():
             self._upstreams += [self._make_upstream(service) for _ in range(count)]
         self._wait_until_serving()
+        (self._folder / BEGIN_FILE).touch()
         for worker in [self._operator, self._zone_operator, *self._callers, *self._probers]:
             worker.start()
 
