Let the poller, not its thread's wait, judge an answer that never comes

Cause: at the end of a test the wait of the fixture could end without an answer, and its assertion failed in the poller's thread, as a warning of a later test. Change: the wait only waits; the poller then gives the answer up, and the test judges that as before.

--- a/testing/proxy/test_load_poller.py
+++ b/testing/proxy/test_load_poller.py
@@ -90,7 +90,7 @@
 def wait_for_answer(fileno: int) -> None:
     poll = select.poll()
     poll.register(fileno, select.POLLIN)
-    assert poll.poll(ANSWER_MAX_MS)
+    poll.poll(ANSWER_MAX_MS)
 
 
 class PollerFixture:
